Thin whole path: platform stand-in, filbertd, filbertctl, local demo

What is here: a workspace of five packages and two shipped binaries. filbertd polls the platform's current row, fetches the version object, validates the whole tree, compiles routes and swaps them in with arc-swap; it proxies calls by member header and path prefix to the least loaded target of the route's service in its zone, answering 503 not-run with Retry-After when no target can take a call. Targets announce themselves to their host's daemon, which publishes them to the table. filbertctl edits a draft row, diffs, accepts by compare-and-set on the current row (version objects keyed uniquely per attempt so racing operators cannot overwrite each other), watches daemon status rows, and withdraws by publishing the parent's tree as a new number.

--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,81 @@
+//! Command-line arguments.
+
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand};
+
+/// Edit, accept, watch and withdraw filbertladder settings.
+#[derive(Debug, Parser)]
+#[command(name = "filbertctl", version, about)]
+pub struct Cli {
+    /// Base URL of the platform's table and object store.
+    #[arg(
+        long,
+        env = "FILBERT_PLATFORM",
+        default_value = "http://127.0.0.1:7000"
+    )]
+    pub platform: String,
+    /// The command.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// The subcommands.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Replace the pending tree with a TOML file's tree.
+    Edit {
+        /// The settings tree file.
+        #[arg(long)]
+        file: PathBuf,
+    },
+    /// Set one key of a branch in the pending tree.
+    Set {
+        /// The branch: site, site/MEMBER, site/MEMBER/SERVICE or site/MEMBER/SERVICE/ROUTE.
+        branch: String,
+        /// The key, such as `timeout_ms`.
+        key: String,
+        /// The new value.
+        value: String,
+    },
+    /// Remove a branch and everything below it from the pending tree.
+    Remove {
+        /// The branch.
+        branch: String,
+    },
+    /// Show a branch of the version in force (or of the pending tree).
+    Show {
+        /// The branch; the whole tree when left out.
+        branch: Option<String>,
+        /// Show settings after inheritance.
+        #[arg(long)]
+        resolved: bool,
+        /// Show the pending tree instead of the version in force.
+        #[arg(long)]
+        pending: bool,
+    },
+    /// Show what accepting the pending tree would change.
+    Diff,
+    /// Accept the pending tree as a new version.
+    Accept {
+        /// Refuse unless the version in force is this one.
+        #[arg(long)]
+        expect: Option<u64>,
+    },
+    /// Wait until every proxy reports a version in force.
+    Watch {
+        /// The version to wait for; the current one when left out.
+        version: Option<u64>,
+        /// Give up after this many seconds.
+        #[arg(long, default_value_t = 30)]
+        timeout: u64,
+    },
+    /// Put the previous version's content back in force, as a new version.
+    Withdraw {
+        /// Refuse unless the version in force is this one.
+        #[arg(long)]
+        expect: Option<u64>,
+    },
+    /// List the proxies and the version each has in force.
+    Status,
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/mod.rs
@@ -0,0 +1,45 @@
+//! One module per subcommand; [`run`] dispatches.
+
+mod accept;
+mod diff;
+mod edit;
+mod publish;
+mod remove;
+mod set;
+mod show;
+mod status;
+mod watch;
+mod withdraw;
+
+use filbert_platform::PlatformClient;
+
+use crate::cli::{Cli, Command};
+use crate::store::CtlResult;
+
+/// How long one platform call from the command line may take.
+const PLATFORM_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Runs one parsed command line, printing its results on standard output.
+///
+/// # Errors
+/// [`crate::CtlError`] with context for the operator.
+pub async fn run(cli: Cli) -> CtlResult<()> {
+    let platform = PlatformClient::new(&cli.platform, PLATFORM_TIMEOUT);
+    match cli.command {
+        Command::Edit { file } => edit::run(&platform, &file).await,
+        Command::Set { branch, key, value } => set::run(&platform, &branch, &key, &value).await,
+        Command::Remove { branch } => remove::run(&platform, &branch).await,
+        Command::Show {
+            branch,
+            resolved,
+            pending,
+        } => show::run(&platform, branch.as_deref(), resolved, pending).await,
+        Command::Diff => diff::run(&platform).await,
+        Command::Accept { expect } => accept::run(&platform, expect).await,
+        Command::Watch { version, timeout } => {
+            watch::run(&platform, version, std::time::Duration::from_secs(timeout)).await
+        }
+        Command::Withdraw { expect } => withdraw::run(&platform, expect).await,
+        Command::Status => status::run(&platform).await,
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/set.rs
@@ -0,0 +1,24 @@
+//! `filbertctl set BRANCH KEY VALUE`: change one key of the pending tree.
+
+use error_stack::{Report, ResultExt};
+use filbert_platform::PlatformClient;
+
+use crate::error::CtlError;
+use crate::store::{self, CtlResult};
+
+pub(super) async fn run(
+    platform: &PlatformClient,
+    branch: &str,
+    key: &str,
+    value: &str,
+) -> CtlResult<()> {
+    let path = store::parse_branch(branch)?;
+    let (mut tree, row_version) = store::draft(platform).await?;
+    tree.set(&path, key, value)
+        .change_context(CtlError::BadInput)?;
+    tree.validate()
+        .map_err(|problems| Report::new(CtlError::BadInput).attach(problems.to_string()))?;
+    store::write_draft(platform, &tree, row_version).await?;
+    println!("{path}.{key} = {value} (pending)");
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,34 @@
+//! The clock, passed in so that tests can drive time.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Where the daemon reads time from.
+pub trait Clock: Send + Sync + 'static {
+    /// Monotonic time, for intervals.
+    fn now(&self) -> Instant;
+    /// Wall time, for times written to the platform's table.
+    fn wall(&self) -> SystemTime;
+
+    /// Wall time in milliseconds since the Unix epoch.
+    fn wall_ms(&self) -> u64 {
+        let since = self
+            .wall()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or(Duration::ZERO);
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+/// The operating system's clocks.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/counters.rs
@@ -0,0 +1,166 @@
+//! The daemon's counters, kept with `opentelemetry` and read back through a
+//! manual reader for the admin endpoint `/metrics`.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use opentelemetry::metrics::{Counter, MeterProvider};
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::metrics::data::{AggregatedMetrics, MetricData, ResourceMetrics};
+use opentelemetry_sdk::metrics::reader::MetricReader;
+use opentelemetry_sdk::metrics::{
+    InstrumentKind, ManualReader, Pipeline, SdkMeterProvider, Temporality,
+};
+
+/// How a proxied call ended, as counted per service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// The target answered with a status below 500.
+    Answered,
+    /// The target answered with a status of 500 or more.
+    Failed,
+    /// The call certainly did not reach a target.
+    NotRun,
+    /// The call may or may not have run.
+    Unknown,
+}
+
+impl CallOutcome {
+    /// The outcome's label in counters.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            CallOutcome::Answered => "answered",
+            CallOutcome::Failed => "failed",
+            CallOutcome::NotRun => "not_run",
+            CallOutcome::Unknown => "unknown",
+        }
+    }
+}
+
+/// Every counter the daemon keeps.
+pub struct DaemonCounters {
+    reader: Arc<ManualReader>,
+    _provider: SdkMeterProvider,
+    calls: Counter<u64>,
+    versions_applied: Counter<u64>,
+    versions_rejected: Counter<u64>,
+    platform_failures: Counter<u64>,
+    control_bytes: Counter<u64>,
+}
+
+impl Default for DaemonCounters {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl DaemonCounters {
+    /// Creates the counters with their own meter provider.
+    #[must_use]
+    pub fn new() -> DaemonCounters {
+        let reader = Arc::new(ManualReader::builder().build());
+        let provider = SdkMeterProvider::builder()
+            .with_reader(SharedReader(Arc::clone(&reader)))
+            .build();
+        let meter = provider.meter("filbertd");
+        DaemonCounters {
+            reader,
+            calls: meter.u64_counter("calls").build(),
+            versions_applied: meter.u64_counter("versions_applied").build(),
+            versions_rejected: meter.u64_counter("versions_rejected").build(),
+            platform_failures: meter.u64_counter("platform_failures").build(),
+            control_bytes: meter.u64_counter("control_bytes").with_unit("By").build(),
+            _provider: provider,
+        }
+    }
+
+    /// Counts one proxied call of `service`.
+    pub fn call(&self, service: &str, outcome: CallOutcome) {
+        self.calls.add(
+            1,
+            &[
+                KeyValue::new("service", service.to_owned()),
+                KeyValue::new("outcome", outcome.label()),
+            ],
+        );
+    }
+
+    /// Counts an applied version.
+    pub fn version_applied(&self) {
+        self.versions_applied.add(1, &[]);
+    }
+
+    /// Counts a version refused as invalid.
+    pub fn version_rejected(&self) {
+        self.versions_rejected.add(1, &[]);
+    }
+
+    /// Counts a failed platform call.
+    pub fn platform_failure(&self) {
+        self.platform_failures.add(1, &[]);
+    }
+
+    /// Counts configuration bytes received.
+    pub fn control_bytes(&self, bytes: usize) {
+        self.control_bytes.add(bytes as u64, &[]);
+    }
+
+    /// Every counter's current total, keyed `name` or `name{key=value,...}`.
+    #[must_use]
+    pub fn snapshot(&self) -> BTreeMap<String, u64> {
+        let mut metrics = ResourceMetrics::default();
+        let mut totals = BTreeMap::new();
+        if self.reader.collect(&mut metrics).is_err() {
+            return totals;
+        }
+        for scope in metrics.scope_metrics() {
+            for metric in scope.metrics() {
+                let AggregatedMetrics::U64(MetricData::Sum(sum)) = metric.data() else {
+                    continue;
+                };
+                for point in sum.data_points() {
+                    let labels: Vec<String> = point
+                        .attributes()
+                        .map(|pair| format!("{}={}", pair.key, pair.value))
+                        .collect();
+                    let key = if labels.is_empty() {
+                        metric.name().to_owned()
+                    } else {
+                        format!("{}{{{}}}", metric.name(), labels.join(","))
+                    };
+                    totals.insert(key, point.value());
+                }
+            }
+        }
+        totals
+    }
+}
+
+/// Lets the provider own a reader that [`DaemonCounters`] also keeps.
+#[derive(Debug)]
+struct SharedReader(Arc<ManualReader>);
+
+impl MetricReader for SharedReader {
+    fn register_pipeline(&self, pipeline: Weak<Pipeline>) {
+        self.0.register_pipeline(pipeline);
+    }
+
+    fn collect(&self, metrics: &mut ResourceMetrics) -> OTelSdkResult {
+        self.0.collect(metrics)
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        self.0.force_flush()
+    }
+
+    fn shutdown_with_timeout(&self, timeout: Duration) -> OTelSdkResult {
+        self.0.shutdown_with_timeout(timeout)
+    }
+
+    fn temporality(&self, kind: InstrumentKind) -> Temporality {
+        self.0.temporality(kind)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,21 @@
+//! filbertd: the daemon that runs beside every target. It proxies callers'
+//! calls to the targets of the right service in its availability zone, and
+//! applies accepted settings versions from the platform: whole, validated,
+//! never older than what it applied.
+//!
+//! Layout: [`control`] is the one reducer over all control events and returns
+//! effects as data; [`shell`] executes them against the platform; [`proxy`]
+//! and [`admin`] are the HTTP edges.
+
+pub mod admin;
+pub mod clock;
+pub mod control;
+pub mod counters;
+pub mod logging;
+pub mod proxy;
+pub mod settings;
+pub mod shell;
+pub mod targets;
+
+pub use settings::{DaemonSettings, SettingsError};
+pub use shell::{run, DaemonError};
--- /dev/null
+++ b/crates/platform/src/keys.rs
@@ -0,0 +1,39 @@
+//! The table's key layout, in one place.
+
+/// Builds the keys this project keeps in the platform's table.
+pub struct TableKey;
+
+impl TableKey {
+    /// The row holding the number of the version in force.
+    pub const CURRENT: &'static str = "current";
+    /// The row holding the operators' pending tree.
+    pub const DRAFT: &'static str = "draft";
+
+    /// Object store key of an accepted version; `nonce` makes it unique per
+    /// accept attempt.
+    #[must_use]
+    pub fn version_object(number: u64, nonce: u64) -> String {
+        format!("versions/{number:012}-{nonce:016x}")
+    }
+
+    /// Prefix of every daemon status row.
+    pub const DAEMONS: &'static str = "daemons/";
+
+    /// A daemon's status row.
+    #[must_use]
+    pub fn daemon(zone: &str, id: &str) -> String {
+        format!("daemons/{zone}/{id}")
+    }
+
+    /// Prefix of the target rows of one zone.
+    #[must_use]
+    pub fn zone_targets(zone: &str) -> String {
+        format!("targets/{zone}/")
+    }
+
+    /// A target's row.
+    #[must_use]
+    pub fn target(zone: &str, service: &str, address: &str) -> String {
+        format!("targets/{zone}/{service}/{address}")
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,14 @@
+//! The platform's table service and object store as this project uses them:
+//! the wire types both sides share and an HTTP client. The stand-in server in
+//! `filbert-standin` speaks the same types.
+
+mod client;
+mod keys;
+mod wire;
+
+pub use client::{PlatformClient, PlatformError, WriteOutcome};
+pub use keys::TableKey;
+pub use wire::{
+    CurrentPointer, DaemonStatus, FaultSwitches, GetRequest, PlatformStats, PutRequest, RowExpect,
+    ScanRequest, TableRow, TargetAnnouncement, TargetRecord,
+};
--- /dev/null
+++ b/crates/platform/src/wire.rs
@@ -0,0 +1,133 @@
+//! Request and reply bodies of the platform's HTTP protocol, and the rows
+//! this project keeps in the table.
+
+use serde::{Deserialize, Serialize};
+
+/// One row of the table. `version` grows by one on every write of the key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TableRow {
+    /// The row's key.
+    pub key: String,
+    /// The row's version, from 1.
+    pub version: u64,
+    /// The stored value.
+    pub value: serde_json::Value,
+}
+
+/// The condition a write must meet to take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RowExpect {
+    /// Write whatever is there.
+    Any,
+    /// Write only if the key is absent (conditional insert).
+    Absent,
+    /// Write only if the row is at this version (compare-and-set).
+    Version(u64),
+}
+
+/// Body of `POST /table/get`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GetRequest {
+    /// The key to read.
+    pub key: String,
+}
+
+/// Body of `POST /table/put`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PutRequest {
+    /// The key to write.
+    pub key: String,
+    /// The condition for the write.
+    pub expect: RowExpect,
+    /// The new value.
+    pub value: serde_json::Value,
+}
+
+/// Body of `POST /table/scan`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ScanRequest {
+    /// Every key starting with this is returned, in key order.
+    pub prefix: String,
+}
+
+/// The stand-in's fault switches (`POST /_faults`).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FaultSwitches {
+    /// Every request fails with 503 while set.
+    pub down: bool,
+    /// Every request waits this long first, in milliseconds.
+    pub delay_ms: u64,
+    /// The next this many writes take effect but their reply is lost.
+    pub lose_replies: u32,
+}
+
+/// Counts the stand-in keeps (`GET /_stats`), for benchmarks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformStats {
+    /// Table reads and scans served.
+    pub reads: u64,
+    /// Table writes that took effect.
+    pub writes: u64,
+    /// Objects served.
+    pub object_reads: u64,
+    /// Bytes of reply bodies sent.
+    pub bytes_out: u64,
+}
+
+/// What a daemon reports about itself in its row `daemons/ZONE/ID`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DaemonStatus {
+    /// The daemon's id from its settings.
+    pub id: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The version in force on it (0 before the first).
+    pub applied: u64,
+    /// The newest version it refused as invalid, if any, with the reason.
+    pub rejected: Option<(u64, String)>,
+    /// Its clock at the report, in milliseconds since the Unix epoch.
+    pub reported_at_ms: u64,
+}
+
+/// A target's announcement as kept in the row `targets/ZONE/SERVICE/ADDRESS`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetRecord {
+    /// The service the target serves.
+    pub service: String,
+    /// Where to reach it, as `host:port`.
+    pub address: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its last reported load: calls in flight.
+    pub load: u32,
+    /// Set once it announced that it is leaving: it must get no new work.
+    pub leaving: bool,
+    /// When the announcing daemon last heard from it, in milliseconds since the Unix epoch.
+    pub heard_at_ms: u64,
+}
+
+/// What a target sends its host's daemon (`POST /announce` on the daemon's
+/// admin port) to join, report load, and leave.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetAnnouncement {
+    /// The service the target serves.
+    pub service: String,
+    /// Where to reach it, as `host:port`.
+    pub address: String,
+    /// Calls in flight on it now.
+    pub load: u32,
+    /// Set when it is leaving and must get no new work.
+    pub leaving: bool,
+}
+
+/// The value of the `current` row: which version is in force and where its
+/// object is. The object key is unique per accept, so racing operators never
+/// overwrite each other's objects; only the winner of the compare-and-set on
+/// this row is named here.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CurrentPointer {
+    /// The version number in force.
+    pub number: u64,
+    /// Object store key of its [`filbert_tree::VersionRecord`].
+    pub object: String,
+}
--- /dev/null
+++ b/crates/standin/src/demo.rs
@@ -0,0 +1,158 @@
+//! The local demo: a mesh of two zones with two daemons each over stand-in
+//! targets, an example tree applied, real calls sent through, an edit
+//! accepted and watched, then withdrawn.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use clap::Parser;
+use filbert_ctl::{cmd, Cli};
+
+use crate::mesh::{LocalMesh, MeshSpec};
+
+/// The Co-op example tree, built into the binary.
+const COOP_TREE: &str = include_str!("../../../examples/coop.toml");
+
+/// Runs the demo with the `filbertd` binary at `daemon_exe`.
+///
+/// # Errors
+/// A text saying which step failed.
+pub async fn run(daemon_exe: &Path) -> Result<(), String> {
+    println!(
+        "== starting the platform stand-in, 2 zones x 2 daemons, targets for quoting and artwork"
+    );
+    let mesh = LocalMesh::start(MeshSpec::new(daemon_exe, &["quoting", "artwork"])).await;
+    println!(
+        "platform at {}; daemon logs in {}",
+        mesh.platform.url,
+        mesh.dir.display()
+    );
+    let tree_path = mesh.dir.join("coop.toml");
+    std::fs::write(&tree_path, COOP_TREE).map_err(|error| error.to_string())?;
+    let tree_arg = tree_path.to_string_lossy().into_owned();
+
+    ctl(&mesh, &["edit", "--file", &tree_arg]).await?;
+    ctl(&mesh, &["diff"]).await?;
+    let accepted = Instant::now();
+    ctl(&mesh, &["accept"]).await?;
+    ctl(&mesh, &["watch", "--timeout", "10"]).await?;
+    report_in_force(&mesh, 1, accepted).await?;
+
+    println!("== calls through every daemon");
+    calls(&mesh).await?;
+
+    println!("== an edit: north-signs quotes get a 900 ms timeout");
+    ctl(
+        &mesh,
+        &[
+            "set",
+            "site/north-signs/quoting/quotes",
+            "timeout_ms",
+            "900",
+        ],
+    )
+    .await?;
+    ctl(&mesh, &["diff"]).await?;
+    let accepted = Instant::now();
+    ctl(&mesh, &["accept", "--expect", "1"]).await?;
+    ctl(&mesh, &["watch", "--timeout", "10"]).await?;
+    report_in_force(&mesh, 2, accepted).await?;
+    ctl(
+        &mesh,
+        &["show", "site/north-signs/quoting/quotes", "--resolved"],
+    )
+    .await?;
+
+    println!("== a bad edit is refused: a route to an unknown service");
+    if ctl(
+        &mesh,
+        &[
+            "set",
+            "site/north-signs/quoting/quotes",
+            "service",
+            "nowhere",
+        ],
+    )
+    .await
+    .is_ok()
+    {
+        return Err("an invalid edit was taken".to_owned());
+    }
+
+    println!("== withdrawing version 2");
+    let accepted = Instant::now();
+    ctl(&mesh, &["withdraw", "--expect", "2"]).await?;
+    ctl(&mesh, &["watch", "--timeout", "10"]).await?;
+    report_in_force(&mesh, 3, accepted).await?;
+    ctl(
+        &mesh,
+        &["show", "site/north-signs/quoting/quotes", "--resolved"],
+    )
+    .await?;
+    ctl(&mesh, &["status"]).await?;
+
+    let stats = mesh.platform.store.stats();
+    let placements = mesh.executions.records().len();
+    println!("== done: {placements} order placements executed (sent 4); platform served {} reads, {} writes, {} object reads, {} bytes",
+        stats.reads, stats.writes, stats.object_reads, stats.bytes_out);
+    if placements != 4 {
+        return Err(format!("expected 4 order placements, saw {placements}"));
+    }
+    Ok(())
+}
+
+async fn ctl(mesh: &LocalMesh, words: &[&str]) -> Result<(), String> {
+    println!("$ filbertctl {}", words.join(" "));
+    let mut args = vec!["filbertctl", "--platform", &mesh.platform.url];
+    args.extend_from_slice(words);
+    let cli = Cli::try_parse_from(args).map_err(|error| error.to_string())?;
+    cmd::run(cli).await.map_err(|report| {
+        let text = format!("{report:?}");
+        println!("filbertctl: {text}");
+        text
+    })
+}
+
+async fn report_in_force(mesh: &LocalMesh, number: u64, accepted: Instant) -> Result<(), String> {
+    mesh.wait_in_force(number, Duration::from_secs(10))
+        .await
+        .ok_or_else(|| format!("version {number} did not come into force"))?;
+    println!(
+        "version {number} in force on every daemon {} ms after accept",
+        accepted.elapsed().as_millis()
+    );
+    Ok(())
+}
+
+async fn calls(mesh: &LocalMesh) -> Result<(), String> {
+    let http = reqwest::Client::new();
+    for (index, daemon) in mesh.daemons.iter().enumerate() {
+        let quote = http
+            .get(format!("{}/quotes/{index}", daemon.proxy_url))
+            .header("x-filbert-member", "north-signs")
+            .send()
+            .await
+            .map_err(|error| error.to_string())?;
+        let target = quote
+            .headers()
+            .get("x-filbert-target")
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("-")
+            .to_owned();
+        println!(
+            "GET  {}/quotes/{index} -> {} via target {target}",
+            daemon.id,
+            quote.status()
+        );
+        let order = http
+            .post(format!("{}/orders", daemon.proxy_url))
+            .header("x-filbert-member", "harbour-signs")
+            .header("idempotency-key", format!("order-{index}"))
+            .body(format!("{{\"order\":{index},\"letters\":\"OPEN\"}}"))
+            .send()
+            .await
+            .map_err(|error| error.to_string())?;
+        println!("POST {}/orders -> {}", daemon.id, order.status());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,258 @@
+//! The platform stand-in: a transactional table (versioned rows,
+//! compare-and-set, conditional insert, prefix scan) and an object store over
+//! HTTP, with switches for the platform's failures.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use filbert_platform::{
+    FaultSwitches, GetRequest, PlatformStats, PutRequest, RowExpect, ScanRequest, TableRow,
+};
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::{ContentType, Status};
+use rocket::serde::json::Json;
+use rocket::{get, post, put, routes, State};
+
+/// The stand-in's whole state. Shared between the server and tests.
+#[derive(Default)]
+pub struct PlatformStore {
+    inner: Mutex<StoreInner>,
+}
+
+#[derive(Default)]
+struct StoreInner {
+    rows: BTreeMap<String, (u64, serde_json::Value)>,
+    objects: BTreeMap<String, Vec<u8>>,
+    faults: FaultSwitches,
+    stats: PlatformStats,
+}
+
+/// What a handler answers: a status and a JSON body.
+type JsonReply = (Status, (ContentType, Vec<u8>));
+
+impl PlatformStore {
+    fn lock(&self) -> MutexGuard<'_, StoreInner> {
+        // A panic while holding the lock would be a bug in this stand-in; the
+        // data is still consistent per operation, so carry on with it.
+        self.inner
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Sets the fault switches.
+    pub fn set_faults(&self, switches: FaultSwitches) {
+        self.lock().faults = switches;
+    }
+
+    /// The counts so far.
+    pub fn stats(&self) -> PlatformStats {
+        self.lock().stats
+    }
+
+    /// Applies the switches to one request: waits the set delay, then refuses
+    /// when the platform is down.
+    async fn gate(&self) -> Result<(), Status> {
+        let faults = self.lock().faults;
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.down {
+            Err(Status::ServiceUnavailable)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Takes one lost reply from the switches, if any are set.
+    fn take_lost_reply(inner: &mut StoreInner) -> bool {
+        if inner.faults.lose_replies > 0 {
+            inner.faults.lose_replies -= 1;
+            true
+        } else {
+            false
+        }
+    }
+
+    fn reply<T: serde::Serialize>(inner: &mut StoreInner, status: Status, body: &T) -> JsonReply {
+        let bytes = serde_json::to_vec(body).unwrap_or_default();
+        inner.stats.bytes_out += bytes.len() as u64;
+        (status, (ContentType::JSON, bytes))
+    }
+}
+
+fn row(key: &str, stored: &(u64, serde_json::Value)) -> TableRow {
+    TableRow {
+        key: key.to_owned(),
+        version: stored.0,
+        value: stored.1.clone(),
+    }
+}
+
+#[post("/table/get", data = "<request>")]
+async fn table_get(
+    store: &State<Arc<PlatformStore>>,
+    request: Json<GetRequest>,
+) -> Result<JsonReply, Status> {
+    store.gate().await?;
+    let mut inner = store.lock();
+    inner.stats.reads += 1;
+    match inner
+        .rows
+        .get(&request.key)
+        .map(|stored| row(&request.key, stored))
+    {
+        Some(found) => Ok(PlatformStore::reply(&mut inner, Status::Ok, &found)),
+        None => Err(Status::NotFound),
+    }
+}
+
+#[post("/table/put", data = "<request>")]
+async fn table_put(
+    store: &State<Arc<PlatformStore>>,
+    request: Json<PutRequest>,
+) -> Result<JsonReply, Status> {
+    store.gate().await?;
+    let mut inner = store.lock();
+    let current = inner
+        .rows
+        .get(&request.key)
+        .map(|stored| row(&request.key, stored));
+    let holds = match (request.expect, &current) {
+        (RowExpect::Any, _) | (RowExpect::Absent, None) => true,
+        (RowExpect::Version(expected), Some(found)) => found.version == expected,
+        (RowExpect::Absent, Some(_)) | (RowExpect::Version(_), None) => false,
+    };
+    if !holds {
+        return Ok(PlatformStore::reply(&mut inner, Status::Conflict, &current));
+    }
+    let version = current.map_or(1, |found| found.version + 1);
+    inner
+        .rows
+        .insert(request.key.clone(), (version, request.value.clone()));
+    inner.stats.writes += 1;
+    if PlatformStore::take_lost_reply(&mut inner) {
+        return Err(Status::GatewayTimeout);
+    }
+    let written = row(&request.key, &(version, request.value.clone()));
+    Ok(PlatformStore::reply(&mut inner, Status::Ok, &written))
+}
+
+#[post("/table/scan", data = "<request>")]
+async fn table_scan(
+    store: &State<Arc<PlatformStore>>,
+    request: Json<ScanRequest>,
+) -> Result<JsonReply, Status> {
+    store.gate().await?;
+    let mut inner = store.lock();
+    inner.stats.reads += 1;
+    let rows: Vec<TableRow> = inner
+        .rows
+        .range(request.prefix.clone()..)
+        .take_while(|(key, _)| key.starts_with(&request.prefix))
+        .map(|(key, stored)| row(key, stored))
+        .collect();
+    Ok(PlatformStore::reply(&mut inner, Status::Ok, &rows))
+}
+
+#[put("/object/<key..>", data = "<data>")]
+async fn object_put(store: &State<Arc<PlatformStore>>, key: PathBuf, data: Data<'_>) -> Status {
+    if let Err(status) = store.gate().await {
+        return status;
+    }
+    let Ok(bytes) = data.open(64.mebibytes()).into_bytes().await else {
+        return Status::BadRequest;
+    };
+    let mut inner = store.lock();
+    inner
+        .objects
+        .insert(key.to_string_lossy().into_owned(), bytes.into_inner());
+    inner.stats.writes += 1;
+    if PlatformStore::take_lost_reply(&mut inner) {
+        return Status::GatewayTimeout;
+    }
+    Status::Ok
+}
+
+#[get("/object/<key..>")]
+async fn object_get(store: &State<Arc<PlatformStore>>, key: PathBuf) -> Result<Vec<u8>, Status> {
+    store.gate().await?;
+    let mut inner = store.lock();
+    let Some(bytes) = inner.objects.get(&*key.to_string_lossy()).cloned() else {
+        return Err(Status::NotFound);
+    };
+    inner.stats.object_reads += 1;
+    inner.stats.bytes_out += bytes.len() as u64;
+    Ok(bytes)
+}
+
+#[post("/_faults", data = "<switches>")]
+fn set_faults(store: &State<Arc<PlatformStore>>, switches: Json<FaultSwitches>) -> Status {
+    store.set_faults(switches.into_inner());
+    Status::Ok
+}
+
+#[get("/_stats")]
+fn stats(store: &State<Arc<PlatformStore>>) -> Json<PlatformStats> {
+    Json(store.stats())
+}
+
+/// Builds the stand-in server on `port` over `store`.
+#[must_use]
+pub fn server(port: u16, store: Arc<PlatformStore>) -> rocket::Rocket<rocket::Build> {
+    rocket::custom(quiet_config(port)).manage(store).mount(
+        "/",
+        routes![table_get, table_put, table_scan, object_put, object_get, set_faults, stats],
+    )
+}
+
+/// A rocket configuration on loopback that prints nothing.
+#[must_use]
+pub fn quiet_config(port: u16) -> rocket::Config {
+    rocket::Config {
+        port,
+        address: std::net::Ipv4Addr::LOCALHOST.into(),
+        log_level: rocket::config::LogLevel::Off,
+        cli_colors: false,
+        ..rocket::Config::release_default()
+    }
+}
+
+/// A running stand-in: its address and its store.
+pub struct PlatformHandle {
+    /// Base URL, such as `http://127.0.0.1:7000`.
+    pub url: String,
+    /// The shared state, for switches and counts.
+    pub store: Arc<PlatformStore>,
+    shutdown: rocket::Shutdown,
+}
+
+impl PlatformHandle {
+    /// Starts the stand-in on a free loopback port, in the current runtime.
+    ///
+    /// # Panics
+    /// When the server cannot start, which leaves a test nothing to run against.
+    pub async fn start() -> PlatformHandle {
+        let port = crate::ports::free_port();
+        let store = Arc::new(PlatformStore::default());
+        let ignited = server(port, Arc::clone(&store))
+            .ignite()
+            .await
+            .expect("the platform stand-in ignites");
+        let shutdown = ignited.shutdown();
+        tokio::spawn(ignited.launch());
+        let url = format!("http://127.0.0.1:{port}");
+        crate::target::wait_listening(port).await;
+        PlatformHandle {
+            url,
+            store,
+            shutdown,
+        }
+    }
+
+    /// Stops the server.
+    pub fn stop(self) {
+        self.shutdown.notify();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,267 @@
+//! Stand-in targets: the users' back ends (Co-op quoting and ordering,
+//! artwork and stock; Authority booking and documents). Each announces itself
+//! to the daemon on its host, reports its load, and records every execution of
+//! a call that changes something, so tests can count them.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use filbert_platform::TargetAnnouncement;
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::Status;
+use rocket::request::{FromRequest, Outcome, Request};
+use rocket::serde::json::Json;
+use rocket::{get, post, routes, State};
+use serde::{Deserialize, Serialize};
+
+/// How often a target re-announces itself and its load.
+pub const ANNOUNCE_EVERY: Duration = Duration::from_millis(300);
+
+/// One execution of a call that changes something (`POST`).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExecutionRecord {
+    /// The target that ran it.
+    pub target: String,
+    /// The call's path.
+    pub path: String,
+    /// The caller's idempotency key, if it sent one.
+    pub idempotency_key: Option<String>,
+    /// The call's body as text.
+    pub body: String,
+}
+
+/// Every execution on every target of one test or demo run.
+#[derive(Default)]
+pub struct ExecutionLog {
+    records: Mutex<Vec<ExecutionRecord>>,
+}
+
+impl ExecutionLog {
+    /// A copy of the records so far.
+    pub fn records(&self) -> Vec<ExecutionRecord> {
+        self.records
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    fn push(&self, record: ExecutionRecord) {
+        self.records
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .push(record);
+    }
+}
+
+/// The answer a stand-in target gives: enough for a caller to check that the
+/// answer is its own and whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetAnswer {
+    /// The service that answered.
+    pub service: String,
+    /// The target's address.
+    pub target: String,
+    /// The path called.
+    pub path: String,
+    /// The caller's request id echoed back.
+    pub request_id: Option<String>,
+    /// The call's body echoed back.
+    pub body: String,
+}
+
+struct TargetState {
+    service: String,
+    address: String,
+    delay: Duration,
+    in_flight: AtomicU32,
+    log: Arc<ExecutionLog>,
+}
+
+/// Headers a stand-in target reads from a call.
+struct CallHeaders {
+    request_id: Option<String>,
+    idempotency_key: Option<String>,
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for CallHeaders {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let header = |name: &str| request.headers().get_one(name).map(str::to_owned);
+        Outcome::Success(CallHeaders {
+            request_id: header("x-request-id"),
+            idempotency_key: header("idempotency-key"),
+        })
+    }
+}
+
+impl TargetState {
+    async fn serve(&self, path: &std::path::Path, headers: CallHeaders, body: String) -> TargetAnswer {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        if !self.delay.is_zero() {
+            tokio::time::sleep(self.delay).await;
+        }
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
+        TargetAnswer {
+            service: self.service.clone(),
+            target: self.address.clone(),
+            path: format!("/{}", path.to_string_lossy()),
+            request_id: headers.request_id,
+            body,
+        }
+    }
+}
+
+#[get("/<path..>")]
+async fn read_call(
+    state: &State<Arc<TargetState>>,
+    path: PathBuf,
+    headers: CallHeaders,
+) -> Json<TargetAnswer> {
+    Json(state.serve(&path, headers, String::new()).await)
+}
+
+#[post("/<path..>", data = "<data>")]
+async fn write_call(
+    state: &State<Arc<TargetState>>,
+    path: PathBuf,
+    headers: CallHeaders,
+    data: Data<'_>,
+) -> Result<Json<TargetAnswer>, Status> {
+    let body = data
+        .open(1.mebibytes())
+        .into_string()
+        .await
+        .map_err(|_| Status::BadRequest)?
+        .into_inner();
+    let record = ExecutionRecord {
+        target: state.address.clone(),
+        path: format!("/{}", path.to_string_lossy()),
+        idempotency_key: headers.idempotency_key.clone(),
+        body: body.clone(),
+    };
+    state.log.push(record);
+    Ok(Json(state.serve(&path, headers, body).await))
+}
+
+/// Settings of one stand-in target.
+#[derive(Clone, Debug)]
+pub struct TargetSpec {
+    /// The service it serves.
+    pub service: String,
+    /// Admin URL of the daemon on its host, such as `http://127.0.0.1:7101`.
+    pub daemon_admin: String,
+    /// Time it takes to answer each call.
+    pub delay: Duration,
+}
+
+/// A running stand-in target.
+pub struct TargetHandle {
+    /// Its address, `127.0.0.1:PORT`.
+    pub address: String,
+    state: Arc<TargetState>,
+    leaving: Arc<AtomicBool>,
+    shutdown: rocket::Shutdown,
+    announcer: tokio::task::JoinHandle<()>,
+}
+
+impl TargetHandle {
+    /// Starts a target on a free loopback port and begins announcing it.
+    ///
+    /// # Panics
+    /// When the server cannot start.
+    pub async fn start(spec: &TargetSpec, log: Arc<ExecutionLog>) -> TargetHandle {
+        let port = crate::ports::free_port();
+        let address = format!("127.0.0.1:{port}");
+        let state = Arc::new(TargetState {
+            service: spec.service.clone(),
+            address: address.clone(),
+            delay: spec.delay,
+            in_flight: AtomicU32::new(0),
+            log,
+        });
+        let ignited = rocket::custom(crate::platform::quiet_config(port))
+            .manage(Arc::clone(&state))
+            .mount("/", routes![read_call, write_call])
+            .ignite()
+            .await
+            .expect("a stand-in target ignites");
+        let shutdown = ignited.shutdown();
+        tokio::spawn(ignited.launch());
+        wait_listening(port).await;
+        let leaving = Arc::new(AtomicBool::new(false));
+        let announcer = tokio::spawn(announce_loop(
+            spec.daemon_admin.clone(),
+            Arc::clone(&state),
+            Arc::clone(&leaving),
+        ));
+        TargetHandle {
+            address,
+            state,
+            leaving,
+            shutdown,
+            announcer,
+        }
+    }
+
+    /// The service it serves.
+    #[must_use]
+    pub fn service(&self) -> &str {
+        &self.state.service
+    }
+
+    /// Announces that it is leaving; it keeps serving calls already sent.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Stops serving and announcing at once, as a crash would.
+    pub fn stop(self) {
+        self.announcer.abort();
+        self.shutdown.notify();
+    }
+}
+
+async fn announce_loop(daemon_admin: String, state: Arc<TargetState>, leaving: Arc<AtomicBool>) {
+    let http = reqwest::Client::new();
+    let url = format!("{daemon_admin}/announce");
+    let mut was_leaving = false;
+    loop {
+        let now_leaving = leaving.load(Ordering::SeqCst);
+        let announcement = TargetAnnouncement {
+            service: state.service.clone(),
+            address: state.address.clone(),
+            load: state.in_flight.load(Ordering::SeqCst),
+            leaving: now_leaving,
+        };
+        // A daemon that is down or restarting misses announcements; the next
+        // one, a period later, repeats the whole state, so nothing is lost.
+        let _ = http
+            .post(&url)
+            .json(&announcement)
+            .timeout(ANNOUNCE_EVERY)
+            .send()
+            .await;
+        if now_leaving && !was_leaving {
+            was_leaving = true;
+            continue;
+        }
+        tokio::time::sleep(ANNOUNCE_EVERY).await;
+    }
+}
+
+/// Waits until something accepts connections on the loopback `port`, for at
+/// most five seconds.
+pub async fn wait_listening(port: u16) {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    for _ in 0..500 {
+        if tokio::net::TcpStream::connect(address).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/crates/tree/src/branch.rs
@@ -0,0 +1,236 @@
+//! The tree's branches and the paths that name them.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::settings::BranchSettings;
+use crate::version::ParseError;
+
+/// A whole settings tree, rooted at its site.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SettingsTree {
+    /// The root branch.
+    pub site: SiteBranch,
+}
+
+/// The root branch: settings every member inherits.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SiteBranch {
+    /// The site's name, for operators.
+    pub name: String,
+    /// Settings every branch below inherits.
+    #[serde(default)]
+    pub settings: BranchSettings,
+    /// Members (customers) by name.
+    #[serde(default)]
+    pub members: BTreeMap<String, MemberBranch>,
+}
+
+/// A member (customer) of the site; its calls never reach another member's routes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberBranch {
+    /// Overrides of the site's settings.
+    #[serde(default)]
+    pub settings: BranchSettings,
+    /// The member's view of services, by service name.
+    #[serde(default)]
+    pub services: BTreeMap<String, ServiceBranch>,
+}
+
+/// A service as one member uses it; its targets are those announcing this name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceBranch {
+    /// Overrides of the member's settings.
+    #[serde(default)]
+    pub settings: BranchSettings,
+    /// Routes by name.
+    #[serde(default)]
+    pub routes: BTreeMap<String, RouteBranch>,
+}
+
+/// A route: calls whose path starts with `path` go to a service's targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteBranch {
+    /// Path prefix that selects the route, starting with `/`.
+    pub path: String,
+    /// Service the route sends to; the parent service when unset.
+    #[serde(default)]
+    pub service: Option<String>,
+    /// Overrides of the service's settings.
+    #[serde(default)]
+    pub settings: BranchSettings,
+}
+
+/// Names one branch: `site`, `site/MEMBER`, `site/MEMBER/SERVICE` or
+/// `site/MEMBER/SERVICE/ROUTE`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum BranchPath {
+    /// The root.
+    Site,
+    /// A member.
+    Member { member: String },
+    /// A member's service.
+    Service { member: String, service: String },
+    /// A route of a member's service.
+    Route {
+        member: String,
+        service: String,
+        route: String,
+    },
+}
+
+impl BranchPath {
+    /// Parses `site[/member[/service[/route]]]`; `None` when malformed.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<BranchPath> {
+        let mut parts = text.split('/');
+        if parts.next() != Some("site") {
+            return None;
+        }
+        let rest: Vec<&str> = parts.collect();
+        if rest.iter().any(|part| part.is_empty()) {
+            return None;
+        }
+        let owned = |index: usize| rest[index].to_owned();
+        match rest.len() {
+            0 => Some(BranchPath::Site),
+            1 => Some(BranchPath::Member { member: owned(0) }),
+            2 => Some(BranchPath::Service {
+                member: owned(0),
+                service: owned(1),
+            }),
+            3 => Some(BranchPath::Route {
+                member: owned(0),
+                service: owned(1),
+                route: owned(2),
+            }),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for BranchPath {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BranchPath::Site => write!(formatter, "site"),
+            BranchPath::Member { member } => write!(formatter, "site/{member}"),
+            BranchPath::Service { member, service } => {
+                write!(formatter, "site/{member}/{service}")
+            }
+            BranchPath::Route {
+                member,
+                service,
+                route,
+            } => write!(formatter, "site/{member}/{service}/{route}"),
+        }
+    }
+}
+
+impl SettingsTree {
+    /// Parses a tree from TOML text; the error names the line and key.
+    ///
+    /// # Errors
+    /// [`ParseError`] when the text is not TOML or does not fit the tree.
+    pub fn from_toml(text: &str) -> Result<SettingsTree, ParseError> {
+        toml::from_str(text).map_err(|error| ParseError::from_toml(text, &error))
+    }
+
+    /// Renders the tree as TOML.
+    ///
+    /// # Panics
+    /// Never for trees built by this crate: every field is TOML-representable.
+    #[must_use]
+    pub fn to_toml(&self) -> String {
+        toml::to_string(self).expect("settings trees are always representable in TOML")
+    }
+
+    /// The settings a branch sets itself, or `None` when it does not exist.
+    #[must_use]
+    pub fn own_settings(&self, path: &BranchPath) -> Option<&BranchSettings> {
+        match path {
+            BranchPath::Site => Some(&self.site.settings),
+            BranchPath::Member { member } => self.site.members.get(member).map(|m| &m.settings),
+            BranchPath::Service { member, service } => self
+                .site
+                .members
+                .get(member)
+                .and_then(|m| m.services.get(service))
+                .map(|s| &s.settings),
+            BranchPath::Route {
+                member,
+                service,
+                route,
+            } => self
+                .site
+                .members
+                .get(member)
+                .and_then(|m| m.services.get(service))
+                .and_then(|s| s.routes.get(route))
+                .map(|r| &r.settings),
+        }
+    }
+
+    /// The settings in force at a branch after inheriting from every ancestor.
+    #[must_use]
+    pub fn resolved_settings(&self, path: &BranchPath) -> Option<BranchSettings> {
+        let own = self.own_settings(path)?.clone();
+        let parent = match path {
+            BranchPath::Site => return Some(own),
+            BranchPath::Member { .. } => BranchPath::Site,
+            BranchPath::Service { member, .. } => BranchPath::Member {
+                member: member.clone(),
+            },
+            BranchPath::Route {
+                member, service, ..
+            } => BranchPath::Service {
+                member: member.clone(),
+                service: service.clone(),
+            },
+        };
+        let inherited = self.resolved_settings(&parent)?;
+        Some(own.inherit(&inherited))
+    }
+
+    /// Every branch path in the tree, parents before children.
+    #[must_use]
+    pub fn branch_paths(&self) -> Vec<BranchPath> {
+        let mut paths = vec![BranchPath::Site];
+        for (member, member_branch) in &self.site.members {
+            paths.push(BranchPath::Member {
+                member: member.clone(),
+            });
+            for (service, service_branch) in &member_branch.services {
+                paths.push(BranchPath::Service {
+                    member: member.clone(),
+                    service: service.clone(),
+                });
+                for route in service_branch.routes.keys() {
+                    paths.push(BranchPath::Route {
+                        member: member.clone(),
+                        service: service.clone(),
+                        route: route.clone(),
+                    });
+                }
+            }
+        }
+        paths
+    }
+
+    /// The number of routes in the tree.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.site
+            .members
+            .values()
+            .flat_map(|member| member.services.values())
+            .map(|service| service.routes.len())
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/tree/src/diff.rs
@@ -0,0 +1,100 @@
+//! Differences between two trees, as operators read them before accepting.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::branch::SettingsTree;
+
+/// One difference between an older and a newer tree.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DiffLine {
+    /// A key set only in the newer tree.
+    Added { key: String, value: String },
+    /// A key set only in the older tree.
+    Removed { key: String, value: String },
+    /// A key set in both, to different values.
+    Changed {
+        key: String,
+        old: String,
+        new: String,
+    },
+}
+
+impl fmt::Display for DiffLine {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DiffLine::Added { key, value } => write!(formatter, "+ {key} = {value}"),
+            DiffLine::Removed { key, value } => write!(formatter, "- {key} = {value}"),
+            DiffLine::Changed { key, old, new } => write!(formatter, "~ {key} = {old} -> {new}"),
+        }
+    }
+}
+
+/// Lists what changes from `old` to `new`, in key order.
+#[must_use]
+pub fn diff_trees(old: &SettingsTree, new: &SettingsTree) -> Vec<DiffLine> {
+    let old_keys = flatten(old);
+    let new_keys = flatten(new);
+    let mut lines = Vec::new();
+    for (key, old_value) in &old_keys {
+        match new_keys.get(key) {
+            None => lines.push(DiffLine::Removed {
+                key: key.clone(),
+                value: old_value.clone(),
+            }),
+            Some(new_value) if new_value != old_value => lines.push(DiffLine::Changed {
+                key: key.clone(),
+                old: old_value.clone(),
+                new: new_value.clone(),
+            }),
+            Some(_) => {}
+        }
+    }
+    for (key, new_value) in &new_keys {
+        if !old_keys.contains_key(key) {
+            lines.push(DiffLine::Added {
+                key: key.clone(),
+                value: new_value.clone(),
+            });
+        }
+    }
+    lines.sort_by(|left, right| sort_key(left).cmp(sort_key(right)));
+    lines
+}
+
+fn sort_key(line: &DiffLine) -> &str {
+    match line {
+        DiffLine::Added { key, .. }
+        | DiffLine::Removed { key, .. }
+        | DiffLine::Changed { key, .. } => key,
+    }
+}
+
+/// Every key the tree sets, as `branch.key` mapped to its value.
+fn flatten(tree: &SettingsTree) -> BTreeMap<String, String> {
+    let mut keys = BTreeMap::new();
+    keys.insert("site.name".to_owned(), tree.site.name.clone());
+    for path in tree.branch_paths() {
+        if let Some(settings) = tree.own_settings(&path) {
+            for (key, value) in settings.pairs() {
+                keys.insert(format!("{path}.{key}"), value);
+            }
+        }
+        // Branches with no settings of their own still show up, so that a new
+        // empty member or service is visible in the diff.
+        keys.entry(format!("{path}"))
+            .or_insert_with(|| "{}".to_owned());
+    }
+    for (member, member_branch) in &tree.site.members {
+        for (service, service_branch) in &member_branch.services {
+            for (route, route_branch) in &service_branch.routes {
+                let prefix = format!("site/{member}/{service}/{route}");
+                keys.insert(format!("{prefix}.path"), route_branch.path.clone());
+                if let Some(target) = &route_branch.service {
+                    keys.insert(format!("{prefix}.service"), target.clone());
+                }
+            }
+        }
+    }
+    keys
+}
--- /dev/null
+++ b/crates/tree/src/lib.rs
@@ -0,0 +1,20 @@
+//! The settings tree operators edit: a site, its members, their services and
+//! the services' routes. Each branch inherits its parent's settings and
+//! overrides what differs. This crate holds the tree, its validation, the
+//! resolved (inherited) view, diffs between trees, and accepted versions.
+
+mod branch;
+mod diff;
+mod edit;
+mod route_table;
+mod settings;
+mod validate;
+mod version;
+
+pub use branch::{BranchPath, MemberBranch, RouteBranch, ServiceBranch, SettingsTree, SiteBranch};
+pub use diff::{diff_trees, DiffLine};
+pub use edit::EditError;
+pub use route_table::{RouteEntry, RouteTable};
+pub use settings::{BranchSettings, RouteSettings, SETTING_KEYS};
+pub use validate::{TreeProblem, TreeProblems};
+pub use version::{ParseError, VersionCodec, VersionRecord};
--- /dev/null
+++ b/src/bin/filbertctl.rs
@@ -0,0 +1,28 @@
+//! filbertctl: parses its arguments and dispatches to the subcommand.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use filbert_ctl::{cmd, Cli};
+
+fn main() -> ExitCode {
+    error_stack::Report::set_color_mode(error_stack::fmt::ColorMode::None);
+    let cli = Cli::parse();
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("filbertctl: cannot start the async runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(cmd::run(cli)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("filbertctl: {report:?}");
+            report.current_context().exit_code()
+        }
+    }
+}
