--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -2,11 +2,15 @@
 
 use flexi_logger::{DeferredNow, Logger, LoggerHandle};
 
+/// Libraries whose own lines are not changes of the daemon's state: only
+/// their warnings are kept.
+const LIBRARY_LEVELS: &str = "rocket=warn,_=warn,hyper=warn,reqwest=warn";
+
 /// Starts logging at `spec` (such as `info`), overridable with `RUST_LOG`.
 /// Returns `None` when a logger was already set, as in tests.
 #[must_use]
 pub fn start(spec: &str) -> Option<LoggerHandle> {
-    Logger::try_with_env_or_str(spec)
+    Logger::try_with_env_or_str(format!("{spec},{LIBRARY_LEVELS}"))
         .ok()?
         .format(line_format)
         .start()
--- /dev/null
+++ b/crates/daemon/tests/control_cases.rs
@@ -0,0 +1,202 @@
+//! The daemon's reducer under crossing updates, bad versions, platform
+//! outages and target churn, driven event by event with no I/O.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbert_daemon::control::{
+    ControlEffect, ControlEvent, ControlSettings, ControlState, PlatformStep, StateChange,
+};
+use filbert_platform::TargetAnnouncement;
+use filbert_tree::{BranchPath, SettingsTree, VersionRecord};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const COOP: &str = include_str!("../../../examples/coop.toml");
+
+fn state() -> ControlState {
+    ControlState::new(ControlSettings {
+        id: "a1".to_owned(),
+        zone: "zone-a".to_owned(),
+        target_expiry: Duration::from_secs(3),
+        refresh: Duration::from_secs(1),
+    })
+}
+
+fn version(number: u64, valid: bool) -> Arc<VersionRecord> {
+    let mut tree = SettingsTree::from_toml(COOP).expect("example parses");
+    if !valid {
+        let quotes = BranchPath::parse("site/north-signs/quoting/quotes").expect("branch");
+        tree.set(&quotes, "service", "ghost").expect("edit");
+    }
+    Arc::new(VersionRecord {
+        number,
+        parent: number.saturating_sub(1),
+        restores: None,
+        parent_object: None,
+        tree,
+    })
+}
+
+fn fetched(number: u64, valid: bool) -> ControlEvent {
+    ControlEvent::VersionFetched {
+        record: version(number, valid),
+        bytes: 100,
+    }
+}
+
+fn applied_numbers(effects: &[ControlEffect]) -> Vec<u64> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            ControlEffect::Apply { number, .. } => Some(*number),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Versions arriving in some order, and what must end in force.
+struct ArrivalCase {
+    arrivals: &'static [(u64, bool)],
+    in_force: u64,
+    applied: &'static [u64],
+}
+
+#[rstest]
+#[case::in_order(ArrivalCase { arrivals: &[(1, true), (2, true)], in_force: 2, applied: &[1, 2] })]
+#[case::crossed_in_flight(ArrivalCase { arrivals: &[(3, true), (2, true)], in_force: 3, applied: &[3] })]
+#[case::repeated(ArrivalCase { arrivals: &[(2, true), (2, true)], in_force: 2, applied: &[2] })]
+#[case::bad_after_good(ArrivalCase { arrivals: &[(1, true), (2, false)], in_force: 1, applied: &[1] })]
+#[case::good_after_bad(ArrivalCase { arrivals: &[(1, false), (2, true)], in_force: 2, applied: &[2] })]
+fn versions_apply_whole_and_never_backwards(#[case] case: ArrivalCase) {
+    // Updates cross in flight: a fetch started earlier can land after a newer
+    // version is already in force, and a version can be invalid. The daemon
+    // must never go back to the older one and never apply a bad one in part.
+    let mut control = state();
+    let mut effects = Vec::new();
+    for (number, valid) in case.arrivals {
+        effects.extend(control.step(fetched(*number, *valid)));
+    }
+    assert_eq!(control.applied(), case.in_force);
+    assert_eq!(applied_numbers(&effects), case.applied);
+}
+
+#[test]
+fn rejected_version_is_reported_and_not_fetched_again() {
+    // A bad version reaches a daemon anyway. It must be refused whole with its
+    // reason in the status, and the daemon must not fetch it over and over.
+    let mut control = state();
+    control.step(fetched(1, true));
+    let effects = control.step(fetched(2, false));
+    assert!(effects.iter().any(|effect| matches!(
+        effect,
+        ControlEffect::Note {
+            change: StateChange::Rejected { number: 2, .. }
+        }
+    )));
+    assert_eq!(control.view().rejected.map(|(number, _)| number), Some(2));
+    let again = control.step(ControlEvent::CurrentRead {
+        number: 2,
+        object: "versions/2".to_owned(),
+    });
+    assert!(again
+        .iter()
+        .all(|effect| !matches!(effect, ControlEffect::FetchVersion { .. })));
+}
+
+#[test]
+fn platform_outage_keeps_the_last_version_and_says_so() {
+    // The platform goes down after version 1 is applied. The daemon keeps
+    // serving version 1, shows the platform unreachable in its status with
+    // one log line, and says when it is back.
+    let mut control = state();
+    control.step(fetched(1, true));
+    let first = control.step(ControlEvent::PlatformFailed {
+        step: PlatformStep::ReadCurrent,
+    });
+    let second = control.step(ControlEvent::PlatformFailed {
+        step: PlatformStep::ReadCurrent,
+    });
+    assert_eq!(
+        first,
+        [ControlEffect::Note {
+            change: StateChange::PlatformLost { serving: 1 }
+        }]
+    );
+    assert!(second.is_empty());
+    assert_eq!(control.applied(), 1);
+    assert!(!control.view().platform_reachable);
+    let back = control.step(ControlEvent::CurrentRead {
+        number: 1,
+        object: "versions/1".to_owned(),
+    });
+    assert!(back.contains(&ControlEffect::Note {
+        change: StateChange::PlatformBack
+    }));
+}
+
+fn announce(leaving: bool, wall_ms: u64) -> ControlEvent {
+    ControlEvent::Announced {
+        announcement: TargetAnnouncement {
+            service: "quoting".to_owned(),
+            address: "127.0.0.1:9001".to_owned(),
+            load: 0,
+            leaving,
+        },
+        wall_ms,
+    }
+}
+
+#[test]
+fn leaving_target_leaves_rotation_at_once_and_is_published() {
+    // A target announces that it is leaving. From that event on the proxy's
+    // view must show it not serving, and its row must be rewritten at once so
+    // the zone's other daemons stop sending it work too.
+    let mut control = state();
+    control.step(announce(false, 1_000));
+    assert_eq!(control.view().targets.get("quoting"), Some(&1));
+    let effects = control.step(announce(true, 1_100));
+    assert_eq!(control.view().targets.get("quoting"), Some(&0));
+    assert!(effects.iter().any(|effect| matches!(
+        effect,
+        ControlEffect::WriteTarget { record } if record.leaving
+    )));
+}
+
+#[test]
+fn silent_target_expires() {
+    // A target's host dies without a word. Once it has not been heard from
+    // for the expiry, it must leave the proxy's view.
+    let mut control = state();
+    control.step(announce(false, 1_000));
+    control.step(ControlEvent::Tick { wall_ms: 3_900 });
+    assert_eq!(control.view().targets.get("quoting"), Some(&1));
+    control.step(ControlEvent::Tick { wall_ms: 4_100 });
+    assert_eq!(control.view().targets.get("quoting"), None);
+}
+
+proptest! {
+    /// History check over generated schedules: any order of arrivals of
+    /// valid and invalid versions, interleaved with outages. The sequence of
+    /// applied versions must rise strictly, contain only valid versions, and
+    /// end at the highest valid version that arrived.
+    #[test]
+    fn applied_history_is_strictly_rising_and_valid(
+        schedule in proptest::collection::vec((1u64..12, any::<bool>(), any::<bool>()), 1..40)
+    ) {
+        let mut control = state();
+        let mut history = Vec::new();
+        for (number, valid, outage) in &schedule {
+            if *outage {
+                control.step(ControlEvent::PlatformFailed { step: PlatformStep::FetchVersion });
+            }
+            history.extend(applied_numbers(&control.step(fetched(*number, *valid))));
+        }
+        prop_assert!(history.windows(2).all(|pair| pair[0] < pair[1]), "history {:?}", history);
+        for number in &history {
+            prop_assert!(schedule.iter().any(|(arrived, valid, _)| arrived == number && *valid));
+        }
+        let best = schedule.iter().filter(|(_, valid, _)| *valid).map(|(number, _, _)| *number).max();
+        prop_assert_eq!(control.applied(), best.unwrap_or(0));
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,3 +7,11 @@
 pub mod platform;
 pub mod ports;
 pub mod target;
+
+/// Keeps rocket's request lines out of a process that hosts stand-ins: a
+/// logger that passes only errors is set first, so rocket does not set its
+/// own. Call once, before starting any stand-in; later calls do nothing.
+pub fn quiet_logs() {
+    let _ = flexi_logger::Logger::try_with_str("error,rocket=off,_=off")
+        .map(flexi_logger::Logger::start);
+}
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -100,7 +100,12 @@
 }
 
 impl TargetState {
-    async fn serve(&self, path: &std::path::Path, headers: CallHeaders, body: String) -> TargetAnswer {
+    async fn serve(
+        &self,
+        path: &std::path::Path,
+        headers: CallHeaders,
+        body: String,
+    ) -> TargetAnswer {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
         if !self.delay.is_zero() {
             tokio::time::sleep(self.delay).await;
--- /dev/null
+++ b/tests/end_to_end.rs
@@ -0,0 +1,268 @@
+//! The whole path in separate processes: the platform stand-in and targets
+//! in this process, every daemon a `filbertd` process, every operator step a
+//! `filbertctl` process.
+
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
+
+use filbert_standin::mesh::{LocalMesh, MeshSpec};
+
+const DAEMON_EXE: &str = env!("CARGO_BIN_EXE_filbertd");
+const CTL_EXE: &str = env!("CARGO_BIN_EXE_filbertctl");
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(10);
+
+/// Runs `filbertctl` against the mesh and returns its exit code and output.
+fn ctl(mesh: &LocalMesh, words: &[&str]) -> (i32, String) {
+    let output = Command::new(CTL_EXE)
+        .arg("--platform")
+        .arg(&mesh.platform.url)
+        .args(words)
+        .output()
+        .expect("filbertctl runs");
+    let text = format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    );
+    (output.status.code().unwrap_or(-1), text)
+}
+
+fn example(name: &str) -> String {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("examples")
+        .join(name)
+        .to_string_lossy()
+        .into_owned()
+}
+
+async fn call(daemon_url: &str, member: &str, path: &str) -> reqwest::Response {
+    reqwest::Client::new()
+        .get(format!("{daemon_url}{path}"))
+        .header("x-filbert-member", member)
+        .send()
+        .await
+        .expect("the proxy answers")
+}
+
+/// Calls through every daemon of both zones reach a target of the right
+/// service in the daemon's own zone, each caller gets its own answer, and one
+/// member never reaches another member's routes.
+async fn calls_stay_in_their_zone_and_member(mesh: &LocalMesh) {
+    for (index, daemon) in mesh.daemons.iter().enumerate() {
+        let reply = call(
+            &daemon.proxy_url,
+            "north-signs",
+            &format!("/quotes/{index}"),
+        )
+        .await;
+        assert_eq!(reply.status(), 200);
+        let answer: serde_json::Value = reply.json().await.expect("a JSON answer");
+        assert_eq!(answer["service"], "quoting");
+        assert_eq!(answer["path"], format!("/quotes/{index}"));
+        let zone_targets: Vec<&str> = mesh
+            .daemons
+            .iter()
+            .zip(mesh.targets.chunks(2))
+            .filter(|(other, _)| other.zone == daemon.zone)
+            .flat_map(|(_, targets)| targets.iter().map(|target| target.address.as_str()))
+            .collect();
+        let chosen = answer["target"].as_str().unwrap_or_default();
+        assert!(
+            zone_targets.contains(&chosen),
+            "{chosen} is not in {}",
+            daemon.zone
+        );
+    }
+
+    // One member never reaches another member's routes.
+    let reply = call(&mesh.daemons[0].proxy_url, "harbour-signs", "/stock/7").await;
+    assert_eq!(reply.status(), 404);
+}
+
+/// Each order placement sent through the proxies runs exactly once.
+async fn orders_run_once(mesh: &LocalMesh) {
+    let http = reqwest::Client::new();
+    for (index, daemon) in mesh.daemons.iter().enumerate() {
+        let reply = http
+            .post(format!("{}/orders", daemon.proxy_url))
+            .header("x-filbert-member", "north-signs")
+            .body(format!("order {index}"))
+            .send()
+            .await
+            .expect("the proxy answers");
+        assert_eq!(reply.status(), 200);
+    }
+    let mut bodies: Vec<String> = mesh
+        .executions
+        .records()
+        .into_iter()
+        .map(|record| record.body)
+        .collect();
+    bodies.sort();
+    assert_eq!(bodies, ["order 0", "order 1", "order 2", "order 3"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn accepted_edit_reaches_every_daemon_and_withdrawal_restores_it() {
+    let mesh = LocalMesh::start(MeshSpec::new(
+        Path::new(DAEMON_EXE),
+        &["quoting", "artwork"],
+    ))
+    .await;
+    let (code, text) = ctl(&mesh, &["edit", "--file", &example("coop.toml")]);
+    assert_eq!(code, 0, "{text}");
+    let (code, text) = ctl(&mesh, &["accept"]);
+    assert_eq!((code, text.trim()), (0, "accepted version 1"));
+    assert!(
+        mesh.wait_in_force(1, IN_FORCE_WITHIN).await.is_some(),
+        "version 1 not in force"
+    );
+
+    calls_stay_in_their_zone_and_member(&mesh).await;
+    orders_run_once(&mesh).await;
+
+    // An edit, accepted against the version it was made on, comes into force everywhere.
+    let (code, text) = ctl(
+        &mesh,
+        &[
+            "set",
+            "site/north-signs/quoting/quotes",
+            "timeout_ms",
+            "900",
+        ],
+    );
+    assert_eq!(code, 0, "{text}");
+    let (_, diff) = ctl(&mesh, &["diff"]);
+    assert_eq!(
+        diff.trim(),
+        "+ site/north-signs/quoting/quotes.timeout_ms = 900"
+    );
+    let (code, text) = ctl(&mesh, &["accept", "--expect", "1"]);
+    assert_eq!((code, text.trim()), (0, "accepted version 2"));
+    let (code, text) = ctl(&mesh, &["watch", "--timeout", "10"]);
+    assert_eq!(code, 0, "{text}");
+    assert!(
+        mesh.wait_in_force(2, IN_FORCE_WITHIN).await.is_some(),
+        "version 2 not in force"
+    );
+
+    // Withdrawal is a new, higher version with the older content.
+    let (code, text) = ctl(&mesh, &["withdraw", "--expect", "2"]);
+    assert_eq!(
+        (code, text.trim()),
+        (0, "withdrew version 2: version 3 restores version 1")
+    );
+    assert!(
+        mesh.wait_in_force(3, IN_FORCE_WITHIN).await.is_some(),
+        "version 3 not in force"
+    );
+    let (_, shown) = ctl(
+        &mesh,
+        &["show", "site/north-signs/quoting/quotes", "--resolved"],
+    );
+    assert!(shown.contains("timeout_ms = 1500"), "{shown}");
+    for status in mesh.statuses().await {
+        assert_eq!(status.applied, 3, "{} did not apply version 3", status.id);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn invalid_edit_is_refused_with_its_reason_and_nothing_changes() {
+    // An operator points a route at a service its member lacks. filbertctl
+    // must refuse with the reason and exit 2, and the pending tree and the
+    // version in force stay as they were.
+    let mesh =
+        LocalMesh::start(MeshSpec::new(Path::new(DAEMON_EXE), &["quoting"]).daemons_per_zone(1))
+            .await;
+    assert_eq!(ctl(&mesh, &["edit", "--file", &example("coop.toml")]).0, 0);
+    assert_eq!(ctl(&mesh, &["accept"]).0, 0);
+    let (code, text) = ctl(
+        &mesh,
+        &[
+            "set",
+            "site/north-signs/quoting/quotes",
+            "service",
+            "nowhere",
+        ],
+    );
+    assert_eq!(code, 2, "{text}");
+    assert!(text.contains("unknown service `nowhere`"), "{text}");
+    let (code, text) = ctl(&mesh, &["set", "site/north-signs", "timeout_ms", "soon"]);
+    assert_eq!(code, 2, "{text}");
+    assert!(
+        text.contains("`soon` is not a valid value for `timeout_ms`"),
+        "{text}"
+    );
+    let (_, diff) = ctl(&mesh, &["diff"]);
+    assert_eq!(diff.trim(), "no pending change against version 1");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn racing_operators_get_one_accept_and_one_clear_refusal() {
+    // Two operators accept on top of the same version at the same moment.
+    // Exactly one gets the new number; the other is told someone else won
+    // and that nothing changed, and versions never skip or repeat.
+    let mesh =
+        LocalMesh::start(MeshSpec::new(Path::new(DAEMON_EXE), &["quoting"]).daemons_per_zone(1))
+            .await;
+    assert_eq!(ctl(&mesh, &["edit", "--file", &example("coop.toml")]).0, 0);
+    assert_eq!(ctl(&mesh, &["accept"]).0, 0);
+    assert_eq!(ctl(&mesh, &["set", "site", "retries", "2"]).0, 0);
+    let url = mesh.platform.url.clone();
+    let racers: Vec<_> = (0..2)
+        .map(|_| {
+            let url = url.clone();
+            std::thread::spawn(move || {
+                Command::new(CTL_EXE)
+                    .args(["--platform", &url, "accept", "--expect", "1"])
+                    .output()
+                    .expect("filbertctl runs")
+            })
+        })
+        .collect();
+    let outputs: Vec<_> = racers
+        .into_iter()
+        .map(|racer| racer.join().expect("racer ends"))
+        .collect();
+    let codes: Vec<i32> = outputs
+        .iter()
+        .map(|output| output.status.code().unwrap_or(-1))
+        .collect();
+    let mut sorted = codes.clone();
+    sorted.sort_unstable();
+    assert_eq!(sorted, [0, 1], "{outputs:?}");
+    let loser = &outputs[codes.iter().position(|code| *code == 1).unwrap_or(0)];
+    let said = String::from_utf8_lossy(&loser.stderr);
+    assert!(
+        said.contains("accepted by another operator") || said.contains("is in force, not 1"),
+        "{said}"
+    );
+    let (_, shown) = ctl(&mesh, &["show"]);
+    assert!(shown.starts_with("# version 2"), "{shown}");
+}
+
+#[test]
+fn daemon_with_malformed_settings_names_file_line_and_key_and_exits_2() {
+    // An operator mistypes a key in a daemon's settings. The daemon must not
+    // start: it prints the file, the line and the key, and exits with 2.
+    let dir = std::env::temp_dir().join(format!("filbert-bad-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("temp dir");
+    let path = dir.join("bad.toml");
+    std::fs::write(
+        &path,
+        "id = \"a1\"\nzone = \"zone-a\"\nproxy_listen = \"127.0.0.1:1\"\nadmin_listen = \"127.0.0.1:2\"\nplatfrom = \"http://127.0.0.1:3\"\n",
+    )
+    .expect("write settings");
+    let output = Command::new(DAEMON_EXE)
+        .arg("--config")
+        .arg(&path)
+        .output()
+        .expect("filbertd runs");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    assert!(said.contains("bad.toml"), "{said}");
+    assert!(said.contains("line 5"), "{said}");
+    assert!(said.contains("platfrom"), "{said}");
+    let _ = std::fs::remove_dir_all(&dir);
+}
