Zone cut off from the platform keeps its other hosts' targets

Cause: the daemon judged every target row's age by its own clock. While the platform is down, rows of targets on other hosts cannot be refreshed, so after the target expiry (2 s in the mesh, 3 s by default) they all dropped out: a service with no target on the caller's host answered 503 although its targets were up. Found by the new failure test zone_cut_off_from_the_platform_keeps_serving_its_other_hosts_targets (failed first: status 503, expected 200).

Ruled out: lengthening the expiry (only delays the loss, and slows the removal of dead targets while the platform is up); keeping all targets forever while down (would hide targets that left before the cut).

Change: remote rows are aged as of the last successful scan; local announcements still by the clock. A target that died during the cut refuses connections, which the proxy already retries elsewhere as not-run.

Also added in tests/failures.rs: a bad version published around filbertctl is refused whole by every daemon (status names it, previous routes work, versions_rejected counter = 1); a leaving target gets no new work after 2 s (40 calls checked); SIGTERM with an 800 ms call in flight: the caller gets the whole answer and the daemon exits.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -167,6 +167,7 @@
     platform_reachable: bool,
     local: BTreeMap<String, LocalTarget>,
     remote: Vec<TargetRecord>,
+    remote_read_at_ms: u64,
     shown: Arc<ZoneTargets>,
     reported_at_ms: u64,
     wall_ms: u64,
@@ -186,6 +187,7 @@
             platform_reachable: true,
             local: BTreeMap::new(),
             remote: Vec::new(),
+            remote_read_at_ms: 0,
             shown: Arc::new(ZoneTargets::default()),
             reported_at_ms: 0,
             wall_ms: 0,
@@ -226,6 +228,7 @@
                 self.reading_targets = false;
                 self.platform_answered(&mut effects);
                 self.remote = records;
+                self.remote_read_at_ms = self.wall_ms;
                 self.show_targets(&mut effects);
             }
             ControlEvent::Announced {
@@ -421,16 +424,29 @@
 
     /// Rebuilds the proxy's view: this host's targets as announced, others'
     /// as last read, both dropped once not heard from within the expiry.
+    ///
+    /// Guards against a zone cut off from the platform losing its other
+    /// hosts' targets: while scans fail, those rows cannot be refreshed, and
+    /// judging their age by the clock would expire every live target after
+    /// the expiry (seen as 503s for services with no target on this host).
+    /// Their age is judged as of the last scan instead; a target that died
+    /// meanwhile refuses connections, which the proxy retries elsewhere.
     fn show_targets(&mut self, effects: &mut Vec<ControlEffect>) {
         let expiry_ms = duration_ms(self.settings.target_expiry);
-        let fresh =
-            |record: &&TargetRecord| self.wall_ms.saturating_sub(record.heard_at_ms) <= expiry_ms;
-        let local = self.local.values().map(|local| &local.record);
+        let fresh_at = |at_ms: u64| {
+            move |record: &&TargetRecord| at_ms.saturating_sub(record.heard_at_ms) <= expiry_ms
+        };
+        let local = self
+            .local
+            .values()
+            .map(|local| &local.record)
+            .filter(fresh_at(self.wall_ms));
         let remote = self
             .remote
             .iter()
-            .filter(|record| !self.local.contains_key(&record.address));
-        let view = ZoneTargets::from_records(local.chain(remote).filter(fresh));
+            .filter(|record| !self.local.contains_key(&record.address))
+            .filter(fresh_at(self.remote_read_at_ms));
+        let view = ZoneTargets::from_records(local.chain(remote));
         if *self.shown != view {
             self.shown = Arc::new(view);
             effects.push(ControlEffect::ShowTargets {
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,223 @@
+//! Failures of the thin path, each brought about in separate processes: the
+//! platform going down, a bad version reaching the daemons, a target
+//! leaving, a planned stop with calls in flight.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbert_platform::{CurrentPointer, FaultSwitches, RowExpect, TableKey};
+use filbert_standin::mesh::{LocalMesh, MeshSpec};
+use filbert_standin::target::{TargetHandle, TargetSpec};
+use filbert_tree::{BranchPath, SettingsTree, VersionCodec, VersionRecord};
+
+const DAEMON_EXE: &str = env!("CARGO_BIN_EXE_filbertd");
+const COOP: &str = include_str!("../examples/coop.toml");
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(10);
+
+/// Publishes `tree` as version `number` straight into the platform, as a
+/// faulty or older operator tool might, bypassing filbertctl's checks.
+async fn publish_raw(mesh: &LocalMesh, number: u64, tree: SettingsTree) {
+    let platform = mesh.platform_client();
+    let object = TableKey::version_object(number, 0);
+    let record = VersionRecord {
+        number,
+        parent: number - 1,
+        restores: None,
+        parent_object: None,
+        tree,
+    };
+    platform
+        .put_object(&object, VersionCodec::encode(&record))
+        .await
+        .expect("object stored");
+    let pointer = serde_json::to_value(CurrentPointer { number, object }).expect("pointer encodes");
+    platform
+        .put(TableKey::CURRENT, RowExpect::Any, pointer)
+        .await
+        .expect("current written");
+}
+
+fn coop() -> SettingsTree {
+    SettingsTree::from_toml(COOP).expect("example parses")
+}
+
+async fn get(daemon_url: &str, member: &str, path: &str) -> reqwest::Response {
+    reqwest::Client::new()
+        .get(format!("{daemon_url}{path}"))
+        .header("x-filbert-member", member)
+        .send()
+        .await
+        .expect("the proxy answers")
+}
+
+async fn status(admin_url: &str) -> serde_json::Value {
+    reqwest::get(format!("{admin_url}/status"))
+        .await
+        .expect("admin answers")
+        .json()
+        .await
+        .expect("status is JSON")
+}
+
+/// Polls until `check` holds, for at most `within`; returns whether it did.
+async fn eventually<F, Fut>(within: Duration, mut check: F) -> bool
+where
+    F: FnMut() -> Fut,
+    Fut: std::future::Future<Output = bool>,
+{
+    let started = Instant::now();
+    while started.elapsed() < within {
+        if check().await {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn zone_cut_off_from_the_platform_keeps_serving_its_other_hosts_targets() {
+    // An installer fetches artwork through the daemon on a host that has no
+    // artwork target of its own; the zone's only one is on another host. The
+    // platform then goes down for longer than the target expiry. The daemon
+    // must keep sending artwork calls to that target, which is still up,
+    // and say in its status that the platform is unreachable.
+    let mesh =
+        LocalMesh::start(MeshSpec::new(Path::new(DAEMON_EXE), &["quoting"]).zones(&["zone-a"]))
+            .await;
+    let artwork = TargetSpec {
+        service: "artwork".to_owned(),
+        daemon_admin: mesh.daemons[1].admin_url.clone(),
+        delay: Duration::ZERO,
+    };
+    let _artwork = TargetHandle::start(&artwork, Arc::clone(&mesh.executions)).await;
+    publish_raw(&mesh, 1, coop()).await;
+    assert!(mesh.wait_in_force(1, IN_FORCE_WITHIN).await.is_some());
+    let proxy = mesh.daemons[0].proxy_url.clone();
+    let reachable = eventually(IN_FORCE_WITHIN, || async {
+        get(&proxy, "north-signs", "/artwork/1").await.status() == 200
+    })
+    .await;
+    assert!(reachable, "daemon 0 never learned of the artwork target");
+
+    mesh.platform.store.set_faults(FaultSwitches {
+        down: true,
+        ..FaultSwitches::default()
+    });
+    // Past the mesh's 2 s target expiry.
+    tokio::time::sleep(Duration::from_millis(2_600)).await;
+    let reply = get(&proxy, "north-signs", "/artwork/1").await;
+    assert_eq!(
+        reply.status(),
+        200,
+        "artwork lost while the platform is down"
+    );
+    let shown = status(&mesh.daemons[0].admin_url).await;
+    assert_eq!(shown["platform_reachable"], false, "{shown}");
+    assert_eq!(shown["applied"], 1, "{shown}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bad_version_reaching_the_daemons_is_rejected_whole() {
+    // A version whose route names a service the member lacks reaches the
+    // daemons without passing filbertctl. Every daemon must refuse it whole:
+    // the previous version's routes keep working, its status names the
+    // refused version, and a counter records it.
+    let mesh = LocalMesh::start(MeshSpec::new(
+        Path::new(DAEMON_EXE),
+        &["quoting", "artwork"],
+    ))
+    .await;
+    publish_raw(&mesh, 1, coop()).await;
+    assert!(mesh.wait_in_force(1, IN_FORCE_WITHIN).await.is_some());
+    let mut bad = coop();
+    let stock = BranchPath::parse("site/north-signs/artwork/stock").expect("branch");
+    bad.set(&stock, "service", "ghost").expect("edit");
+    bad.set(&BranchPath::Site, "timeout_ms", "100")
+        .expect("edit");
+    publish_raw(&mesh, 2, bad).await;
+    for daemon in &mesh.daemons {
+        let refused = eventually(IN_FORCE_WITHIN, || async {
+            status(&daemon.admin_url).await["rejected"][0] == 2
+        })
+        .await;
+        assert!(refused, "{} did not refuse version 2", daemon.id);
+        let shown = status(&daemon.admin_url).await;
+        assert_eq!(shown["applied"], 1, "{shown}");
+        assert_eq!(
+            get(&daemon.proxy_url, "north-signs", "/stock/3")
+                .await
+                .status(),
+            200
+        );
+        let metrics: serde_json::Value = reqwest::get(format!("{}/metrics", daemon.admin_url))
+            .await
+            .expect("metrics")
+            .json()
+            .await
+            .expect("JSON");
+        assert_eq!(metrics["versions_rejected"], 1, "{metrics}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn leaving_target_gets_no_new_work_within_two_seconds() {
+    // A quoting target announces that it is leaving. Within two seconds no
+    // daemon of its zone may send it a new call; calls keep being answered by
+    // the zone's other quoting targets.
+    let mesh =
+        LocalMesh::start(MeshSpec::new(Path::new(DAEMON_EXE), &["quoting"]).zones(&["zone-a"]))
+            .await;
+    publish_raw(&mesh, 1, coop()).await;
+    assert!(mesh.wait_in_force(1, IN_FORCE_WITHIN).await.is_some());
+    let leaving = &mesh.targets[0];
+    leaving.leave();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for round in 0..20 {
+        for daemon in &mesh.daemons {
+            let reply = get(
+                &daemon.proxy_url,
+                "north-signs",
+                &format!("/quotes/{round}"),
+            )
+            .await;
+            assert_eq!(reply.status(), 200);
+            let chosen = reply
+                .headers()
+                .get("x-filbert-target")
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .to_owned();
+            assert_ne!(
+                chosen, leaving.address,
+                "{} sent new work to a leaving target",
+                daemon.id
+            );
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn planned_stop_lets_calls_in_flight_finish() {
+    // An operator stops a daemon (SIGTERM) while a slow call is in flight
+    // through it. The caller must still get the whole answer; the daemon
+    // then exits.
+    let spec = MeshSpec::new(Path::new(DAEMON_EXE), &["quoting"])
+        .zones(&["zone-a"])
+        .daemons_per_zone(1)
+        .target_delay(Duration::from_millis(800));
+    let mut mesh = LocalMesh::start(spec).await;
+    publish_raw(&mesh, 1, coop()).await;
+    assert!(mesh.wait_in_force(1, IN_FORCE_WITHIN).await.is_some());
+    let proxy = mesh.daemons[0].proxy_url.clone();
+    let call = tokio::spawn(async move { get(&proxy, "north-signs", "/quotes/9").await });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let stopped =
+        tokio::task::block_in_place(|| mesh.daemons[0].terminate(Duration::from_secs(10)));
+    let reply = call.await.expect("the call task ends");
+    assert_eq!(reply.status(), 200);
+    let answer: serde_json::Value = reply.json().await.expect("the whole answer");
+    assert_eq!(answer["path"], "/quotes/9");
+    assert!(stopped, "the daemon did not exit after SIGTERM");
+}
