Zone relay: one daemon per zone reads the platform and passes versions on

Cause: every daemon polled the platform for the version in force and scanned its zone's target rows.

Change: the daemons of a zone elect a relay through a lease in the platform's table (compare-and-set on the row, fencing token, lapse judged by each observer's monotonic clock). The relay alone polls; the others link to it over one h2 stream each with bincode frames, get versions as deltas against what they acknowledged, and the zone's targets as changes. A lost relay is replaced by its successors; while the platform cannot be reached the first successor relays without a lease. The relay writes one digest row per zone in place of a status row per daemon; filbertctl reads both.

Ruled out: relay chosen by lowest id among peers seen (two halves of a parted zone would both keep one, and nothing would fence the slower one); targets through rows in the table (a scan per daemon per poll, as before); leases judged by wall clock (a clock step would end or prolong them).

The end-to-end test now runs `filbertctl watch 3` before it reads the statuses: the digest follows what is in force by up to 350 ms, where the old status rows raced the test. The check itself (every daemon at 3) is the same, and the number of daemons reported is checked besides.

Conclusion: platform reads now grow with zones, not daemons.

--- a/crates/ctl/src/cmd/status.rs
+++ b/crates/ctl/src/cmd/status.rs
@@ -2,14 +2,14 @@
 
 use filbert_platform::PlatformClient;
 
-use super::watch::{live_daemons, now_ms};
+use crate::fleet;
 use crate::store::{self, CtlResult};
 
 pub(super) async fn run(platform: &PlatformClient) -> CtlResult<()> {
     let in_force = store::in_force(platform).await?;
     println!("version in force: {}", in_force.number());
-    let (live, stale) = live_daemons(platform, now_ms()).await?;
-    for status in &live {
+    let fleet = fleet::read(platform).await?;
+    for status in &fleet.live {
         let rejected = status
             .rejected
             .as_ref()
@@ -20,7 +20,7 @@
             status.zone, status.id, status.applied
         );
     }
-    for status in &stale {
+    for status in &fleet.silent {
         println!(
             "{}/{} silent (last applied {})",
             status.zone, status.id, status.applied
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod cmd;
 pub mod error;
+pub mod fleet;
 pub mod store;
 
 pub use cli::Cli;
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -11,7 +11,6 @@
 use rocket::{get, post, routes, Route, State};
 use tokio::sync::mpsc;
 
-use crate::clock::Clock;
 use crate::control::{ControlEvent, StatusView};
 use crate::counters::DaemonCounters;
 
@@ -23,15 +22,12 @@
     pub status: Arc<ArcSwap<StatusView>>,
     /// Counters.
     pub counters: Arc<DaemonCounters>,
-    /// The clock.
-    pub clock: Arc<dyn Clock>,
 }
 
 #[post("/announce", data = "<announcement>")]
 async fn announce(shared: &State<AdminShared>, announcement: Json<TargetAnnouncement>) -> Status {
     let event = ControlEvent::Announced {
         announcement: announcement.into_inner(),
-        wall_ms: shared.clock.wall_ms(),
     };
     match shared.events.send(event).await {
         Ok(()) => Status::Accepted,
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -4,15 +4,35 @@
 
 /// Where the daemon reads time from.
 pub trait Clock: Send + Sync + 'static {
-    /// Monotonic time, for intervals.
+    /// Monotonic time, for intervals and leases.
     fn now(&self) -> Instant;
     /// Wall time, for times written to the platform's table.
     fn wall(&self) -> SystemTime;
 
+    /// Both clocks, read together.
+    fn reading(&self) -> ClockReading {
+        ClockReading {
+            now: self.now(),
+            wall: self.wall(),
+        }
+    }
+}
+
+/// Both clocks at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockReading {
+    /// Monotonic time.
+    pub now: Instant,
+    /// Wall time.
+    pub wall: SystemTime,
+}
+
+impl ClockReading {
     /// Wall time in milliseconds since the Unix epoch.
-    fn wall_ms(&self) -> u64 {
+    #[must_use]
+    pub fn wall_ms(&self) -> u64 {
         let since = self
-            .wall()
+            .wall
             .duration_since(UNIX_EPOCH)
             .unwrap_or(Duration::ZERO);
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -49,6 +49,11 @@
     versions_rejected: Counter<u64>,
     platform_failures: Counter<u64>,
     control_bytes: Counter<u64>,
+    link_bytes_received: Counter<u64>,
+    link_bytes_sent: Counter<u64>,
+    platform_reads: Counter<u64>,
+    platform_writes: Counter<u64>,
+    lease_changes: Counter<u64>,
 }
 
 impl Default for DaemonCounters {
@@ -73,6 +78,17 @@
             versions_rejected: meter.u64_counter("versions_rejected").build(),
             platform_failures: meter.u64_counter("platform_failures").build(),
             control_bytes: meter.u64_counter("control_bytes").with_unit("By").build(),
+            link_bytes_received: meter
+                .u64_counter("link_bytes_received")
+                .with_unit("By")
+                .build(),
+            link_bytes_sent: meter
+                .u64_counter("link_bytes_sent")
+                .with_unit("By")
+                .build(),
+            platform_reads: meter.u64_counter("platform_reads").build(),
+            platform_writes: meter.u64_counter("platform_writes").build(),
+            lease_changes: meter.u64_counter("lease_changes").build(),
             _provider: provider,
         }
     }
@@ -108,6 +124,31 @@
         self.control_bytes.add(bytes as u64, &[]);
     }
 
+    /// Counts bytes of messages received on links between daemons.
+    pub fn link_received(&self, bytes: usize) {
+        self.link_bytes_received.add(bytes as u64, &[]);
+    }
+
+    /// Counts bytes of messages sent on links between daemons.
+    pub fn link_sent(&self, bytes: usize) {
+        self.link_bytes_sent.add(bytes as u64, &[]);
+    }
+
+    /// Counts one read of the platform's table or object store.
+    pub fn platform_read(&self) {
+        self.platform_reads.add(1, &[]);
+    }
+
+    /// Counts one write to the platform's table.
+    pub fn platform_write(&self) {
+        self.platform_writes.add(1, &[]);
+    }
+
+    /// Counts a lease taken or lost by this daemon.
+    pub fn lease_changed(&self) {
+        self.lease_changes.add(1, &[]);
+    }
+
     /// Every counter's current total, keyed `name` or `name{key=value,...}`.
     #[must_use]
     pub fn snapshot(&self) -> BTreeMap<String, u64> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,15 +4,20 @@
 //! never older than what it applied.
 //!
 //! Layout: [`control`] is the one reducer over all control events and returns
-//! effects as data; [`shell`] executes them against the platform; [`proxy`]
-//! and [`admin`] are the HTTP edges.
+//! effects as data; [`runner`] executes them: platform calls through
+//! [`platform_calls`], links between daemons through [`links`]. [`proxy`] and
+//! [`admin`] are the HTTP edges, and [`shell`] starts it all.
 
 pub mod admin;
 pub mod clock;
 pub mod control;
 pub mod counters;
+pub mod links;
 pub mod logging;
+pub mod messages;
+pub mod platform_calls;
 pub mod proxy;
+pub mod runner;
 pub mod settings;
 pub mod shell;
 pub mod targets;
--- /dev/null
+++ b/crates/daemon/src/platform_calls.rs
@@ -0,0 +1,216 @@
+//! The daemon's calls to the platform. Each runs as its own task and reports
+//! back as an event, so a slow platform never stalls the reducer.
+
+use std::sync::Arc;
+
+use filbert_platform::{
+    CurrentPointer, DaemonStatus, LeaseRecord, PlatformClient, RowExpect, TableKey, TableRow,
+    TargetRecord, WriteOutcome, ZoneDigest,
+};
+use filbert_tree::VersionCodec;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::control::{ControlEvent, LeaseRow, PlatformStep};
+use crate::counters::DaemonCounters;
+
+/// Makes platform calls for one daemon. Cheap to clone.
+#[derive(Clone)]
+pub struct PlatformCalls {
+    /// The platform.
+    pub platform: PlatformClient,
+    /// The daemon's zone.
+    pub zone: String,
+    /// Where outcomes go.
+    pub events: mpsc::Sender<ControlEvent>,
+    /// Counters.
+    pub counters: Arc<DaemonCounters>,
+}
+
+impl PlatformCalls {
+    fn report<F>(&self, call: F) -> JoinHandle<()>
+    where
+        F: std::future::Future<Output = Option<ControlEvent>> + Send + 'static,
+    {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            if let Some(event) = call.await {
+                let _ = events.send(event).await;
+            }
+        })
+    }
+
+    /// Reads the `current` row.
+    pub fn read_current(&self) {
+        self.counters.platform_read();
+        let platform = self.platform.clone();
+        self.report(async move {
+            let failed = ControlEvent::PlatformFailed {
+                step: PlatformStep::ReadCurrent,
+            };
+            Some(match platform.get(TableKey::CURRENT).await {
+                Ok(None) => ControlEvent::CurrentRead {
+                    number: 0,
+                    object: String::new(),
+                },
+                Ok(Some(row)) => serde_json::from_value::<CurrentPointer>(row.value).map_or(
+                    failed,
+                    |pointer| ControlEvent::CurrentRead {
+                        number: pointer.number,
+                        object: pointer.object,
+                    },
+                ),
+                Err(_) => failed,
+            })
+        });
+    }
+
+    /// Fetches a version object.
+    pub fn fetch(&self, number: u64, object: String) {
+        self.counters.platform_read();
+        let platform = self.platform.clone();
+        self.report(async move {
+            let failed = ControlEvent::PlatformFailed {
+                step: PlatformStep::FetchVersion,
+            };
+            let Ok(Some(bytes)) = platform.get_object(&object).await else {
+                return Some(failed);
+            };
+            Some(match VersionCodec::decode(&bytes) {
+                Ok(record) => ControlEvent::VersionFetched {
+                    record: Arc::new(record),
+                    bytes: bytes.len(),
+                },
+                Err(reason) => {
+                    log::warn!("event=version_undecodable version={number} reason={reason:?}");
+                    failed
+                }
+            })
+        });
+    }
+
+    /// Scans the zone's target rows.
+    pub fn read_targets(&self) {
+        self.counters.platform_read();
+        let platform = self.platform.clone();
+        let prefix = TableKey::zone_targets(&self.zone);
+        self.report(async move {
+            Some(match platform.scan(&prefix).await {
+                Ok(rows) => ControlEvent::TargetsRead {
+                    records: rows
+                        .into_iter()
+                        .filter_map(|row| serde_json::from_value::<TargetRecord>(row.value).ok())
+                        .collect(),
+                },
+                Err(_) => ControlEvent::PlatformFailed {
+                    step: PlatformStep::ReadTargets,
+                },
+            })
+        });
+    }
+
+    /// Reads the zone's lease row.
+    pub fn read_lease(&self) {
+        self.counters.platform_read();
+        let platform = self.platform.clone();
+        let key = TableKey::lease(&self.zone);
+        self.report(async move {
+            Some(match platform.get(&key).await {
+                Ok(row) => ControlEvent::LeaseRead {
+                    row: row.and_then(lease_row),
+                },
+                Err(_) => ControlEvent::PlatformFailed {
+                    step: PlatformStep::ReadLease,
+                },
+            })
+        });
+    }
+
+    /// Writes the zone's lease row if `expect` holds. The handle ends once the
+    /// call has.
+    pub fn write_lease(&self, expect: RowExpect, record: &LeaseRecord) -> JoinHandle<()> {
+        self.counters.platform_write();
+        let platform = self.platform.clone();
+        let key = TableKey::lease(&self.zone);
+        let value = serde_json::to_value(record).unwrap_or_default();
+        self.report(async move {
+            let failed = ControlEvent::PlatformFailed {
+                step: PlatformStep::WriteLease,
+            };
+            Some(match platform.put(&key, expect, value).await {
+                Ok(WriteOutcome::Written(row)) => {
+                    lease_row(row).map_or(failed, |row| ControlEvent::LeaseWritten { row })
+                }
+                Ok(WriteOutcome::Refused(row)) => ControlEvent::LeaseRefused {
+                    row: row.and_then(lease_row),
+                },
+                Err(_) => failed,
+            })
+        })
+    }
+
+    /// Writes the zone's digest row unless a later lease's holder has.
+    pub fn write_digest(&self, digest: ZoneDigest) {
+        self.counters.platform_read();
+        self.counters.platform_write();
+        let platform = self.platform.clone();
+        let key = TableKey::digest(&self.zone);
+        self.report(async move {
+            // Guards against a relay paused past its lease writing over its
+            // successor's digest (seen as proxies that `filbertctl watch`
+            // takes for behind): the stored token is checked, and the write
+            // goes through only if the row has not changed since.
+            let failed = ControlEvent::PlatformFailed {
+                step: PlatformStep::Write,
+            };
+            let Ok(row) = platform.get(&key).await else {
+                return Some(failed);
+            };
+            let stored = row
+                .as_ref()
+                .and_then(|row| serde_json::from_value::<ZoneDigest>(row.value.clone()).ok());
+            if stored.is_some_and(|stored| stored.token > digest.token) {
+                return None;
+            }
+            let expect = row.map_or(RowExpect::Absent, |row| RowExpect::Version(row.version));
+            let value = serde_json::to_value(digest).unwrap_or_default();
+            match platform.put(&key, expect, value).await {
+                Ok(WriteOutcome::Written(_)) => None,
+                Ok(WriteOutcome::Refused(_)) | Err(_) => Some(ControlEvent::DigestUnwritten),
+            }
+        });
+    }
+
+    /// Writes a target's row.
+    pub fn write_target(&self, record: &TargetRecord) {
+        let key = TableKey::target(&record.zone, &record.service, &record.address);
+        self.write_row(key, serde_json::to_value(record).unwrap_or_default());
+    }
+
+    /// Writes this daemon's status row.
+    pub fn write_status(&self, status: &DaemonStatus) {
+        let key = TableKey::daemon(&status.zone, &status.id);
+        self.write_row(key, serde_json::to_value(status).unwrap_or_default());
+    }
+
+    /// Status and target rows are rewritten whole every refresh, so a write
+    /// lost here is repaired by the next one.
+    fn write_row(&self, key: String, value: serde_json::Value) {
+        self.counters.platform_write();
+        let platform = self.platform.clone();
+        self.report(async move {
+            let failed = ControlEvent::PlatformFailed {
+                step: PlatformStep::Write,
+            };
+            let written = platform.put(&key, RowExpect::Any, value).await;
+            written.is_err().then_some(failed)
+        });
+    }
+}
+
+fn lease_row(row: TableRow) -> Option<LeaseRow> {
+    Some(LeaseRow {
+        version: row.version,
+        record: serde_json::from_value(row.value).ok()?,
+    })
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -22,11 +22,79 @@
     pub proxy_listen: SocketAddr,
     /// Where targets announce themselves and operators read status.
     pub admin_listen: SocketAddr,
+    /// Where the zone's other daemons link to this one while it relays.
+    pub relay_listen: SocketAddr,
     /// Base URL of the platform's table and object store.
     pub platform: String,
+    /// How versions and targets reach this daemon.
+    #[serde(default)]
+    pub distribution: DistributionMode,
     /// Timeouts and intervals.
     #[serde(default)]
     pub timeouts: DaemonTimeouts,
+    /// The zone relay.
+    #[serde(default)]
+    pub relay: RelaySettings,
+}
+
+/// How versions and targets reach a daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum DistributionMode {
+    /// Through the zone's relay, which alone reads the platform.
+    #[default]
+    Relay,
+    /// From the platform, each daemon for itself.
+    Direct,
+}
+
+/// The zone relay.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RelaySettings {
+    /// How long a lease lasts without renewal, in milliseconds.
+    pub lease_ms: u64,
+    /// How often a link is checked with a PING, in milliseconds.
+    pub ping_ms: u64,
+    /// A PING unanswered for this long ends the link, in milliseconds.
+    pub silence_ms: u64,
+    /// Platform reads per second a zone's daemons may make together while
+    /// they have no relay.
+    pub zone_reads_per_second: u32,
+    /// Daemons assumed in the zone until a relay says how many there are.
+    pub zone_size_hint: u32,
+}
+
+impl Default for RelaySettings {
+    fn default() -> Self {
+        RelaySettings {
+            lease_ms: 3_000,
+            ping_ms: 1_000,
+            silence_ms: 2_000,
+            zone_reads_per_second: 50,
+            zone_size_hint: 32,
+        }
+    }
+}
+
+impl RelaySettings {
+    /// The lease time.
+    #[must_use]
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+
+    /// The PING interval.
+    #[must_use]
+    pub fn ping(&self) -> Duration {
+        Duration::from_millis(self.ping_ms)
+    }
+
+    /// The PING timeout.
+    #[must_use]
+    pub fn silence(&self) -> Duration {
+        Duration::from_millis(self.silence_ms)
+    }
 }
 
 /// Timeouts and intervals, in milliseconds.
@@ -39,6 +107,8 @@
     pub platform_ms: u64,
     /// A target not heard from for this long is taken out of rotation.
     pub target_expiry_ms: u64,
+    /// How long a new version may wait for targets of the services it starts to use.
+    pub stage_ms: u64,
     /// How long a planned stop waits for calls in flight.
     pub shutdown_grace_ms: u64,
 }
@@ -49,6 +119,7 @@
             poll_ms: 200,
             platform_ms: 1_000,
             target_expiry_ms: 3_000,
+            stage_ms: 2_000,
             shutdown_grace_ms: 5_000,
         }
     }
@@ -67,6 +138,12 @@
         Duration::from_millis(self.platform_ms)
     }
 
+    /// The stage limit.
+    #[must_use]
+    pub fn stage(&self) -> Duration {
+        Duration::from_millis(self.stage_ms)
+    }
+
     /// The target expiry.
     #[must_use]
     pub fn target_expiry(&self) -> Duration {
@@ -74,6 +151,9 @@
     }
 }
 
+/// Shortest lease: below it, a slow platform call outlasts the lease.
+const MIN_LEASE_MS: u64 = 500;
+
 /// The settings file could not be used.
 #[derive(Debug)]
 pub enum SettingsError {
@@ -125,7 +205,7 @@
     }
 
     fn check(&self) -> Result<(), Report<SettingsError>> {
-        let checks: [(&'static str, bool, &'static str); 4] = [
+        let checks: [(&'static str, bool, &'static str); 7] = [
             ("id", self.id.is_empty(), "must not be empty"),
             ("zone", self.zone.is_empty(), "must not be empty"),
             (
@@ -138,6 +218,21 @@
                 self.timeouts.poll_ms == 0,
                 "must be above 0",
             ),
+            (
+                "relay.lease_ms",
+                self.relay.lease_ms < MIN_LEASE_MS,
+                "must be at least 500",
+            ),
+            (
+                "relay.ping_ms",
+                self.relay.ping_ms == 0,
+                "must be above 0",
+            ),
+            (
+                "relay.zone_reads_per_second",
+                self.relay.zone_reads_per_second == 0,
+                "must be above 0",
+            ),
         ];
         match checks.into_iter().find(|(_, failed, _)| *failed) {
             Some((key, _, reason)) => Err(Report::new(SettingsError::OutOfRange { key, reason })),
--- a/crates/daemon/tests/control_cases.rs
+++ b/crates/daemon/tests/control_cases.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filbert_daemon::clock::{Clock, ClockReading, SystemClock};
 use filbert_daemon::control::{
     ControlEffect, ControlEvent, ControlSettings, ControlState, PlatformStep, StateChange,
 };
+use filbert_daemon::settings::DistributionMode;
 use filbert_platform::TargetAnnouncement;
 use filbert_tree::{BranchPath, SettingsTree, VersionRecord};
 use proptest::prelude::*;
@@ -14,13 +16,36 @@
 
 const COOP: &str = include_str!("../../../examples/coop.toml");
 
-fn state() -> ControlState {
-    ControlState::new(ControlSettings {
-        id: "a1".to_owned(),
-        zone: "zone-a".to_owned(),
-        target_expiry: Duration::from_secs(3),
-        refresh: Duration::from_secs(1),
-    })
+/// A reducer in direct mode with a clock the test moves.
+struct TestDaemon {
+    control: ControlState,
+    start: ClockReading,
+}
+
+impl TestDaemon {
+    fn new() -> TestDaemon {
+        let start = SystemClock.reading();
+        let settings =
+            ControlSettings::new("a1", "zone-a", "127.0.0.1:1").mode(DistributionMode::Direct);
+        TestDaemon {
+            control: ControlState::new(settings, start),
+            start,
+        }
+    }
+
+    /// Steps at `ms` milliseconds after the start.
+    fn step_at(&mut self, ms: u64, event: ControlEvent) -> Vec<ControlEffect> {
+        let since = Duration::from_millis(ms);
+        let at = ClockReading {
+            now: self.start.now + since,
+            wall: self.start.wall + since,
+        };
+        self.control.step(at, event)
+    }
+
+    fn step(&mut self, event: ControlEvent) -> Vec<ControlEffect> {
+        self.step_at(0, event)
+    }
 }
 
 fn version(number: u64, valid: bool) -> Arc<VersionRecord> {
@@ -72,12 +97,12 @@
     // Updates cross in flight: a fetch started earlier can land after a newer
     // version is already in force, and a version can be invalid. The daemon
     // must never go back to the older one and never apply a bad one in part.
-    let mut control = state();
+    let mut daemon = TestDaemon::new();
     let mut effects = Vec::new();
     for (number, valid) in case.arrivals {
-        effects.extend(control.step(fetched(*number, *valid)));
+        effects.extend(daemon.step(fetched(*number, *valid)));
     }
-    assert_eq!(control.applied(), case.in_force);
+    assert_eq!(daemon.control.applied(), case.in_force);
     assert_eq!(applied_numbers(&effects), case.applied);
 }
 
@@ -85,17 +110,17 @@
 fn rejected_version_is_reported_and_not_fetched_again() {
     // A bad version reaches a daemon anyway. It must be refused whole with its
     // reason in the status, and the daemon must not fetch it over and over.
-    let mut control = state();
-    control.step(fetched(1, true));
-    let effects = control.step(fetched(2, false));
+    let mut daemon = TestDaemon::new();
+    daemon.step(fetched(1, true));
+    let effects = daemon.step(fetched(2, false));
     assert!(effects.iter().any(|effect| matches!(
         effect,
         ControlEffect::Note {
             change: StateChange::Rejected { number: 2, .. }
         }
     )));
-    assert_eq!(control.view().rejected.map(|(number, _)| number), Some(2));
-    let again = control.step(ControlEvent::CurrentRead {
+    assert_eq!(daemon.control.view().rejected.map(|(number, _)| number), Some(2));
+    let again = daemon.step(ControlEvent::CurrentRead {
         number: 2,
         object: "versions/2".to_owned(),
     });
@@ -109,12 +134,12 @@
     // The platform goes down after version 1 is applied. The daemon keeps
     // serving version 1, shows the platform unreachable in its status with
     // one log line, and says when it is back.
-    let mut control = state();
-    control.step(fetched(1, true));
-    let first = control.step(ControlEvent::PlatformFailed {
+    let mut daemon = TestDaemon::new();
+    daemon.step(fetched(1, true));
+    let first = daemon.step(ControlEvent::PlatformFailed {
         step: PlatformStep::ReadCurrent,
     });
-    let second = control.step(ControlEvent::PlatformFailed {
+    let second = daemon.step(ControlEvent::PlatformFailed {
         step: PlatformStep::ReadCurrent,
     });
     assert_eq!(
@@ -124,9 +149,9 @@
         }]
     );
     assert!(second.is_empty());
-    assert_eq!(control.applied(), 1);
-    assert!(!control.view().platform_reachable);
-    let back = control.step(ControlEvent::CurrentRead {
+    assert_eq!(daemon.control.applied(), 1);
+    assert!(!daemon.control.view().platform_reachable);
+    let back = daemon.step(ControlEvent::CurrentRead {
         number: 1,
         object: "versions/1".to_owned(),
     });
@@ -135,7 +160,7 @@
     }));
 }
 
-fn announce(leaving: bool, wall_ms: u64) -> ControlEvent {
+fn announce(leaving: bool) -> ControlEvent {
     ControlEvent::Announced {
         announcement: TargetAnnouncement {
             service: "quoting".to_owned(),
@@ -143,7 +168,6 @@
             load: 0,
             leaving,
         },
-        wall_ms,
     }
 }
 
@@ -152,11 +176,11 @@
     // A target announces that it is leaving. From that event on the proxy's
     // view must show it not serving, and its row must be rewritten at once so
     // the zone's other daemons stop sending it work too.
-    let mut control = state();
-    control.step(announce(false, 1_000));
-    assert_eq!(control.view().targets.get("quoting"), Some(&1));
-    let effects = control.step(announce(true, 1_100));
-    assert_eq!(control.view().targets.get("quoting"), Some(&0));
+    let mut daemon = TestDaemon::new();
+    daemon.step_at(1_000, announce(false));
+    assert_eq!(daemon.control.view().targets.get("quoting"), Some(&1));
+    let effects = daemon.step_at(1_100, announce(true));
+    assert_eq!(daemon.control.view().targets.get("quoting"), Some(&0));
     assert!(effects.iter().any(|effect| matches!(
         effect,
         ControlEffect::WriteTarget { record } if record.leaving
@@ -167,12 +191,12 @@
 fn silent_target_expires() {
     // A target's host dies without a word. Once it has not been heard from
     // for the expiry, it must leave the proxy's view.
-    let mut control = state();
-    control.step(announce(false, 1_000));
-    control.step(ControlEvent::Tick { wall_ms: 3_900 });
-    assert_eq!(control.view().targets.get("quoting"), Some(&1));
-    control.step(ControlEvent::Tick { wall_ms: 4_100 });
-    assert_eq!(control.view().targets.get("quoting"), None);
+    let mut daemon = TestDaemon::new();
+    daemon.step_at(1_000, announce(false));
+    daemon.step_at(3_900, ControlEvent::Tick);
+    assert_eq!(daemon.control.view().targets.get("quoting"), Some(&1));
+    daemon.step_at(4_100, ControlEvent::Tick);
+    assert_eq!(daemon.control.view().targets.get("quoting"), None);
 }
 
 proptest! {
@@ -184,19 +208,19 @@
     fn applied_history_is_strictly_rising_and_valid(
         schedule in proptest::collection::vec((1u64..12, any::<bool>(), any::<bool>()), 1..40)
     ) {
-        let mut control = state();
+        let mut daemon = TestDaemon::new();
         let mut history = Vec::new();
         for (number, valid, outage) in &schedule {
             if *outage {
-                control.step(ControlEvent::PlatformFailed { step: PlatformStep::FetchVersion });
+                daemon.step(ControlEvent::PlatformFailed { step: PlatformStep::FetchVersion });
             }
-            history.extend(applied_numbers(&control.step(fetched(*number, *valid))));
+            history.extend(applied_numbers(&daemon.step(fetched(*number, *valid))));
         }
         prop_assert!(history.windows(2).all(|pair| pair[0] < pair[1]), "history {:?}", history);
         for number in &history {
             prop_assert!(schedule.iter().any(|(arrived, valid, _)| arrived == number && *valid));
         }
         let best = schedule.iter().filter(|(_, valid, _)| *valid).map(|(number, _, _)| *number).max();
-        prop_assert_eq!(control.applied(), best.unwrap_or(0));
+        prop_assert_eq!(daemon.control.applied(), best.unwrap_or(0));
     }
 }
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -16,6 +16,29 @@
         format!("versions/{number:012}-{nonce:016x}")
     }
 
+    /// Prefix of every zone's lease row.
+    pub const LEASES: &'static str = "leases/";
+    /// Prefix of every zone's digest row.
+    pub const DIGESTS: &'static str = "digests/";
+
+    /// A zone's lease row.
+    #[must_use]
+    pub fn lease(zone: &str) -> String {
+        format!("leases/{zone}")
+    }
+
+    /// A zone's digest row.
+    #[must_use]
+    pub fn digest(zone: &str) -> String {
+        format!("digests/{zone}")
+    }
+
+    /// The row that records a member's keyed call, so that it runs at most once.
+    #[must_use]
+    pub fn keyed_call(member: &str, key: &str) -> String {
+        format!("calls/{member}/{key}")
+    }
+
     /// Prefix of every daemon status row.
     pub const DAEMONS: &'static str = "daemons/";
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,6 @@
 pub use client::{PlatformClient, PlatformError, WriteOutcome};
 pub use keys::TableKey;
 pub use wire::{
-    CurrentPointer, DaemonStatus, FaultSwitches, GetRequest, PlatformStats, PutRequest, RowExpect,
-    ScanRequest, TableRow, TargetAnnouncement, TargetRecord,
+    CurrentPointer, DaemonStatus, FaultSwitches, GetRequest, LeaseRecord, PlatformStats, PutRequest,
+    RowExpect, ScanRequest, TableRow, TargetAnnouncement, TargetRecord, ZoneDigest,
 };
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -90,7 +90,7 @@
 }
 
 /// A target's announcement as kept in the row `targets/ZONE/SERVICE/ADDRESS`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRecord {
     /// The service the target serves.
     pub service: String,
@@ -98,6 +98,8 @@
     pub address: String,
     /// Its availability zone.
     pub zone: String,
+    /// Id of the daemon on its host, which it announces itself to.
+    pub daemon: String,
     /// Its last reported load: calls in flight.
     pub load: u32,
     /// Set once it announced that it is leaving: it must get no new work.
@@ -106,6 +108,36 @@
     pub heard_at_ms: u64,
 }
 
+/// A zone's lease, in the row `leases/ZONE`: who relays versions and targets
+/// to the zone's other daemons. Renewed by compare-and-set on the row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// The holder's daemon id.
+    pub holder: String,
+    /// The holder's start, unique per process, so that a restarted daemon
+    /// does not take its predecessor's lease for its own.
+    pub incarnation: u64,
+    /// The fencing token: grows by one with every new holder.
+    pub token: u64,
+    /// Where the holder's relay port is, `host:port`; empty once released.
+    pub address: String,
+    /// The holder's wall clock at the renewal, in milliseconds since the Unix
+    /// epoch; for operators only, never used to judge the lease.
+    pub renewed_at_ms: u64,
+}
+
+/// What a zone's relay reports of the daemons linked to it, in the row
+/// `digests/ZONE`; rewritten when it changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneDigest {
+    /// The fencing token of the lease it was written under.
+    pub token: u64,
+    /// Daemon ids by the version each has in force.
+    pub applied: std::collections::BTreeMap<u64, Vec<String>>,
+    /// Daemons that refused a version: id, number, reason.
+    pub rejected: Vec<(String, u64, String)>,
+}
+
 /// What a target sends its host's daemon (`POST /announce` on the daemon's
 /// admin port) to join, report load, and leave.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbert_platform::{DaemonStatus, PlatformClient, TableKey};
+use filbert_ctl::fleet;
+use filbert_daemon::settings::DistributionMode;
+use filbert_platform::{DaemonStatus, PlatformClient};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 
@@ -25,6 +27,8 @@
     pub proxy_url: String,
     /// Its admin URL.
     pub admin_url: String,
+    /// Its relay port's address, `127.0.0.1:PORT`.
+    pub relay_address: String,
     /// Its settings file.
     pub config_path: PathBuf,
     /// Its log file.
@@ -43,15 +47,22 @@
         dir: &Path,
         id: &str,
         zone: &str,
+        mode: DistributionMode,
         platform_url: &str,
     ) -> DaemonProcess {
         let proxy_port = free_port();
         let admin_port = free_port();
+        let relay_port = free_port();
+        let mode = match mode {
+            DistributionMode::Relay => "relay",
+            DistributionMode::Direct => "direct",
+        };
         let config_path = dir.join(format!("{id}.toml"));
         let log_path = dir.join(format!("{id}.log"));
         let text = format!(
             "id = \"{id}\"\nzone = \"{zone}\"\nproxy_listen = \"127.0.0.1:{proxy_port}\"\n\
-             admin_listen = \"127.0.0.1:{admin_port}\"\nplatform = \"{platform_url}\"\n\n\
+             admin_listen = \"127.0.0.1:{admin_port}\"\nrelay_listen = \"127.0.0.1:{relay_port}\"\n\
+             distribution = \"{mode}\"\nplatform = \"{platform_url}\"\n\n\
              [timeouts]\npoll_ms = 100\nplatform_ms = 500\ntarget_expiry_ms = 2000\nshutdown_grace_ms = 3000\n"
         );
         std::fs::write(&config_path, text).expect("the mesh directory is writable");
@@ -60,6 +71,7 @@
             zone: zone.to_owned(),
             proxy_url: format!("http://127.0.0.1:{proxy_port}"),
             admin_url: format!("http://127.0.0.1:{admin_port}"),
+            relay_address: format!("127.0.0.1:{relay_port}"),
             config_path,
             log_path,
             child: None,
@@ -171,6 +183,8 @@
     pub services: Vec<String>,
     /// Time each target takes to answer.
     pub target_delay: Duration,
+    /// How versions and targets reach the daemons.
+    pub mode: DistributionMode,
 }
 
 impl MeshSpec {
@@ -186,6 +200,7 @@
                 .map(|service| (*service).to_owned())
                 .collect(),
             target_delay: Duration::ZERO,
+            mode: DistributionMode::Relay,
         }
     }
 
@@ -203,6 +218,13 @@
         self
     }
 
+    /// Sets how versions and targets reach the daemons.
+    #[must_use]
+    pub fn mode(mut self, mode: DistributionMode) -> MeshSpec {
+        self.mode = mode;
+        self
+    }
+
     /// Sets each target's answer time.
     #[must_use]
     pub fn target_delay(mut self, delay: Duration) -> MeshSpec {
@@ -250,6 +272,7 @@
                     &dir,
                     &id,
                     zone,
+                    spec.mode,
                     &platform.url,
                 ));
             }
@@ -290,14 +313,12 @@
         PlatformClient::new(&self.platform.url, Duration::from_secs(2))
     }
 
-    /// The daemons' status rows.
+    /// The live daemons' statuses, as operators see them.
     pub async fn statuses(&self) -> Vec<DaemonStatus> {
-        let Ok(rows) = self.platform_client().scan(TableKey::DAEMONS).await else {
-            return Vec::new();
-        };
-        rows.into_iter()
-            .filter_map(|row| serde_json::from_value(row.value).ok())
-            .collect()
+        fleet::read(&self.platform_client())
+            .await
+            .map(|fleet| fleet.live)
+            .unwrap_or_default()
     }
 
     /// Waits until every daemon's admin status shows `number` in force and
--- a/crates/tree/src/lib.rs
+++ b/crates/tree/src/lib.rs
@@ -4,6 +4,7 @@
 //! resolved (inherited) view, diffs between trees, and accepted versions.
 
 mod branch;
+mod delta;
 mod diff;
 mod edit;
 mod route_table;
@@ -12,6 +13,7 @@
 mod version;
 
 pub use branch::{BranchPath, MemberBranch, RouteBranch, ServiceBranch, SettingsTree, SiteBranch};
+pub use delta::{DeltaError, TreeDelta, TreeEdit};
 pub use diff::{diff_trees, DiffLine};
 pub use edit::EditError;
 pub use route_table::{RouteEntry, RouteTable};
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -162,6 +162,10 @@
         &["show", "site/north-signs/quoting/quotes", "--resolved"],
     );
     assert!(shown.contains("timeout_ms = 1500"), "{shown}");
+    // What operators read follows what is in force; `watch` waits for it.
+    let (code, text) = ctl(&mesh, &["watch", "3", "--timeout", "10"]);
+    assert_eq!(code, 0, "{text}");
+    assert_eq!(mesh.statuses().await.len(), mesh.daemons.len());
     for status in mesh.statuses().await {
         assert_eq!(status.applied, 3, "{} did not apply version 3", status.id);
     }
