--- a/benches/convergence.rs
+++ b/benches/convergence.rs
@@ -1,42 +1,47 @@
-//! Convergence time and control bytes of today's design (every daemon polls
-//! the platform for the version in force and fetches each version whole).
-//! Printed, never asserted. Sizes are loopback stand-ins; the ratios are to
-//! the smallest size in the same run.
+//! Convergence time and control bytes of the zone relay, against the baseline
+//! of every daemon polling the platform for whole versions, both in this run.
+//! Printed, never asserted. Convergence is read from the daemons' own logs
+//! (`event=applied`, wall clock of this machine), so that measuring adds no
+//! load to what is measured.
 
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use clap::Parser;
-use filbert_ctl::{cmd, Cli};
+use filbert_daemon::settings::DistributionMode;
 use filbert_platform::PlatformStats;
+use filbert_standin::history::{applied_history, AppliedRecord};
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
+use filbert_standin::trees::TreeShape;
+use filbert_tree::{BranchPath, SettingsTree, TreeDelta};
 use hdrhistogram::Histogram;
 
 const DAEMON_EXE: &str = env!("CARGO_BIN_EXE_filbertd");
-const COOP_TREE: &str = include_str!("../examples/coop.toml");
-/// Daemons per zone in each run (two zones).
-const SIZES: [usize; 3] = [2, 8, 16];
+/// Daemons in each run, over two zones.
+const SIZES: [usize; 3] = [50, 100, 200];
 /// Changes accepted per run.
-const CHANGES: u64 = 10;
-/// Idle window for the background polling cost.
-const IDLE: Duration = Duration::from_secs(2);
+const CHANGES: u64 = 8;
+/// Pause between changes, in which the mesh is otherwise idle.
+const PAUSE: Duration = Duration::from_secs(1);
+/// Poll interval of whatever reads the platform. At 200 daemons the baseline
+/// then makes the 2,000 reads a second that the platform gives.
+const POLL: Duration = Duration::from_millis(200);
+/// The tree: 480 routes.
+const SHAPE: TreeShape = TreeShape {
+    members: 40,
+    services: 3,
+    routes: 4,
+};
 
 struct RunFigures {
     daemons: usize,
-    p50_ms: u64,
-    p99_ms: u64,
-    max_ms: u64,
-    object_bytes_per_change_per_daemon: f64,
-    reads_per_change: f64,
-    idle_bytes_per_second_per_daemon: f64,
-    idle_reads_per_second: f64,
-}
-
-async fn ctl(url: &str, words: &[&str]) {
-    let mut args = vec!["filbertctl", "--platform", url];
-    args.extend_from_slice(words);
-    let cli = Cli::try_parse_from(args).expect("bench arguments parse");
-    cmd::run(cli).await.expect("bench step succeeds");
+    mode: DistributionMode,
+    each: Histogram<u64>,
+    everywhere: Histogram<u64>,
+    version_bytes: f64,
+    object_reads: f64,
+    reads_per_second: f64,
+    writes_per_second: f64,
+    bytes_per_second: f64,
 }
 
 fn delta(before: PlatformStats, after: PlatformStats) -> PlatformStats {
@@ -48,72 +53,105 @@
     }
 }
 
+/// Sums a counter over every daemon.
+async fn total(mesh: &LocalMesh, counter: &str) -> u64 {
+    let http = reqwest::Client::new();
+    let mut sum = 0;
+    for daemon in &mesh.daemons {
+        let metrics: serde_json::Value = http
+            .get(format!("{}/metrics", daemon.admin_url))
+            .send()
+            .await
+            .expect("metrics answer")
+            .json()
+            .await
+            .expect("metrics are JSON");
+        sum += metrics[counter].as_u64().unwrap_or(0);
+    }
+    sum
+}
+
+fn edited(tree: &SettingsTree, change: u64) -> SettingsTree {
+    let mut tree = tree.clone();
+    let branch = BranchPath::parse("site/m7/s1/r2").expect("a branch");
+    tree.set(&branch, "timeout_ms", &(1_000 + change).to_string())
+        .expect("an edit");
+    tree
+}
+
 #[allow(clippy::cast_precision_loss)]
-async fn run(per_zone: usize) -> RunFigures {
-    let mesh = LocalMesh::start(
-        MeshSpec::new(Path::new(DAEMON_EXE), &["quoting", "artwork"]).daemons_per_zone(per_zone),
-    )
-    .await;
-    let daemons = mesh.daemons.len();
-    let tree_path = mesh.dir.join("coop.toml");
-    std::fs::write(&tree_path, COOP_TREE).expect("write tree");
-    let url = mesh.platform.url.clone();
-    ctl(&url, &["edit", "--file", &tree_path.to_string_lossy()]).await;
-    ctl(&url, &["accept"]).await;
-    mesh.wait_in_force(1, Duration::from_secs(30))
+async fn run(daemons: usize, mode: DistributionMode) -> RunFigures {
+    let spec = MeshSpec::new(Path::new(DAEMON_EXE), &["s0", "s1", "s2"])
+        .daemons_per_zone(daemons / 2)
+        .target_hosts(2)
+        .poll(POLL)
+        .mode(mode);
+    let mesh = LocalMesh::start(spec).await;
+    let tree = SHAPE.build();
+    mesh.publish(1, &tree, None).await;
+    mesh.wait_in_force(1, Duration::from_secs(60))
         .await
         .expect("version 1 in force");
-
-    let before_idle = mesh.platform.store.stats();
-    tokio::time::sleep(IDLE).await;
-    let idle = delta(before_idle, mesh.platform.store.stats());
-
-    let mut histogram = Histogram::<u64>::new(3).expect("histogram");
-    let mut object_bytes = 0.0f64;
-    let mut reads = 0u64;
+    tokio::time::sleep(PAUSE).await;
+    let before = mesh.platform.store.stats();
+    let before_links = total(&mesh, "link_bytes_received").await;
+    let before_version_bytes = total(&mesh, "control_bytes").await;
+    let started = SystemTime::now();
+    let mut accepts = Vec::new();
+    let mut in_force = tree.clone();
     for change in 0..CHANGES {
-        let timeout = (1000 + change).to_string();
-        ctl(
-            &url,
-            &[
-                "set",
-                "site/north-signs/quoting/quotes",
-                "timeout_ms",
-                &timeout,
-            ],
-        )
-        .await;
-        let before = mesh.platform.store.stats();
-        ctl(&url, &["accept"]).await;
-        let accepted = Instant::now();
-        let took = mesh
-            .wait_in_force(change + 2, Duration::from_secs(30))
-            .await
-            .expect("change in force");
-        let during = delta(before, mesh.platform.store.stats());
-        histogram
-            .record(u64::try_from(took.as_millis()).unwrap_or(u64::MAX))
-            .expect("record");
-        let idle_share =
-            idle.bytes_out as f64 * accepted.elapsed().as_secs_f64() / IDLE.as_secs_f64();
-        object_bytes += (during.bytes_out as f64 - idle_share).max(0.0);
-        reads += during.reads + during.object_reads;
+        let next = edited(&tree, change);
+        // The baseline reads whole versions: no steps are stored for it.
+        let base = (mode == DistributionMode::Relay).then_some(&in_force);
+        let accepted = mesh.publish(change + 2, &next, base).await;
+        accepts.push((change + 2, accepted));
+        in_force = next;
+        tokio::time::sleep(PAUSE).await;
     }
-    let changes = CHANGES as f64;
+    mesh.wait_in_force(CHANGES + 1, Duration::from_secs(60))
+        .await
+        .expect("every change in force");
+    let elapsed = started.elapsed().unwrap_or_default().as_secs_f64();
+    let platform = delta(before, mesh.platform.store.stats());
+    let links = total(&mesh, "link_bytes_received").await - before_links;
+    let version_bytes = total(&mesh, "control_bytes").await - before_version_bytes;
+    let (each, everywhere) = convergence(&applied_history(&mesh), &accepts);
+    let per_change = CHANGES as f64;
     RunFigures {
         daemons,
-        p50_ms: histogram.value_at_quantile(0.5),
-        p99_ms: histogram.value_at_quantile(0.99),
-        max_ms: histogram.max(),
-        object_bytes_per_change_per_daemon: object_bytes / changes / daemons as f64,
-        reads_per_change: reads as f64 / changes,
-        idle_bytes_per_second_per_daemon: idle.bytes_out as f64
-            / IDLE.as_secs_f64()
-            / daemons as f64,
-        idle_reads_per_second: idle.reads as f64 / IDLE.as_secs_f64(),
+        mode,
+        each,
+        everywhere,
+        version_bytes: version_bytes as f64 / per_change / daemons as f64,
+        object_reads: platform.object_reads as f64 / per_change,
+        reads_per_second: (platform.reads + platform.object_reads) as f64 / elapsed,
+        writes_per_second: platform.writes as f64 / elapsed,
+        bytes_per_second: (platform.bytes_out + links) as f64 / elapsed / daemons as f64,
     }
 }
 
+/// Milliseconds from accept to in force: on each daemon, and on the last one.
+fn convergence(
+    history: &[AppliedRecord],
+    accepts: &[(u64, SystemTime)],
+) -> (Histogram<u64>, Histogram<u64>) {
+    let mut each = Histogram::new(3).expect("histogram");
+    let mut everywhere = Histogram::new(3).expect("histogram");
+    for (number, accepted) in accepts {
+        let accepted_ms = accepted
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
+        let mut last = 0;
+        for record in history.iter().filter(|record| record.to == *number) {
+            let took = record.at_ms.saturating_sub(accepted_ms);
+            each.record(took).expect("record");
+            last = last.max(took);
+        }
+        everywhere.record(last).expect("record");
+    }
+    (each, everywhere)
+}
+
 #[allow(clippy::cast_precision_loss)]
 fn main() {
     filbert_standin::quiet_logs();
@@ -121,25 +159,54 @@
         .enable_all()
         .build()
         .expect("runtime");
-    let mut figures = Vec::new();
-    for per_zone in SIZES {
-        figures.push(runtime.block_on(run(per_zone)));
-    }
-    println!("design: every daemon polls the platform (poll 100 ms) and fetches whole versions");
-    println!("daemons  conv_p50_ms  conv_p99_ms  conv_max_ms  ctl_bytes/change/daemon  reads/change  idle_B/s/daemon  idle_reads/s  reads/change_ratio");
-    let base = figures[0].reads_per_change;
-    for run in &figures {
+    let tree = SHAPE.build();
+    let edit = TreeDelta::between(&edited(&tree, 0), &edited(&tree, 1));
+    let edit_bytes = filbert_daemon::messages::encode_frame(&edit).len();
+    println!(
+        "tree of {} routes, {} bytes whole, {edit_bytes} bytes the delta; poll {} ms; {CHANGES} changes",
+        SHAPE.route_count(),
+        filbert_daemon::messages::encode_frame(&tree).len(),
+        POLL.as_millis()
+    );
+    println!("daemons  mode    each_p50_ms  each_p99_ms  everywhere_p50_ms  everywhere_max_ms  version_B/change/daemon  object_reads/change  reads/s  writes/s  control_B/s/daemon");
+    for daemons in SIZES {
+        let mut figures = Vec::new();
+        for mode in [DistributionMode::Direct, DistributionMode::Relay] {
+            let run = runtime.block_on(run(daemons, mode));
+            print_run(&run);
+            figures.push(run);
+        }
+        let (direct, relay) = (&figures[0], &figures[1]);
         println!(
-            "{:>7}  {:>11}  {:>11}  {:>11}  {:>23.0}  {:>12.1}  {:>15.0}  {:>12.1}  {:>18.2}",
-            run.daemons,
-            run.p50_ms,
-            run.p99_ms,
-            run.max_ms,
-            run.object_bytes_per_change_per_daemon,
-            run.reads_per_change,
-            run.idle_bytes_per_second_per_daemon,
-            run.idle_reads_per_second,
-            run.reads_per_change / base,
+            "{daemons:>7}  ratio relay/direct: everywhere_p50 {:.2}, version bytes {:.3}, object reads {:.3}, reads {:.3}, writes {:.3}, control bytes {:.3}; version bytes are {:.2}x the delta",
+            relay.everywhere.value_at_quantile(0.5) as f64
+                / direct.everywhere.value_at_quantile(0.5) as f64,
+            relay.version_bytes / direct.version_bytes,
+            relay.object_reads / direct.object_reads,
+            relay.reads_per_second / direct.reads_per_second,
+            relay.writes_per_second / direct.writes_per_second,
+            relay.bytes_per_second / direct.bytes_per_second,
+            relay.version_bytes / edit_bytes as f64,
         );
     }
 }
+
+fn print_run(run: &RunFigures) {
+    let mode = match run.mode {
+        DistributionMode::Direct => "direct",
+        DistributionMode::Relay => "relay",
+    };
+    println!(
+        "{:>7}  {mode:<6}  {:>11}  {:>11}  {:>17}  {:>17}  {:>23.0}  {:>19.1}  {:>7.0}  {:>8.1}  {:>18.0}",
+        run.daemons,
+        run.each.value_at_quantile(0.5),
+        run.each.value_at_quantile(0.99),
+        run.everywhere.value_at_quantile(0.5),
+        run.everywhere.max(),
+        run.version_bytes,
+        run.object_reads,
+        run.reads_per_second,
+        run.writes_per_second,
+        run.bytes_per_second,
+    );
+}
--- a/crates/ctl/src/cmd/publish.rs
+++ b/crates/ctl/src/cmd/publish.rs
@@ -4,9 +4,9 @@
 
 use error_stack::{Report, ResultExt};
 use filbert_platform::{
-    CurrentPointer, PlatformClient, PlatformError, RowExpect, TableKey, WriteOutcome,
+    CurrentPointer, DeltaPointer, PlatformClient, PlatformError, RowExpect, TableKey, WriteOutcome,
 };
-use filbert_tree::{SettingsTree, VersionCodec, VersionRecord};
+use filbert_tree::{SettingsTree, TreeDelta, VersionCodec, VersionRecord};
 
 use crate::error::CtlError;
 use crate::store::{self, CtlResult, DraftValue, InForce};
@@ -29,7 +29,8 @@
     tree.validate()
         .map_err(|problems| Report::new(CtlError::Refused).attach(problems.to_string()))?;
     let number = in_force.number() + 1;
-    let object = TableKey::version_object(number, nonce());
+    let nonce = nonce();
+    let object = TableKey::version_object(number, nonce);
     let record = VersionRecord {
         number,
         parent: in_force.number(),
@@ -44,6 +45,7 @@
     let pointer = CurrentPointer {
         number,
         object: object.clone(),
+        delta: store_delta(platform, in_force, &record, nonce).await,
     };
     let expect = in_force
         .row_version
@@ -85,6 +87,26 @@
         .attach("could not store the version object; nothing was accepted"))
 }
 
+/// Stores the steps from the version in force to `record`, which spare relays
+/// the whole version. Without them a relay fetches it whole, so a failure here
+/// does not fail the accept.
+async fn store_delta(
+    platform: &PlatformClient,
+    in_force: &InForce,
+    record: &VersionRecord,
+    nonce: u64,
+) -> Option<DeltaPointer> {
+    let base = in_force.record.as_ref()?;
+    let delta = TreeDelta::between(&base.tree, &record.tree);
+    let object = TableKey::delta_object(record.number, nonce);
+    let stored = platform.put_object(&object, VersionCodec::encode_delta(&delta));
+    stored.await.ok()?;
+    Some(DeltaPointer {
+        base: base.number,
+        object,
+    })
+}
+
 async fn confirm_written(platform: &PlatformClient, object: &str) -> CtlResult<()> {
     let now = store::in_force(platform)
         .await
--- a/crates/daemon/src/control/change.rs
+++ b/crates/daemon/src/control/change.rs
@@ -39,20 +39,32 @@
             }
             StateChange::Staged { number, services } => {
                 let services = services.join(",");
-                write!(formatter, "event=staged version={number} without_targets={services}")
+                write!(
+                    formatter,
+                    "event=staged version={number} without_targets={services}"
+                )
             }
             StateChange::Rejected { number, reason } => {
-                write!(formatter, "event=rejected version={number} reason={reason:?}")
+                write!(
+                    formatter,
+                    "event=rejected version={number} reason={reason:?}"
+                )
             }
             StateChange::PlatformLost { serving } => {
                 write!(formatter, "event=platform_lost serving={serving}")
             }
             StateChange::PlatformBack => write!(formatter, "event=platform_back"),
             StateChange::TargetJoined { service, address } => {
-                write!(formatter, "event=target_joined service={service} address={address}")
+                write!(
+                    formatter,
+                    "event=target_joined service={service} address={address}"
+                )
             }
             StateChange::TargetLeaving { service, address } => {
-                write!(formatter, "event=target_leaving service={service} address={address}")
+                write!(
+                    formatter,
+                    "event=target_leaving service={service} address={address}"
+                )
             }
             StateChange::LeaseTaken { token } => {
                 write!(formatter, "event=lease_taken token={token}")
@@ -62,7 +74,10 @@
             }
             StateChange::RelayActing => write!(formatter, "event=relay_acting"),
             StateChange::RelayJoined { address, token } => {
-                write!(formatter, "event=relay_joined address={address} token={token}")
+                write!(
+                    formatter,
+                    "event=relay_joined address={address} token={token}"
+                )
             }
             StateChange::RelayLost { address } => {
                 write!(formatter, "event=relay_lost address={address}")
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -32,6 +32,11 @@
 }
 
 impl TargetDirectory {
+    /// Whether rows read in direct mode are known, which age with time.
+    pub(super) fn has_rows(&self) -> bool {
+        !self.direct.is_empty()
+    }
+
     /// This host's targets.
     pub(super) fn local_records(&self) -> Vec<TargetRecord> {
         self.local
@@ -94,7 +99,11 @@
             heard_at_ms: self.at.wall_ms(),
         };
         let previous = self.directory.local.get(&record.address).cloned();
-        note_announced(previous.as_ref().map(|local| &local.record), &record, effects);
+        note_announced(
+            previous.as_ref().map(|local| &local.record),
+            &record,
+            effects,
+        );
         let change = local_change(previous.as_ref().map(|local| &local.record), &record);
         let written_at = match previous {
             Some(local) if change.is_empty() => local.written_at,
@@ -162,6 +171,7 @@
             ..TargetChange::default()
         };
         self.spread(change, effects);
+        self.show_targets(effects);
     }
 
     pub(super) fn on_targets_read(
@@ -230,7 +240,10 @@
             .filter(|record| !directory.local.contains_key(&record.address))
             .filter(|record| !directory.zone.contains_key(&record.address))
             .filter(|record| {
-                directory.direct_read_at_ms.saturating_sub(record.heard_at_ms) <= expiry_ms
+                directory
+                    .direct_read_at_ms
+                    .saturating_sub(record.heard_at_ms)
+                    <= expiry_ms
             });
         let view = ZoneTargets::from_records(local.chain(zone).chain(direct));
         if *directory.shown != view {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -17,9 +17,10 @@
 use std::time::{Duration, Instant};
 
 use filbert_platform::{
-    DaemonStatus, LeaseRecord, RowExpect, TargetAnnouncement, TargetRecord, ZoneDigest,
+    DaemonStatus, DeltaPointer, LeaseRecord, RowExpect, TargetAnnouncement, TargetRecord,
+    ZoneDigest,
 };
-use filbert_tree::{RouteTable, VersionRecord};
+use filbert_tree::{RouteTable, TreeDelta, VersionRecord};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
@@ -44,10 +45,8 @@
     FetchVersion,
     /// Scanning the zone's target rows.
     ReadTargets,
-    /// Reading the zone's lease row.
-    ReadLease,
-    /// Writing the zone's lease row.
-    WriteLease,
+    /// Reading or writing the zone's lease row.
+    Lease,
     /// Writing another row.
     Write,
 }
@@ -67,8 +66,19 @@
     /// Time passed.
     Tick,
     /// The `current` row names this version and its object (number 0 when
-    /// there is none yet).
-    CurrentRead { number: u64, object: String },
+    /// there is none yet), and where the steps to it are, if anywhere.
+    CurrentRead {
+        number: u64,
+        object: String,
+        delta: Option<DeltaPointer>,
+    },
+    /// The steps to version `number` from `base` arrived, `bytes` long.
+    DeltaFetched {
+        base: u64,
+        number: u64,
+        delta: TreeDelta,
+        bytes: usize,
+    },
     /// A version object arrived, `bytes` long on the wire.
     VersionFetched {
         record: Arc<VersionRecord>,
@@ -107,6 +117,8 @@
     ReadCurrent,
     /// Fetch version `number` from the object store.
     FetchVersion { number: u64, object: String },
+    /// Fetch the steps to version `number` from the object store.
+    FetchDelta { number: u64, pointer: DeltaPointer },
     /// Scan the zone's target rows.
     ReadTargets,
     /// Put this compiled version in force for the proxy.
@@ -254,9 +266,17 @@
         self.check_lease(&mut effects);
         match event {
             ControlEvent::Tick => self.on_tick(&mut effects),
-            ControlEvent::CurrentRead { number, object } => {
-                self.on_current(number, object, &mut effects);
-            }
+            ControlEvent::CurrentRead {
+                number,
+                object,
+                delta,
+            } => self.on_current(number, object, delta, &mut effects),
+            ControlEvent::DeltaFetched {
+                base,
+                number,
+                delta,
+                bytes,
+            } => self.on_delta_fetched(base, number, &delta, bytes, &mut effects),
             ControlEvent::VersionFetched { record, bytes } => {
                 self.platform_answered(&mut effects);
                 self.on_version(&record, bytes, &mut effects);
@@ -290,13 +310,16 @@
             DistributionMode::Relay => self.tick_zone(effects),
         }
         self.apply_staged(effects);
-        self.show_targets(effects);
+        if self.directory.has_rows() {
+            self.show_targets(effects);
+        }
     }
 
     /// Every daemon for itself: polls the platform and keeps its own rows.
     fn tick_direct(&mut self, effects: &mut Vec<ControlEffect>) {
-        self.read_current(effects);
-        self.read_targets(effects);
+        if self.read_current_paced(self.settings.poll, effects) {
+            self.read_targets(effects);
+        }
         self.refresh_rows(effects);
         self.refresh_report(effects);
     }
@@ -332,8 +355,7 @@
             }
             PlatformStep::FetchVersion => self.versions.fetch_failed(),
             PlatformStep::ReadTargets => self.reading_targets = false,
-            PlatformStep::ReadLease => self.zone.lease_read_failed(),
-            PlatformStep::WriteLease => self.zone.lease_write_failed(),
+            PlatformStep::Lease => self.zone.lease_call_failed(),
             PlatformStep::Write => {}
         }
         self.platform_failures = self.platform_failures.saturating_add(1);
@@ -382,9 +404,9 @@
     }
 
     fn refresh_report(&mut self, effects: &mut Vec<ControlEffect>) {
-        let due = self.reported_at.is_none_or(|at| {
-            self.at.now.saturating_duration_since(at) >= self.settings.refresh
-        });
+        let due = self
+            .reported_at
+            .is_none_or(|at| self.at.now.saturating_duration_since(at) >= self.settings.refresh);
         if due {
             self.report(effects);
         }
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -161,7 +161,12 @@
             .directory
             .addresses_of(&hello.id)
             .into_iter()
-            .filter(|address| hello.targets.iter().all(|record| record.address != *address))
+            .filter(|address| {
+                hello
+                    .targets
+                    .iter()
+                    .all(|record| record.address != *address)
+            })
             .collect();
         TargetChange {
             upserts: hello.targets.clone(),
@@ -229,7 +234,9 @@
     /// dropped, so that no live target is lost in the change.
     pub(super) fn seed_owners(&mut self) {
         for record in self.directory.zone.values() {
-            self.peers.unlinked.insert(record.daemon.clone(), self.at.now);
+            self.peers
+                .unlinked
+                .insert(record.daemon.clone(), self.at.now);
         }
     }
 
--- a/crates/daemon/src/control/settings.rs
+++ b/crates/daemon/src/control/settings.rs
@@ -58,6 +58,7 @@
     /// The reducer's inputs for a daemon started with `settings`.
     #[must_use]
     pub fn from_daemon(settings: &DaemonSettings, incarnation: u64) -> ControlSettings {
+        let address = settings.relay_advertise.unwrap_or(settings.relay_listen);
         ControlSettings {
             incarnation,
             mode: settings.distribution,
@@ -67,11 +68,7 @@
             zone_reads_per_second: settings.relay.zone_reads_per_second,
             zone_size_hint: settings.relay.zone_size_hint,
             stage_limit: settings.timeouts.stage(),
-            ..ControlSettings::new(
-                &settings.id,
-                &settings.zone,
-                &settings.relay_listen.to_string(),
-            )
+            ..ControlSettings::new(&settings.id, &settings.zone, &address.to_string())
         }
     }
 
--- a/crates/daemon/src/control/version.rs
+++ b/crates/daemon/src/control/version.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use filbert_tree::{RouteTable, VersionRecord};
+use filbert_platform::DeltaPointer;
+use filbert_tree::{RouteTable, TreeDelta, VersionCodec, VersionRecord};
 
 use super::{ControlEffect, ControlState, StateChange};
-use crate::messages::VersionUpdate;
+use crate::messages::{PeerMessage, VersionUpdate};
 
 /// Older versions kept as bases for deltas to peers.
 const BASES_KEPT: usize = 8;
@@ -37,6 +38,8 @@
     /// A relay's version that waits for the floor to be known.
     awaiting_floor: Option<VersionRecord>,
     fetching: Option<u64>,
+    /// Set when steps from the platform did not fit; the next fetch is whole.
+    delta_misfit: bool,
     in_force: Arc<RouteTable>,
     bases: VecDeque<Arc<VersionRecord>>,
     staged: Option<StagedVersion>,
@@ -58,9 +61,11 @@
         self.staged.as_ref().map(|staged| staged.record.number)
     }
 
-    /// The fetch under way failed; the next read of `current` starts another.
+    /// The fetch under way failed; the next read of `current` starts another,
+    /// of the whole version, since stored steps may be what is missing.
     pub(super) fn fetch_failed(&mut self) {
         self.fetching = None;
+        self.delta_misfit = true;
     }
 
     fn keep_base(&mut self, record: &Arc<VersionRecord>) {
@@ -70,6 +75,18 @@
         }
     }
 
+    /// The version that `delta` makes of the kept version `base`, if it fits.
+    fn rebuild(&self, base: u64, number: u64, delta: &TreeDelta) -> Option<VersionRecord> {
+        let tree = delta.apply(&self.base(base)?.tree).ok()?;
+        Some(VersionRecord {
+            number,
+            parent: base,
+            restores: None,
+            parent_object: None,
+            tree,
+        })
+    }
+
     fn is_known(&self, number: u64) -> bool {
         let refused = self
             .rejected
@@ -84,6 +101,7 @@
         &mut self,
         number: u64,
         object: String,
+        delta: Option<DeltaPointer>,
         effects: &mut Vec<ControlEffect>,
     ) {
         self.reading_current = false;
@@ -98,7 +116,31 @@
         let wanted = number > 0 && !self.versions.is_known(number);
         if wanted && !already_fetching && !left_to_relay {
             self.versions.fetching = Some(number);
-            effects.push(ControlEffect::FetchVersion { number, object });
+            let usable = delta
+                .filter(|_| !self.versions.delta_misfit)
+                .filter(|pointer| self.versions.base(pointer.base).is_some());
+            effects.push(match usable {
+                Some(pointer) => ControlEffect::FetchDelta { number, pointer },
+                None => ControlEffect::FetchVersion { number, object },
+            });
+        }
+    }
+
+    /// Steps fetched from the platform. Where they do not fit, the version is
+    /// fetched whole at the next read of `current`.
+    pub(super) fn on_delta_fetched(
+        &mut self,
+        base: u64,
+        number: u64,
+        delta: &TreeDelta,
+        bytes: usize,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        self.platform_answered(effects);
+        if let Some(record) = self.versions.rebuild(base, number, delta) {
+            self.on_version(&Arc::new(record), bytes, effects);
+        } else {
+            self.versions.fetch_failed();
         }
     }
 
@@ -127,7 +169,7 @@
                 self.versions.awaiting_floor = Some(record);
             }
             VersionUpdate::Whole(record) => {
-                let bytes = filbert_tree::VersionCodec::encode(&record).len();
+                let bytes = VersionCodec::encode(&record).len();
                 self.on_version(&Arc::new(record), bytes, effects);
             }
             VersionUpdate::Delta {
@@ -135,22 +177,11 @@
                 number,
                 delta,
             } => {
-                let rebuilt = self
-                    .versions
-                    .base(base)
-                    .and_then(|record| delta.apply(&record.tree).ok());
-                let Some(tree) = rebuilt else {
-                    self.send_up(crate::messages::PeerMessage::NeedWhole, effects);
+                let Some(record) = self.versions.rebuild(base, number, &delta) else {
+                    self.send_up(PeerMessage::NeedWhole, effects);
                     return;
                 };
-                let record = VersionRecord {
-                    number,
-                    parent: base,
-                    restores: None,
-                    parent_object: None,
-                    tree,
-                };
-                let bytes = crate::messages::encode_frame(&delta).len();
+                let bytes = VersionCodec::encode_delta(&delta).len();
                 self.on_version(&Arc::new(record), bytes, effects);
             }
         }
@@ -164,6 +195,7 @@
     ) {
         if self.versions.fetching == Some(record.number) {
             self.versions.fetching = None;
+            self.versions.delta_misfit = false;
         }
         // Guards against moving back: a fetch that was overtaken by a newer
         // version (updates crossing in flight) arrives after the newer one was
@@ -206,7 +238,12 @@
         self.report(effects);
     }
 
-    fn stage(&mut self, record: &Arc<VersionRecord>, bytes: usize, effects: &mut Vec<ControlEffect>) {
+    fn stage(
+        &mut self,
+        record: &Arc<VersionRecord>,
+        bytes: usize,
+        effects: &mut Vec<ControlEffect>,
+    ) {
         let staged = StagedVersion {
             record: Arc::clone(record),
             table: Arc::new(RouteTable::compile(&record.tree)),
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -18,6 +18,7 @@
 
 use super::{ControlEffect, ControlSettings, ControlState, LeaseRow, StateChange};
 use crate::messages::{PeerHello, PeerMessage, RelayMessage, RelayWelcome, ZoneShape};
+use crate::settings::DistributionMode;
 
 /// Renewals per lease time.
 const RENEWALS_PER_LEASE: u32 = 3;
@@ -88,6 +89,15 @@
     since: Instant,
 }
 
+/// The call on the lease row under way, if any; one at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaseCall {
+    Idle,
+    Reading,
+    /// Writing, since this moment.
+    Writing(Instant),
+}
+
 /// A link to a relay.
 #[derive(Clone, Debug)]
 struct RelayLink {
@@ -110,8 +120,7 @@
     pub(super) shape: ZoneShape,
     held: Option<HeldLease>,
     seen: Option<SeenLease>,
-    reading_lease: bool,
-    writing_lease: Option<Instant>,
+    lease_call: LeaseCall,
     link: Option<RelayLink>,
     next_link: u64,
     candidates: VecDeque<String>,
@@ -128,6 +137,10 @@
 impl ZoneState {
     pub(super) fn new(settings: &ControlSettings, now: Instant, rng: &mut StdRng) -> ZoneState {
         let start = now + spread_window(settings, settings.zone_size_hint).mul_f64(rng.random());
+        let head_start = match settings.mode {
+            DistributionMode::Direct => Duration::ZERO,
+            DistributionMode::Relay => RELAY_HEAD_START,
+        };
         ZoneState {
             role: ZoneRole::Seeking,
             token: 0,
@@ -139,15 +152,14 @@
             },
             held: None,
             seen: None,
-            reading_lease: false,
-            writing_lease: None,
+            lease_call: LeaseCall::Idle,
             link: None,
             next_link: 1,
             candidates: VecDeque::new(),
             lost_address: None,
             next_candidate: now,
             next_lease_read: start,
-            next_current_read: start + RELAY_HEAD_START,
+            next_current_read: start + head_start,
             next_beat: now,
             next_loads: now,
             without_relay_since: now,
@@ -155,13 +167,10 @@
         }
     }
 
-    pub(super) fn lease_read_failed(&mut self) {
-        self.reading_lease = false;
-    }
-
-    /// A write whose reply is lost may have taken effect; the next read tells.
-    pub(super) fn lease_write_failed(&mut self) {
-        self.writing_lease = None;
+    /// The call on the lease row failed. A write whose reply is lost may have
+    /// taken effect; the next read, or the next write's refusal, tells.
+    pub(super) fn lease_call_failed(&mut self) {
+        self.lease_call = LeaseCall::Idle;
     }
 }
 
@@ -202,13 +211,15 @@
     }
 
     fn seek(&mut self, effects: &mut Vec<ControlEffect>) {
-        let without = self.at.now.saturating_duration_since(self.zone.without_relay_since);
+        let without = self
+            .at
+            .now
+            .saturating_duration_since(self.zone.without_relay_since);
         self.zone.fell_back = without >= FALL_BACK_AFTER;
         let window = spread_window(&self.settings, self.zone.shape.size);
         self.read_lease_paced(effects);
-        let before = self.zone.next_current_read;
-        self.read_current_paced(self.settings.poll.max(window), effects);
-        if self.zone.fell_back && self.zone.next_current_read != before {
+        let due = self.read_current_paced(self.settings.poll.max(window), effects);
+        if due && self.zone.fell_back {
             self.read_targets(effects);
             self.refresh_rows(effects);
             self.refresh_report(effects);
@@ -305,31 +316,36 @@
     }
 
     /// Reads the `current` row at most every `pause`, backing off with jitter
-    /// while the platform fails.
-    fn read_current_paced(&mut self, pause: Duration, effects: &mut Vec<ControlEffect>) {
+    /// while the platform fails. Returns whether it was time to.
+    pub(super) fn read_current_paced(
+        &mut self,
+        pause: Duration,
+        effects: &mut Vec<ControlEffect>,
+    ) -> bool {
         if self.at.now < self.zone.next_current_read {
-            return;
+            return false;
         }
         let backoff = BACKOFF_LIMIT.min(pause * 2u32.saturating_pow(self.platform_failures.min(8)));
         let pause = pause.max(backoff);
-        let jitter = if pause > self.settings.poll {
-            pause.mul_f64(self.rng.random::<f64>() - 0.5)
+        let jittered = if pause > self.settings.poll {
+            pause.mul_f64(0.5 + self.rng.random::<f64>())
         } else {
-            Duration::ZERO
+            pause
         };
-        self.zone.next_current_read = self.at.now + pause + jitter;
+        self.zone.next_current_read = self.at.now + jittered;
         self.read_current(effects);
+        true
     }
 
     fn read_lease_paced(&mut self, effects: &mut Vec<ControlEffect>) {
-        if self.at.now < self.zone.next_lease_read || self.zone.reading_lease {
+        if self.at.now < self.zone.next_lease_read || self.zone.lease_call != LeaseCall::Idle {
             return;
         }
         let window = spread_window(&self.settings, self.zone.shape.size);
         let pause = (self.settings.lease_time / RENEWALS_PER_LEASE).max(window);
         let jitter = pause.mul_f64(self.rng.random::<f64>() * 0.5);
         self.zone.next_lease_read = self.at.now + pause + jitter;
-        self.zone.reading_lease = true;
+        self.zone.lease_call = LeaseCall::Reading;
         effects.push(ControlEffect::ReadLease);
     }
 
@@ -367,7 +383,7 @@
         };
         let due = self.settings.lease_time / RENEWALS_PER_LEASE;
         let age = self.at.now.saturating_duration_since(held.renewed_at);
-        if age < due || self.zone.writing_lease.is_some() || self.zone.stopping {
+        if age < due || self.zone.lease_call != LeaseCall::Idle || self.zone.stopping {
             return;
         }
         let record = LeaseRecord {
@@ -384,12 +400,12 @@
         record: LeaseRecord,
         effects: &mut Vec<ControlEffect>,
     ) {
-        self.zone.writing_lease = Some(self.at.now);
+        self.zone.lease_call = LeaseCall::Writing(self.at.now);
         effects.push(ControlEffect::WriteLease { expect, record });
     }
 
     fn take_lease(&mut self, row: Option<&LeaseRow>, effects: &mut Vec<ControlEffect>) {
-        if self.zone.writing_lease.is_some() || self.zone.stopping {
+        if self.zone.lease_call != LeaseCall::Idle || self.zone.stopping {
             return;
         }
         let seen_token = row.map_or(0, |row| row.record.token);
@@ -404,8 +420,12 @@
         self.write_lease(expect, record, effects);
     }
 
-    pub(super) fn on_lease_read(&mut self, row: Option<LeaseRow>, effects: &mut Vec<ControlEffect>) {
-        self.zone.reading_lease = false;
+    pub(super) fn on_lease_read(
+        &mut self,
+        row: Option<LeaseRow>,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        self.zone.lease_call = LeaseCall::Idle;
         self.platform_answered(effects);
         if self.zone.role == ZoneRole::Leader {
             return;
@@ -418,7 +438,7 @@
         row: Option<LeaseRow>,
         effects: &mut Vec<ControlEffect>,
     ) {
-        self.zone.writing_lease = None;
+        self.zone.lease_call = LeaseCall::Idle;
         self.platform_answered(effects);
         // Guards against giving up a lease that is still ours: a renewal whose
         // reply was lost moved the row on, so the next one is refused though
@@ -433,7 +453,10 @@
     }
 
     pub(super) fn on_lease_written(&mut self, row: LeaseRow, effects: &mut Vec<ControlEffect>) {
-        let sent_at = self.zone.writing_lease.take().unwrap_or(self.at.now);
+        let LeaseCall::Writing(sent_at) = self.zone.lease_call else {
+            return;
+        };
+        self.zone.lease_call = LeaseCall::Idle;
         self.platform_answered(effects);
         if row.record.address.is_empty() {
             return;
@@ -507,8 +530,7 @@
         });
         let released = row.record.address.is_empty();
         let own = row.record.holder == self.settings.id;
-        let lapsed =
-            self.at.now.saturating_duration_since(since) >= self.settings.lease_time;
+        let lapsed = self.at.now.saturating_duration_since(since) >= self.settings.lease_time;
         if released || own || lapsed {
             self.take_lease(Some(&row), effects);
         } else {
@@ -518,7 +540,11 @@
 
     /// Links to the relay that holds the lease, unless linked to it already.
     pub(super) fn follow(&mut self, address: String, effects: &mut Vec<ControlEffect>) {
-        let linked = self.zone.link.as_ref().is_some_and(|link| link.address == address);
+        let linked = self
+            .zone
+            .link
+            .as_ref()
+            .is_some_and(|link| link.address == address);
         if linked {
             return;
         }
@@ -540,7 +566,12 @@
         message: RelayMessage,
         effects: &mut Vec<ControlEffect>,
     ) {
-        if self.zone.link.as_ref().is_none_or(|current| current.id != link) {
+        if self
+            .zone
+            .link
+            .as_ref()
+            .is_none_or(|current| current.id != link)
+        {
             return;
         }
         match message {
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -25,6 +25,10 @@
     NotRun,
     /// The call may or may not have run.
     Unknown,
+    /// The call ran before; it got the recorded answer.
+    Replayed,
+    /// The call was refused as malformed.
+    Refused,
 }
 
 impl CallOutcome {
@@ -36,6 +40,8 @@
             CallOutcome::Failed => "failed",
             CallOutcome::NotRun => "not_run",
             CallOutcome::Unknown => "unknown",
+            CallOutcome::Replayed => "replayed",
+            CallOutcome::Refused => "refused",
         }
     }
 }
@@ -82,10 +88,7 @@
                 .u64_counter("link_bytes_received")
                 .with_unit("By")
                 .build(),
-            link_bytes_sent: meter
-                .u64_counter("link_bytes_sent")
-                .with_unit("By")
-                .build(),
+            link_bytes_sent: meter.u64_counter("link_bytes_sent").with_unit("By").build(),
             platform_reads: meter.u64_counter("platform_reads").build(),
             platform_writes: meter.u64_counter("platform_writes").build(),
             lease_changes: meter.u64_counter("lease_changes").build(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod control;
 pub mod counters;
+pub mod limits;
 pub mod links;
 pub mod logging;
 pub mod messages;
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -167,9 +167,7 @@
 }
 
 /// Keeps a server connection going; a peer opens one stream only.
-async fn drive(
-    connection: &mut h2::server::Connection<TcpStream, Bytes>,
-) -> Result<(), LinkError> {
+async fn drive(connection: &mut h2::server::Connection<TcpStream, Bytes>) -> Result<(), LinkError> {
     while let Some(accepted) = connection.accept().await {
         let (_, mut respond) = accepted?;
         respond.send_reset(h2::Reason::REFUSED_STREAM);
@@ -179,6 +177,9 @@
 
 /// Opens link `link` to the relay at `address` and runs it until it ends.
 /// What is put in `queue` goes to the relay; dropping its sender ends the link.
+///
+/// # Errors
+/// [`LinkError`] saying why the link ended, unless this side ended it.
 pub async fn run_link(
     link: u64,
     address: &str,
@@ -265,7 +266,7 @@
         counters.link_received(chunk.len());
         let _ = body.flow_control().release_capacity(chunk.len());
         reader.push(&chunk);
-        while let Some(message) = reader.next().map_err(LinkError::Frame)? {
+        while let Some(message) = reader.take().map_err(LinkError::Frame)? {
             if deliver(message).await.is_err() {
                 return Ok(());
             }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -3,8 +3,8 @@
 use flexi_logger::{DeferredNow, Logger, LoggerHandle};
 
 /// Libraries whose own lines are not changes of the daemon's state: only
-/// their warnings are kept.
-const LIBRARY_LEVELS: &str = "rocket=warn,_=warn,hyper=warn,reqwest=warn";
+/// their warnings, and of rocket its errors, are kept.
+const LIBRARY_LEVELS: &str = "rocket=error,_=error,hyper=warn,reqwest=warn";
 
 /// Starts logging at `spec` (such as `info`), overridable with `RUST_LOG`.
 /// Returns `None` when a logger was already set, as in tests.
--- a/crates/daemon/src/messages.rs
+++ b/crates/daemon/src/messages.rs
@@ -166,7 +166,7 @@
     ///
     /// # Errors
     /// [`FrameError`] when the bytes cannot be a message.
-    pub fn next<T: serde::de::DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+    pub fn take<T: serde::de::DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
         let Some(length) = self.buffer.first_chunk::<LENGTH_BYTES>() else {
             return Ok(None);
         };
--- a/crates/daemon/src/platform_calls.rs
+++ b/crates/daemon/src/platform_calls.rs
@@ -4,12 +4,11 @@
 use std::sync::Arc;
 
 use filbert_platform::{
-    CurrentPointer, DaemonStatus, LeaseRecord, PlatformClient, RowExpect, TableKey, TableRow,
-    TargetRecord, WriteOutcome, ZoneDigest,
+    CurrentPointer, DaemonStatus, DeltaPointer, LeaseRecord, PlatformClient, RowExpect, TableKey,
+    TableRow, TargetRecord, WriteOutcome, ZoneDigest,
 };
 use filbert_tree::VersionCodec;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 
 use crate::control::{ControlEvent, LeaseRow, PlatformStep};
 use crate::counters::DaemonCounters;
@@ -28,7 +27,7 @@
 }
 
 impl PlatformCalls {
-    fn report<F>(&self, call: F) -> JoinHandle<()>
+    fn report<F>(&self, call: F)
     where
         F: std::future::Future<Output = Option<ControlEvent>> + Send + 'static,
     {
@@ -37,7 +36,7 @@
             if let Some(event) = call.await {
                 let _ = events.send(event).await;
             }
-        })
+        });
     }
 
     /// Reads the `current` row.
@@ -52,14 +51,17 @@
                 Ok(None) => ControlEvent::CurrentRead {
                     number: 0,
                     object: String::new(),
+                    delta: None,
                 },
-                Ok(Some(row)) => serde_json::from_value::<CurrentPointer>(row.value).map_or(
-                    failed,
-                    |pointer| ControlEvent::CurrentRead {
-                        number: pointer.number,
-                        object: pointer.object,
-                    },
-                ),
+                Ok(Some(row)) => {
+                    serde_json::from_value::<CurrentPointer>(row.value).map_or(failed, |pointer| {
+                        ControlEvent::CurrentRead {
+                            number: pointer.number,
+                            object: pointer.object,
+                            delta: pointer.delta,
+                        }
+                    })
+                }
                 Err(_) => failed,
             })
         });
@@ -67,6 +69,37 @@
 
     /// Fetches a version object.
     pub fn fetch(&self, number: u64, object: String) {
+        self.fetch_object(number, object, VersionCodec::decode, |record, bytes| {
+            ControlEvent::VersionFetched {
+                record: Arc::new(record),
+                bytes,
+            }
+        });
+    }
+
+    /// Fetches the steps to version `number`.
+    pub fn fetch_delta(&self, number: u64, pointer: DeltaPointer) {
+        let base = pointer.base;
+        self.fetch_object(
+            number,
+            pointer.object,
+            VersionCodec::decode_delta,
+            move |delta, bytes| ControlEvent::DeltaFetched {
+                base,
+                number,
+                delta,
+                bytes,
+            },
+        );
+    }
+
+    fn fetch_object<T: 'static>(
+        &self,
+        number: u64,
+        object: String,
+        decode: fn(&[u8]) -> Result<T, String>,
+        fetched: impl FnOnce(T, usize) -> ControlEvent + Send + 'static,
+    ) {
         self.counters.platform_read();
         let platform = self.platform.clone();
         self.report(async move {
@@ -76,11 +109,8 @@
             let Ok(Some(bytes)) = platform.get_object(&object).await else {
                 return Some(failed);
             };
-            Some(match VersionCodec::decode(&bytes) {
-                Ok(record) => ControlEvent::VersionFetched {
-                    record: Arc::new(record),
-                    bytes: bytes.len(),
-                },
+            Some(match decode(&bytes) {
+                Ok(value) => fetched(value, bytes.len()),
                 Err(reason) => {
                     log::warn!("event=version_undecodable version={number} reason={reason:?}");
                     failed
@@ -120,22 +150,21 @@
                     row: row.and_then(lease_row),
                 },
                 Err(_) => ControlEvent::PlatformFailed {
-                    step: PlatformStep::ReadLease,
+                    step: PlatformStep::Lease,
                 },
             })
         });
     }
 
-    /// Writes the zone's lease row if `expect` holds. The handle ends once the
-    /// call has.
-    pub fn write_lease(&self, expect: RowExpect, record: &LeaseRecord) -> JoinHandle<()> {
+    /// Writes the zone's lease row if `expect` holds.
+    pub fn write_lease(&self, expect: RowExpect, record: &LeaseRecord) {
         self.counters.platform_write();
         let platform = self.platform.clone();
         let key = TableKey::lease(&self.zone);
         let value = serde_json::to_value(record).unwrap_or_default();
         self.report(async move {
             let failed = ControlEvent::PlatformFailed {
-                step: PlatformStep::WriteLease,
+                step: PlatformStep::Lease,
             };
             Some(match platform.put(&key, expect, value).await {
                 Ok(WriteOutcome::Written(row)) => {
@@ -146,7 +175,7 @@
                 },
                 Err(_) => failed,
             })
-        })
+        });
     }
 
     /// Writes the zone's digest row unless a later lease's holder has.
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -70,6 +70,9 @@
         match effect {
             ControlEffect::ReadCurrent => self.calls.read_current(),
             ControlEffect::FetchVersion { number, object } => self.calls.fetch(number, object),
+            ControlEffect::FetchDelta { number, pointer } => {
+                self.calls.fetch_delta(number, pointer);
+            }
             ControlEffect::ReadTargets => self.calls.read_targets(),
             ControlEffect::Apply { number, table } => {
                 let table = Arc::unwrap_or_clone(table);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -24,6 +24,9 @@
     pub admin_listen: SocketAddr,
     /// Where the zone's other daemons link to this one while it relays.
     pub relay_listen: SocketAddr,
+    /// Where the others reach that port, when not at `relay_listen` itself.
+    #[serde(default)]
+    pub relay_advertise: Option<SocketAddr>,
     /// Base URL of the platform's table and object store.
     pub platform: String,
     /// How versions and targets reach this daemon.
@@ -223,11 +226,7 @@
                 self.relay.lease_ms < MIN_LEASE_MS,
                 "must be at least 500",
             ),
-            (
-                "relay.ping_ms",
-                self.relay.ping_ms == 0,
-                "must be above 0",
-            ),
+            ("relay.ping_ms", self.relay.ping_ms == 0, "must be above 0"),
             (
                 "relay.zone_reads_per_second",
                 self.relay.zone_reads_per_second == 0,
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -30,12 +30,15 @@
 pub enum DaemonError {
     /// A listener could not be started.
     Listen,
+    /// The control loop broke an invariant and stopped.
+    Control,
 }
 
 impl fmt::Display for DaemonError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             DaemonError::Listen => formatter.write_str("could not start listening"),
+            DaemonError::Control => formatter.write_str("the control loop stopped"),
         }
     }
 }
@@ -44,6 +47,9 @@
 
 /// Capacity of the control event queue.
 const EVENT_QUEUE: usize = 1024;
+/// Longest time between ticks of the reducer. Short against the poll interval:
+/// a poll that just misses its tick waits for the next one.
+const TICK: Duration = Duration::from_millis(50);
 /// Time a planned stop gives the lease release and the farewells to leave.
 const FAREWELL: Duration = Duration::from_millis(150);
 
@@ -51,12 +57,17 @@
 /// calls in flight finish within the grace period.
 ///
 /// # Errors
-/// [`DaemonError::Listen`] when the proxy, admin or relay port cannot be bound.
+/// [`DaemonError::Listen`] when the proxy, admin or relay port cannot be
+/// bound; [`DaemonError::Control`] when the control loop panicked.
 pub async fn run(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let counters = Arc::new(DaemonCounters::new());
     let platform = PlatformClient::new(&settings.platform, settings.timeouts.platform());
-    let proxy = Arc::new(ProxyShared::new(Arc::clone(&counters)));
+    let proxy = Arc::new(ProxyShared::new(
+        Arc::clone(&counters),
+        platform.clone(),
+        Arc::clone(&clock),
+    ));
     let status = Arc::new(ArcSwap::from_pointee(StatusView::default()));
     let (events, received) = mpsc::channel(EVENT_QUEUE);
     let peers = PeerSenders::default();
@@ -92,13 +103,20 @@
         ControlSettings::from_daemon(&settings, incarnation(clock.as_ref())),
         clock.reading(),
     );
-    tokio::spawn(runner.run(control, received, settings.timeouts.poll()));
+    let tick = settings.timeouts.poll().min(TICK);
+    let control_loop = tokio::spawn(runner.run(control, received, tick));
     let admin_shared = AdminShared {
         events: events.clone(),
         status,
         counters,
     };
-    serve(&settings, proxy, admin_shared, events).await
+    // Guards against a daemon that proxies on with a dead control loop (seen
+    // as one proxy that never gets another version): without the loop the
+    // process ends, and its host starts it anew.
+    tokio::select! {
+        served = serve(&settings, proxy, admin_shared, events) => served,
+        _ = control_loop => Err(Report::new(DaemonError::Control)),
+    }
 }
 
 /// Serves callers and operators until a planned stop is through.
--- a/crates/daemon/tests/control_cases.rs
+++ b/crates/daemon/tests/control_cases.rs
@@ -119,10 +119,14 @@
             change: StateChange::Rejected { number: 2, .. }
         }
     )));
-    assert_eq!(daemon.control.view().rejected.map(|(number, _)| number), Some(2));
+    assert_eq!(
+        daemon.control.view().rejected.map(|(number, _)| number),
+        Some(2)
+    );
     let again = daemon.step(ControlEvent::CurrentRead {
         number: 2,
         object: "versions/2".to_owned(),
+        delta: None,
     });
     assert!(again
         .iter()
@@ -154,6 +158,7 @@
     let back = daemon.step(ControlEvent::CurrentRead {
         number: 1,
         object: "versions/1".to_owned(),
+        delta: None,
     });
     assert!(back.contains(&ControlEffect::Note {
         change: StateChange::PlatformBack
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,389 @@
+//! Fakes around several reducers of one zone: an in-memory table with
+//! compare-and-set, outages and lost replies, and links that can go silent.
+//! Time moves in steps; nothing runs at the same time, so a schedule of
+//! faults always gives the same history.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbert_daemon::clock::{Clock, ClockReading, SystemClock};
+use filbert_daemon::control::{
+    ControlEffect, ControlEvent, ControlSettings, ControlState, LeaseRow, PlatformStep,
+    StateChange, ZoneRole,
+};
+use filbert_daemon::messages::{PeerMessage, RelayMessage};
+use filbert_platform::{LeaseRecord, RowExpect};
+use filbert_tree::{BranchPath, SettingsTree, VersionRecord};
+
+const COOP: &str = include_str!("../../../../examples/coop.toml");
+/// Length of one step.
+pub const STEP: Duration = Duration::from_millis(100);
+/// Steps after which a silent link is given up (the PING timeout).
+const SILENCE_STEPS: u64 = 20;
+
+/// What a test may do to the zone at a step.
+#[derive(Clone, Copy, Debug)]
+pub enum ZoneFault {
+    /// An operator accepts a new version.
+    Accept,
+    /// Kills daemon and starts it anew with nothing.
+    Restart { daemon: usize },
+    /// Freezes a daemon for this many steps.
+    Freeze { daemon: usize, steps: u64 },
+    /// The platform is down for this many steps.
+    PlatformDown { steps: u64 },
+    /// One daemon cannot reach the platform for this many steps.
+    PlatformCut { daemon: usize, steps: u64 },
+    /// The next writes take effect but their replies are lost.
+    LoseReplies { count: u32 },
+    /// A daemon's link to its relay goes silent for good; new ones work.
+    SilenceLink { daemon: usize },
+}
+
+/// A link between a daemon and a relay.
+struct FakeLink {
+    from: usize,
+    to: usize,
+    peer: u64,
+    silent: bool,
+    silent_steps: u64,
+}
+
+/// One daemon's reducer and what is on its way to it.
+pub struct FakeDaemon {
+    pub control: ControlState,
+    incarnation: u64,
+    inbox: VecDeque<ControlEvent>,
+    frozen_until: u64,
+    cut_until: u64,
+    /// Versions applied, over all incarnations.
+    pub applied: Vec<u64>,
+}
+
+/// A zone of daemons over a fake table.
+pub struct FakeZone {
+    pub daemons: Vec<FakeDaemon>,
+    start: ClockReading,
+    step: u64,
+    lease: Option<LeaseRow>,
+    pub current: u64,
+    down_until: u64,
+    lose_replies: u32,
+    links: BTreeMap<(usize, u64), FakeLink>,
+    next_peer: u64,
+    /// Who took the lease under each token: daemon and incarnation.
+    pub holders: BTreeMap<u64, BTreeSet<(usize, u64)>>,
+    /// Platform reads and writes made.
+    pub platform_calls: u64,
+}
+
+fn address(daemon: usize) -> String {
+    format!("10.0.0.{daemon}:7201")
+}
+
+pub fn version(number: u64) -> VersionRecord {
+    let mut tree = SettingsTree::from_toml(COOP).expect("example parses");
+    let timeout = (1_000 + number).to_string();
+    tree.set(&BranchPath::Site, "timeout_ms", &timeout)
+        .expect("an edit");
+    VersionRecord {
+        number,
+        parent: number - 1,
+        restores: None,
+        parent_object: None,
+        tree,
+    }
+}
+
+impl FakeZone {
+    pub fn new(size: usize) -> FakeZone {
+        let start = SystemClock.reading();
+        let mut zone = FakeZone {
+            daemons: Vec::new(),
+            start,
+            step: 0,
+            lease: None,
+            current: 1,
+            down_until: 0,
+            lose_replies: 0,
+            links: BTreeMap::new(),
+            next_peer: 1,
+            holders: BTreeMap::new(),
+            platform_calls: 0,
+        };
+        for index in 0..size {
+            let daemon = zone.fresh(index, index as u64 + 1);
+            zone.daemons.push(daemon);
+        }
+        zone
+    }
+
+    fn fresh(&self, index: usize, incarnation: u64) -> FakeDaemon {
+        let settings = ControlSettings::new(&format!("d{index}"), "zone-a", &address(index))
+            .incarnation(incarnation);
+        FakeDaemon {
+            control: ControlState::new(settings, self.at()),
+            incarnation,
+            inbox: VecDeque::new(),
+            frozen_until: 0,
+            cut_until: 0,
+            applied: Vec::new(),
+        }
+    }
+
+    fn at(&self) -> ClockReading {
+        let since = STEP * u32::try_from(self.step).expect("short runs");
+        ClockReading {
+            now: self.start.now + since,
+            wall: self.start.wall + since,
+        }
+    }
+
+    pub fn inject(&mut self, fault: ZoneFault) {
+        match fault {
+            ZoneFault::Accept => self.current += 1,
+            ZoneFault::Restart { daemon } => self.restart(daemon),
+            ZoneFault::Freeze { daemon, steps } => {
+                self.daemons[daemon].frozen_until = self.step + steps;
+            }
+            ZoneFault::PlatformDown { steps } => self.down_until = self.step + steps,
+            ZoneFault::PlatformCut { daemon, steps } => {
+                self.daemons[daemon].cut_until = self.step + steps;
+            }
+            ZoneFault::LoseReplies { count } => self.lose_replies = count,
+            ZoneFault::SilenceLink { daemon } => {
+                for link in self.links.values_mut().filter(|link| link.from == daemon) {
+                    link.silent = true;
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let ended: Vec<(usize, u64)> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.from == index || link.to == index)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in ended {
+            self.end_link(key);
+        }
+        let incarnation = self.daemons[index].incarnation + 1_000;
+        let applied = std::mem::take(&mut self.daemons[index].applied);
+        self.daemons[index] = self.fresh(index, incarnation);
+        self.daemons[index].applied = applied;
+    }
+
+    /// Ends a link on both sides.
+    fn end_link(&mut self, key: (usize, u64)) {
+        if let Some(link) = self.links.remove(&key) {
+            let down = ControlEvent::LinkDown { link: key.1 };
+            self.daemons[link.from].inbox.push_back(down);
+            let gone = ControlEvent::PeerGone { peer: link.peer };
+            self.daemons[link.to].inbox.push_back(gone);
+        }
+    }
+
+    /// Runs one step: what is on its way arrives, then a tick.
+    pub fn run_step(&mut self) {
+        self.step += 1;
+        self.check_links();
+        for index in 0..self.daemons.len() {
+            if self.daemons[index].frozen_until > self.step {
+                continue;
+            }
+            let arrived: Vec<ControlEvent> = self.daemons[index].inbox.drain(..).collect();
+            for event in arrived.into_iter().chain([ControlEvent::Tick]) {
+                self.deliver(index, event);
+            }
+        }
+    }
+
+    pub fn run(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.run_step();
+        }
+    }
+
+    /// Ends links whose other end is frozen or which went silent, as the PING
+    /// timeout does.
+    fn check_links(&mut self) {
+        let step = self.step;
+        let mut ended = Vec::new();
+        for (key, link) in &mut self.links {
+            let unanswered = link.silent || self.daemons[link.to].frozen_until > step;
+            link.silent_steps = if unanswered { link.silent_steps + 1 } else { 0 };
+            if link.silent_steps > SILENCE_STEPS && self.daemons[link.from].frozen_until <= step {
+                ended.push(*key);
+            }
+        }
+        for key in ended {
+            self.end_link(key);
+        }
+    }
+
+    fn deliver(&mut self, index: usize, event: ControlEvent) {
+        let at = self.at();
+        for effect in self.daemons[index].control.step(at, event) {
+            self.execute(index, effect);
+        }
+    }
+
+    fn execute(&mut self, index: usize, effect: ControlEffect) {
+        match effect {
+            ControlEffect::ReadCurrent => {
+                let (number, object) = (self.current, "v".to_owned());
+                let delta = None;
+                let event = ControlEvent::CurrentRead {
+                    number,
+                    object,
+                    delta,
+                };
+                self.platform(index, PlatformStep::ReadCurrent, event);
+            }
+            ControlEffect::FetchVersion { number, .. } => {
+                let record = Arc::new(version(number));
+                let event = ControlEvent::VersionFetched { record, bytes: 1 };
+                self.platform(index, PlatformStep::FetchVersion, event);
+            }
+            ControlEffect::ReadLease => {
+                let row = self.lease.clone();
+                self.platform(index, PlatformStep::Lease, ControlEvent::LeaseRead { row });
+            }
+            ControlEffect::WriteLease { expect, record } => self.write_lease(index, expect, record),
+            ControlEffect::Connect { link, address } => self.connect(index, link, &address),
+            ControlEffect::Disconnect { link } => self.end_link((index, link)),
+            ControlEffect::SendUp { link, message } => self.send_up(index, link, message),
+            ControlEffect::SendPeers { peers, message } => {
+                for peer in peers {
+                    self.send_peer(index, peer, &message);
+                }
+            }
+            ControlEffect::DropPeer { peer } => {
+                if let Some(key) = self.link_of(index, peer) {
+                    self.end_link(key);
+                }
+            }
+            ControlEffect::Apply { number, .. } => self.daemons[index].applied.push(number),
+            ControlEffect::Note {
+                change: StateChange::LeaseTaken { token },
+            } => {
+                let incarnation = self.daemons[index].incarnation;
+                self.holders
+                    .entry(token)
+                    .or_default()
+                    .insert((index, incarnation));
+            }
+            _ => {}
+        }
+    }
+
+    fn reaches_platform(&self, index: usize) -> bool {
+        self.down_until <= self.step && self.daemons[index].cut_until <= self.step
+    }
+
+    fn platform(&mut self, index: usize, step: PlatformStep, event: ControlEvent) {
+        self.platform_calls += 1;
+        let event = if self.reaches_platform(index) {
+            event
+        } else {
+            ControlEvent::PlatformFailed { step }
+        };
+        self.daemons[index].inbox.push_back(event);
+    }
+
+    fn write_lease(&mut self, index: usize, expect: RowExpect, record: LeaseRecord) {
+        let step = PlatformStep::Lease;
+        if !self.reaches_platform(index) {
+            self.platform(index, step, ControlEvent::Tick);
+            return;
+        }
+        let version = self.lease.as_ref().map(|row| row.version);
+        let holds = match (expect, version) {
+            (RowExpect::Any, _) | (RowExpect::Absent, None) => true,
+            (RowExpect::Version(expected), Some(version)) => expected == version,
+            _ => false,
+        };
+        if !holds {
+            let row = self.lease.clone();
+            self.platform(index, step, ControlEvent::LeaseRefused { row });
+            return;
+        }
+        let row = LeaseRow {
+            version: version.unwrap_or(0) + 1,
+            record,
+        };
+        self.lease = Some(row.clone());
+        if self.lose_replies > 0 {
+            self.lose_replies -= 1;
+            let failed = ControlEvent::PlatformFailed { step };
+            self.daemons[index].inbox.push_back(failed);
+        } else {
+            self.platform(index, step, ControlEvent::LeaseWritten { row });
+        }
+    }
+
+    fn connect(&mut self, from: usize, link: u64, relay: &str) {
+        let to = (0..self.daemons.len())
+            .find(|index| address(*index) == relay)
+            .expect("an address of this zone");
+        let peer = self.next_peer;
+        self.next_peer += 1;
+        let opened = FakeLink {
+            from,
+            to,
+            peer,
+            silent: false,
+            silent_steps: 0,
+        };
+        self.links.insert((from, link), opened);
+    }
+
+    fn send_up(&mut self, index: usize, link: u64, message: PeerMessage) {
+        if let Some(open) = self.links.get(&(index, link)).filter(|link| !link.silent) {
+            let event = ControlEvent::PeerSaid {
+                peer: open.peer,
+                message,
+            };
+            self.daemons[open.to].inbox.push_back(event);
+        }
+    }
+
+    fn link_of(&self, relay: usize, peer: u64) -> Option<(usize, u64)> {
+        self.links
+            .iter()
+            .find(|(_, link)| link.to == relay && link.peer == peer)
+            .map(|(key, _)| *key)
+    }
+
+    fn send_peer(&mut self, index: usize, peer: u64, message: &RelayMessage) {
+        let Some(key) = self.link_of(index, peer) else {
+            return;
+        };
+        let open = &self.links[&key];
+        if !open.silent {
+            let event = ControlEvent::RelaySaid {
+                link: key.1,
+                message: message.clone(),
+            };
+            self.daemons[open.from].inbox.push_back(event);
+        }
+    }
+
+    /// Daemons, not frozen now, that act as holder of the lease.
+    pub fn leaders(&self) -> Vec<usize> {
+        (0..self.daemons.len())
+            .filter(|index| self.daemons[*index].frozen_until <= self.step)
+            .filter(|index| self.daemons[*index].control.role() == ZoneRole::Leader)
+            .collect()
+    }
+
+    pub fn roles(&self) -> Vec<ZoneRole> {
+        self.daemons
+            .iter()
+            .map(|daemon| daemon.control.role())
+            .collect()
+    }
+}
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -16,6 +16,13 @@
         format!("versions/{number:012}-{nonce:016x}")
     }
 
+    /// Object store key of the steps to an accepted version from the one
+    /// before; `nonce` is the version object's.
+    #[must_use]
+    pub fn delta_object(number: u64, nonce: u64) -> String {
+        format!("deltas/{number:012}-{nonce:016x}")
+    }
+
     /// Prefix of every zone's lease row.
     pub const LEASES: &'static str = "leases/";
     /// Prefix of every zone's digest row.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 pub use client::{PlatformClient, PlatformError, WriteOutcome};
 pub use keys::TableKey;
 pub use wire::{
-    CurrentPointer, DaemonStatus, FaultSwitches, GetRequest, LeaseRecord, PlatformStats, PutRequest,
-    RowExpect, ScanRequest, TableRow, TargetAnnouncement, TargetRecord, ZoneDigest,
+    CurrentPointer, DaemonStatus, DeltaPointer, FaultSwitches, GetRequest, LeaseRecord,
+    PlatformStats, PutRequest, RowExpect, ScanRequest, TableRow, TargetAnnouncement, TargetRecord,
+    ZoneDigest,
 };
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -162,4 +162,16 @@
     pub number: u64,
     /// Object store key of its [`filbert_tree::VersionRecord`].
     pub object: String,
+    /// Where the steps from the version before are, when they were stored.
+    #[serde(default)]
+    pub delta: Option<DeltaPointer>,
+}
+
+/// Where the steps from one version to the next are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeltaPointer {
+    /// The version the steps start from.
+    pub base: u64,
+    /// Object store key of the [`filbert_tree::TreeDelta`].
+    pub object: String,
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,10 +3,13 @@
 //! (targets). None of this ships; it is what the tests and the demo run against.
 
 pub mod demo;
+pub mod history;
 pub mod mesh;
+pub mod pipe;
 pub mod platform;
 pub mod ports;
 pub mod target;
+pub mod trees;
 
 /// Keeps rocket's request lines out of a process that hosts stand-ins: a
 /// logger that passes only errors is set first, so rocket does not set its
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -2,21 +2,75 @@
 //! the targets in this process, each daemon a separate `filbertd` process on
 //! loopback ports.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use filbert_ctl::fleet;
-use filbert_daemon::settings::DistributionMode;
-use filbert_platform::{DaemonStatus, PlatformClient};
+use filbert_daemon::settings::{DaemonTimeouts, DistributionMode, RelaySettings};
+use filbert_daemon::DaemonSettings;
+use filbert_platform::{
+    CurrentPointer, DaemonStatus, DeltaPointer, PlatformClient, RowExpect, TableKey,
+};
+use filbert_tree::{SettingsTree, TreeDelta, VersionCodec, VersionRecord};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 
+use crate::pipe::FaultPipe;
 use crate::platform::PlatformHandle;
 use crate::ports::free_port;
 use crate::target::{ExecutionLog, TargetHandle, TargetSpec};
 
+/// What a `filbertd` process is started with.
+pub struct DaemonPlan {
+    /// Its settings.
+    pub settings: DaemonSettings,
+    /// The pipe in front of its relay port, in a piped mesh.
+    pub link_pipe: Option<FaultPipe>,
+}
+
+impl DaemonPlan {
+    /// Plans daemon `id` of `zone` for the mesh `spec`, on free ports, with
+    /// the platform at `platform_url`.
+    async fn new(spec: &MeshSpec, id: &str, zone: &str, platform_url: &str) -> DaemonPlan {
+        let loopback = || SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let relay_listen = loopback();
+        let link_pipe = if spec.piped {
+            Some(FaultPipe::start(relay_listen).await)
+        } else {
+            None
+        };
+        let settings = DaemonSettings {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            proxy_listen: loopback(),
+            admin_listen: loopback(),
+            relay_listen,
+            relay_advertise: link_pipe.as_ref().map(|pipe| pipe.address),
+            platform: platform_url.to_owned(),
+            distribution: spec.mode,
+            timeouts: DaemonTimeouts {
+                poll_ms: u64::try_from(spec.poll.as_millis()).unwrap_or(u64::MAX),
+                platform_ms: 500,
+                target_expiry_ms: 2_000,
+                shutdown_grace_ms: 3_000,
+                ..DaemonTimeouts::default()
+            },
+            relay: RelaySettings {
+                zone_size_hint: u32::try_from(spec.daemons_per_zone).unwrap_or(u32::MAX),
+                ..RelaySettings::default()
+            },
+        };
+        DaemonPlan {
+            settings,
+            link_pipe,
+        }
+    }
+}
+
 /// One `filbertd` process.
 pub struct DaemonProcess {
     /// Its id.
@@ -27,8 +81,8 @@
     pub proxy_url: String,
     /// Its admin URL.
     pub admin_url: String,
-    /// Its relay port's address, `127.0.0.1:PORT`.
-    pub relay_address: String,
+    /// The pipe in front of its relay port, in a piped mesh.
+    pub link_pipe: Option<FaultPipe>,
     /// Its settings file.
     pub config_path: PathBuf,
     /// Its log file.
@@ -42,36 +96,17 @@
     /// # Panics
     /// When the file cannot be written or the process cannot start.
     #[must_use]
-    pub fn spawn(
-        exe: &Path,
-        dir: &Path,
-        id: &str,
-        zone: &str,
-        mode: DistributionMode,
-        platform_url: &str,
-    ) -> DaemonProcess {
-        let proxy_port = free_port();
-        let admin_port = free_port();
-        let relay_port = free_port();
-        let mode = match mode {
-            DistributionMode::Relay => "relay",
-            DistributionMode::Direct => "direct",
-        };
-        let config_path = dir.join(format!("{id}.toml"));
-        let log_path = dir.join(format!("{id}.log"));
-        let text = format!(
-            "id = \"{id}\"\nzone = \"{zone}\"\nproxy_listen = \"127.0.0.1:{proxy_port}\"\n\
-             admin_listen = \"127.0.0.1:{admin_port}\"\nrelay_listen = \"127.0.0.1:{relay_port}\"\n\
-             distribution = \"{mode}\"\nplatform = \"{platform_url}\"\n\n\
-             [timeouts]\npoll_ms = 100\nplatform_ms = 500\ntarget_expiry_ms = 2000\nshutdown_grace_ms = 3000\n"
-        );
+    pub fn spawn(exe: &Path, dir: &Path, plan: DaemonPlan) -> DaemonProcess {
+        let config_path = dir.join(format!("{}.toml", plan.settings.id));
+        let log_path = dir.join(format!("{}.log", plan.settings.id));
+        let text = toml::to_string(&plan.settings).expect("daemon settings are TOML");
         std::fs::write(&config_path, text).expect("the mesh directory is writable");
         let mut process = DaemonProcess {
-            id: id.to_owned(),
-            zone: zone.to_owned(),
-            proxy_url: format!("http://127.0.0.1:{proxy_port}"),
-            admin_url: format!("http://127.0.0.1:{admin_port}"),
-            relay_address: format!("127.0.0.1:{relay_port}"),
+            proxy_url: format!("http://{}", plan.settings.proxy_listen),
+            admin_url: format!("http://{}", plan.settings.admin_listen),
+            id: plan.settings.id,
+            zone: plan.settings.zone,
+            link_pipe: plan.link_pipe,
             config_path,
             log_path,
             child: None,
@@ -185,6 +220,13 @@
     pub target_delay: Duration,
     /// How versions and targets reach the daemons.
     pub mode: DistributionMode,
+    /// Hosts of each zone that have targets; the others have a daemon only.
+    pub target_hosts: usize,
+    /// How often a daemon that reads the platform does so.
+    pub poll: Duration,
+    /// Whether pipes stand in front of the platform, zone by zone, and of
+    /// every relay port, for tests to cut.
+    pub piped: bool,
 }
 
 impl MeshSpec {
@@ -201,6 +243,9 @@
                 .collect(),
             target_delay: Duration::ZERO,
             mode: DistributionMode::Relay,
+            target_hosts: usize::MAX,
+            poll: Duration::from_millis(100),
+            piped: false,
         }
     }
 
@@ -225,6 +270,27 @@
         self
     }
 
+    /// Sets how many hosts of each zone have targets.
+    #[must_use]
+    pub fn target_hosts(mut self, count: usize) -> MeshSpec {
+        self.target_hosts = count;
+        self
+    }
+
+    /// Sets how often a daemon that reads the platform does so.
+    #[must_use]
+    pub fn poll(mut self, poll: Duration) -> MeshSpec {
+        self.poll = poll;
+        self
+    }
+
+    /// Puts pipes in front of the platform and of every relay port.
+    #[must_use]
+    pub fn piped(mut self) -> MeshSpec {
+        self.piped = true;
+        self
+    }
+
     /// Sets each target's answer time.
     #[must_use]
     pub fn target_delay(mut self, delay: Duration) -> MeshSpec {
@@ -237,6 +303,8 @@
 pub struct LocalMesh {
     /// The platform stand-in.
     pub platform: PlatformHandle,
+    /// The pipes to the platform by zone, in a piped mesh.
+    pub platform_pipes: BTreeMap<String, FaultPipe>,
     /// The daemons, zone by zone.
     pub daemons: Vec<DaemonProcess>,
     /// The targets.
@@ -264,17 +332,18 @@
         ));
         std::fs::create_dir_all(&dir).expect("a temporary directory can be made");
         let mut daemons = Vec::new();
+        let mut platform_pipes = BTreeMap::new();
         for zone in &spec.zones {
+            let mut platform_url = platform.url.clone();
+            if spec.piped {
+                let pipe = FaultPipe::start(platform.address).await;
+                platform_url = format!("http://{}", pipe.address);
+                platform_pipes.insert(zone.clone(), pipe);
+            }
             for index in 0..spec.daemons_per_zone {
                 let id = format!("{zone}-d{index}");
-                daemons.push(DaemonProcess::spawn(
-                    &spec.daemon_exe,
-                    &dir,
-                    &id,
-                    zone,
-                    spec.mode,
-                    &platform.url,
-                ));
+                let plan = DaemonPlan::new(&spec, &id, zone, &platform_url).await;
+                daemons.push(DaemonProcess::spawn(&spec.daemon_exe, &dir, plan));
             }
         }
         for daemon in &daemons {
@@ -287,7 +356,11 @@
         }
         let executions = Arc::new(ExecutionLog::default());
         let mut targets = Vec::new();
-        for daemon in &daemons {
+        let per_zone = spec.daemons_per_zone.max(1);
+        for (index, daemon) in daemons.iter().enumerate() {
+            if index % per_zone >= spec.target_hosts {
+                continue;
+            }
             for service in &spec.services {
                 let target_spec = TargetSpec {
                     service: service.clone(),
@@ -299,6 +372,7 @@
         }
         LocalMesh {
             platform,
+            platform_pipes,
             daemons,
             targets,
             executions,
@@ -313,6 +387,53 @@
         PlatformClient::new(&self.platform.url, Duration::from_secs(2))
     }
 
+    /// Publishes `tree` as version `number` straight into the platform, with
+    /// the steps from `base` (version `number - 1`) when given; without
+    /// filbertctl's checks, as a faulty or older operator tool might. Returns
+    /// the wall time just before it became the version in force.
+    ///
+    /// # Panics
+    /// When the platform stand-in does not take it.
+    pub async fn publish(
+        &self,
+        number: u64,
+        tree: &SettingsTree,
+        base: Option<&SettingsTree>,
+    ) -> SystemTime {
+        let platform = self.platform_client();
+        let record = VersionRecord {
+            number,
+            parent: number - 1,
+            restores: None,
+            parent_object: None,
+            tree: tree.clone(),
+        };
+        let object = TableKey::version_object(number, 0);
+        let stored = platform.put_object(&object, VersionCodec::encode(&record));
+        stored.await.expect("the version object is stored");
+        let mut delta = None;
+        if let Some(base) = base {
+            let object = TableKey::delta_object(number, 0);
+            let steps = VersionCodec::encode_delta(&TreeDelta::between(base, tree));
+            let stored = platform.put_object(&object, steps);
+            stored.await.expect("the delta object is stored");
+            delta = Some(DeltaPointer {
+                base: number - 1,
+                object,
+            });
+        }
+        let pointer = CurrentPointer {
+            number,
+            object,
+            delta,
+        };
+        let value = serde_json::to_value(pointer).expect("a pointer encodes");
+        let accepted = SystemTime::now();
+        let written = platform.put(TableKey::CURRENT, RowExpect::Any, value);
+        written.await.expect("the current row is written");
+        accepted
+    }
+
     /// The live daemons' statuses, as operators see them.
     pub async fn statuses(&self) -> Vec<DaemonStatus> {
         fleet::read(&self.platform_client())
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -3,6 +3,7 @@
 //! HTTP, with switches for the platform's failures.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -223,6 +224,8 @@
 pub struct PlatformHandle {
     /// Base URL, such as `http://127.0.0.1:7000`.
     pub url: String,
+    /// Its address.
+    pub address: SocketAddr,
     /// The shared state, for switches and counts.
     pub store: Arc<PlatformStore>,
     shutdown: rocket::Shutdown,
@@ -242,10 +245,11 @@
             .expect("the platform stand-in ignites");
         let shutdown = ignited.shutdown();
         tokio::spawn(ignited.launch());
-        let url = format!("http://127.0.0.1:{port}");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
         crate::target::wait_listening(port).await;
         PlatformHandle {
-            url,
+            url: format!("http://{address}"),
+            address,
             store,
             shutdown,
         }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -11,7 +11,7 @@
 
 use filbert_platform::TargetAnnouncement;
 use rocket::data::{Data, ToByteUnit};
-use rocket::http::Status;
+use rocket::http::{Header, Status};
 use rocket::request::{FromRequest, Outcome, Request};
 use rocket::serde::json::Json;
 use rocket::{get, post, routes, State};
@@ -20,6 +20,9 @@
 /// How often a target re-announces itself and its load.
 pub const ANNOUNCE_EVERY: Duration = Duration::from_millis(300);
 
+/// How long a mute target holds a call: longer than any test waits.
+const MUTE_TIME: Duration = Duration::from_secs(45);
+
 /// One execution of a call that changes something (`POST`).
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExecutionRecord {
@@ -72,11 +75,27 @@
     pub body: String,
 }
 
+/// How a stand-in target treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TargetMode {
+    /// Runs them.
+    #[default]
+    Normal,
+    /// Declines them all as not run, as when shedding load.
+    Shed,
+    /// Fails them all at once, while its reports look idle and well.
+    Failing,
+    /// Runs them and never answers.
+    Mute,
+}
+
 struct TargetState {
     service: String,
     address: String,
     delay: Duration,
+    mode: Mutex<TargetMode>,
     in_flight: AtomicU32,
+    served: AtomicU32,
     log: Arc<ExecutionLog>,
 }
 
@@ -84,6 +103,8 @@
 struct CallHeaders {
     request_id: Option<String>,
     idempotency_key: Option<String>,
+    service: Option<String>,
+    delay_ms: u64,
 }
 
 #[rocket::async_trait]
@@ -95,29 +116,77 @@
         Outcome::Success(CallHeaders {
             request_id: header("x-request-id"),
             idempotency_key: header("idempotency-key"),
+            service: header("x-filbert-service"),
+            delay_ms: request
+                .query_value::<u64>("delay_ms")
+                .and_then(Result::ok)
+                .unwrap_or(0),
         })
     }
 }
 
+/// A target's answer with its load, or its refusal of a call it did not run.
+#[derive(rocket::response::Responder)]
+enum TargetReply {
+    Answer(Json<TargetAnswer>, Header<'static>),
+    Declined((Status, &'static str), Header<'static>),
+    Misdirected((Status, &'static str)),
+    Failed(Status),
+}
+
 impl TargetState {
+    fn mode(&self) -> TargetMode {
+        // The mode is one value, so a poisoned lock is still usable.
+        *self
+            .mode
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// The refusal of a call that must not run here, if it must not.
+    fn refusal(&self, headers: &CallHeaders) -> Option<TargetReply> {
+        let meant = headers.service.as_ref();
+        if meant.is_some_and(|service| *service != self.service) {
+            let status = Status::new(421);
+            return Some(TargetReply::Misdirected((
+                status,
+                "another service is meant",
+            )));
+        }
+        match self.mode() {
+            TargetMode::Normal | TargetMode::Mute => None,
+            TargetMode::Failing => Some(TargetReply::Failed(Status::InternalServerError)),
+            TargetMode::Shed => Some(TargetReply::Declined(
+                (Status::ServiceUnavailable, "shedding load"),
+                Header::new("x-filbert-outcome", "not-run"),
+            )),
+        }
+    }
+
     async fn serve(
         &self,
         path: &std::path::Path,
         headers: CallHeaders,
         body: String,
-    ) -> TargetAnswer {
+    ) -> TargetReply {
+        self.served.fetch_add(1, Ordering::SeqCst);
         self.in_flight.fetch_add(1, Ordering::SeqCst);
-        if !self.delay.is_zero() {
-            tokio::time::sleep(self.delay).await;
+        tokio::time::sleep(self.delay + Duration::from_millis(headers.delay_ms)).await;
+        if self.mode() == TargetMode::Mute {
+            tokio::time::sleep(MUTE_TIME).await;
         }
-        self.in_flight.fetch_sub(1, Ordering::SeqCst);
-        TargetAnswer {
+        let load = self.in_flight.fetch_sub(1, Ordering::SeqCst) - 1;
+        let answer = TargetAnswer {
             service: self.service.clone(),
             target: self.address.clone(),
             path: format!("/{}", path.to_string_lossy()),
             request_id: headers.request_id,
             body,
-        }
+        };
+        TargetReply::Answer(
+            Json(answer),
+            Header::new("x-filbert-load", load.to_string()),
+        )
     }
 }
 
@@ -126,8 +195,11 @@
     state: &State<Arc<TargetState>>,
     path: PathBuf,
     headers: CallHeaders,
-) -> Json<TargetAnswer> {
-    Json(state.serve(&path, headers, String::new()).await)
+) -> TargetReply {
+    match state.refusal(&headers) {
+        Some(refusal) => refusal,
+        None => state.serve(&path, headers, String::new()).await,
+    }
 }
 
 #[post("/<path..>", data = "<data>")]
@@ -136,7 +208,10 @@
     path: PathBuf,
     headers: CallHeaders,
     data: Data<'_>,
-) -> Result<Json<TargetAnswer>, Status> {
+) -> Result<TargetReply, Status> {
+    if let Some(refusal) = state.refusal(&headers) {
+        return Ok(refusal);
+    }
     let body = data
         .open(1.mebibytes())
         .into_string()
@@ -150,7 +225,7 @@
         body: body.clone(),
     };
     state.log.push(record);
-    Ok(Json(state.serve(&path, headers, body).await))
+    Ok(state.serve(&path, headers, body).await)
 }
 
 /// Settings of one stand-in target.
@@ -186,7 +261,9 @@
             service: spec.service.clone(),
             address: address.clone(),
             delay: spec.delay,
+            mode: Mutex::new(TargetMode::Normal),
             in_flight: AtomicU32::new(0),
+            served: AtomicU32::new(0),
             log,
         });
         let ignited = rocket::custom(crate::platform::quiet_config(port))
@@ -219,6 +296,21 @@
         &self.state.service
     }
 
+    /// Sets how it treats calls from now on.
+    pub fn set_mode(&self, mode: TargetMode) {
+        *self
+            .state
+            .mode
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner) = mode;
+    }
+
+    /// Calls it has taken on so far.
+    #[must_use]
+    pub fn served(&self) -> u32 {
+        self.state.served.load(Ordering::SeqCst)
+    }
+
     /// Announces that it is leaving; it keeps serving calls already sent.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
--- a/crates/tree/src/delta.rs
+++ b/crates/tree/src/delta.rs
@@ -96,12 +96,7 @@
             }
         }
         for (member, branch) in &new.site.members {
-            member_edits(
-                member,
-                old.site.members.get(member),
-                branch,
-                &mut edits,
-            );
+            member_edits(member, old.site.members.get(member), branch, &mut edits);
         }
         TreeDelta {
             edits,
--- a/crates/tree/src/version.rs
+++ b/crates/tree/src/version.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::branch::SettingsTree;
+use crate::delta::TreeDelta;
 
 /// One accepted version of the tree. Numbers only grow; a withdrawal is a new
 /// number whose tree equals an older one.
@@ -41,15 +42,35 @@
     /// # Errors
     /// A text describing the fault when the bytes are not a whole version.
     pub fn decode(bytes: &[u8]) -> Result<VersionRecord, String> {
-        let (record, used) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())
-            .map_err(|error| error.to_string())?;
-        if used != bytes.len() {
-            return Err(format!(
-                "{} trailing bytes after the version",
-                bytes.len() - used
-            ));
-        }
-        Ok(record)
+        decode_whole(bytes)
+    }
+
+    /// Encodes a delta.
+    ///
+    /// # Panics
+    /// Never: deltas hold only plain data that bincode always encodes.
+    #[must_use]
+    pub fn encode_delta(delta: &TreeDelta) -> Vec<u8> {
+        bincode::serde::encode_to_vec(delta, bincode::config::standard())
+            .expect("a delta always encodes")
+    }
+
+    /// Decodes a delta.
+    ///
+    /// # Errors
+    /// A text describing the fault when the bytes are not a whole delta.
+    pub fn decode_delta(bytes: &[u8]) -> Result<TreeDelta, String> {
+        decode_whole(bytes)
+    }
+}
+
+fn decode_whole<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    let (value, used) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+        .map_err(|error| error.to_string())?;
+    if used == bytes.len() {
+        Ok(value)
+    } else {
+        Err(format!("{} trailing bytes", bytes.len() - used))
     }
 }
 
--- a/src/bin/filbertd.rs
+++ b/src/bin/filbertd.rs
@@ -6,6 +6,10 @@
 use clap::Parser;
 use filbert_daemon::{logging, DaemonSettings};
 
+/// Threads that run the daemon's tasks. Its host's processors belong to the
+/// target beside it.
+const WORKER_THREADS: usize = 2;
+
 /// The filbertladder daemon: one per target host.
 #[derive(Debug, Parser)]
 #[command(name = "filbertd", version, about)]
@@ -29,7 +33,11 @@
         }
     };
     let _logger = logging::start(&args.log);
-    let runtime = match tokio::runtime::Runtime::new() {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("filbertd: cannot start the async runtime: {error}");
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -6,38 +6,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbert_platform::{CurrentPointer, FaultSwitches, RowExpect, TableKey};
+use filbert_platform::FaultSwitches;
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
 use filbert_standin::target::{TargetHandle, TargetSpec};
-use filbert_tree::{BranchPath, SettingsTree, VersionCodec, VersionRecord};
+use filbert_tree::{BranchPath, SettingsTree};
 
 const DAEMON_EXE: &str = env!("CARGO_BIN_EXE_filbertd");
 const COOP: &str = include_str!("../examples/coop.toml");
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(10);
 
-/// Publishes `tree` as version `number` straight into the platform, as a
-/// faulty or older operator tool might, bypassing filbertctl's checks.
-async fn publish_raw(mesh: &LocalMesh, number: u64, tree: SettingsTree) {
-    let platform = mesh.platform_client();
-    let object = TableKey::version_object(number, 0);
-    let record = VersionRecord {
-        number,
-        parent: number - 1,
-        restores: None,
-        parent_object: None,
-        tree,
-    };
-    platform
-        .put_object(&object, VersionCodec::encode(&record))
-        .await
-        .expect("object stored");
-    let pointer = serde_json::to_value(CurrentPointer { number, object }).expect("pointer encodes");
-    platform
-        .put(TableKey::CURRENT, RowExpect::Any, pointer)
-        .await
-        .expect("current written");
-}
-
 fn coop() -> SettingsTree {
     SettingsTree::from_toml(COOP).expect("example parses")
 }
@@ -92,7 +69,7 @@
         delay: Duration::ZERO,
     };
     let _artwork = TargetHandle::start(&artwork, Arc::clone(&mesh.executions)).await;
-    publish_raw(&mesh, 1, coop()).await;
+    mesh.publish(1, &coop(), None).await;
     assert!(mesh.wait_in_force(1, IN_FORCE_WITHIN).await.is_some());
     let proxy = mesh.daemons[0].proxy_url.clone();
     let reachable = eventually(IN_FORCE_WITHIN, || async {
@@ -129,14 +106,14 @@
         &["quoting", "artwork"],
     ))
     .await;
-    publish_raw(&mesh, 1, coop()).await;
+    mesh.publish(1, &coop(), None).await;
     assert!(mesh.wait_in_force(1, IN_FORCE_WITHIN).await.is_some());
     let mut bad = coop();
     let stock = BranchPath::parse("site/north-signs/artwork/stock").expect("branch");
     bad.set(&stock, "service", "ghost").expect("edit");
     bad.set(&BranchPath::Site, "timeout_ms", "100")
         .expect("edit");
-    publish_raw(&mesh, 2, bad).await;
+    mesh.publish(2, &bad, None).await;
     for daemon in &mesh.daemons {
         let refused = eventually(IN_FORCE_WITHIN, || async {
             status(&daemon.admin_url).await["rejected"][0] == 2
@@ -169,7 +146,7 @@
     let mesh =
         LocalMesh::start(MeshSpec::new(Path::new(DAEMON_EXE), &["quoting"]).zones(&["zone-a"]))
             .await;
-    publish_raw(&mesh, 1, coop()).await;
+    mesh.publish(1, &coop(), None).await;
     assert!(mesh.wait_in_force(1, IN_FORCE_WITHIN).await.is_some());
     let leaving = &mesh.targets[0];
     leaving.leave();
@@ -208,7 +185,7 @@
         .daemons_per_zone(1)
         .target_delay(Duration::from_millis(800));
     let mut mesh = LocalMesh::start(spec).await;
-    publish_raw(&mesh, 1, coop()).await;
+    mesh.publish(1, &coop(), None).await;
     assert!(mesh.wait_in_force(1, IN_FORCE_WITHIN).await.is_some());
     let proxy = mesh.daemons[0].proxy_url.clone();
     let call = tokio::spawn(async move { get(&proxy, "north-signs", "/quotes/9").await });
