A stale lease read no longer ends a good link; links prove they carry

Its log showed a lease read, sent when the relay died, arriving a millisecond after the link to the successor was up. The row still named the dead relay, so the daemon left the good link for it, failed, and stayed in the role of a follower without a link, in which nothing seeks a relay.

Ruled out: HTTP/2 capacity lost between reserve and poll (the first guess; write_frames now looks for capacity granted before the poll and gives a link up that grants none, but the test stayed red), a spinning or hung control loop (gdb: all threads parked, ticks ran), a broken pipe.

Change: a linked daemon moves only to a holder it saw renew the lease; a follower without its link is seeking at once. Besides, from the search for the cause: each beat is answered with the relay's newest version, so a link that carries nothing is given up after two beats though PINGs are answered; a relay refuses a peer it has dropped. Test ports are probed by connecting: a forked child held the bound probe socket and took the port.

The fakes gained what the real run had: platform answers that arrive later than link events, daemons that stay down, links that carry nothing. stale_lease_read_does_not_end_a_good_link and the generated history failed before the change (case_3_later, and a schedule of PlatformSlow + Restart) and pass after; link_stuck failed before the beats were answered.

--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -8,7 +8,7 @@
 use filbert_platform::ZoneDigest;
 use filbert_tree::TreeDelta;
 
-use super::zone::BEAT_EVERY;
+use super::zone::LINK_SILENCE;
 use super::{ControlEffect, ControlState, ZoneRole};
 use crate::messages::{
     PeerHello, PeerMessage, RelayMessage, RelayWelcome, TargetChange, VersionUpdate, ZoneShape,
@@ -16,8 +16,6 @@
 
 /// Successors each peer is told of.
 const SUCCESSORS: usize = 4;
-/// A peer not heard from for this long is dropped.
-const PEER_SILENCE: Duration = BEAT_EVERY.saturating_mul(3);
 /// Shortest pause between two writes of the zone's digest.
 const DIGEST_PAUSE: Duration = Duration::from_millis(250);
 /// Shortest pause between two messages about the zone's membership.
@@ -80,8 +78,14 @@
         message: PeerMessage,
         effects: &mut Vec<ControlEffect>,
     ) {
-        if let Some(entry) = self.peers.links.get_mut(&peer) {
-            entry.heard_at = self.at.now;
+        match self.peers.links.get_mut(&peer) {
+            Some(entry) => entry.heard_at = self.at.now,
+            None if matches!(message, PeerMessage::Hello(_) | PeerMessage::Moved { .. }) => {}
+            // A peer this relay has dropped, and which has not noticed.
+            None => {
+                self.refuse(peer, effects);
+                return;
+            }
         }
         match message {
             PeerMessage::Hello(hello) => self.on_hello(peer, hello, effects),
@@ -91,15 +95,22 @@
             PeerMessage::Targets(change) => self.on_peer_targets(peer, &change, effects),
             PeerMessage::NeedWhole => self.send_whole(peer, effects),
             PeerMessage::Moved { relay } => self.on_moved(relay, effects),
-            PeerMessage::Beat => {}
+            PeerMessage::Beat => {
+                let newest = self.versions.newest_number();
+                send(vec![peer], RelayMessage::Beat { newest }, effects);
+            }
         }
     }
 
+    fn refuse(&self, peer: u64, effects: &mut Vec<ControlEffect>) {
+        let relay = self.known_relay();
+        send(vec![peer], RelayMessage::Refused { relay }, effects);
+        effects.push(ControlEffect::DropPeer { peer });
+    }
+
     fn on_hello(&mut self, peer: u64, hello: PeerHello, effects: &mut Vec<ControlEffect>) {
         if !self.zone.role.relays() || self.is_stopping() {
-            let relay = self.known_relay();
-            send(vec![peer], RelayMessage::Refused { relay }, effects);
-            effects.push(ControlEffect::DropPeer { peer });
+            self.refuse(peer, effects);
             return;
         }
         self.drop_older_links(&hello.id, effects);
@@ -127,7 +138,7 @@
         let welcome = RelayMessage::Welcome(RelayWelcome {
             token: self.zone.token,
             floor: self.versions.floor.max(self.versions.applied),
-            platform_reachable: self.platform_reachable,
+            platform_reachable: self.brings_versions(),
             zone: self.shape_now(),
         });
         send(vec![peer], welcome, effects);
@@ -182,11 +193,10 @@
         rejected: Option<(u64, String)>,
         effects: &mut Vec<ControlEffect>,
     ) {
-        let Some(entry) = self.peers.links.get_mut(&peer) else {
-            return;
-        };
-        entry.applied = applied;
-        entry.rejected = rejected;
+        if let Some(entry) = self.peers.links.get_mut(&peer) {
+            entry.applied = applied;
+            entry.rejected = rejected;
+        }
         self.peers.digest_dirty = true;
         self.raise_floor(applied);
         if applied > self.versions.newest_number() {
@@ -200,9 +210,6 @@
         change: &TargetChange,
         effects: &mut Vec<ControlEffect>,
     ) {
-        if !self.peers.links.contains_key(&peer) {
-            return;
-        }
         self.directory.absorb(change, &self.settings.id);
         if change.upserts.is_empty() && change.removed.is_empty() {
             self.load_moves.extend(change.loads.iter().cloned());
@@ -257,7 +264,7 @@
             .peers
             .links
             .iter()
-            .filter(|(_, entry)| now.saturating_duration_since(entry.heard_at) > PEER_SILENCE)
+            .filter(|(_, entry)| now.saturating_duration_since(entry.heard_at) > LINK_SILENCE)
             .map(|(peer, _)| *peer)
             .collect();
         for peer in silent {
@@ -371,17 +378,19 @@
         send(peers, RelayMessage::Targets(change.clone()), effects);
     }
 
-    /// Tells the peers whether this relay reaches the platform. Without a
-    /// lease it counts as not reaching it, so that a peer which does can
+    /// Whether this relay brings its peers new versions. Without a lease it
+    /// counts as not reaching the platform, so that a peer which does can
     /// take the lease.
+    fn brings_versions(&self) -> bool {
+        self.platform_reachable && self.zone.role == ZoneRole::Leader
+    }
+
+    /// Tells the peers whether this relay reaches the platform.
     pub(super) fn tell_platform_state(&self, effects: &mut Vec<ControlEffect>) {
         if self.zone.role.relays() {
-            let reachable = self.platform_reachable && self.zone.role == ZoneRole::Leader;
-            send(
-                self.peers.all(),
-                RelayMessage::Platform { reachable },
-                effects,
-            );
+            let reachable = self.brings_versions();
+            let message = RelayMessage::Platform { reachable };
+            send(self.peers.all(), message, effects);
         }
     }
 
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -25,7 +25,9 @@
 /// Pause before the next candidate is tried, at most this much more by jitter.
 const CANDIDATE_PAUSE: Duration = Duration::from_millis(100);
 /// How often a linked daemon says it is alive.
-pub(super) const BEAT_EVERY: Duration = Duration::from_secs(2);
+const BEAT_EVERY: Duration = Duration::from_secs(2);
+/// A link that brought no message for this long is given up, on both sides.
+pub(super) const LINK_SILENCE: Duration = BEAT_EVERY.saturating_mul(2);
 /// How often reported loads are passed on in a small zone.
 const LOADS_EVERY: Duration = Duration::from_secs(1);
 /// Zone size up to which loads are passed on that often. A relay sends every
@@ -87,6 +89,8 @@
 struct SeenLease {
     row_version: u64,
     since: Instant,
+    /// Whether it was seen to change: its holder was alive between two reads.
+    renewed: bool,
 }
 
 /// The call on the lease row under way, if any; one at a time.
@@ -104,7 +108,8 @@
     id: u64,
     address: String,
     joined: bool,
-    opened_at: Instant,
+    /// When it was opened or last brought a message.
+    heard_at: Instant,
 }
 
 /// What this daemon knows of its zone.
@@ -201,7 +206,7 @@
             }
             ZoneRole::Seeking => self.seek(effects),
         }
-        self.give_up_opening(effects);
+        self.give_up_silent(effects);
         self.tend_peers(effects);
         if self.at.now >= self.zone.next_loads {
             let scale = (self.zone.shape.size / LOADS_ZONE_SIZE).max(1);
@@ -243,6 +248,14 @@
         }
     }
 
+    /// A follower without its link is one no longer.
+    fn start_seeking(&mut self) {
+        if self.zone.role == ZoneRole::Follower {
+            self.zone.role = ZoneRole::Seeking;
+            self.zone.without_relay_since = self.at.now;
+        }
+    }
+
     /// Starts to relay without a lease, and seeks the lease meanwhile.
     fn act(&mut self, effects: &mut Vec<ControlEffect>) {
         self.zone.role = ZoneRole::Acting;
@@ -257,6 +270,7 @@
     fn connect(&mut self, address: String, effects: &mut Vec<ControlEffect>) {
         if let Some(old) = self.zone.link.take() {
             effects.push(ControlEffect::Disconnect { link: old.id });
+            self.start_seeking();
         }
         let id = self.zone.next_link;
         self.zone.next_link += 1;
@@ -279,19 +293,20 @@
             id,
             address,
             joined: false,
-            opened_at: self.at.now,
+            heard_at: self.at.now,
         });
     }
 
-    /// Guards against a relay that accepts a connection and never answers the
-    /// hello (seen as a daemon that stays without a relay): the link is given
-    /// up after the lease time and the next candidate tried.
-    fn give_up_opening(&mut self, effects: &mut Vec<ControlEffect>) {
+    /// Guards against a link that is open but brings nothing: a relay that
+    /// never answers the hello, whose control loop hangs, or whose messages
+    /// no longer get through (seen as a daemon that follows a relay and gets
+    /// no more versions, while PINGs are answered). Each beat is answered, so
+    /// a link that brought nothing over two beats is given up.
+    fn give_up_silent(&mut self, effects: &mut Vec<ControlEffect>) {
         let Some(link) = &self.zone.link else {
             return;
         };
-        let waited = self.at.now.saturating_duration_since(link.opened_at);
-        if !link.joined && waited > self.settings.lease_time {
+        if self.at.now.saturating_duration_since(link.heard_at) > LINK_SILENCE {
             let id = link.id;
             effects.push(ControlEffect::Disconnect { link: id });
             self.on_link_down(id, effects);
@@ -517,16 +532,14 @@
             return;
         };
         self.zone.token = self.zone.token.max(row.record.token);
-        let unchanged = self
-            .zone
-            .seen
-            .as_ref()
-            .filter(|seen| seen.row_version == row.version)
-            .map(|seen| seen.since);
-        let since = unchanged.unwrap_or(self.at.now);
+        let seen = self.zone.seen.take();
+        let unchanged = seen.as_ref().filter(|seen| seen.row_version == row.version);
+        let since = unchanged.map_or(self.at.now, |seen| seen.since);
+        let renewed = seen.is_some() && unchanged.is_none();
         self.zone.seen = Some(SeenLease {
             row_version: row.version,
             since,
+            renewed,
         });
         let released = row.record.address.is_empty();
         let own = row.record.holder == self.settings.id;
@@ -539,24 +552,24 @@
     }
 
     /// Links to the relay that holds the lease, unless linked to it already.
+    ///
+    /// Guards against leaving a good link for a dead relay (seen as a daemon
+    /// that gets no more versions after its relay died): the lease row goes
+    /// on naming the dead holder until the lease lapses. A daemon that has a
+    /// link leaves it only for a holder it saw renew the lease.
     pub(super) fn follow(&mut self, address: String, effects: &mut Vec<ControlEffect>) {
-        let linked = self
-            .zone
-            .link
-            .as_ref()
-            .is_some_and(|link| link.address == address);
-        if linked {
+        let Some(link) = &self.zone.link else {
+            self.connect(address, effects);
+            return;
+        };
+        let renewed = self.zone.seen.as_ref().is_some_and(|seen| seen.renewed);
+        if link.address == address || (link.joined && !renewed) {
             return;
         }
-        if let Some(link) = self.zone.link.as_ref().filter(|link| link.joined) {
-            let message = PeerMessage::Moved {
-                relay: address.clone(),
-            };
-            effects.push(ControlEffect::SendUp {
-                link: link.id,
-                message,
-            });
-        }
+        let moved = PeerMessage::Moved {
+            relay: address.clone(),
+        };
+        self.send_up(moved, effects);
         self.connect(address, effects);
     }
 
@@ -566,14 +579,11 @@
         message: RelayMessage,
         effects: &mut Vec<ControlEffect>,
     ) {
-        if self
-            .zone
-            .link
-            .as_ref()
-            .is_none_or(|current| current.id != link)
-        {
+        let current = self.zone.link.as_mut();
+        let Some(current) = current.filter(|current| current.id == link) else {
             return;
-        }
+        };
+        current.heard_at = self.at.now;
         match message {
             RelayMessage::Welcome(welcome) => self.on_welcome(welcome, effects),
             RelayMessage::Refused { relay } => self.on_refused(relay, effects),
@@ -584,6 +594,7 @@
             }
             RelayMessage::Zone(shape) => self.zone.shape = shape,
             RelayMessage::Platform { reachable } => self.on_relay_platform(reachable, effects),
+            RelayMessage::Beat { newest } => self.on_relay_beat(newest, effects),
             RelayMessage::Goodbye { relay } => self.on_goodbye(relay, effects),
         }
     }
@@ -615,6 +626,7 @@
         self.zone.role = ZoneRole::Follower;
         self.zone.fell_back = false;
         self.zone.lost_address = None;
+        self.zone.seen = None;
         self.zone.candidates.clear();
         self.zone.shape = welcome.zone;
         self.zone.relay_reaches_platform = welcome.platform_reachable;
@@ -630,6 +642,7 @@
             return;
         };
         effects.push(ControlEffect::Disconnect { link: link.id });
+        self.start_seeking();
         // The lost relay's address may come back from a daemon that has not
         // noticed the loss yet; trying it again would only fail again.
         let hint = relay
@@ -673,6 +686,13 @@
         self.zone.role == ZoneRole::Follower && self.zone.relay_reaches_platform
     }
 
+    /// Asks for the newest version when a beat tells of one that did not come.
+    fn on_relay_beat(&mut self, newest: u64, effects: &mut Vec<ControlEffect>) {
+        if newest > self.versions.newest_number() {
+            self.send_up(PeerMessage::NeedWhole, effects);
+        }
+    }
+
     fn on_goodbye(&mut self, relay: Option<String>, effects: &mut Vec<ControlEffect>) {
         let Some(link) = self.zone.link.as_ref().map(|link| link.id) else {
             return;
@@ -700,8 +720,8 @@
             },
         });
         self.zone.lost_address = Some(lost.address);
-        self.zone.role = ZoneRole::Seeking;
-        self.zone.without_relay_since = self.at.now;
+        self.zone.seen = None;
+        self.start_seeking();
         let window = spread_window(&self.settings, self.zone.shape.size);
         let start = self.at.now + window.mul_f64(self.rng.random());
         self.zone.next_lease_read = start;
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -23,6 +23,8 @@
 const OUTGOING_QUEUE: usize = 256;
 /// Time to connect and complete the HTTP/2 handshake.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+/// A link that takes no bytes for this long is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for the last frames to leave when a link is closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// HTTP/2 window of a stream and of a connection, in bytes.
@@ -284,12 +286,7 @@
         counters.link_sent(frame.len());
         while !frame.is_empty() {
             outgoing.reserve_capacity(frame.len());
-            let granted = poll_fn(|context| outgoing.poll_capacity(context))
-                .await
-                .ok_or(LinkError::Ended)??;
-            if granted == 0 {
-                continue;
-            }
+            let granted = capacity(&mut outgoing).await?;
             let part = frame.split_to(granted.min(frame.len()));
             outgoing.send_data(part, false)?;
         }
@@ -297,3 +294,26 @@
     outgoing.send_data(Bytes::new(), true)?;
     Ok(())
 }
+
+/// Waits until some of the reserved capacity is granted; returns how much.
+///
+/// Guards against a link that stays open and carries nothing (seen as a
+/// follower that gets no more versions). `poll_capacity` wakes only when the
+/// capacity grows, so capacity granted before the call has to be looked for
+/// first; and a peer that grants none for a while is given up.
+async fn capacity(outgoing: &mut SendStream<Bytes>) -> Result<usize, LinkError> {
+    let granting = async {
+        loop {
+            let granted = outgoing.capacity();
+            if granted > 0 {
+                return Ok(granted);
+            }
+            poll_fn(|context| outgoing.poll_capacity(context))
+                .await
+                .ok_or(LinkError::Ended)??;
+        }
+    };
+    tokio::time::timeout(WRITE_TIMEOUT, granting)
+        .await
+        .map_err(|_| LinkError::Silent)?
+}
--- a/crates/daemon/src/messages.rs
+++ b/crates/daemon/src/messages.rs
@@ -58,6 +58,8 @@
     Zone(ZoneShape),
     /// Whether the relay reaches the platform.
     Platform { reachable: bool },
+    /// The answer to a peer's beat: the newest version the relay has.
+    Beat { newest: u64 },
     /// The relay is going away; link to the one named, if any.
     Goodbye { relay: Option<String> },
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -29,16 +29,25 @@
     Accept,
     /// Kills daemon and starts it anew with nothing.
     Restart { daemon: usize },
+    /// Kills a daemon, which starts anew after this many steps; until then it
+    /// takes no connections.
+    Down { daemon: usize, steps: u64 },
     /// Freezes a daemon for this many steps.
     Freeze { daemon: usize, steps: u64 },
     /// The platform is down for this many steps.
     PlatformDown { steps: u64 },
+    /// From now on the platform's answers take this many steps longer, so that
+    /// they cross what happens on links meanwhile.
+    PlatformSlow { extra: u64 },
     /// One daemon cannot reach the platform for this many steps.
     PlatformCut { daemon: usize, steps: u64 },
     /// The next writes take effect but their replies are lost.
     LoseReplies { count: u32 },
     /// A daemon's link to its relay goes silent for good; new ones work.
     SilenceLink { daemon: usize },
+    /// A daemon's link carries no messages any more, though PINGs are
+    /// answered; new ones work.
+    StuckLink { daemon: usize },
 }
 
 /// A link between a daemon and a relay.
@@ -47,20 +56,41 @@
     to: usize,
     peer: u64,
     silent: bool,
+    stuck: bool,
     silent_steps: u64,
 }
 
+impl FakeLink {
+    /// Whether messages arrive.
+    fn carries(&self) -> bool {
+        !self.silent && !self.stuck
+    }
+}
+
 /// One daemon's reducer and what is on its way to it.
 pub struct FakeDaemon {
     pub control: ControlState,
     incarnation: u64,
-    inbox: VecDeque<ControlEvent>,
+    /// Events on their way, with the step at which each arrives.
+    inbox: VecDeque<(u64, ControlEvent)>,
     frozen_until: u64,
+    down_until: u64,
     cut_until: u64,
     /// Versions applied, over all incarnations.
     pub applied: Vec<u64>,
 }
 
+impl FakeDaemon {
+    /// Takes the events that have arrived by `step`, in order.
+    fn take_arrived(&mut self, step: u64) -> Vec<ControlEvent> {
+        let inbox = std::mem::take(&mut self.inbox);
+        let (arrived, waiting): (Vec<_>, Vec<_>) =
+            inbox.into_iter().partition(|(due, _)| *due <= step);
+        self.inbox = waiting.into();
+        arrived.into_iter().map(|(_, event)| event).collect()
+    }
+}
+
 /// A zone of daemons over a fake table.
 pub struct FakeZone {
     pub daemons: Vec<FakeDaemon>,
@@ -70,6 +100,7 @@
     pub current: u64,
     down_until: u64,
     lose_replies: u32,
+    slow_by: u64,
     links: BTreeMap<(usize, u64), FakeLink>,
     next_peer: u64,
     /// Who took the lease under each token: daemon and incarnation.
@@ -107,6 +138,7 @@
             current: 1,
             down_until: 0,
             lose_replies: 0,
+            slow_by: 0,
             links: BTreeMap::new(),
             next_peer: 1,
             holders: BTreeMap::new(),
@@ -127,6 +159,7 @@
             incarnation,
             inbox: VecDeque::new(),
             frozen_until: 0,
+            down_until: 0,
             cut_until: 0,
             applied: Vec::new(),
         }
@@ -144,10 +177,15 @@
         match fault {
             ZoneFault::Accept => self.current += 1,
             ZoneFault::Restart { daemon } => self.restart(daemon),
+            ZoneFault::Down { daemon, steps } => {
+                self.restart(daemon);
+                self.daemons[daemon].down_until = self.step + steps;
+            }
             ZoneFault::Freeze { daemon, steps } => {
                 self.daemons[daemon].frozen_until = self.step + steps;
             }
             ZoneFault::PlatformDown { steps } => self.down_until = self.step + steps,
+            ZoneFault::PlatformSlow { extra } => self.slow_by = extra,
             ZoneFault::PlatformCut { daemon, steps } => {
                 self.daemons[daemon].cut_until = self.step + steps;
             }
@@ -157,6 +195,11 @@
                     link.silent = true;
                 }
             }
+            ZoneFault::StuckLink { daemon } => {
+                for link in self.links.values_mut().filter(|link| link.from == daemon) {
+                    link.stuck = true;
+                }
+            }
         }
     }
 
@@ -180,9 +223,9 @@
     fn end_link(&mut self, key: (usize, u64)) {
         if let Some(link) = self.links.remove(&key) {
             let down = ControlEvent::LinkDown { link: key.1 };
-            self.daemons[link.from].inbox.push_back(down);
+            self.daemons[link.from].inbox.push_back((0, down));
             let gone = ControlEvent::PeerGone { peer: link.peer };
-            self.daemons[link.to].inbox.push_back(gone);
+            self.daemons[link.to].inbox.push_back((0, gone));
         }
     }
 
@@ -191,10 +234,11 @@
         self.step += 1;
         self.check_links();
         for index in 0..self.daemons.len() {
-            if self.daemons[index].frozen_until > self.step {
+            let daemon = &self.daemons[index];
+            if daemon.frozen_until > self.step || daemon.down_until > self.step {
                 continue;
             }
-            let arrived: Vec<ControlEvent> = self.daemons[index].inbox.drain(..).collect();
+            let arrived = self.daemons[index].take_arrived(self.step);
             for event in arrived.into_iter().chain([ControlEvent::Tick]) {
                 self.deliver(index, event);
             }
@@ -262,7 +306,9 @@
                 }
             }
             ControlEffect::DropPeer { peer } => {
-                if let Some(key) = self.link_of(index, peer) {
+                // A stuck link is not told that it was dropped either.
+                let key = self.link_of(index, peer);
+                if let Some(key) = key.filter(|key| !self.links[key].stuck) {
                     self.end_link(key);
                 }
             }
@@ -291,7 +337,8 @@
         } else {
             ControlEvent::PlatformFailed { step }
         };
-        self.daemons[index].inbox.push_back(event);
+        let due = self.step + self.slow_by;
+        self.daemons[index].inbox.push_back((due, event));
     }
 
     fn write_lease(&mut self, index: usize, expect: RowExpect, record: LeaseRecord) {
@@ -319,7 +366,7 @@
         if self.lose_replies > 0 {
             self.lose_replies -= 1;
             let failed = ControlEvent::PlatformFailed { step };
-            self.daemons[index].inbox.push_back(failed);
+            self.daemons[index].inbox.push_back((0, failed));
         } else {
             self.platform(index, step, ControlEvent::LeaseWritten { row });
         }
@@ -329,6 +376,11 @@
         let to = (0..self.daemons.len())
             .find(|index| address(*index) == relay)
             .expect("an address of this zone");
+        if self.daemons[to].down_until > self.step {
+            let down = ControlEvent::LinkDown { link };
+            self.daemons[from].inbox.push_back((0, down));
+            return;
+        }
         let peer = self.next_peer;
         self.next_peer += 1;
         let opened = FakeLink {
@@ -336,18 +388,20 @@
             to,
             peer,
             silent: false,
+            stuck: false,
             silent_steps: 0,
         };
         self.links.insert((from, link), opened);
     }
 
     fn send_up(&mut self, index: usize, link: u64, message: PeerMessage) {
-        if let Some(open) = self.links.get(&(index, link)).filter(|link| !link.silent) {
+        let open = self.links.get(&(index, link));
+        if let Some(open) = open.filter(|link| link.carries()) {
             let event = ControlEvent::PeerSaid {
                 peer: open.peer,
                 message,
             };
-            self.daemons[open.to].inbox.push_back(event);
+            self.daemons[open.to].inbox.push_back((0, event));
         }
     }
 
@@ -363,12 +417,12 @@
             return;
         };
         let open = &self.links[&key];
-        if !open.silent {
+        if open.carries() {
             let event = ControlEvent::RelaySaid {
                 link: key.1,
                 message: message.clone(),
             };
-            self.daemons[open.from].inbox.push_back(event);
+            self.daemons[open.from].inbox.push_back((0, event));
         }
     }
 
@@ -376,10 +430,17 @@
     pub fn leaders(&self) -> Vec<usize> {
         (0..self.daemons.len())
             .filter(|index| self.daemons[*index].frozen_until <= self.step)
+            .filter(|index| self.daemons[*index].down_until <= self.step)
             .filter(|index| self.daemons[*index].control.role() == ZoneRole::Leader)
             .collect()
     }
 
+    /// The daemons that are not down now.
+    pub fn running(&self) -> impl Iterator<Item = (usize, &FakeDaemon)> {
+        let running = |(_, daemon): &(usize, &FakeDaemon)| daemon.down_until <= self.step;
+        self.daemons.iter().enumerate().filter(running)
+    }
+
     pub fn roles(&self) -> Vec<ZoneRole> {
         self.daemons
             .iter()
--- a/crates/daemon/tests/zone_history.rs
+++ b/crates/daemon/tests/zone_history.rs
@@ -63,6 +63,8 @@
 #[rstest]
 // The relay dies and comes back: the zone relinks to it or its successor.
 #[case::relay_restarts(FaultCase { fault: ZoneFault::Restart { daemon: LEADER }, steps: 60, in_force_during: true })]
+// The relay dies and stays away: its successor takes over.
+#[case::relay_down(FaultCase { fault: ZoneFault::Down { daemon: LEADER, steps: 300 }, steps: 70, in_force_during: true })]
 // The relay is frozen past its lease, another takes over, then it wakes up.
 #[case::relay_frozen(FaultCase { fault: ZoneFault::Freeze { daemon: LEADER, steps: 100 }, steps: 70, in_force_during: false })]
 // Only the relay is cut off from the platform: a peer takes the lease.
@@ -73,6 +75,8 @@
 #[case::reply_lost(FaultCase { fault: ZoneFault::LoseReplies { count: 3 }, steps: 60, in_force_during: true })]
 // A daemon's link goes silent for good: it relinks.
 #[case::link_silent(FaultCase { fault: ZoneFault::SilenceLink { daemon: 1 }, steps: 60, in_force_during: true })]
+// A link carries nothing though its PINGs are answered: it relinks.
+#[case::link_stuck(FaultCase { fault: ZoneFault::StuckLink { daemon: 1 }, steps: 90, in_force_during: true })]
 fn zone_survives_one_fault(#[case] case: FaultCase) {
     // An operator accepts a change while something fails. Every daemon that
     // can be reached gets it within 7 s, none moves back, one daemon holds
@@ -84,7 +88,7 @@
     zone.inject(ZoneFault::Accept);
     zone.run(case.steps);
     if case.in_force_during {
-        for (index, daemon) in zone.daemons.iter().enumerate() {
+        for (index, daemon) in zone.running() {
             assert_eq!(
                 daemon.control.applied(),
                 zone.current,
@@ -92,16 +96,49 @@
             );
         }
     }
-    zone.run(HEAL_STEPS);
+    zone.run(HEAL_STEPS + 100);
     assert_healed(&zone);
     assert_single_holders(&zone);
     assert_eq!(backward(&zone), []);
 }
 
+#[rstest]
+#[case::at_once(0)]
+#[case::a_little_later(2)]
+#[case::later(5)]
+fn stale_lease_read_does_not_end_a_good_link(#[case] extra: u64) {
+    // The relay dies for good. Its peers read the lease and link to their
+    // successor at the same time; the lease row, which still names the dead
+    // relay, arrives after the link is up. Left for the dead relay, the peer
+    // would stay without one and get no more versions.
+    let mut zone = FakeZone::new(4);
+    zone.run(50);
+    let leader = zone.leaders()[0];
+    zone.inject(ZoneFault::PlatformSlow { extra });
+    zone.inject(ZoneFault::Down {
+        daemon: leader,
+        steps: 10_000,
+    });
+    zone.run(90);
+    zone.inject(ZoneFault::Accept);
+    zone.run(30);
+    for (index, daemon) in zone.running() {
+        assert_eq!(daemon.control.applied(), zone.current, "daemon {index}");
+    }
+    assert_eq!(backward(&zone), []);
+}
+
 /// The fault, moved from daemon 0 to the daemon that leads.
 fn on_leader(fault: ZoneFault, leader: usize) -> ZoneFault {
     match fault {
         ZoneFault::Restart { daemon: LEADER } => ZoneFault::Restart { daemon: leader },
+        ZoneFault::Down {
+            daemon: LEADER,
+            steps,
+        } => ZoneFault::Down {
+            daemon: leader,
+            steps,
+        },
         ZoneFault::Freeze {
             daemon: LEADER,
             steps,
@@ -119,6 +156,9 @@
         ZoneFault::SilenceLink { .. } => ZoneFault::SilenceLink {
             daemon: (leader + 1) % 4,
         },
+        ZoneFault::StuckLink { .. } => ZoneFault::StuckLink {
+            daemon: (leader + 1) % 4,
+        },
         other => other,
     }
 }
@@ -127,11 +167,14 @@
     prop_oneof![
         3 => Just(ZoneFault::Accept),
         2 => (0..size).prop_map(|daemon| ZoneFault::Restart { daemon }),
+        2 => (0..size, 1u64..100).prop_map(|(daemon, steps)| ZoneFault::Down { daemon, steps }),
         2 => (0..size, 1u64..80).prop_map(|(daemon, steps)| ZoneFault::Freeze { daemon, steps }),
         1 => (1u64..100).prop_map(|steps| ZoneFault::PlatformDown { steps }),
         1 => (0..size, 1u64..100).prop_map(|(daemon, steps)| ZoneFault::PlatformCut { daemon, steps }),
         1 => (1u32..4).prop_map(|count| ZoneFault::LoseReplies { count }),
+        2 => (0u64..12).prop_map(|extra| ZoneFault::PlatformSlow { extra }),
         2 => (0..size).prop_map(|daemon| ZoneFault::SilenceLink { daemon }),
+        1 => (0..size).prop_map(|daemon| ZoneFault::StuckLink { daemon }),
     ]
 }
 
@@ -169,6 +212,7 @@
             }
             zone.inject(fault);
         }
+        zone.inject(ZoneFault::PlatformSlow { extra: 0 });
         // The longest fault has ended after 100 more steps.
         zone.run(100 + HEAL_STEPS);
         prop_assert_eq!(backward(&zone), vec![]);
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -409,14 +409,12 @@
             tree: tree.clone(),
         };
         let object = TableKey::version_object(number, 0);
-        let stored = platform.put_object(&object, VersionCodec::encode(&record));
-        stored.await.expect("the version object is stored");
+        store_object(&platform, &object, VersionCodec::encode(&record)).await;
         let mut delta = None;
         if let Some(base) = base {
             let object = TableKey::delta_object(number, 0);
             let steps = VersionCodec::encode_delta(&TreeDelta::between(base, tree));
-            let stored = platform.put_object(&object, steps);
-            stored.await.expect("the delta object is stored");
+            store_object(&platform, &object, steps).await;
             delta = Some(DeltaPointer {
                 base: number - 1,
                 object,
@@ -429,9 +427,13 @@
         };
         let value = serde_json::to_value(pointer).expect("a pointer encodes");
         let accepted = SystemTime::now();
-        let written = platform.put(TableKey::CURRENT, RowExpect::Any, value);
-        written.await.expect("the current row is written");
-        accepted
+        for _ in 0..PUBLISH_ATTEMPTS {
+            let written = platform.put(TableKey::CURRENT, RowExpect::Any, value.clone());
+            if written.await.is_ok() {
+                return accepted;
+            }
+        }
+        panic!("the current row is not written");
     }
 
     /// The live daemons' statuses, as operators see them.
@@ -482,6 +484,18 @@
     }
 }
 
+/// Writes made again when their reply is lost; the same write is idempotent.
+const PUBLISH_ATTEMPTS: u32 = 20;
+
+async fn store_object(platform: &PlatformClient, key: &str, bytes: Vec<u8>) {
+    for _ in 0..PUBLISH_ATTEMPTS {
+        if platform.put_object(key, bytes.clone()).await.is_ok() {
+            return;
+        }
+    }
+    panic!("object {key} is not stored");
+}
+
 impl Drop for LocalMesh {
     fn drop(&mut self) {
         for daemon in &mut self.daemons {
--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -1,6 +1,6 @@
 //! Free loopback ports for stand-ins and daemons.
 
-use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 /// Ports handed out lie in this range, below the one that Linux gives
@@ -14,8 +14,12 @@
 /// Finds a loopback port that nothing listens on and that this process has
 /// not handed out lately.
 ///
+/// The port is probed by connecting to it, not by binding it: a child process
+/// forked meanwhile would hold the bound socket until its exec, and the port
+/// would be taken when its real owner binds it a moment later.
+///
 /// # Panics
-/// When no loopback port of the range can be bound at all.
+/// When something listens on every port of the range.
 #[must_use]
 pub fn free_port() -> u16 {
     let width = RANGE.end - RANGE.start;
@@ -25,7 +29,7 @@
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = RANGE.start + (start + step) % width;
         let port = u16::try_from(port).expect("the range lies within the port numbers");
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        if TcpStream::connect(("127.0.0.1", port)).is_err() {
             return port;
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,57 +2,20 @@
 //! platform going down, a bad version reaching the daemons, a target
 //! leaving, a planned stop with calls in flight.
 
+mod support;
+
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use filbert_platform::FaultSwitches;
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
 use filbert_standin::target::{TargetHandle, TargetSpec};
-use filbert_tree::{BranchPath, SettingsTree};
+use filbert_tree::BranchPath;
+use support::{coop, eventually, get, metrics, status, DAEMON_EXE};
 
-const DAEMON_EXE: &str = env!("CARGO_BIN_EXE_filbertd");
-const COOP: &str = include_str!("../examples/coop.toml");
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(10);
 
-fn coop() -> SettingsTree {
-    SettingsTree::from_toml(COOP).expect("example parses")
-}
-
-async fn get(daemon_url: &str, member: &str, path: &str) -> reqwest::Response {
-    reqwest::Client::new()
-        .get(format!("{daemon_url}{path}"))
-        .header("x-filbert-member", member)
-        .send()
-        .await
-        .expect("the proxy answers")
-}
-
-async fn status(admin_url: &str) -> serde_json::Value {
-    reqwest::get(format!("{admin_url}/status"))
-        .await
-        .expect("admin answers")
-        .json()
-        .await
-        .expect("status is JSON")
-}
-
-/// Polls until `check` holds, for at most `within`; returns whether it did.
-async fn eventually<F, Fut>(within: Duration, mut check: F) -> bool
-where
-    F: FnMut() -> Fut,
-    Fut: std::future::Future<Output = bool>,
-{
-    let started = Instant::now();
-    while started.elapsed() < within {
-        if check().await {
-            return true;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    false
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn zone_cut_off_from_the_platform_keeps_serving_its_other_hosts_targets() {
     // An installer fetches artwork through the daemon on a host that has no
@@ -90,7 +53,7 @@
         200,
         "artwork lost while the platform is down"
     );
-    let shown = status(&mesh.daemons[0].admin_url).await;
+    let shown = status(&mesh.daemons[0]).await;
     assert_eq!(shown["platform_reachable"], false, "{shown}");
     assert_eq!(shown["applied"], 1, "{shown}");
 }
@@ -116,11 +79,11 @@
     mesh.publish(2, &bad, None).await;
     for daemon in &mesh.daemons {
         let refused = eventually(IN_FORCE_WITHIN, || async {
-            status(&daemon.admin_url).await["rejected"][0] == 2
+            status(daemon).await["rejected"][0] == 2
         })
         .await;
         assert!(refused, "{} did not refuse version 2", daemon.id);
-        let shown = status(&daemon.admin_url).await;
+        let shown = status(daemon).await;
         assert_eq!(shown["applied"], 1, "{shown}");
         assert_eq!(
             get(&daemon.proxy_url, "north-signs", "/stock/3")
@@ -128,12 +91,7 @@
                 .status(),
             200
         );
-        let metrics: serde_json::Value = reqwest::get(format!("{}/metrics", daemon.admin_url))
-            .await
-            .expect("metrics")
-            .json()
-            .await
-            .expect("JSON");
+        let metrics = metrics(daemon).await;
         assert_eq!(metrics["versions_rejected"], 1, "{metrics}");
     }
 }
