--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -231,7 +231,8 @@
         .and_then(|answer| answer.header(LOAD_HEADER)?.parse().ok());
     let sign = match attempt.end {
         AttemptEnd::Answered if failed => TargetSign::Ill,
-        AttemptEnd::Answered | AttemptEnd::Declined => TargetSign::Well { load },
+        AttemptEnd::Answered => TargetSign::Well { load },
+        AttemptEnd::Declined => TargetSign::Full,
         AttemptEnd::NotConnected | AttemptEnd::Lost => TargetSign::Ill,
     };
     shared.board.note(address, sign, shared.clock.now());
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -11,6 +11,9 @@
 const FAILURES_TO_EJECT: u32 = 3;
 /// Length of a target's first ejection; each further one is twice as long.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
+/// How long a target that sheds load is passed over. Without the pause each
+/// call would try it first, as it looks idle, and spend a retry on it.
+const SHED_PAUSE: Duration = Duration::from_secs(1);
 /// Longest ejection.
 const LONGEST_EJECTION: Duration = Duration::from_secs(30);
 /// How long a reported load counts; after that it says nothing.
@@ -64,6 +67,8 @@
 pub enum TargetSign {
     /// It answered; its load, when the answer carried one.
     Well { load: Option<u32> },
+    /// It declined to run the call, as when shedding load.
+    Full,
     /// It took no connection, broke off, failed or did not answer in time.
     Ill,
 }
@@ -111,6 +116,7 @@
                     self.load = Some((load, now));
                 }
             }
+            TargetSign::Full => self.ejected_until = Some(now + SHED_PAUSE),
             TargetSign::Ill => {
                 self.failures += 1;
                 let ejections = self.failures.checked_sub(FAILURES_TO_EJECT);
--- a/crates/daemon/tests/control_cases.rs
+++ b/crates/daemon/tests/control_cases.rs
@@ -165,6 +165,75 @@
     }));
 }
 
+/// Version 2 of a staging case: quotes move to a service that version 1 does
+/// not use.
+fn moved_quotes() -> ControlEvent {
+    let mut tree = SettingsTree::from_toml(COOP).expect("example parses");
+    let route = BranchPath::parse("site/north-signs/quoting/quotes").expect("branch");
+    let service = BranchPath::parse("site/north-signs/pricing").expect("branch");
+    tree.set(&service, "timeout_ms", "900").expect("edit");
+    tree.set(&route, "service", "pricing").expect("edit");
+    ControlEvent::VersionFetched {
+        record: Arc::new(VersionRecord {
+            number: 2,
+            parent: 1,
+            restores: None,
+            parent_object: None,
+            tree,
+        }),
+        bytes: 100,
+    }
+}
+
+/// When the new service's first target is heard of, if ever, and when the
+/// version that needs it must be in force, in milliseconds.
+struct StageCase {
+    target_joins: Option<u64>,
+    still_waits: Option<u64>,
+    in_force_by: u64,
+}
+
+#[rstest]
+#[case::target_known_before(StageCase { target_joins: Some(0), still_waits: None, in_force_by: 1_000 })]
+#[case::target_joins_meanwhile(StageCase { target_joins: Some(1_500), still_waits: Some(1_400), in_force_by: 1_500 })]
+#[case::no_target_ever(StageCase { target_joins: None, still_waits: Some(2_900), in_force_by: 3_100 })]
+fn version_waits_a_while_for_targets_of_a_new_service(#[case] case: StageCase) {
+    // A change moves quotes to a service whose targets this proxy may not
+    // know yet. Until it knows one the old routes must go on serving, rather
+    // than point at nothing; but an accepted version comes into force within
+    // seconds all the same.
+    let mut daemon = TestDaemon::new();
+    daemon.step(fetched(1, true));
+    let announced = |at: u64, now: u64| {
+        (at <= now).then(|| ControlEvent::Announced {
+            announcement: TargetAnnouncement {
+                service: "pricing".to_owned(),
+                address: "127.0.0.1:9009".to_owned(),
+                load: 0,
+                leaving: false,
+            },
+        })
+    };
+    let mut sent = false;
+    for now in (0..4_000).step_by(100) {
+        if let Some(event) = case.target_joins.and_then(|at| announced(at, now)) {
+            daemon.step_at(now, event);
+        }
+        if now >= 1_000 && !sent {
+            sent = true;
+            daemon.step_at(now, moved_quotes());
+        }
+        daemon.step_at(now, ControlEvent::Tick);
+        if case.still_waits == Some(now) {
+            assert_eq!(daemon.control.applied(), 1, "at {now} ms");
+            assert_eq!(daemon.control.view().staged, Some(2), "at {now} ms");
+        }
+        if now >= case.in_force_by {
+            assert_eq!(daemon.control.applied(), 2, "at {now} ms");
+        }
+    }
+}
+
 fn announce(leaving: bool) -> ControlEvent {
     ControlEvent::Announced {
         announcement: TargetAnnouncement {
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -3,6 +3,7 @@
 //! to the daemon on its host, reports its load, and records every execution of
 //! a call that changes something, so tests can count them.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -32,6 +33,8 @@
     pub path: String,
     /// The caller's idempotency key, if it sent one.
     pub idempotency_key: Option<String>,
+    /// The caller's request id, if it came.
+    pub request_id: Option<String>,
     /// The call's body as text.
     pub body: String,
 }
@@ -40,6 +43,7 @@
 #[derive(Default)]
 pub struct ExecutionLog {
     records: Mutex<Vec<ExecutionRecord>>,
+    reached: Mutex<BTreeSet<String>>,
 }
 
 impl ExecutionLog {
@@ -51,6 +55,23 @@
             .clone()
     }
 
+    /// Whether a call with this request id has reached any target.
+    pub fn has_reached(&self, request_id: &str) -> bool {
+        self.reached_ids().contains(request_id)
+    }
+
+    fn reached_ids(&self) -> std::sync::MutexGuard<'_, BTreeSet<String>> {
+        self.reached
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn note_reached(&self, request_id: Option<&String>) {
+        if let Some(request_id) = request_id {
+            self.reached_ids().insert(request_id.clone());
+        }
+    }
+
     fn push(&self, record: ExecutionRecord) {
         self.records
             .lock()
@@ -145,6 +166,7 @@
 
     /// The refusal of a call that must not run here, if it must not.
     fn refusal(&self, headers: &CallHeaders) -> Option<TargetReply> {
+        self.log.note_reached(headers.request_id.as_ref());
         let meant = headers.service.as_ref();
         if meant.is_some_and(|service| *service != self.service) {
             let status = Status::new(421);
@@ -222,6 +244,7 @@
         target: state.address.clone(),
         path: format!("/{}", path.to_string_lossy()),
         idempotency_key: headers.idempotency_key.clone(),
+        request_id: headers.request_id.clone(),
         body: body.clone(),
     };
     state.log.push(record);
