--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 
 /// Edit, accept, watch and withdraw filbertladder settings.
 #[derive(Debug, Parser)]
@@ -78,4 +78,46 @@
     },
     /// List the proxies and the version each has in force.
     Status,
+    /// Reports made from the daemons' counters.
+    Report {
+        /// The report.
+        #[command(subcommand)]
+        report: ReportCommand,
+    },
+}
+
+/// The reports.
+#[derive(Debug, Subcommand)]
+pub enum ReportCommand {
+    /// Append one sample of each daemon's call counters to a file.
+    Sample {
+        /// Admin URL of a daemon, such as `http://10.0.0.5:7101`; once per daemon.
+        #[arg(long, required = true)]
+        daemon: Vec<String>,
+        /// The file, one JSON object a line.
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Show how fast each service uses up its error budget.
+    Burn(BurnArgs),
+}
+
+/// Arguments of `report burn`.
+#[derive(Debug, Args)]
+pub struct BurnArgs {
+    /// The file that `report sample` wrote.
+    #[arg(long)]
+    pub samples: PathBuf,
+    /// Share of calls that must end well.
+    #[arg(long, default_value_t = 0.999)]
+    pub objective: f64,
+    /// The short window, in seconds.
+    #[arg(long, default_value_t = 300)]
+    pub short: u64,
+    /// The long window, in seconds.
+    #[arg(long, default_value_t = 3_600)]
+    pub long: u64,
+    /// Also draw the burn rates over time into this SVG file.
+    #[arg(long)]
+    pub svg: Option<PathBuf>,
 }
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod edit;
 mod publish;
 mod remove;
+mod report;
 mod set;
 mod show;
 mod status;
@@ -41,5 +42,6 @@
         }
         Command::Withdraw { expect } => withdraw::run(&platform, expect).await,
         Command::Status => status::run(&platform).await,
+        Command::Report { report } => report::run(report).await,
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cmd;
 pub mod error;
 pub mod fleet;
+pub mod report;
 pub mod store;
 
 pub use cli::Cli;
