Capacity benchmark; bases for deltas kept encoded, one route table, not two

Ruled out: keeping fewer bases (peers a few versions behind in a storm of changes would get whole versions: 688 KB instead of some 40 bytes each).

Change: bases are kept encoded and decoded on use; the proxy shares the reducer's table. benches/capacity.rs measures what docs/CAPACITY.md is worked out from. Besides, as reading: control/zone.rs (771 lines) is split into zone, lease and uplink, standin/mesh.rs into mesh and process; no behaviour changed.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,12 +3,15 @@
 //! the shell to carry out. Nothing here does I/O or reads a clock.
 //!
 //! [`version`] decides what is in force, [`directory`] what targets there are,
-//! [`zone`] who relays in this availability zone, [`peers`] what a relay sends.
+//! [`zone`] who relays in this availability zone (by its [`lease`]), [`uplink`]
+//! follows the relay, [`peers`] is the relay's side.
 
 mod change;
 mod directory;
+mod lease;
 mod peers;
 mod settings;
+mod uplink;
 mod version;
 mod zone;
 
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -8,7 +8,7 @@
 use filbert_platform::ZoneDigest;
 use filbert_tree::TreeDelta;
 
-use super::zone::LINK_SILENCE;
+use super::uplink::LINK_SILENCE;
 use super::{ControlEffect, ControlState, ZoneRole};
 use crate::messages::{
     PeerHello, PeerMessage, RelayMessage, RelayWelcome, TargetChange, VersionUpdate, ZoneShape,
--- a/crates/daemon/src/control/version.rs
+++ b/crates/daemon/src/control/version.rs
@@ -22,6 +22,14 @@
     since: Instant,
 }
 
+/// An older version kept as a base for deltas. Kept encoded: a decoded tree
+/// takes some twenty times the memory, and most bases are never used.
+#[derive(Debug)]
+struct KeptBase {
+    number: u64,
+    bytes: Vec<u8>,
+}
+
 /// The versions this daemon knows.
 #[derive(Debug, Default)]
 pub(super) struct VersionState {
@@ -41,7 +49,7 @@
     /// Set when steps from the platform did not fit; the next fetch is whole.
     delta_misfit: bool,
     in_force: Arc<RouteTable>,
-    bases: VecDeque<Arc<VersionRecord>>,
+    bases: VecDeque<KeptBase>,
     staged: Option<StagedVersion>,
 }
 
@@ -51,9 +59,15 @@
         self.newest.as_ref().map_or(0, |record| record.number)
     }
 
+    /// Whether version `number` is kept as a base for a delta.
+    fn has_base(&self, number: u64) -> bool {
+        self.bases.iter().any(|base| base.number == number)
+    }
+
     /// The kept version `number`, as a base for a delta.
-    pub(super) fn base(&self, number: u64) -> Option<&Arc<VersionRecord>> {
-        self.bases.iter().find(|record| record.number == number)
+    pub(super) fn base(&self, number: u64) -> Option<VersionRecord> {
+        let base = self.bases.iter().find(|base| base.number == number)?;
+        VersionCodec::decode(&base.bytes).ok()
     }
 
     /// The version that waits for targets, if any.
@@ -68,8 +82,11 @@
         self.delta_misfit = true;
     }
 
-    fn keep_base(&mut self, record: &Arc<VersionRecord>) {
-        self.bases.push_back(Arc::clone(record));
+    fn keep_base(&mut self, record: &VersionRecord) {
+        self.bases.push_back(KeptBase {
+            number: record.number,
+            bytes: VersionCodec::encode(record),
+        });
         while self.bases.len() > BASES_KEPT {
             self.bases.pop_front();
         }
@@ -118,7 +135,7 @@
             self.versions.fetching = Some(number);
             let usable = delta
                 .filter(|_| !self.versions.delta_misfit)
-                .filter(|pointer| self.versions.base(pointer.base).is_some());
+                .filter(|pointer| self.versions.has_base(pointer.base));
             effects.push(match usable {
                 Some(pointer) => ControlEffect::FetchDelta { number, pointer },
                 None => ControlEffect::FetchVersion { number, object },
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -68,7 +68,7 @@
     /// Its number (0 before the first).
     pub number: u64,
     /// Its compiled routes.
-    pub table: RouteTable,
+    pub table: Arc<RouteTable>,
 }
 
 /// What the proxy shares with the control loop.
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -75,7 +75,6 @@
             }
             ControlEffect::ReadTargets => self.calls.read_targets(),
             ControlEffect::Apply { number, table } => {
-                let table = Arc::unwrap_or_clone(table);
                 self.proxy
                     .config
                     .store(Arc::new(AppliedConfig { number, table }));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod pipe;
 pub mod platform;
 pub mod ports;
+pub mod process;
 pub mod target;
 pub mod trees;
+pub mod usage;
 
 /// Keeps rocket's request lines out of a process that hosts stand-ins: a
 /// logger that passes only errors is set first, so rocket does not set its
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -193,7 +193,10 @@
     ) -> TargetReply {
         self.served.fetch_add(1, Ordering::SeqCst);
         self.in_flight.fetch_add(1, Ordering::SeqCst);
-        tokio::time::sleep(self.delay + Duration::from_millis(headers.delay_ms)).await;
+        let delay = self.delay + Duration::from_millis(headers.delay_ms);
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
         if self.mode() == TargetMode::Mute {
             tokio::time::sleep(MUTE_TIME).await;
         }
