Peers of a lost relay ask their successors before they ask the platform

Ruled out: a longer spread window (it would also slow a zone whose successors are gone too).

Change: after a lost link the first lease read waits for the same head start (1 s) as the first read of `current`.

--- a/crates/daemon/src/control/uplink.rs
+++ b/crates/daemon/src/control/uplink.rs
@@ -271,7 +271,9 @@
         self.start_seeking();
         let window = spread_window(&self.settings, self.zone.shape.size);
         let start = self.at.now + window.mul_f64(self.rng.random());
-        self.zone.next_lease_read = start;
+        // The successors are known here, so the platform is asked only by a
+        // daemon that does not find one of them within the head start.
+        self.zone.next_lease_read = start + RELAY_HEAD_START;
         self.zone.next_current_read = start + RELAY_HEAD_START;
         self.zone.candidates.clear();
         self.refill_candidates();
