A target read from rows no longer outlives its host

Cause: found reading the code as a newcomer. A daemon that fell back to the platform's target rows judges them as of their last scan; once it has a relay again, or becomes it, it scans no more, so a row it had read stayed in its view for good: calls would go to a host that died long ago.

Ruled out: aging rows by the clock (loses live targets in a zone cut off from the platform, the case mended).

Change: a relay's full list replaces the rows; a daemon that starts to relay takes them over as targets of hosts not linked, which expire; a scan that arrives once there is a relay is dropped.

Before: target_read_from_rows_does_not_outlive_its_host red in its three cases (target still shown after 9 s). After: green, with the rest of control_cases and zone_history (28 tests).

--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -7,8 +7,9 @@
 
 use filbert_platform::{TargetAnnouncement, TargetRecord};
 
-use super::{duration_ms, ControlEffect, ControlState, StateChange};
+use super::{duration_ms, ControlEffect, ControlState, StateChange, ZoneRole};
 use crate::messages::{PeerMessage, TargetChange};
+use crate::settings::DistributionMode;
 use crate::targets::ZoneTargets;
 
 /// A target on this host, as last announced.
@@ -61,11 +62,27 @@
             .collect()
     }
 
+    /// Takes the targets read from rows into the zone map, where they expire
+    /// like those of any host that is not linked.
+    ///
+    /// Guards against a target that is gone staying in view for good (seen as
+    /// calls that go to it and fail): rows are judged as of their last scan,
+    /// and a daemon that has a relay again, or is one, scans them no more.
+    pub(super) fn adopt_rows(&mut self, own: &str) {
+        for record in std::mem::take(&mut self.direct) {
+            let known = self.zone.contains_key(&record.address);
+            if record.daemon != own && !known {
+                self.zone.insert(record.address.clone(), record);
+            }
+        }
+    }
+
     /// Takes a change of other hosts' targets into the zone map. `own` is this
     /// daemon's id, whose targets it knows better itself.
     pub(super) fn absorb(&mut self, change: &TargetChange, own: &str) {
         if change.reset {
             self.zone.clear();
+            self.direct.clear();
         }
         for address in &change.removed {
             self.zone.remove(address);
@@ -181,6 +198,13 @@
     ) {
         self.reading_targets = false;
         self.platform_answered(effects);
+        // A scan that arrives once there is a relay is not repeated, so what
+        // it shows would never age.
+        let scans =
+            self.settings.mode == DistributionMode::Direct || self.zone.role == ZoneRole::Seeking;
+        if !scans {
+            return;
+        }
         self.directory.direct = records;
         self.directory.direct_read_at_ms = self.at.wall_ms();
         self.show_targets(effects);
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -240,6 +240,7 @@
     /// relay have the target expiry to link here before their targets are
     /// dropped, so that no live target is lost in the change.
     pub(super) fn seed_owners(&mut self) {
+        self.directory.adopt_rows(&self.settings.id);
         for record in self.directory.zone.values() {
             self.peers
                 .unlinked
--- a/crates/daemon/tests/control_cases.rs
+++ b/crates/daemon/tests/control_cases.rs
@@ -6,27 +6,33 @@
 
 use filbert_daemon::clock::{Clock, ClockReading, SystemClock};
 use filbert_daemon::control::{
-    ControlEffect, ControlEvent, ControlSettings, ControlState, PlatformStep, StateChange,
+    ControlEffect, ControlEvent, ControlSettings, ControlState, LeaseRow, PlatformStep,
+    StateChange, ZoneRole,
 };
+use filbert_daemon::messages::{RelayMessage, RelayWelcome, TargetChange, ZoneShape};
 use filbert_daemon::settings::DistributionMode;
-use filbert_platform::TargetAnnouncement;
+use filbert_platform::{LeaseRecord, TargetAnnouncement, TargetRecord};
 use filbert_tree::{BranchPath, SettingsTree, VersionRecord};
 use proptest::prelude::*;
 use rstest::rstest;
 
 const COOP: &str = include_str!("../../../examples/coop.toml");
 
-/// A reducer in direct mode with a clock the test moves.
+/// A reducer with a clock the test moves.
 struct TestDaemon {
     control: ControlState,
     start: ClockReading,
 }
 
 impl TestDaemon {
+    /// One in direct mode.
     fn new() -> TestDaemon {
+        TestDaemon::in_mode(DistributionMode::Direct)
+    }
+
+    fn in_mode(mode: DistributionMode) -> TestDaemon {
         let start = SystemClock.reading();
-        let settings =
-            ControlSettings::new("a1", "zone-a", "127.0.0.1:1").mode(DistributionMode::Direct);
+        let settings = ControlSettings::new("a1", "zone-a", "127.0.0.1:1").mode(mode);
         TestDaemon {
             control: ControlState::new(settings, start),
             start,
@@ -273,6 +279,108 @@
     assert_eq!(daemon.control.view().targets.get("quoting"), None);
 }
 
+/// How a daemon that fell back to rows gets a relay again.
+#[derive(Clone, Copy, Debug)]
+enum RelayAgain {
+    /// It links to one, which knows no targets.
+    Joins,
+    /// It takes the lease itself.
+    Leads,
+    /// It links to one before the rows it asked for arrive.
+    JoinsBeforeTheRead,
+}
+
+#[rstest]
+#[case::joins(RelayAgain::Joins)]
+#[case::leads(RelayAgain::Leads)]
+#[case::joins_before_the_read(RelayAgain::JoinsBeforeTheRead)]
+fn target_read_from_rows_does_not_outlive_its_host(#[case] again: RelayAgain) {
+    // A daemon without a relay reads another host's target from its row. It
+    // then has a relay again, or becomes it, and the other host has died
+    // meanwhile. The target must leave its view within the expiry, rather
+    // than get calls for good.
+    let mut daemon = TestDaemon::in_mode(DistributionMode::Relay);
+    daemon.step(ControlEvent::Tick);
+    let other = TargetRecord {
+        service: "quoting".to_owned(),
+        address: "127.0.0.1:9001".to_owned(),
+        zone: "zone-a".to_owned(),
+        daemon: "a2".to_owned(),
+        load: 0,
+        leaving: false,
+        heard_at_ms: u64::MAX,
+    };
+    let read = ControlEvent::TargetsRead {
+        records: vec![other],
+    };
+    if let RelayAgain::JoinsBeforeTheRead = again {
+        join_a_relay(&mut daemon, 4_000);
+        daemon.step_at(4_100, read);
+    } else {
+        daemon.step_at(4_000, read);
+        assert_eq!(daemon.control.view().targets.get("quoting"), Some(&1));
+    }
+    match again {
+        RelayAgain::Joins => join_a_relay(&mut daemon, 4_100),
+        RelayAgain::Leads => take_the_lease(&mut daemon, 4_100),
+        RelayAgain::JoinsBeforeTheRead => {}
+    }
+    for now in (4_200..9_000).step_by(100) {
+        daemon.step_at(now, ControlEvent::Tick);
+    }
+    assert_eq!(daemon.control.view().targets.get("quoting"), None);
+}
+
+fn lease_record(holder: &str, address: &str) -> LeaseRecord {
+    LeaseRecord {
+        holder: holder.to_owned(),
+        incarnation: 1,
+        token: 1,
+        address: address.to_owned(),
+        renewed_at_ms: 0,
+    }
+}
+
+fn join_a_relay(daemon: &mut TestDaemon, now: u64) {
+    let row = LeaseRow {
+        version: 1,
+        record: lease_record("a2", "127.0.0.1:2"),
+    };
+    let effects = daemon.step_at(now, ControlEvent::LeaseRead { row: Some(row) });
+    let link = effects.iter().find_map(|effect| match effect {
+        ControlEffect::Connect { link, .. } => Some(*link),
+        _ => None,
+    });
+    let link = link.expect("the daemon links to the holder");
+    let welcome = RelayMessage::Welcome(RelayWelcome {
+        token: 1,
+        floor: 0,
+        platform_reachable: true,
+        zone: ZoneShape::default(),
+    });
+    let targets = RelayMessage::Targets(TargetChange {
+        reset: true,
+        ..TargetChange::default()
+    });
+    for message in [welcome, targets] {
+        daemon.step_at(now, ControlEvent::RelaySaid { link, message });
+    }
+}
+
+fn take_the_lease(daemon: &mut TestDaemon, now: u64) {
+    let effects = daemon.step_at(now, ControlEvent::LeaseRead { row: None });
+    let record = effects.into_iter().find_map(|effect| match effect {
+        ControlEffect::WriteLease { record, .. } => Some(record),
+        _ => None,
+    });
+    let row = LeaseRow {
+        version: 1,
+        record: record.expect("the daemon takes the free lease"),
+    };
+    daemon.step_at(now, ControlEvent::LeaseWritten { row });
+    assert_eq!(daemon.control.role(), ZoneRole::Leader);
+}
+
 proptest! {
     /// History check over generated schedules: any order of arrivals of
     /// valid and invalid versions, interleaved with outages. The sequence of
