--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -11,9 +11,9 @@
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
 use filbert_standin::process::DaemonProcess;
 use filbert_standin::target::{ExecutionLog, TargetHandle, TargetSpec};
-use filbert_standin::trees::TreeShape;
+use filbert_standin::trees::{with_small_edit, TreeShape};
 use filbert_standin::usage::ProcessUsage;
-use filbert_tree::{BranchPath, SettingsTree, VersionCodec};
+use filbert_tree::{SettingsTree, TreeDelta, VersionCodec};
 use hdrhistogram::Histogram;
 
 const DAEMON_EXE: &str = env!("CARGO_BIN_EXE_filbertd");
@@ -78,14 +78,6 @@
     panic!("the zone has no relay");
 }
 
-fn edited(tree: &SettingsTree, change: u64) -> SettingsTree {
-    let mut tree = tree.clone();
-    let branch = BranchPath::parse("site/m0/s1/r2").expect("a branch");
-    tree.set(&branch, "timeout_ms", &(1_000 + change).to_string())
-        .expect("an edit");
-    tree
-}
-
 #[allow(clippy::cast_precision_loss)]
 fn per_second(amount: u64, window: Duration) -> f64 {
     amount as f64 / window.as_secs_f64()
@@ -114,7 +106,7 @@
         let before = usage(&mesh.daemons[0]);
         let mut base = tree.clone();
         for change in 0..CHANGES {
-            let next = edited(&tree, change);
+            let next = with_small_edit(&tree, change);
             mesh.publish(change + 2, &next, Some(&base)).await;
             settle(&mesh, change + 2).await;
             base = next;
@@ -124,11 +116,7 @@
         let spent = spent(before, after).as_millis();
         println!(
             "{routes:>6}  {:>11}  {:>12}  {:>17}  {:>19}",
-            VersionCodec::encode_delta(&filbert_tree::TreeDelta::between(
-                &SettingsTree::default(),
-                &tree
-            ))
-            .len(),
+            VersionCodec::encode_delta(&TreeDelta::between(&SettingsTree::default(), &tree)).len(),
             after.resident_kib,
             after.resident_kib.saturating_sub(floor),
             spent / u128::from(CHANGES),
@@ -155,7 +143,7 @@
         let idle_platform = mesh.platform.store.stats();
         let mut base = tree.clone();
         for change in 0..CHANGES {
-            let next = edited(&tree, change);
+            let next = with_small_edit(&tree, change);
             mesh.publish(change + 2, &next, Some(&base)).await;
             base = next;
             tokio::time::sleep(WINDOW / u32::try_from(CHANGES).unwrap_or(1)).await;
--- a/benches/convergence.rs
+++ b/benches/convergence.rs
@@ -11,8 +11,8 @@
 use filbert_platform::PlatformStats;
 use filbert_standin::history::{applied_history, AppliedRecord};
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
-use filbert_standin::trees::TreeShape;
-use filbert_tree::{BranchPath, SettingsTree, TreeDelta};
+use filbert_standin::trees::{with_small_edit, TreeShape};
+use filbert_tree::TreeDelta;
 use hdrhistogram::Histogram;
 
 const DAEMON_EXE: &str = env!("CARGO_BIN_EXE_filbertd");
@@ -71,14 +71,6 @@
     sum
 }
 
-fn edited(tree: &SettingsTree, change: u64) -> SettingsTree {
-    let mut tree = tree.clone();
-    let branch = BranchPath::parse("site/m7/s1/r2").expect("a branch");
-    tree.set(&branch, "timeout_ms", &(1_000 + change).to_string())
-        .expect("an edit");
-    tree
-}
-
 #[allow(clippy::cast_precision_loss)]
 async fn run(daemons: usize, mode: DistributionMode) -> RunFigures {
     let spec = MeshSpec::new(Path::new(DAEMON_EXE), &["s0", "s1", "s2"])
@@ -100,7 +92,7 @@
     let mut accepts = Vec::new();
     let mut in_force = tree.clone();
     for change in 0..CHANGES {
-        let next = edited(&tree, change);
+        let next = with_small_edit(&tree, change);
         // The baseline reads whole versions: no steps are stored for it.
         let base = (mode == DistributionMode::Relay).then_some(&in_force);
         let accepted = mesh.publish(change + 2, &next, base).await;
@@ -160,7 +152,7 @@
         .build()
         .expect("runtime");
     let tree = SHAPE.build();
-    let edit = TreeDelta::between(&edited(&tree, 0), &edited(&tree, 1));
+    let edit = TreeDelta::between(&with_small_edit(&tree, 0), &with_small_edit(&tree, 1));
     let edit_bytes = filbert_daemon::messages::encode_frame(&edit).len();
     println!(
         "tree of {} routes, {} bytes whole, {edit_bytes} bytes the delta; poll {} ms; {CHANGES} changes",
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -168,13 +168,7 @@
     /// # Errors
     /// [`PlatformError`] when the platform cannot be reached or answers badly.
     pub async fn get_object(&self, key: &str) -> PlatformResult<Option<Vec<u8>>> {
-        let url = format!("{}/object/{key}", self.base);
-        let reply = self
-            .http
-            .get(url)
-            .send()
-            .await
-            .change_context(PlatformError::Unreachable)?;
+        let reply = self.fetch(&format!("/object/{key}")).await?;
         match reply.status() {
             StatusCode::NOT_FOUND => Ok(None),
             status if status.is_success() => {
@@ -206,14 +200,17 @@
     /// # Errors
     /// [`PlatformError`] when the stand-in cannot be reached.
     pub async fn stats(&self) -> PlatformResult<PlatformStats> {
-        let url = format!("{}/_stats", self.base);
-        let reply = self
-            .http
-            .get(url)
+        let reply = self.fetch("/_stats").await?;
+        decode(reply).await
+    }
+
+    async fn fetch(&self, path: &str) -> PlatformResult<reqwest::Response> {
+        self.http
+            .get(format!("{}{path}", self.base))
             .send()
             .await
-            .change_context(PlatformError::Unreachable)?;
-        decode(reply).await
+            .change_context(PlatformError::Unreachable)
+            .attach(format!("GET {path}"))
     }
 
     async fn post<B: serde::Serialize>(
--- a/crates/standin/src/trees.rs
+++ b/crates/standin/src/trees.rs
@@ -47,3 +47,21 @@
         tree
     }
 }
+
+/// `tree`, as [`TreeShape::build`] makes it, with one key of one route set to
+/// a value of this change's own: the small edit that benchmarks accept.
+///
+/// # Panics
+/// When the tree has no route `site/m0/s1/r2`.
+#[must_use]
+pub fn with_small_edit(tree: &SettingsTree, change: u64) -> SettingsTree {
+    let mut tree = tree.clone();
+    let branch = BranchPath::Route {
+        member: "m0".to_owned(),
+        service: "s1".to_owned(),
+        route: "r2".to_owned(),
+    };
+    tree.set(&branch, "timeout_ms", &(1_000 + change).to_string())
+        .expect("the route exists");
+    tree
+}
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -2,14 +2,15 @@
 //! in this process, every daemon a `filbertd` process, every operator step a
 //! `filbertctl` process.
 
+mod support;
+
 use std::path::Path;
 use std::process::Command;
 use std::time::Duration;
 
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
+use support::{get, CTL_EXE, DAEMON_EXE};
 
-const DAEMON_EXE: &str = env!("CARGO_BIN_EXE_filbertd");
-const CTL_EXE: &str = env!("CARGO_BIN_EXE_filbertctl");
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(10);
 
 /// Runs `filbertctl` against the mesh and returns its exit code and output.
@@ -36,21 +37,12 @@
         .into_owned()
 }
 
-async fn call(daemon_url: &str, member: &str, path: &str) -> reqwest::Response {
-    reqwest::Client::new()
-        .get(format!("{daemon_url}{path}"))
-        .header("x-filbert-member", member)
-        .send()
-        .await
-        .expect("the proxy answers")
-}
-
 /// Calls through every daemon of both zones reach a target of the right
 /// service in the daemon's own zone, each caller gets its own answer, and one
 /// member never reaches another member's routes.
 async fn calls_stay_in_their_zone_and_member(mesh: &LocalMesh) {
     for (index, daemon) in mesh.daemons.iter().enumerate() {
-        let reply = call(
+        let reply = get(
             &daemon.proxy_url,
             "north-signs",
             &format!("/quotes/{index}"),
@@ -76,7 +68,7 @@
     }
 
     // One member never reaches another member's routes.
-    let reply = call(&mesh.daemons[0].proxy_url, "harbour-signs", "/stock/7").await;
+    let reply = get(&mesh.daemons[0].proxy_url, "harbour-signs", "/stock/7").await;
     assert_eq!(reply.status(), 404);
 }
 
