Burn report tested end to end against running daemons

Cause: the report was tested on recorded counters only; whether the names it looks for are the ones `/metrics` gives was not.

Ten quotes, two failed at their target: the report shows 10 calls, 2 bad, a burn rate of 20.00 at a 99% objective, and writes the plot.

--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
+use filbert_standin::target::TargetMode;
 use support::{get, CTL_EXE, DAEMON_EXE};
 
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(10);
@@ -163,6 +164,67 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn burn_report_counts_the_calls_of_running_daemons() {
+    // An operator samples the daemons' counters before and after ten quotes,
+    // two of which failed at their target, and reads the report: a fifth of
+    // the calls is 20 times the budget of a 99% objective.
+    let mesh = support::mesh_in_force(support::spec(&["quoting"]).zones(&["zone-a"])).await;
+    let samples = mesh.dir.join("calls.jsonl").to_string_lossy().into_owned();
+    let plot = mesh.dir.join("burn.svg");
+    let urls: Vec<&str> = mesh
+        .daemons
+        .iter()
+        .map(|daemon| daemon.admin_url.as_str())
+        .collect();
+    let mut sample = vec!["report", "sample", "--out", &samples];
+    for url in urls {
+        sample.extend(["--daemon", url]);
+    }
+    let proxy = &mesh.daemons[0].proxy_url;
+    get(proxy, "north-signs", "/quotes/before").await;
+    let (code, text) = ctl(&mesh, &sample);
+    assert_eq!((code, text.trim()), (0, "2 of 2 daemons sampled"));
+    // Samples are a second apart at least: their times are whole seconds.
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    for call in 0..10 {
+        let mode = if call < 2 {
+            TargetMode::Failing
+        } else {
+            TargetMode::Normal
+        };
+        for target in &mesh.targets {
+            target.set_mode(mode);
+        }
+        get(proxy, "north-signs", &format!("/quotes/{call}")).await;
+    }
+    assert_eq!(ctl(&mesh, &sample).0, 0);
+    let svg = plot.to_string_lossy().into_owned();
+    let burn = [
+        "report",
+        "burn",
+        "--samples",
+        &samples,
+        "--objective",
+        "0.99",
+        "--svg",
+        &svg,
+    ];
+    let (code, text) = ctl(&mesh, &burn);
+    assert_eq!(code, 0, "{text}");
+    let row: Vec<&str> = text
+        .lines()
+        .find(|line| line.starts_with("quoting"))
+        .expect("a row for quoting")
+        .split_whitespace()
+        .collect();
+    assert_eq!(row, ["quoting", "10", "2", "20.00", "20.00"], "{text}");
+    assert!(plot.exists());
+    let (code, text) = ctl(&mesh, &["report", "burn", "--samples", "/nowhere.jsonl"]);
+    assert_eq!(code, 2, "{text}");
+    assert!(text.contains("/nowhere.jsonl"), "{text}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invalid_edit_is_refused_with_its_reason_and_nothing_changes() {
     // An operator points a route at a service its member lacks. filbertctl
