Calls go to the less loaded of two targets drawn at random

Cause: the new test of an address taken over by another service never saw a call sent there. The proxy took the least loaded of all targets and, among equals, the first by address: with calls one at a time, every call of every proxy of a zone went to one target, and reported loads lag too far behind to correct it.

Ruled out: a random choice among the equally loaded only (reports lag, so all proxies would still pick the one that last looked idle).

Change: two targets drawn at random from those with a free slot that are not passed over; the less loaded gets the call.

--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_platform::TargetRecord;
+use rand::seq::IndexedRandom;
 
 /// Failures in a row after which a target gets no calls for a while.
 const FAILURES_TO_EJECT: u32 = 3;
@@ -16,6 +17,8 @@
 const SHED_PAUSE: Duration = Duration::from_secs(1);
 /// Longest ejection.
 const LONGEST_EJECTION: Duration = Duration::from_secs(30);
+/// Targets drawn at random for each call, of which the less loaded gets it.
+const TARGETS_COMPARED: usize = 2;
 /// How long a reported load counts; after that it says nothing.
 const LOAD_LIFETIME: Duration = Duration::from_secs(5);
 /// How long a target that just appeared counts as cold.
@@ -180,13 +183,18 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Picks the least loaded target with a free slot and takes the slot.
+    /// Picks the less loaded of two targets with a free slot, drawn at random,
+    /// and takes the slot.
     ///
     /// Guards against a target whose health or load report lies (seen as
     /// calls that fail on it again and again while it looks idle): one that
     /// failed several calls in a row is passed over for a while, whatever it
     /// reports. When that would leave none, ejections are ignored, since
     /// then the fault more likely lies elsewhere.
+    ///
+    /// Guards against many proxies sending to the one target that all take
+    /// for the least loaded (seen as one target full and the others idle):
+    /// reports lag, so each proxy draws two and compares only those.
     #[must_use]
     pub fn acquire(
         board: &Arc<TargetBoard>,
@@ -194,23 +202,33 @@
         now: Instant,
     ) -> Option<SlotGuard> {
         let mut entries = board.lock();
-        let mut open = Vec::new();
+        let mut sound = Vec::new();
+        let mut ejected = Vec::new();
         for record in choice.targets.serving(choice.service) {
             let entry = entries
                 .entry(record.address.clone())
                 .or_insert_with(|| TargetEntry::new(now));
-            if entry.held < choice.slots && !choice.tried.contains(&record.address) {
-                let load = entry.expected_load(record, now);
-                open.push((entry.is_ejected(now), load, &record.address));
+            if entry.held >= choice.slots || choice.tried.contains(&record.address) {
+                continue;
+            }
+            let load = entry.expected_load(record, now);
+            if entry.is_ejected(now) {
+                ejected.push((load, &record.address));
+            } else {
+                sound.push((load, &record.address));
             }
         }
-        let (_, _, address) = open.into_iter().min()?;
-        if let Some(entry) = entries.get_mut(address) {
+        let open = if sound.is_empty() { ejected } else { sound };
+        let (_, address) = open
+            .choose_multiple(&mut rand::rng(), TARGETS_COMPARED)
+            .min_by_key(|(load, _)| *load)?;
+        let address = (*address).clone();
+        if let Some(entry) = entries.get_mut(&address) {
             entry.held += 1;
         }
         Some(SlotGuard {
             board: Arc::clone(board),
-            address: address.clone(),
+            address,
         })
     }
 
--- a/crates/daemon/tests/call_cases.rs
+++ b/crates/daemon/tests/call_cases.rs
@@ -142,6 +142,57 @@
     assert_eq!(chosen.as_ref().map(SlotGuard::address), case.chosen);
 }
 
+#[test]
+fn target_that_just_appeared_is_spared_for_a_while() {
+    // A cold target joins beside a warm one that runs two calls. It must not
+    // get the next call just because it is idle; a few seconds later it must.
+    let warm = target("warm", 2, false);
+    let cold = target("cold", 0, false);
+    let board = Arc::new(TargetBoard::default());
+    let start = Instant::now();
+    let chosen = |records: &[TargetRecord], now| {
+        let targets = ZoneTargets::from_records(records);
+        let choice = TargetChoice {
+            targets: &targets,
+            service: "quoting",
+            slots: 9,
+            tried: &[],
+        };
+        let slot = TargetBoard::acquire(&board, choice, now).expect("a target");
+        slot.address().to_owned()
+    };
+    let both = [warm.clone(), cold];
+    assert_eq!(chosen(&[warm], start), "warm");
+    let joined = start + Duration::from_secs(301);
+    assert_eq!(chosen(&both, joined), "warm");
+    assert_eq!(chosen(&both, joined + Duration::from_secs(4)), "cold");
+}
+
+#[test]
+fn idle_targets_share_the_calls() {
+    // Lookups come one at a time to a service with five idle targets. Each
+    // target must get its part; before, the first by address got them all,
+    // from every proxy of the zone.
+    let names = ["a", "b", "c", "d", "e"];
+    let records: Vec<TargetRecord> = names.iter().map(|name| target(name, 0, false)).collect();
+    let targets = ZoneTargets::from_records(&records);
+    let board = Arc::new(TargetBoard::default());
+    let choice = TargetChoice {
+        targets: &targets,
+        service: "quoting",
+        slots: 9,
+        tried: &[],
+    };
+    let mut calls = std::collections::BTreeMap::new();
+    for _ in 0..1_000 {
+        let slot = TargetBoard::acquire(&board, choice, Instant::now()).expect("a target");
+        *calls.entry(slot.address().to_owned()).or_insert(0) += 1;
+    }
+    // 200 each on average; 100 is more than seven deviations off.
+    assert_eq!(calls.len(), names.len(), "{calls:?}");
+    assert!(calls.values().all(|count| *count > 100), "{calls:?}");
+}
+
 #[test]
 fn slots_of_a_target_are_a_hard_limit() {
     let records = [target("a", 0, false)];
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -118,6 +118,7 @@
     mode: Mutex<TargetMode>,
     in_flight: AtomicU32,
     served: AtomicU32,
+    declined: AtomicU32,
     log: Arc<ExecutionLog>,
 }
 
@@ -170,6 +171,7 @@
         self.log.note_reached(headers.request_id.as_ref());
         let meant = headers.service.as_ref();
         if meant.is_some_and(|service| *service != self.service) {
+            self.declined.fetch_add(1, Ordering::SeqCst);
             let status = Status::new(421);
             return Some(TargetReply::Misdirected((
                 status,
@@ -315,6 +317,7 @@
             mode: Mutex::new(TargetMode::Normal),
             in_flight: AtomicU32::new(0),
             served: AtomicU32::new(0),
+            declined: AtomicU32::new(0),
             log,
         });
         let ignited = rocket::custom(crate::platform::quiet_config(port))
@@ -362,6 +365,12 @@
         self.state.served.load(Ordering::SeqCst)
     }
 
+    /// Calls meant for another service that it has declined so far.
+    #[must_use]
+    pub fn declined(&self) -> u32 {
+        self.state.declined.load(Ordering::SeqCst)
+    }
+
     /// Announces that it is leaving; it keeps serving calls already sent.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use filbert_standin::mesh::MeshSpec;
-use filbert_standin::target::{TargetHandle, TargetMode, TargetSpec};
+use filbert_standin::target::{ExecutionRecord, TargetHandle, TargetMode, TargetSpec};
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use support::{get, leader_of, mesh_in_force, spec, DAEMON_EXE, SETTLE_WITHIN};
@@ -184,6 +184,52 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn address_taken_over_by_another_service_runs_no_call_of_the_first() {
+    // A quoting server ends and its address goes to an artwork server before
+    // the daemon has heard of it. Quotes and orders that the daemon still
+    // sends there must not run there: they go to another quoting target.
+    let mesh = mesh_in_force(spec(&["quoting", "artwork"]).zones(&["zone-a"])).await;
+    let daemon = &mesh.daemons[0];
+    let artwork = mesh
+        .targets
+        .iter()
+        .rfind(|target| target.service() == "artwork")
+        .expect("an artwork target");
+    let stale = serde_json::json!({
+        "service": "quoting", "address": artwork.address, "load": 0, "leaving": false,
+    });
+    let http = reqwest::Client::new();
+    let mut call = 0;
+    while artwork.declined() < 3 && call < 60 {
+        call += 1;
+        let announced = http
+            .post(format!("{}/announce", daemon.admin_url))
+            .json(&stale)
+            .send()
+            .await
+            .expect("the daemon answers");
+        assert_eq!(announced.status(), 202);
+        let path = format!("/quotes/{call}");
+        let quote = get(&daemon.proxy_url, "north-signs", &path).await;
+        let quote: serde_json::Value = quote.json().await.expect("a whole answer");
+        assert_eq!(quote["service"], "quoting");
+        let order = http
+            .post(format!("{}/orders", daemon.proxy_url))
+            .header("x-filbert-member", "harbour-signs")
+            .body(format!("order {call}"))
+            .send()
+            .await
+            .expect("the proxy answers");
+        // Orders have no retries in the example tree: declined is not run.
+        let ran = order.status() == 200;
+        assert!(ran || order.headers()["x-filbert-outcome"] == "not-run");
+    }
+    let ran_there = |record: &&ExecutionRecord| record.target == artwork.address;
+    assert_eq!(mesh.executions.records().iter().find(ran_there), None);
+    assert!(artwork.declined() > 0, "no call was sent there");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn rolling_restart_cuts_no_request() {
     // An operator restarts every daemon in turn (SIGTERM) while callers keep
