A new relay reads versions at once, not after the head start it gave others

A daemon without a relay leaves a relay a second's head start before it reads `current` itself; when it became the relay, that time stood, so the zone waited it out. The same second was lost after every takeover.

Change: taking the lease, or starting to act without one, sets the next read to now.

--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -204,7 +204,8 @@
             change: StateChange::LeaseTaken { token },
         });
         self.tell_platform_state(effects);
-        self.read_current(effects);
+        self.zone.next_current_read = self.at.now;
+        self.read_current_paced(self.settings.poll, effects);
         self.check_lease(effects);
     }
 
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -210,6 +210,7 @@
         self.zone.role = ZoneRole::Acting;
         self.zone.fell_back = false;
         self.zone.next_lease_read = self.at.now;
+        self.zone.next_current_read = self.at.now;
         self.seed_owners();
         effects.push(ControlEffect::Note {
             change: StateChange::RelayActing,
--- a/crates/daemon/tests/control_cases.rs
+++ b/crates/daemon/tests/control_cases.rs
@@ -331,6 +331,25 @@
     assert_eq!(daemon.control.view().targets.get("quoting"), None);
 }
 
+#[test]
+fn new_relay_reads_versions_at_its_poll_interval_at_once() {
+    // A daemon has just taken its zone's lease, and an operator accepts a
+    // change a moment later. The zone must not wait out the head start that
+    // the daemon gave a relay while it had none.
+    let mut daemon = TestDaemon::in_mode(DistributionMode::Relay);
+    daemon.step(ControlEvent::Tick);
+    take_the_lease(&mut daemon, 100);
+    let read = ControlEvent::CurrentRead {
+        number: 0,
+        object: String::new(),
+        delta: None,
+    };
+    daemon.step_at(110, read);
+    let reads = |effects: &[ControlEffect]| effects.contains(&ControlEffect::ReadCurrent);
+    assert!(!reads(&daemon.step_at(250, ControlEvent::Tick)));
+    assert!(reads(&daemon.step_at(310, ControlEvent::Tick)));
+}
+
 fn lease_record(holder: &str, address: &str) -> LeaseRecord {
     LeaseRecord {
         holder: holder.to_owned(),
