One place for counters, platform counts and a test's set-up; private again

Both benchmarks and the tests' support each read a daemon's counters themselves, both benchmarks subtracted the platform's counts, call_cases.rs spelled one set-up out four times, and the split of zone.rs had left functions visible outside their module.

No behaviour changed; the tests keep their assertions.

Ruled out here: the relay's whole versions are still encoded twice on arrival (once for their size, once as a base); left for a measured change.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbert_platform::PlatformStats;
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
 use filbert_standin::process::DaemonProcess;
 use filbert_standin::target::{ExecutionLog, TargetHandle, TargetSpec};
@@ -48,18 +47,8 @@
     ProcessUsage::read(pid).expect("the daemon runs")
 }
 
-async fn counter(daemon: &DaemonProcess, name: &str) -> u64 {
-    let metrics: serde_json::Value = reqwest::get(format!("{}/metrics", daemon.admin_url))
-        .await
-        .expect("metrics answer")
-        .json()
-        .await
-        .expect("metrics are JSON");
-    metrics[name].as_u64().unwrap_or(0)
-}
-
 async fn link_bytes(daemon: &DaemonProcess) -> u64 {
-    counter(daemon, "link_bytes_received").await + counter(daemon, "link_bytes_sent").await
+    daemon.counter("link_bytes_received").await + daemon.counter("link_bytes_sent").await
 }
 
 async fn settle(mesh: &LocalMesh, number: u64) {
@@ -71,7 +60,7 @@
 /// The place of the zone's relay and of one of its followers.
 async fn relay_and_follower(mesh: &LocalMesh) -> (usize, usize) {
     for (index, daemon) in mesh.daemons.iter().enumerate() {
-        if counter(daemon, "lease_changes").await > 0 {
+        if daemon.counter("lease_changes").await > 0 {
             return (index, (index + 1) % mesh.daemons.len());
         }
     }
@@ -164,8 +153,8 @@
             core_share(idle.follower, busy.follower, WINDOW),
             per_second(idle_follower, WINDOW),
             changed(end.follower_bytes - busy.follower_bytes, idle_follower),
-            per_second(reads(platform, idle_platform), WINDOW),
-            per_second(idle_platform.writes - platform.writes, WINDOW),
+            per_second(idle_platform.since(platform).all_reads(), WINDOW),
+            per_second(idle_platform.since(platform).writes, WINDOW),
         );
     }
 }
@@ -189,10 +178,6 @@
     }
 }
 
-fn reads(before: PlatformStats, after: PlatformStats) -> u64 {
-    after.reads + after.object_reads - before.reads - before.object_reads
-}
-
 /// Memory and bytes of a relay and of a follower, by targets in the zone.
 async fn target_table() {
     println!("\n[targets] one zone of 4 daemons; targets announce every 300 ms, loads still");
@@ -243,8 +228,8 @@
     let before = mesh.platform.store.stats();
     tokio::time::sleep(WINDOW).await;
     let idle = mesh.platform.store.stats();
-    let idle_reads = per_second(reads(before, idle), WINDOW);
-    let idle_writes = per_second(idle.writes - before.writes, WINDOW);
+    let idle_reads = per_second(idle.since(before).all_reads(), WINDOW);
+    let idle_writes = per_second(idle.since(before).writes, WINDOW);
     let (relay, follower) = relay_and_follower(&mesh).await;
     let herd: Vec<usize> = (0..mesh.daemons.len()).collect();
     let events: [(&str, Vec<usize>); 3] = [
@@ -270,8 +255,8 @@
         let beyond = |total: u64, idle: f64| (total as f64 - idle * window).max(0.0);
         println!(
             "{name:<17} {:>5.0}  {:>6.0}  {took:>17}",
-            beyond(reads(before, after), idle_reads),
-            beyond(after.writes - before.writes, idle_writes),
+            beyond(after.since(before).all_reads(), idle_reads),
+            beyond(after.since(before).writes, idle_writes),
         );
     }
 }
--- a/benches/convergence.rs
+++ b/benches/convergence.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use filbert_daemon::settings::DistributionMode;
-use filbert_platform::PlatformStats;
 use filbert_standin::history::{applied_history, AppliedRecord};
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
 use filbert_standin::trees::{with_small_edit, TreeShape};
@@ -44,29 +43,11 @@
     bytes_per_second: f64,
 }
 
-fn delta(before: PlatformStats, after: PlatformStats) -> PlatformStats {
-    PlatformStats {
-        reads: after.reads - before.reads,
-        writes: after.writes - before.writes,
-        object_reads: after.object_reads - before.object_reads,
-        bytes_out: after.bytes_out - before.bytes_out,
-    }
-}
-
 /// Sums a counter over every daemon.
 async fn total(mesh: &LocalMesh, counter: &str) -> u64 {
-    let http = reqwest::Client::new();
     let mut sum = 0;
     for daemon in &mesh.daemons {
-        let metrics: serde_json::Value = http
-            .get(format!("{}/metrics", daemon.admin_url))
-            .send()
-            .await
-            .expect("metrics answer")
-            .json()
-            .await
-            .expect("metrics are JSON");
-        sum += metrics[counter].as_u64().unwrap_or(0);
+        sum += daemon.counter(counter).await;
     }
     sum
 }
@@ -104,7 +85,7 @@
         .await
         .expect("every change in force");
     let elapsed = started.elapsed().unwrap_or_default().as_secs_f64();
-    let platform = delta(before, mesh.platform.store.stats());
+    let platform = mesh.platform.store.stats().since(before);
     let links = total(&mesh, "link_bytes_received").await - before_links;
     let version_bytes = total(&mesh, "control_bytes").await - before_version_bytes;
     let (each, everywhere) = convergence(&applied_history(&mesh), &accepts);
@@ -116,7 +97,7 @@
         everywhere,
         version_bytes: version_bytes as f64 / per_change / daemons as f64,
         object_reads: platform.object_reads as f64 / per_change,
-        reads_per_second: (platform.reads + platform.object_reads) as f64 / elapsed,
+        reads_per_second: platform.all_reads() as f64 / elapsed,
         writes_per_second: platform.writes as f64 / elapsed,
         bytes_per_second: (platform.bytes_out + links) as f64 / elapsed / daemons as f64,
     }
--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    pub(super) fn lose_lease(&mut self, effects: &mut Vec<ControlEffect>) {
+    fn lose_lease(&mut self, effects: &mut Vec<ControlEffect>) {
         let Some(held) = self.zone.held.take() else {
             return;
         };
@@ -98,7 +98,7 @@
         self.write_lease(expect, record, effects);
     }
 
-    pub(super) fn write_lease(
+    fn write_lease(
         &mut self,
         expect: RowExpect,
         record: LeaseRecord,
@@ -108,7 +108,7 @@
         effects.push(ControlEffect::WriteLease { expect, record });
     }
 
-    pub(super) fn take_lease(&mut self, row: Option<&LeaseRow>, effects: &mut Vec<ControlEffect>) {
+    fn take_lease(&mut self, row: Option<&LeaseRow>, effects: &mut Vec<ControlEffect>) {
         if self.zone.lease_call != LeaseCall::Idle || self.zone.stopping {
             return;
         }
@@ -168,12 +168,7 @@
         self.hold_lease(row, sent_at, effects);
     }
 
-    pub(super) fn hold_lease(
-        &mut self,
-        row: LeaseRow,
-        sent_at: Instant,
-        effects: &mut Vec<ControlEffect>,
-    ) {
+    fn hold_lease(&mut self, row: LeaseRow, sent_at: Instant, effects: &mut Vec<ControlEffect>) {
         let token = row.record.token;
         self.zone.held = Some(HeldLease {
             record: row.record,
@@ -209,7 +204,7 @@
         self.check_lease(effects);
     }
 
-    pub(super) fn is_own(&self, record: &LeaseRecord) -> bool {
+    fn is_own(&self, record: &LeaseRecord) -> bool {
         record.holder == self.settings.id
             && record.incarnation == self.settings.incarnation
             && !record.address.is_empty()
@@ -221,7 +216,7 @@
     /// clock: the row has not changed for a lease time since it was first
     /// seen so. The holder counts from before its write, so it always stops
     /// first, whatever either wall clock says.
-    pub(super) fn judge_lease(&mut self, row: Option<LeaseRow>, effects: &mut Vec<ControlEffect>) {
+    fn judge_lease(&mut self, row: Option<LeaseRow>, effects: &mut Vec<ControlEffect>) {
         let Some(row) = row else {
             self.take_lease(None, effects);
             return;
--- a/crates/daemon/src/control/uplink.rs
+++ b/crates/daemon/src/control/uplink.rs
@@ -28,7 +28,7 @@
 
 impl ControlState {
     /// A follower without its link is one no longer.
-    pub(super) fn start_seeking(&mut self) {
+    fn start_seeking(&mut self) {
         if self.zone.role == ZoneRole::Follower {
             self.zone.role = ZoneRole::Seeking;
             self.zone.without_relay_since = self.at.now;
@@ -146,7 +146,7 @@
         }
     }
 
-    pub(super) fn on_welcome(&mut self, welcome: RelayWelcome, effects: &mut Vec<ControlEffect>) {
+    fn on_welcome(&mut self, welcome: RelayWelcome, effects: &mut Vec<ControlEffect>) {
         let Some(link) = self.zone.link.as_mut() else {
             return;
         };
@@ -184,7 +184,7 @@
         }
     }
 
-    pub(super) fn on_refused(&mut self, relay: Option<String>, effects: &mut Vec<ControlEffect>) {
+    fn on_refused(&mut self, relay: Option<String>, effects: &mut Vec<ControlEffect>) {
         let Some(link) = self.zone.link.take() else {
             return;
         };
@@ -202,14 +202,14 @@
         self.retry_soon();
     }
 
-    /// After a refusal or a failed link: the same list again, up to the own
-    /// address, after a jittered pause.
-    pub(super) fn retry_soon(&mut self) {
+    /// After a refusal or a failed link, the next candidate is tried only
+    /// after a jittered pause.
+    fn retry_soon(&mut self) {
         let jitter = CANDIDATE_PAUSE.mul_f64(self.rng.random());
         self.zone.next_candidate = self.at.now + CANDIDATE_PAUSE + jitter;
     }
 
-    pub(super) fn on_relay_platform(&mut self, reachable: bool, effects: &mut Vec<ControlEffect>) {
+    fn on_relay_platform(&mut self, reachable: bool, effects: &mut Vec<ControlEffect>) {
         if self.zone.relay_reaches_platform == reachable {
             return;
         }
@@ -234,13 +234,13 @@
     }
 
     /// Asks for the newest version when a beat tells of one that did not come.
-    pub(super) fn on_relay_beat(&mut self, newest: u64, effects: &mut Vec<ControlEffect>) {
+    fn on_relay_beat(&mut self, newest: u64, effects: &mut Vec<ControlEffect>) {
         if newest > self.versions.newest_number() {
             self.send_up(PeerMessage::NeedWhole, effects);
         }
     }
 
-    pub(super) fn on_goodbye(&mut self, relay: Option<String>, effects: &mut Vec<ControlEffect>) {
+    fn on_goodbye(&mut self, relay: Option<String>, effects: &mut Vec<ControlEffect>) {
         let Some(link) = self.zone.link.as_ref().map(|link| link.id) else {
             return;
         };
@@ -280,7 +280,7 @@
     }
 
     /// Puts the successors back on the list once it has run out.
-    pub(super) fn refill_candidates(&mut self) {
+    fn refill_candidates(&mut self) {
         if self.zone.role == ZoneRole::Seeking && self.zone.candidates.is_empty() {
             self.zone.candidates = self.zone.shape.successors.iter().cloned().collect();
         }
--- a/crates/daemon/tests/call_cases.rs
+++ b/crates/daemon/tests/call_cases.rs
@@ -99,6 +99,16 @@
     }
 }
 
+/// A first choice among the quoting targets.
+fn quoting_of(targets: &ZoneTargets, slots: u32) -> TargetChoice<'_> {
+    TargetChoice {
+        targets,
+        service: "quoting",
+        slots,
+        tried: &[],
+    }
+}
+
 /// Targets `(address, reported load, leaving)`, signs noted `(address, sign)`,
 /// and the target that must be chosen for the next call.
 struct ChoiceCase {
@@ -128,12 +138,7 @@
     let targets = ZoneTargets::from_records(&records);
     let board = Arc::new(TargetBoard::default());
     let now = Instant::now();
-    let choice = TargetChoice {
-        targets: &targets,
-        service: "quoting",
-        slots: 9,
-        tried: &[],
-    };
+    let choice = quoting_of(&targets, 9);
     drop(TargetBoard::acquire(&board, choice, now));
     for (address, sign) in case.signs {
         board.note(address, *sign, now);
@@ -152,12 +157,7 @@
     let start = Instant::now();
     let chosen = |records: &[TargetRecord], now| {
         let targets = ZoneTargets::from_records(records);
-        let choice = TargetChoice {
-            targets: &targets,
-            service: "quoting",
-            slots: 9,
-            tried: &[],
-        };
+        let choice = quoting_of(&targets, 9);
         let slot = TargetBoard::acquire(&board, choice, now).expect("a target");
         slot.address().to_owned()
     };
@@ -177,12 +177,7 @@
     let records: Vec<TargetRecord> = names.iter().map(|name| target(name, 0, false)).collect();
     let targets = ZoneTargets::from_records(&records);
     let board = Arc::new(TargetBoard::default());
-    let choice = TargetChoice {
-        targets: &targets,
-        service: "quoting",
-        slots: 9,
-        tried: &[],
-    };
+    let choice = quoting_of(&targets, 9);
     let mut calls = std::collections::BTreeMap::new();
     for _ in 0..1_000 {
         let slot = TargetBoard::acquire(&board, choice, Instant::now()).expect("a target");
@@ -199,12 +194,7 @@
     let targets = ZoneTargets::from_records(&records);
     let board = Arc::new(TargetBoard::default());
     let now = Instant::now();
-    let choice = TargetChoice {
-        targets: &targets,
-        service: "quoting",
-        slots: 2,
-        tried: &[],
-    };
+    let choice = quoting_of(&targets, 2);
     let first = TargetBoard::acquire(&board, choice, now);
     let second = TargetBoard::acquire(&board, choice, now);
     assert!(first.is_some() && second.is_some());
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -74,6 +74,25 @@
     pub bytes_out: u64,
 }
 
+impl PlatformStats {
+    /// What was counted since `earlier`.
+    #[must_use]
+    pub fn since(self, earlier: PlatformStats) -> PlatformStats {
+        PlatformStats {
+            reads: self.reads - earlier.reads,
+            writes: self.writes - earlier.writes,
+            object_reads: self.object_reads - earlier.object_reads,
+            bytes_out: self.bytes_out - earlier.bytes_out,
+        }
+    }
+
+    /// Reads of the table and of objects together.
+    #[must_use]
+    pub fn all_reads(self) -> u64 {
+        self.reads + self.object_reads
+    }
+}
+
 /// What a daemon reports about itself in its row `daemons/ZONE/ID`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DaemonStatus {
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -1,5 +1,6 @@
 //! One `filbertd` process on loopback ports: started, signalled, restarted.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -189,6 +190,26 @@
     }
 }
 
+impl DaemonProcess {
+    /// Its counters, by name.
+    ///
+    /// # Panics
+    /// When the daemon does not answer.
+    pub async fn counters(&self) -> BTreeMap<String, u64> {
+        let reply = reqwest::get(format!("{}/metrics", self.admin_url)).await;
+        let reply = reply.expect("the daemon answers");
+        reply.json().await.expect("counters are JSON")
+    }
+
+    /// One of its counters; 0 until it first counts.
+    ///
+    /// # Panics
+    /// When the daemon does not answer.
+    pub async fn counter(&self, name: &str) -> u64 {
+        self.counters().await.get(name).copied().unwrap_or(0)
+    }
+}
+
 impl Drop for DaemonProcess {
     fn drop(&mut self) {
         self.kill();
--- a/tests/convergence_faults.rs
+++ b/tests/convergence_faults.rs
@@ -219,8 +219,7 @@
         in_force_on(&mesh, &everywhere, 1).await,
         "not back in force"
     );
-    let after = mesh.platform.store.stats();
-    let reads = after.reads + after.object_reads - before.reads - before.object_reads;
+    let reads = mesh.platform.store.stats().since(before).all_reads();
     // Each relay polls ten times a second; two daemons of a zone may poll
     // while it has no relay. Each daemon reads the lease a few times and
     // `current` once.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -12,7 +12,7 @@
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
 use filbert_standin::target::{TargetHandle, TargetSpec};
 use filbert_tree::BranchPath;
-use support::{coop, eventually, get, metrics, status, DAEMON_EXE};
+use support::{coop, eventually, get, status, DAEMON_EXE};
 
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(10);
 
@@ -91,8 +91,8 @@
                 .status(),
             200
         );
-        let metrics = metrics(daemon).await;
-        assert_eq!(metrics["versions_rejected"], 1, "{metrics}");
+        let rejected = daemon.counter("versions_rejected").await;
+        assert_eq!(rejected, 1, "{}", daemon.id);
     }
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -64,16 +64,6 @@
     }
 }
 
-/// A daemon's counters.
-pub async fn metrics(daemon: &DaemonProcess) -> serde_json::Value {
-    reqwest::get(format!("{}/metrics", daemon.admin_url))
-        .await
-        .expect("metrics answer")
-        .json()
-        .await
-        .expect("metrics are JSON")
-}
-
 /// Polls until `check` holds, for at most `within`; returns whether it did.
 pub async fn eventually<F, Fut>(within: Duration, mut check: F) -> bool
 where
