Rename the store's client crate: platform -> store

Change: crates/platform is crates/store (filbert-store); no code changed but the names of imports. Conclusion: the name is free for the adapter; measured nothing.

--- a/crates/ctl/src/cmd/accept.rs
+++ b/crates/ctl/src/cmd/accept.rs
@@ -1,6 +1,6 @@
 //! `filbertctl accept [--expect N]`: make the pending tree a new version.
 
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 
 use super::publish::{check_expected, publish};
 use crate::store::{self, CtlResult};
--- a/crates/ctl/src/cmd/diff.rs
+++ b/crates/ctl/src/cmd/diff.rs
@@ -1,6 +1,6 @@
 //! `filbertctl diff`: what accepting the pending tree would change.
 
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 use filbert_tree::diff_trees;
 
 use crate::store::{self, CtlResult};
--- a/crates/ctl/src/cmd/edit.rs
+++ b/crates/ctl/src/cmd/edit.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use error_stack::{Report, ResultExt};
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 use filbert_tree::SettingsTree;
 
 use crate::error::CtlError;
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -12,7 +12,7 @@
 mod watch;
 mod withdraw;
 
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 
 use crate::cli::{Cli, Command};
 use crate::store::CtlResult;
--- a/crates/ctl/src/cmd/publish.rs
+++ b/crates/ctl/src/cmd/publish.rs
@@ -3,7 +3,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
-use filbert_platform::{
+use filbert_store::{
     CurrentPointer, DeltaPointer, PlatformClient, PlatformError, RowExpect, TableKey, WriteOutcome,
 };
 use filbert_tree::{SettingsTree, TreeDelta, VersionCodec, VersionRecord};
--- a/crates/ctl/src/cmd/remove.rs
+++ b/crates/ctl/src/cmd/remove.rs
@@ -1,7 +1,7 @@
 //! `filbertctl remove BRANCH`: drop a branch from the pending tree.
 
 use error_stack::{Report, ResultExt};
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 
 use crate::error::CtlError;
 use crate::store::{self, CtlResult};
--- a/crates/ctl/src/cmd/set.rs
+++ b/crates/ctl/src/cmd/set.rs
@@ -1,7 +1,7 @@
 //! `filbertctl set BRANCH KEY VALUE`: change one key of the pending tree.
 
 use error_stack::{Report, ResultExt};
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 
 use crate::error::CtlError;
 use crate::store::{self, CtlResult};
--- a/crates/ctl/src/cmd/show.rs
+++ b/crates/ctl/src/cmd/show.rs
@@ -1,7 +1,7 @@
 //! `filbertctl show [BRANCH] [--resolved] [--pending]`: print a branch.
 
 use error_stack::Report;
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 
 use crate::error::CtlError;
 use crate::store::{self, CtlResult};
--- a/crates/ctl/src/cmd/status.rs
+++ b/crates/ctl/src/cmd/status.rs
@@ -1,6 +1,6 @@
 //! `filbertctl status`: every proxy and the version it has in force.
 
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 
 use crate::fleet;
 use crate::store::{self, CtlResult};
--- a/crates/ctl/src/cmd/watch.rs
+++ b/crates/ctl/src/cmd/watch.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use error_stack::Report;
-use filbert_platform::{DaemonStatus, PlatformClient};
+use filbert_store::{DaemonStatus, PlatformClient};
 
 use crate::error::CtlError;
 use crate::fleet;
--- a/crates/ctl/src/cmd/withdraw.rs
+++ b/crates/ctl/src/cmd/withdraw.rs
@@ -2,7 +2,7 @@
 //! content as a new version; numbers never go back.
 
 use error_stack::Report;
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 
 use super::publish::{check_expected, publish};
 use crate::error::CtlError;
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use error_stack::ResultExt;
-use filbert_platform::{DaemonStatus, LeaseRecord, PlatformClient, TableKey, TableRow, ZoneDigest};
+use filbert_store::{DaemonStatus, LeaseRecord, PlatformClient, TableKey, TableRow, ZoneDigest};
 
 use crate::error::CtlError;
 use crate::store::CtlResult;
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use filbert_platform::TargetAnnouncement;
+use filbert_store::TargetAnnouncement;
 use rocket::http::Status;
 use rocket::serde::json::Json;
 use rocket::{get, post, routes, Route, State};
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use filbert_platform::{TargetAnnouncement, TargetRecord};
+use filbert_store::{TargetAnnouncement, TargetRecord};
 
 use super::{duration_ms, ControlEffect, ControlState, StateChange, ZoneRole};
 use crate::messages::{PeerMessage, TargetChange};
--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -3,7 +3,7 @@
 
 use std::time::Instant;
 
-use filbert_platform::{LeaseRecord, RowExpect};
+use filbert_store::{LeaseRecord, RowExpect};
 use rand::Rng;
 
 use super::zone::spread_window;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbert_platform::{
+use filbert_store::{
     DaemonStatus, DeltaPointer, LeaseRecord, RowExpect, TargetAnnouncement, TargetRecord,
     ZoneDigest,
 };
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbert_platform::ZoneDigest;
+use filbert_store::ZoneDigest;
 use filbert_tree::TreeDelta;
 
 use super::uplink::LINK_SILENCE;
--- a/crates/daemon/src/control/version.rs
+++ b/crates/daemon/src/control/version.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use filbert_platform::DeltaPointer;
+use filbert_store::DeltaPointer;
 use filbert_tree::{RouteTable, TreeDelta, VersionCodec, VersionRecord};
 
 use super::{ControlEffect, ControlState, StateChange};
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -12,7 +12,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use filbert_platform::{LeaseRecord, RowExpect};
+use filbert_store::{LeaseRecord, RowExpect};
 use rand::rngs::StdRng;
 use rand::Rng;
 
--- a/crates/daemon/src/messages.rs
+++ b/crates/daemon/src/messages.rs
@@ -2,7 +2,7 @@
 //! `bincode` encoding: a peer's messages to its relay, and the relay's to a peer.
 
 use bytes::{BufMut, Bytes, BytesMut};
-use filbert_platform::TargetRecord;
+use filbert_store::TargetRecord;
 use filbert_tree::{TreeDelta, VersionRecord};
 use serde::{Deserialize, Serialize};
 
--- a/crates/daemon/src/platform_calls.rs
+++ b/crates/daemon/src/platform_calls.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use filbert_platform::{
+use filbert_store::{
     CurrentPointer, DaemonStatus, DeltaPointer, LeaseRecord, PlatformClient, RowExpect, TableKey,
     TableRow, TargetRecord, WriteOutcome, ZoneDigest,
 };
--- a/crates/daemon/src/proxy/claim.rs
+++ b/crates/daemon/src/proxy/claim.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use filbert_platform::{PlatformClient, RowExpect, TableKey, TableRow, WriteOutcome};
+use filbert_store::{PlatformClient, RowExpect, TableKey, TableRow, WriteOutcome};
 use serde::{Deserialize, Serialize};
 
 /// Answers larger than this are not kept for replay, in bytes.
@@ -182,7 +182,7 @@
         claim: &HeldClaim,
         expect: RowExpect,
         state: ClaimState,
-    ) -> Result<WriteOutcome, error_stack::Report<filbert_platform::PlatformError>> {
+    ) -> Result<WriteOutcome, error_stack::Report<filbert_store::PlatformError>> {
         let record = ClaimRecord {
             digest: claim.digest,
             nonce: claim.nonce,
@@ -200,7 +200,7 @@
         &self,
         member: &str,
         key: &str,
-    ) -> Result<Option<ClaimState>, error_stack::Report<filbert_platform::PlatformError>> {
+    ) -> Result<Option<ClaimState>, error_stack::Report<filbert_store::PlatformError>> {
         let row = self
             .platform
             .get(&TableKey::keyed_call(member, key))
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 use filbert_tree::{RouteEntry, RouteTable};
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::Method;
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::ArcSwap;
 use error_stack::{Report, ResultExt};
-use filbert_platform::PlatformClient;
+use filbert_store::PlatformClient;
 use rocket::config::Shutdown;
 use rocket::fairing::AdHoc;
 use tokio::net::TcpListener;
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use filbert_platform::TargetRecord;
+use filbert_store::TargetRecord;
 use rand::seq::IndexedRandom;
 
 /// Failures in a row after which a target gets no calls for a while.
--- a/crates/daemon/tests/call_cases.rs
+++ b/crates/daemon/tests/call_cases.rs
@@ -10,7 +10,7 @@
     is_repeatable, next_step, second_attempt_after, AttemptEnd, CallAllowance, NextStep,
 };
 use filbert_daemon::targets::{SlotGuard, TargetBoard, TargetChoice, TargetSign, ZoneTargets};
-use filbert_platform::TargetRecord;
+use filbert_store::TargetRecord;
 use filbert_tree::{BranchSettings, RouteSettings};
 use rocket::http::Method;
 use rstest::rstest;
--- a/crates/daemon/tests/control_cases.rs
+++ b/crates/daemon/tests/control_cases.rs
@@ -11,7 +11,7 @@
 };
 use filbert_daemon::messages::{RelayMessage, RelayWelcome, TargetChange, ZoneShape};
 use filbert_daemon::settings::DistributionMode;
-use filbert_platform::{LeaseRecord, TargetAnnouncement, TargetRecord};
+use filbert_store::{LeaseRecord, TargetAnnouncement, TargetRecord};
 use filbert_tree::{BranchPath, SettingsTree, VersionRecord};
 use proptest::prelude::*;
 use rstest::rstest;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -13,7 +13,7 @@
     StateChange, ZoneRole,
 };
 use filbert_daemon::messages::{PeerMessage, RelayMessage};
-use filbert_platform::{LeaseRecord, RowExpect};
+use filbert_store::{LeaseRecord, RowExpect};
 use filbert_tree::{BranchPath, SettingsTree, VersionRecord};
 
 const COOP: &str = include_str!("../../../../examples/coop.toml");
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -8,7 +8,7 @@
 
 use filbert_ctl::fleet;
 use filbert_daemon::settings::DistributionMode;
-use filbert_platform::{
+use filbert_store::{
     CurrentPointer, DaemonStatus, DeltaPointer, PlatformClient, RowExpect, TableKey,
 };
 use filbert_tree::{SettingsTree, TreeDelta, VersionCodec, VersionRecord};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use filbert_platform::{
+use filbert_store::{
     FaultSwitches, GetRequest, PlatformStats, PutRequest, RowExpect, ScanRequest, TableRow,
 };
 use rocket::data::{Data, ToByteUnit};
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crate::pipe::FaultPipe;
-use filbert_platform::TargetAnnouncement;
+use filbert_store::TargetAnnouncement;
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::{Header, Status};
 use rocket::request::{FromRequest, Outcome, Request};
--- a/crates/standin/tests/table_contract.rs
+++ b/crates/standin/tests/table_contract.rs
@@ -2,7 +2,7 @@
 //! on it, checked against the stand-in. Each case is a row: a starting row,
 //! a write, the switches in force, and what the client must see.
 
-use filbert_platform::{FaultSwitches, PlatformClient, PlatformError, RowExpect, WriteOutcome};
+use filbert_store::{FaultSwitches, PlatformClient, PlatformError, RowExpect, WriteOutcome};
 use filbert_standin::platform::PlatformHandle;
 use rstest::rstest;
 use serde_json::json;
--- a/tests/convergence_faults.rs
+++ b/tests/convergence_faults.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use filbert_platform::FaultSwitches;
+use filbert_store::FaultSwitches;
 use filbert_standin::mesh::LocalMesh;
 use filbert_standin::pipe::PipeMode;
 use nix::sys::signal::Signal;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbert_platform::FaultSwitches;
+use filbert_store::FaultSwitches;
 use filbert_standin::mesh::{LocalMesh, MeshSpec};
 use filbert_standin::target::{TargetHandle, TargetSpec};
 use filbert_tree::BranchPath;
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbert_platform::FaultSwitches;
+use filbert_store::FaultSwitches;
 use filbert_standin::mesh::LocalMesh;
 use filbert_standin::target::{ExecutionRecord, TargetMode};
 use nix::sys::signal::Signal;
