--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,7 +9,7 @@
 //! [`admin`] are the HTTP edges, and [`shell`] starts it all.
 
 pub mod admin;
-pub mod clock;
+pub use filbert_policy::clock;
 pub mod control;
 pub mod counters;
 pub mod limits;
--- /dev/null
+++ b/crates/mesh/src/body.rs
@@ -0,0 +1,160 @@
+//! Bodies on their way through the daemon, piece by piece.
+
+use bytes::{Bytes, BytesMut};
+use h2::RecvStream;
+use tokio::sync::mpsc;
+
+use crate::target::RunBody;
+
+/// The sender of a body went away before it was whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyBroken;
+
+/// A call's body.
+#[derive(Debug)]
+pub enum CallBody {
+    /// All of it. Such a call can be sent again.
+    Whole(Bytes),
+    /// The start, and where the rest comes from. Its call is sent once.
+    Pieces(PieceSource),
+}
+
+/// Where the pieces of a body come from.
+#[derive(Debug)]
+pub enum PieceSource {
+    /// A client on this host.
+    Client(mpsc::Receiver<Bytes>),
+    /// Another daemon.
+    Link(LinkBody),
+}
+
+impl PieceSource {
+    /// The next piece; `None` at the end.
+    ///
+    /// # Errors
+    /// [`BodyBroken`] when the sender went away. (A client's pieces end with
+    /// an empty one; a channel that closes without was broken off.)
+    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyBroken> {
+        match self {
+            PieceSource::Client(pieces) => match pieces.recv().await {
+                Some(piece) if piece.is_empty() => Ok(None),
+                Some(piece) => Ok(Some(piece)),
+                None => Err(BodyBroken),
+            },
+            PieceSource::Link(body) => body.next().await,
+        }
+    }
+}
+
+/// A body that comes over a link.
+#[derive(Debug)]
+pub struct LinkBody {
+    stream: RecvStream,
+    ahead: Bytes,
+}
+
+impl LinkBody {
+    /// The rest of `stream`, behind what was read `ahead`.
+    #[must_use]
+    pub fn new(stream: RecvStream, ahead: BytesMut) -> LinkBody {
+        LinkBody {
+            stream,
+            ahead: ahead.freeze(),
+        }
+    }
+
+    /// The next piece; `None` at the end.
+    ///
+    /// # Errors
+    /// [`BodyBroken`] when the other daemon broke it off.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyBroken> {
+        if !self.ahead.is_empty() {
+            return Ok(Some(std::mem::take(&mut self.ahead)));
+        }
+        match next_data(&mut self.stream).await {
+            Some(Ok(piece)) => Ok(Some(piece)),
+            Some(Err(_)) => Err(BodyBroken),
+            None => Ok(None),
+        }
+    }
+}
+
+/// Reads the next bytes of a stream and gives their window back.
+pub async fn next_data(stream: &mut RecvStream) -> Option<Result<Bytes, h2::Error>> {
+    let piece = match stream.data().await? {
+        Ok(piece) => piece,
+        Err(error) => return Some(Err(error)),
+    };
+    match stream.flow_control().release_capacity(piece.len()) {
+        Ok(()) => Some(Ok(piece)),
+        Err(error) => Some(Err(error)),
+    }
+}
+
+/// An answer's body.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// From the target beside this daemon.
+    Run(Box<RunBody>),
+    /// From another daemon.
+    Link(LinkBody),
+    /// Some of it, and where the rest comes from.
+    Begun(Vec<Bytes>, Box<AnswerBody>),
+}
+
+impl AnswerBody {
+    /// The next piece; `None` at the end.
+    ///
+    /// # Errors
+    /// [`BodyBroken`] when the body was cut short.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyBroken> {
+        match self {
+            AnswerBody::Whole(body) => {
+                let piece = std::mem::take(body);
+                Ok((!piece.is_empty()).then_some(piece))
+            }
+            AnswerBody::Run(body) => body.next().await,
+            AnswerBody::Link(body) => body.next().await,
+            AnswerBody::Begun(pieces, rest) => {
+                if pieces.is_empty() {
+                    Box::pin(rest.next()).await
+                } else {
+                    Ok(Some(pieces.remove(0)))
+                }
+            }
+        }
+    }
+
+    /// Reads up to `most` bytes ahead. An answer that is whole by then can
+    /// still be replaced by another attempt's if it breaks.
+    ///
+    /// # Errors
+    /// [`BodyBroken`] when the body was cut short.
+    pub async fn read_ahead(mut self, most: usize) -> Result<AnswerBody, BodyBroken> {
+        let mut pieces = Vec::new();
+        let mut held = 0;
+        while held <= most {
+            match self.next().await? {
+                Some(piece) => {
+                    held += piece.len();
+                    pieces.push(piece);
+                }
+                None => return Ok(AnswerBody::Whole(join(pieces))),
+            }
+        }
+        Ok(AnswerBody::Begun(pieces, Box::new(self)))
+    }
+}
+
+fn join(mut pieces: Vec<Bytes>) -> Bytes {
+    if pieces.len() == 1 {
+        return pieces.remove(0);
+    }
+    let mut whole = BytesMut::with_capacity(pieces.iter().map(Bytes::len).sum());
+    for piece in pieces {
+        whole.extend_from_slice(&piece);
+    }
+    whole.freeze()
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,32 @@
+//! The daemon on the users' platform.
+//!
+//! A call crosses two daemons. The one on the caller's host ([`ingress`],
+//! [`calls`]) routes it, picks a target's host and answers for it. The one on
+//! the target's host ([`gate`], [`target`]) is the only way to that target
+//! and decides what runs, waits or is declined. [`links`] join the daemons;
+//! [`feeds`] bring configuration and membership from the store; [`control`]
+//! hears the target beside the daemon; [`stop`] sees a planned stop through.
+
+pub mod body;
+pub mod calls;
+pub mod control;
+pub mod feeds;
+pub mod gate;
+pub mod ingress;
+pub mod links;
+pub mod logging;
+pub mod messages;
+pub mod peers;
+pub mod ready;
+pub mod reload;
+pub mod serve_peers;
+pub mod settings;
+pub mod shell;
+pub mod sockets;
+pub mod state;
+pub mod status;
+pub mod stop;
+pub mod target;
+
+pub use settings::{MeshSettings, MeshSettingsError};
+pub use shell::{run, MeshError};
--- /dev/null
+++ b/crates/mesh/src/links.rs
@@ -0,0 +1,281 @@
+//! The dialing side of the links: one `h2` connection to each other daemon,
+//! which carries this daemon's calls, and one long stream on it for news.
+
+use std::cell::Cell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use h2::client::SendRequest;
+use h2::{Ping, PingPong, RecvStream, SendStream};
+use http::Request;
+use rand::Rng;
+
+use crate::body::next_data;
+use crate::messages::{encode, take, LinkMessage, TargetState};
+use crate::peers::Peer;
+use crate::sockets;
+use crate::state::MeshShared;
+
+/// Path of a call's stream.
+pub const CALL_PATH: &str = "http://peer/call";
+/// Path of the stream for news.
+pub const NEWS_PATH: &str = "http://peer/news";
+/// HTTP/2 window of a stream, in bytes: a large answer keeps flowing over the
+/// round trip between zones.
+pub const STREAM_WINDOW: u32 = 256 * 1024;
+/// HTTP/2 window of a connection, in bytes.
+pub const CONNECTION_WINDOW: u32 = 2 * 1024 * 1024;
+/// Time to connect and complete the HTTP/2 handshake.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pauses between attempts to link: the first and the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// Pause between PINGs.
+const PING_EVERY: Duration = Duration::from_millis(1000);
+/// A PING unanswered for this long ends the link. Above it, a host that has
+/// its processor for a tenth of the time still answers.
+const PING_SILENCE: Duration = Duration::from_millis(1200);
+/// How long a newer version may take to come from the store before the peer
+/// that has it is asked.
+const STORE_HEAD_START: Duration = Duration::from_millis(120);
+
+/// Why a link ended.
+#[derive(Debug)]
+pub enum LinkError {
+    /// The address is none.
+    Address,
+    /// The connection could not be opened in time.
+    Open,
+    /// HTTP/2 failed.
+    Protocol(h2::Error),
+    /// The bytes were not messages.
+    Frame,
+    /// A PING was not answered in time.
+    Silent,
+    /// The other side ended the stream.
+    Ended,
+    /// The host moved or was removed.
+    Dropped,
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LinkError::Address => formatter.write_str("not an address"),
+            LinkError::Open => formatter.write_str("could not open the connection in time"),
+            LinkError::Protocol(error) => write!(formatter, "http/2: {error}"),
+            LinkError::Frame => formatter.write_str("bad message"),
+            LinkError::Silent => formatter.write_str("no answer to a ping"),
+            LinkError::Ended => formatter.write_str("closed by the other side"),
+            LinkError::Dropped => formatter.write_str("host moved or removed"),
+        }
+    }
+}
+
+impl std::error::Error for LinkError {}
+
+impl From<h2::Error> for LinkError {
+    fn from(error: h2::Error) -> LinkError {
+        LinkError::Protocol(error)
+    }
+}
+
+/// Keeps a link to `peer` for as long as it is known.
+pub async fn keep_linked(shared: Rc<MeshShared>, peer: Rc<Peer>) {
+    let mut pause = FIRST_PAUSE;
+    while !peer.is_dropped.get() {
+        let was_up = Cell::new(false);
+        let end = link(&shared, &peer, &was_up).await;
+        peer.link.replace(None);
+        peer.describe(None);
+        if was_up.get() {
+            pause = FIRST_PAUSE;
+            log::info!("event=link_down peer={} reason=\"{end}\"", peer.address.id);
+        } else {
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+        // Spread, so that a herd that was cut off does not return in step.
+        let spread = rand::rng().random_range(0.5..1.5);
+        tokio::select! {
+            () = tokio::time::sleep(pause.mul_f64(spread)) => {}
+            () = peer.nudge.notified() => {}
+        }
+    }
+}
+
+async fn link(shared: &Rc<MeshShared>, peer: &Rc<Peer>, was_up: &Cell<bool>) -> LinkError {
+    match open(peer).await {
+        Ok((sender, connection)) => {
+            let news = follow_news(shared, peer, sender, was_up);
+            tokio::select! {
+                end = drive(connection) => end,
+                end = news => end,
+            }
+        }
+        Err(error) => error,
+    }
+}
+
+type LinkConnection = h2::client::Connection<tokio::net::TcpStream, Bytes>;
+
+async fn open(peer: &Peer) -> Result<(SendRequest<Bytes>, LinkConnection), LinkError> {
+    let address: SocketAddr = peer
+        .address
+        .address
+        .parse()
+        .map_err(|_| LinkError::Address)?;
+    let stream = sockets::connect(address, OPEN_TIMEOUT)
+        .await
+        .map_err(|_| LinkError::Open)?;
+    let handshake = h2::client::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_concurrent_reset_streams(64)
+        .handshake(stream);
+    tokio::time::timeout(OPEN_TIMEOUT, handshake)
+        .await
+        .map_err(|_| LinkError::Open)?
+        .map_err(LinkError::Protocol)
+}
+
+/// Moves the connection's bytes and checks that the other side still answers.
+async fn drive(mut connection: LinkConnection) -> LinkError {
+    let pings = connection.ping_pong();
+    tokio::select! {
+        outcome = connection => match outcome {
+            Ok(()) => LinkError::Ended,
+            Err(error) => LinkError::Protocol(error),
+        },
+        end = check_silence(pings) => end,
+    }
+}
+
+/// Guards against a connection that went silent for good: calls on it would
+/// hang until their deadlines while a new connection works.
+async fn check_silence(pings: Option<PingPong>) -> LinkError {
+    let Some(mut pings) = pings else {
+        return LinkError::Ended;
+    };
+    loop {
+        tokio::time::sleep(PING_EVERY).await;
+        match tokio::time::timeout(PING_SILENCE, pings.ping(Ping::opaque())).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => return LinkError::Protocol(error),
+            Err(_) => return LinkError::Silent,
+        }
+    }
+}
+
+async fn follow_news(
+    shared: &Rc<MeshShared>,
+    peer: &Rc<Peer>,
+    sender: SendRequest<Bytes>,
+    was_up: &Cell<bool>,
+) -> LinkError {
+    match news_stream(sender.clone()).await {
+        Ok((mut outgoing, mut incoming)) => {
+            let hello = LinkMessage::Hello {
+                from: shared.own_address(),
+                known: shared.peers.addresses(),
+            };
+            if let Err(error) = outgoing.send_data(encode(&hello), false) {
+                return LinkError::Protocol(error);
+            }
+            peer.link.replace(Some(sender));
+            match hear(shared, peer, &mut outgoing, &mut incoming, was_up).await {
+                Ok(()) => LinkError::Ended,
+                Err(error) => error,
+            }
+        }
+        Err(error) => error,
+    }
+}
+
+async fn news_stream(
+    sender: SendRequest<Bytes>,
+) -> Result<(SendStream<Bytes>, RecvStream), LinkError> {
+    let request = Request::post(NEWS_PATH)
+        .body(())
+        .map_err(|_| LinkError::Frame)?;
+    let mut sender = sender.ready().await?;
+    let (answer, outgoing) = sender.send_request(request, false)?;
+    let answer = tokio::time::timeout(OPEN_TIMEOUT, answer)
+        .await
+        .map_err(|_| LinkError::Open)??;
+    Ok((outgoing, answer.into_body()))
+}
+
+async fn hear(
+    shared: &Rc<MeshShared>,
+    peer: &Rc<Peer>,
+    outgoing: &mut SendStream<Bytes>,
+    incoming: &mut RecvStream,
+    was_up: &Cell<bool>,
+) -> Result<(), LinkError> {
+    let mut buffer = BytesMut::new();
+    let mut wanted = None;
+    loop {
+        if peer.is_dropped.get() {
+            return Err(LinkError::Dropped);
+        }
+        while let Some(message) = take(&mut buffer).map_err(|_| LinkError::Frame)? {
+            if !was_up.replace(true) {
+                log::info!("event=link_up peer={}", peer.address.id);
+            }
+            match message {
+                LinkMessage::Target(target) => heard_target(peer, target),
+                LinkMessage::InForce { version } => {
+                    if version > shared.index.borrow().number() {
+                        wanted = Some(version);
+                    }
+                }
+                LinkMessage::Version { text } => {
+                    shared.offer_version(&Bytes::from(text), &peer.address.id);
+                }
+                LinkMessage::Hello { .. } | LinkMessage::WantVersion => {}
+            }
+        }
+        // With nothing in force there is no reason to give the store a head
+        // start.
+        let head_start = if shared.index.borrow().number() == 0 {
+            Duration::ZERO
+        } else {
+            STORE_HEAD_START
+        };
+        tokio::select! {
+            data = next_data(incoming) => match data {
+                Some(Ok(piece)) => buffer.extend_from_slice(&piece),
+                Some(Err(error)) => return Err(LinkError::Protocol(error)),
+                None => return Ok(()),
+            },
+            () = tokio::time::sleep(head_start), if wanted.is_some() => {
+                let is_missing = wanted > Some(shared.index.borrow().number());
+                wanted = None;
+                if is_missing {
+                    outgoing.send_data(encode(&LinkMessage::WantVersion), false)?;
+                }
+            }
+        }
+    }
+}
+
+fn heard_target(peer: &Peer, target: Option<crate::messages::TargetStatus>) {
+    let summary = |target: &Option<(crate::messages::TargetStatus, u32)>| {
+        target
+            .as_ref()
+            .map(|(target, _)| (target.instance.clone(), target.state))
+    };
+    let before = summary(&peer.target());
+    peer.describe(target);
+    let after = summary(&peer.target());
+    if before != after {
+        let (instance, state) = after.unwrap_or((String::new(), TargetState::Closed));
+        log::info!(
+            "event=target_heard peer={} instance={instance} state={state:?}",
+            peer.address.id
+        );
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/messages.rs
@@ -0,0 +1,208 @@
+//! What daemons say to each other: `bincode` messages, each behind its length.
+
+use bytes::{Buf, Bytes, BytesMut};
+use filbert_policy::admission::DeclineReason;
+use serde::{Deserialize, Serialize};
+
+/// Longest message, in bytes: a version of a few thousand routes fits.
+const MAX_MESSAGE: usize = 16 * 1024 * 1024;
+/// Bytes of the length before each message.
+const LENGTH_BYTES: usize = 4;
+
+/// Where a daemon is found.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerAddress {
+    /// The host's name.
+    pub id: String,
+    /// Where its daemon takes links, `IP:PORT`.
+    pub address: String,
+    /// Its availability zone.
+    pub zone: String,
+}
+
+/// Whether a target takes calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TargetState {
+    /// It does.
+    Open,
+    /// It is about to leave; only where there is no other.
+    Leaving,
+    /// It does not.
+    Closed,
+}
+
+/// A target as the daemon beside it describes it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetStatus {
+    /// Its service.
+    pub service: String,
+    /// The id of this start of it.
+    pub instance: String,
+    /// Whether it takes calls.
+    pub state: TargetState,
+    /// Whether it is still slow from its start.
+    pub is_cold: bool,
+    /// Its load.
+    pub load: TargetLoad,
+}
+
+/// How busy and how well a target is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// Calls it can run at once.
+    pub slots: u32,
+    /// Calls it runs.
+    pub running: u32,
+    /// Calls that wait for it.
+    pub waiting: u32,
+    /// Mean time of a run, in milliseconds.
+    pub run_ms: f32,
+    /// Share of its recent runs that ended ill, 0 to 1.
+    pub ill_share: f32,
+}
+
+/// Messages of the long stream that each link has, both ways.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum LinkMessage {
+    /// Who links, and whom it knows.
+    Hello {
+        /// The daemon that links.
+        from: PeerAddress,
+        /// All daemons it knows.
+        known: Vec<PeerAddress>,
+    },
+    /// The target beside the sender; `None` when there is none.
+    Target(Option<TargetStatus>),
+    /// The version that the sender has in force.
+    InForce {
+        /// Its number.
+        version: u64,
+    },
+    /// The receiver should send its version.
+    WantVersion,
+    /// A whole version, as the operator wrote it.
+    Version {
+        /// Its text.
+        text: Vec<u8>,
+    },
+}
+
+/// A call on its way to the target's daemon; its body follows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CallHead {
+    /// The call's id.
+    pub id: String,
+    /// The service that it was routed to.
+    pub service: String,
+    /// Its method.
+    pub method: String,
+    /// Its path and query.
+    pub target: String,
+    /// Its header lines, but for those of one attempt or connection.
+    pub lines: Vec<u8>,
+    /// Length of its body; `None` when not known ahead.
+    pub body_length: Option<u64>,
+    /// Whether it has a body.
+    pub has_body: bool,
+    /// Microseconds until an answer is worth nothing.
+    pub left_us: u64,
+    /// Microseconds until an answer is worth less; 0 when that is past.
+    pub aim_us: u64,
+    /// Its rank; 0 goes first.
+    pub priority: u8,
+}
+
+/// What the target's daemon says of a call; an answer's body follows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ReplyHead {
+    /// The call did not reach the target.
+    Declined {
+        /// Whether the gate was closed rather than crowded.
+        closed: bool,
+        /// Microseconds until room is expected.
+        room_us: u64,
+        /// The target's load.
+        load: TargetLoad,
+    },
+    /// The target said that it did not run the call.
+    Rejected {
+        /// The target's load.
+        load: TargetLoad,
+    },
+    /// The call was sent and gave no usable answer.
+    Lost {
+        /// The target's load.
+        load: TargetLoad,
+    },
+    /// The target's answer.
+    Answer {
+        /// Its head.
+        head: AnswerHead,
+        /// The target's load.
+        load: TargetLoad,
+    },
+}
+
+/// The head of a target's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerHead {
+    /// Its status.
+    pub status: u16,
+    /// Its reason phrase.
+    pub reason: String,
+    /// Its end-to-end header lines.
+    pub lines: Vec<u8>,
+    /// Its body's length; `None` when not known ahead.
+    pub body_length: Option<u64>,
+}
+
+/// Whether a decline means that the gate was closed.
+#[must_use]
+pub fn is_closed(reason: DeclineReason) -> bool {
+    matches!(reason, DeclineReason::Closed)
+}
+
+/// Bytes that are no message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadMessage;
+
+/// Encodes a message behind its length.
+///
+/// # Panics
+/// Never: messages hold only plain data that bincode always encodes.
+#[must_use]
+pub fn encode<M: Serialize>(message: &M) -> Bytes {
+    let body = bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .expect("a message always encodes");
+    let mut framed = BytesMut::with_capacity(LENGTH_BYTES + body.len());
+    let length = u32::try_from(body.len()).expect("messages are shorter than 4 GiB");
+    framed.extend_from_slice(&length.to_be_bytes());
+    framed.extend_from_slice(&body);
+    framed.freeze()
+}
+
+/// Takes the next message out of `buffer`; `None` when it is not there whole.
+///
+/// # Errors
+/// [`BadMessage`] when the bytes are not such a message.
+pub fn take<M: for<'de> Deserialize<'de>>(buffer: &mut BytesMut) -> Result<Option<M>, BadMessage> {
+    let Some(prefix) = buffer.first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let length = u32::from_be_bytes(*prefix) as usize;
+    if length > MAX_MESSAGE {
+        return Err(BadMessage);
+    }
+    if buffer.len() < LENGTH_BYTES + length {
+        return Ok(None);
+    }
+    buffer.advance(LENGTH_BYTES);
+    let body = buffer.split_to(length);
+    let (message, used) = bincode::serde::decode_from_slice(&body, bincode::config::standard())
+        .map_err(|_| BadMessage)?;
+    if used == length {
+        Ok(Some(message))
+    } else {
+        Err(BadMessage)
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/peers.rs
@@ -0,0 +1,180 @@
+//! The other daemons: where they are, the links to them, and the targets
+//! beside them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use tokio::sync::{mpsc, Notify};
+
+use crate::messages::{PeerAddress, TargetLoad, TargetStatus};
+
+/// One other daemon.
+pub struct Peer {
+    /// Where it is.
+    pub address: PeerAddress,
+    /// The open link, if there is one.
+    pub link: RefCell<Option<SendRequest<Bytes>>>,
+    /// The target beside it as last described over the link.
+    target: RefCell<Option<TargetStatus>>,
+    /// Calls sent there since that description.
+    sent_since: Cell<u32>,
+    /// Set when the entry is replaced or removed: its link ends.
+    pub is_dropped: Cell<bool>,
+    /// Wakes the dialer early.
+    pub nudge: Notify,
+}
+
+impl Peer {
+    /// A peer that is not linked yet.
+    #[must_use]
+    pub fn new(address: PeerAddress) -> Rc<Peer> {
+        Rc::new(Peer {
+            address,
+            link: RefCell::new(None),
+            target: RefCell::new(None),
+            sent_since: Cell::new(0),
+            is_dropped: Cell::new(false),
+            nudge: Notify::new(),
+        })
+    }
+
+    /// Takes over a description of its target.
+    pub fn describe(&self, target: Option<TargetStatus>) {
+        self.sent_since.set(0);
+        *self.target.borrow_mut() = target;
+    }
+
+    /// Takes over the load that an answer carried.
+    pub fn describe_load(&self, load: TargetLoad) {
+        if let Some(target) = self.target.borrow_mut().as_mut() {
+            self.sent_since.set(0);
+            target.load = load;
+        }
+    }
+
+    /// Marks the gate as closed until it is described anew.
+    pub fn mark_closed(&self) {
+        if let Some(target) = self.target.borrow_mut().as_mut() {
+            target.state = crate::messages::TargetState::Closed;
+        }
+    }
+
+    /// Counts a call sent there.
+    pub fn count_sent(&self) {
+        self.sent_since.set(self.sent_since.get() + 1);
+    }
+
+    /// Its target, while the link is up, and the calls sent there since it
+    /// was described.
+    #[must_use]
+    pub fn target(&self) -> Option<(TargetStatus, u32)> {
+        self.link.borrow().as_ref()?;
+        let target = self.target.borrow().clone()?;
+        Some((target, self.sent_since.get()))
+    }
+}
+
+/// All other daemons known, by host name.
+#[derive(Default)]
+pub struct PeerBook {
+    peers: RefCell<BTreeMap<String, Rc<Peer>>>,
+    watchers: RefCell<Vec<mpsc::Sender<Bytes>>>,
+}
+
+/// Messages that may wait for one watcher; one that falls further behind is
+/// dropped, and its link with it.
+const WATCHER_QUEUE: usize = 64;
+
+impl PeerBook {
+    /// Adds `address`, or replaces it when the host moved; the new entry, if
+    /// there is one to dial.
+    pub fn learn(&self, address: PeerAddress) -> Option<Rc<Peer>> {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(known) = peers.get(&address.id) {
+            if known.address == address {
+                return None;
+            }
+            known.is_dropped.set(true);
+            known.nudge.notify_one();
+        }
+        let peer = Peer::new(address);
+        peers.insert(peer.address.id.clone(), Rc::clone(&peer));
+        Some(peer)
+    }
+
+    /// Removes a host, unless its link is up.
+    pub fn forget(&self, id: &str) {
+        let mut peers = self.peers.borrow_mut();
+        let is_linked = peers
+            .get(id)
+            .is_some_and(|peer| peer.link.borrow().is_some());
+        if is_linked {
+            return;
+        }
+        if let Some(peer) = peers.remove(id) {
+            peer.is_dropped.set(true);
+            peer.nudge.notify_one();
+        }
+    }
+
+    /// Every peer.
+    #[must_use]
+    pub fn all(&self) -> Vec<Rc<Peer>> {
+        self.peers.borrow().values().cloned().collect()
+    }
+
+    /// The peer on host `id`.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<Rc<Peer>> {
+        self.peers.borrow().get(id).cloned()
+    }
+
+    /// Where every peer is.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<PeerAddress> {
+        self.peers
+            .borrow()
+            .values()
+            .map(|peer| peer.address.clone())
+            .collect()
+    }
+
+    /// Number of peers.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
+    /// Whether there is no peer.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.peers.borrow().is_empty()
+    }
+
+    /// Number of peers with a link up.
+    #[must_use]
+    pub fn linked(&self) -> usize {
+        self.peers
+            .borrow()
+            .values()
+            .filter(|peer| peer.link.borrow().is_some())
+            .count()
+    }
+
+    /// Adds a daemon that linked here and wants to hear of changes.
+    pub fn watch(&self) -> (mpsc::Sender<Bytes>, mpsc::Receiver<Bytes>) {
+        let (sender, receiver) = mpsc::channel(WATCHER_QUEUE);
+        self.watchers.borrow_mut().push(sender.clone());
+        (sender, receiver)
+    }
+
+    /// Tells every daemon that linked here.
+    pub fn broadcast(&self, frame: &Bytes) {
+        self.watchers
+            .borrow_mut()
+            .retain(|watcher| watcher.try_send(frame.clone()).is_ok());
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/settings.rs
@@ -0,0 +1,199 @@
+//! The settings file of the daemon on the users' platform (TOML).
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use filbert_platform::operator::parse_time;
+use filbert_policy::budget::BudgetTerms;
+use filbert_policy::placement::CrossingCost;
+use serde::{Deserialize, Deserializer};
+
+/// Everything the daemon reads from its settings file.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MeshSettings {
+    /// The host's name, unique among all hosts.
+    pub id: String,
+    /// The availability zone it is in.
+    pub zone: String,
+    /// The service of the target beside the daemon.
+    pub service: String,
+    /// Where that target listens.
+    pub target: SocketAddr,
+    /// The platform's store, `IP:PORT`.
+    pub store: String,
+    /// Where the daemon listens.
+    pub listen: ListenSettings,
+    /// Times that the users set.
+    pub times: TimeSettings,
+    /// The retry budget of all daemons together.
+    pub retry: RetrySettings,
+    /// What it costs to leave the availability zone.
+    #[serde(default)]
+    pub crossing: CrossingSettings,
+}
+
+/// Where the daemon listens.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Calls of the clients and the target on this host.
+    pub calls: SocketAddr,
+    /// Links of other daemons.
+    pub peers: SocketAddr,
+    /// Readiness checks.
+    pub ready: SocketAddr,
+    /// Reports of the target beside the daemon.
+    pub control: SocketAddr,
+}
+
+/// Times that the users set.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimeSettings {
+    /// Between two reports of a target.
+    #[serde(deserialize_with = "time")]
+    pub report_every: Duration,
+    /// From a target's announced leaving to its last call.
+    #[serde(deserialize_with = "time")]
+    pub drain: Duration,
+    /// From the order to stop to the process's end by force.
+    #[serde(deserialize_with = "time")]
+    pub grace: Duration,
+}
+
+/// The retry budget of all daemons together.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Repeated arrivals per call in any window.
+    pub ratio: f64,
+    /// Repeated arrivals per window and service on top.
+    pub slack: f64,
+    /// The window.
+    #[serde(deserialize_with = "time")]
+    pub window: Duration,
+}
+
+/// What it costs to leave the availability zone, in milliseconds of waiting.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CrossingSettings {
+    /// For any call.
+    pub base_ms: f64,
+    /// For each KiB of its answer.
+    pub ms_per_kib: f64,
+    /// At most.
+    pub most_ms: f64,
+}
+
+impl Default for CrossingSettings {
+    /// Links between zones are billed by the byte: a large answer is better
+    /// had late from the own zone, a small one soon from any.
+    fn default() -> Self {
+        CrossingSettings {
+            base_ms: 5.0,
+            ms_per_kib: 3.0,
+            most_ms: 400.0,
+        }
+    }
+}
+
+/// The settings file could not be used.
+#[derive(Debug)]
+pub enum MeshSettingsError {
+    /// It could not be read.
+    Unreadable,
+    /// It is not valid TOML for these settings.
+    Invalid,
+    /// A value is out of range.
+    OutOfRange {
+        /// The key.
+        key: &'static str,
+        /// What is expected.
+        reason: &'static str,
+    },
+}
+
+impl fmt::Display for MeshSettingsError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            MeshSettingsError::Unreadable => formatter.write_str("settings file unreadable"),
+            MeshSettingsError::Invalid => formatter.write_str("settings file invalid"),
+            MeshSettingsError::OutOfRange { key, reason } => {
+                write!(formatter, "key `{key}`: {reason}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for MeshSettingsError {}
+
+fn time<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    parse_time(&text)
+        .ok_or_else(|| serde::de::Error::custom(format!("`{text}` is no time such as 1500ms or 2s")))
+}
+
+impl MeshSettings {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    /// [`MeshSettingsError`] with the file, and the line and key where known.
+    pub fn load(path: &Path) -> Result<MeshSettings, Report<MeshSettingsError>> {
+        let text = std::fs::read_to_string(path)
+            .change_context(MeshSettingsError::Unreadable)
+            .attach(format!("file {}", path.display()))?;
+        Self::parse(&text).attach(format!("file {}", path.display()))
+    }
+
+    /// Parses and checks settings text.
+    ///
+    /// # Errors
+    /// [`MeshSettingsError`] with the line and key where known.
+    pub fn parse(text: &str) -> Result<MeshSettings, Report<MeshSettingsError>> {
+        let settings: MeshSettings =
+            toml::from_str(text).change_context(MeshSettingsError::Invalid)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), Report<MeshSettingsError>> {
+        let checks = [
+            ("id", self.id.is_empty(), "must not be empty"),
+            ("zone", self.zone.is_empty(), "must not be empty"),
+            ("retry.ratio", !(0.0..=1.0).contains(&self.retry.ratio), "must be in 0..=1"),
+            ("retry.window", self.retry.window.is_zero(), "must be above 0"),
+            ("times.grace", self.times.grace.is_zero(), "must be above 0"),
+        ];
+        match checks.into_iter().find(|(_, failed, _)| *failed) {
+            Some((key, _, reason)) => {
+                Err(Report::new(MeshSettingsError::OutOfRange { key, reason }))
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// The terms of the retry budget.
+    #[must_use]
+    pub fn budget_terms(&self) -> BudgetTerms {
+        BudgetTerms {
+            ratio: self.retry.ratio,
+            slack: self.retry.slack,
+            window: self.retry.window,
+        }
+    }
+
+    /// What placement charges for leaving the zone.
+    #[must_use]
+    pub fn crossing_cost(&self) -> CrossingCost {
+        CrossingCost {
+            base_ms: self.crossing.base_ms,
+            ms_per_kib: self.crossing.ms_per_kib,
+            most_ms: self.crossing.most_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/shell.rs
@@ -0,0 +1,135 @@
+//! Starts the daemon's parts and sees a planned stop through.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use filbert_platform::store::StoreClient;
+use filbert_policy::budget::RetryBudget;
+use filbert_policy::clock::{Clock, SystemClock};
+use filbert_policy::routing::RouteIndex;
+use filbert_policy::weights::WeightDealer;
+use tokio::net::TcpListener;
+
+use crate::gate::Gate;
+use crate::peers::PeerBook;
+use crate::settings::MeshSettings;
+use crate::state::MeshShared;
+use crate::stop::StopState;
+use crate::{control, feeds, ingress, ready, reload, serve_peers, sockets, status, stop};
+
+/// Why the daemon stopped other than by a planned stop.
+#[derive(Debug)]
+pub enum MeshError {
+    /// A port could not be bound.
+    Listen,
+    /// A signal could not be watched.
+    Signals,
+}
+
+impl fmt::Display for MeshError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            MeshError::Listen => "could not start listening",
+            MeshError::Signals => "could not watch signals",
+        })
+    }
+}
+
+impl std::error::Error for MeshError {}
+
+/// Time a call to the store may take. The store may be slow by nearly a
+/// second; a lost answer is noticed after this.
+const STORE_TIMEOUT: Duration = Duration::from_millis(2000);
+
+struct Listeners {
+    calls: TcpListener,
+    peers: TcpListener,
+    ready: TcpListener,
+    control: TcpListener,
+}
+
+fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, Report<MeshError>> {
+    sockets::listen(address)
+        .change_context(MeshError::Listen)
+        .attach(format!("{port} port {address}"))
+}
+
+/// Runs the daemon until a planned stop.
+///
+/// # Errors
+/// [`MeshError`] when a port cannot be bound or a signal not be watched.
+pub async fn run(settings: MeshSettings, path: PathBuf) -> Result<(), Report<MeshError>> {
+    let listeners = Listeners {
+        calls: bind("calls", settings.listen.calls)?,
+        peers: bind("peers", settings.listen.peers)?,
+        ready: bind("ready", settings.listen.ready)?,
+        control: bind("control", settings.listen.control)?,
+    };
+    log::info!(
+        "event=started host={} zone={} service={} calls={} peers={}",
+        settings.id,
+        settings.zone,
+        settings.service,
+        settings.listen.calls,
+        settings.listen.peers
+    );
+    let shared = build(settings);
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async move {
+            start(&shared, listeners, path);
+            stop::see_through(shared)
+                .await
+                .change_context(MeshError::Signals)
+        })
+        .await
+}
+
+fn build(settings: MeshSettings) -> Rc<MeshShared> {
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+    let now = clock.now();
+    let gate = Gate::new(settings.target, settings.times.drain, Rc::clone(&clock));
+    Rc::new(MeshShared {
+        store: StoreClient::new(&settings.store, STORE_TIMEOUT),
+        budget: RefCell::new(RetryBudget::new(settings.budget_terms(), now)),
+        settings: RefCell::new(Rc::new(settings)),
+        index: RefCell::new(Rc::new(RouteIndex::default())),
+        version_text: RefCell::new(Bytes::new()),
+        peers: PeerBook::default(),
+        gate,
+        dealer: RefCell::new(WeightDealer::default()),
+        routes: RefCell::new(HashMap::new()),
+        knows_members: Cell::new(false),
+        stop: StopState::default(),
+        seed: rand::random(),
+        clock,
+    })
+}
+
+fn start(shared: &Rc<MeshShared>, listeners: Listeners, path: PathBuf) {
+    let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
+        tokio::task::spawn_local(task);
+    };
+    spawn(Box::pin(control::serve(Rc::clone(shared), listeners.control)));
+    spawn(Box::pin(ready::serve(Rc::clone(shared), listeners.ready)));
+    spawn(Box::pin(ingress::serve(Rc::clone(shared), listeners.calls)));
+    spawn(Box::pin(serve_peers::serve(Rc::clone(shared), listeners.peers)));
+    spawn(Box::pin(Rc::clone(&shared.gate).keep_settled()));
+    spawn(Box::pin(status::keep_told(Rc::clone(shared))));
+    spawn(Box::pin(feeds::follow_configuration(Rc::clone(shared))));
+    spawn(Box::pin(feeds::follow_members(Rc::clone(shared))));
+    let shared = Rc::clone(shared);
+    spawn(Box::pin(async move {
+        if let Err(error) = reload::keep_reloaded(shared, path).await {
+            log::error!("event=reload_unwatched error=\"{error}\"");
+        }
+    }));
+}
--- /dev/null
+++ b/crates/mesh/src/stop.rs
@@ -0,0 +1,154 @@
+//! A planned stop, step by step: say not ready, serve on until nobody sends
+//! new work, close kept connections behind their last answer, end.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::Notify;
+
+use crate::state::MeshShared;
+
+/// Readiness checks answered with "no" after which callers are sent elsewhere.
+const MISSES: u32 = 2;
+/// Time from the last such check until callers act on it.
+const MISS_MARGIN: Duration = Duration::from_millis(300);
+/// Longest time spent waiting for the checks, as a share of the grace time.
+const LONGEST_LEAVING: f64 = 0.55;
+/// Time before the end of the grace time at which the process ends by itself.
+const LAST_MARGIN: Duration = Duration::from_millis(300);
+/// How often the steps are checked.
+const CHECK_EVERY: Duration = Duration::from_millis(50);
+/// Quiet time before the process ends: connections made just before have
+/// their call answered.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// How far a planned stop is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// None is under way.
+    #[default]
+    Serving,
+    /// Not ready any more; callers still come.
+    Leaving,
+    /// Answers close their connections; idle ones are closed.
+    Closing,
+}
+
+/// The state of a planned stop.
+#[derive(Default)]
+pub struct StopState {
+    phase: Cell<StopPhase>,
+    misses: Cell<u32>,
+    last_miss: Cell<Option<Instant>>,
+    calls: Cell<u32>,
+    last_call: Cell<Option<Instant>>,
+    /// Wakes connections when the phase changes.
+    pub changed: Notify,
+}
+
+/// Counts a call of a client for as long as it lives.
+pub struct CallMark {
+    shared: Rc<MeshShared>,
+}
+
+impl CallMark {
+    /// Counts a call from now on.
+    #[must_use]
+    pub fn new(shared: &Rc<MeshShared>) -> CallMark {
+        let stop = &shared.stop;
+        stop.calls.set(stop.calls.get() + 1);
+        CallMark {
+            shared: Rc::clone(shared),
+        }
+    }
+}
+
+impl Drop for CallMark {
+    fn drop(&mut self) {
+        let stop = &self.shared.stop;
+        stop.calls.set(stop.calls.get().saturating_sub(1));
+        stop.last_call.set(Some(self.shared.clock.now()));
+    }
+}
+
+impl StopState {
+    /// Whether a stop is under way.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.phase.get() > StopPhase::Serving
+    }
+
+    /// Whether connections are to be closed behind their last answer.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        self.phase.get() == StopPhase::Closing
+    }
+
+    /// Counts a readiness check that was answered with "no" during the stop.
+    pub fn count_miss(&self) {
+        self.misses.set(self.misses.get() + 1);
+        self.last_miss.set(Some(Instant::now()));
+    }
+}
+
+/// Waits for the order to stop and sees the stop through; returns when the
+/// process may end.
+///
+/// # Errors
+/// When the signal cannot be watched.
+pub async fn see_through(shared: Rc<MeshShared>) -> std::io::Result<()> {
+    let mut ordered = signal(SignalKind::terminate())?;
+    let mut interrupted = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = ordered.recv() => {}
+        _ = interrupted.recv() => {}
+    }
+    let clock = Rc::clone(&shared.clock);
+    let began = clock.now();
+    let grace = shared.settings.borrow().times.grace;
+    let stop = &shared.stop;
+    log::info!("event=stop_ordered calls={}", stop.calls.get());
+    stop.phase.set(StopPhase::Leaving);
+    while !may_close(stop, clock.now(), began, grace) {
+        tokio::time::sleep(CHECK_EVERY).await;
+    }
+    stop.phase.set(StopPhase::Closing);
+    shared.gate.stop();
+    stop.changed.notify_waiters();
+    log::info!(
+        "event=stop_closing misses={} calls={} at_target={}",
+        stop.misses.get(),
+        stop.calls.get(),
+        shared.gate.in_work()
+    );
+    let last = began + grace.saturating_sub(LAST_MARGIN);
+    let closing = clock.now();
+    loop {
+        tokio::time::sleep(CHECK_EVERY).await;
+        let now = clock.now();
+        let quiet_since = stop.last_call.get().unwrap_or(closing).max(closing);
+        let is_done = stop.calls.get() == 0
+            && shared.gate.in_work() == 0
+            && now >= quiet_since + QUIET;
+        if is_done || now >= last {
+            break;
+        }
+    }
+    log::info!(
+        "event=stopped calls={} at_target={}",
+        stop.calls.get(),
+        shared.gate.in_work()
+    );
+    Ok(())
+}
+
+fn may_close(stop: &StopState, now: Instant, began: Instant, grace: Duration) -> bool {
+    let was_missed = stop.misses.get() >= MISSES
+        && stop
+            .last_miss
+            .get()
+            .is_some_and(|last| now >= last + MISS_MARGIN);
+    was_missed || now >= began + grace.mul_f64(LONGEST_LEAVING)
+}
--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,303 @@
+//! Which calls a target runs, which wait in the daemon in front of it, and
+//! which are turned away at once.
+//!
+//! The daemon is the only way to its target, so it knows exactly what runs.
+//! It keeps as many calls at the target as the target has slots and lets the
+//! rest wait here, where they can be put in order, cancelled and timed out.
+
+use std::time::{Duration, Instant};
+
+/// A call at the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallDemand {
+    /// Rank of the call; 0 goes first.
+    pub priority: u8,
+    /// Until when an answer is worth most.
+    pub aim: Instant,
+    /// Until when an answer is worth anything.
+    pub deadline: Instant,
+}
+
+/// Names a waiting call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WaitTicket(u64);
+
+/// Why a call was turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeclineReason {
+    /// Too much is ahead of it for an answer in time.
+    Crowded,
+    /// The target takes no work: it leaves, or it is not there.
+    Closed,
+}
+
+/// What becomes of a call at the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GateVerdict {
+    /// It runs now.
+    Run,
+    /// It waits.
+    Wait(WaitTicket),
+    /// It is turned away, with the time after which room is expected.
+    Decline {
+        /// Why.
+        reason: DeclineReason,
+        /// When room is expected.
+        room_in: Duration,
+    },
+}
+
+/// What became of calls that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// It runs now.
+    Run(WaitTicket),
+    /// It can no longer be answered in time.
+    Decline {
+        /// The call.
+        ticket: WaitTicket,
+        /// When room is expected.
+        room_in: Duration,
+    },
+}
+
+/// Limits of waiting.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WaitLimits {
+    /// Calls that may wait for each slot. More than a handful is never worked
+    /// off within the aim; the limit bounds memory when every call is patient.
+    pub per_slot: u32,
+    /// Part of the time to its deadline that a call may wait once its aim
+    /// cannot be met: what is left must cover the run and the way back.
+    pub late_share: f64,
+}
+
+impl Default for WaitLimits {
+    fn default() -> Self {
+        WaitLimits {
+            per_slot: 6,
+            late_share: 0.4,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WaitingCall {
+    ticket: WaitTicket,
+    demand: CallDemand,
+    since: Instant,
+}
+
+/// The queue in front of one target.
+///
+/// Load pattern: more calls than the target can run, for seconds. Were all to
+/// wait, each would wait as long as the queue is and all would be late. So a
+/// call is taken only if what is ahead of it leaves time to answer within its
+/// aim; those that are late already fill gaps only. The waiting are run by
+/// rank, then by the time at which they must start; a call that a lower rank
+/// could push out would make urgent kinds fare worse than others.
+#[derive(Debug)]
+pub struct GateQueue {
+    limits: WaitLimits,
+    slots: u32,
+    running: u32,
+    waiting: Vec<WaitingCall>,
+    next_ticket: u64,
+    is_open: bool,
+}
+
+impl GateQueue {
+    /// A closed gate with nothing at it.
+    #[must_use]
+    pub fn new(limits: WaitLimits) -> GateQueue {
+        GateQueue {
+            limits,
+            slots: 1,
+            running: 0,
+            waiting: Vec::new(),
+            next_ticket: 0,
+            is_open: false,
+        }
+    }
+
+    /// Sets how many calls the target runs at once.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// Opens or closes the gate for new calls; those that wait stay.
+    pub fn set_open(&mut self, is_open: bool) {
+        self.is_open = is_open;
+    }
+
+    /// Whether new calls are taken.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.is_open
+    }
+
+    /// Calls at the target.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Calls that wait.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Slots of the target.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Time until a call with `ahead` calls before it starts, if runs take `run`.
+    fn wait_behind(&self, ahead: usize, run: Duration) -> Duration {
+        if self.running < self.slots && ahead == 0 {
+            return Duration::ZERO;
+        }
+        let starts = ahead as f64 + 1.0;
+        run.mul_f64(starts / f64::from(self.slots))
+    }
+
+    /// When a newcomer of the lowest rank could start.
+    #[must_use]
+    pub fn room_in(&self, run: Duration) -> Duration {
+        self.wait_behind(self.waiting.len(), run)
+    }
+
+    /// Takes a call, if runs take `run` here.
+    pub fn offer(&mut self, demand: CallDemand, run: Duration, now: Instant) -> GateVerdict {
+        if !self.is_open {
+            return GateVerdict::Decline {
+                reason: DeclineReason::Closed,
+                room_in: run,
+            };
+        }
+        if self.running < self.slots && self.waiting.is_empty() {
+            self.running += 1;
+            return GateVerdict::Run;
+        }
+        let key = order_key(&demand, run, now);
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|other| order_key(&other.demand, run, now) <= key)
+            .count();
+        let wait = self.wait_behind(ahead, run);
+        let most = (self.limits.per_slot * self.slots) as usize;
+        if !self.worth_waiting(&demand, wait, run, now, now) || self.waiting.len() >= most {
+            return GateVerdict::Decline {
+                reason: DeclineReason::Crowded,
+                room_in: self.room_in(run),
+            };
+        }
+        let ticket = WaitTicket(self.next_ticket);
+        self.next_ticket += 1;
+        self.waiting.push(WaitingCall {
+            ticket,
+            demand,
+            since: now,
+        });
+        GateVerdict::Wait(ticket)
+    }
+
+    fn worth_waiting(
+        &self,
+        demand: &CallDemand,
+        wait: Duration,
+        run: Duration,
+        since: Instant,
+        now: Instant,
+    ) -> bool {
+        let start = now + wait;
+        if start + run <= demand.aim {
+            return true;
+        }
+        let patience = demand
+            .deadline
+            .saturating_duration_since(since)
+            .mul_f64(self.limits.late_share);
+        // Nobody waits for long with a lost aim: only a short queue is worth it.
+        wait <= run && start + run <= demand.deadline && start <= since + patience
+    }
+
+    /// Takes back a call that waits; false when it does not wait (any more).
+    pub fn cancel(&mut self, ticket: WaitTicket) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|call| call.ticket != ticket);
+        before != self.waiting.len()
+    }
+
+    /// Counts the end of a run.
+    pub fn finished(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Starts what can start and turns away what can no longer be answered in
+    /// time. To be called after each change and from time to time.
+    pub fn settle(&mut self, run: Duration, now: Instant) -> Vec<WaitEnd> {
+        let mut ends = Vec::new();
+        self.turn_away_late(run, now, &mut ends);
+        while self.running < self.slots {
+            let Some(index) = self.next_to_run(run, now) else {
+                break;
+            };
+            let call = self.waiting.swap_remove(index);
+            self.running += 1;
+            ends.push(WaitEnd::Run(call.ticket));
+        }
+        ends
+    }
+
+    fn next_to_run(&self, run: Duration, now: Instant) -> Option<usize> {
+        (0..self.waiting.len()).min_by_key(|&index| {
+            let call = &self.waiting[index];
+            (order_key(&call.demand, run, now), call.ticket)
+        })
+    }
+
+    fn turn_away_late(&mut self, run: Duration, now: Instant, ends: &mut Vec<WaitEnd>) {
+        let late_share = self.limits.late_share;
+        let room_in = self.room_in(run);
+        self.waiting.retain(|call| {
+            let on_time = now + run.mul_f64(0.5) <= call.demand.aim;
+            let patience = call
+                .demand
+                .deadline
+                .saturating_duration_since(call.since)
+                .mul_f64(late_share);
+            let keep = on_time
+                || (now < call.since + patience && now + run.mul_f64(0.5) <= call.demand.deadline);
+            if !keep {
+                ends.push(WaitEnd::Decline {
+                    ticket: call.ticket,
+                    room_in,
+                });
+            }
+            keep
+        });
+    }
+
+    /// Turns away all that wait, as when the target is gone.
+    pub fn turn_away_all(&mut self, run: Duration) -> Vec<WaitEnd> {
+        self.waiting
+            .drain(..)
+            .map(|call| WaitEnd::Decline {
+                ticket: call.ticket,
+                room_in: run,
+            })
+            .collect()
+    }
+}
+
+/// Calls whose aim can still be met go first, by rank, then by the moment at
+/// which they must start; then the late ones, by rank and deadline.
+fn order_key(demand: &CallDemand, run: Duration, now: Instant) -> (bool, u8, Instant) {
+    let is_late = now + run.mul_f64(0.5) > demand.aim;
+    let by = if is_late { demand.deadline } else { demand.aim };
+    (is_late, demand.priority, by)
+}
--- /dev/null
+++ b/crates/policy/src/attempt.rs
@@ -0,0 +1,77 @@
+//! What may be done with a call after an attempt: the rules that keep a call
+//! from running twice and a caller from being told the wrong thing.
+
+/// How one attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The target gave its whole answer.
+    Answered,
+    /// The target gave its whole answer, a failure of its own (5xx).
+    AnsweredFailure,
+    /// The call certainly did not run: declined by the daemon in front of the
+    /// target, or no connection to it was made. The target saw nothing.
+    Declined,
+    /// The target itself rejected the call and said that it did not run it.
+    Rejected,
+    /// The call may have run; no whole answer came.
+    Lost,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// Pass the target's answer on.
+    PassOn,
+    /// Send the call to another target.
+    SendAgain,
+    /// Answer that the call was not run, with a time to come back.
+    SayNotRun,
+    /// Answer that the outcome is unknown.
+    SayUnknown,
+}
+
+/// What is left for a call after an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallAllowance {
+    /// Whether running the call twice does no harm.
+    pub repeatable: bool,
+    /// Whether an earlier attempt may have run it.
+    pub maybe_run: bool,
+    /// Whether a target that was not tried yet would take it.
+    pub other_target: bool,
+    /// Whether attempts, time and the shared budget allow one more arrival
+    /// at a target.
+    pub arrival_allowed: bool,
+}
+
+impl CallAllowance {
+    fn say_end(self) -> NextStep {
+        if self.maybe_run {
+            NextStep::SayUnknown
+        } else {
+            NextStep::SayNotRun
+        }
+    }
+}
+
+/// Decides what follows an attempt.
+///
+/// Guards against a call that runs twice: once an attempt may have run it,
+/// only a repeatable call is sent again; any other ends as unknown. Guards
+/// against telling a caller "not run" of a call that ran: that is said only
+/// when every attempt ended before a target could have run it.
+#[must_use]
+pub fn next_step(end: AttemptEnd, allowance: CallAllowance) -> NextStep {
+    let again = allowance.other_target && allowance.arrival_allowed;
+    match end {
+        AttemptEnd::Answered => NextStep::PassOn,
+        AttemptEnd::AnsweredFailure if allowance.repeatable && again => NextStep::SendAgain,
+        AttemptEnd::AnsweredFailure => NextStep::PassOn,
+        // No target saw it, so another try is no repeat and costs no budget.
+        AttemptEnd::Declined if allowance.other_target => NextStep::SendAgain,
+        AttemptEnd::Rejected if again => NextStep::SendAgain,
+        AttemptEnd::Declined | AttemptEnd::Rejected => allowance.say_end(),
+        AttemptEnd::Lost if allowance.repeatable && again => NextStep::SendAgain,
+        AttemptEnd::Lost => NextStep::SayUnknown,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/budget.rs
@@ -0,0 +1,111 @@
+//! The retry budget that all daemons share without talking about it.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Slices a window is counted in.
+const SLICES: usize = 20;
+
+/// What the daemons together may spend, from the host's settings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetTerms {
+    /// Repeated arrivals per call, in any window.
+    pub ratio: f64,
+    /// Repeated arrivals per window and service on top, of all daemons together.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+/// Part of the terms that daemons give out. The rest covers what they cannot
+/// see: repeats that the calls of a repeated run cause at other services, and
+/// windows that begin at other moments.
+const USED_SHARE: f64 = 0.6;
+
+#[derive(Debug)]
+struct WindowCounts {
+    slices: [(u64, u32, u32); SLICES],
+}
+
+impl WindowCounts {
+    fn slice(&mut self, slot: u64) -> &mut (u64, u32, u32) {
+        let index = usize::try_from(slot % SLICES as u64).unwrap_or(0);
+        let slice = &mut self.slices[index];
+        if slice.0 != slot {
+            *slice = (slot, 0, 0);
+        }
+        slice
+    }
+
+    fn totals(&self, slot: u64) -> (u32, u32) {
+        self.slices
+            .iter()
+            .filter(|slice| slice.0 + (SLICES as u64) > slot && slice.0 <= slot)
+            .fold((0, 0), |sum, slice| (sum.0 + slice.1, sum.1 + slice.2))
+    }
+}
+
+/// Per-service budgets of one daemon.
+///
+/// Load pattern: many targets fail at once, and each call sent a second time
+/// makes the rest fail too. Each daemon spends a share: the ratio on the calls
+/// it took itself, and its part of the slack. When all do, the sum stays within
+/// the terms without a message between them.
+#[derive(Debug)]
+pub struct RetryBudget {
+    terms: BudgetTerms,
+    start: Instant,
+    services: HashMap<String, WindowCounts>,
+}
+
+impl RetryBudget {
+    /// An unspent budget.
+    #[must_use]
+    pub fn new(terms: BudgetTerms, now: Instant) -> RetryBudget {
+        RetryBudget {
+            terms,
+            start: now,
+            services: HashMap::new(),
+        }
+    }
+
+    fn slot(&self, now: Instant) -> u64 {
+        let width = (self.terms.window / SLICES as u32).as_micros().max(1);
+        let since = now.saturating_duration_since(self.start).as_micros();
+        u64::try_from(since / width).unwrap_or(u64::MAX) + SLICES as u64
+    }
+
+    fn counts(&mut self, service: &str) -> &mut WindowCounts {
+        if !self.services.contains_key(service) {
+            let fresh = WindowCounts {
+                slices: [(0, 0, 0); SLICES],
+            };
+            self.services.insert(service.to_owned(), fresh);
+        }
+        self.services
+            .get_mut(service)
+            .expect("the entry was just made")
+    }
+
+    /// Counts a call for `service`.
+    pub fn earn(&mut self, service: &str, now: Instant) {
+        let slot = self.slot(now);
+        self.counts(service).slice(slot).1 += 1;
+    }
+
+    /// Takes one repeated arrival from the budget, if `daemons` daemons with
+    /// this one's share leave room for it.
+    pub fn spend(&mut self, service: &str, daemons: usize, now: Instant) -> bool {
+        let slot = self.slot(now);
+        let terms = self.terms;
+        let counts = self.counts(service);
+        let (calls, repeats) = counts.totals(slot);
+        let slack = terms.slack / daemons.max(1) as f64;
+        let allowed = USED_SHARE * (terms.ratio * f64::from(calls) + slack);
+        let fits = f64::from(repeats) + 1.0 <= allowed;
+        if fits {
+            counts.slice(slot).2 += 1;
+        }
+        fits
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,19 @@
+//! The daemon's decisions, apart from input and output: state in, verdict out,
+//! the clock handed in.
+//!
+//! A call is routed ([`routing`], [`weights`]), placed on a target
+//! ([`placement`]), admitted, made to wait or declined there ([`admission`]),
+//! sent again or given up ([`attempt`], [`budget`]), and refused with a time
+//! to come back ([`refusal`]). [`instance`] follows the life of the target
+//! beside the daemon, [`health`] what its calls say about it.
+
+pub mod admission;
+pub mod attempt;
+pub mod budget;
+pub mod clock;
+pub mod health;
+pub mod instance;
+pub mod placement;
+pub mod refusal;
+pub mod routing;
+pub mod weights;
--- /dev/null
+++ b/crates/policy/src/routing.rs
@@ -0,0 +1,180 @@
+//! Versions of the configuration and the lookup of a call's route.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// Calls may run more than once.
+    Idempotent,
+    /// Calls run at most once.
+    NonIdempotent,
+    /// Large answers; calls may run more than once.
+    Download,
+}
+
+impl RouteKind {
+    /// Whether running a call twice does no harm.
+    #[must_use]
+    pub fn is_repeatable(self) -> bool {
+        !matches!(self, RouteKind::NonIdempotent)
+    }
+}
+
+/// One destination of a route and its share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutePart {
+    /// The service whose targets take this part.
+    pub service: String,
+    /// Its share, relative to the route's other parts.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteRule {
+    /// The route's name, unique in a version.
+    pub name: String,
+    /// The host that callers name.
+    pub host: String,
+    /// The path prefix, with a slash at both ends.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// The longest a call may be kept waiting.
+    pub timeout: Duration,
+    /// The time within which an answer is worth most.
+    pub aim: Duration,
+    /// Targets a call may be sent to at most.
+    pub max_attempts: u32,
+    /// Rank of its calls; 0 goes first.
+    pub priority: u8,
+    /// Where its calls go; never empty.
+    pub parts: Vec<RoutePart>,
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceRule {
+    /// Its name.
+    pub name: String,
+    /// Path of its health check.
+    pub health_path: String,
+    /// Connections one target takes from everybody together.
+    pub max_connections: u32,
+}
+
+/// What callers may send, and how slowly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Bytes of a head.
+    pub head_bytes: usize,
+    /// Bytes of a body.
+    pub body_bytes: u64,
+    /// Time from a head's first byte to its last.
+    pub head_time: Duration,
+    /// Time a connection may stay open without a call.
+    pub idle_time: Duration,
+}
+
+impl Default for ClientLimits {
+    /// Limits until a version is known: the usual of small HTTP servers.
+    fn default() -> Self {
+        ClientLimits {
+            head_bytes: 16 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One whole version of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MeshVersion {
+    /// Its number; numbers only grow.
+    pub number: u64,
+    /// Every route.
+    pub routes: Vec<RouteRule>,
+    /// Every service.
+    pub services: Vec<ServiceRule>,
+    /// What callers may send.
+    pub limits: ClientLimits,
+}
+
+/// A version compiled for lookups.
+#[derive(Debug, Default)]
+pub struct RouteIndex {
+    number: u64,
+    limits: ClientLimits,
+    hosts: HashMap<String, HashMap<String, Arc<RouteRule>>>,
+    services: HashMap<String, ServiceRule>,
+}
+
+impl RouteIndex {
+    /// Compiles `version`.
+    #[must_use]
+    pub fn compile(version: MeshVersion) -> RouteIndex {
+        let mut hosts: HashMap<String, HashMap<String, Arc<RouteRule>>> = HashMap::new();
+        for route in version.routes {
+            hosts
+                .entry(route.host.to_ascii_lowercase())
+                .or_default()
+                .insert(route.prefix.clone(), Arc::new(route));
+        }
+        let services = version
+            .services
+            .into_iter()
+            .map(|service| (service.name.clone(), service))
+            .collect();
+        RouteIndex {
+            number: version.number,
+            limits: version.limits,
+            hosts,
+            services,
+        }
+    }
+
+    /// The version's number; 0 for the empty index.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// What callers may send.
+    #[must_use]
+    pub fn limits(&self) -> &ClientLimits {
+        &self.limits
+    }
+
+    /// The rule of a service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceRule> {
+        self.services.get(name)
+    }
+
+    /// The route with the longest prefix that begins `target` (a path with or
+    /// without a query) on `host` (with or without a port).
+    ///
+    /// Prefixes end with a slash, so only the path's own cuts are tried: the
+    /// cost grows with the path's depth, not with the number of routes.
+    #[must_use]
+    pub fn lookup(&self, host: &str, target: &str) -> Option<&Arc<RouteRule>> {
+        let host = host.split(':').next().unwrap_or_default();
+        let routes = match self.hosts.get(host) {
+            Some(routes) => routes,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        let path = target.split(['?', '#']).next().unwrap_or_default();
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(route) = routes.get(&path[..=slash]) {
+                return Some(route);
+            }
+            end = slash;
+        }
+        None
+    }
+}
--- a/src/bin/filbertd.rs
+++ b/src/bin/filbertd.rs
@@ -3,8 +3,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use filbert_daemon::{logging, DaemonSettings};
+use filbert_mesh::MeshSettings;
 
 /// Threads that run the daemon's tasks. Its host's processors belong to the
 /// target beside it.
@@ -12,39 +13,93 @@
 
 /// The filbertladder daemon: one per target host.
 #[derive(Debug, Parser)]
-#[command(name = "filbertd", version, about)]
+#[command(name = "filbertd", version, about, args_conflicts_with_subcommands = true)]
 struct Args {
-    /// The daemon's settings file (TOML).
-    #[arg(long)]
-    config: PathBuf,
+    /// The daemon's settings file (TOML), for our own store.
+    #[arg(long, required = true)]
+    config: Option<PathBuf>,
     /// Log filter, such as `info` or `debug`; `RUST_LOG` overrides it.
     #[arg(long, default_value = "info")]
     log: String,
+    #[command(subcommand)]
+    mode: Option<Mode>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Mode {
+    /// Run on the users' platform.
+    Mesh {
+        /// The daemon's settings file (TOML).
+        #[arg(long, env = filbert_platform::SETTINGS_VARIABLE)]
+        settings: PathBuf,
+        /// Log filter, such as `info` or `debug`; `RUST_LOG` overrides it.
+        #[arg(long, default_value = "info")]
+        log: String,
+    },
 }
 
 fn main() -> ExitCode {
     error_stack::Report::set_color_mode(error_stack::fmt::ColorMode::None);
     let args = Args::parse();
-    let settings = match DaemonSettings::load(&args.config) {
+    match (args.mode, args.config) {
+        (Some(Mode::Mesh { settings, log }), _) => run_mesh(settings, &log),
+        (None, Some(config)) => run_alone(&config, &args.log),
+        (None, None) => {
+            eprintln!("filbertd: no settings file given");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run_mesh(path: PathBuf, log: &str) -> ExitCode {
+    let settings = match MeshSettings::load(&path) {
         Ok(settings) => settings,
         Err(report) => {
             eprintln!("filbertd: {report:?}");
             return ExitCode::from(2);
         }
     };
-    let _logger = logging::start(&args.log);
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
+    let _logger = filbert_mesh::logging::start(log);
+    // One thread: a host gives the daemon a fifth of a core, and parts that
+    // share one thread need no locks.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    finish(runtime, |runtime| {
+        runtime.block_on(filbert_mesh::run(settings, path))
+    })
+}
+
+fn run_alone(path: &std::path::Path, log: &str) -> ExitCode {
+    let settings = match DaemonSettings::load(path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("filbertd: {report:?}");
+            return ExitCode::from(2);
+        }
+    };
+    let _logger = logging::start(log);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
-        .build()
-    {
+        .build();
+    finish(runtime, |runtime| {
+        runtime.block_on(filbert_daemon::run(settings))
+    })
+}
+
+fn finish<E: std::fmt::Debug>(
+    runtime: std::io::Result<tokio::runtime::Runtime>,
+    run: impl FnOnce(&tokio::runtime::Runtime) -> Result<(), E>,
+) -> ExitCode {
+    let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("filbertd: cannot start the async runtime: {error}");
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(filbert_daemon::run(settings)) {
+    match run(&runtime) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("filbertd: {report:?}");
