Placement by expected loss; empty frames are no pieces

Change: placement minimises the expected loss of worth, with a softened queue; a slower run mean; shorter queues at the gate; empty frames skipped.

--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -80,14 +80,23 @@
 }
 
 /// Reads the next bytes of a stream and gives their window back.
+///
+/// Guards against an answer that seems to end twice: the frame that ends a
+/// stream is often empty, and an empty piece written as a chunk is the mark of
+/// a body's end. The client would find the real mark in front of its next
+/// answer.
 pub async fn next_data(stream: &mut RecvStream) -> Option<Result<Bytes, h2::Error>> {
-    let piece = match stream.data().await? {
-        Ok(piece) => piece,
-        Err(error) => return Some(Err(error)),
-    };
-    match stream.flow_control().release_capacity(piece.len()) {
-        Ok(()) => Some(Ok(piece)),
-        Err(error) => Some(Err(error)),
+    loop {
+        let piece = match stream.data().await? {
+            Ok(piece) => piece,
+            Err(error) => return Some(Err(error)),
+        };
+        if let Err(error) = stream.flow_control().release_capacity(piece.len()) {
+            return Some(Err(error));
+        }
+        if !piece.is_empty() {
+            return Some(Ok(piece));
+        }
     }
 }
 
--- a/crates/mesh/src/calls.rs
+++ b/crates/mesh/src/calls.rs
@@ -165,16 +165,16 @@
     let mut room: Option<Duration> = None;
     let mut failure: Option<(AnswerHead, AnswerBody)> = None;
     loop {
-        let Some((candidate, host)) = pick(shared, route, &service, &tried) else {
+        let now = shared.clock.now();
+        head.left_us = micros(limit.saturating_duration_since(now));
+        head.aim_us = micros(aim.saturating_duration_since(now));
+        let Some((candidate, host)) = pick(shared, route, &head, &tried) else {
             return match failure {
                 Some((head, body)) => ClientAnswer::Target(head, body),
                 None if progress.maybe_run.get() => ClientAnswer::own(BAD_GATEWAY),
                 None => refuse_spread(shared, &head.id, limit, room.unwrap_or(NO_TARGET)),
             };
         };
-        let now = shared.clock.now();
-        head.left_us = micros(limit.saturating_duration_since(now));
-        head.aim_us = micros(aim.saturating_duration_since(now));
         progress.in_attempt.set(true);
         let outcome = attempt(shared, &candidate, &head, bodies.next()).await;
         progress.in_attempt.set(false);
@@ -328,14 +328,15 @@
     }
 }
 
-/// The best target of `service` that was not tried yet.
+/// The best target for a call that was not tried yet.
 fn pick(
     shared: &Rc<MeshShared>,
     route: &RouteRule,
-    service: &str,
+    head: &CallHead,
     tried: &[String],
 ) -> Option<(Candidate, String)> {
     let settings = Rc::clone(&shared.settings.borrow());
+    let service = head.service.as_str();
     let mut views = Vec::new();
     let mut candidates = Vec::new();
     if !tried.contains(&settings.id) {
@@ -366,6 +367,8 @@
             .borrow()
             .get(&route.name)
             .map_or(0.0, |history| history.answer_kib),
+        aim_ms: head.aim_us as f64 / 1_000.0,
+        left_ms: head.left_us as f64 / 1_000.0,
     };
     let index = choose(&views, &shape, &settings.crossing_cost(), &mut rand::rng())?;
     Some(candidates.swap_remove(index))
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -78,16 +78,17 @@
     pub window: Duration,
 }
 
-/// What it costs to leave the availability zone, in milliseconds of waiting.
+/// What it costs to leave the availability zone, as parts of what a call
+/// answered in time is worth.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct CrossingSettings {
     /// For any call.
-    pub base_ms: f64,
+    pub base: f64,
     /// For each KiB of its answer.
-    pub ms_per_kib: f64,
+    pub per_kib: f64,
     /// At most.
-    pub most_ms: f64,
+    pub most: f64,
 }
 
 impl Default for CrossingSettings {
@@ -95,9 +96,9 @@
     /// had late from the own zone, a small one soon from any.
     fn default() -> Self {
         CrossingSettings {
-            base_ms: 5.0,
-            ms_per_kib: 3.0,
-            most_ms: 400.0,
+            base: 0.01,
+            per_kib: 0.006,
+            most: 0.9,
         }
     }
 }
@@ -191,9 +192,9 @@
     #[must_use]
     pub fn crossing_cost(&self) -> CrossingCost {
         CrossingCost {
-            base_ms: self.crossing.base_ms,
-            ms_per_kib: self.crossing.ms_per_kib,
-            most_ms: self.crossing.most_ms,
+            base: self.crossing.base,
+            per_kib: self.crossing.per_kib,
+            most: self.crossing.most,
         }
     }
 }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -81,6 +81,11 @@
     }
 }
 
+/// Runs that must fit between a call's start and its aim for it to wait: run
+/// times have long tails, and a wait that leaves just the mean is lost on half
+/// of the calls.
+const AIM_RUNS: f64 = 1.3;
+
 #[derive(Clone, Copy, Debug)]
 struct WaitingCall {
     ticket: WaitTicket,
@@ -214,7 +219,7 @@
         now: Instant,
     ) -> bool {
         let start = now + wait;
-        if start + run <= demand.aim {
+        if start + run.mul_f64(AIM_RUNS) <= demand.aim {
             return true;
         }
         let patience = demand
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-/// Weight of the newest run in the running means: some ten runs back count.
-const NEWEST: f64 = 0.1;
+/// Weight of the newest run in the running mean: some thirty runs back count.
+/// Fewer would make chance look like speed, as run times have long tails.
+const NEWEST: f64 = 0.03;
 /// Weight of the newest outcome in the share of failures.
 const NEWEST_OUTCOME: f64 = 0.15;
 /// Run time assumed before any was seen, in milliseconds.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -27,54 +27,81 @@
 pub struct CallShape {
     /// Usual size of its answer, in KiB.
     pub answer_kib: f64,
+    /// Time until an answer is worth less, in milliseconds.
+    pub aim_ms: f64,
+    /// Time until an answer is worth nothing, in milliseconds.
+    pub left_ms: f64,
 }
 
-/// What it costs to cross into another availability zone.
+/// What it costs to cross into another availability zone, as parts of what a
+/// call answered in time is worth.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CrossingCost {
-    /// Milliseconds of waiting at home that are better than any crossing.
-    pub base_ms: f64,
-    /// Milliseconds of waiting at home that one KiB of answer is worth.
-    pub ms_per_kib: f64,
-    /// The most that both come to, in milliseconds.
-    pub most_ms: f64,
+    /// For any call.
+    pub base: f64,
+    /// For each KiB of its answer.
+    pub per_kib: f64,
+    /// At most.
+    pub most: f64,
 }
 
 /// Factor on a cold target's run time.
 const COLD_FACTOR: f64 = 2.0;
-/// Cost of a leaving target, in milliseconds: only where there is no other.
-const LEAVING_MS: f64 = 10_000.0;
-/// Cost of an attempt that ends ill, in milliseconds, beside the run itself.
-const ILL_MS: f64 = 400.0;
-/// Part of a run by which costs are spread at random.
+/// Loss at a leaving target: only where there is no other.
+const LEAVING_LOSS: f64 = 10.0;
+/// Loss of an attempt that ends ill: it costs the time of another attempt, or
+/// the call.
+const ILL_LOSS: f64 = 0.8;
+/// Loss of a call that is sure to be late, and what is lost besides as its
+/// finish nears the time at which it is worth nothing.
+const LATE_LOSS: f64 = 0.7;
+const NEVER_LOSS: f64 = 0.3;
+/// Loss by which choices are spread at random.
 ///
 /// Load pattern: ten daemons see one target idle in the same report. Without
 /// the spread all of them send there until the next report comes.
-const SPREAD: f64 = 0.25;
+const SPREAD: f64 = 0.04;
+/// Calls by which a report is usually out of date.
+const UNSEEN: f64 = 2.0;
+/// Loss at a target whose slots are all in use, against an idle one: keeps
+/// load level among equals.
+const LEVEL_LOSS: f64 = 0.05;
 
-/// Expected time until a call placed there is answered, in milliseconds, with
-/// what a crossing and the target's failures cost.
+/// Calls that must end before a newcomer starts, when `over` more than the
+/// slots were there at the last report. Rounded off by [`UNSEEN`]: calls that
+/// others placed since, or that ended.
+fn calls_ahead(over: f64) -> f64 {
+    UNSEEN * (over / UNSEEN).exp().ln_1p()
+}
+
+/// Expected part of a call's worth that is lost when it is placed there.
+///
+/// Load pattern: targets of one service run at different speeds, from fast to
+/// slow by more than two to one. An answer within its aim is worth the same
+/// however early, so what counts is the chance of missing it. Run times have
+/// long tails; taken as exponential, the chance is `exp(-spare / run)`. A fast
+/// target is worth a little waiting, a slow one is for when the fast are full,
+/// and another zone's for when waiting at home would cost more than the way.
 #[must_use]
-pub fn expected_cost_ms(view: &TargetView, call: &CallShape, crossing: &CrossingCost) -> f64 {
-    let run_ms = if view.is_cold {
-        view.run_ms * COLD_FACTOR
-    } else {
-        view.run_ms
-    };
+pub fn expected_loss(view: &TargetView, call: &CallShape, crossing: &CrossingCost) -> f64 {
+    let factor = if view.is_cold { COLD_FACTOR } else { 1.0 };
+    let run_ms = (view.run_ms * factor).max(1.0);
     let slots = f64::from(view.slots.max(1));
-    let ahead = (view.occupancy + 1.0 - slots).max(0.0);
-    // Below full, a target with more work is slightly worse: it keeps load
-    // level among equals.
-    let level = 0.2 * run_ms * (view.occupancy / slots).min(1.0);
-    let wait = ahead * run_ms / slots;
-    let mut cost = wait + level + run_ms + view.ill_share * (ILL_MS + run_ms);
+    let wait_ms = calls_ahead(view.occupancy + 1.0 - slots) * run_ms / slots;
+    let spare_ms = (call.aim_ms - wait_ms).max(0.0);
+    let late = (-spare_ms / run_ms).exp();
+    let never = ((wait_ms + run_ms) / call.left_ms.max(1.0)).min(1.0);
+    let mut loss = late * LATE_LOSS
+        + never * NEVER_LOSS
+        + view.ill_share * ILL_LOSS
+        + (view.occupancy / slots).min(1.0) * LEVEL_LOSS;
     if !view.in_zone {
-        cost += (crossing.base_ms + call.answer_kib * crossing.ms_per_kib).min(crossing.most_ms);
+        loss += (crossing.base + call.answer_kib * crossing.per_kib).min(crossing.most);
     }
     if view.is_leaving {
-        cost += LEAVING_MS;
+        loss += LEAVING_LOSS;
     }
-    cost
+    loss
 }
 
 /// The index of the target to send to; `None` when there is none.
@@ -86,10 +113,9 @@
 ) -> Option<usize> {
     let mut best: Option<(usize, f64)> = None;
     for (index, view) in views.iter().enumerate() {
-        let spread = 1.0 + SPREAD * (rng.random::<f64>() - 0.5);
-        let cost = expected_cost_ms(view, call, crossing) * spread;
-        if best.is_none_or(|(_, least)| cost < least) {
-            best = Some((index, cost));
+        let loss = expected_loss(view, call, crossing) + SPREAD * rng.random::<f64>();
+        if best.is_none_or(|(_, least)| loss < least) {
+            best = Some((index, loss));
         }
     }
     best.map(|(index, _)| index)
