The retry budget is spent on repeats only, not on each answer

Ruled out: max_attempts (2), copies of the body, the window's arithmetic. Change: next_step asks for budget only when nothing else stands against another arrival.

--- a/crates/mesh/src/calls.rs
+++ b/crates/mesh/src/calls.rs
@@ -200,15 +200,13 @@
                 AttemptEnd::Lost
             }
         };
-        let may_arrive = end == AttemptEnd::Declined
-            || (arrivals < route.max_attempts && bodies.is_copyable() && spend(shared, &service));
         let allowance = CallAllowance {
             repeatable: route.kind.is_repeatable(),
             maybe_run: progress.maybe_run.get(),
             other_target: declines < MOST_DECLINES && bodies.is_copyable(),
-            arrival_allowed: may_arrive,
+            arrivals_left: route.max_attempts.saturating_sub(arrivals),
         };
-        let step = next_step(end, allowance);
+        let step = next_step(end, allowance, || spend(shared, &service));
         if end != AttemptEnd::Answered {
             log::info!(
                 "event=attempt_ended request={} route={} host={host} end={end:?} next={step:?} arrivals={arrivals} declines={declines}",
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -39,9 +39,8 @@
     pub maybe_run: bool,
     /// Whether a target that was not tried yet would take it.
     pub other_target: bool,
-    /// Whether attempts, time and the shared budget allow one more arrival
-    /// at a target.
-    pub arrival_allowed: bool,
+    /// Targets that the call may still be sent to.
+    pub arrivals_left: u32,
 }
 
 impl CallAllowance {
@@ -60,18 +59,26 @@
 /// only a repeatable call is sent again; any other ends as unknown. Guards
 /// against telling a caller "not run" of a call that ran: that is said only
 /// when every attempt ended before a target could have run it.
+///
+/// `spend` takes one arrival from the shared budget; it is asked only when
+/// nothing else stands against another one.
 #[must_use]
-pub fn next_step(end: AttemptEnd, allowance: CallAllowance) -> NextStep {
-    let again = allowance.other_target && allowance.arrival_allowed;
+pub fn next_step(
+    end: AttemptEnd,
+    allowance: CallAllowance,
+    mut spend: impl FnMut() -> bool,
+) -> NextStep {
+    let again = allowance.other_target && allowance.arrivals_left > 0;
+    let repeat = again && allowance.repeatable;
     match end {
         AttemptEnd::Answered => NextStep::PassOn,
-        AttemptEnd::AnsweredFailure if allowance.repeatable && again => NextStep::SendAgain,
+        AttemptEnd::AnsweredFailure if repeat && spend() => NextStep::SendAgain,
         AttemptEnd::AnsweredFailure => NextStep::PassOn,
         // No target saw it, so another try is no repeat and costs no budget.
         AttemptEnd::Declined if allowance.other_target => NextStep::SendAgain,
-        AttemptEnd::Rejected if again => NextStep::SendAgain,
+        AttemptEnd::Rejected if again && spend() => NextStep::SendAgain,
         AttemptEnd::Declined | AttemptEnd::Rejected => allowance.say_end(),
-        AttemptEnd::Lost if allowance.repeatable && again => NextStep::SendAgain,
+        AttemptEnd::Lost if repeat && spend() => NextStep::SendAgain,
         AttemptEnd::Lost => NextStep::SayUnknown,
     }
 }
