--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -84,7 +84,7 @@
 /// Runs that must fit between a call's start and its aim for it to wait: run
 /// times have long tails, and a wait that leaves just the mean is lost on half
 /// of the calls.
-const AIM_RUNS: f64 = 1.3;
+const AIM_RUNS: f64 = 2.0;
 
 #[derive(Clone, Copy, Debug)]
 struct WaitingCall {
