--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -84,7 +84,7 @@
 /// Runs that must fit between a call's start and its aim for it to wait: run
 /// times have long tails, and a wait that leaves just the mean is lost on half
 /// of the calls.
-const AIM_RUNS: f64 = 2.0;
+const AIM_RUNS: f64 = 2.7;
 
 #[derive(Clone, Copy, Debug)]
 struct WaitingCall {
@@ -227,7 +227,7 @@
             .saturating_duration_since(since)
             .mul_f64(self.limits.late_share);
         // Nobody waits for long with a lost aim: only a short queue is worth it.
-        wait <= run && start + run <= demand.deadline && start <= since + patience
+        wait <= run.mul_f64(0.6) && start + run <= demand.deadline && start <= since + patience
     }
 
     /// Takes back a call that waits; false when it does not wait (any more).
