A silent link shows within half a second; repeatable calls leave it

Ruled out: slow dialing (the links were up, only silent). Change: a call without an answer for 150 ms asks for a PING; 250 ms later the link takes no new calls and repeatable calls are sent elsewhere.

--- a/crates/mesh/src/calls.rs
+++ b/crates/mesh/src/calls.rs
@@ -29,6 +29,9 @@
 /// Gates asked before a call is refused. Each costs a round trip and no work;
 /// when the best few have no room, the others have none either.
 const MOST_DECLINES: u32 = 4;
+/// A call without an answer for this long, over a link on which nothing else
+/// came either, asks whether the link still works.
+const DOUBT_AFTER: Duration = Duration::from_millis(150);
 /// When to come back to a daemon that knows no configuration yet.
 const NOT_YET: Duration = Duration::from_millis(250);
 /// When to come back for a service without any open target.
@@ -157,6 +160,7 @@
     let now = shared.clock.now();
     shared.budget.borrow_mut().earn(&service, now);
     let aim = aim_of(shared, route, &call);
+    let repeatable = route.kind.is_repeatable();
     let (mut head, body) = into_message(shared, route, &service, call);
     let mut bodies = BodyCopies::new(body);
     let mut tried: Vec<String> = Vec::new();
@@ -176,7 +180,7 @@
             };
         };
         progress.in_attempt.set(true);
-        let outcome = attempt(shared, &candidate, &head, bodies.next()).await;
+        let outcome = attempt(shared, &candidate, &head, bodies.next(), repeatable).await;
         progress.in_attempt.set(false);
         tried.push(host.clone());
         let end = match &outcome {
@@ -201,7 +205,7 @@
             }
         };
         let allowance = CallAllowance {
-            repeatable: route.kind.is_repeatable(),
+            repeatable,
             maybe_run: progress.maybe_run.get(),
             other_target: declines < MOST_DECLINES && bodies.is_copyable(),
             arrivals_left: route.max_attempts.saturating_sub(arrivals),
@@ -393,10 +397,11 @@
     candidate: &Candidate,
     head: &CallHead,
     body: CallBody,
+    repeatable: bool,
 ) -> AttemptOutcome {
     let (reply, body) = match candidate {
         Candidate::Here => shared.gate.run(head, body).await,
-        Candidate::Peer(peer) => match run_at_peer(peer, head, body).await {
+        Candidate::Peer(peer) => match run_at_peer(shared, peer, head, body, repeatable).await {
             Ok((reply, body)) => {
                 note_reply(peer, &reply);
                 (reply, body)
@@ -429,9 +434,11 @@
 
 /// Sends a call over the link to `peer` and reads the head of the reply.
 async fn run_at_peer(
+    shared: &MeshShared,
     peer: &Peer,
     head: &CallHead,
     body: CallBody,
+    repeatable: bool,
 ) -> Result<(ReplyHead, AnswerBody), AttemptOutcome> {
     let not_sent = || AttemptOutcome::Declined {
         room_in: Duration::ZERO,
@@ -485,8 +492,13 @@
                 Err(()) => return Err(AttemptOutcome::Lost),
             },
             received = &mut reply => break received,
+            () = peer.fell_silent.notified(), if repeatable => return Err(AttemptOutcome::Lost),
+            () = tokio::time::sleep(DOUBT_AFTER) => {
+                peer.doubt(shared.clock.now(), DOUBT_AFTER);
+            }
         }
     };
+    peer.hear(shared.clock.now());
     match received.map_err(lost)? {
         Some((reply, body)) => Ok((reply, AnswerBody::Link(body))),
         None => Err(AttemptOutcome::Lost),
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -35,9 +35,12 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 /// Pause between PINGs.
 const PING_EVERY: Duration = Duration::from_millis(1000);
-/// A PING unanswered for this long ends the link. Above it, a host that has
-/// its processor for a tenth of the time still answers.
-const PING_SILENCE: Duration = Duration::from_millis(1200);
+/// A PING unanswered for this long makes the link doubtful: calls go
+/// elsewhere. A host that has its processor for a fifth of each tenth of a
+/// second still answers in time.
+const PING_DOUBT: Duration = Duration::from_millis(250);
+/// Further time after which the link is given up.
+const PING_SILENCE: Duration = Duration::from_millis(900);
 /// How long a newer version may take to come from the store before the peer
 /// that has it is asked.
 const STORE_HEAD_START: Duration = Duration::from_millis(120);
@@ -111,7 +114,7 @@
         Ok((sender, connection)) => {
             let news = follow_news(shared, peer, sender, was_up);
             tokio::select! {
-                end = drive(connection) => end,
+                end = drive(shared, peer, connection) => end,
                 end = news => end,
             }
         }
@@ -142,29 +145,47 @@
 }
 
 /// Moves the connection's bytes and checks that the other side still answers.
-async fn drive(mut connection: LinkConnection) -> LinkError {
+async fn drive(shared: &MeshShared, peer: &Peer, mut connection: LinkConnection) -> LinkError {
     let pings = connection.ping_pong();
     tokio::select! {
         outcome = connection => match outcome {
             Ok(()) => LinkError::Ended,
             Err(error) => LinkError::Protocol(error),
         },
-        end = check_silence(pings) => end,
+        end = check_silence(shared, peer, pings) => end,
     }
 }
 
-/// Guards against a connection that went silent for good: calls on it would
-/// hang until their deadlines while a new connection works.
-async fn check_silence(pings: Option<PingPong>) -> LinkError {
+/// Guards against a connection that went silent for good, or a host that was
+/// cut off: calls on it would hang until their deadlines while other hosts
+/// work. A call without an answer asks for a PING at once, so that the silence
+/// shows within half a second.
+async fn check_silence(shared: &MeshShared, peer: &Peer, pings: Option<PingPong>) -> LinkError {
     let Some(mut pings) = pings else {
         return LinkError::Ended;
     };
+    peer.hear(shared.clock.now());
     loop {
-        tokio::time::sleep(PING_EVERY).await;
-        match tokio::time::timeout(PING_SILENCE, pings.ping(Ping::opaque())).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(error)) => return LinkError::Protocol(error),
-            Err(_) => return LinkError::Silent,
+        tokio::select! {
+            () = tokio::time::sleep(PING_EVERY) => {}
+            () = peer.doubted.notified() => {}
+        }
+        let pong = pings.ping(Ping::opaque());
+        tokio::pin!(pong);
+        let answer = match tokio::time::timeout(PING_DOUBT, &mut pong).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                peer.mark_silent();
+                log::info!("event=link_silent peer={}", peer.address.id);
+                match tokio::time::timeout(PING_SILENCE, pong).await {
+                    Ok(answer) => answer,
+                    Err(_) => return LinkError::Silent,
+                }
+            }
+        };
+        match answer {
+            Ok(_) => peer.hear(shared.clock.now()),
+            Err(error) => return LinkError::Protocol(error),
         }
     }
 }
@@ -247,7 +268,10 @@
         };
         tokio::select! {
             data = next_data(incoming) => match data {
-                Some(Ok(piece)) => buffer.extend_from_slice(&piece),
+                Some(Ok(piece)) => {
+                    peer.hear(shared.clock.now());
+                    buffer.extend_from_slice(&piece);
+                }
                 Some(Err(error)) => return Err(LinkError::Protocol(error)),
                 None => return Ok(()),
             },
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use h2::client::SendRequest;
@@ -25,6 +26,14 @@
     pub is_dropped: Cell<bool>,
     /// Wakes the dialer early.
     pub nudge: Notify,
+    /// When anything last came over the link.
+    heard: Cell<Option<Instant>>,
+    /// Asks for a PING now.
+    pub doubted: Notify,
+    /// Whether a PING is overdue.
+    is_silent: Cell<bool>,
+    /// Wakes calls under way when the link falls silent.
+    pub fell_silent: Notify,
 }
 
 impl Peer {
@@ -38,9 +47,40 @@
             sent_since: Cell::new(0),
             is_dropped: Cell::new(false),
             nudge: Notify::new(),
+            heard: Cell::new(None),
+            doubted: Notify::new(),
+            is_silent: Cell::new(false),
+            fell_silent: Notify::new(),
         })
     }
 
+    /// Notes that something came over the link.
+    pub fn hear(&self, now: Instant) {
+        self.heard.set(Some(now));
+        self.is_silent.set(false);
+    }
+
+    /// Asks for a PING if nothing came over the link for `pause`.
+    pub fn doubt(&self, now: Instant, pause: Duration) {
+        let is_doubtful = self.heard.get().is_none_or(|heard| now >= heard + pause);
+        if is_doubtful && !self.is_silent.get() {
+            self.doubted.notify_one();
+        }
+    }
+
+    /// Notes that a PING is overdue: no new calls go there, and calls under
+    /// way that may be sent again are.
+    pub fn mark_silent(&self) {
+        self.is_silent.set(true);
+        self.fell_silent.notify_waiters();
+    }
+
+    /// Whether a PING is overdue.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.is_silent.get()
+    }
+
     /// Takes over a description of its target.
     pub fn describe(&self, target: Option<TargetStatus>) {
         self.sent_since.set(0);
@@ -72,6 +112,9 @@
     #[must_use]
     pub fn target(&self) -> Option<(TargetStatus, u32)> {
         self.link.borrow().as_ref()?;
+        if self.is_silent.get() {
+            return None;
+        }
         let target = self.target.borrow().clone()?;
         Some((target, self.sent_since.get()))
     }
