Stand-ins of the users' platform; call path, store and stops under test

The members are read anew when either feed finds the store back: a row that vanished while only the other feed saw the outage stayed missing until the next change (a_lapsed_row_is_back).

--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -59,6 +59,7 @@
                 if is_lost {
                     log::info!("event=store_regained subject={subject:?}");
                     is_lost = false;
+                    shared.store_returned.notify_waiters();
                 }
                 pause = FIRST_PAUSE;
                 position = next;
@@ -95,10 +96,18 @@
         take_table(shared, subject, batch).await?;
         return Ok(Some(version));
     };
-    let answer = shared
+    let watch = shared
         .store
-        .watch_table(subject.table(), position, FEED_WAIT)
-        .await?;
+        .watch_table(subject.table(), position, FEED_WAIT);
+    let answer = tokio::select! {
+        answer = watch => answer?,
+        // Guards against a row that vanished while the store was away for the
+        // other feed only, as when this one's call hung all the while: it
+        // would be missed for as long as the call waits.
+        () = shared.store_returned.notified(), if subject == FeedSubject::Membership => {
+            return Ok(None);
+        }
+    };
     match answer {
         FeedAnswer::HistoryGone => {
             log::info!("event=store_history_gone subject={subject:?} position={position}");
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -108,6 +108,7 @@
         dealer: RefCell::new(WeightDealer::default()),
         routes: RefCell::new(HashMap::new()),
         knows_members: Cell::new(false),
+        store_returned: tokio::sync::Notify::new(),
         stop: StopState::default(),
         seed: rand::random(),
         clock,
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -13,6 +13,8 @@
 use filbert_policy::routing::RouteIndex;
 use filbert_policy::weights::WeightDealer;
 
+use tokio::sync::Notify;
+
 use crate::gate::Gate;
 use crate::links;
 use crate::messages::{encode, LinkMessage, PeerAddress};
@@ -56,6 +58,8 @@
     pub routes: RefCell<HashMap<String, RouteHistory>>,
     /// Whether the members were read, from the store or from a peer.
     pub knows_members: Cell<bool>,
+    /// Wakes the feed of the members when the store is back.
+    pub store_returned: Notify,
     /// How far a planned stop is.
     pub stop: StopState,
     /// A random number of this start.
--- /dev/null
+++ b/tests/mesh_stops.rs
@@ -0,0 +1,106 @@
+//! Planned stops and reloads between stand-ins of the users' platform.
+
+#[path = "support/users.rs"]
+mod users;
+
+use std::time::Duration;
+
+use filbert_platform_standin::host::call_headers;
+use filbert_platform_standin::{Client, Conduct, RouteSpec};
+use nix::sys::signal::Signal;
+use users::{eventually, eventually_logs, fleet, Fleet, SETTLE_WITHIN};
+
+const READ: &str = "GET /read/a HTTP/1.1";
+const ORDER: &str = "POST /order/a HTTP/1.1";
+
+async fn pair() -> Fleet {
+    let routes = [
+        RouteSpec::reads("/read/", "quotes"),
+        RouteSpec::orders("/order/", "quotes"),
+    ];
+    fleet(&routes, &[("caller", "a", "art"), ("quoter", "a", "quotes")]).await
+}
+
+/// Asks for readiness as the platform does, once a second, until it is told no
+/// twice.
+async fn miss_twice(fleet: &Fleet, host: usize) {
+    for _ in 0..2 {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert!(!fleet.hosts[host].is_ready().await, "ready during a stop");
+    }
+}
+
+/// An order is under way when the caller's daemon is told to stop. It must be
+/// answered whole; the daemon then ends by itself, and its kept connections
+/// close without an answer cut.
+#[tokio::test]
+async fn a_stop_cuts_no_call() {
+    let mut fleet = pair().await;
+    fleet.hosts[1]
+        .target
+        .set_conduct(Conduct::AnswersAfter(Duration::from_millis(1_300)));
+    let mut idle = Client::connect(fleet.hosts[0].calls).await.expect("a connection");
+    let mut busy = Client::connect(fleet.hosts[0].calls).await.expect("a connection");
+    busy.send(ORDER, &call_headers("order-1"), b"sign").await.expect("sent");
+    let target = &fleet.hosts[1].target;
+    assert!(eventually(SETTLE_WITHIN, || async { target.runs().len() == 1 }).await);
+    fleet.hosts[0].signal(Signal::SIGTERM);
+    let early = fleet.hosts[0].call(READ, "early", b"");
+    let (early, ()) = tokio::join!(early, miss_twice(&fleet, 0));
+    assert_eq!(early.expect("an answer").status, 200, "callers still come");
+    assert_eq!(busy.answer().await.expect("the whole answer").status, 200);
+    assert!(idle.is_closed_within(Duration::from_secs(5)).await);
+    assert!(fleet.hosts[0].ended(Duration::from_secs(6)).await, "{}", fleet.hosts[0].log());
+}
+
+/// The daemon beside a busy target is told to stop. The call that runs there
+/// for another host must be answered whole, and new ones are not lost.
+#[tokio::test]
+async fn a_stop_beside_the_target_cuts_no_call() {
+    let mut fleet = pair().await;
+    fleet.hosts[1]
+        .target
+        .set_conduct(Conduct::AnswersAfter(Duration::from_millis(1_300)));
+    let mut busy = Client::connect(fleet.hosts[0].calls).await.expect("a connection");
+    busy.send(ORDER, &call_headers("order-1"), b"sign").await.expect("sent");
+    let target = &fleet.hosts[1].target;
+    assert!(eventually(SETTLE_WITHIN, || async { target.runs().len() == 1 }).await);
+    fleet.hosts[1].signal(Signal::SIGTERM);
+    miss_twice(&fleet, 1).await;
+    assert_eq!(busy.answer().await.expect("the whole answer").status, 200);
+    assert!(fleet.hosts[1].ended(Duration::from_secs(6)).await);
+    let answer = fleet.hosts[0].call(ORDER, "order-2", b"sign").await.expect("an answer");
+    assert_eq!(answer.status, 503, "no target is left, and it was not run");
+}
+
+/// Nobody asks for readiness. The stop must not wait for that for ever.
+#[tokio::test]
+async fn a_stop_ends_within_the_grace_time_without_checks() {
+    let mut fleet = pair().await;
+    fleet.hosts[0].signal(Signal::SIGTERM);
+    assert!(fleet.hosts[0].ended(Duration::from_secs(6)).await);
+}
+
+/// The settings file changes, announced or not. Calls go on, and the new
+/// settings are in force.
+#[tokio::test]
+async fn a_reload_harms_nothing() {
+    let fleet = pair().await;
+    let path = &fleet.hosts[0].settings_path;
+    let text = std::fs::read_to_string(path).expect("the settings");
+    std::fs::write(path, text.replace("service = \"art\"", "service = \"renamed\"")).expect("written");
+    fleet.hosts[0].signal(Signal::SIGHUP);
+    assert!(eventually_logs(&fleet.hosts[0], "service=renamed").await);
+    let answer = fleet.hosts[0].call(READ, "read-1", b"").await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    let caller = |run: usize| fleet.hosts[1].target.runs()[run].caller.clone();
+    assert_eq!(caller(0), "renamed");
+    std::fs::write(path, "id = \"half").expect("written");
+    fleet.hosts[0].signal(Signal::SIGHUP);
+    assert!(eventually_logs(&fleet.hosts[0], "event=reload_failed").await);
+    std::fs::write(path, text.replace("service = \"art\"", "service = \"third\"")).expect("written");
+    assert!(eventually_logs(&fleet.hosts[0], "service=third").await, "unannounced");
+    let answer = fleet.hosts[0].call(READ, "read-2", b"").await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(caller(1), "third");
+}
--- /dev/null
+++ b/tests/support/users.rs
@@ -0,0 +1,100 @@
+//! Helpers of the tests that run daemons between stand-ins of the users'
+//! platform.
+
+#![allow(dead_code)] // Each test binary uses its own part of these.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use filbert_platform_standin::{config_text, Host, HostSpec, RouteSpec, StandinStore};
+
+/// How long tests wait for what must happen; far beyond what it takes.
+pub const SETTLE_WITHIN: Duration = Duration::from_secs(20);
+
+/// A store and some hosts.
+pub struct Fleet {
+    pub store: StandinStore,
+    pub hosts: Vec<Host>,
+}
+
+/// Puts version `number` with `routes` into the store.
+pub fn publish(store: &StandinStore, number: u64, routes: &[RouteSpec]) {
+    store.put("op", "config", &config_text(number, routes));
+}
+
+/// What host `name` in `zone` with a target of `service` is started with.
+pub fn host_spec(store: &StandinStore, name: &str, zone: &str, service: &str) -> HostSpec {
+    HostSpec {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_filbertd")),
+        name: name.to_owned(),
+        zone: zone.to_owned(),
+        service: service.to_owned(),
+        store: store.address,
+    }
+}
+
+/// Starts one host per name, zone and service, with version 1 of `routes` in
+/// the store, and waits until all are ready and see each other's targets.
+pub async fn fleet(routes: &[RouteSpec], hosts: &[(&str, &str, &str)]) -> Fleet {
+    let store = StandinStore::start().await;
+    publish(&store, 1, routes);
+    let mut started = Vec::new();
+    for (name, zone, service) in hosts {
+        started.push(Host::start(host_spec(&store, name, zone, service)).await);
+    }
+    let fleet = Fleet {
+        store,
+        hosts: started,
+    };
+    fleet.settle().await;
+    fleet
+}
+
+impl Fleet {
+    /// Waits until every daemon is ready and knows every other's target.
+    pub async fn settle(&self) {
+        for host in &self.hosts {
+            assert!(
+                eventually(SETTLE_WITHIN, || host.is_ready()).await,
+                "{} is not ready:\n{}",
+                host.spec.name,
+                host.log()
+            );
+            for other in &self.hosts {
+                if other.spec.name == host.spec.name {
+                    assert!(eventually_logs(host, "change=Replaced").await);
+                } else {
+                    let heard = format!("event=target_heard peer={} ", other.spec.name);
+                    assert!(
+                        eventually_logs(host, &heard).await,
+                        "{} does not see {}:\n{}",
+                        host.spec.name,
+                        other.spec.name,
+                        host.log()
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// Waits until `host` has logged `text`; whether it did in time.
+pub async fn eventually_logs(host: &Host, text: &str) -> bool {
+    eventually(SETTLE_WITHIN, || async { host.log().contains(text) }).await
+}
+
+/// Polls until `check` holds, for at most `within`; whether it did.
+pub async fn eventually<F, Fut>(within: Duration, mut check: F) -> bool
+where
+    F: FnMut() -> Fut,
+    Fut: std::future::Future<Output = bool>,
+{
+    let started = std::time::Instant::now();
+    while started.elapsed() < within {
+        if check().await {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
