--- /dev/null
+++ b/crates/mesh/src/calls/attempt.rs
@@ -0,0 +1,152 @@
+//! One attempt at a target: here, or over the link to its host.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::Request;
+
+use super::pick::Candidate;
+use crate::body::{next_data, AnswerBody, CallBody, LinkBody};
+use crate::links::CALL_PATH;
+use crate::messages::{encode, take, AnswerHead, CallHead, ReplyHead};
+use crate::peers::Peer;
+use crate::serve_peers::send_piece;
+use crate::state::MeshShared;
+
+/// Bytes of an answer read before its head is passed on: while it is not,
+/// a broken answer can still be replaced by another attempt's. Covers whole
+/// answers of all but downloads.
+const READ_AHEAD: usize = 32 * 1024;
+/// A call without an answer for this long, over a link on which nothing else
+/// came either, asks whether the link still works.
+const DOUBT_AFTER: Duration = Duration::from_millis(150);
+
+/// How one attempt ended.
+pub(super) enum AttemptOutcome {
+    /// With the target's answer.
+    Answer(AnswerHead, AnswerBody),
+    /// The target saw nothing.
+    Declined {
+        /// When room is expected there.
+        room_in: Duration,
+    },
+    /// The target said that it did not run the call.
+    Rejected,
+    /// The call may have run.
+    Lost,
+}
+
+/// Sends a call to `candidate` and waits for what becomes of it.
+pub(super) async fn attempt(
+    shared: &Rc<MeshShared>,
+    candidate: &Candidate,
+    head: &CallHead,
+    body: CallBody,
+    repeatable: bool,
+) -> AttemptOutcome {
+    let (reply, body) = match candidate {
+        Candidate::Here => shared.gate.run(head, body).await,
+        Candidate::Peer(peer) => match run_at_peer(shared, peer, head, body, repeatable).await {
+            Ok((reply, body)) => {
+                note_reply(peer, &reply);
+                (reply, body)
+            }
+            Err(outcome) => return outcome,
+        },
+    };
+    match reply {
+        ReplyHead::Declined { room_us, .. } => AttemptOutcome::Declined {
+            room_in: Duration::from_micros(room_us),
+        },
+        ReplyHead::Rejected { .. } => AttemptOutcome::Rejected,
+        ReplyHead::Lost { .. } => AttemptOutcome::Lost,
+        ReplyHead::Answer { head, .. } => match body.read_ahead(READ_AHEAD).await {
+            Ok(body) => AttemptOutcome::Answer(head, body),
+            Err(_) => AttemptOutcome::Lost,
+        },
+    }
+}
+
+fn note_reply(peer: &Peer, reply: &ReplyHead) {
+    match reply {
+        ReplyHead::Declined { closed: true, .. } => peer.mark_closed(),
+        ReplyHead::Declined { load, .. }
+        | ReplyHead::Rejected { load }
+        | ReplyHead::Lost { load }
+        | ReplyHead::Answer { load, .. } => peer.describe_load(*load),
+    }
+}
+
+/// Sends a call over the link to `peer` and reads the head of the reply.
+async fn run_at_peer(
+    shared: &MeshShared,
+    peer: &Peer,
+    head: &CallHead,
+    body: CallBody,
+    repeatable: bool,
+) -> Result<(ReplyHead, AnswerBody), AttemptOutcome> {
+    let not_sent = || AttemptOutcome::Declined {
+        room_in: Duration::ZERO,
+    };
+    let link = peer.link.borrow().clone().ok_or_else(not_sent)?;
+    let mut link = link.ready().await.map_err(|_| not_sent())?;
+    let request = Request::post(CALL_PATH).body(()).map_err(|_| not_sent())?;
+    let (answer, mut outgoing) = link.send_request(request, false).map_err(|_| not_sent())?;
+    peer.count_sent();
+    let lost = |_| AttemptOutcome::Lost;
+    let reply = async {
+        let mut incoming = answer.await?.into_body();
+        let mut buffer = BytesMut::new();
+        loop {
+            match take::<ReplyHead>(&mut buffer) {
+                Ok(Some(reply)) => return Ok(Some((reply, LinkBody::new(incoming, buffer)))),
+                Ok(None) => {}
+                Err(_) => return Ok(None),
+            }
+            match next_data(&mut incoming).await {
+                Some(piece) => buffer.extend_from_slice(&piece?),
+                None => return Ok(None),
+            }
+        }
+    };
+    let send = async {
+        match body {
+            CallBody::Whole(whole) => {
+                let mut start = BytesMut::from(encode(head));
+                start.extend_from_slice(&whole);
+                outgoing.send_data(start.freeze(), true).map_err(|_| ())?;
+            }
+            CallBody::Pieces(mut pieces) => {
+                outgoing.send_data(encode(head), false).map_err(|_| ())?;
+                while let Some(piece) = pieces.next().await.map_err(|_| ())? {
+                    send_piece(&mut outgoing, piece).await.map_err(|_| ())?;
+                }
+                outgoing.send_data(Bytes::new(), true).map_err(|_| ())?;
+            }
+        }
+        Ok::<(), ()>(())
+    };
+    tokio::pin!(reply);
+    tokio::pin!(send);
+    let mut is_sent = false;
+    let received: Result<_, h2::Error> = loop {
+        tokio::select! {
+            biased;
+            done = &mut send, if !is_sent => match done {
+                Ok(()) => is_sent = true,
+                Err(()) => return Err(AttemptOutcome::Lost),
+            },
+            received = &mut reply => break received,
+            () = peer.fell_silent.notified(), if repeatable => return Err(AttemptOutcome::Lost),
+            () = tokio::time::sleep(DOUBT_AFTER) => {
+                peer.doubt(shared.clock.now(), DOUBT_AFTER);
+            }
+        }
+    };
+    peer.hear(shared.clock.now());
+    match received.map_err(lost)? {
+        Some((reply, body)) => Ok((reply, AnswerBody::Link(body))),
+        None => Err(AttemptOutcome::Lost),
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/calls/pick.rs
@@ -0,0 +1,116 @@
+//! The targets a call can go to, and the choice among them.
+
+use std::rc::Rc;
+
+use filbert_policy::placement::{assumed_occupancy, choose, CallShape, TargetView};
+use filbert_policy::routing::RouteRule;
+
+use crate::messages::{CallHead, TargetState, TargetStatus};
+use crate::peers::Peer;
+use crate::state::MeshShared;
+
+/// Where a call can go.
+pub(super) enum Candidate {
+    /// To the target beside this daemon.
+    Here,
+    /// To another host.
+    Peer(Rc<Peer>),
+}
+
+/// A choice, and what it went by.
+pub(super) struct PickedTarget {
+    /// Where the call goes.
+    pub(super) candidate: Candidate,
+    /// The host's name.
+    pub(super) host: String,
+    /// The target as it was seen.
+    pub(super) view: TargetView,
+    /// Targets there were to choose from.
+    pub(super) candidates: usize,
+}
+
+/// The best target for a call that was not tried yet.
+pub(super) fn pick(
+    shared: &Rc<MeshShared>,
+    route: &RouteRule,
+    head: &CallHead,
+    tried: &[String],
+) -> Option<PickedTarget> {
+    let settings = Rc::clone(&shared.settings.borrow());
+    let service = head.service.as_str();
+    let mut views = Vec::new();
+    let mut candidates = Vec::new();
+    if !tried.contains(&settings.id) {
+        if let Some(status) = shared.gate.status() {
+            if let Some(view) = view_of(
+                &status,
+                service,
+                true,
+                f64::from(status.load.running + status.load.waiting),
+            ) {
+                views.push(view);
+                candidates.push((Candidate::Here, settings.id.clone()));
+            }
+        }
+    }
+    for peer in shared.peers.all() {
+        if tried.contains(&peer.address.id) {
+            continue;
+        }
+        let Some((status, sent)) = peer.target() else {
+            continue;
+        };
+        let in_zone = peer.address.zone == settings.zone;
+        let reported = status.load.running + status.load.waiting;
+        let occupancy = assumed_occupancy(reported, sent, shared.daemons());
+        if let Some(view) = view_of(&status, service, in_zone, occupancy) {
+            views.push(view);
+            let id = peer.address.id.clone();
+            candidates.push((Candidate::Peer(peer), id));
+        }
+    }
+    let shape = CallShape {
+        answer_kib: shared
+            .routes
+            .borrow()
+            .get(&route.name)
+            .map_or(0.0, |history| history.answer_kib),
+        aim_ms: millis(head.aim_us),
+        left_ms: millis(head.left_us),
+    };
+    let index = choose(&views, &shape, &settings.crossing_cost(), &mut rand::rng())?;
+    let count = candidates.len();
+    let (candidate, host) = candidates.swap_remove(index);
+    Some(PickedTarget {
+        candidate,
+        host,
+        view: views[index],
+        candidates: count,
+    })
+}
+
+/// Microseconds in milliseconds. Calls wait for seconds, so `u32` holds them.
+fn millis(micros: u64) -> f64 {
+    f64::from(u32::try_from(micros).unwrap_or(u32::MAX)) / 1_000.0
+}
+
+fn view_of(
+    status: &TargetStatus,
+    service: &str,
+    in_zone: bool,
+    occupancy: f64,
+) -> Option<TargetView> {
+    if status.service != service || status.state == TargetState::Closed {
+        return None;
+    }
+    let load = &status.load;
+    Some(TargetView {
+        in_zone,
+        slots: load.slots,
+        occupancy,
+        run_ms: load.run_ms,
+        ill_share: load.ill_share,
+        is_cold: status.is_cold,
+        is_leaving: status.state == TargetState::Leaving,
+    })
+}
--- /dev/null
+++ b/crates/mesh/src/calls/place.rs
@@ -0,0 +1,301 @@
+//! Places a call: tries targets until one answers or nothing is left to try.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filbert_platform::headers;
+use filbert_policy::attempt::{next_step, AttemptEnd, CallAllowance, NextStep};
+use filbert_policy::budget::RepeatCause;
+use filbert_policy::refusal::come_back_after;
+use filbert_policy::routing::RouteRule;
+use rand::Rng;
+
+use super::attempt::{attempt, AttemptOutcome};
+use super::pick::{pick, PickedTarget};
+use super::story::CallStory;
+use super::{refuse, ClientAnswer, ClientCall, BAD_GATEWAY, FIRST_FAILURE};
+use crate::body::{AnswerBody, CallBody};
+use crate::logging::LineWeight;
+use crate::messages::{AnswerHead, CallHead};
+use crate::state::MeshShared;
+
+/// Gates asked before a call is refused. Each costs a round trip and no work;
+/// when the best few have no room, the others have none either.
+const MOST_DECLINES: u32 = 4;
+/// When to come back for a service without any open target.
+const NO_TARGET: Duration = Duration::from_millis(300);
+
+/// What has happened to a call so far; read when its time is up.
+#[derive(Default)]
+pub(super) struct CallProgress {
+    /// A target may have run it.
+    pub(super) maybe_run: Cell<bool>,
+    /// An attempt is under way.
+    pub(super) in_attempt: Cell<bool>,
+}
+
+/// A call on its way to an answer.
+pub(super) struct Placing<'a> {
+    shared: &'a Rc<MeshShared>,
+    route: &'a RouteRule,
+    progress: &'a CallProgress,
+    story: &'a mut CallStory,
+    head: CallHead,
+    bodies: BodyCopies,
+    limit: Instant,
+    aim: Instant,
+    tried: Vec<String>,
+    arrivals: u32,
+    declines: u32,
+    room: Option<Duration>,
+    failure: Option<(AnswerHead, AnswerBody)>,
+}
+
+impl<'a> Placing<'a> {
+    /// Deals the call to a service of its route and prepares its message.
+    pub(super) fn new(
+        shared: &'a Rc<MeshShared>,
+        route: &'a RouteRule,
+        call: ClientCall,
+        limit: Instant,
+        progress: &'a CallProgress,
+        story: &'a mut CallStory,
+    ) -> Placing<'a> {
+        let service = shared
+            .dealer
+            .borrow_mut()
+            .deal(route, shared.seed)
+            .to_owned();
+        let now = shared.clock.now();
+        shared.budget.borrow_mut().earn(&service, now);
+        let aim = aim_of(shared, route, &call);
+        story.service.clone_from(&service);
+        story.aim_ms = aim.saturating_duration_since(call.received).as_millis();
+        let (head, body) = into_message(shared, route, &service, call);
+        Placing {
+            shared,
+            route,
+            progress,
+            story,
+            head,
+            bodies: BodyCopies::new(body),
+            limit,
+            aim,
+            tried: Vec::new(),
+            arrivals: 0,
+            declines: 0,
+            room: None,
+            failure: None,
+        }
+    }
+
+    /// Tries targets until one answers or nothing is left to try.
+    pub(super) async fn run(mut self) -> ClientAnswer {
+        loop {
+            let now = self.shared.clock.now();
+            self.head.left_us = micros(self.limit.saturating_duration_since(now));
+            self.head.aim_us = micros(self.aim.saturating_duration_since(now));
+            let Some(target) = pick(self.shared, self.route, &self.head, &self.tried) else {
+                return self.give_up(AttemptEnd::Declined);
+            };
+            self.progress.in_attempt.set(true);
+            let repeatable = self.route.kind.is_repeatable();
+            let body = self.bodies.next();
+            let outcome =
+                attempt(self.shared, &target.candidate, &self.head, body, repeatable).await;
+            self.progress.in_attempt.set(false);
+            let end = self.count(&target, &outcome);
+            let step = self.decide(end);
+            self.tell(&target, end, step);
+            match (step, outcome) {
+                (NextStep::PassOn, AttemptOutcome::Answer(head, body)) => {
+                    let length = head.body_length.unwrap_or(0);
+                    self.shared.note_answer(&self.route.name, length);
+                    return ClientAnswer::Target(head, body);
+                }
+                (NextStep::SendAgain, AttemptOutcome::Answer(head, body)) => {
+                    self.failure = Some((head, body));
+                }
+                (NextStep::SendAgain, _) => {}
+                _ => return self.give_up(end),
+            }
+        }
+    }
+
+    /// Counts how an attempt ended.
+    fn count(&mut self, target: &PickedTarget, outcome: &AttemptOutcome) -> AttemptEnd {
+        self.tried.push(target.host.clone());
+        self.story.host.clone_from(&target.host);
+        self.story.attempts += 1;
+        let end = match outcome {
+            AttemptOutcome::Answer(answer, _) if answer.status >= FIRST_FAILURE => {
+                AttemptEnd::AnsweredFailure
+            }
+            AttemptOutcome::Answer(..) => AttemptEnd::Answered,
+            AttemptOutcome::Declined { room_in } => {
+                self.declines += 1;
+                self.room = Some(self.room.map_or(*room_in, |least| least.min(*room_in)));
+                AttemptEnd::Declined
+            }
+            AttemptOutcome::Rejected => AttemptEnd::Rejected,
+            AttemptOutcome::Lost => {
+                self.progress.maybe_run.set(true);
+                AttemptEnd::Lost
+            }
+        };
+        if end != AttemptEnd::Declined {
+            self.arrivals += 1;
+        }
+        self.story.declines = self.declines;
+        self.shared
+            .metrics
+            .attempt(&self.head.service, end_label(end));
+        end
+    }
+
+    fn decide(&self, end: AttemptEnd) -> NextStep {
+        let allowance = CallAllowance {
+            repeatable: self.route.kind.is_repeatable(),
+            maybe_run: self.progress.maybe_run.get(),
+            other_target: self.declines < MOST_DECLINES && self.bodies.is_copyable(),
+            arrivals_left: self.route.max_attempts.saturating_sub(self.arrivals),
+        };
+        next_step(end, allowance, |cause| self.spend(cause))
+    }
+
+    fn spend(&self, cause: RepeatCause) -> bool {
+        let daemons = self.shared.daemons();
+        let now = self.shared.clock.now();
+        let mut budget = self.shared.budget.borrow_mut();
+        budget.spend(&self.head.service, cause, daemons, now)
+    }
+
+    fn tell(&self, target: &PickedTarget, end: AttemptEnd, step: NextStep) {
+        let now = self.shared.clock.now();
+        if end == AttemptEnd::Answered || !self.shared.lines.takes(LineWeight::Notable, now) {
+            return;
+        }
+        let view = &target.view;
+        log::info!(
+            "event=attempt_ended request={} route={} host={} end={end:?} next={step:?} arrivals={} declines={} occupancy={:.0} slots={} run_ms={:.0} ill_share={:.2} in_zone={} candidates={}",
+            self.head.id,
+            self.route.name,
+            target.host,
+            self.arrivals,
+            self.declines,
+            view.occupancy,
+            view.slots,
+            view.run_ms,
+            view.ill_share,
+            view.in_zone,
+            target.candidates
+        );
+    }
+
+    /// The answer when no further attempt is made: what a target said of its
+    /// own failure, or what is known.
+    fn give_up(self, end: AttemptEnd) -> ClientAnswer {
+        if let Some((head, body)) = self.failure {
+            return ClientAnswer::Target(head, body);
+        }
+        if self.progress.maybe_run.get() {
+            self.story.reason = "answer_lost";
+            return ClientAnswer::own(BAD_GATEWAY);
+        }
+        self.story.reason = match (end, self.room) {
+            (AttemptEnd::Rejected, _) => "target_rejected",
+            (_, Some(_)) => "no_room",
+            (_, None) => "no_target",
+        };
+        let now = self.shared.clock.now();
+        let left = self.limit.saturating_duration_since(now);
+        let spread = rand::rng().random::<f64>();
+        let room_in = self.room.unwrap_or(NO_TARGET);
+        refuse(come_back_after(room_in, left, spread))
+    }
+}
+
+fn end_label(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Answered => "answered",
+        AttemptEnd::AnsweredFailure => "answered_failure",
+        AttemptEnd::Declined => "declined",
+        AttemptEnd::Rejected => "rejected",
+        AttemptEnd::Lost => "lost",
+    }
+}
+
+/// Until when an answer is worth most, counted from the client's first try:
+/// what it waits less than others on the route has passed before.
+fn aim_of(shared: &MeshShared, route: &RouteRule, call: &ClientCall) -> Instant {
+    let wait = call.headers.time_left.unwrap_or(Duration::ZERO);
+    let history = shared.note_wait(&route.name, wait);
+    let passed = history.longest_wait.saturating_sub(wait);
+    call.received + route.aim.saturating_sub(passed)
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn into_message(
+    shared: &MeshShared,
+    route: &RouteRule,
+    service: &str,
+    call: ClientCall,
+) -> (CallHead, CallBody) {
+    let settings = Rc::clone(&shared.settings.borrow());
+    let body_length = match &call.body {
+        CallBody::Whole(body) => Some(body.len() as u64),
+        CallBody::Pieces(_) => call.head.framing.length(),
+    };
+    let head = CallHead {
+        lines: headers::lines_for_target(&call.head, &settings.service),
+        id: call.headers.id,
+        service: service.to_owned(),
+        has_body: call.head.framing != filbert_http1::BodyFraming::Empty
+            || body_length.is_some_and(|length| length > 0),
+        method: call.head.method,
+        target: call.head.target,
+        body_length,
+        left_us: 0,
+        aim_us: 0,
+        priority: route.priority,
+    };
+    (head, call.body)
+}
+
+/// Gives each attempt its copy of a body, as long as there is one.
+struct BodyCopies {
+    whole: Option<Bytes>,
+    pieces: Option<CallBody>,
+}
+
+impl BodyCopies {
+    fn new(body: CallBody) -> BodyCopies {
+        match body {
+            CallBody::Whole(whole) => BodyCopies {
+                whole: Some(whole),
+                pieces: None,
+            },
+            pieces @ CallBody::Pieces(_) => BodyCopies {
+                whole: None,
+                pieces: Some(pieces),
+            },
+        }
+    }
+
+    fn is_copyable(&self) -> bool {
+        self.whole.is_some()
+    }
+
+    fn next(&mut self) -> CallBody {
+        match (&self.whole, self.pieces.take()) {
+            (_, Some(pieces)) => pieces,
+            (Some(whole), None) => CallBody::Whole(whole.clone()),
+            (None, None) => CallBody::Whole(Bytes::new()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/calls/story.rs
@@ -0,0 +1,82 @@
+//! The one line that says how a call ended.
+
+use std::time::Instant;
+
+use super::{ClientAnswer, ClientCall, FIRST_FAILURE, NOT_FOUND, TIMED_OUT, UNAVAILABLE};
+use crate::logging::LineWeight;
+use crate::state::MeshShared;
+
+/// What is known of a call when it ends.
+pub(super) struct CallStory {
+    id: String,
+    received: Instant,
+    version: u64,
+    pub(super) route: String,
+    pub(super) service: String,
+    pub(super) host: String,
+    pub(super) attempts: u32,
+    pub(super) declines: u32,
+    pub(super) aim_ms: u128,
+    pub(super) reason: &'static str,
+}
+
+impl CallStory {
+    pub(super) fn new(call: &ClientCall, version: u64) -> CallStory {
+        CallStory {
+            id: call.headers.id.clone(),
+            received: call.received,
+            version,
+            route: String::new(),
+            service: String::new(),
+            host: String::new(),
+            attempts: 0,
+            declines: 0,
+            aim_ms: 0,
+            reason: "-",
+        }
+    }
+
+    pub(super) fn tell(&self, shared: &MeshShared, answer: &ClientAnswer) {
+        let now = shared.clock.now();
+        let took = now.saturating_duration_since(self.received);
+        let (outcome, status, come_back) = match answer {
+            ClientAnswer::Target(head, _) if head.status >= FIRST_FAILURE => {
+                ("target_failed", head.status, None)
+            }
+            ClientAnswer::Target(head, _) => ("answered", head.status, None),
+            ClientAnswer::Own { status, come_back } => {
+                let outcome = match *status {
+                    NOT_FOUND => "no_route",
+                    UNAVAILABLE => "refused",
+                    TIMED_OUT => "timed_out",
+                    _ => "unknown",
+                };
+                (outcome, *status, *come_back)
+            }
+        };
+        shared.metrics.call(&self.service, outcome, took);
+        let is_late = self.aim_ms > 0 && took.as_millis() > self.aim_ms;
+        let weight = if outcome == "answered" && !is_late && self.attempts <= 1 {
+            LineWeight::Ordinary
+        } else {
+            LineWeight::Notable
+        };
+        if !shared.lines.takes(weight, now) {
+            return;
+        }
+        log::info!(
+            "event=call_ended request={} outcome={outcome} status={status} reason={} route={} service={} version={:08x} host={} attempts={} declines={} took_ms={} aim_ms={} come_back_ms={}",
+            self.id,
+            self.reason,
+            self.route,
+            self.service,
+            self.version,
+            self.host,
+            self.attempts,
+            self.declines,
+            took.as_millis(),
+            self.aim_ms,
+            come_back.map_or(0, |after| after.as_millis())
+        );
+    }
+}
--- a/crates/mesh/src/control.rs
+++ b/crates/mesh/src/control.rs
@@ -17,7 +17,7 @@
 const MAX_HEAD: usize = 8 * 1024;
 const MAX_BODY: u64 = 64 * 1024;
 /// How long a connection of the target may be idle.
-const IDLE: Duration = Duration::from_secs(60);
+const IDLE: Duration = Duration::from_mins(1);
 
 /// Takes reports until the process ends.
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -14,6 +14,7 @@
 use filbert_policy::clock::Clock;
 use filbert_policy::health::{RunSign, TargetHealth};
 use filbert_policy::instance::{InstanceChange, InstanceReport, InstanceTracker};
+use filbert_policy::numbers::count_of;
 use tokio::sync::{oneshot, Notify};
 
 use crate::body::{AnswerBody, CallBody};
@@ -404,60 +405,82 @@
             .connections
             .exchange(call, body, terms, &self.clock)
             .await;
+        let run = CallRun {
+            call,
+            instance: &instance,
+            received,
+            started,
+        };
         match end {
-            ExchangeEnd::Answer(head, run) => {
-                self.answered(&head, started);
-                let ended = self.clock.now();
-                self.metrics.gate("ran");
-                self.metrics.run(
-                    started.saturating_duration_since(received),
-                    ended.saturating_duration_since(started),
-                );
-                if head.status >= FIRST_FAILURE {
-                    self.say_run("answered_failure", call, received, started, &instance);
-                }
+            ExchangeEnd::Answer(head, body) => {
+                self.note_answer(&run, &head);
                 let reply = ReplyHead::Answer {
                     head: answer_head(&head),
                     load: self.load(),
                 };
-                (reply, AnswerBody::Run(run))
+                (reply, AnswerBody::Run(body))
             }
-            ExchangeEnd::NotConnected(error) => {
-                log::info!(
-                    "event=target_unreachable request={} instance={instance} error=\"{error}\"",
-                    call.id
-                );
-                self.metrics.gate("unreachable");
-                self.went_down();
-                let declined = Declined {
-                    reason: DeclineReason::Closed,
-                    room_in: DOWN_PAUSE,
-                };
-                (self.declined(declined), none)
-            }
-            ExchangeEnd::Rejected(stated) => {
-                log::info!(
-                    "event=target_rejected request={} instance={instance} stated={stated:?}",
-                    call.id
-                );
-                self.metrics.gate("rejected");
-                self.note(RunSign::Ill);
+            ExchangeEnd::NotConnected(error) => (self.note_unreachable(&run, &error), none),
+            ExchangeEnd::Rejected(load) => {
+                self.note_ill(&run, "rejected", &format!("stated load {load:?}"));
                 (ReplyHead::Rejected { load: self.load() }, none)
             }
             ExchangeEnd::Lost(reason) => {
-                log::info!(
-                    "event=answer_lost request={} instance={instance} waited_ms={} ran_ms={} reason=\"{reason}\"",
-                    call.id,
-                    started.saturating_duration_since(received).as_millis(),
-                    self.clock.now().saturating_duration_since(started).as_millis()
-                );
-                self.metrics.gate("lost");
-                self.note(RunSign::Ill);
+                self.note_ill(&run, "lost", reason);
                 (ReplyHead::Lost { load: self.load() }, none)
             }
         }
     }
 
+    fn note_answer(&self, run: &CallRun<'_>, head: &ResponseHead) {
+        let took = self.clock.now().saturating_duration_since(run.started);
+        self.metrics.gate("ran");
+        self.metrics.run(run.waited(), took);
+        {
+            let mut state = self.state.borrow_mut();
+            if head.status < FIRST_FAILURE {
+                state.health.ran(took);
+                state.health.note(RunSign::Well);
+            } else {
+                state.health.note(RunSign::Ill);
+            }
+        }
+        if head.status >= FIRST_FAILURE {
+            self.say_run(run, "answered_failure", &format!("status {}", head.status));
+        }
+    }
+
+    fn note_ill(&self, run: &CallRun<'_>, verdict: &'static str, reason: &str) {
+        self.metrics.gate(verdict);
+        self.note(RunSign::Ill);
+        self.say_run(run, verdict, reason);
+    }
+
+    fn note_unreachable(&self, run: &CallRun<'_>, error: &std::io::Error) -> ReplyHead {
+        self.metrics.gate("unreachable");
+        self.say_run(run, "unreachable", &error.to_string());
+        self.state.borrow_mut().down_until = Some(self.clock.now() + DOWN_PAUSE);
+        self.connections.clear();
+        self.changed.notify_waiters();
+        self.declined(Declined {
+            reason: DeclineReason::Closed,
+            room_in: DOWN_PAUSE,
+        })
+    }
+
+    fn say_run(&self, run: &CallRun<'_>, verdict: &str, reason: &str) {
+        let now = self.clock.now();
+        if self.lines.takes(LineWeight::Notable, now) {
+            log::info!(
+                "event=gate_ran request={} instance={} verdict={verdict} reason=\"{reason}\" waited_ms={} ran_ms={}",
+                run.call.id,
+                run.instance,
+                run.waited().as_millis(),
+                now.saturating_duration_since(run.started).as_millis()
+            );
+        }
+    }
+
     /// Lines on declines are bounded, as an overload declines hundreds of
     /// calls a second; the caller's daemon writes a line on each attempt too.
     fn note_declined(&self, call: &CallHead, received: Instant, declined: Declined) {
@@ -486,25 +509,6 @@
         );
     }
 
-    fn say_run(
-        &self,
-        event: &str,
-        call: &CallHead,
-        received: Instant,
-        started: Instant,
-        instance: &str,
-    ) {
-        let now = self.clock.now();
-        if self.lines.takes(LineWeight::Notable, now) {
-            log::info!(
-                "event={event} request={} instance={instance} waited_ms={} ran_ms={}",
-                call.id,
-                started.saturating_duration_since(received).as_millis(),
-                now.saturating_duration_since(started).as_millis()
-            );
-        }
-    }
-
     fn declined(&self, declined: Declined) -> ReplyHead {
         ReplyHead::Declined {
             closed: crate::messages::is_closed(declined.reason),
@@ -512,22 +516,20 @@
             load: self.load(),
         }
     }
+}
 
-    fn answered(&self, head: &ResponseHead, started: Instant) {
-        let took = self.clock.now().saturating_duration_since(started);
-        let mut state = self.state.borrow_mut();
-        if head.status < FIRST_FAILURE {
-            state.health.ran(took);
-            state.health.note(RunSign::Well);
-        } else {
-            state.health.note(RunSign::Ill);
-        }
-    }
+/// A call at the target.
+struct CallRun<'a> {
+    call: &'a CallHead,
+    instance: &'a str,
+    received: Instant,
+    started: Instant,
+}
 
-    fn went_down(&self) {
-        self.state.borrow_mut().down_until = Some(self.clock.now() + DOWN_PAUSE);
-        self.connections.clear();
-        self.changed.notify_waiters();
+impl CallRun<'_> {
+    /// How long it waited for its turn.
+    fn waited(&self) -> Duration {
+        self.started.saturating_duration_since(self.received)
     }
 }
 
@@ -555,8 +557,8 @@
     if overdue.is_empty() {
         return mean;
     }
-    let share = overdue.len() as f64 / state.started.len() as f64;
-    let age = overdue.iter().sum::<f64>() / overdue.len() as f64;
+    let share = count_of(overdue.len()) / count_of(state.started.len());
+    let age = overdue.iter().sum::<f64>() / count_of(overdue.len());
     mean + (age - mean) * share
 }
 
@@ -565,7 +567,7 @@
         slots: state.queue.slots(),
         running: state.queue.running(),
         waiting: state.queue.waiting(),
-        run_ms: run_ms(state, now) as f32,
-        ill_share: state.health.ill_share() as f32,
+        run_ms: run_ms(state, now),
+        ill_share: state.health.ill_share(),
     }
 }
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -34,7 +34,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 /// Pause between PINGs.
-const PING_EVERY: Duration = Duration::from_millis(1000);
+const PING_EVERY: Duration = Duration::from_secs(1);
 /// A PING unanswered for this long makes the link doubtful: calls go
 /// elsewhere. A host that has its processor for a fifth of each tenth of a
 /// second still answers in time.
@@ -172,15 +172,14 @@
         }
         let pong = pings.ping(Ping::opaque());
         tokio::pin!(pong);
-        let answer = match tokio::time::timeout(PING_DOUBT, &mut pong).await {
-            Ok(answer) => answer,
-            Err(_) => {
-                peer.mark_silent();
-                log::info!("event=link_silent peer={}", peer.address.id);
-                match tokio::time::timeout(PING_SILENCE, pong).await {
-                    Ok(answer) => answer,
-                    Err(_) => return LinkError::Silent,
-                }
+        let answer = if let Ok(answer) = tokio::time::timeout(PING_DOUBT, &mut pong).await {
+            answer
+        } else {
+            peer.mark_silent();
+            log::info!("event=link_silent peer={}", peer.address.id);
+            match tokio::time::timeout(PING_SILENCE, pong).await {
+                Ok(answer) => answer,
+                Err(_) => return LinkError::Silent,
             }
         };
         match answer {
--- a/crates/mesh/src/logging.rs
+++ b/crates/mesh/src/logging.rs
@@ -95,7 +95,7 @@
     fn wait_emptied(&self) {
         let until = Instant::now() + FLUSH_WITHIN;
         let mut state = self.state();
-        while !(state.lines.is_empty() && !state.is_writing) {
+        while !state.lines.is_empty() || state.is_writing {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return;
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -56,9 +56,9 @@
     /// Calls that wait for it.
     pub waiting: u32,
     /// Mean time of a run, in milliseconds.
-    pub run_ms: f32,
+    pub run_ms: f64,
     /// Share of its recent runs that ended ill, 0 to 1.
-    pub ill_share: f32,
+    pub ill_share: f64,
 }
 
 /// Messages of the long stream that each link has, both ways.
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -21,7 +21,7 @@
 /// Longest head of a scrape, in bytes.
 const MAX_HEAD: usize = 8 * 1024;
 /// How long a scraping connection may be idle.
-const IDLE: Duration = Duration::from_secs(60);
+const IDLE: Duration = Duration::from_mins(1);
 
 /// Every instrument of the daemon.
 pub struct MeshMetrics {
@@ -157,7 +157,7 @@
         if let Some(status) = shared.gate.status() {
             self.running.record(u64::from(status.load.running), &[]);
             self.waiting.record(u64::from(status.load.waiting), &[]);
-            self.ill_share.record(f64::from(status.load.ill_share), &[]);
+            self.ill_share.record(status.load.ill_share, &[]);
         }
         if let Some(bytes) = resident_memory() {
             self.memory.record(bytes, &[]);
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -10,7 +10,7 @@
 use crate::state::MeshShared;
 
 /// How often the settings file is looked at.
-const LOOK_EVERY: Duration = Duration::from_millis(1000);
+const LOOK_EVERY: Duration = Duration::from_secs(1);
 
 /// Watches the settings file at `path`. Runs for ever.
 ///
@@ -44,7 +44,7 @@
             // A file that is being written reads as half a file; what is in
             // force stays until a whole one is there.
             Err(report) => {
-                log::error!("event=reload_failed error=\"{}\"", report.current_context())
+                log::error!("event=reload_failed error=\"{}\"", report.current_context());
             }
         }
         text = read;
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -225,6 +225,9 @@
 
 /// Sends a piece as the other side's window allows, so that a slow reader
 /// holds little memory here.
+///
+/// # Errors
+/// [`LinkError`] when the stream or its connection ended.
 pub async fn send_piece(
     outgoing: &mut SendStream<Bytes>,
     mut piece: Bytes,
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -49,7 +49,7 @@
 
 /// Time a call to the store may take. The store may be slow by nearly a
 /// second; a lost answer is noticed after this.
-const STORE_TIMEOUT: Duration = Duration::from_millis(2000);
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
 struct Listeners {
     calls: TcpListener,
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -141,18 +141,22 @@
     /// Notes how long a client of `route` waits, and gives the longest so far.
     pub fn note_wait(&self, route: &str, wait: Duration) -> RouteHistory {
         let mut routes = self.routes.borrow_mut();
-        if !routes.contains_key(route) {
-            routes.insert(route.to_owned(), RouteHistory::default());
+        if let Some(history) = routes.get_mut(route) {
+            history.longest_wait = history.longest_wait.max(wait);
+            return *history;
         }
-        let history = routes.get_mut(route).expect("the entry was just made");
-        history.longest_wait = history.longest_wait.max(wait);
-        *history
+        let history = RouteHistory {
+            longest_wait: wait,
+            answer_kib: 0.0,
+        };
+        routes.insert(route.to_owned(), history);
+        history
     }
 
     /// Notes the size of an answer on `route`.
     pub fn note_answer(&self, route: &str, bytes: u64) {
         if let Some(history) = self.routes.borrow_mut().get_mut(route) {
-            let kib = bytes as f64 / 1024.0;
+            let kib = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1024.0;
             if history.answer_kib == 0.0 {
                 history.answer_kib = kib;
             } else {
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -11,9 +11,9 @@
 /// them; answers carry the load besides.
 const LOAD_EVERY: Duration = Duration::from_millis(200);
 /// Change of a mean run time that is worth telling, as a share.
-const RUN_CHANGE: f32 = 0.15;
+const RUN_CHANGE: f64 = 0.15;
 /// Change of the share of ill runs that is worth telling.
-const ILL_CHANGE: f32 = 0.08;
+const ILL_CHANGE: f64 = 0.08;
 
 /// Describes the target to the peers. Runs for ever.
 pub async fn keep_told(shared: Rc<MeshShared>) {
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -161,7 +161,7 @@
             loop {
                 tokio::select! {
                     biased;
-                    sent = &mut send, if !is_sent => match sent {
+                    done = &mut send, if !is_sent => match done {
                         Ok(()) => is_sent = true,
                         Err(reason) => break Err(reason),
                     },
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -7,6 +7,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::numbers::count_of;
+
 /// A call at the gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallDemand {
@@ -162,7 +164,7 @@
         if self.running < self.slots && ahead == 0 {
             return Duration::ZERO;
         }
-        let starts = ahead as f64 + 1.0;
+        let starts = count_of(ahead) + 1.0;
         run.mul_f64(starts / f64::from(self.slots))
     }
 
@@ -192,7 +194,7 @@
             .count();
         let wait = self.wait_behind(ahead, run);
         let most = (self.limits.per_slot * self.slots) as usize;
-        if !self.worth_waiting(&demand, wait, run, now) || self.waiting.len() >= most {
+        if !Self::worth_waiting(&demand, wait, run, now) || self.waiting.len() >= most {
             return GateVerdict::Decline {
                 reason: DeclineReason::Crowded,
                 room_in: self.room_in(run),
@@ -208,13 +210,7 @@
         GateVerdict::Wait(ticket)
     }
 
-    fn worth_waiting(
-        &self,
-        demand: &CallDemand,
-        wait: Duration,
-        run: Duration,
-        now: Instant,
-    ) -> bool {
+    fn worth_waiting(demand: &CallDemand, wait: Duration, run: Duration, now: Instant) -> bool {
         let start = now + wait;
         if start + run.mul_f64(AIM_RUNS) <= demand.aim {
             return true;
@@ -226,13 +222,7 @@
     /// Whether a call that waits since `since` still has a use for it. Milder
     /// than for a newcomer, so that a call is not taken only to be turned away
     /// when the next run takes a little longer than most.
-    fn worth_staying(
-        &self,
-        call: &WaitingCall,
-        wait: Duration,
-        run: Duration,
-        now: Instant,
-    ) -> bool {
+    fn worth_staying(call: &WaitingCall, wait: Duration, run: Duration, now: Instant) -> bool {
         let start = now + wait;
         if start + run.mul_f64(STAY_RUNS) <= call.demand.aim {
             return true;
@@ -277,7 +267,7 @@
         let mut kept = Vec::with_capacity(self.waiting.len());
         for call in std::mem::take(&mut self.waiting) {
             let wait = self.wait_behind(kept.len(), run);
-            if self.worth_staying(&call, wait, run, now) {
+            if Self::worth_staying(&call, wait, run, now) {
                 kept.push(call);
             } else {
                 ends.push(WaitEnd::Decline {
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -73,9 +73,8 @@
     let again = allowance.other_target && allowance.arrivals_left > 0;
     let repeat = again && allowance.repeatable;
     match end {
-        AttemptEnd::Answered => NextStep::PassOn,
         AttemptEnd::AnsweredFailure if repeat && spend(RepeatCause::Failed) => NextStep::SendAgain,
-        AttemptEnd::AnsweredFailure => NextStep::PassOn,
+        AttemptEnd::Answered | AttemptEnd::AnsweredFailure => NextStep::PassOn,
         // No target saw it, so another try is no repeat and costs no budget.
         AttemptEnd::Declined if allowance.other_target => NextStep::SendAgain,
         AttemptEnd::Rejected if again && spend(RepeatCause::NoAnswer) => NextStep::SendAgain,
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -3,8 +3,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::numbers::count_of;
+
 /// Slices a window is counted in.
-const SLICES: usize = 20;
+const SLICES: u32 = 20;
 
 /// What the daemons together may spend, from the host's settings.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,12 +37,12 @@
 
 #[derive(Debug)]
 struct WindowCounts {
-    slices: [(u64, u32, u32); SLICES],
+    slices: [(u64, u32, u32); SLICES as usize],
 }
 
 impl WindowCounts {
     fn slice(&mut self, slot: u64) -> &mut (u64, u32, u32) {
-        let index = usize::try_from(slot % SLICES as u64).unwrap_or(0);
+        let index = usize::try_from(slot % u64::from(SLICES)).unwrap_or(0);
         let slice = &mut self.slices[index];
         if slice.0 != slot {
             *slice = (slot, 0, 0);
@@ -51,7 +53,7 @@
     fn totals(&self, slot: u64) -> (u32, u32) {
         self.slices
             .iter()
-            .filter(|slice| slice.0 + (SLICES as u64) > slot && slice.0 <= slot)
+            .filter(|slice| slice.0 + u64::from(SLICES) > slot && slice.0 <= slot)
             .fold((0, 0), |sum, slice| (sum.0 + slice.1, sum.1 + slice.2))
     }
 }
@@ -86,15 +88,15 @@
     }
 
     fn slot(&self, now: Instant) -> u64 {
-        let width = (self.terms.window / SLICES as u32).as_micros().max(1);
+        let width = (self.terms.window / SLICES).as_micros().max(1);
         let since = now.saturating_duration_since(self.start).as_micros();
-        u64::try_from(since / width).unwrap_or(u64::MAX) + SLICES as u64
+        u64::try_from(since / width).unwrap_or(u64::MAX) + u64::from(SLICES)
     }
 
     fn counts(&mut self, service: &str) -> &mut WindowCounts {
         if !self.services.contains_key(service) {
             let fresh = WindowCounts {
-                slices: [(0, 0, 0); SLICES],
+                slices: [(0, 0, 0); SLICES as usize],
             };
             self.services.insert(service.to_owned(), fresh);
         }
@@ -124,7 +126,7 @@
             RepeatCause::NoAnswer => USED_SHARE,
             RepeatCause::Failed => USED_SHARE * FAILED_SHARE,
         };
-        let slack = self.terms.slack / daemons.max(1) as f64;
+        let slack = self.terms.slack / count_of(daemons.max(1));
         let totals: Vec<(f64, f64)> = self
             .services
             .iter()
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -29,7 +29,7 @@
 pub struct TargetHealth {
     run_ms: f64,
     ill_share: f64,
-    runs: u64,
+    runs: u32,
 }
 
 impl Default for TargetHealth {
@@ -49,10 +49,10 @@
         let weight = if self.runs == 0 {
             1.0
         } else {
-            NEWEST.max(1.0 / (self.runs + 1) as f64)
+            NEWEST.max(1.0 / (f64::from(self.runs) + 1.0))
         };
         self.run_ms += (took_ms - self.run_ms) * weight;
-        self.runs += 1;
+        self.runs = self.runs.saturating_add(1);
     }
 
     /// Counts how a run ended.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod health;
 pub mod instance;
+pub mod numbers;
 pub mod placement;
 pub mod refusal;
 pub mod routing;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -2,6 +2,8 @@
 
 use rand::Rng;
 
+use crate::numbers::count_of;
+
 /// A target as a caller's daemon sees it when it places a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetView {
@@ -77,7 +79,7 @@
 /// once for 9 slots; with the guess it has 18.
 #[must_use]
 pub fn assumed_occupancy(reported: u32, sent_since: u32, daemons: usize) -> f64 {
-    let others = daemons.saturating_sub(1) as f64;
+    let others = count_of(daemons.saturating_sub(1));
     f64::from(reported) + f64::from(sent_since) * (1.0 + LIKE_MINDED * others)
 }
 
--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -23,8 +23,8 @@
 
 impl WeightDealer {
     /// The service that takes the next call of `route`. `start` (any number)
-    /// sets where a fresh dealer begins, so that daemons started together do
-    /// not all begin with the same part.
+    /// sets where in its round a fresh dealer begins, so that daemons started
+    /// together do not all begin with the same part.
     pub fn deal<'a>(&mut self, route: &'a RouteRule, start: u64) -> &'a str {
         if let [only] = route.parts.as_slice() {
             return &only.service;
@@ -33,22 +33,22 @@
         if !matches_parts(dealt, &route.parts) {
             *dealt = fresh_parts(&route.parts, start);
         }
-        let total: i64 = dealt.iter().map(|part| part.weight).sum();
-        let mut best = 0;
-        for (index, part) in dealt.iter_mut().enumerate() {
-            part.credit += part.weight;
-            if index == 0 {
-                best = 0;
-            }
-        }
-        for index in 1..dealt.len() {
-            if dealt[index].credit > dealt[best].credit {
-                best = index;
-            }
+        &route.parts[next_part(dealt)].service
+    }
+}
+
+/// Deals one call.
+fn next_part(dealt: &mut [DealtPart]) -> usize {
+    let total: i64 = dealt.iter().map(|part| part.weight).sum();
+    let mut best = 0;
+    for index in 0..dealt.len() {
+        dealt[index].credit += dealt[index].weight;
+        if dealt[index].credit > dealt[best].credit {
+            best = index;
         }
-        dealt[best].credit -= total;
-        &route.parts[best].service
     }
+    dealt[best].credit -= total;
+    best
 }
 
 fn matches_parts(dealt: &[DealtPart], parts: &[RoutePart]) -> bool {
@@ -59,19 +59,18 @@
 }
 
 fn fresh_parts(parts: &[RoutePart], start: u64) -> Vec<DealtPart> {
-    let total: i64 = parts.iter().map(|part| i64::from(part.weight)).sum();
-    let offset = i64::try_from(start % u64::try_from(total.max(1)).unwrap_or(1)).unwrap_or(0);
-    parts
+    /// Calls that a fresh dealer skips at most: a whole round of percentages.
+    const MOST_SKIPPED: u64 = 100;
+    let mut dealt: Vec<DealtPart> = parts
         .iter()
-        .enumerate()
-        .map(|(index, part)| DealtPart {
+        .map(|part| DealtPart {
             service: part.service.clone(),
             weight: i64::from(part.weight),
-            credit: if index == 0 {
-                -offset
-            } else {
-                offset / (parts.len() as i64 - 1).max(1)
-            },
+            credit: 0,
         })
-        .collect()
+        .collect();
+    for _ in 0..start % MOST_SKIPPED {
+        next_part(&mut dealt);
+    }
+    dealt
 }
--- a/crates/policy/tests/admission_replay.rs
+++ b/crates/policy/tests/admission_replay.rs
@@ -1,5 +1,12 @@
 //! Replays loads against the queue in front of one target.
 
+// Counts and times of a replay are small.
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -62,7 +69,7 @@
         for call in ended {
             queue.finished();
             fates[call] = CallFate::Answered {
-                took: now - calls[call].at,
+                took: now.saturating_sub(calls[call].at),
             };
         }
         while next < calls.len() && calls[next].at <= now {
@@ -79,7 +86,7 @@
                 }
                 GateVerdict::Decline { .. } => {
                     fates[next] = CallFate::Declined {
-                        held: now - call.at,
+                        held: now.saturating_sub(call.at),
                     };
                 }
             }
@@ -94,7 +101,7 @@
                 WaitEnd::Decline { ticket, .. } => {
                     let call = waiting.remove(&ticket).expect("it waited");
                     fates[call] = CallFate::Declined {
-                        held: now - calls[call].at,
+                        held: now.saturating_sub(calls[call].at),
                     };
                 }
             }
@@ -117,7 +124,7 @@
             at: Duration::from_secs_f64(number as f64 / per_second),
             priority: u8::from(number % 3 != 0) + 1,
             aim: Duration::from_millis(600),
-            left: Duration::from_millis(2_000),
+            left: Duration::from_secs(2),
             run: Duration::from_millis(if number % 10 == 9 { 500 } else { 150 }),
         })
         .collect()
--- a/crates/policy/tests/budget_replay.rs
+++ b/crates/policy/tests/budget_replay.rs
@@ -1,5 +1,12 @@
 //! Replays loads against the retry budgets of several daemons.
 
+// Counts and times of a replay are small.
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+
 use std::time::{Duration, Instant};
 
 use filbert_policy::budget::{BudgetTerms, RepeatCause, RetryBudget};
--- a/crates/policy/tests/call_cases.rs
+++ b/crates/policy/tests/call_cases.rs
@@ -73,37 +73,37 @@
     end: AttemptEnd,
     repeatable: bool,
     maybe_run: bool,
-    other: bool,
+    /// Whether there is another target, and whether the budget pays for it.
+    other_and_budget: (bool, bool),
     left: u32,
-    budget: bool,
     step: NextStep,
 }
 
 #[rstest]
-#[case(StepCase { end: AttemptEnd::Answered, repeatable: false, maybe_run: true, other: true, left: 1, budget: true, step: NextStep::PassOn })]
-#[case(StepCase { end: AttemptEnd::AnsweredFailure, repeatable: true, maybe_run: false, other: true, left: 1, budget: true, step: NextStep::SendAgain })]
-#[case(StepCase { end: AttemptEnd::AnsweredFailure, repeatable: true, maybe_run: false, other: true, left: 1, budget: false, step: NextStep::PassOn })]
-#[case(StepCase { end: AttemptEnd::AnsweredFailure, repeatable: false, maybe_run: false, other: true, left: 1, budget: true, step: NextStep::PassOn })]
-#[case(StepCase { end: AttemptEnd::Declined, repeatable: false, maybe_run: false, other: true, left: 0, budget: false, step: NextStep::SendAgain })]
-#[case(StepCase { end: AttemptEnd::Declined, repeatable: false, maybe_run: false, other: false, left: 1, budget: true, step: NextStep::SayNotRun })]
-#[case(StepCase { end: AttemptEnd::Declined, repeatable: true, maybe_run: true, other: false, left: 1, budget: true, step: NextStep::SayUnknown })]
-#[case(StepCase { end: AttemptEnd::Rejected, repeatable: false, maybe_run: false, other: true, left: 1, budget: true, step: NextStep::SendAgain })]
-#[case(StepCase { end: AttemptEnd::Rejected, repeatable: false, maybe_run: false, other: true, left: 1, budget: false, step: NextStep::SayNotRun })]
-#[case(StepCase { end: AttemptEnd::Rejected, repeatable: true, maybe_run: true, other: true, left: 0, budget: true, step: NextStep::SayUnknown })]
-#[case(StepCase { end: AttemptEnd::Lost, repeatable: true, maybe_run: true, other: true, left: 1, budget: true, step: NextStep::SendAgain })]
-#[case(StepCase { end: AttemptEnd::Lost, repeatable: true, maybe_run: true, other: true, left: 0, budget: true, step: NextStep::SayUnknown })]
-#[case(StepCase { end: AttemptEnd::Lost, repeatable: false, maybe_run: true, other: true, left: 1, budget: true, step: NextStep::SayUnknown })]
+#[case(StepCase { end: AttemptEnd::Answered, repeatable: false, maybe_run: true, other_and_budget: (true, true), left: 1, step: NextStep::PassOn })]
+#[case(StepCase { end: AttemptEnd::AnsweredFailure, repeatable: true, maybe_run: false, other_and_budget: (true, true), left: 1, step: NextStep::SendAgain })]
+#[case(StepCase { end: AttemptEnd::AnsweredFailure, repeatable: true, maybe_run: false, other_and_budget: (true, false), left: 1, step: NextStep::PassOn })]
+#[case(StepCase { end: AttemptEnd::AnsweredFailure, repeatable: false, maybe_run: false, other_and_budget: (true, true), left: 1, step: NextStep::PassOn })]
+#[case(StepCase { end: AttemptEnd::Declined, repeatable: false, maybe_run: false, other_and_budget: (true, false), left: 0, step: NextStep::SendAgain })]
+#[case(StepCase { end: AttemptEnd::Declined, repeatable: false, maybe_run: false, other_and_budget: (false, true), left: 1, step: NextStep::SayNotRun })]
+#[case(StepCase { end: AttemptEnd::Declined, repeatable: true, maybe_run: true, other_and_budget: (false, true), left: 1, step: NextStep::SayUnknown })]
+#[case(StepCase { end: AttemptEnd::Rejected, repeatable: false, maybe_run: false, other_and_budget: (true, true), left: 1, step: NextStep::SendAgain })]
+#[case(StepCase { end: AttemptEnd::Rejected, repeatable: false, maybe_run: false, other_and_budget: (true, false), left: 1, step: NextStep::SayNotRun })]
+#[case(StepCase { end: AttemptEnd::Rejected, repeatable: true, maybe_run: true, other_and_budget: (true, true), left: 0, step: NextStep::SayUnknown })]
+#[case(StepCase { end: AttemptEnd::Lost, repeatable: true, maybe_run: true, other_and_budget: (true, true), left: 1, step: NextStep::SendAgain })]
+#[case(StepCase { end: AttemptEnd::Lost, repeatable: true, maybe_run: true, other_and_budget: (true, true), left: 0, step: NextStep::SayUnknown })]
+#[case(StepCase { end: AttemptEnd::Lost, repeatable: false, maybe_run: true, other_and_budget: (true, true), left: 1, step: NextStep::SayUnknown })]
 fn an_ending_decides_what_follows(#[case] case: StepCase) {
     let allowance = CallAllowance {
         repeatable: case.repeatable,
         maybe_run: case.maybe_run,
-        other_target: case.other,
+        other_target: case.other_and_budget.0,
         arrivals_left: case.left,
     };
     let mut asked = 0;
     let step = next_step(case.end, allowance, |_| {
         asked += 1;
-        case.budget
+        case.other_and_budget.1
     });
     assert_eq!(step, case.step);
     let may_cost = matches!(
--- a/crates/policy/tests/placement_replay.rs
+++ b/crates/policy/tests/placement_replay.rs
@@ -1,5 +1,12 @@
 //! Replays loads against placement by several daemons that share no view.
 
+// Counts and times of a replay are small.
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+
 use std::time::Duration;
 
 use filbert_policy::placement::{assumed_occupancy, choose, CallShape, CrossingCost, TargetView};
@@ -119,7 +126,9 @@
             for (report, runs) in reported.iter_mut().zip(&running) {
                 *report = u32::try_from(runs.len()).expect("a count");
             }
-            own.iter_mut().for_each(|sent| sent.fill(0));
+            for sent in &mut own {
+                sent.fill(0);
+            }
         }
         for runs in &mut running {
             runs.retain(|until| *until > now);
@@ -158,7 +167,10 @@
         .map(|step| come_back_after(room, left, f64::from(step) / 100.0))
         .collect();
     let (first, last) = (returns[0], returns[100]);
-    assert!(last - first >= room / 2, "{first:?} to {last:?}");
+    assert!(
+        last.saturating_sub(first) >= room / 2,
+        "{first:?} to {last:?}"
+    );
     assert!(last <= left / 3);
     let hurried = come_back_after(Duration::from_secs(9), Duration::from_millis(300), 0.5);
     assert!(hurried <= Duration::from_millis(100));
--- a/tests/mesh_calls.rs
+++ b/tests/mesh_calls.rs
@@ -230,7 +230,7 @@
         assert_eq!(answer.header("Request-Id"), id);
     }
     assert!(
-        started.elapsed() < Duration::from_millis(1_000),
+        started.elapsed() < Duration::from_secs(1),
         "{:?}",
         started.elapsed()
     );
