filbertctl explain: one call's story from the logs of several daemons

Cause: a complaint names a request id; its lines lie in two daemons' logs. Change: explain gathers them, says each in words, and adds what those daemons had come to believe before. Ruled out: a log store of ours.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -78,6 +78,14 @@
     },
     /// List the proxies and the version each has in force.
     Status,
+    /// Tell what became of one call, from the logs of the daemons it crossed.
+    Explain {
+        /// The call's request id.
+        request: String,
+        /// Log files, of one daemon or of several.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Reports made from the daemons' counters.
     Report {
         /// The report.
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod diff;
 mod edit;
+mod explain;
 mod publish;
 mod remove;
 mod report;
@@ -43,5 +44,6 @@
         Command::Withdraw { expect } => withdraw::run(&platform, expect).await,
         Command::Status => status::run(&platform).await,
         Command::Report { report } => report::run(report).await,
+        Command::Explain { request, logs } => explain::run(&request, &logs),
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod cmd;
 pub mod error;
+pub mod explain;
 pub mod fleet;
 pub mod report;
 pub mod store;
