--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -51,6 +51,7 @@
     declines: u32,
     room: Option<Duration>,
     failure: Option<(AnswerHead, AnswerBody)>,
+    last_end: Option<AttemptEnd>,
 }
 
 impl<'a> Placing<'a> {
@@ -88,6 +89,7 @@
             declines: 0,
             room: None,
             failure: None,
+            last_end: None,
         }
     }
 
@@ -98,8 +100,12 @@
             self.head.left_us = micros(self.limit.saturating_duration_since(now));
             self.head.aim_us = micros(self.aim.saturating_duration_since(now));
             let Some(target) = pick(self.shared, self.route, &self.head, &self.tried) else {
-                return self.give_up(AttemptEnd::Declined);
+                return self.give_up();
             };
+            // Noted before the attempt: the line at the end names the host
+            // also when the call's time ends first.
+            self.story.host.clone_from(&target.host);
+            self.story.attempts += 1;
             self.progress.in_attempt.set(true);
             let repeatable = self.route.kind.is_repeatable();
             let body = self.bodies.next();
@@ -119,7 +125,7 @@
                     self.failure = Some((head, body));
                 }
                 (NextStep::SendAgain, _) => {}
-                _ => return self.give_up(end),
+                _ => return self.give_up(),
             }
         }
     }
@@ -127,8 +133,6 @@
     /// Counts how an attempt ended.
     fn count(&mut self, target: &PickedTarget, outcome: &AttemptOutcome) -> AttemptEnd {
         self.tried.push(target.host.clone());
-        self.story.host.clone_from(&target.host);
-        self.story.attempts += 1;
         let end = match outcome {
             AttemptOutcome::Answer(answer, _) if answer.status >= FIRST_FAILURE => {
                 AttemptEnd::AnsweredFailure
@@ -145,6 +149,7 @@
                 AttemptEnd::Lost
             }
         };
+        self.last_end = Some(end);
         if end != AttemptEnd::Declined {
             self.arrivals += 1;
         }
@@ -196,7 +201,7 @@
 
     /// The answer when no further attempt is made: what a target said of its
     /// own failure, or what is known.
-    fn give_up(self, end: AttemptEnd) -> ClientAnswer {
+    fn give_up(self) -> ClientAnswer {
         if let Some((head, body)) = self.failure {
             return ClientAnswer::Target(head, body);
         }
@@ -204,8 +209,8 @@
             self.story.reason = "answer_lost";
             return ClientAnswer::own(BAD_GATEWAY);
         }
-        self.story.reason = match (end, self.room) {
-            (AttemptEnd::Rejected, _) => "target_rejected",
+        self.story.reason = match (self.last_end, self.room) {
+            (Some(AttemptEnd::Rejected), _) => "target_rejected",
             (_, Some(_)) => "no_room",
             (_, None) => "no_target",
         };
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -30,6 +30,7 @@
         zone: zone.to_owned(),
         service: service.to_owned(),
         store: store.address,
+        stalled_log: false,
     }
 }
 
