--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -266,12 +266,6 @@
         self.state.borrow_mut().health.note(sign);
     }
 
-    /// How long a run of a call on `route` takes.
-    fn route_run(&self, route: &str) -> Duration {
-        let run_ms = self.state.borrow().health.route_run_ms(route);
-        Duration::from_secs_f64(run_ms / 1_000.0)
-    }
-
     fn run_time(state: &GateState, now: Instant) -> Duration {
         Duration::from_secs_f64(run_ms(state, now) / 1_000.0)
     }
@@ -387,7 +381,6 @@
             priority: call.priority,
             aim: received + Duration::from_micros(call.aim_us),
             deadline: received + Duration::from_micros(call.left_us),
-            run: self.route_run(&call.route),
         };
         let none = AnswerBody::Whole(bytes::Bytes::new());
         let permit = match self.admit(&call.service, demand).await {
@@ -446,7 +439,7 @@
         {
             let mut state = self.state.borrow_mut();
             if head.status < FIRST_FAILURE {
-                state.health.ran(&run.call.route, took);
+                state.health.ran(took);
                 state.health.note(RunSign::Well);
             } else {
                 state.health.note(RunSign::Ill);
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -92,8 +92,6 @@
 pub struct CallHead {
     /// The call's id.
     pub id: String,
-    /// The route that it came by.
-    pub route: String,
     /// The service that it was routed to.
     pub service: String,
     /// Its method.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -18,9 +18,6 @@
     pub aim: Instant,
     /// Until when an answer is worth anything.
     pub deadline: Instant,
-    /// How long a run of its kind takes. Short calls among long ones may wait
-    /// longer than the mean of all would let them.
-    pub run: Duration,
 }
 
 /// Names a waiting call.
@@ -177,7 +174,7 @@
         self.wait_behind(self.waiting.len(), run)
     }
 
-    /// Takes a call, if runs of all kinds take `run` in the mean here.
+    /// Takes a call, if runs take `run` here.
     pub fn offer(&mut self, demand: CallDemand, run: Duration, now: Instant) -> GateVerdict {
         if !self.is_open {
             return GateVerdict::Decline {
@@ -189,15 +186,15 @@
             self.running += 1;
             return GateVerdict::Run;
         }
-        let key = order_key(&demand, now);
+        let key = order_key(&demand, run, now);
         let ahead = self
             .waiting
             .iter()
-            .filter(|other| order_key(&other.demand, now) <= key)
+            .filter(|other| order_key(&other.demand, run, now) <= key)
             .count();
         let wait = self.wait_behind(ahead, run);
         let most = (self.limits.per_slot * self.slots) as usize;
-        if !Self::worth_waiting(&demand, wait, now) || self.waiting.len() >= most {
+        if !Self::worth_waiting(&demand, wait, run, now) || self.waiting.len() >= most {
             return GateVerdict::Decline {
                 reason: DeclineReason::Crowded,
                 room_in: self.room_in(run),
@@ -213,26 +210,24 @@
         GateVerdict::Wait(ticket)
     }
 
-    fn worth_waiting(demand: &CallDemand, wait: Duration, now: Instant) -> bool {
+    fn worth_waiting(demand: &CallDemand, wait: Duration, run: Duration, now: Instant) -> bool {
         let start = now + wait;
-        if start + demand.run.mul_f64(AIM_RUNS) <= demand.aim {
+        if start + run.mul_f64(AIM_RUNS) <= demand.aim {
             return true;
         }
         // Nobody waits for long with a lost aim: only a short queue is worth it.
-        wait <= demand.run.mul_f64(LATE_RUNS) && start + demand.run <= demand.deadline
+        wait <= run.mul_f64(LATE_RUNS) && start + run <= demand.deadline
     }
 
-    /// Whether a call that waits still has a use for it. Milder than for a
-    /// newcomer, so that a call is not taken only to be turned away when the
-    /// next run takes a little longer than most.
-    fn worth_staying(call: &WaitingCall, wait: Duration, now: Instant) -> bool {
-        let demand = &call.demand;
+    /// Whether a call that waits since `since` still has a use for it. Milder
+    /// than for a newcomer, so that a call is not taken only to be turned away
+    /// when the next run takes a little longer than most.
+    fn worth_staying(call: &WaitingCall, wait: Duration, run: Duration, now: Instant) -> bool {
         let start = now + wait;
-        if start + demand.run.mul_f64(STAY_RUNS) <= demand.aim {
+        if start + run.mul_f64(STAY_RUNS) <= call.demand.aim {
             return true;
         }
-        start <= call.since + demand.run.mul_f64(2.0 * LATE_RUNS)
-            && start + demand.run <= demand.deadline
+        start <= call.since + run.mul_f64(2.0 * LATE_RUNS) && start + run <= call.demand.deadline
     }
 
     /// Takes back a call that waits; false when it does not wait (any more).
@@ -268,11 +263,11 @@
     fn turn_away_late(&mut self, run: Duration, now: Instant, ends: &mut Vec<WaitEnd>) {
         let room_in = self.room_in(run);
         self.waiting
-            .sort_by_key(|call| (order_key(&call.demand, now), call.ticket));
+            .sort_by_key(|call| (order_key(&call.demand, run, now), call.ticket));
         let mut kept = Vec::with_capacity(self.waiting.len());
         for call in std::mem::take(&mut self.waiting) {
             let wait = self.wait_behind(kept.len(), run);
-            if Self::worth_staying(&call, wait, now) {
+            if Self::worth_staying(&call, wait, run, now) {
                 kept.push(call);
             } else {
                 ends.push(WaitEnd::Decline {
@@ -298,8 +293,8 @@
 
 /// Calls whose aim can still be met go first, by rank, then by the moment at
 /// which they must start; then the late ones, by rank and deadline.
-fn order_key(demand: &CallDemand, now: Instant) -> (bool, u8, Instant) {
-    let is_late = now + demand.run.mul_f64(0.5) > demand.aim;
+fn order_key(demand: &CallDemand, run: Duration, now: Instant) -> (bool, u8, Instant) {
+    let is_late = now + run.mul_f64(0.5) > demand.aim;
     let by = if is_late { demand.deadline } else { demand.aim };
     (is_late, demand.priority, by)
 }
