--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -24,6 +24,9 @@
 /// Gates asked before a call is refused. Each costs a round trip and no work;
 /// when the best few have no room, the others have none either.
 const MOST_DECLINES: u32 = 4;
+/// Time that must be left for another attempt: a target that gets a call with
+/// less can only run out of it. Shorter than the quickest usual runs.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
 /// When to come back for a service without any open target.
 const NO_TARGET: Duration = Duration::from_millis(300);
 
@@ -161,10 +164,15 @@
     }
 
     fn decide(&self, end: AttemptEnd) -> NextStep {
+        let left = self
+            .limit
+            .saturating_duration_since(self.shared.clock.now());
         let allowance = CallAllowance {
             repeatable: self.route.kind.is_repeatable(),
             maybe_run: self.progress.maybe_run.get(),
-            other_target: self.declines < MOST_DECLINES && self.bodies.is_copyable(),
+            other_target: self.declines < MOST_DECLINES
+                && self.bodies.is_copyable()
+                && left > LEAST_LEFT,
             arrivals_left: self.route.max_attempts.saturating_sub(self.arrivals),
         };
         next_step(end, allowance, |cause| self.spend(cause))
--- a/tests/mesh_calls.rs
+++ b/tests/mesh_calls.rs
@@ -197,6 +197,38 @@
     }
 }
 
+/// A clerk's download has used up its route's time at one server, which says
+/// so itself. Another server could only run out of time as well: it must not
+/// get the call.
+#[tokio::test]
+async fn no_second_attempt_without_time() {
+    let mut short = RouteSpec::reads("/read/", "quotes");
+    short.timeout_ms = 300;
+    let hosts = [
+        ("caller", "a", "art"),
+        ("first", "a", "quotes"),
+        ("second", "a", "quotes"),
+    ];
+    let fleet = fleet(&[short], &hosts).await;
+    for host in &fleet.hosts[1..] {
+        host.target
+            .set_conduct(Conduct::FailsAfter(Duration::from_millis(290)));
+    }
+    for round in 0..3 {
+        let id = format!("read-{round}");
+        let answer = fleet.hosts[0]
+            .call(READ, &id, b"")
+            .await
+            .expect("an answer");
+        assert!(answer.status >= 500);
+        let runs: usize = fleet.hosts[1..]
+            .iter()
+            .map(|host| host.target.runs().iter().filter(|run| run.id == id).count())
+            .sum();
+        assert_eq!(runs, 1, "{id}");
+    }
+}
+
 /// A long answer breaks in the middle, when its head is already with the
 /// client. It must not look complete.
 #[tokio::test]
