--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -85,3 +85,54 @@
 fn example_settings_are_valid() {
     DaemonSettings::parse(EXAMPLE).expect("examples/daemon.toml parses");
 }
+
+/// The keys of the mesh table in the reference and those that the platform's
+/// template fills in: every one that the template names must be listed, and
+/// the template must give what the daemon reads.
+#[test]
+fn the_platforms_template_matches_the_reference_and_the_daemon() {
+    const TEMPLATE: &str = include_str!("../platform/settings.toml.in");
+    let mut table = String::new();
+    let mut filled = String::new();
+    for line in TEMPLATE.lines() {
+        if let Some(name) = line
+            .strip_prefix('[')
+            .and_then(|rest| rest.strip_suffix(']'))
+        {
+            table = format!("{name}.");
+            filled += line;
+            filled += "\n";
+        } else if let Some((key, _)) = line.split_once(" = ") {
+            let listed = format!("| mesh `{table}{key}` | ");
+            assert!(REFERENCE.contains(&listed), "{listed} is missing");
+            let value = match (table.as_str(), key) {
+                ("", "target") | ("listen.", _) => "\"127.0.0.1:1\"",
+                ("times.", _) | ("retry.", "window") => "\"1500ms\"",
+                ("retry.", _) => "0.2",
+                _ => "\"text\"",
+            };
+            filled += &format!("{key} = {value}\n");
+        }
+    }
+    filbert_mesh::MeshSettings::parse(&filled).expect("the daemon reads the template");
+}
+
+/// A settings file of the mesh daemon with one fault, and what the message
+/// must name.
+#[rstest::rstest]
+#[case("ratio = 0.2", "ratio = 2.0", "retry.ratio")]
+#[case("grace = \"6s\"", "grace = \"6\"", "`6` is no time")]
+#[case("zone = \"a\"", "zone = \"\"", "key `zone`")]
+#[case("zone = \"a\"", "zon = \"a\"", "zon")]
+fn a_faulty_mesh_settings_file_names_the_key(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] names: &str,
+) {
+    let text = "id = \"h\"\nzone = \"a\"\nservice = \"s\"\ntarget = \"127.0.0.1:1\"\nstore = \"127.0.0.1:2\"\n[listen]\ncalls = \"127.0.0.1:3\"\npeers = \"127.0.0.1:4\"\nready = \"127.0.0.1:5\"\ncontrol = \"127.0.0.1:6\"\n[times]\nreport_every = \"1s\"\ndrain = \"2s\"\ngrace = \"6s\"\n[retry]\nratio = 0.2\nslack = 60\nwindow = \"10s\"\n";
+    filbert_mesh::MeshSettings::parse(text).expect("the whole file parses");
+    let faulty = text.replace(from, to);
+    let report = filbert_mesh::MeshSettings::parse(&faulty).expect_err("a fault");
+    let message = format!("{report:?}");
+    assert!(message.contains(names), "{names} is not in {message}");
+}
