--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,127 @@
+//! What the pure decisions cost, in nanoseconds each. Printed, never asserted.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use filbert_policy::admission::{CallDemand, GateQueue, GateVerdict, WaitLimits};
+use filbert_policy::budget::{BudgetTerms, RepeatCause, RetryBudget};
+use filbert_policy::placement::{choose, CallShape, CrossingCost, TargetView};
+use filbert_policy::routing::{
+    ClientLimits, MeshVersion, RouteIndex, RouteKind, RoutePart, RouteRule,
+};
+use filbert_policy::weights::WeightDealer;
+
+/// Decisions measured for each figure.
+const ROUNDS: u32 = 100_000;
+
+fn measure(name: &str, mut decide: impl FnMut(u32)) {
+    for round in 0..ROUNDS / 10 {
+        decide(round);
+    }
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        decide(round);
+    }
+    println!(
+        "{name:<44} {:>8.0} ns",
+        started.elapsed().as_secs_f64() * 1e9 / f64::from(ROUNDS)
+    );
+}
+
+fn route(number: usize) -> RouteRule {
+    RouteRule {
+        name: format!("r-{number}"),
+        host: "shop.example".to_owned(),
+        prefix: format!("/p{number}/"),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(2),
+        aim: Duration::from_millis(600),
+        max_attempts: 2,
+        priority: 1,
+        parts: vec![
+            RoutePart {
+                service: "one".to_owned(),
+                weight: 90,
+            },
+            RoutePart {
+                service: "two".to_owned(),
+                weight: 10,
+            },
+        ],
+    }
+}
+
+fn main() {
+    let routes: Vec<RouteRule> = (0..2_000).map(route).collect();
+    let first = routes[0].clone();
+    let index = RouteIndex::compile(MeshVersion {
+        number: 1,
+        routes,
+        services: Vec::new(),
+        limits: ClientLimits::default(),
+    });
+    measure("route lookup, 2,000 routes, depth 4", |_| {
+        black_box(index.lookup("shop.example", "/p1999/a/b/c?d=e"));
+    });
+    let mut dealer = WeightDealer::default();
+    measure("deal of a split route", |_| {
+        black_box(dealer.deal(&first, 7));
+    });
+    let call = CallShape {
+        answer_kib: 5.0,
+        aim_ms: 600.0,
+        left_ms: 2_000.0,
+    };
+    let crossing = CrossingCost {
+        base: 0.01,
+        per_kib: 0.006,
+        most: 0.9,
+    };
+    for count in [9, 70] {
+        let views: Vec<TargetView> = (0..count)
+            .map(|target| TargetView {
+                in_zone: target % 3 == 0,
+                slots: 9,
+                occupancy: f64::from(target % 9),
+                run_ms: 150.0 + f64::from(target),
+                ill_share: 0.0,
+                is_cold: false,
+                is_leaving: false,
+            })
+            .collect();
+        let mut rng = rand::rng();
+        measure(&format!("placement among {count} targets"), |_| {
+            black_box(choose(&views, &call, &crossing, &mut rng));
+        });
+    }
+    let now = Instant::now();
+    let run = Duration::from_millis(200);
+    let mut queue = GateQueue::new(WaitLimits::default());
+    queue.set_slots(9);
+    queue.set_open(true);
+    let demand = |round: u32| CallDemand {
+        priority: u8::from(round.is_multiple_of(2)),
+        aim: now + Duration::from_secs(2),
+        deadline: now + Duration::from_secs(4),
+    };
+    for round in 0..40 {
+        queue.offer(demand(round), run, now);
+    }
+    measure("offer, settle and finish, some 30 waiting", |round| {
+        let verdict = queue.offer(demand(round), run, now);
+        if !matches!(verdict, GateVerdict::Decline { .. }) {
+            queue.finished();
+            black_box(queue.settle(run, now));
+        }
+    });
+    let terms = BudgetTerms {
+        ratio: 0.2,
+        slack: 56.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = RetryBudget::new(terms, now);
+    measure("retry budget, earn and spend", |_| {
+        budget.earn("one", now);
+        black_box(budget.spend("one", RepeatCause::NoAnswer, 10, now));
+    });
+}
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -111,7 +111,10 @@
                 ("retry.", _) => "0.2",
                 _ => "\"text\"",
             };
-            filled += &format!("{key} = {value}\n");
+            filled += key;
+            filled += " = ";
+            filled += value;
+            filled += "\n";
         }
     }
     filbert_mesh::MeshSettings::parse(&filled).expect("the daemon reads the template");
