Messages for people; settings checked by hand; a dead target is left alone longer

Cause: a wrong settings file printed a stack backtrace. A crashed target was tried again every half second, each try costing a call up to 300 ms. Bytes of a call's own body were not counted in what a crossing costs. Ruled out: closing on missing reports alone (they may be seconds late).

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -68,7 +68,7 @@
         black_box(dealer.deal(&first, 7));
     });
     let call = CallShape {
-        answer_kib: 5.0,
+        carried_kib: 5.0,
         aim_ms: 600.0,
         left_ms: 2_000.0,
     };
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::process::ExitCode;
 
+use error_stack::{AttachmentKind, FrameKind, Report};
+
 /// Why a command did not do what was asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CtlError {
@@ -41,3 +43,29 @@
         }
     }
 }
+
+/// A report as a person reads it: what failed and where in one line, the causes
+/// below it, no backtrace (that is for `{report:?}`).
+#[must_use]
+pub fn for_people<C>(report: &Report<C>) -> String {
+    let mut lines: Vec<String> = Vec::new();
+    let mut details: Vec<String> = Vec::new();
+    for frame in report.frames() {
+        match frame.kind() {
+            FrameKind::Context(context) => {
+                let text = context.to_string();
+                let whole = match details.join(", ") {
+                    none if none.is_empty() => text,
+                    details => format!("{text} ({details})"),
+                };
+                details.clear();
+                lines.push(whole.trim_end().to_owned());
+            }
+            FrameKind::Attachment(AttachmentKind::Printable(attachment)) => {
+                details.push(attachment.to_string());
+            }
+            FrameKind::Attachment(_) => {}
+        }
+    }
+    lines.join("\n  cause: ")
+}
--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -70,11 +70,12 @@
         }
     }
     let shape = CallShape {
-        answer_kib: shared
+        carried_kib: shared
             .routes
             .borrow()
             .get(&route.name)
-            .map_or(0.0, |history| history.answer_kib),
+            .map_or(0.0, |history| history.answer_kib)
+            + kib(head.body_length.unwrap_or(0)),
         aim_ms: millis(head.aim_us),
         left_ms: millis(head.left_us),
     };
@@ -89,6 +90,11 @@
     })
 }
 
+/// Bytes in KiB; more than `u32` holds costs the most anyway.
+fn kib(bytes: u64) -> f64 {
+    f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1024.0
+}
+
 /// Microseconds in milliseconds. Calls wait for seconds, so `u32` holds them.
 fn millis(micros: u64) -> f64 {
     f64::from(u32::try_from(micros).unwrap_or(u32::MAX)) / 1_000.0
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -21,9 +21,12 @@
 use crate::logging::{LineBudget, LineWeight};
 use crate::messages::{AnswerHead, CallHead, ReplyHead, TargetLoad, TargetState, TargetStatus};
 use crate::metrics::MeshMetrics;
+use crate::settings::TimeSettings;
 use crate::target::{ExchangeEnd, ExchangeTerms, TargetConnections};
 
-/// How long a target that took no connection is left alone, unless it reports.
+/// Shortest time for which a target that took no connection is left alone,
+/// unless it reports. A live one reports soon; each try at a dead one costs a
+/// call the time of a connection that is not made.
 const DOWN_PAUSE: Duration = Duration::from_millis(500);
 /// Part of the draining time after which a leaving target gets no more calls.
 /// The rest covers a call that is on its way through the daemon.
@@ -53,6 +56,7 @@
     clock: Rc<dyn Clock>,
     address: Cell<SocketAddr>,
     drain: Cell<Duration>,
+    report_every: Cell<Duration>,
     /// Set when the daemon itself is about to end.
     is_stopping: Cell<bool>,
     crowd: Notify,
@@ -145,7 +149,7 @@
     #[must_use]
     pub fn new(
         address: SocketAddr,
-        drain: Duration,
+        times: &TimeSettings,
         metrics: Rc<MeshMetrics>,
         clock: Rc<dyn Clock>,
     ) -> Rc<Gate> {
@@ -164,7 +168,8 @@
             lines: LineBudget::new(clock.now()),
             clock,
             address: Cell::new(address),
-            drain: Cell::new(drain),
+            drain: Cell::new(times.drain),
+            report_every: Cell::new(times.report_every),
             is_stopping: Cell::new(false),
             crowd: Notify::new(),
             changed: Notify::new(),
@@ -172,9 +177,10 @@
     }
 
     /// Takes over changed settings.
-    pub fn set_terms(&self, address: SocketAddr, drain: Duration) {
+    pub fn set_terms(&self, address: SocketAddr, times: &TimeSettings) {
         self.address.set(address);
-        self.drain.set(drain);
+        self.drain.set(times.drain);
+        self.report_every.set(times.report_every);
     }
 
     /// Closes the gate for good: the daemon is about to end.
@@ -459,12 +465,13 @@
     fn note_unreachable(&self, run: &CallRun<'_>, error: &std::io::Error) -> ReplyHead {
         self.metrics.gate("unreachable");
         self.say_run(run, "unreachable", &error.to_string());
-        self.state.borrow_mut().down_until = Some(self.clock.now() + DOWN_PAUSE);
+        let pause = self.report_every.get().max(DOWN_PAUSE);
+        self.state.borrow_mut().down_until = Some(self.clock.now() + pause);
         self.connections.clear();
         self.changed.notify_waiters();
         self.declined(Declined {
             reason: DeclineReason::Closed,
-            room_in: DOWN_PAUSE,
+            room_in: pause,
         })
     }
 
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -61,6 +61,6 @@
         settings.service,
         settings.target
     );
-    shared.gate.set_terms(settings.target, settings.times.drain);
+    shared.gate.set_terms(settings.target, &settings.times);
     *shared.settings.borrow_mut() = Rc::new(settings);
 }
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -107,7 +107,7 @@
     let metrics = Rc::new(MeshMetrics::new());
     let gate = Gate::new(
         settings.target,
-        settings.times.drain,
+        &settings.times,
         Rc::clone(&metrics),
         Rc::clone(&clock),
     );
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -27,8 +27,8 @@
 /// What placement needs to know of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallShape {
-    /// Usual size of its answer, in KiB.
-    pub answer_kib: f64,
+    /// Usual size of its answer and size of its body, in KiB.
+    pub carried_kib: f64,
     /// Time until an answer is worth less, in milliseconds.
     pub aim_ms: f64,
     /// Time until an answer is worth nothing, in milliseconds.
@@ -112,7 +112,7 @@
         + view.ill_share * ILL_LOSS
         + (view.occupancy / slots).min(1.0) * LEVEL_LOSS;
     if !view.in_zone {
-        loss += (crossing.base + call.answer_kib * crossing.per_kib).min(crossing.most);
+        loss += (crossing.base + call.carried_kib * crossing.per_kib).min(crossing.most);
     }
     if view.is_leaving {
         loss += LEAVING_LOSS;
--- a/crates/policy/tests/placement_replay.rs
+++ b/crates/policy/tests/placement_replay.rs
@@ -33,9 +33,9 @@
     }
 }
 
-fn call(answer_kib: f64) -> CallShape {
+fn call(carried_kib: f64) -> CallShape {
     CallShape {
-        answer_kib,
+        carried_kib,
         aim_ms: 600.0,
         left_ms: 2_000.0,
     }
--- a/src/bin/filbertctl.rs
+++ b/src/bin/filbertctl.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use filbert_ctl::error::for_people;
 use filbert_ctl::{cmd, Cli};
 
 fn main() -> ExitCode {
@@ -21,7 +22,7 @@
     match runtime.block_on(cmd::run(cli)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("filbertctl: {report:?}");
+            eprintln!("filbertctl: {}", for_people(&report));
             report.current_context().exit_code()
         }
     }
--- a/src/bin/filbertd.rs
+++ b/src/bin/filbertd.rs
@@ -4,6 +4,8 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use error_stack::Report;
+use filbert_ctl::error::for_people;
 use filbert_daemon::{logging, DaemonSettings};
 use filbert_mesh::MeshSettings;
 
@@ -37,6 +39,9 @@
         /// The daemon's settings file (TOML).
         #[arg(long, env = filbert_platform::SETTINGS_VARIABLE)]
         settings: PathBuf,
+        /// Check the settings file and end.
+        #[arg(long)]
+        check: bool,
         /// Log filter, such as `info` or `debug`; `RUST_LOG` overrides it.
         #[arg(long, default_value = "info")]
         log: String,
@@ -47,7 +52,14 @@
     error_stack::Report::set_color_mode(error_stack::fmt::ColorMode::None);
     let args = Args::parse();
     match (args.mode, args.config) {
-        (Some(Mode::Mesh { settings, log }), _) => run_mesh(settings, &log),
+        (
+            Some(Mode::Mesh {
+                settings,
+                check,
+                log,
+            }),
+            _,
+        ) => run_mesh(settings, check, &log),
         (None, Some(config)) => run_alone(&config, &args.log),
         (None, None) => {
             eprintln!("filbertd: no settings file given");
@@ -56,14 +68,18 @@
     }
 }
 
-fn run_mesh(path: PathBuf, log: &str) -> ExitCode {
+fn run_mesh(path: PathBuf, check: bool, log: &str) -> ExitCode {
     let settings = match MeshSettings::load(&path) {
         Ok(settings) => settings,
         Err(report) => {
-            eprintln!("filbertd: {report:?}");
+            eprintln!("filbertd: {}", for_people(&report));
             return ExitCode::from(2);
         }
     };
+    if check {
+        println!("{}: the settings are whole", path.display());
+        return ExitCode::SUCCESS;
+    }
     let _logger = filbert_mesh::logging::start(log);
     // One thread: a host gives the daemon a fifth of a core, and parts that
     // share one thread need no locks.
@@ -79,7 +95,7 @@
     let settings = match DaemonSettings::load(path) {
         Ok(settings) => settings,
         Err(report) => {
-            eprintln!("filbertd: {report:?}");
+            eprintln!("filbertd: {}", for_people(&report));
             return ExitCode::from(2);
         }
     };
@@ -93,9 +109,9 @@
     })
 }
 
-fn finish<E: std::fmt::Debug>(
+fn finish<C>(
     runtime: std::io::Result<tokio::runtime::Runtime>,
-    run: impl FnOnce(&tokio::runtime::Runtime) -> Result<(), E>,
+    run: impl FnOnce(&tokio::runtime::Runtime) -> Result<(), Report<C>>,
 ) -> ExitCode {
     let runtime = match runtime {
         Ok(runtime) => runtime,
@@ -107,7 +123,7 @@
     match run(&runtime) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("filbertd: {report:?}");
+            eprintln!("filbertd: {}", for_people(&report));
             ExitCode::FAILURE
         }
     }
