filbertctl mesh: tree, changes, hosts and watch on the users' platform

Cause: operators could not see from the command line what the store holds and where a version is missing. Change: mesh show, diff, hosts, watch; reading only, since the store takes the configuration from its own interface alone. Ruled out: writing.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 
 /// Edit, accept, watch and withdraw filbertladder settings.
 #[derive(Debug, Parser)]
@@ -78,6 +78,15 @@
     },
     /// List the proxies and the version each has in force.
     Status,
+    /// Read the configuration and the hosts on the users' platform.
+    Mesh {
+        /// The platform's store, IP:PORT.
+        #[arg(long, env = "FILBERT_STORE")]
+        store: String,
+        /// The command.
+        #[command(subcommand)]
+        command: MeshCommand,
+    },
     /// Tell what became of one call, from the logs of the daemons it crossed.
     Explain {
         /// The call's request id.
@@ -94,6 +103,53 @@
     },
 }
 
+/// The commands on the users' platform. They read only.
+#[derive(Debug, Subcommand)]
+pub enum MeshCommand {
+    /// Show the configuration in the store as a tree.
+    Show {
+        /// Only what lies below this path: HOST, HOST/SERVICE or HOST/SERVICE/ROUTE.
+        #[arg(default_value = "")]
+        below: String,
+        /// How to print it; `raw` as the operator wrote it, for `diff`.
+        #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
+        output: OutputFormat,
+    },
+    /// Show what changed from a configuration saved earlier with `--output raw`.
+    Diff {
+        /// The saved configuration.
+        older: PathBuf,
+    },
+    /// List the hosts and where their daemons are.
+    Hosts {
+        /// How to print them.
+        #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
+        output: OutputFormat,
+    },
+    /// Wait until a version is in force on every host.
+    Watch {
+        /// The version's number; the one in the store when left out.
+        version: Option<u64>,
+        /// Port of the daemons' metrics.
+        #[arg(long, default_value_t = 9464)]
+        metrics_port: u16,
+        /// Give up after this many seconds.
+        #[arg(long, default_value_t = 30)]
+        timeout: u64,
+    },
+}
+
+/// How a reading command prints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum OutputFormat {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+    /// As it lies in the store.
+    Raw,
+}
+
 /// The reports.
 #[derive(Debug, Subcommand)]
 pub enum ReportCommand {
--- /dev/null
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -0,0 +1,161 @@
+//! `filbertctl mesh ...`: the configuration and the hosts on the users'
+//! platform. Reads only: the store takes the configuration from its own
+//! operator interface alone.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use error_stack::{Report, ResultExt};
+use filbert_mesh::messages::PeerAddress;
+use filbert_platform::operator::read_config;
+use filbert_platform::store::{StoreClient, CONFIG_KEY, OPERATOR_TABLE};
+
+use crate::cli::{MeshCommand, OutputFormat};
+use crate::error::CtlError;
+use crate::mesh::{version_in_metrics, MeshTree};
+use crate::store::CtlResult;
+
+/// How long one call to the store or to a daemon may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause between two looks at the daemons.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+pub(super) async fn run(store: &str, command: MeshCommand) -> CtlResult<()> {
+    let store = StoreClient::new(store, CALL_TIMEOUT);
+    match command {
+        MeshCommand::Show { below, output } => show(&store, &below, output).await,
+        MeshCommand::Diff { older } => diff(&store, &older).await,
+        MeshCommand::Hosts { output } => hosts(&store, output).await,
+        MeshCommand::Watch {
+            version,
+            metrics_port,
+            timeout,
+        } => watch(&store, version, metrics_port, Duration::from_secs(timeout)).await,
+    }
+}
+
+async fn current(store: &StoreClient) -> CtlResult<(Vec<u8>, MeshTree)> {
+    let batch = store
+        .read_table(OPERATOR_TABLE)
+        .await
+        .change_context(CtlError::Platform)?;
+    let text = batch
+        .rows
+        .into_iter()
+        .find(|row| row.key == CONFIG_KEY)
+        .and_then(|row| row.value)
+        .ok_or_else(|| {
+            Report::new(CtlError::Platform).attach("the store holds no configuration")
+        })?;
+    let version = read_config(&text).change_context(CtlError::Platform)?;
+    Ok((text, MeshTree::of(&version)))
+}
+
+async fn show(store: &StoreClient, below: &str, output: OutputFormat) -> CtlResult<()> {
+    let (text, tree) = current(store).await?;
+    match output {
+        OutputFormat::Text => print!("{}", tree.text(below)),
+        OutputFormat::Json => println!("{}", json(&tree)?),
+        OutputFormat::Raw => println!("{}", String::from_utf8_lossy(&text)),
+    }
+    Ok(())
+}
+
+async fn diff(store: &StoreClient, older: &Path) -> CtlResult<()> {
+    let text = std::fs::read(older)
+        .change_context(CtlError::BadInput)
+        .attach(format!("file {}", older.display()))?;
+    let version = read_config(&text)
+        .change_context(CtlError::BadInput)
+        .attach(format!("file {}", older.display()))?;
+    let older = MeshTree::of(&version);
+    let (_, tree) = current(store).await?;
+    println!("version {:08x} -> {:08x}", older.version, tree.version);
+    for line in tree.changes_since(&older) {
+        println!("{line}");
+    }
+    Ok(())
+}
+
+async fn members(store: &StoreClient) -> CtlResult<Vec<PeerAddress>> {
+    let batch = store
+        .read_table(filbert_mesh::feeds::HOSTS_TABLE)
+        .await
+        .change_context(CtlError::Platform)?;
+    Ok(batch
+        .rows
+        .iter()
+        .filter_map(filbert_mesh::feeds::decode_member)
+        .collect())
+}
+
+async fn hosts(store: &StoreClient, output: OutputFormat) -> CtlResult<()> {
+    let members = members(store).await?;
+    if output == OutputFormat::Json {
+        println!("{}", json(&members)?);
+        return Ok(());
+    }
+    for member in members {
+        println!("{:<32} {:<20} {}", member.id, member.zone, member.address);
+    }
+    Ok(())
+}
+
+async fn watch(
+    store: &StoreClient,
+    version: Option<u64>,
+    metrics_port: u16,
+    timeout: Duration,
+) -> CtlResult<()> {
+    let wanted = match version {
+        Some(version) => version,
+        None => current(store).await?.1.version,
+    };
+    let http = reqwest::Client::builder()
+        .timeout(CALL_TIMEOUT)
+        .no_proxy()
+        .build()
+        .change_context(CtlError::Platform)?;
+    let started = Instant::now();
+    let mut behind = members(store).await?;
+    while !behind.is_empty() && started.elapsed() < timeout {
+        let mut still = Vec::new();
+        for member in behind {
+            let in_force = version_of(&http, &member, metrics_port).await;
+            if in_force.is_none_or(|number| number < wanted) {
+                still.push(member);
+            }
+        }
+        behind = still;
+        if !behind.is_empty() {
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+    if behind.is_empty() {
+        println!(
+            "version {wanted:08x} is in force everywhere, {} ms",
+            started.elapsed().as_millis()
+        );
+        return Ok(());
+    }
+    let names: Vec<String> = behind.into_iter().map(|member| member.id).collect();
+    Err(Report::new(CtlError::NotSettled).attach(format!(
+        "version {wanted:08x} is missing on {}",
+        names.join(", ")
+    )))
+}
+
+/// The version in force on a host; `None` when its daemon does not answer.
+async fn version_of(http: &reqwest::Client, member: &PeerAddress, port: u16) -> Option<u64> {
+    let host = member.address.rsplit_once(':')?.0;
+    let answer = http
+        .get(format!("http://{host}:{port}/metrics"))
+        .send()
+        .await
+        .ok()?;
+    version_in_metrics(&answer.text().await.ok()?)
+}
+
+fn json<T: serde::Serialize>(value: &T) -> CtlResult<String> {
+    serde_json::to_string_pretty(value).change_context(CtlError::Platform)
+}
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod diff;
 mod edit;
 mod explain;
+mod mesh;
 mod publish;
 mod remove;
 mod report;
@@ -44,6 +45,7 @@
         Command::Withdraw { expect } => withdraw::run(&platform, expect).await,
         Command::Status => status::run(&platform).await,
         Command::Report { report } => report::run(report).await,
+        Command::Mesh { store, command } => mesh::run(&store, command).await,
         Command::Explain { request, logs } => explain::run(&request, &logs),
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod error;
 pub mod explain;
 pub mod fleet;
+pub mod mesh;
 pub mod report;
 pub mod store;
 
--- /dev/null
+++ b/crates/ctl/src/mesh.rs
@@ -0,0 +1,155 @@
+//! The configuration on the users' platform as operators read it: its tree
+//! (site, organisation's host, service, route), and what changed between two.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use filbert_policy::routing::{MeshVersion, RouteKind, RouteRule};
+use serde::Serialize;
+
+/// One route with everything that it inherits or sets, as text by key.
+pub type RouteKeys = BTreeMap<String, String>;
+
+/// A version flattened: a path `HOST/SERVICE/ROUTE` and its keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct MeshTree {
+    /// The version's number.
+    pub version: u64,
+    /// Settings of the whole site.
+    pub site: RouteKeys,
+    /// Routes by path.
+    pub routes: BTreeMap<String, RouteKeys>,
+}
+
+impl MeshTree {
+    /// Flattens a version.
+    #[must_use]
+    pub fn of(version: &MeshVersion) -> MeshTree {
+        let limits = &version.limits;
+        let site = RouteKeys::from([
+            ("head_bytes".to_owned(), limits.head_bytes.to_string()),
+            ("body_bytes".to_owned(), limits.body_bytes.to_string()),
+            (
+                "head_ms".to_owned(),
+                limits.head_time.as_millis().to_string(),
+            ),
+            (
+                "idle_ms".to_owned(),
+                limits.idle_time.as_millis().to_string(),
+            ),
+        ]);
+        let routes = version
+            .routes
+            .iter()
+            .map(|route| (path_of(route), keys_of(route)))
+            .collect();
+        MeshTree {
+            version: version.number,
+            site,
+            routes,
+        }
+    }
+
+    /// The tree as indented text; only routes whose path begins with `below`.
+    #[must_use]
+    pub fn text(&self, below: &str) -> String {
+        let mut text = format!("site (version {:08x})\n", self.version);
+        for (key, value) in &self.site {
+            let _ = writeln!(text, "  {key} = {value}");
+        }
+        let mut last: Vec<&str> = Vec::new();
+        for (path, keys) in self
+            .routes
+            .iter()
+            .filter(|(path, _)| path.starts_with(below))
+        {
+            let parts: Vec<&str> = path.split('/').collect();
+            let same = parts
+                .iter()
+                .zip(&last)
+                .take_while(|(new, old)| new == old)
+                .count();
+            for (depth, part) in parts.iter().enumerate().skip(same) {
+                let _ = writeln!(text, "{}{part}", "  ".repeat(depth + 1));
+            }
+            for (key, value) in keys {
+                let _ = writeln!(text, "{}{key} = {value}", "  ".repeat(parts.len() + 1));
+            }
+            last = parts;
+        }
+        text
+    }
+
+    /// What changes from `older` to this tree, a line a key.
+    #[must_use]
+    pub fn changes_since(&self, older: &MeshTree) -> Vec<String> {
+        let (old, new) = (older.flat(), self.flat());
+        let mut lines = Vec::new();
+        for (key, was) in &old {
+            match new.get(key) {
+                None => lines.push(format!("- {key} = {was}")),
+                Some(is) if is != was => lines.push(format!("~ {key} = {was} -> {is}")),
+                Some(_) => {}
+            }
+        }
+        for (key, is) in new.iter().filter(|(key, _)| !old.contains_key(*key)) {
+            lines.push(format!("+ {key} = {is}"));
+        }
+        lines
+    }
+
+    fn flat(&self) -> BTreeMap<String, &str> {
+        let site = self
+            .site
+            .iter()
+            .map(|(key, value)| (format!("site.{key}"), value.as_str()));
+        let routes = self.routes.iter().flat_map(|(path, keys)| {
+            keys.iter()
+                .map(move |(key, value)| (format!("{path}.{key}"), value.as_str()))
+        });
+        site.chain(routes).collect()
+    }
+}
+
+fn path_of(route: &RouteRule) -> String {
+    let service = route
+        .parts
+        .iter()
+        .max_by_key(|part| part.weight)
+        .map_or("-", |part| part.service.as_str());
+    format!("{}/{service}/{}", route.host, route.name)
+}
+
+fn keys_of(route: &RouteRule) -> RouteKeys {
+    let parts: Vec<String> = route
+        .parts
+        .iter()
+        .map(|part| format!("{}:{}", part.service, part.weight))
+        .collect();
+    let kind = match route.kind {
+        RouteKind::Idempotent => "idempotent",
+        RouteKind::NonIdempotent => "at most once",
+        RouteKind::Download => "download",
+    };
+    RouteKeys::from([
+        ("prefix".to_owned(), route.prefix.clone()),
+        ("kind".to_owned(), kind.to_owned()),
+        (
+            "timeout_ms".to_owned(),
+            route.timeout.as_millis().to_string(),
+        ),
+        ("aim_ms".to_owned(), route.aim.as_millis().to_string()),
+        ("max_attempts".to_owned(), route.max_attempts.to_string()),
+        ("priority".to_owned(), route.priority.to_string()),
+        ("parts".to_owned(), parts.join(" ")),
+    ])
+}
+
+/// The version in force that a daemon's metrics name.
+#[must_use]
+pub fn version_in_metrics(text: &str) -> Option<u64> {
+    text.lines()
+        .find(|line| line.starts_with("filbert_version"))
+        .and_then(|line| line.rsplit(' ').next())
+        .and_then(|number| number.parse().ok())
+}
--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -14,7 +14,7 @@
 use crate::state::MeshShared;
 
 /// The table in which daemons say where they are, a row a host.
-const HOSTS_TABLE: &str = "filbert-hosts";
+pub const HOSTS_TABLE: &str = "filbert-hosts";
 /// How long a feed waits for a change before it answers with none.
 const FEED_WAIT: Duration = Duration::from_secs(25);
 /// Pauses while the store gives no answer: the first and the longest. The
@@ -222,7 +222,9 @@
     Ok(())
 }
 
-fn decode_member(row: &StoreRow) -> Option<PeerAddress> {
+/// The daemon that a row of [`HOSTS_TABLE`] names.
+#[must_use]
+pub fn decode_member(row: &StoreRow) -> Option<PeerAddress> {
     let value = row.value.as_ref()?;
     match bincode::serde::decode_from_slice(value, bincode::config::standard()) {
         Ok((address, _)) => Some(address),
