Leaving binds over a restart of the daemon

Ruled out: a row in the store for it (a write at each end of a target). Change: peers remember instances that they heard leaving and say so when they link; a target that was leaving when first heard of counts as gone.

--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -147,6 +147,14 @@
         change
     }
 
+    /// Takes word of peers that instance `id` was leaving before this daemon
+    /// started.
+    pub fn left_before(&self, id: &str) {
+        let now = self.clock.now();
+        self.state.borrow_mut().tracker.left_before(id, now);
+        self.changed.notify_waiters();
+    }
+
     fn target_state(&self, state: &GateState, now: Instant) -> TargetState {
         let is_down = state.down_until.is_some_and(|until| now < until);
         if self.is_stopping.get() || is_down || state.tracker.current().is_none() {
@@ -154,6 +162,7 @@
         }
         match state.tracker.leaving_since() {
             None => TargetState::Open,
+            Some(_) if state.tracker.is_gone() => TargetState::Closed,
             Some(since) if now < since + self.drain.get().mul_f64(DRAIN_SHARE) => {
                 TargetState::Leaving
             }
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -200,6 +200,7 @@
             let hello = LinkMessage::Hello {
                 from: shared.own_address(),
                 known: shared.peers.addresses(),
+                left: peer.left(),
             };
             if let Err(error) = outgoing.send_data(encode(&hello), false) {
                 return LinkError::Protocol(error);
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -70,6 +70,8 @@
         from: PeerAddress,
         /// All daemons it knows.
         known: Vec<PeerAddress>,
+        /// Instances beside the receiver that it heard were leaving.
+        left: Vec<String>,
     },
     /// The target beside the sender; `None` when there is none.
     Target(Option<TargetStatus>),
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -10,7 +10,11 @@
 use h2::client::SendRequest;
 use tokio::sync::{mpsc, Notify};
 
-use crate::messages::{PeerAddress, TargetLoad, TargetStatus};
+use crate::messages::{PeerAddress, TargetLoad, TargetState, TargetStatus};
+
+/// Leaving instances remembered for a host: more than one is replaced there
+/// only in a long time.
+const MOST_LEFT: usize = 8;
 
 /// One other daemon.
 pub struct Peer {
@@ -20,6 +24,8 @@
     pub link: RefCell<Option<SendRequest<Bytes>>>,
     /// The target beside it as last described over the link.
     target: RefCell<Option<TargetStatus>>,
+    /// Instances there that were heard to be leaving.
+    left: RefCell<Vec<String>>,
     /// Calls sent there since that description.
     sent_since: Cell<u32>,
     /// Set when the entry is replaced or removed: its link ends.
@@ -44,6 +50,7 @@
             address,
             link: RefCell::new(None),
             target: RefCell::new(None),
+            left: RefCell::new(Vec::new()),
             sent_since: Cell::new(0),
             is_dropped: Cell::new(false),
             nudge: Notify::new(),
@@ -81,8 +88,23 @@
         self.is_silent.get()
     }
 
+    /// The instances there that were heard to be leaving, newest last.
+    #[must_use]
+    pub fn left(&self) -> Vec<String> {
+        self.left.borrow().clone()
+    }
+
     /// Takes over a description of its target.
     pub fn describe(&self, target: Option<TargetStatus>) {
+        if let Some(target) = &target {
+            let mut left = self.left.borrow_mut();
+            if target.state == TargetState::Leaving && !left.contains(&target.instance) {
+                if left.len() >= MOST_LEFT {
+                    left.remove(0);
+                }
+                left.push(target.instance.clone());
+            }
+        }
         self.sent_since.set(0);
         *self.target.borrow_mut() = target;
     }
@@ -98,7 +120,7 @@
     /// Marks the gate as closed until it is described anew.
     pub fn mark_closed(&self) {
         if let Some(target) = self.target.borrow_mut().as_mut() {
-            target.state = crate::messages::TargetState::Closed;
+            target.state = TargetState::Closed;
         }
     }
 
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -96,7 +96,12 @@
     loop {
         while let Some(message) = take(&mut buffer).map_err(|_| LinkError::Frame)? {
             match message {
-                LinkMessage::Hello { from, known } => heard_hello(&shared, from, known),
+                LinkMessage::Hello { from, known, left } => {
+                    for id in &left {
+                        shared.gate.left_before(id);
+                    }
+                    heard_hello(&shared, from, known);
+                }
                 LinkMessage::WantVersion => {
                     let text = shared.version_text.borrow().to_vec();
                     outgoing.send_data(encode(&LinkMessage::Version { text }), false)?;
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -40,6 +40,8 @@
 struct CurrentInstance {
     report: InstanceReport,
     leaving_since: Option<Instant>,
+    /// Whether it was leaving already when it was first heard of.
+    left_before: bool,
     heard: Instant,
     cold_until: Instant,
 }
@@ -96,6 +98,7 @@
                 };
                 let leaving_since = report.is_draining.then_some(now);
                 let fresh = CurrentInstance {
+                    left_before: report.is_draining,
                     report,
                     leaving_since,
                     heard: now,
@@ -128,6 +131,33 @@
         }
     }
 
+    /// Takes word that `id` was leaving before this daemon started.
+    ///
+    /// Guards against a leaving that was acknowledged by this daemon's process
+    /// before it was killed: a late report would make the target look ready
+    /// again, and calls would reach it after it may have ended.
+    pub fn left_before(&mut self, id: &str, now: Instant) {
+        match &mut self.current {
+            Some(current) if current.report.id == id => {
+                if current.leaving_since.is_none() {
+                    current.leaving_since = Some(now);
+                    current.left_before = true;
+                }
+            }
+            _ if self.former.iter().any(|former| former == id) => {}
+            _ => self.forget(id.to_owned()),
+        }
+    }
+
+    /// Whether the target was leaving before this daemon heard of it: how long
+    /// ago its leaving was acknowledged is not known, so it counts as gone.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.current
+            .as_ref()
+            .is_some_and(|current| current.left_before)
+    }
+
     fn forget(&mut self, id: String) {
         if self.former.len() >= FORMER_KEPT {
             self.former.remove(0);
--- a/crates/policy/tests/call_cases.rs
+++ b/crates/policy/tests/call_cases.rs
@@ -216,6 +216,36 @@
     );
 }
 
+/// A daemon is killed after it acknowledged that its target leaves, and starts
+/// again. The target's next report, or a peer's word, says that it was leaving;
+/// when that was acknowledged is not known, so it gets nothing more.
+#[test]
+fn what_left_before_a_restart_counts_as_gone() {
+    let now = Instant::now();
+    let mut tracker = InstanceTracker::default();
+    tracker.report(report("one", 9, true), now);
+    assert!(tracker.is_gone());
+
+    let mut tracker = InstanceTracker::default();
+    tracker.left_before("one", now);
+    assert_eq!(
+        tracker.report(report("one", 8, false), now),
+        InstanceChange::Stale
+    );
+    assert!(tracker.current().is_none());
+
+    let mut tracker = InstanceTracker::default();
+    tracker.report(report("one", 8, false), now);
+    tracker.left_before("one", now);
+    assert!(tracker.is_gone());
+
+    let mut tracker = InstanceTracker::default();
+    tracker.report(report("one", 8, false), now);
+    tracker.report(report("one", 9, true), now);
+    tracker.left_before("one", now);
+    assert!(!tracker.is_gone(), "its own acknowledgement, with its time");
+}
+
 /// A target rejects half of its calls: that must show within a second of
 /// calls, and wear off when it is well again.
 #[test]
--- a/tests/mesh_calls.rs
+++ b/tests/mesh_calls.rs
@@ -497,6 +497,40 @@
     assert_eq!(fleet.hosts[1].target.runs().len(), before);
 }
 
+/// A target says that it drains; its daemon acknowledges, is killed and starts
+/// again. A report that was held up on the way arrives only now and says
+/// "ready". The peers remember: nothing new may reach the target.
+#[tokio::test]
+async fn leaving_binds_over_a_restart_of_the_daemon() {
+    let mut fleet = remote_three().await;
+    let control = fleet.hosts[1].control;
+    assert_eq!(fleet.hosts[1].target.drain(control).await, 200);
+    let heard = "event=target_heard peer=first instance=i-first-1 state=Leaving";
+    assert!(users::eventually_logs(&fleet.hosts[0], heard).await);
+    fleet.hosts[1].kill();
+    fleet.hosts[1].start_daemon();
+    let host = &fleet.hosts[1];
+    assert!(eventually(users::SETTLE_WITHIN, || host.is_ready()).await);
+    let linked = "event=link_up peer=first";
+    let relinked = eventually(users::SETTLE_WITHIN, || async {
+        fleet.hosts[0].log().matches(linked).count() == 2
+            && fleet.hosts[2].log().matches(linked).count() == 2
+    })
+    .await;
+    assert!(relinked);
+    let before = fleet.hosts[1].target.runs().len();
+    fleet.hosts[1].target.report_to(control);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for number in 0..20 {
+        for host in &fleet.hosts {
+            let id = format!("after-{number}-{}", host.spec.name);
+            let answer = host.call(READ, &id, b"").await.expect("an answer");
+            assert_eq!(answer.status, 200);
+        }
+    }
+    assert_eq!(fleet.hosts[1].target.runs().len(), before);
+}
+
 /// A target crashes and comes back as another instance at its address, before
 /// the daemon has heard of it. The call names the old instance, so the new one
 /// declines it, and the caller is not told a lie.
