The stop's clock is handed in like all others

Cause: read as a newcomer: one Instant::now() stood in the stop's state. Change: the caller hands the time in. Ruled out: nothing else reads a clock inside the state.

--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -87,9 +87,9 @@
     }
 
     /// Counts a readiness check that was answered with "no" during the stop.
-    pub fn count_miss(&self) {
+    pub fn count_miss(&self, now: Instant) {
         self.misses.set(self.misses.get() + 1);
-        self.last_miss.set(Some(Instant::now()));
+        self.last_miss.set(Some(now));
     }
 }
 
