--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use filbert_policy::admission::{CallDemand, GateQueue, GateVerdict, WaitLimits};
+use filbert_policy::admission::{CallDemand, GateQueue, GateVerdict, LinkTime, WaitLimits};
 use filbert_policy::budget::{BudgetTerms, RepeatCause, RetryBudget};
 use filbert_policy::placement::{choose, CallShape, CrossingCost, TargetView};
 use filbert_policy::routing::{
@@ -87,6 +87,8 @@
                 ill_share: 0.0,
                 is_cold: false,
                 is_leaving: false,
+                link_ms: 0.0,
+                link_ms_per_kib: 0.0,
             })
             .collect();
         let mut rng = rand::rng();
@@ -103,6 +105,7 @@
         priority: u8::from(round.is_multiple_of(2)),
         aim: now + Duration::from_secs(2),
         deadline: now + Duration::from_secs(4),
+        link: LinkTime::default(),
     };
     for round in 0..40 {
         queue.offer(demand(round), run, now);
--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -4,6 +4,7 @@
 use h2::RecvStream;
 use tokio::sync::mpsc;
 
+use crate::peers::LinkUse;
 use crate::target::RunBody;
 
 /// The sender of a body went away before it was whole.
@@ -51,6 +52,8 @@
 pub struct LinkBody {
     stream: RecvStream,
     ahead: Bytes,
+    /// Keeps the link open until the body was read.
+    in_use: Option<LinkUse>,
 }
 
 impl LinkBody {
@@ -60,6 +63,16 @@
         LinkBody {
             stream,
             ahead: ahead.freeze(),
+            in_use: None,
+        }
+    }
+
+    /// The same, holding the link that it comes over.
+    #[must_use]
+    pub fn holding(self, in_use: LinkUse) -> LinkBody {
+        LinkBody {
+            in_use: Some(in_use),
+            ..self
         }
     }
 
@@ -72,7 +85,12 @@
             return Ok(Some(std::mem::take(&mut self.ahead)));
         }
         match next_data(&mut self.stream).await {
-            Some(Ok(piece)) => Ok(Some(piece)),
+            Some(Ok(piece)) => {
+                if let Some(link) = &self.in_use {
+                    link.hear();
+                }
+                Ok(Some(piece))
+            }
             Some(Err(_)) => Err(BodyBroken),
             None => Ok(None),
         }
--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -7,10 +7,12 @@
 use http::Request;
 
 use super::pick::Candidate;
+use filbert_policy::admission::LinkTime;
+
 use crate::body::{next_data, AnswerBody, CallBody, LinkBody};
 use crate::links::CALL_PATH;
 use crate::messages::{encode, take, AnswerHead, CallHead, ReplyHead};
-use crate::peers::Peer;
+use crate::peers::{LinkUse, Peer};
 use crate::serve_peers::send_piece;
 use crate::state::MeshShared;
 
@@ -46,7 +48,7 @@
     repeatable: bool,
 ) -> AttemptOutcome {
     let (reply, body) = match candidate {
-        Candidate::Here => shared.gate.run(head, body).await,
+        Candidate::Here => shared.gate.run(head, body, LinkTime::default()).await,
         Candidate::Peer(peer) => match run_at_peer(shared, peer, head, body, repeatable).await {
             Ok((reply, body)) => {
                 note_reply(peer, &reply);
@@ -81,7 +83,7 @@
 /// Sends a call over the link to `peer` and reads the head of the reply.
 async fn run_at_peer(
     shared: &MeshShared,
-    peer: &Peer,
+    peer: &Rc<Peer>,
     head: &CallHead,
     body: CallBody,
     repeatable: bool,
@@ -90,6 +92,7 @@
         room_in: Duration::ZERO,
     };
     let link = peer.link.borrow().clone().ok_or_else(not_sent)?;
+    let in_use = LinkUse::new(peer, &shared.clock);
     let mut link = link.ready().await.map_err(|_| not_sent())?;
     let request = Request::post(CALL_PATH).body(()).map_err(|_| not_sent())?;
     let (answer, mut outgoing) = link.send_request(request, false).map_err(|_| not_sent())?;
@@ -146,7 +149,7 @@
     };
     peer.hear(shared.clock.now());
     match received.map_err(lost)? {
-        Some((reply, body)) => Ok((reply, AnswerBody::Link(body))),
+        Some((reply, body)) => Ok((reply, AnswerBody::Link(body.holding(in_use)))),
         None => Err(AttemptOutcome::Lost),
     }
 }
--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -9,6 +9,11 @@
 use crate::peers::Peer;
 use crate::state::MeshShared;
 
+/// Daemons taken to place calls on the same targets, at most. In a larger
+/// fleet each links to some targets only, so that about as many daemons share
+/// a target as in a small one.
+const MOST_ALIKE: usize = 13;
+
 /// Where a call can go.
 pub(super) enum Candidate {
     /// To the target beside this daemon.
@@ -38,6 +43,12 @@
 ) -> Option<PickedTarget> {
     let settings = Rc::clone(&shared.settings.borrow());
     let service = head.service.as_str();
+    let answer_kib = shared
+        .routes
+        .borrow()
+        .get(&route.name)
+        .map_or(0.0, |history| history.answer_kib);
+    let carried_kib = answer_kib + kib(head.body_length.unwrap_or(0));
     let mut views = Vec::new();
     let mut candidates = Vec::new();
     if !tried.contains(&settings.id) {
@@ -47,7 +58,9 @@
                 service,
                 true,
                 f64::from(status.load.running + status.load.waiting),
-            ) {
+            )
+            .map(beside)
+            {
                 views.push(view);
                 candidates.push((Candidate::Here, settings.id.clone()));
             }
@@ -62,20 +75,18 @@
         };
         let in_zone = peer.address.zone == settings.zone;
         let reported = status.load.running + status.load.waiting;
-        let occupancy = assumed_occupancy(reported, sent, shared.daemons());
-        if let Some(view) = view_of(&status, service, in_zone, occupancy) {
+        let occupancy = assumed_occupancy(reported, sent, shared.daemons().min(MOST_ALIKE));
+        if let Some(mut view) = view_of(&status, service, in_zone, occupancy) {
+            // What was placed there since the report will want the link too.
+            let unseen = occupancy - f64::from(reported);
+            view.link_ms += unseen * carried_kib * view.link_ms_per_kib;
             views.push(view);
             let id = peer.address.id.clone();
             candidates.push((Candidate::Peer(peer), id));
         }
     }
     let shape = CallShape {
-        carried_kib: shared
-            .routes
-            .borrow()
-            .get(&route.name)
-            .map_or(0.0, |history| history.answer_kib)
-            + kib(head.body_length.unwrap_or(0)),
+        carried_kib,
         aim_ms: millis(head.aim_us),
         left_ms: millis(head.left_us),
     };
@@ -118,5 +129,16 @@
         ill_share: load.ill_share,
         is_cold: status.is_cold,
         is_leaving: status.state == TargetState::Leaving,
+        link_ms: load.link_ms,
+        link_ms_per_kib: load.link_ms_per_kib,
     })
 }
+
+/// The view of the target beside this daemon: no link lies between.
+fn beside(view: TargetView) -> TargetView {
+    TargetView {
+        link_ms: 0.0,
+        link_ms_per_kib: 0.0,
+        ..view
+    }
+}
--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -276,6 +276,7 @@
         left_us: 0,
         aim_us: 0,
         priority: route.priority,
+        answer_bytes: shared.usual_answer(&route.name),
     };
     (head, call.body)
 }
--- /dev/null
+++ b/crates/mesh/src/egress.rs
@@ -0,0 +1,115 @@
+//! The pace at which answers leave this host for others.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbert_policy::clock::Clock;
+use filbert_policy::egress::{EgressQueue, EgressTicket, EgressVerdict, SHORT_ANSWER};
+use tokio::sync::Notify;
+
+/// The way out of this host.
+pub struct EgressPacer {
+    queue: RefCell<EgressQueue>,
+    clock: Rc<dyn Clock>,
+    changed: Notify,
+}
+
+impl EgressPacer {
+    /// A way out over a link of `mbps` Mbit/s; 0 when it is no limit.
+    #[must_use]
+    pub fn new(mbps: f64, clock: Rc<dyn Clock>) -> Rc<EgressPacer> {
+        Rc::new(EgressPacer {
+            queue: RefCell::new(EgressQueue::new(mbps, clock.now())),
+            clock,
+            changed: Notify::new(),
+        })
+    }
+
+    /// Takes over a changed rate.
+    pub fn set_rate(&self, mbps: f64) {
+        self.queue.borrow_mut().set_rate(mbps);
+    }
+
+    /// Time that `bytes` take on the link.
+    #[must_use]
+    pub fn time_of(&self, bytes: u64) -> Duration {
+        self.queue.borrow().time_of(bytes)
+    }
+
+    /// Time until all is out that waits or was promised.
+    #[must_use]
+    pub fn backlog(&self) -> Duration {
+        self.queue.borrow().backlog(self.clock.now())
+    }
+
+    /// Time that an answer of `bytes` would wait for others before it leaves.
+    #[must_use]
+    pub fn wait_of(&self, bytes: u64) -> Duration {
+        self.queue.borrow().wait_of(bytes, self.clock.now())
+    }
+
+    /// Counts an answer of about `bytes` that will want to leave, until the
+    /// promise is dropped.
+    #[must_use]
+    pub fn promise(self: &Rc<Self>, bytes: u64) -> AnswerPromise {
+        self.queue.borrow_mut().promise(bytes);
+        AnswerPromise {
+            pacer: Rc::clone(self),
+            bytes,
+        }
+    }
+
+    /// Waits until `bytes` may leave, of an answer of which `left` are left.
+    pub async fn pace(&self, bytes: u64, left: u64) {
+        if left <= SHORT_ANSWER {
+            let now = self.clock.now();
+            self.queue.borrow_mut().pass(bytes, now);
+            return;
+        }
+        let ticket = self.queue.borrow_mut().line_up(bytes, left);
+        let place = LinePlace {
+            pacer: self,
+            ticket,
+        };
+        loop {
+            let changed = self.changed.notified();
+            let verdict = self.queue.borrow_mut().ask(ticket, self.clock.now());
+            match verdict {
+                EgressVerdict::Go => break,
+                EgressVerdict::NotBefore(at) => tokio::select! {
+                    () = tokio::time::sleep_until(at.into()) => {}
+                    () = changed => {}
+                },
+                EgressVerdict::Behind => changed.await,
+            }
+        }
+        drop(place);
+    }
+}
+
+/// An answer that will want to leave.
+pub struct AnswerPromise {
+    pacer: Rc<EgressPacer>,
+    bytes: u64,
+}
+
+impl Drop for AnswerPromise {
+    fn drop(&mut self) {
+        self.pacer.queue.borrow_mut().settle(self.bytes);
+    }
+}
+
+/// Guards against a line that stands still behind an answer whose caller has
+/// left.
+struct LinePlace<'a> {
+    pacer: &'a EgressPacer,
+    ticket: EgressTicket,
+}
+
+impl Drop for LinePlace<'_> {
+    fn drop(&mut self) {
+        self.pacer.queue.borrow_mut().cancel(self.ticket);
+        self.pacer.changed.notify_waiters();
+    }
+}
--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -1,4 +1,5 @@
-//! Brings configuration and membership from the store.
+//! Brings configuration and membership from the store, or leaves that to a
+//! daemon of the zone that tells this one.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,8 +10,10 @@
     FeedAnswer, RowBatch, StoreError, StoreRow, CONFIG_KEY, OPERATOR_TABLE,
 };
 use rand::Rng;
+use tokio::sync::watch::Receiver;
 
-use crate::messages::PeerAddress;
+use crate::members::StoreRole;
+use crate::messages::{LinkMessage, PeerAddress, StoreState};
 use crate::state::MeshShared;
 
 /// The table in which daemons say where they are, a row a host.
@@ -37,6 +40,12 @@
 /// call that is given up after a second, its return shows within 1.5 s.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Time for the first plan to be made of the members read.
+const PLAN_TIME: Duration = Duration::from_millis(100);
+/// Time for the first links to come up.
+const LINK_TIME: Duration = Duration::from_secs(1);
+/// Longest time that a planned stop waits for its row to be removed.
+const PARTING_TIME: Duration = Duration::from_millis(300);
 
 /// What a feed is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,45 +82,120 @@
     follow(shared, FeedSubject::Configuration).await;
 }
 
-/// Follows the members and keeps this daemon's own row there. Runs for ever.
+/// Follows the members. Runs for ever.
 pub async fn follow_members(shared: Rc<MeshShared>) {
     follow(shared, FeedSubject::Membership).await;
 }
 
+/// One feed's place in the store's history and its luck so far.
+struct FeedState {
+    subject: FeedSubject,
+    /// From which version to go on; `None` to read the table anew.
+    position: Option<u64>,
+    pause: Duration,
+    is_lost: bool,
+}
+
 async fn follow(shared: Rc<MeshShared>, subject: FeedSubject) {
-    let mut pause = FIRST_PAUSE;
-    let mut is_lost = false;
-    let mut position = None;
+    let mut role = shared.members.role.subscribe();
+    let mut state = FeedState {
+        subject,
+        position: None,
+        pause: FIRST_PAUSE,
+        is_lost: false,
+    };
+    ask_once(&shared, &mut state).await;
+    await_plan(&shared, &mut role).await;
     loop {
-        match step(&shared, subject, position).await {
-            Ok((next, has_changed)) => {
-                shared.metrics.store_call(subject.label(), "answered");
-                if is_lost {
-                    log::info!("event=store_regained subject={subject:?}");
-                    is_lost = false;
-                    shared.store_returned.notify_waiters();
+        let now = *role.borrow_and_update();
+        match now {
+            StoreRole::Reads => {
+                // A call that waits is dropped when a daemon of the zone
+                // begins to follow the store for this one.
+                tokio::select! {
+                    () = ask_once(&shared, &mut state) => {}
+                    _ = role.wait_for(|role| *role == StoreRole::Follows) => {}
                 }
-                pause = FIRST_PAUSE;
-                position = next;
-                if has_changed {
-                    tokio::time::sleep(GATHER).await;
+            }
+            StoreRole::Follows => follow_peers(&shared, &mut state, &mut role).await,
+        }
+    }
+}
+
+/// Guards against calls that wait at the store for every daemon of a fleet
+/// that starts: most need none, and know it as soon as links are up.
+async fn await_plan(shared: &MeshShared, role: &mut Receiver<StoreRole>) {
+    tokio::time::sleep(PLAN_TIME).await;
+    if !shared.members.is_reader() {
+        let follows = role.wait_for(|role| *role == StoreRole::Follows);
+        // Without a daemon to follow this one reads for itself.
+        let _ = tokio::time::timeout(LINK_TIME, follows).await;
+    }
+}
+
+/// Waits while others follow the store for this daemon; asks it only for a
+/// version that they know and have no steps to.
+async fn follow_peers(
+    shared: &Rc<MeshShared>,
+    state: &mut FeedState,
+    role: &mut Receiver<StoreRole>,
+) {
+    if state.subject == FeedSubject::Configuration {
+        shared.set_store_state(StoreState::Unused);
+    }
+    tokio::select! {
+        _ = role.wait_for(|role| *role == StoreRole::Reads) => {}
+        () = shared.versions.wanted.notified(), if state.subject == FeedSubject::Configuration => {
+            ask_once(shared, state).await;
+        }
+    }
+}
+
+/// Asks the store once, takes over what it says, and pauses as that calls for.
+async fn ask_once(shared: &Rc<MeshShared>, state: &mut FeedState) {
+    let subject = state.subject;
+    let is_configuration = subject == FeedSubject::Configuration;
+    match step(shared, subject, state.position).await {
+        Ok((next, has_changed)) => {
+            shared.metrics.store_call(subject.label(), "answered");
+            if state.is_lost {
+                log::info!("event=store_regained subject={subject:?}");
+                state.is_lost = false;
+                shared.store_returned.notify_waiters();
+            }
+            if is_configuration {
+                shared.versions.store_is_away.set(false);
+                if *shared.members.role.borrow() == StoreRole::Reads {
+                    shared.set_store_state(StoreState::Answers);
                 }
             }
-            Err(report) => {
-                shared.metrics.store_call(subject.label(), "failed");
-                if !is_lost {
-                    let cause = report.current_context();
-                    log::warn!("event=store_lost subject={subject:?} error=\"{cause}\"");
-                    is_lost = true;
+            state.pause = FIRST_PAUSE;
+            state.position = next;
+            if has_changed {
+                tokio::time::sleep(GATHER).await;
+            }
+        }
+        Err(report) => {
+            shared.metrics.store_call(subject.label(), "failed");
+            if !state.is_lost {
+                let cause = report.current_context();
+                log::warn!("event=store_lost subject={subject:?} error=\"{cause}\"");
+                state.is_lost = true;
+            }
+            if is_configuration {
+                shared.versions.store_is_away.set(true);
+                if *shared.members.role.borrow() == StoreRole::Reads {
+                    shared.set_store_state(StoreState::Lost);
                 }
-                let spread = rand::rng().random_range(0.6..1.0);
-                tokio::time::sleep(pause.mul_f64(spread)).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
-                // Rows may have vanished without a trace in the history while
-                // the store was away, so the table is read anew. A plain read
-                // also shows the store's return sooner than a call that waits.
-                position = None;
             }
+            // Rows may have vanished without a trace in the history while
+            // the store was away, so the table is read anew. A plain read
+            // also shows the store's return sooner than a call that waits.
+            state.position = None;
+            let spread = rand::rng().random_range(0.6..1.0);
+            let pause = state.pause.mul_f64(spread);
+            state.pause = (state.pause * 2).min(LONGEST_PAUSE);
+            tokio::time::sleep(pause).await;
         }
     }
 }
@@ -126,7 +210,7 @@
     let Some(position) = position else {
         let batch = shared.store.read_table(subject.table()).await?;
         let version = batch.version;
-        take_table(shared, subject, batch).await?;
+        take_table(shared, subject, batch);
         return Ok((Some(version), true));
     };
     let watch = shared
@@ -150,81 +234,53 @@
             let version = batch.version.max(position);
             let has_changed = !batch.rows.is_empty();
             for row in batch.rows {
-                take_change(shared, subject, row).await?;
+                match subject {
+                    FeedSubject::Configuration => take_configuration(shared, row),
+                    FeedSubject::Membership => take_member(shared, &row),
+                }
             }
             Ok((Some(version), has_changed))
         }
     }
 }
 
-async fn take_table(
-    shared: &Rc<MeshShared>,
-    subject: FeedSubject,
-    batch: RowBatch,
-) -> Result<(), Report<StoreError>> {
+fn take_table(shared: &Rc<MeshShared>, subject: FeedSubject, batch: RowBatch) {
     match subject {
         FeedSubject::Configuration => {
             for row in batch.rows {
                 take_configuration(shared, row);
             }
-            Ok(())
         }
         FeedSubject::Membership => {
-            let own = shared.own_address();
-            let known = shared.peers.addresses();
-            let listed: Vec<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
-            for gone in known
+            let before = shared.members.hosts();
+            let listed: Vec<PeerAddress> = batch.rows.iter().filter_map(decode_member).collect();
+            for gone in before
                 .iter()
-                .filter(|peer| !listed.contains(&peer.id.as_str()))
+                .filter(|host| !listed.iter().any(|address| address.id == host.id))
             {
-                shared.peers.forget(&gone.id);
+                // A live host whose row vanished hears of it so, and writes
+                // it back.
+                let id = gone.id.clone();
+                shared.tell_zone(&LinkMessage::HostGone { id });
             }
-            let mut is_own_right = false;
-            for row in batch.rows {
-                let Some(address) = decode_member(&row) else {
-                    continue;
-                };
-                if address.id == own.id {
-                    is_own_right = address == own;
-                } else {
-                    shared.learn_peer(address, "store");
-                }
+            for came in listed.iter().filter(|address| !before.contains(address)) {
+                shared.tell_zone(&LinkMessage::HostCame(came.clone()));
             }
-            if !is_own_right {
-                write_own_row(shared).await?;
+            if !shared.take_members(listed, "store") {
+                shared.members.row_missing.notify_one();
             }
-            shared.knows_members.set(true);
-            Ok(())
         }
     }
 }
 
-async fn take_change(
-    shared: &Rc<MeshShared>,
-    subject: FeedSubject,
-    row: StoreRow,
-) -> Result<(), Report<StoreError>> {
-    match subject {
-        FeedSubject::Configuration => {
-            take_configuration(shared, row);
-            Ok(())
-        }
-        FeedSubject::Membership => {
-            let own = shared.own_address();
-            match decode_member(&row) {
-                Some(address) if address == own => Ok(()),
-                Some(address) if address.id != own.id => {
-                    shared.learn_peer(address, "store");
-                    Ok(())
-                }
-                // This daemon's row vanished or is wrong: it is written back.
-                _ if row.key == own.id => write_own_row(shared).await,
-                _ => {
-                    shared.peers.forget(&row.key);
-                    Ok(())
-                }
-            }
-        }
+fn take_member(shared: &Rc<MeshShared>, row: &StoreRow) {
+    if let Some(address) = decode_member(row) {
+        shared.tell_zone(&LinkMessage::HostCame(address.clone()));
+        shared.learn_host(address, "store");
+    } else {
+        let id = row.key.clone();
+        shared.forget_host(&id, "store");
+        shared.tell_zone(&LinkMessage::HostGone { id });
     }
 }
 
@@ -238,15 +294,52 @@
     }
 }
 
+/// Writes this host's row whenever it is missing or wrong. Runs for ever.
+pub async fn keep_row(shared: Rc<MeshShared>) {
+    loop {
+        shared.members.row_missing.notified().await;
+        while !shared.members.is_parting.get() {
+            match write_own_row(&shared).await {
+                Ok(()) => break,
+                Err(report) => {
+                    shared.metrics.store_call("own_row", "failed");
+                    log::warn!(
+                        "event=own_row_unwritten error=\"{}\"",
+                        report.current_context()
+                    );
+                    tokio::time::sleep(LONGEST_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
 async fn write_own_row(shared: &Rc<MeshShared>) -> Result<(), Report<StoreError>> {
     let own = shared.own_address();
     let value = bincode::serde::encode_to_vec(&own, bincode::config::standard())
         .expect("an address always encodes");
     shared.store.put_row(HOSTS_TABLE, &own.id, &value).await?;
+    shared.metrics.store_call("own_row", "answered");
     log::info!("event=own_row_written host={}", own.id);
     Ok(())
 }
 
+/// Removes this host's row: it is being taken away.
+pub async fn drop_own_row(shared: &Rc<MeshShared>) {
+    shared.members.is_parting.set(true);
+    let id = shared.settings.borrow().id.clone();
+    // The process may end before the store's answer, which nobody needs; what
+    // a failure leaves is a row of a host that never answers.
+    match tokio::time::timeout(PARTING_TIME, shared.store.drop_row(HOSTS_TABLE, &id)).await {
+        Ok(Ok(())) => log::info!("event=own_row_removed host={id}"),
+        Ok(Err(report)) => log::warn!(
+            "event=own_row_left host={id} error=\"{}\"",
+            report.current_context()
+        ),
+        Err(_) => log::warn!("event=own_row_left host={id} error=\"no answer in time\""),
+    }
+}
+
 /// The daemon that a row of [`HOSTS_TABLE`] names.
 #[must_use]
 pub fn decode_member(row: &StoreRow) -> Option<PeerAddress> {
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -10,13 +10,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use filbert_policy::admission::{GateQueue, WaitLimits, WaitTicket};
+use filbert_policy::admission::{GateQueue, LinkTime, WaitLimits, WaitTicket};
 use filbert_policy::clock::Clock;
 use filbert_policy::health::{RunSign, TargetHealth};
 use filbert_policy::instance::{InstanceChange, InstanceReport, InstanceTracker};
 use filbert_policy::numbers::count_of;
 use tokio::sync::{oneshot, Notify};
 
+use crate::egress::EgressPacer;
 use crate::logging::LineBudget;
 use crate::messages::{TargetLoad, TargetState, TargetStatus};
 use crate::metrics::MeshMetrics;
@@ -44,6 +45,7 @@
     state: RefCell<GateState>,
     connections: Rc<TargetConnections>,
     metrics: Rc<MeshMetrics>,
+    egress: Rc<EgressPacer>,
     lines: LineBudget,
     clock: Rc<dyn Clock>,
     address: Cell<SocketAddr>,
@@ -63,6 +65,7 @@
         address: SocketAddr,
         times: &TimeSettings,
         metrics: Rc<MeshMetrics>,
+        egress: Rc<EgressPacer>,
         clock: Rc<dyn Clock>,
     ) -> Rc<Gate> {
         Rc::new(Gate {
@@ -77,6 +80,7 @@
             }),
             connections: Rc::new(TargetConnections::default()),
             metrics,
+            egress,
             lines: LineBudget::new(clock.now()),
             clock,
             address: Cell::new(address),
@@ -108,6 +112,12 @@
         state.queue.running() + state.queue.waiting()
     }
 
+    /// Whether the target said that it leaves.
+    #[must_use]
+    pub fn has_left(&self) -> bool {
+        self.state.borrow().tracker.leaving_since().is_some()
+    }
+
     /// Takes a report of the target.
     pub fn report(&self, report: InstanceReport) -> InstanceChange {
         let now = self.clock.now();
@@ -181,18 +191,43 @@
             instance: report.id.clone(),
             state: self.target_state(&state, now),
             is_cold: state.tracker.is_cold(now),
-            load: load_of(&state, now),
+            load: self.load_of(&state, now),
         })
     }
 
     fn load(&self) -> TargetLoad {
-        load_of(&self.state.borrow(), self.clock.now())
+        self.load_of(&self.state.borrow(), self.clock.now())
+    }
+
+    fn load_of(&self, state: &GateState, now: Instant) -> TargetLoad {
+        const KIB: u64 = 1024;
+        let millis = |time: Duration| time.as_secs_f64() * 1_000.0;
+        TargetLoad {
+            slots: state.queue.slots(),
+            running: state.queue.running(),
+            waiting: state.queue.waiting(),
+            run_ms: run_ms(state, now),
+            ill_share: state.health.ill_share(),
+            link_ms: millis(self.egress.backlog()),
+            link_ms_per_kib: millis(self.egress.time_of(KIB)),
+        }
     }
 
     fn note(&self, sign: RunSign) {
         self.state.borrow_mut().health.note(sign);
     }
 
+    /// Time that an answer of `bytes` over the host's link would need, beyond
+    /// a usual run.
+    #[must_use]
+    pub fn link_time(&self, bytes: u64) -> LinkTime {
+        let run = Self::run_time(&self.state.borrow(), self.clock.now());
+        LinkTime {
+            wait: self.egress.wait_of(bytes).saturating_sub(run),
+            send: self.egress.time_of(bytes),
+        }
+    }
+
     fn run_time(state: &GateState, now: Instant) -> Duration {
         Duration::from_secs_f64(run_ms(state, now) / 1_000.0)
     }
@@ -215,13 +250,3 @@
     let age = overdue.iter().sum::<f64>() / count_of(overdue.len());
     mean + (age - mean) * share
 }
-
-fn load_of(state: &GateState, now: Instant) -> TargetLoad {
-    TargetLoad {
-        slots: state.queue.slots(),
-        running: state.queue.running(),
-        waiting: state.queue.waiting(),
-        run_ms: run_ms(state, now),
-        ill_share: state.health.ill_share(),
-    }
-}
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_http1::ResponseHead;
-use filbert_policy::admission::{CallDemand, DeclineReason};
+use filbert_policy::admission::{CallDemand, DeclineReason, LinkTime};
 use filbert_policy::health::RunSign;
 
 use super::wait::Declined;
@@ -23,12 +23,19 @@
 
 impl Gate {
     /// Runs a call at the target, after waiting for its turn.
-    pub async fn run(self: &Rc<Self>, call: &CallHead, body: CallBody) -> (ReplyHead, AnswerBody) {
+    /// `link` is the time that its answer needs on the host's link.
+    pub async fn run(
+        self: &Rc<Self>,
+        call: &CallHead,
+        body: CallBody,
+        link: LinkTime,
+    ) -> (ReplyHead, AnswerBody) {
         let received = self.clock.now();
         let demand = CallDemand {
             priority: call.priority,
             aim: received + Duration::from_micros(call.aim_us),
             deadline: received + Duration::from_micros(call.left_us),
+            link,
         };
         let none = AnswerBody::Whole(bytes::Bytes::new());
         let permit = match self.admit(&call.service, demand).await {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -10,11 +10,13 @@
 pub mod body;
 pub mod calls;
 pub mod control;
+pub mod egress;
 pub mod feeds;
 pub mod gate;
 pub mod ingress;
 pub mod links;
 pub mod logging;
+pub mod members;
 pub mod messages;
 pub mod metrics;
 pub mod peers;
@@ -29,6 +31,8 @@
 pub mod status;
 pub mod stop;
 pub mod target;
+pub mod text_delta;
+pub mod versions;
 
 pub use settings::{MeshSettings, MeshSettingsError};
 pub use shell::{run, MeshError};
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -3,9 +3,10 @@
 
 use std::cell::Cell;
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use h2::client::SendRequest;
@@ -14,7 +15,8 @@
 use rand::Rng;
 
 use crate::body::next_data;
-use crate::messages::{encode, take, LinkMessage, TargetState};
+use crate::members::StoreRole;
+use crate::messages::{encode, take, LinkMessage, StoreState, TargetState};
 use crate::peers::Peer;
 use crate::sockets;
 use crate::state::MeshShared;
@@ -41,10 +43,26 @@
 const PING_DOUBT: Duration = Duration::from_millis(250);
 /// Further time after which the link is given up.
 const PING_SILENCE: Duration = Duration::from_millis(900);
+/// Longest time without a PING, also while the other side is heard: it may be
+/// heard and not hear.
+const PING_AT_LEAST: Duration = Duration::from_secs(3);
+/// Time without a link after which a host counts as failing, and another is
+/// linked to in its place: a restart takes less.
+const FAILING_AFTER: Duration = Duration::from_millis(600);
 /// How long a newer version may take to come from the store before the peer
 /// that has it is asked: longer than the pause between two calls to the store,
 /// as a version over a link may cost bytes between zones.
 const STORE_HEAD_START: Duration = Duration::from_millis(800);
+/// The same for a daemon that does not ask the store itself, before it asks
+/// others of its zone and of other zones than those that follow the store for
+/// it: these tell a version within some 10 ms.
+const NEAR_HEAD_START: Duration = Duration::from_millis(300);
+const FAR_HEAD_START: Duration = Duration::from_millis(600);
+/// Time for the store to give a version whose steps a peer has forgotten,
+/// before the peer is asked for its text.
+const WHOLE_HEAD_START: Duration = Duration::from_millis(700);
+/// Time after which a peer that did not answer for its version is asked again.
+const LONGEST_ASK: Duration = Duration::from_secs(2);
 
 /// Why a link ended.
 #[derive(Debug)]
@@ -87,19 +105,31 @@
     }
 }
 
-/// Keeps a link to `peer` for as long as it is known.
+/// Keeps a link to `peer` for as long as it is wanted.
 pub async fn keep_linked(shared: Rc<MeshShared>, peer: Rc<Peer>) {
     let mut pause = FIRST_PAUSE;
+    let mut down_since = shared.clock.now();
     while !peer.is_dropped.get() {
         let was_up = Cell::new(false);
         let end = link(&shared, &peer, &was_up).await;
         peer.link.replace(None);
         peer.describe(None);
+        peer.store.set(StoreState::Unused);
+        let now = shared.clock.now();
         if was_up.get() {
             pause = FIRST_PAUSE;
+            down_since = now;
+            shared.members.changed.notify_one();
             log::info!("event=link_down peer={} reason=\"{end}\"", peer.address.id);
         } else {
             pause = (pause * 2).min(LONGEST_PAUSE);
+            if now >= down_since + FAILING_AFTER && !peer.is_failing.replace(true) {
+                shared.members.changed.notify_one();
+                log::info!(
+                    "event=peer_failing peer={} reason=\"{end}\"",
+                    peer.address.id
+                );
+            }
         }
         // Spread, so that a herd that was cut off does not return in step.
         let spread = rand::rng().random_range(0.5..1.5);
@@ -117,12 +147,21 @@
             tokio::select! {
                 end = drive(shared, peer, connection) => end,
                 end = news => end,
+                () = until_done(peer) => LinkError::Dropped,
             }
         }
         Err(error) => error,
     }
 }
 
+/// Guards against calls that are cut because their link is not wanted any
+/// more: it ends with the last of them.
+async fn until_done(peer: &Peer) {
+    while !peer.is_done() {
+        peer.unused.notified().await;
+    }
+}
+
 type LinkConnection = h2::client::Connection<tokio::net::TcpStream, Bytes>;
 
 async fn open(peer: &Peer) -> Result<(SendRequest<Bytes>, LinkConnection), LinkError> {
@@ -166,20 +205,31 @@
         return LinkError::Ended;
     };
     peer.hear(shared.clock.now());
+    let mut last_ping = shared.clock.now();
     loop {
-        tokio::select! {
-            () = tokio::time::sleep(PING_EVERY) => {}
-            () = peer.doubted.notified() => {}
+        let is_doubted = tokio::select! {
+            () = tokio::time::sleep(peer.quiet_until(PING_EVERY, shared.clock.now())) => false,
+            () = peer.doubted.notified() => true,
+        };
+        let now = shared.clock.now();
+        let is_heard = peer.heard_within(now, PING_EVERY);
+        if !is_doubted && is_heard && now < last_ping + PING_AT_LEAST {
+            continue;
         }
+        last_ping = now;
         let pong = pings.ping(Ping::opaque());
         tokio::pin!(pong);
-        let answer = if let Ok(answer) = tokio::time::timeout(PING_DOUBT, &mut pong).await {
+        let answer = if let Some(answer) = await_pong(shared, peer, &mut pong).await {
             answer
         } else {
             peer.mark_silent();
+            shared.members.changed.notify_one();
             log::info!("event=link_silent peer={}", peer.address.id);
             match tokio::time::timeout(PING_SILENCE, pong).await {
-                Ok(answer) => answer,
+                Ok(answer) => {
+                    shared.members.changed.notify_one();
+                    answer
+                }
                 Err(_) => return LinkError::Silent,
             }
         };
@@ -190,6 +240,25 @@
     }
 }
 
+/// Waits for the answer to a PING for as long as that, or anything else, comes
+/// within [`PING_DOUBT`]; `None` when nothing does.
+///
+/// Guards against a slow link that is busy with a long answer being taken for
+/// a dead one: the PING's answer comes behind it.
+async fn await_pong<P, O>(shared: &MeshShared, peer: &Peer, pong: &mut P) -> Option<O>
+where
+    P: Future<Output = O> + Unpin,
+{
+    loop {
+        if let Ok(answer) = tokio::time::timeout(PING_DOUBT, &mut *pong).await {
+            return Some(answer);
+        }
+        if !peer.heard_within(shared.clock.now(), PING_DOUBT) {
+            return None;
+        }
+    }
+}
+
 async fn follow_news(
     shared: &Rc<MeshShared>,
     peer: &Rc<Peer>,
@@ -200,7 +269,6 @@
         Ok((mut outgoing, mut incoming)) => {
             let hello = LinkMessage::Hello {
                 from: shared.own_address(),
-                known: shared.peers.addresses(),
                 left: peer.left(),
             };
             if let Err(error) = outgoing.send_data(encode(&hello), false) {
@@ -230,6 +298,14 @@
     Ok((outgoing, answer.into_body()))
 }
 
+/// A newer version that the peer has.
+struct WantedVersion {
+    number: u64,
+    /// When to ask for it, if it has not come from elsewhere.
+    ask_at: Instant,
+    or_whole: bool,
+}
+
 async fn hear(
     shared: &Rc<MeshShared>,
     peer: &Rc<Peer>,
@@ -238,35 +314,45 @@
     was_up: &Cell<bool>,
 ) -> Result<(), LinkError> {
     let mut buffer = BytesMut::new();
-    let mut wanted = None;
+    let mut wanted: Option<WantedVersion> = None;
     loop {
-        if peer.is_dropped.get() {
-            return Err(LinkError::Dropped);
-        }
         while let Some(message) = take(&mut buffer).map_err(|_| LinkError::Frame)? {
             if !was_up.replace(true) {
                 log::info!("event=link_up peer={}", peer.address.id);
+                if peer.is_failing.replace(false) {
+                    shared.members.changed.notify_one();
+                }
             }
             match message {
-                LinkMessage::Target(target) => heard_target(peer, target),
-                LinkMessage::InForce { version } => {
-                    if version > shared.index.borrow().number() {
-                        wanted = Some(version);
+                LinkMessage::InForce { version } if version > shared.versions.number() => {
+                    wanted = Some(want(shared, peer, version));
+                }
+                LinkMessage::Steps { steps } => {
+                    if !shared.offer_steps(&steps, &peer.address.id) {
+                        shared.versions.wanted.notify_one();
                     }
                 }
-                LinkMessage::Version { text } => {
-                    shared.offer_version(&Bytes::from(text), &peer.address.id);
+                LinkMessage::NoSteps => {
+                    shared.versions.wanted.notify_one();
+                    wanted = wanted.map(|wanted| WantedVersion {
+                        ask_at: shared.clock.now() + WHOLE_HEAD_START,
+                        or_whole: true,
+                        ..wanted
+                    });
                 }
-                LinkMessage::Hello { .. } | LinkMessage::WantVersion => {}
+                LinkMessage::WantMembers => {
+                    outgoing.send_data(encode(&shared.member_list()), false)?;
+                }
+                other => heard_news(shared, peer, other),
             }
         }
-        // With nothing in force there is no reason to give the store a head
-        // start.
-        let head_start = if shared.index.borrow().number() == 0 {
-            Duration::ZERO
-        } else {
-            STORE_HEAD_START
-        };
+        if wanted
+            .as_ref()
+            .is_some_and(|wanted| wanted.number <= shared.versions.number())
+        {
+            wanted = None;
+        }
+        let ask_at = wanted.as_ref().map(|wanted| wanted.ask_at);
         tokio::select! {
             data = next_data(incoming) => match data {
                 Some(Ok(piece)) => {
@@ -276,17 +362,75 @@
                 Some(Err(error)) => return Err(LinkError::Protocol(error)),
                 None => return Ok(()),
             },
-            () = tokio::time::sleep(head_start), if wanted.is_some() => {
-                let is_missing = wanted > Some(shared.index.borrow().number());
-                wanted = None;
-                if is_missing {
-                    outgoing.send_data(encode(&LinkMessage::WantVersion), false)?;
+            () = tokio::time::sleep_until(ask_at.unwrap_or_else(Instant::now).into()),
+                if ask_at.is_some() =>
+            {
+                if let Some(wanted) = &mut wanted {
+                    // Asked again only behind an answer that did not help.
+                    wanted.ask_at = shared.clock.now() + LONGEST_ASK;
+                    let ask = LinkMessage::WantVersion {
+                        have: shared.versions.number(),
+                        or_whole: wanted.or_whole,
+                    };
+                    if wanted.number > shared.versions.number() {
+                        outgoing.send_data(encode(&ask), false)?;
+                    }
                 }
             }
         }
     }
 }
 
+/// When a peer is asked for its newer version.
+fn want(shared: &MeshShared, peer: &Peer, number: u64) -> WantedVersion {
+    let is_near = peer.address.zone == shared.settings.borrow().zone;
+    let head_start = if shared.versions.number() == 0 {
+        // With nothing in force there is no reason to wait.
+        Duration::ZERO
+    } else {
+        match *shared.members.role.borrow() {
+            StoreRole::Reads => STORE_HEAD_START,
+            StoreRole::Follows if shared.is_reader_here(&peer.address.id) => Duration::ZERO,
+            StoreRole::Follows if is_near => NEAR_HEAD_START,
+            StoreRole::Follows => FAR_HEAD_START,
+        }
+    };
+    WantedVersion {
+        number,
+        ask_at: shared.clock.now() + head_start,
+        or_whole: shared.versions.number() == 0 && shared.versions.store_is_away.get(),
+    }
+}
+
+/// News that need no answer.
+fn heard_news(shared: &Rc<MeshShared>, peer: &Peer, message: LinkMessage) {
+    let from = peer.address.id.as_str();
+    match message {
+        LinkMessage::Target(target) => heard_target(peer, target),
+        LinkMessage::Version { text } => shared.offer_version(&Bytes::from(text), from),
+        LinkMessage::Store(state) => {
+            if peer.store.replace(state) != state {
+                shared.members.changed.notify_one();
+            }
+        }
+        // A list that this daemon read itself is at least as new.
+        LinkMessage::Members { hosts } => {
+            let reads = *shared.members.role.borrow() == StoreRole::Reads;
+            if !(reads && shared.members.is_known.get()) {
+                shared.take_members(hosts, from);
+            }
+        }
+        LinkMessage::HostCame(address) => shared.learn_host(address, from),
+        LinkMessage::HostGone { id } => shared.forget_host(&id, from),
+        LinkMessage::InForce { .. }
+        | LinkMessage::Hello { .. }
+        | LinkMessage::WantMembers
+        | LinkMessage::WantVersion { .. }
+        | LinkMessage::Steps { .. }
+        | LinkMessage::NoSteps => {}
+    }
+}
+
 fn heard_target(peer: &Peer, target: Option<crate::messages::TargetStatus>) {
     let summary = |target: &Option<(crate::messages::TargetStatus, u32)>| {
         target
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -4,6 +4,8 @@
 use filbert_policy::admission::DeclineReason;
 use serde::{Deserialize, Serialize};
 
+use crate::text_delta::TextDelta;
+
 /// Longest message, in bytes: a version of a few thousand routes fits.
 const MAX_MESSAGE: usize = 16 * 1024 * 1024;
 /// Bytes of the length before each message.
@@ -18,6 +20,8 @@
     pub address: String,
     /// Its availability zone.
     pub zone: String,
+    /// The service of the target beside it, by its settings.
+    pub service: String,
 }
 
 /// Whether a target takes calls.
@@ -59,20 +63,40 @@
     pub run_ms: f64,
     /// Share of its recent runs that ended ill, 0 to 1.
     pub ill_share: f64,
+    /// Time until the host's link is free of the answers that are due, in
+    /// milliseconds.
+    pub link_ms: f64,
+    /// Time that a KiB takes on that link, in milliseconds.
+    pub link_ms_per_kib: f64,
 }
 
-/// Messages of the long stream that each link has, both ways.
+/// Messages of the long stream that each link has, both ways. The daemon that
+/// links says hello and asks; the one that it links to tells.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LinkMessage {
-    /// Who links, and whom it knows.
+    /// Who links.
     Hello {
         /// The daemon that links.
         from: PeerAddress,
-        /// All daemons it knows.
-        known: Vec<PeerAddress>,
         /// Instances beside the receiver that it heard were leaving.
         left: Vec<String>,
     },
+    /// The receiver should list the hosts that it knows.
+    WantMembers,
+    /// All hosts that the sender knows.
+    Members {
+        /// The hosts, the sender's included.
+        hosts: Vec<PeerAddress>,
+    },
+    /// A host came, or changed its address.
+    HostCame(PeerAddress),
+    /// A host's row is gone.
+    HostGone {
+        /// Its name.
+        id: String,
+    },
+    /// What the sender has of the store.
+    Store(StoreState),
     /// The target beside the sender; `None` when there is none.
     Target(Option<TargetStatus>),
     /// The version that the sender has in force.
@@ -80,8 +104,20 @@
         /// Its number.
         version: u64,
     },
-    /// The receiver should send its version.
-    WantVersion,
+    /// The receiver should send what leads to its version.
+    WantVersion {
+        /// The version that the sender has in force.
+        have: u64,
+        /// Whether the whole text is wanted if steps do not lead there.
+        or_whole: bool,
+    },
+    /// Steps to a version.
+    Steps {
+        /// The steps, in order.
+        steps: Vec<VersionStep>,
+    },
+    /// The steps are not remembered any more.
+    NoSteps,
     /// A whole version, as the operator wrote it.
     Version {
         /// Its text.
@@ -89,6 +125,29 @@
     },
 }
 
+/// What a daemon has of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreState {
+    /// It does not ask it.
+    #[default]
+    Unused,
+    /// It follows it, and it answers.
+    Answers,
+    /// It asks in vain.
+    Lost,
+}
+
+/// The step from one version to the next.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VersionStep {
+    /// The version before.
+    pub from: u64,
+    /// The version after.
+    pub to: u64,
+    /// How their texts differ.
+    pub delta: TextDelta,
+}
+
 /// A call on its way to the target's daemon; its body follows.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallHead {
@@ -112,6 +171,8 @@
     pub aim_us: u64,
     /// Its rank; 0 goes first.
     pub priority: u8,
+    /// Usual size of an answer to it, in bytes.
+    pub answer_bytes: u64,
 }
 
 /// What the target's daemon says of a call; an answer's body follows.
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -1,5 +1,5 @@
-//! The other daemons: where they are, the links to them, and the targets
-//! beside them.
+//! The daemons that this one links to: the links, and the targets beside them;
+//! and those that link here and want news.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -7,10 +7,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use filbert_policy::clock::Clock;
 use h2::client::SendRequest;
 use tokio::sync::{mpsc, Notify};
 
-use crate::messages::{PeerAddress, TargetLoad, TargetState, TargetStatus};
+use crate::messages::{PeerAddress, StoreState, TargetLoad, TargetState, TargetStatus};
 
 /// Leaving instances remembered for a host: more than one is replaced there
 /// only in a long time.
@@ -28,8 +29,17 @@
     left: RefCell<Vec<String>>,
     /// Calls sent there since that description.
     sent_since: Cell<u32>,
-    /// Set when the entry is replaced or removed: its link ends.
+    /// Set when the entry is replaced or removed: its link ends as soon as no
+    /// call uses it.
     pub is_dropped: Cell<bool>,
+    /// Calls that use the link.
+    in_use: Cell<u32>,
+    /// Wakes the link when the last call on it has ended.
+    pub unused: Notify,
+    /// Whether links to it have failed of late.
+    pub is_failing: Cell<bool>,
+    /// What it has of the store, as far as it said.
+    pub store: Cell<StoreState>,
     /// Wakes the dialer early.
     pub nudge: Notify,
     /// When anything last came over the link.
@@ -53,6 +63,10 @@
             left: RefCell::new(Vec::new()),
             sent_since: Cell::new(0),
             is_dropped: Cell::new(false),
+            in_use: Cell::new(0),
+            unused: Notify::new(),
+            is_failing: Cell::new(false),
+            store: Cell::new(StoreState::Unused),
             nudge: Notify::new(),
             heard: Cell::new(None),
             doubted: Notify::new(),
@@ -61,6 +75,35 @@
         })
     }
 
+    /// Whether calls and news go over the link.
+    #[must_use]
+    pub fn is_linked(&self) -> bool {
+        self.link.borrow().is_some() && !self.is_silent.get()
+    }
+
+    /// Whether anything came over the link within `pause`.
+    #[must_use]
+    pub fn heard_within(&self, now: Instant, pause: Duration) -> bool {
+        self.heard.get().is_some_and(|heard| now < heard + pause)
+    }
+
+    /// Time until nothing came over the link for `pause`, if nothing comes.
+    #[must_use]
+    pub fn quiet_until(&self, pause: Duration, now: Instant) -> Duration {
+        let heard = self.heard.get().unwrap_or(now);
+        match (heard + pause).saturating_duration_since(now) {
+            // Quiet already: a whole pause until it is looked at again.
+            Duration::ZERO => pause,
+            left => left,
+        }
+    }
+
+    /// Whether the link may end: nobody wants it and no call uses it.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.is_dropped.get() && self.in_use.get() == 0
+    }
+
     /// Notes that something came over the link.
     pub fn hear(&self, now: Instant) {
         self.heard.set(Some(now));
@@ -69,8 +112,7 @@
 
     /// Asks for a PING if nothing came over the link for `pause`.
     pub fn doubt(&self, now: Instant, pause: Duration) {
-        let is_doubtful = self.heard.get().is_none_or(|heard| now >= heard + pause);
-        if is_doubtful && !self.is_silent.get() {
+        if !self.heard_within(now, pause) && !self.is_silent.get() {
             self.doubted.notify_one();
         }
     }
@@ -142,11 +184,55 @@
     }
 }
 
-/// All other daemons known, by host name.
+/// A call's use of a link; a released link stays open for as long as one lives.
+pub struct LinkUse {
+    peer: Rc<Peer>,
+    clock: Rc<dyn Clock>,
+}
+
+impl LinkUse {
+    /// Counts a call on the link to `peer`.
+    #[must_use]
+    pub fn new(peer: &Rc<Peer>, clock: &Rc<dyn Clock>) -> LinkUse {
+        peer.in_use.set(peer.in_use.get() + 1);
+        LinkUse {
+            peer: Rc::clone(peer),
+            clock: Rc::clone(clock),
+        }
+    }
+
+    /// Notes that something came for the call.
+    pub fn hear(&self) {
+        self.peer.hear(self.clock.now());
+    }
+}
+
+impl Drop for LinkUse {
+    fn drop(&mut self) {
+        self.peer.in_use.set(self.peer.in_use.get() - 1);
+        if self.peer.is_done() {
+            self.peer.unused.notify_one();
+        }
+    }
+}
+
+impl std::fmt::Debug for LinkUse {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "LinkUse({})", self.peer.address.id)
+    }
+}
+
+/// A daemon that linked here and wants news.
+struct NewsWatcher {
+    zone: String,
+    frames: mpsc::Sender<Bytes>,
+}
+
+/// The daemons linked to, by host name, and those that want news from here.
 #[derive(Default)]
 pub struct PeerBook {
     peers: RefCell<BTreeMap<String, Rc<Peer>>>,
-    watchers: RefCell<Vec<mpsc::Sender<Bytes>>>,
+    watchers: RefCell<Vec<NewsWatcher>>,
 }
 
 /// Messages that may wait for one watcher; one that falls further behind is
@@ -154,34 +240,25 @@
 const WATCHER_QUEUE: usize = 64;
 
 impl PeerBook {
-    /// Adds `address`, or replaces it when the host moved; the new entry, if
-    /// there is one to dial.
-    pub fn learn(&self, address: PeerAddress) -> Option<Rc<Peer>> {
+    /// The entry for `address`, if there is none yet or the host moved: it is
+    /// to be dialed.
+    pub fn link_to(&self, address: &PeerAddress) -> Option<Rc<Peer>> {
         let mut peers = self.peers.borrow_mut();
         if let Some(known) = peers.get(&address.id) {
-            if known.address == address {
+            if known.address == *address {
                 return None;
             }
-            known.is_dropped.set(true);
-            known.nudge.notify_one();
+            drop_peer(known);
         }
-        let peer = Peer::new(address);
+        let peer = Peer::new(address.clone());
         peers.insert(peer.address.id.clone(), Rc::clone(&peer));
         Some(peer)
     }
 
-    /// Removes a host, unless its link is up.
-    pub fn forget(&self, id: &str) {
-        let mut peers = self.peers.borrow_mut();
-        let is_linked = peers
-            .get(id)
-            .is_some_and(|peer| peer.link.borrow().is_some());
-        if is_linked {
-            return;
-        }
-        if let Some(peer) = peers.remove(id) {
-            peer.is_dropped.set(true);
-            peer.nudge.notify_one();
+    /// Ends the link to a host as soon as no call uses it.
+    pub fn release(&self, id: &str) {
+        if let Some(peer) = self.peers.borrow_mut().remove(id) {
+            drop_peer(&peer);
         }
     }
 
@@ -191,32 +268,16 @@
         self.peers.borrow().values().cloned().collect()
     }
 
-    /// The peer on host `id`.
-    #[must_use]
-    pub fn get(&self, id: &str) -> Option<Rc<Peer>> {
-        self.peers.borrow().get(id).cloned()
-    }
-
-    /// Where every peer is.
+    /// The names of all peers.
     #[must_use]
-    pub fn addresses(&self) -> Vec<PeerAddress> {
-        self.peers
-            .borrow()
-            .values()
-            .map(|peer| peer.address.clone())
-            .collect()
+    pub fn ids(&self) -> Vec<String> {
+        self.peers.borrow().keys().cloned().collect()
     }
 
-    /// Number of peers.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.peers.borrow().len()
-    }
-
-    /// Whether there is no peer.
+    /// The peer on host `id`.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.peers.borrow().is_empty()
+    pub fn get(&self, id: &str) -> Option<Rc<Peer>> {
+        self.peers.borrow().get(id).cloned()
     }
 
     /// Number of peers with a link up.
@@ -229,17 +290,39 @@
             .count()
     }
 
-    /// Adds a daemon that linked here and wants to hear of changes.
-    pub fn watch(&self) -> (mpsc::Sender<Bytes>, mpsc::Receiver<Bytes>) {
-        let (sender, receiver) = mpsc::channel(WATCHER_QUEUE);
-        self.watchers.borrow_mut().push(sender.clone());
-        (sender, receiver)
+    /// Adds a daemon of `zone` that linked here and wants to hear of changes.
+    pub fn watch(&self, zone: &str) -> mpsc::Receiver<Bytes> {
+        let (frames, receiver) = mpsc::channel(WATCHER_QUEUE);
+        self.watchers.borrow_mut().push(NewsWatcher {
+            zone: zone.to_owned(),
+            frames,
+        });
+        receiver
+    }
+
+    /// Number of daemons that want news from here.
+    #[must_use]
+    pub fn watchers(&self) -> usize {
+        self.watchers.borrow().len()
     }
 
     /// Tells every daemon that linked here.
     pub fn broadcast(&self, frame: &Bytes) {
         self.watchers
             .borrow_mut()
-            .retain(|watcher| watcher.try_send(frame.clone()).is_ok());
+            .retain(|watcher| watcher.frames.try_send(frame.clone()).is_ok());
+    }
+
+    /// Tells the daemons of `zone` that linked here.
+    pub fn broadcast_in(&self, zone: &str, frame: &Bytes) {
+        self.watchers.borrow_mut().retain(|watcher| {
+            watcher.zone != zone || watcher.frames.try_send(frame.clone()).is_ok()
+        });
     }
 }
+
+fn drop_peer(peer: &Peer) {
+    peer.is_dropped.set(true);
+    peer.nudge.notify_one();
+    peer.unused.notify_one();
+}
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -62,5 +62,10 @@
         settings.target
     );
     shared.gate.set_terms(settings.target, &settings.times);
+    shared.egress.set_rate(settings.link.mbps);
+    let address = shared.own_address();
     *shared.settings.borrow_mut() = Rc::new(settings);
+    if shared.own_address() != address {
+        shared.members.row_missing.notify_one();
+    }
 }
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -13,7 +13,7 @@
 
 use crate::body::{next_data, AnswerBody, CallBody, LinkBody, PieceSource};
 use crate::links::{LinkError, CONNECTION_WINDOW, NEWS_PATH, STREAM_WINDOW};
-use crate::messages::{encode, take, CallHead, LinkMessage, ReplyHead};
+use crate::messages::{encode, take, CallHead, LinkMessage, PeerAddress, ReplyHead, StoreState};
 use crate::sockets;
 use crate::state::MeshShared;
 
@@ -23,6 +23,8 @@
 const WHOLE_BODY: u64 = 64 * 1024;
 /// Bytes of an answer handed to a link at a time.
 const PIECE: usize = 64 * 1024;
+/// Bytes of an answer that leave between two looks at what else wants to.
+const PACED_PIECE: usize = 16 * 1024;
 /// Pause after a failed accept, so that running out of descriptors does not
 /// turn into a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -87,34 +89,27 @@
 ) -> Result<(), LinkError> {
     let mut incoming = request.into_body();
     let mut outgoing = respond.send_response(Response::new(()), false)?;
-    let (watcher, mut frames) = shared.peers.watch();
-    outgoing.send_data(encode(&LinkMessage::Target(shared.gate.status())), false)?;
-    let version = shared.index.borrow().number();
-    outgoing.send_data(encode(&LinkMessage::InForce { version }), false)?;
-    drop(watcher);
     let mut buffer = BytesMut::new();
+    let Some(LinkMessage::Hello { from, left }) = next_message(&mut incoming, &mut buffer).await?
+    else {
+        return Err(LinkError::Frame);
+    };
+    let mut frames = shared.peers.watch(&from.zone);
+    for id in &left {
+        shared.gate.left_before(id);
+    }
+    for message in first_news(&shared, &from.zone) {
+        outgoing.send_data(encode(&message), false)?;
+    }
+    heard_hello(&shared, from);
     loop {
-        while let Some(message) = take(&mut buffer).map_err(|_| LinkError::Frame)? {
-            match message {
-                LinkMessage::Hello { from, known, left } => {
-                    for id in &left {
-                        shared.gate.left_before(id);
+        tokio::select! {
+            message = next_message(&mut incoming, &mut buffer) => match message? {
+                Some(message) => {
+                    if let Some(answer) = answer_to(&shared, message) {
+                        outgoing.send_data(encode(&answer), false)?;
                     }
-                    heard_hello(&shared, from, known);
                 }
-                LinkMessage::WantVersion => {
-                    let text = shared.version_text.borrow().to_vec();
-                    outgoing.send_data(encode(&LinkMessage::Version { text }), false)?;
-                }
-                LinkMessage::Target(_)
-                | LinkMessage::InForce { .. }
-                | LinkMessage::Version { .. } => {}
-            }
-        }
-        tokio::select! {
-            data = next_data(&mut incoming) => match data {
-                Some(Ok(piece)) => buffer.extend_from_slice(&piece),
-                Some(Err(error)) => return Err(LinkError::Protocol(error)),
                 None => return Ok(()),
             },
             frame = frames.recv() => match frame {
@@ -125,20 +120,46 @@
     }
 }
 
-/// A restarted daemon that cannot reach the store learns here whom to call.
-fn heard_hello(
-    shared: &Rc<MeshShared>,
-    from: crate::messages::PeerAddress,
-    known: Vec<crate::messages::PeerAddress>,
-) {
-    let id = from.id.clone();
-    shared.learn_peer(from, "hello");
-    for address in known {
-        if shared.peers.get(&address.id).is_none() {
-            shared.learn_peer(address, &id);
+/// The next message of a stream; `None` at its end. Loses nothing when it is
+/// not waited out: what was read stays in `buffer`.
+async fn next_message(
+    incoming: &mut RecvStream,
+    buffer: &mut BytesMut,
+) -> Result<Option<LinkMessage>, LinkError> {
+    loop {
+        if let Some(message) = take(buffer).map_err(|_| LinkError::Frame)? {
+            return Ok(Some(message));
+        }
+        match next_data(incoming).await {
+            Some(piece) => buffer.extend_from_slice(&piece?),
+            None => return Ok(None),
         }
     }
-    shared.knows_members.set(true);
+}
+
+/// What a daemon of `zone` is told when it links here.
+fn first_news(shared: &MeshShared, zone: &str) -> Vec<LinkMessage> {
+    let store = shared.store_state();
+    let mut news = vec![
+        LinkMessage::Target(shared.gate.status()),
+        LinkMessage::InForce {
+            version: shared.versions.number(),
+        },
+    ];
+    if store == StoreState::Answers && zone == shared.settings.borrow().zone {
+        news.push(shared.member_list());
+    }
+    news.push(LinkMessage::Store(store));
+    // A restarted daemon that cannot reach the store learns here whom to call.
+    if !shared.members.is_known.get() {
+        news.push(LinkMessage::WantMembers);
+    }
+    news
+}
+
+fn heard_hello(shared: &Rc<MeshShared>, from: PeerAddress) {
+    let id = from.id.clone();
+    shared.learn_host(from, "hello");
     // A peer that links here is up: no reason to wait out a pause in dialing it.
     if let Some(peer) = shared.peers.get(&id) {
         if peer.link.borrow().is_none() {
@@ -147,6 +168,36 @@
     }
 }
 
+fn answer_to(shared: &Rc<MeshShared>, message: LinkMessage) -> Option<LinkMessage> {
+    match message {
+        LinkMessage::WantVersion { have, or_whole } => {
+            let versions = &shared.versions;
+            Some(match versions.steps_from(have) {
+                Some(steps) => LinkMessage::Steps { steps },
+                None if or_whole => LinkMessage::Version {
+                    text: versions.text().to_vec(),
+                },
+                None => LinkMessage::NoSteps,
+            })
+        }
+        LinkMessage::Members { hosts } if !shared.members.is_known.get() => {
+            shared.take_members(hosts, "hello");
+            None
+        }
+        LinkMessage::Hello { .. }
+        | LinkMessage::WantMembers
+        | LinkMessage::Members { .. }
+        | LinkMessage::HostCame(_)
+        | LinkMessage::HostGone { .. }
+        | LinkMessage::Store(_)
+        | LinkMessage::Target(_)
+        | LinkMessage::InForce { .. }
+        | LinkMessage::Steps { .. }
+        | LinkMessage::NoSteps
+        | LinkMessage::Version { .. } => None,
+    }
+}
+
 async fn serve_call(
     shared: Rc<MeshShared>,
     request: Request<RecvStream>,
@@ -165,7 +216,11 @@
     };
     let work = async {
         let body = read_body(&call, incoming, buffer).await?;
-        Ok::<_, LinkError>(shared.gate.run(&call, body).await)
+        let link = shared.gate.link_time(call.answer_bytes);
+        let promise = shared.egress.promise(call.answer_bytes);
+        let done = shared.gate.run(&call, body, link).await;
+        drop(promise);
+        Ok::<_, LinkError>(done)
     };
     // Guards against work for a caller that has left: its daemon resets the
     // stream, and dropping the work closes the target's connection.
@@ -177,7 +232,11 @@
     let has_body = matches!(reply, ReplyHead::Answer { .. });
     outgoing.send_data(encode(&reply), !has_body)?;
     if has_body {
-        send_body(&mut outgoing, body).await?;
+        let length = match &reply {
+            ReplyHead::Answer { head, .. } => head.body_length,
+            _ => None,
+        };
+        send_body(&shared, &mut outgoing, body, length).await?;
     }
     Ok(())
 }
@@ -205,16 +264,28 @@
 }
 
 async fn send_body(
+    shared: &MeshShared,
     outgoing: &mut SendStream<Bytes>,
     mut body: AnswerBody,
+    length: Option<u64>,
 ) -> Result<(), LinkError> {
+    let mut sent = 0;
     loop {
         let piece = tokio::select! {
             piece = body.next() => piece,
             _ = poll_fn(|context| outgoing.poll_reset(context)) => return Err(LinkError::Ended),
         };
         match piece {
-            Ok(Some(piece)) => send_piece(outgoing, piece).await?,
+            Ok(Some(mut piece)) => {
+                while !piece.is_empty() {
+                    let part = piece.split_to(piece.len().min(PACED_PIECE));
+                    let bytes = part.len() as u64;
+                    let left = length.unwrap_or(0).saturating_sub(sent).max(bytes);
+                    shared.egress.pace(bytes, left).await;
+                    sent += bytes;
+                    send_piece(outgoing, part).await?;
+                }
+            }
             Ok(None) => {
                 outgoing.send_data(Bytes::new(), true)?;
                 return Ok(());
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -34,6 +34,18 @@
     /// What it costs to leave the availability zone.
     #[serde(default)]
     pub crossing: CrossingSettings,
+    /// The host's link.
+    #[serde(default)]
+    pub link: LinkSettings,
+}
+
+/// The host's link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkSettings {
+    /// Its rate in Mbit/s; 0 when it is no limit.
+    #[serde(default)]
+    pub mbps: f64,
 }
 
 /// Where the daemon listens.
@@ -180,6 +192,11 @@
                 self.retry.window.is_zero(),
                 "must be above 0",
             ),
+            (
+                "link.mbps",
+                !(self.link.mbps >= 0.0 && self.link.mbps.is_finite()),
+                "must not be negative",
+            ),
             ("times.grace", self.times.grace.is_zero(), "must be above 0"),
         ];
         match checks.into_iter().find(|(_, failed, _)| *failed) {
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -1,6 +1,6 @@
 //! Starts the daemon's parts and sees a planned stop through.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
 use std::future::Future;
@@ -9,22 +9,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use filbert_platform::store::StoreClient;
 use filbert_policy::budget::RetryBudget;
 use filbert_policy::clock::{Clock, SystemClock};
-use filbert_policy::routing::RouteIndex;
 use filbert_policy::weights::WeightDealer;
 use tokio::net::TcpListener;
 
+use crate::egress::EgressPacer;
 use crate::gate::Gate;
 use crate::logging::LineBudget;
+use crate::members::{self, MemberBook};
 use crate::metrics::MeshMetrics;
 use crate::peers::PeerBook;
 use crate::settings::MeshSettings;
 use crate::state::MeshShared;
 use crate::stop::StopState;
+use crate::versions::VersionBook;
 use crate::{control, feeds, ingress, metrics, ready, reload, serve_peers, sockets, status, stop};
 
 /// Why the daemon stopped other than by a planned stop.
@@ -105,23 +106,25 @@
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let now = clock.now();
     let metrics = Rc::new(MeshMetrics::new());
+    let egress = EgressPacer::new(settings.link.mbps, Rc::clone(&clock));
     let gate = Gate::new(
         settings.target,
         &settings.times,
         Rc::clone(&metrics),
+        Rc::clone(&egress),
         Rc::clone(&clock),
     );
     Rc::new(MeshShared {
         store: StoreClient::new(&settings.store, STORE_TIMEOUT),
         budget: RefCell::new(RetryBudget::new(settings.budget_terms(), now)),
         settings: RefCell::new(Rc::new(settings)),
-        index: RefCell::new(Rc::new(RouteIndex::default())),
-        version_text: RefCell::new(Bytes::new()),
+        versions: VersionBook::default(),
+        members: MemberBook::default(),
         peers: PeerBook::default(),
+        egress,
         gate,
         dealer: RefCell::new(WeightDealer::default()),
         routes: RefCell::new(HashMap::new()),
-        knows_members: Cell::new(false),
         metrics,
         lines: LineBudget::new(now),
         store_returned: tokio::sync::Notify::new(),
@@ -147,6 +150,8 @@
     )));
     spawn(Box::pin(Rc::clone(&shared.gate).keep_settled()));
     spawn(Box::pin(status::keep_told(Rc::clone(shared))));
+    spawn(Box::pin(members::keep_planned(Rc::clone(shared))));
+    spawn(Box::pin(feeds::keep_row(Rc::clone(shared))));
     spawn(Box::pin(feeds::follow_configuration(Rc::clone(shared))));
     spawn(Box::pin(feeds::follow_members(Rc::clone(shared))));
     if let Some(listener) = listeners.metrics {
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -1,28 +1,29 @@
 //! What the daemon's parts share. All run on one thread.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use filbert_platform::operator;
 use filbert_platform::store::StoreClient;
 use filbert_policy::budget::RetryBudget;
 use filbert_policy::clock::Clock;
+use filbert_policy::numbers::whole_of;
 use filbert_policy::routing::RouteIndex;
 use filbert_policy::weights::WeightDealer;
 
 use tokio::sync::Notify;
 
+use crate::egress::EgressPacer;
 use crate::gate::Gate;
-use crate::links;
 use crate::logging::LineBudget;
-use crate::messages::{encode, LinkMessage, PeerAddress};
+use crate::members::MemberBook;
+use crate::messages::PeerAddress;
 use crate::metrics::MeshMetrics;
 use crate::peers::PeerBook;
 use crate::settings::MeshSettings;
 use crate::stop::StopState;
+use crate::versions::VersionBook;
 
 /// What was learnt of a route's calls.
 #[derive(Clone, Copy, Debug, Default)]
@@ -44,12 +45,14 @@
     pub settings: RefCell<Rc<MeshSettings>>,
     /// The store.
     pub store: StoreClient,
-    /// The version in force, compiled.
-    pub index: RefCell<Rc<RouteIndex>>,
-    /// The version in force as the operator wrote it.
-    pub version_text: RefCell<Bytes>,
-    /// The other daemons.
+    /// The version in force.
+    pub versions: VersionBook,
+    /// Which hosts there are.
+    pub members: MemberBook,
+    /// The daemons that this one links to.
     pub peers: PeerBook,
+    /// The way out of this host.
+    pub egress: Rc<EgressPacer>,
     /// The way to the target beside this daemon.
     pub gate: Rc<Gate>,
     /// What may be sent a second time.
@@ -58,8 +61,6 @@
     pub dealer: RefCell<WeightDealer>,
     /// What was learnt of each route's calls, by route name.
     pub routes: RefCell<HashMap<String, RouteHistory>>,
-    /// Whether the members were read, from the store or from a peer.
-    pub knows_members: Cell<bool>,
     /// Counters and histograms.
     pub metrics: Rc<MeshMetrics>,
     /// Bounds the lines on calls.
@@ -81,61 +82,20 @@
             id: settings.id.clone(),
             address: settings.listen.peers.to_string(),
             zone: settings.zone.clone(),
+            service: settings.service.clone(),
         }
     }
 
     /// The version in force, compiled.
     #[must_use]
     pub fn current_index(&self) -> Rc<RouteIndex> {
-        Rc::clone(&self.index.borrow())
+        self.versions.index()
     }
 
     /// Daemons that share the retry budget, this one included.
     #[must_use]
     pub fn daemons(&self) -> usize {
-        self.peers.len() + 1
-    }
-
-    /// Puts a version in force if it is newer, and tells the peers.
-    ///
-    /// Guards against going back: versions come from the store and from every
-    /// peer, in any order, and only a higher number is taken. A version that
-    /// cannot be decoded whole is not used at all.
-    pub fn offer_version(self: &Rc<Self>, text: &Bytes, from: &str) {
-        let version = match operator::read_config(text) {
-            Ok(version) => version,
-            Err(error) => {
-                log::error!("event=version_refused from={from} error=\"{error}\"");
-                return;
-            }
-        };
-        let before = self.index.borrow().number();
-        if version.number <= before {
-            return;
-        }
-        let number = version.number;
-        let routes = version.routes.len();
-        *self.index.borrow_mut() = Rc::new(RouteIndex::compile(version));
-        *self.version_text.borrow_mut() = text.clone();
-        log::info!("event=version_in_force version={number:08x} before={before:08x} routes={routes} from={from}");
-        self.peers
-            .broadcast(&encode(&LinkMessage::InForce { version: number }));
-    }
-
-    /// Adds a daemon to those known and links to it.
-    pub fn learn_peer(self: &Rc<Self>, address: PeerAddress, from: &str) {
-        if address.id == self.settings.borrow().id {
-            return;
-        }
-        if let Some(peer) = self.peers.learn(address) {
-            log::info!(
-                "event=peer_learnt peer={} address={} zone={} from={from}",
-                peer.address.id,
-                peer.address.address,
-                peer.address.zone
-            );
-            tokio::task::spawn_local(links::keep_linked(Rc::clone(self), peer));
-        }
+        self.members.len()
     }
 
     /// Notes how long a client of `route` waits, and gives the longest so far.
@@ -165,10 +125,21 @@
         }
     }
 
+    /// Usual size of an answer on `route`, in bytes; 0 before the first.
+    #[must_use]
+    pub fn usual_answer(&self, route: &str) -> u64 {
+        let kib = self
+            .routes
+            .borrow()
+            .get(route)
+            .map_or(0.0, |history| history.answer_kib);
+        whole_of(kib * 1024.0)
+    }
+
     /// Whether callers can be served: a version is in force and it is known
     /// whom to call.
     #[must_use]
     pub fn is_serving(&self) -> bool {
-        self.index.borrow().number() > 0 && self.knows_members.get()
+        self.versions.number() > 0 && self.members.is_known.get()
     }
 }
--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::Notify;
 
+use crate::feeds;
 use crate::state::MeshShared;
 
 /// Readiness checks answered with "no" after which callers are sent elsewhere.
@@ -135,6 +136,10 @@
             break;
         }
     }
+    // The host goes with its target: nobody is to look for it any more.
+    if shared.gate.has_left() {
+        feeds::drop_own_row(&shared).await;
+    }
     log::info!(
         "event=stopped calls={} at_target={}",
         stop.calls.get(),
--- /dev/null
+++ b/crates/mesh/src/versions.rs
@@ -0,0 +1,135 @@
+//! The version in force, and the steps that led to it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use filbert_platform::operator;
+use filbert_policy::routing::RouteIndex;
+use tokio::sync::Notify;
+
+use crate::messages::{encode, LinkMessage, VersionStep};
+use crate::state::MeshShared;
+use crate::text_delta::TextDelta;
+
+/// Steps remembered: a storm of versions for some seconds, so that a daemon
+/// that missed a few still gets small steps.
+const MOST_STEPS: usize = 24;
+/// Bytes of steps remembered; beyond, a whole version costs as little.
+const MOST_BYTES: usize = 128 * 1024;
+
+/// The version in force.
+#[derive(Default)]
+pub struct VersionBook {
+    index: RefCell<Rc<RouteIndex>>,
+    text: RefCell<Bytes>,
+    steps: RefCell<VecDeque<VersionStep>>,
+    /// Asks for the version from the store now.
+    pub wanted: Notify,
+    /// Whether the store gave no answer when it was last asked for the
+    /// configuration.
+    pub store_is_away: Cell<bool>,
+}
+
+impl VersionBook {
+    /// The version in force, compiled.
+    #[must_use]
+    pub fn index(&self) -> Rc<RouteIndex> {
+        Rc::clone(&self.index.borrow())
+    }
+
+    /// Its number; 0 when there is none.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.index.borrow().number()
+    }
+
+    /// Its text, as the operator wrote it.
+    #[must_use]
+    pub fn text(&self) -> Bytes {
+        self.text.borrow().clone()
+    }
+
+    /// The steps from version `have` to the one in force; `None` when they
+    /// are not remembered.
+    #[must_use]
+    pub fn steps_from(&self, have: u64) -> Option<Vec<VersionStep>> {
+        let steps = self.steps.borrow();
+        let first = steps.iter().position(|step| step.from == have)?;
+        Some(steps.iter().skip(first).cloned().collect())
+    }
+
+    fn remember(&self, step: VersionStep) {
+        let mut steps = self.steps.borrow_mut();
+        steps.push_back(step);
+        let mut bytes: usize = steps.iter().map(|step| step.delta.weight()).sum();
+        while steps.len() > MOST_STEPS || bytes > MOST_BYTES {
+            match steps.pop_front() {
+                Some(oldest) => bytes -= oldest.delta.weight(),
+                None => break,
+            }
+        }
+    }
+}
+
+impl MeshShared {
+    /// Puts a version in force if it is newer, and tells the peers.
+    ///
+    /// Guards against going back: versions come from the store and from every
+    /// peer, in any order, and only a higher number is taken. A version that
+    /// cannot be decoded whole is not used at all.
+    pub fn offer_version(&self, text: &Bytes, from: &str) {
+        let version = match operator::read_config(text) {
+            Ok(version) => version,
+            Err(error) => {
+                log::error!("event=version_refused from={from} error=\"{error}\"");
+                return;
+            }
+        };
+        let book = &self.versions;
+        let before = book.number();
+        if version.number <= before {
+            return;
+        }
+        let number = version.number;
+        let routes = version.routes.len();
+        if before > 0 {
+            book.remember(VersionStep {
+                from: before,
+                to: number,
+                delta: TextDelta::between(&book.text(), text),
+            });
+        }
+        *book.index.borrow_mut() = Rc::new(RouteIndex::compile(version));
+        *book.text.borrow_mut() = text.clone();
+        log::info!("event=version_in_force version={number:08x} before={before:08x} routes={routes} from={from}");
+        self.peers
+            .broadcast(&encode(&LinkMessage::InForce { version: number }));
+    }
+
+    /// Follows `steps` from the version in force; false when they do not lead
+    /// on from it.
+    pub fn offer_steps(&self, steps: &[VersionStep], from: &str) -> bool {
+        let book = &self.versions;
+        let mut text = book.text();
+        let mut number = book.number();
+        let first = number;
+        for step in steps.iter().skip_while(|step| step.from < first) {
+            if step.from != number {
+                return false;
+            }
+            let Ok(next) = step.delta.apply(&text) else {
+                let to = step.to;
+                log::error!("event=version_step_refused from={from} step={to:08x}");
+                return false;
+            };
+            text = next;
+            number = step.to;
+        }
+        if number > book.number() {
+            self.offer_version(&text, from);
+        }
+        book.number() >= number
+    }
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -18,6 +18,24 @@
     pub aim: Instant,
     /// Until when an answer is worth anything.
     pub deadline: Instant,
+    /// Time that its answer waits for the host's link, behind others', and
+    /// that it takes there.
+    pub link: LinkTime,
+}
+
+/// Time of an answer on the host's link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkTime {
+    /// Behind other answers, beyond a usual run.
+    pub wait: Duration,
+    /// On the way out.
+    pub send: Duration,
+}
+
+impl LinkTime {
+    fn total(self) -> Duration {
+        self.wait + self.send
+    }
 }
 
 /// Names a waiting call.
@@ -183,6 +201,17 @@
             };
         }
         if self.running < self.slots && self.waiting.is_empty() {
+            // Guards against work whose answer the host's link cannot carry in
+            // time: with free slots alone to go by, answers of 90 KB pile up
+            // in front of a link of 7.5 Mbit/s until all of them are late.
+            let has_link = demand.link.wait.is_zero()
+                || Self::worth_waiting(&demand, Duration::ZERO, run, now);
+            if !has_link {
+                return GateVerdict::Decline {
+                    reason: DeclineReason::Crowded,
+                    room_in: demand.link.wait,
+                };
+            }
             self.running += 1;
             return GateVerdict::Run;
         }
@@ -212,11 +241,12 @@
 
     fn worth_waiting(demand: &CallDemand, wait: Duration, run: Duration, now: Instant) -> bool {
         let start = now + wait;
-        if start + run.mul_f64(AIM_RUNS) <= demand.aim {
+        let link = demand.link.total();
+        if start + run.mul_f64(AIM_RUNS) + link <= demand.aim {
             return true;
         }
         // Nobody waits for long with a lost aim: only a short queue is worth it.
-        wait <= run.mul_f64(LATE_RUNS) && start + run <= demand.deadline
+        wait + demand.link.wait <= run.mul_f64(LATE_RUNS) && start + run + link <= demand.deadline
     }
 
     /// Whether a call that waits since `since` still has a use for it. Milder
@@ -224,10 +254,12 @@
     /// when the next run takes a little longer than most.
     fn worth_staying(call: &WaitingCall, wait: Duration, run: Duration, now: Instant) -> bool {
         let start = now + wait;
-        if start + run.mul_f64(STAY_RUNS) <= call.demand.aim {
+        let send = call.demand.link.send;
+        if start + run.mul_f64(STAY_RUNS) + send <= call.demand.aim {
             return true;
         }
-        start <= call.since + run.mul_f64(2.0 * LATE_RUNS) && start + run <= call.demand.deadline
+        start <= call.since + run.mul_f64(2.0 * LATE_RUNS)
+            && start + run + send <= call.demand.deadline
     }
 
     /// Takes back a call that waits; false when it does not wait (any more).
--- /dev/null
+++ b/crates/policy/src/egress.rs
@@ -0,0 +1,154 @@
+//! In which order and at which pace answers leave a host with a slow link.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::numbers::bytes_of;
+
+/// Part of the link's rate that paced answers get. The rest is for what is
+/// not paced: heads, short answers, pings, packet headers.
+const PACED_SHARE: f64 = 0.85;
+/// Time by which pieces may be handed over before the link is free, so that
+/// it does not idle while the next piece is on its way to it.
+const AHEAD: Duration = Duration::from_millis(15);
+
+/// Answers up to this length, in bytes, are not paced: they are out in some
+/// milliseconds on the slowest link, and are what others wait for most.
+pub const SHORT_ANSWER: u64 = 8 * 1024;
+
+/// Names an answer that waits for the link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EgressTicket {
+    /// Bytes left of the answer; the shortest goes first.
+    left: u64,
+    number: u64,
+}
+
+/// What becomes of a piece that wants to leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EgressVerdict {
+    /// It may go now.
+    Go,
+    /// Not before this moment, if nothing changes.
+    NotBefore(Instant),
+    /// Others go first.
+    Behind,
+}
+
+/// The answers that wait for one host's link.
+///
+/// Load pattern: a host with a link of 7.5 Mbit/s beside a target whose
+/// answers have 90 KB. Nine runs end within a moment; written at once, their
+/// answers fill the link for a second, and pings, heads and short answers
+/// wait behind them: the host looks dead to all others, calls leave it, and
+/// what it had done is done again elsewhere. So long answers go out piece by
+/// piece at the link's pace, the one with the least left first, which brings
+/// most of them home early; what is short goes past them.
+#[derive(Debug)]
+pub struct EgressQueue {
+    /// Bytes a second; `None` when the link is no limit.
+    rate: Option<f64>,
+    free_at: Instant,
+    waiting: BTreeMap<EgressTicket, u64>,
+    /// Bytes of answers that are still to be made.
+    promised: u64,
+    next_number: u64,
+}
+
+impl EgressQueue {
+    /// An idle link of `mbps` Mbit/s; 0 when it is no limit.
+    #[must_use]
+    pub fn new(mbps: f64, now: Instant) -> EgressQueue {
+        let mut queue = EgressQueue {
+            rate: None,
+            free_at: now,
+            waiting: BTreeMap::new(),
+            promised: 0,
+            next_number: 0,
+        };
+        queue.set_rate(mbps);
+        queue
+    }
+
+    /// Sets the link's rate in Mbit/s; 0 when it is no limit.
+    pub fn set_rate(&mut self, mbps: f64) {
+        const BYTES_OF_MBIT: f64 = 1_000_000.0 / 8.0;
+        self.rate = (mbps > 0.0).then_some(mbps * BYTES_OF_MBIT * PACED_SHARE);
+    }
+
+    /// Time that `bytes` take on the link.
+    #[must_use]
+    pub fn time_of(&self, bytes: u64) -> Duration {
+        match self.rate {
+            Some(rate) => Duration::from_secs_f64(bytes_of(bytes) / rate),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Time until all is out that waits or was promised.
+    #[must_use]
+    pub fn backlog(&self, now: Instant) -> Duration {
+        let waiting: u64 = self.waiting.keys().map(|ticket| ticket.left).sum();
+        self.free_at.saturating_duration_since(now) + self.time_of(waiting + self.promised)
+    }
+
+    /// Time that an answer of `bytes` would wait for others before it leaves.
+    #[must_use]
+    pub fn wait_of(&self, bytes: u64, now: Instant) -> Duration {
+        if bytes <= SHORT_ANSWER {
+            Duration::ZERO
+        } else {
+            self.backlog(now)
+        }
+    }
+
+    /// Counts an answer that will want to leave.
+    pub fn promise(&mut self, bytes: u64) {
+        self.promised += bytes;
+    }
+
+    /// Takes back a promise: the answer begins to leave, or will not.
+    pub fn settle(&mut self, bytes: u64) {
+        self.promised = self.promised.saturating_sub(bytes);
+    }
+
+    /// Counts bytes that leave at once.
+    pub fn pass(&mut self, bytes: u64, now: Instant) {
+        self.free_at = self.free_at.max(now) + self.time_of(bytes);
+    }
+
+    /// Lines up `bytes` of an answer of which `left` bytes are left.
+    pub fn line_up(&mut self, bytes: u64, left: u64) -> EgressTicket {
+        let ticket = EgressTicket {
+            left: left.max(bytes),
+            number: self.next_number,
+        };
+        self.next_number += 1;
+        self.waiting.insert(ticket, bytes);
+        ticket
+    }
+
+    /// Whether the piece of `ticket` may leave; if so it is not lined up any
+    /// more.
+    pub fn ask(&mut self, ticket: EgressTicket, now: Instant) -> EgressVerdict {
+        let Some(bytes) = self.waiting.get(&ticket).copied() else {
+            return EgressVerdict::Go;
+        };
+        if self.rate.is_some() {
+            if self.waiting.keys().next() != Some(&ticket) {
+                return EgressVerdict::Behind;
+            }
+            if self.free_at > now + AHEAD {
+                return EgressVerdict::NotBefore(self.free_at.checked_sub(AHEAD).unwrap_or(now));
+            }
+        }
+        self.waiting.remove(&ticket);
+        self.pass(bytes, now);
+        EgressVerdict::Go
+    }
+
+    /// Takes a piece out of the line.
+    pub fn cancel(&mut self, ticket: EgressTicket) {
+        self.waiting.remove(&ticket);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,14 +5,17 @@
 //! ([`placement`]), admitted, made to wait or declined there ([`admission`]),
 //! sent again or given up ([`attempt`], [`budget`]), and refused with a time
 //! to come back ([`refusal`]). [`instance`] follows the life of the target
-//! beside the daemon, [`health`] what its calls say about it.
+//! beside the daemon, [`health`] what its calls say about it, [`egress`]
+//! paces answers on a slow link, and [`membership`] plans which other hosts a daemon links to.
 
 pub mod admission;
 pub mod attempt;
 pub mod budget;
 pub mod clock;
+pub mod egress;
 pub mod health;
 pub mod instance;
+pub mod membership;
 pub mod numbers;
 pub mod placement;
 pub mod refusal;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -2,7 +2,8 @@
 
 use rand::Rng;
 
-use crate::numbers::count_of;
+use crate::egress::SHORT_ANSWER;
+use crate::numbers::{bytes_of, count_of};
 
 /// A target as a caller's daemon sees it when it places a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,6 +23,11 @@
     pub is_cold: bool,
     /// Whether it is about to leave.
     pub is_leaving: bool,
+    /// Time until its host's link is free of the answers that are due now, in
+    /// milliseconds; 0 for the target beside the caller.
+    pub link_ms: f64,
+    /// Time that a KiB takes on that link, in milliseconds.
+    pub link_ms_per_kib: f64,
 }
 
 /// What placement needs to know of a call.
@@ -104,9 +110,16 @@
     let run_ms = (view.run_ms * factor).max(1.0);
     let slots = f64::from(view.slots.max(1));
     let wait_ms = calls_ahead(view.occupancy + 1.0 - slots) * run_ms / slots;
-    let spare_ms = (call.aim_ms - wait_ms).max(0.0);
+    // The answer leaves when its run has ended and the host's link is free.
+    let link_wait_ms = if call.carried_kib * 1024.0 > bytes_of(SHORT_ANSWER) {
+        (view.link_ms - wait_ms - run_ms).max(0.0)
+    } else {
+        0.0
+    };
+    let link_ms = link_wait_ms + call.carried_kib * view.link_ms_per_kib;
+    let spare_ms = (call.aim_ms - wait_ms - link_ms).max(0.0);
     let late = (-spare_ms / run_ms).exp();
-    let never = ((wait_ms + run_ms) / call.left_ms.max(1.0)).min(1.0);
+    let never = ((wait_ms + run_ms + link_ms) / call.left_ms.max(1.0)).min(1.0);
     let mut loss = late * LATE_LOSS
         + never * NEVER_LOSS
         + view.ill_share * ILL_LOSS
--- a/crates/policy/tests/admission_replay.rs
+++ b/crates/policy/tests/admission_replay.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_policy::admission::{
-    CallDemand, DeclineReason, GateQueue, GateVerdict, WaitEnd, WaitLimits, WaitTicket,
+    CallDemand, DeclineReason, GateQueue, GateVerdict, LinkTime, WaitEnd, WaitLimits, WaitTicket,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -78,6 +78,7 @@
                 priority: call.priority,
                 aim: start + call.at + call.aim,
                 deadline: start + call.at + call.left,
+                link: LinkTime::default(),
             };
             match queue.offer(demand, RUN, start + now) {
                 GateVerdict::Run => running.push((now + call.run, next)),
@@ -202,6 +203,7 @@
         priority: 1,
         aim: now + Duration::from_millis(aim_ms),
         deadline: now + Duration::from_secs(2),
+        link: LinkTime::default(),
     };
     for _ in 0..SLOTS {
         assert_eq!(queue.offer(demand(900), RUN, now), GateVerdict::Run);
@@ -227,6 +229,7 @@
         priority: 0,
         aim: now + RUN * 3,
         deadline: now + RUN * 10,
+        link: LinkTime::default(),
     };
     assert!(matches!(
         queue.offer(demand, RUN, now),
--- a/crates/policy/tests/placement_replay.rs
+++ b/crates/policy/tests/placement_replay.rs
@@ -30,6 +30,8 @@
         ill_share: 0.0,
         is_cold: false,
         is_leaving: false,
+        link_ms: 0.0,
+        link_ms_per_kib: 0.0,
     }
 }
 
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -108,7 +108,7 @@
             let value = match (table.as_str(), key) {
                 ("", "target") | ("listen.", _) => "\"127.0.0.1:1\"",
                 ("times.", _) | ("retry.", "window") => "\"1500ms\"",
-                ("retry.", _) => "0.2",
+                ("retry.", _) | ("link.", "mbps") => "0.2",
                 _ => "\"text\"",
             };
             filled += key;
--- /dev/null
+++ b/tests/mesh_members.rs
@@ -0,0 +1,193 @@
+//! Who follows the store for a zone, and what happens when they fail.
+
+#[path = "support/users.rs"]
+mod users;
+
+use std::time::Duration;
+
+use filbert_platform_standin::{Host, RouteSpec, StoreFault};
+use nix::sys::signal::Signal;
+use users::{eventually, eventually_logs, fleet, host_spec, publish, Fleet, SETTLE_WITHIN};
+
+const HOSTS: &str = "filbert-hosts";
+/// Hosts of the one zone: two follow the store, two are told by them.
+const NAMES: [&str; 4] = ["one", "two", "three", "four"];
+
+async fn zone() -> Fleet {
+    let hosts: Vec<(&str, &str, &str)> = NAMES.iter().map(|name| (*name, "a", "quotes")).collect();
+    let fleet = fleet(&versions(1), &hosts).await;
+    assert!(
+        eventually(SETTLE_WITHIN, || async { followers(&fleet).len() == 2 }).await,
+        "{:?}",
+        followers(&fleet)
+    );
+    fleet
+}
+
+/// Hosts that are told by others, by what they last logged of it.
+fn followers(fleet: &Fleet) -> Vec<usize> {
+    (0..fleet.hosts.len())
+        .filter(|host| {
+            let log = fleet.hosts[*host].log();
+            let last = log.lines().rfind(|line| line.contains("event=store_role"));
+            last.is_some_and(|line| line.contains("role=Follows"))
+        })
+        .collect()
+}
+
+fn readers(fleet: &Fleet) -> Vec<usize> {
+    let followers = followers(fleet);
+    (0..fleet.hosts.len())
+        .filter(|host| !followers.contains(host))
+        .collect()
+}
+
+/// Routes of version `number`: one of its own.
+fn versions(number: u64) -> Vec<RouteSpec> {
+    vec![
+        RouteSpec::reads("/old/", "quotes"),
+        RouteSpec::reads(&format!("/v{number}/"), "quotes"),
+    ]
+}
+
+async fn serves(host: &Host, version: u64, within: Duration) -> bool {
+    let line = format!("GET /v{version}/a HTTP/1.1");
+    eventually(within, || async {
+        host.call(&line, "probe", b"")
+            .await
+            .is_some_and(|answer| answer.status == 200)
+    })
+    .await
+}
+
+fn feed_calls(fleet: &Fleet) -> u64 {
+    fleet.store.calls("/rows-feed") + fleet.store.calls("/rows-get")
+}
+
+/// A storm of versions comes. Were every daemon to ask the store for each, its
+/// calls would grow with the fleet; two daemons of the zone ask, the others
+/// are told and have each version within a second all the same.
+#[tokio::test]
+async fn versions_reach_all_while_two_ask_the_store() {
+    let fleet = zone().await;
+    let before = feed_calls(&fleet);
+    for version in 2..=6 {
+        publish(&fleet.store, version, &versions(version));
+        for host in &fleet.hosts {
+            assert!(
+                serves(host, version, Duration::from_secs(1)).await,
+                "{}",
+                host.log()
+            );
+        }
+    }
+    let asked = feed_calls(&fleet) - before;
+    // Each reader asks once for each version, and every two seconds.
+    assert!(asked <= 2 * (5 + 6), "{asked} calls");
+    for host in followers(&fleet) {
+        let log = fleet.hosts[host].log();
+        let line = log
+            .lines()
+            .rfind(|line| line.contains("event=version_in_force"));
+        let line = line.expect("a version in force");
+        assert!(!line.contains("from=store"), "{line}");
+    }
+}
+
+/// Both daemons that follow the store die. The next version must be in force
+/// on the others within the two seconds that a version has.
+#[tokio::test]
+async fn followers_ask_for_themselves_when_both_readers_die() {
+    let mut fleet = zone().await;
+    let followers = followers(&fleet);
+    for reader in readers(&fleet) {
+        fleet.hosts[reader].kill();
+    }
+    publish(&fleet.store, 2, &versions(2));
+    for host in followers {
+        let host = &fleet.hosts[host];
+        assert!(
+            serves(host, 2, Duration::from_secs(2)).await,
+            "{}",
+            host.log()
+        );
+    }
+}
+
+/// Both daemons that follow the store stand still: their links stay open and
+/// say nothing. A version must still come to the others within two seconds.
+#[tokio::test]
+async fn followers_ask_for_themselves_when_both_readers_stand_still() {
+    let fleet = zone().await;
+    let (followers, readers) = (followers(&fleet), readers(&fleet));
+    for reader in &readers {
+        fleet.hosts[*reader].signal(Signal::SIGSTOP);
+    }
+    publish(&fleet.store, 2, &versions(2));
+    for host in followers {
+        let host = &fleet.hosts[host];
+        assert!(
+            serves(host, 2, Duration::from_secs(2)).await,
+            "{}",
+            host.log()
+        );
+    }
+    for reader in readers {
+        fleet.hosts[reader].signal(Signal::SIGCONT);
+        let host = &fleet.hosts[reader];
+        assert!(
+            serves(host, 2, Duration::from_secs(2)).await,
+            "{}",
+            host.log()
+        );
+    }
+}
+
+/// Rows vanish without a trace while the store is away, also those of daemons
+/// that do not ask it. All must be back two seconds after its return.
+#[tokio::test]
+async fn followers_write_their_lapsed_rows_back() {
+    let fleet = zone().await;
+    fleet.store.set_fault(StoreFault::Resets);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for name in NAMES {
+        fleet.store.lapse(HOSTS, name);
+    }
+    fleet.store.set_fault(StoreFault::None);
+    let back = eventually(Duration::from_millis(2_500), || async {
+        fleet.store.keys(HOSTS).len() == NAMES.len()
+    })
+    .await;
+    assert!(back, "{:?}", fleet.store.keys(HOSTS));
+}
+
+/// A host is taken away: its target leaves, then its daemon is stopped. Its
+/// row must go with it, or every daemon would dial a dead host for ever. One
+/// whose daemon alone is restarted keeps its row.
+#[tokio::test]
+async fn a_host_that_is_taken_away_removes_its_row() {
+    let mut fleet = zone().await;
+    let control = fleet.hosts[0].control;
+    fleet.hosts[0].target.leave(control).await;
+    fleet.hosts[0].signal(Signal::SIGTERM);
+    assert!(fleet.hosts[0].ended(Duration::from_secs(6)).await);
+    assert!(!fleet.store.keys(HOSTS).contains(&"one".to_owned()));
+    let forgotten = eventually_logs(&fleet.hosts[2], "event=host_forgotten host=one").await;
+    assert!(forgotten, "{}", fleet.hosts[2].log());
+    fleet.hosts[1].signal(Signal::SIGTERM);
+    assert!(fleet.hosts[1].ended(Duration::from_secs(6)).await);
+    assert!(fleet.store.keys(HOSTS).contains(&"two".to_owned()));
+}
+
+/// A host comes to a running fleet. Daemons that do not ask the store must
+/// hear of it and link to it, so that it gets work within seconds.
+#[tokio::test]
+async fn followers_link_to_a_newcomer() {
+    let mut fleet = zone().await;
+    let spec = host_spec(&fleet.store, "late", "a", "quotes");
+    fleet.hosts.push(Host::start(spec).await);
+    for host in 0..NAMES.len() {
+        let log = "event=target_heard peer=late";
+        assert!(eventually_logs(&fleet.hosts[host], log).await);
+    }
+}
