Slots freed before answers leave; heavy versions from the store; attempts over silent links go on

A version with 800 new routes was told as steps of 200 KB to half of a zone, and as a text of 600 KB by peers while the store was giving it; reads of 800 KB were cut off after 1 s. A call that had left a silent link was ended as soon as the others declined it.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,8 +1,11 @@
 //! What the pure decisions cost, in nanoseconds each. Printed, never asserted.
 
 use std::hint::black_box;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use filbert_mesh::text_delta::TextDelta;
+use filbert_platform::operator::{read_config, ConfigDecoder};
 use filbert_policy::admission::{CallDemand, GateQueue, GateVerdict, LinkTime, WaitLimits};
 use filbert_policy::budget::{BudgetTerms, RepeatCause, RetryBudget};
 use filbert_policy::placement::{choose, CallShape, CrossingCost, TargetView};
@@ -51,9 +54,48 @@
     }
 }
 
+/// The text of a version with `count` routes, one of which is its own.
+fn config_text(number: usize, count: usize) -> String {
+    let routes: Vec<String> = (0..count)
+        .map(|route| {
+            let own = if route == 0 { number } else { 0 };
+            format!(
+                r#"{{"name":"r{route}","host":"h{route}.example","prefix":"/p{route}/{own}/","route_type":"idempotent","timeout":"2s","target_latency":"600ms","priority":2,"service":"s","max_attempts":3}}"#
+            )
+        })
+        .collect();
+    format!(
+        r#"{{"version":"{number:08x}","routes":[{}],"services":[{{"name":"s"}}]}}"#,
+        routes.join(",")
+    )
+}
+
+/// Cost of putting one version after another in force, read anew and by what
+/// the version before shares with it.
+fn measure_versions() {
+    const ROUTES: usize = 2_400;
+    let texts: Vec<String> = (1..=2).map(|number| config_text(number, ROUTES)).collect();
+    let text = |round: u32| texts[usize::from(round.is_multiple_of(2))].as_bytes();
+    measure("a version of 2,400 routes read anew", |round| {
+        black_box(read_config(text(round)).expect("a version"));
+    });
+    let mut decoder = ConfigDecoder::default();
+    measure("a version of 2,400 routes read after another", |round| {
+        black_box(decoder.read(text(round)).expect("a version"));
+    });
+    let delta = TextDelta::between(text(0), text(1));
+    measure("its delta made", |_| {
+        black_box(TextDelta::between(text(0), text(1)));
+    });
+    measure("its delta applied", |_| {
+        black_box(delta.apply(text(0)).expect("the right base"));
+    });
+}
+
 fn main() {
-    let routes: Vec<RouteRule> = (0..2_000).map(route).collect();
-    let first = routes[0].clone();
+    measure_versions();
+    let routes: Vec<Arc<RouteRule>> = (0..2_000).map(route).map(Arc::new).collect();
+    let first = Arc::clone(&routes[0]);
     let index = RouteIndex::compile(MeshVersion {
         number: 1,
         routes,
--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -1,8 +1,11 @@
 //! Bodies on their way through the daemon, piece by piece.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use h2::RecvStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinHandle;
 
 use crate::peers::LinkUse;
 use crate::target::RunBody;
@@ -125,6 +128,8 @@
     Whole(Bytes),
     /// From the target beside this daemon.
     Run(Box<RunBody>),
+    /// From the target beside this daemon, read ahead of its taker.
+    Ahead(AheadBody),
     /// From another daemon.
     Link(LinkBody),
     /// Some of it, and where the rest comes from.
@@ -143,6 +148,7 @@
                 Ok((!piece.is_empty()).then_some(piece))
             }
             AnswerBody::Run(body) => body.next().await,
+            AnswerBody::Ahead(body) => body.next().await,
             AnswerBody::Link(body) => body.next().await,
             AnswerBody::Begun(pieces, rest) => {
                 if pieces.is_empty() {
@@ -175,6 +181,74 @@
     }
 }
 
+/// Bytes of answers that a daemon holds ahead of their takers at most, in KiB.
+/// A slow link of 7.5 Mbit/s works them off in some 17 s; the smallest hosts
+/// give their daemon 88 MB.
+pub const MOST_AHEAD_KIB: usize = 16 * 1024;
+
+/// A piece read ahead, and its share of the room for such pieces.
+type HeldPiece = (Bytes, OwnedSemaphorePermit);
+
+/// The body of an answer that is read from its target as fast as that gives
+/// it, whatever the pace at which it leaves.
+///
+/// Guards against slots that are held while answers wait for a slow link: with
+/// nine slots and answers of 90 KB on 7.5 Mbit/s, each run seemed to take two
+/// to five seconds, and calls with short answers were turned away beside a
+/// target that had nothing to do.
+#[derive(Debug)]
+pub struct AheadBody {
+    pieces: mpsc::UnboundedReceiver<Result<HeldPiece, BodyBroken>>,
+    reader: JoinHandle<()>,
+}
+
+impl AheadBody {
+    /// Reads `body` ahead, as far as `room` (in KiB) has room.
+    #[must_use]
+    pub fn start(mut body: Box<RunBody>, room: &Arc<Semaphore>) -> AheadBody {
+        const KIB: usize = 1024;
+        let (sender, pieces) = mpsc::unbounded_channel();
+        let room = Arc::clone(room);
+        let reader = tokio::task::spawn_local(async move {
+            loop {
+                let held = match body.next().await {
+                    Ok(Some(piece)) => {
+                        let share = u32::try_from(piece.len().div_ceil(KIB)).unwrap_or(u32::MAX);
+                        // The room is never closed.
+                        let Ok(share) = Arc::clone(&room).acquire_many_owned(share).await else {
+                            return;
+                        };
+                        Ok((piece, share))
+                    }
+                    Ok(None) => return,
+                    Err(broken) => Err(broken),
+                };
+                let is_end = held.is_err();
+                if sender.send(held).is_err() || is_end {
+                    return;
+                }
+            }
+        });
+        AheadBody { pieces, reader }
+    }
+
+    async fn next(&mut self) -> Result<Option<Bytes>, BodyBroken> {
+        match self.pieces.recv().await {
+            Some(Ok((piece, _share))) => Ok(Some(piece)),
+            Some(Err(broken)) => Err(broken),
+            None => Ok(None),
+        }
+    }
+}
+
+impl Drop for AheadBody {
+    /// Guards against work for a caller that has left: the target's connection
+    /// closes, and the target drops the run.
+    fn drop(&mut self) {
+        self.reader.abort();
+    }
+}
+
 fn join(mut pieces: Vec<Bytes>) -> Bytes {
     if pieces.len() == 1 {
         return pieces.remove(0);
--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -1,14 +1,16 @@
 //! One attempt at a target: here, or over the link to its host.
 
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use filbert_policy::admission::LinkTime;
 use http::Request;
 
 use super::pick::Candidate;
-use filbert_policy::admission::LinkTime;
-
 use crate::body::{next_data, AnswerBody, CallBody, LinkBody};
 use crate::links::CALL_PATH;
 use crate::messages::{encode, take, AnswerHead, CallHead, ReplyHead};
@@ -39,19 +41,47 @@
     Lost,
 }
 
-/// Sends a call to `candidate` and waits for what becomes of it. When the link
-/// there falls silent, `may_leave` is asked whether the call is to be sent
-/// elsewhere; if not, it waits on.
-pub(super) async fn attempt(
+/// An attempt under way; dropping it cancels the call.
+pub(super) type RunningAttempt = Pin<Box<dyn Future<Output = AttemptOutcome>>>;
+
+/// Sends a call to `candidate` and waits for what becomes of it.
+pub(super) fn start(
     shared: &Rc<MeshShared>,
     candidate: &Candidate,
     head: &CallHead,
     body: CallBody,
-    may_leave: impl Fn() -> bool,
+) -> RunningAttempt {
+    Box::pin(attempt(
+        Rc::clone(shared),
+        candidate.clone(),
+        head.clone(),
+        body,
+    ))
+}
+
+/// The first of `running` that ends; it is taken out. Never when there is none.
+pub(super) async fn first_end(running: &mut Vec<RunningAttempt>) -> AttemptOutcome {
+    poll_fn(|context| {
+        for index in 0..running.len() {
+            if let Poll::Ready(outcome) = running[index].as_mut().poll(context) {
+                drop(running.swap_remove(index));
+                return Poll::Ready(outcome);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+async fn attempt(
+    shared: Rc<MeshShared>,
+    candidate: Candidate,
+    head: CallHead,
+    body: CallBody,
 ) -> AttemptOutcome {
-    let (reply, body) = match candidate {
-        Candidate::Here => shared.gate.run(head, body, LinkTime::default()).await,
-        Candidate::Peer(peer) => match run_at_peer(shared, peer, head, body, may_leave).await {
+    let (reply, body) = match &candidate {
+        Candidate::Here => shared.gate.run(&head, body, LinkTime::default()).await,
+        Candidate::Peer(peer) => match run_at_peer(&shared, peer, &head, body).await {
             Ok((reply, body)) => {
                 note_reply(peer, &reply);
                 (reply, body)
@@ -88,7 +118,6 @@
     peer: &Rc<Peer>,
     head: &CallHead,
     body: CallBody,
-    may_leave: impl Fn() -> bool,
 ) -> Result<(ReplyHead, AnswerBody), AttemptOutcome> {
     let not_sent = || AttemptOutcome::Declined {
         room_in: Duration::ZERO,
@@ -143,13 +172,6 @@
                 Err(()) => return Err(AttemptOutcome::Lost),
             },
             received = &mut reply => break received,
-            // Guards against a call that is given up while its target is at
-            // work on it: silence alone ends no call that has nowhere to go.
-            () = peer.fell_silent.notified() => {
-                if may_leave() {
-                    return Err(AttemptOutcome::Lost);
-                }
-            }
             () = tokio::time::sleep(DOUBT_AFTER) => {
                 peer.doubt(shared.clock.now(), DOUBT_AFTER);
             }
--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -15,6 +15,7 @@
 const MOST_ALIKE: usize = 13;
 
 /// Where a call can go.
+#[derive(Clone)]
 pub(super) enum Candidate {
     /// To the target beside this daemon.
     Here,
--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -12,8 +12,8 @@
 use filbert_policy::routing::RouteRule;
 use rand::Rng;
 
-use super::attempt::{attempt, AttemptOutcome};
-use super::pick::{pick, PickedTarget};
+use super::attempt::{first_end, start, AttemptOutcome, RunningAttempt};
+use super::pick::{pick, Candidate, PickedTarget};
 use super::story::CallStory;
 use super::{refuse, ClientAnswer, ClientCall, BAD_GATEWAY, FIRST_FAILURE};
 use crate::body::{AnswerBody, CallBody};
@@ -101,12 +101,16 @@
 
     /// Tries targets until one answers or nothing is left to try.
     pub(super) async fn run(mut self) -> ClientAnswer {
+        // Attempts over links that fell silent. They go on beside the others:
+        // a target that is merely slow may still answer first, and a call is
+        // not ended while one is at work on it.
+        let mut silent = Vec::new();
         loop {
             let now = self.shared.clock.now();
             self.head.left_us = micros(self.limit.saturating_duration_since(now));
             self.head.aim_us = micros(self.aim.saturating_duration_since(now));
             let Some(target) = pick(self.shared, self.route, &self.head, &self.tried) else {
-                return self.give_up();
+                return self.finish(silent).await;
             };
             // Noted before the attempt: the line at the end names the host
             // also when the call's time ends first.
@@ -114,9 +118,14 @@
             self.story.attempts += 1;
             self.progress.in_attempt.set(true);
             let body = self.bodies.next();
-            let may_leave = || self.may_leave(&target.host);
-            let outcome =
-                attempt(self.shared, &target.candidate, &self.head, body, may_leave).await;
+            let mut running = start(self.shared, &target.candidate, &self.head, body);
+            let outcome = match self.await_end(&target, &mut running, &mut silent).await {
+                Some(outcome) => outcome,
+                None => {
+                    silent.push(running);
+                    AttemptOutcome::Lost
+                }
+            };
             self.progress.in_attempt.set(false);
             let end = self.count(&target, &outcome);
             let step = self.decide(end);
@@ -131,9 +140,47 @@
                     self.failure = Some((head, body));
                 }
                 (NextStep::SendAgain, _) => {}
-                _ => return self.give_up(),
+                _ => return self.finish(silent).await,
+            }
+        }
+    }
+
+    /// Waits for the end of an attempt, or of an earlier one that went on;
+    /// `None` when its link fell silent and another target is to be tried.
+    async fn await_end(
+        &self,
+        target: &PickedTarget,
+        running: &mut RunningAttempt,
+        silent: &mut Vec<RunningAttempt>,
+    ) -> Option<AttemptOutcome> {
+        loop {
+            tokio::select! {
+                biased;
+                outcome = &mut *running => return Some(outcome),
+                earlier = first_end(silent) => {
+                    if matches!(earlier, AttemptOutcome::Answer(..)) {
+                        return Some(earlier);
+                    }
+                }
+                () = fall_silent(&target.candidate) => {
+                    if self.may_leave(&target.host) {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for attempts that went on over silent links, and gives up when
+    /// none of them answers.
+    async fn finish(self, mut silent: Vec<RunningAttempt>) -> ClientAnswer {
+        self.progress.in_attempt.set(!silent.is_empty());
+        while !silent.is_empty() {
+            if let AttemptOutcome::Answer(head, body) = first_end(&mut silent).await {
+                return ClientAnswer::Target(head, body);
             }
         }
+        self.give_up()
     }
 
     /// Counts how an attempt ended.
@@ -252,6 +299,14 @@
     }
 }
 
+/// Waits until the link to a target falls silent; for ever beside it.
+async fn fall_silent(candidate: &Candidate) {
+    match candidate {
+        Candidate::Here => std::future::pending().await,
+        Candidate::Peer(peer) => peer.fell_silent.notified().await,
+    }
+}
+
 fn end_label(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Answered => "answered",
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use filbert_policy::admission::{GateQueue, LinkTime, WaitLimits, WaitTicket};
@@ -15,8 +16,9 @@
 use filbert_policy::health::{RunSign, TargetHealth};
 use filbert_policy::instance::{InstanceChange, InstanceReport, InstanceTracker};
 use filbert_policy::numbers::count_of;
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{oneshot, Notify, Semaphore};
 
+use crate::body::MOST_AHEAD_KIB;
 use crate::egress::EgressPacer;
 use crate::logging::LineBudget;
 use crate::messages::{TargetLoad, TargetState, TargetStatus};
@@ -46,6 +48,8 @@
     connections: Rc<TargetConnections>,
     metrics: Rc<MeshMetrics>,
     egress: Rc<EgressPacer>,
+    /// Room for answers that are read ahead of their takers, in KiB.
+    ahead: Arc<Semaphore>,
     lines: LineBudget,
     clock: Rc<dyn Clock>,
     address: Cell<SocketAddr>,
@@ -81,6 +85,7 @@
             connections: Rc::new(TargetConnections::default()),
             metrics,
             egress,
+            ahead: Arc::new(Semaphore::new(MOST_AHEAD_KIB)),
             lines: LineBudget::new(clock.now()),
             clock,
             address: Cell::new(address),
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -5,11 +5,12 @@
 
 use filbert_http1::ResponseHead;
 use filbert_policy::admission::{CallDemand, DeclineReason, LinkTime};
+use filbert_policy::egress::SHORT_ANSWER;
 use filbert_policy::health::RunSign;
 
 use super::wait::Declined;
 use super::Gate;
-use crate::body::{AnswerBody, CallBody};
+use crate::body::{AheadBody, AnswerBody, CallBody};
 use crate::logging::LineWeight;
 use crate::messages::{AnswerHead, CallHead, ReplyHead};
 use crate::target::{ExchangeEnd, ExchangeTerms};
@@ -73,7 +74,16 @@
                     head: answer_head(&head),
                     load: self.load(),
                 };
-                (reply, AnswerBody::Run(body))
+                let is_short = head
+                    .framing
+                    .length()
+                    .is_some_and(|length| length <= SHORT_ANSWER);
+                let body = if is_short {
+                    AnswerBody::Run(body)
+                } else {
+                    AnswerBody::Ahead(AheadBody::start(body, &self.ahead))
+                };
+                (reply, body)
             }
             ExchangeEnd::NotConnected(error) => (self.note_unreachable(&run, &error), none),
             ExchangeEnd::Rejected(load) => {
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -17,6 +17,7 @@
 
 use crate::body::{AnswerBody, CallBody, PieceSource};
 use crate::calls::{self, ClientAnswer, ClientCall};
+use crate::egress::EgressPacer;
 use crate::messages::AnswerHead;
 use crate::small_server::{accept_for_ever, reason_phrase};
 use crate::sockets;
@@ -358,7 +359,7 @@
         };
         let is_behind = state.due.borrow().is_empty();
         let closes = due.closes || (shared.stop.is_closing() && is_behind);
-        write_answer(writer, &due, answer, closes).await?;
+        write_answer(&shared.egress, writer, &due, answer, closes).await?;
         state.last_use.set(shared.clock.now());
         state.written.notify_one();
         if closes {
@@ -368,6 +369,7 @@
 }
 
 async fn write_answer(
+    egress: &EgressPacer,
     writer: &mut OwnedWriteHalf,
     due: &DueAnswer,
     answer: ClientAnswer,
@@ -384,12 +386,13 @@
             writer.write_all(text.as_bytes()).await
         }
         ClientAnswer::Target(head, body) => {
-            write_target_answer(writer, &head, body, connection, due.is_http11).await
+            write_target_answer(egress, writer, &head, body, connection, due.is_http11).await
         }
     }
 }
 
 async fn write_target_answer(
+    egress: &EgressPacer,
     writer: &mut OwnedWriteHalf,
     head: &AnswerHead,
     mut body: AnswerBody,
@@ -414,11 +417,23 @@
     if let AnswerBody::Whole(whole) = &mut body {
         start.extend_from_slice(&std::mem::take(whole));
     }
+    // Clients' answers use the host's link too: those of a host beside a
+    // target with long answers compete with what it sends to other hosts.
+    let mut left = length.unwrap_or(0);
+    egress.pace(start.len() as u64, left).await;
     writer.write_all(&start).await?;
     loop {
         match body.next().await {
-            Ok(Some(piece)) if is_chunked => writer.write_all(&chunk(&piece)).await?,
-            Ok(Some(piece)) => writer.write_all(&piece).await?,
+            Ok(Some(piece)) => {
+                let bytes = piece.len() as u64;
+                egress.pace(bytes, left.max(bytes)).await;
+                left = left.saturating_sub(bytes);
+                if is_chunked {
+                    writer.write_all(&chunk(&piece)).await?;
+                } else {
+                    writer.write_all(&piece).await?;
+                }
+            }
             Ok(None) if is_chunked => return writer.write_all(b"0\r\n\r\n").await,
             Ok(None) => return Ok(()),
             // The connection is closed without the body's end, so that the
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -314,7 +314,9 @@
     number: u64,
     /// When to ask for it, if it has not come from elsewhere.
     ask_at: Instant,
-    or_whole: bool,
+    /// Whether the peer has no steps to it: its text is asked for, if the
+    /// store does not give it.
+    needs_whole: bool,
 }
 
 async fn hear(
@@ -347,7 +349,7 @@
                     shared.versions.wanted.notify_one();
                     wanted = wanted.map(|wanted| WantedVersion {
                         ask_at: shared.clock.now() + WHOLE_HEAD_START,
-                        or_whole: true,
+                        needs_whole: true,
                         ..wanted
                     });
                 }
@@ -377,13 +379,7 @@
                 if ask_at.is_some() =>
             {
                 if let Some(wanted) = &mut wanted {
-                    // Asked again only behind an answer that did not help.
-                    wanted.ask_at = shared.clock.now() + LONGEST_ASK;
-                    let ask = LinkMessage::WantVersion {
-                        have: shared.versions.number(),
-                        or_whole: wanted.or_whole,
-                    };
-                    if wanted.number > shared.versions.number() {
+                    if let Some(ask) = next_ask(shared, wanted) {
                         outgoing.send_data(encode(&ask), false)?;
                     }
                 }
@@ -409,10 +405,29 @@
     WantedVersion {
         number,
         ask_at: shared.clock.now() + head_start,
-        or_whole: shared.versions.number() == 0 && shared.versions.store_is_away.get(),
+        needs_whole: shared.versions.number() == 0 && shared.versions.store_is_away.get(),
     }
 }
 
+/// What to ask a peer for now.
+///
+/// Guards against a text of 600 KB being sent by peers over slow links while
+/// the store is giving it: as long as the store is not known to be away, it is
+/// waited for.
+fn next_ask(shared: &MeshShared, wanted: &mut WantedVersion) -> Option<LinkMessage> {
+    let now = shared.clock.now();
+    if wanted.needs_whole && !shared.versions.store_is_away.get() {
+        wanted.ask_at = now + WHOLE_HEAD_START;
+        return None;
+    }
+    // Asked again only behind an answer that did not help.
+    wanted.ask_at = now + LONGEST_ASK;
+    Some(LinkMessage::WantVersion {
+        have: shared.versions.number(),
+        or_whole: wanted.needs_whole,
+    })
+}
+
 /// News that need no answer.
 fn heard_news(shared: &Rc<MeshShared>, peer: &Peer, message: LinkMessage) {
     let from = peer.address.id.as_str();
--- a/crates/mesh/src/versions.rs
+++ b/crates/mesh/src/versions.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use filbert_platform::operator;
+use filbert_platform::operator::ConfigDecoder;
 use filbert_policy::routing::RouteIndex;
 use tokio::sync::Notify;
 
@@ -19,12 +19,19 @@
 /// Bytes of steps remembered; beyond, a whole version costs as little.
 const MOST_BYTES: usize = 128 * 1024;
 
+/// Bytes of steps that are told. What is heavier every daemon gets from the
+/// store, which has room for it: 800 new routes are 200 KB, and telling them
+/// to half of a zone of 27 would take a link of 7.5 Mbit/s for three seconds,
+/// more than a version has.
+const MOST_TOLD: usize = 8 * 1024;
+
 /// The version in force.
 #[derive(Default)]
 pub struct VersionBook {
     index: RefCell<Rc<RouteIndex>>,
     text: RefCell<Bytes>,
     steps: RefCell<VecDeque<VersionStep>>,
+    decoder: RefCell<ConfigDecoder>,
     /// Asks for the version from the store now.
     pub wanted: Notify,
     /// Whether the store gave no answer when it was last asked for the
@@ -52,12 +59,14 @@
     }
 
     /// The steps from version `have` to the one in force; `None` when they
-    /// are not remembered.
+    /// are not remembered, or too heavy to be told.
     #[must_use]
     pub fn steps_from(&self, have: u64) -> Option<Vec<VersionStep>> {
         let steps = self.steps.borrow();
         let first = steps.iter().position(|step| step.from == have)?;
-        Some(steps.iter().skip(first).cloned().collect())
+        let told: Vec<VersionStep> = steps.iter().skip(first).cloned().collect();
+        let weight: usize = told.iter().map(|step| step.delta.weight()).sum();
+        (weight <= MOST_TOLD).then_some(told)
     }
 
     fn remember(&self, step: VersionStep) {
@@ -80,7 +89,7 @@
     /// peer, in any order, and only a higher number is taken. A version that
     /// cannot be decoded whole is not used at all.
     pub fn offer_version(&self, text: &Bytes, from: &str) {
-        let version = match operator::read_config(text) {
+        let version = match self.versions.decoder.borrow_mut().read(text) {
             Ok(version) => version,
             Err(error) => {
                 log::error!("event=version_refused from={from} error=\"{error}\"");
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -96,8 +96,8 @@
 pub struct MeshVersion {
     /// Its number; numbers only grow.
     pub number: u64,
-    /// Every route.
-    pub routes: Vec<RouteRule>,
+    /// Every route; those that stay are shared with the version before.
+    pub routes: Vec<Arc<RouteRule>>,
     /// Every service.
     pub services: Vec<ServiceRule>,
     /// What callers may send.
@@ -122,7 +122,7 @@
             hosts
                 .entry(route.host.to_ascii_lowercase())
                 .or_default()
-                .insert(route.prefix.clone(), Arc::new(route));
+                .insert(route.prefix.clone(), route);
         }
         let services = version
             .services
--- a/crates/policy/tests/call_cases.rs
+++ b/crates/policy/tests/call_cases.rs
@@ -35,8 +35,8 @@
     RouteIndex::compile(MeshVersion {
         number: 7,
         routes: vec![
-            route("short", "/a/", &[("one", 1)]),
-            route("long", "/a/b/", &[("two", 1)]),
+            route("short", "/a/", &[("one", 1)]).into(),
+            route("long", "/a/b/", &[("two", 1)]).into(),
         ],
         services: Vec::new(),
         limits: ClientLimits::default(),
--- a/tests/mesh_links.rs
+++ b/tests/mesh_links.rs
@@ -55,10 +55,32 @@
     assert_eq!(target.runs().len(), 1);
 }
 
-/// The daemon beside one of two targets stands still. A call that may be
-/// repeated must not wait for it: it goes to the other target at once.
+/// The daemon beside one of two targets stands still, and the other target
+/// turns the call away. The first one's answer still comes and must be passed
+/// on; the call must not be ended while that target is at work on it.
 #[tokio::test]
-async fn a_repeatable_call_leaves_a_silent_link_for_another_target() {
+async fn a_call_turned_away_elsewhere_still_gets_its_first_answer() {
+    let fleet = three().await;
+    let mut client = Client::connect(fleet.hosts[0].calls)
+        .await
+        .expect("a connection");
+    client
+        .send("GET /read/a HTTP/1.1", &call_headers("call-1"), b"")
+        .await
+        .expect("sent");
+    let at = |host: usize| fleet.hosts[host].target.runs().len();
+    assert!(eventually(SETTLE_WITHIN, || async { at(1) + at(2) == 1 }).await);
+    let (silent, other) = if at(1) == 1 { (1, 2) } else { (2, 1) };
+    fleet.hosts[other].target.set_conduct(Conduct::Rejects);
+    fleet.hosts[silent].signal(Signal::SIGSTOP);
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    fleet.hosts[silent].signal(Signal::SIGCONT);
+    let answer = client.answer().await.expect("an answer");
+    assert_eq!(answer.status, 200, "{}", fleet.hosts[0].log());
+    assert_eq!(at(silent), 1, "{}", fleet.hosts[0].log());
+}
+
+async fn three() -> Fleet {
     let routes = [RouteSpec::reads("/read/", "quotes")];
     let fleet = fleet(
         &routes,
@@ -73,6 +95,14 @@
         host.target
             .set_conduct(Conduct::AnswersAfter(Duration::from_millis(150)));
     }
+    fleet
+}
+
+/// The daemon beside one of two targets stands still. A call that may be
+/// repeated must not wait for it: it goes to the other target at once.
+#[tokio::test]
+async fn a_repeatable_call_leaves_a_silent_link_for_another_target() {
+    let fleet = three().await;
     let mut client = Client::connect(fleet.hosts[0].calls)
         .await
         .expect("a connection");
