Readers that skip different versions no longer send followers to the store

Cause: tests/mesh_members failed once: a follower had taken a version from the store. Each reader of a zone takes the newest version after a pause of 500 ms, so in a storm the two skip different ones; a follower that had one from the first found no steps at the second, and read the whole configuration from the store (800 KB at 2,400 routes).

Change: a peer without steps says whether they are too heavy or not known; for those not known another peer gets 600 ms before the store is asked. A new test replays such a storm. Logs name the host whose answer came over a silent link, and the wait for the link behind a decline and an attempt.

--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -10,7 +10,7 @@
 use filbert_policy::admission::LinkTime;
 use http::Request;
 
-use super::pick::Candidate;
+use super::pick::{Candidate, PickedTarget};
 use crate::body::{next_data, AnswerBody, CallBody, LinkBody};
 use crate::links::CALL_PATH;
 use crate::messages::{encode, take, AnswerHead, CallHead, ReplyHead};
@@ -42,30 +42,41 @@
 }
 
 /// An attempt under way; dropping it cancels the call.
-pub(super) type RunningAttempt = Pin<Box<dyn Future<Output = AttemptOutcome>>>;
+pub(super) struct RunningAttempt {
+    /// The target's host.
+    pub(super) host: String,
+    end: Pin<Box<dyn Future<Output = AttemptOutcome>>>,
+}
 
-/// Sends a call to `candidate` and waits for what becomes of it.
+impl RunningAttempt {
+    /// Waits for its end.
+    pub(super) async fn end(&mut self) -> AttemptOutcome {
+        (&mut self.end).await
+    }
+}
+
+/// Sends a call to `target`.
 pub(super) fn start(
     shared: &Rc<MeshShared>,
-    candidate: &Candidate,
+    target: &PickedTarget,
     head: &CallHead,
     body: CallBody,
 ) -> RunningAttempt {
-    Box::pin(attempt(
-        Rc::clone(shared),
-        candidate.clone(),
-        head.clone(),
-        body,
-    ))
+    let candidate = target.candidate.clone();
+    RunningAttempt {
+        host: target.host.clone(),
+        end: Box::pin(attempt(Rc::clone(shared), candidate, head.clone(), body)),
+    }
 }
 
-/// The first of `running` that ends; it is taken out. Never when there is none.
-pub(super) async fn first_end(running: &mut Vec<RunningAttempt>) -> AttemptOutcome {
+/// The first of `running` that ends, with its host; it is taken out. Never when
+/// there is none.
+pub(super) async fn first_end(running: &mut Vec<RunningAttempt>) -> (String, AttemptOutcome) {
     poll_fn(|context| {
         for index in 0..running.len() {
-            if let Poll::Ready(outcome) = running[index].as_mut().poll(context) {
-                drop(running.swap_remove(index));
-                return Poll::Ready(outcome);
+            if let Poll::Ready(outcome) = running[index].end.as_mut().poll(context) {
+                let ended = running.swap_remove(index);
+                return Poll::Ready((ended.host, outcome));
             }
         }
         Poll::Pending
--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -118,14 +118,12 @@
             self.story.attempts += 1;
             self.progress.in_attempt.set(true);
             let body = self.bodies.next();
-            let mut running = start(self.shared, &target.candidate, &self.head, body);
-            let outcome = match self.await_end(&target, &mut running, &mut silent).await {
-                Some(outcome) => outcome,
-                None => {
-                    silent.push(running);
-                    AttemptOutcome::Lost
-                }
-            };
+            let mut running = start(self.shared, &target, &self.head, body);
+            let ended = self.await_end(&target, &mut running, &mut silent).await;
+            let outcome = ended.unwrap_or_else(|| {
+                silent.push(running);
+                AttemptOutcome::Lost
+            });
             self.progress.in_attempt.set(false);
             let end = self.count(&target, &outcome);
             let step = self.decide(end);
@@ -148,7 +146,7 @@
     /// Waits for the end of an attempt, or of an earlier one that went on;
     /// `None` when its link fell silent and another target is to be tried.
     async fn await_end(
-        &self,
+        &mut self,
         target: &PickedTarget,
         running: &mut RunningAttempt,
         silent: &mut Vec<RunningAttempt>,
@@ -156,9 +154,10 @@
         loop {
             tokio::select! {
                 biased;
-                outcome = &mut *running => return Some(outcome),
-                earlier = first_end(silent) => {
+                outcome = running.end() => return Some(outcome),
+                (host, earlier) = first_end(silent) => {
                     if matches!(earlier, AttemptOutcome::Answer(..)) {
+                        self.story.host = host;
                         return Some(earlier);
                     }
                 }
@@ -176,7 +175,9 @@
     async fn finish(self, mut silent: Vec<RunningAttempt>) -> ClientAnswer {
         self.progress.in_attempt.set(!silent.is_empty());
         while !silent.is_empty() {
-            if let AttemptOutcome::Answer(head, body) = first_end(&mut silent).await {
+            let (host, outcome) = first_end(&mut silent).await;
+            if let AttemptOutcome::Answer(head, body) = outcome {
+                self.story.host = host;
                 return ClientAnswer::Target(head, body);
             }
         }
@@ -261,7 +262,7 @@
         }
         let view = &target.view;
         log::info!(
-            "event=attempt_ended request={} route={} host={} end={end:?} next={step:?} arrivals={} declines={} occupancy={:.0} slots={} run_ms={:.0} ill_share={:.2} in_zone={} candidates={}",
+            "event=attempt_ended request={} route={} host={} end={end:?} next={step:?} arrivals={} declines={} occupancy={:.0} slots={} run_ms={:.0} ill_share={:.2} in_zone={} link_ms={:.0} candidates={}",
             self.head.id,
             self.route.name,
             target.host,
@@ -272,6 +273,7 @@
             view.run_ms,
             view.ill_share,
             view.in_zone,
+            view.link_ms,
             target.candidates
         );
     }
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -160,7 +160,7 @@
         }
         let load = self.load();
         log::info!(
-            "event=gate_declined request={} service={} reason={:?} waited_ms={} room_in_ms={} running={} waiting={} slots={} run_ms={:.0} aim_ms={} left_ms={}",
+            "event=gate_declined request={} service={} reason={:?} waited_ms={} room_in_ms={} running={} waiting={} slots={} run_ms={:.0} link_ms={:.0} aim_ms={} left_ms={}",
             call.id,
             call.service,
             declined.reason,
@@ -170,6 +170,7 @@
             load.waiting,
             load.slots,
             load.run_ms,
+            load.link_ms,
             call.aim_us / 1_000,
             call.left_us / 1_000
         );
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -59,6 +59,13 @@
 /// it: these tell a version within some 10 ms.
 const NEAR_HEAD_START: Duration = Duration::from_millis(300);
 const FAR_HEAD_START: Duration = Duration::from_millis(600);
+/// Time for another peer's steps, before the store is asked for a version to
+/// which one peer has none.
+///
+/// Guards against whole versions being read from the store by every daemon in
+/// a storm: each of a zone's readers takes the newest after a pause, so they
+/// skip different ones, and have no steps from those that they skipped.
+const OTHERS_HEAD_START: Duration = Duration::from_millis(600);
 /// Time for the store to give a version whose steps a peer has forgotten,
 /// before the peer is asked for its text.
 const WHOLE_HEAD_START: Duration = Duration::from_millis(700);
@@ -314,9 +321,18 @@
     number: u64,
     /// When to ask for it, if it has not come from elsewhere.
     ask_at: Instant,
-    /// Whether the peer has no steps to it: its text is asked for, if the
-    /// store does not give it.
-    needs_whole: bool,
+    stage: AskStage,
+}
+
+/// Whom to ask next for a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AskStage {
+    /// The peer, for steps.
+    Steps,
+    /// The store: the peer has no steps.
+    Store,
+    /// The peer, for the whole text, should the store be away.
+    Whole,
 }
 
 async fn hear(
@@ -345,11 +361,15 @@
                         shared.versions.wanted.notify_one();
                     }
                 }
-                LinkMessage::NoSteps => {
-                    shared.versions.wanted.notify_one();
+                LinkMessage::NoSteps { are_heavy } => {
+                    let head_start = if are_heavy {
+                        Duration::ZERO
+                    } else {
+                        OTHERS_HEAD_START
+                    };
                     wanted = wanted.map(|wanted| WantedVersion {
-                        ask_at: shared.clock.now() + WHOLE_HEAD_START,
-                        needs_whole: true,
+                        ask_at: shared.clock.now() + head_start,
+                        stage: AskStage::Store,
                         ..wanted
                     });
                 }
@@ -405,7 +425,11 @@
     WantedVersion {
         number,
         ask_at: shared.clock.now() + head_start,
-        needs_whole: shared.versions.number() == 0 && shared.versions.store_is_away.get(),
+        stage: if shared.versions.number() == 0 && shared.versions.store_is_away.get() {
+            AskStage::Whole
+        } else {
+            AskStage::Steps
+        },
     }
 }
 
@@ -416,7 +440,15 @@
 /// waited for.
 fn next_ask(shared: &MeshShared, wanted: &mut WantedVersion) -> Option<LinkMessage> {
     let now = shared.clock.now();
-    if wanted.needs_whole && !shared.versions.store_is_away.get() {
+    let or_whole = wanted.stage == AskStage::Whole;
+    let asks_store = match wanted.stage {
+        AskStage::Steps => false,
+        AskStage::Store => true,
+        AskStage::Whole => !shared.versions.store_is_away.get(),
+    };
+    if asks_store {
+        shared.versions.wanted.notify_one();
+        wanted.stage = AskStage::Whole;
         wanted.ask_at = now + WHOLE_HEAD_START;
         return None;
     }
@@ -424,7 +456,7 @@
     wanted.ask_at = now + LONGEST_ASK;
     Some(LinkMessage::WantVersion {
         have: shared.versions.number(),
-        or_whole: wanted.needs_whole,
+        or_whole,
     })
 }
 
@@ -458,7 +490,7 @@
         | LinkMessage::WantMembers
         | LinkMessage::WantVersion { .. }
         | LinkMessage::Steps { .. }
-        | LinkMessage::NoSteps => {}
+        | LinkMessage::NoSteps { .. } => {}
     }
 }
 
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -116,8 +116,11 @@
         /// The steps, in order.
         steps: Vec<VersionStep>,
     },
-    /// The steps are not remembered any more.
-    NoSteps,
+    /// The sender has no steps to tell.
+    NoSteps {
+        /// Whether they are too heavy for a link, rather than not known.
+        are_heavy: bool,
+    },
     /// A whole version, as the operator wrote it.
     Version {
         /// Its text.
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -16,6 +16,7 @@
 use crate::messages::{encode, take, CallHead, LinkMessage, PeerAddress, ReplyHead, StoreState};
 use crate::sockets;
 use crate::state::MeshShared;
+use crate::versions::UntoldSteps;
 
 /// Streams that one other daemon may have open.
 const MAX_STREAMS: u32 = 2_000;
@@ -173,11 +174,13 @@
         LinkMessage::WantVersion { have, or_whole } => {
             let versions = &shared.versions;
             Some(match versions.steps_from(have) {
-                Some(steps) => LinkMessage::Steps { steps },
-                None if or_whole => LinkMessage::Version {
+                Ok(steps) => LinkMessage::Steps { steps },
+                Err(_) if or_whole => LinkMessage::Version {
                     text: versions.text().to_vec(),
                 },
-                None => LinkMessage::NoSteps,
+                Err(untold) => LinkMessage::NoSteps {
+                    are_heavy: untold == UntoldSteps::Heavy,
+                },
             })
         }
         LinkMessage::Members { hosts } if !shared.members.is_known.get() => {
@@ -193,7 +196,7 @@
         | LinkMessage::Target(_)
         | LinkMessage::InForce { .. }
         | LinkMessage::Steps { .. }
-        | LinkMessage::NoSteps
+        | LinkMessage::NoSteps { .. }
         | LinkMessage::Version { .. } => None,
     }
 }
--- a/crates/mesh/src/versions.rs
+++ b/crates/mesh/src/versions.rs
@@ -25,6 +25,15 @@
 /// more than a version has.
 const MOST_TOLD: usize = 8 * 1024;
 
+/// Why no steps are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UntoldSteps {
+    /// They are not remembered, or were never taken here.
+    Unknown,
+    /// They are too heavy for a link.
+    Heavy,
+}
+
 /// The version in force.
 #[derive(Default)]
 pub struct VersionBook {
@@ -58,15 +67,23 @@
         self.text.borrow().clone()
     }
 
-    /// The steps from version `have` to the one in force; `None` when they
-    /// are not remembered, or too heavy to be told.
-    #[must_use]
-    pub fn steps_from(&self, have: u64) -> Option<Vec<VersionStep>> {
+    /// The steps from version `have` to the one in force.
+    ///
+    /// # Errors
+    /// [`UntoldSteps`] when there are none to tell.
+    pub fn steps_from(&self, have: u64) -> Result<Vec<VersionStep>, UntoldSteps> {
         let steps = self.steps.borrow();
-        let first = steps.iter().position(|step| step.from == have)?;
+        let first = steps
+            .iter()
+            .position(|step| step.from == have)
+            .ok_or(UntoldSteps::Unknown)?;
         let told: Vec<VersionStep> = steps.iter().skip(first).cloned().collect();
         let weight: usize = told.iter().map(|step| step.delta.weight()).sum();
-        (weight <= MOST_TOLD).then_some(told)
+        if weight <= MOST_TOLD {
+            Ok(told)
+        } else {
+            Err(UntoldSteps::Heavy)
+        }
     }
 
     fn remember(&self, step: VersionStep) {
--- a/tests/mesh_links.rs
+++ b/tests/mesh_links.rs
@@ -61,6 +61,22 @@
 #[tokio::test]
 async fn a_call_turned_away_elsewhere_still_gets_its_first_answer() {
     let fleet = three().await;
+    let (mut client, silent, other) = call_under_way(&fleet).await;
+    fleet.hosts[other].target.set_conduct(Conduct::Rejects);
+    fleet.hosts[silent].signal(Signal::SIGSTOP);
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    fleet.hosts[silent].signal(Signal::SIGCONT);
+    let answer = client.answer().await.expect("an answer");
+    assert_eq!(answer.status, 200, "{}", fleet.hosts[0].log());
+    assert_eq!(runs_at(&fleet, silent), 1, "{}", fleet.hosts[0].log());
+}
+
+fn runs_at(fleet: &Fleet, host: usize) -> usize {
+    fleet.hosts[host].target.runs().len()
+}
+
+/// Makes a call; its connection, the host it runs at, and the other.
+async fn call_under_way(fleet: &Fleet) -> (Client, usize, usize) {
     let mut client = Client::connect(fleet.hosts[0].calls)
         .await
         .expect("a connection");
@@ -68,16 +84,13 @@
         .send("GET /read/a HTTP/1.1", &call_headers("call-1"), b"")
         .await
         .expect("sent");
-    let at = |host: usize| fleet.hosts[host].target.runs().len();
+    let at = |host| runs_at(fleet, host);
     assert!(eventually(SETTLE_WITHIN, || async { at(1) + at(2) == 1 }).await);
-    let (silent, other) = if at(1) == 1 { (1, 2) } else { (2, 1) };
-    fleet.hosts[other].target.set_conduct(Conduct::Rejects);
-    fleet.hosts[silent].signal(Signal::SIGSTOP);
-    tokio::time::sleep(Duration::from_millis(900)).await;
-    fleet.hosts[silent].signal(Signal::SIGCONT);
-    let answer = client.answer().await.expect("an answer");
-    assert_eq!(answer.status, 200, "{}", fleet.hosts[0].log());
-    assert_eq!(at(silent), 1, "{}", fleet.hosts[0].log());
+    if at(1) == 1 {
+        (client, 1, 2)
+    } else {
+        (client, 2, 1)
+    }
 }
 
 async fn three() -> Fleet {
@@ -103,19 +116,10 @@
 #[tokio::test]
 async fn a_repeatable_call_leaves_a_silent_link_for_another_target() {
     let fleet = three().await;
-    let mut client = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
-    client
-        .send("GET /read/a HTTP/1.1", &call_headers("call-1"), b"")
-        .await
-        .expect("sent");
-    let at = |host: usize| fleet.hosts[host].target.runs().len();
-    assert!(eventually(SETTLE_WITHIN, || async { at(1) + at(2) == 1 }).await);
-    let (silent, other) = if at(1) == 1 { (1, 2) } else { (2, 1) };
+    let (mut client, silent, other) = call_under_way(&fleet).await;
     fleet.hosts[silent].signal(Signal::SIGSTOP);
     let answer = client.answer().await.expect("an answer");
     fleet.hosts[silent].signal(Signal::SIGCONT);
     assert_eq!(answer.status, 200, "{}", fleet.hosts[0].log());
-    assert_eq!(at(other), 1, "{}", fleet.hosts[0].log());
+    assert_eq!(runs_at(&fleet, other), 1, "{}", fleet.hosts[0].log());
 }
--- a/tests/mesh_members.rs
+++ b/tests/mesh_members.rs
@@ -60,6 +60,18 @@
     .await
 }
 
+/// Checks that each of `hosts` has version 2 in force within two seconds.
+async fn assert_serve(fleet: &Fleet, hosts: &[usize]) {
+    for host in hosts {
+        let host = &fleet.hosts[*host];
+        assert!(
+            serves(host, 2, Duration::from_secs(2)).await,
+            "{}",
+            host.log()
+        );
+    }
+}
+
 fn feed_calls(fleet: &Fleet) -> u64 {
     fleet.store.calls("/rows-feed") + fleet.store.calls("/rows-get")
 }
@@ -104,14 +116,7 @@
         fleet.hosts[reader].kill();
     }
     publish(&fleet.store, 2, &versions(2));
-    for host in followers {
-        let host = &fleet.hosts[host];
-        assert!(
-            serves(host, 2, Duration::from_secs(2)).await,
-            "{}",
-            host.log()
-        );
-    }
+    assert_serve(&fleet, &followers).await;
 }
 
 /// Both daemons that follow the store stand still: their links stay open and
@@ -124,23 +129,11 @@
         fleet.hosts[*reader].signal(Signal::SIGSTOP);
     }
     publish(&fleet.store, 2, &versions(2));
-    for host in followers {
-        let host = &fleet.hosts[host];
-        assert!(
-            serves(host, 2, Duration::from_secs(2)).await,
-            "{}",
-            host.log()
-        );
-    }
-    for reader in readers {
-        fleet.hosts[reader].signal(Signal::SIGCONT);
-        let host = &fleet.hosts[reader];
-        assert!(
-            serves(host, 2, Duration::from_secs(2)).await,
-            "{}",
-            host.log()
-        );
+    assert_serve(&fleet, &followers).await;
+    for reader in &readers {
+        fleet.hosts[*reader].signal(Signal::SIGCONT);
     }
+    assert_serve(&fleet, &readers).await;
 }
 
 /// Rows vanish without a trace while the store is away, also those of daemons
@@ -191,3 +184,26 @@
         assert!(eventually_logs(&fleet.hosts[host], log).await);
     }
 }
+
+/// Versions come faster than a reader takes them, so that each reader skips
+/// others. Followers must have the last within two seconds, and not each read
+/// whole versions from the store for the steps that one reader lacks.
+#[tokio::test]
+async fn a_storm_that_readers_skip_through_stays_off_the_store() {
+    let fleet = zone().await;
+    let before = feed_calls(&fleet);
+    for version in 2..=9 {
+        publish(&fleet.store, version, &versions(version));
+        tokio::time::sleep(Duration::from_millis(170)).await;
+    }
+    for host in &fleet.hosts {
+        assert!(
+            serves(host, 9, Duration::from_secs(2)).await,
+            "{}",
+            host.log()
+        );
+    }
+    let asked = feed_calls(&fleet) - before;
+    // The readers ask each half second, and once more for the last.
+    assert!(asked <= 2 * (3 + 4), "{asked} calls");
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,15 +12,18 @@
 /// answers, versions never back and in force in time, no call cut by a planned
 /// stop, no work for a target that left.
 #[rstest]
-#[case::fresh(1)]
+#[case::short(1, 6)]
+// Two replacements of one target overlap. The soak took the second's word of
+// leaving for that of the target that the first had put in its place.
+#[case::overlapping_replacements(201, 8)]
 #[tokio::test(flavor = "multi_thread")]
-async fn promises_hold_through_a_soak(#[case] seed: u64) {
+async fn promises_hold_through_a_soak(#[case] seed: u64, #[case] hosts: usize) {
     let report = soak::run(&SoakSpec {
         program: PathBuf::from(env!("CARGO_BIN_EXE_filbertd")),
         seed,
         length: Duration::from_secs(12),
-        hosts: 6,
-        callers: 2,
+        hosts,
+        callers: 3,
     })
     .await;
     println!("{}", report.text());
