Followers are warned of a heavy version as the store begins to give it

Change: a reader tells its zone when the store's answer is longer than its version's text by more than what is told over links; followers ask the store at once. Feeds pause 300 ms after a change in place of 500.

Also: filbertctl completions SHELL.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
 
 /// Edit, accept, watch and withdraw filbertladder settings.
 #[derive(Debug, Parser)]
@@ -78,6 +79,11 @@
     },
     /// List the proxies and the version each has in force.
     Status,
+    /// Print the completions of a shell.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
     /// Read the configuration and the hosts on the users' platform.
     Mesh {
         /// The platform's store, IP:PORT.
--- /dev/null
+++ b/crates/ctl/src/cmd/completions.rs
@@ -0,0 +1,12 @@
+//! `filbertctl completions SHELL`: print a shell's completions.
+
+use clap::CommandFactory;
+use clap_complete::Shell;
+
+use crate::cli::Cli;
+
+pub(super) fn run(shell: Shell) {
+    let mut command = Cli::command();
+    let name = command.get_name().to_owned();
+    clap_complete::generate(shell, &mut command, name, &mut std::io::stdout());
+}
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One module per subcommand; [`run`] dispatches.
 
 mod accept;
+mod completions;
 mod diff;
 mod edit;
 mod explain;
@@ -44,6 +45,10 @@
         }
         Command::Withdraw { expect } => withdraw::run(&platform, expect).await,
         Command::Status => status::run(&platform).await,
+        Command::Completions { shell } => {
+            completions::run(shell);
+            Ok(())
+        }
         Command::Report { report } => report::run(report).await,
         Command::Mesh { store, command } => mesh::run(&store, command).await,
         Command::Explain { request, logs } => explain::run(&request, &logs),
--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -32,10 +32,10 @@
 const MEMBERSHIP_WAIT: Duration = Duration::from_secs(25);
 /// Pause after a change before the next is asked for. Changes come in storms
 /// (a version each 0.2 s, or all hosts at once at a start); read one by one,
-/// each costs every daemon a call: with the pause a quiet day of twelve hosts
+/// each costs every reader a call: with 500 ms a quiet day of twelve hosts
 /// with such a storm makes 393 calls in place of 588. The first of a storm is
-/// not delayed, the last by half a second at most.
-const GATHER: Duration = Duration::from_millis(500);
+/// not delayed, the last by 0.3 s at most.
+const GATHER: Duration = Duration::from_millis(300);
 /// Pauses while the store gives no answer: the first and the longest. With a
 /// call that is given up after a second, its return shows within 1.5 s.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -483,6 +483,12 @@
                 shared.take_members(hosts, from);
             }
         }
+        LinkMessage::HeavyVersion => {
+            if *shared.members.role.borrow() == StoreRole::Follows {
+                log::info!("event=heavy_version_coming from={from}");
+                shared.versions.wanted.notify_one();
+            }
+        }
         LinkMessage::HostCame(address) => shared.learn_host(address, from),
         LinkMessage::HostGone { id } => shared.forget_host(&id, from),
         LinkMessage::InForce { .. }
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -97,6 +97,8 @@
     },
     /// What the sender has of the store.
     Store(StoreState),
+    /// The store is giving the sender a version that is too heavy for links.
+    HeavyVersion,
     /// The target beside the sender; `None` when there is none.
     Target(Option<TargetStatus>),
     /// The version that the sender has in force.
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -193,6 +193,7 @@
         | LinkMessage::HostCame(_)
         | LinkMessage::HostGone { .. }
         | LinkMessage::Store(_)
+        | LinkMessage::HeavyVersion
         | LinkMessage::Target(_)
         | LinkMessage::InForce { .. }
         | LinkMessage::Steps { .. }
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -25,7 +25,7 @@
 use crate::settings::MeshSettings;
 use crate::state::MeshShared;
 use crate::stop::StopState;
-use crate::versions::VersionBook;
+use crate::versions::{self, VersionBook};
 use crate::{control, feeds, ingress, metrics, ready, reload, serve_peers, sockets, status, stop};
 
 /// Why the daemon stopped other than by a planned stop.
@@ -152,6 +152,7 @@
     spawn(Box::pin(status::keep_told(Rc::clone(shared))));
     spawn(Box::pin(members::keep_planned(Rc::clone(shared))));
     spawn(Box::pin(feeds::keep_row(Rc::clone(shared))));
+    spawn(Box::pin(versions::keep_warned(Rc::clone(shared))));
     spawn(Box::pin(feeds::follow_configuration(Rc::clone(shared))));
     spawn(Box::pin(feeds::follow_members(Rc::clone(shared))));
     if let Some(listener) = listeners.metrics {
--- a/crates/mesh/src/versions.rs
+++ b/crates/mesh/src/versions.rs
@@ -24,6 +24,32 @@
 /// to half of a zone of 27 would take a link of 7.5 Mbit/s for three seconds,
 /// more than a version has.
 const MOST_TOLD: usize = 8 * 1024;
+/// Bytes of the store's answer around a configuration's text, at most.
+const AROUND_TEXT: usize = 1024;
+
+/// Tells the daemons that follow this one of a heavy version as soon as the
+/// store begins to give it. Runs for ever.
+///
+/// Guards against a heavy version that is late: followers get it from the store
+/// too, and if they began only when their reader had it whole, two downloads of
+/// 0.9 s on a link of 7.5 Mbit/s would follow each other in the two seconds
+/// that a version has.
+pub async fn keep_warned(shared: Rc<MeshShared>) {
+    let mut begun = shared.store.begun_answers();
+    while begun.changed().await.is_ok() {
+        let length = usize::try_from(*begun.borrow_and_update()).unwrap_or(usize::MAX);
+        let text = shared.versions.text().len();
+        let usual = encoded_length(text) + AROUND_TEXT;
+        if text > 0 && length > usual + encoded_length(MOST_TOLD) && shared.members.is_reader() {
+            shared.tell_zone(&LinkMessage::HeavyVersion);
+        }
+    }
+}
+
+/// Bytes of a value in the store's answer: four for each three.
+fn encoded_length(bytes: usize) -> usize {
+    bytes.div_ceil(3) * 4
+}
 
 /// Why no steps are told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/mesh_members.rs
+++ b/tests/mesh_members.rs
@@ -207,3 +207,28 @@
     // The readers ask each half second, and once more for the last.
     assert!(asked <= 2 * (3 + 4), "{asked} calls");
 }
+
+/// A version brings hundreds of new routes: too much to be told over slow
+/// links. Followers must be warned as it begins to come, so that they read it
+/// from the store beside their readers and have it in time.
+#[tokio::test]
+async fn a_heavy_version_is_read_from_the_store_by_all() {
+    let fleet = zone().await;
+    let mut routes = versions(2);
+    routes.extend((0..300).map(|number| RouteSpec::reads(&format!("/idle{number}/"), "quotes")));
+    publish(&fleet.store, 2, &routes);
+    for host in &fleet.hosts {
+        assert!(
+            serves(host, 2, Duration::from_secs(2)).await,
+            "{}",
+            host.log()
+        );
+    }
+    for host in followers(&fleet) {
+        let host = &fleet.hosts[host];
+        assert!(eventually_logs(host, "event=heavy_version_coming").await);
+        let from_store =
+            "event=version_in_force version=00000002 before=00000001 routes=302 from=store";
+        assert!(eventually_logs(host, from_store).await, "{}", host.log());
+    }
+}
--- a/tests/messages_for_people.rs
+++ b/tests/messages_for_people.rs
@@ -55,3 +55,18 @@
     assert!(message.contains("cause: No such file"), "{message}");
     assert!(!message.contains(".rs:"), "{message}");
 }
+
+#[rstest]
+#[case("bash", "complete -F")]
+#[case("zsh", "#compdef filbertctl")]
+#[case("fish", "complete -c filbertctl")]
+fn a_shell_gets_its_completions(#[case] shell: &str, #[case] holds: &str) {
+    let output = Command::new(env!("CARGO_BIN_EXE_filbertctl"))
+        .args(["completions", shell])
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success());
+    assert!(text.contains(holds), "{holds} is not in {text}");
+    assert!(text.contains("withdraw"), "{text}");
+}
