A storm of versions no longer puts off asking other zones

Both readers of a zone lost a silent store, which they notice after 2.6 s; the follower heard of each version from other zones, but every announcement restarted the 600 ms after which it asks, and versions came each 300 ms. It had the version of before the silence for 2.8 s.

Ruled out: the readers of other zones had all versions; no link was silent.

Change: an announcement keeps the time and stage of the first one; after steps have come, asking begins anew.

The new test fails without the change and passes with it.

--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -354,12 +354,21 @@
             }
             match message {
                 LinkMessage::InForce { version } if version > shared.versions.number() => {
-                    wanted = Some(want(shared, peer, version));
+                    // Guards against a storm of versions that puts the asking
+                    // off for ever: a newer one keeps the time of the first.
+                    wanted = Some(match wanted {
+                        Some(earlier) => WantedVersion {
+                            number: version,
+                            ..earlier
+                        },
+                        None => want(shared, peer, version),
+                    });
                 }
                 LinkMessage::Steps { steps } => {
                     if !shared.offer_steps(&steps, &peer.address.id) {
                         shared.versions.wanted.notify_one();
                     }
+                    wanted = wanted.map(|wanted| want(shared, peer, wanted.number));
                 }
                 LinkMessage::NoSteps { are_heavy } => {
                     let head_start = if are_heavy {
--- a/tests/mesh_members.rs
+++ b/tests/mesh_members.rs
@@ -3,9 +3,10 @@
 #[path = "support/users.rs"]
 mod users;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use filbert_platform_standin::{Host, RouteSpec, StoreFault};
+use filbert_platform_standin::{Host, RouteSpec, StandinStore, StoreFault};
+use filbert_standin::pipe::{FaultPipe, PipeMode};
 use nix::sys::signal::Signal;
 use users::{eventually, eventually_logs, fleet, host_spec, publish, Fleet, SETTLE_WITHIN};
 
@@ -232,3 +233,46 @@
         assert!(eventually_logs(host, from_store).await, "{}", host.log());
     }
 }
+
+/// The store falls silent for both readers of a zone, which notice after two
+/// seconds and a half, while versions come each 150 ms. A follower hears of
+/// each version from another zone. It must not put off asking for one because
+/// the next is announced: the first must be in force two seconds later.
+#[tokio::test]
+async fn a_storm_does_not_put_off_asking_other_zones() {
+    let store = StandinStore::start().await;
+    publish(&store, 1, &versions(1));
+    let mut hosts = Vec::new();
+    let mut ways = Vec::new();
+    for (name, zone) in [("one", "a"), ("two", "a"), ("three", "a"), ("far", "b")] {
+        let way = FaultPipe::start(store.address).await;
+        let mut spec = host_spec(&store, name, zone, "quotes");
+        spec.store = way.address;
+        hosts.push(Host::start(spec).await);
+        ways.push(way);
+    }
+    let fleet = Fleet { store, hosts };
+    fleet.settle().await;
+    assert!(eventually(SETTLE_WITHIN, || async { followers(&fleet).len() == 1 }).await);
+    let follower = followers(&fleet)[0];
+    for reader in readers(&fleet) {
+        if fleet.hosts[reader].spec.zone == "a" {
+            ways[reader].set_mode(PipeMode::Swallow);
+        }
+    }
+    let host = &fleet.hosts[follower];
+    let began = Instant::now();
+    let mut version = 1;
+    while began.elapsed() < Duration::from_secs(2) {
+        version += 1;
+        let mut routes = versions(version);
+        routes.push(RouteSpec::reads("/v2/", "quotes"));
+        publish(&fleet.store, version, &routes);
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    assert!(
+        serves(host, 2, Duration::from_millis(100)).await,
+        "{}",
+        host.log()
+    );
+}
