A stop waits for answers that still leave for other hosts

Cause: answers are read ahead of their takers, so a target's run is over while its answer still leaves over a slow link. The planned stop looked only at calls of clients and at work at the target, and ended the daemon with such answers half sent: the callers on other hosts got neither an answer nor a refusal.

Ruled out: the link's own timeouts (the connection closed from the sender's side, 0.7 s behind the end of the run, with no silence in between); the change of configuration beside it (other calls on the old version went on).

Change: a call of another daemon counts for the stop until its answer was handed to its connection, as a client's call does.

Test: mesh_stops a_stop_cuts_no_answer_that_leaves_over_a_slow_link failed first (the answer was cut), passes now. pair() of mesh_stops and mesh_links, twice the same, moved to support/users.

--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -16,6 +16,7 @@
 use crate::messages::{encode, take, CallHead, LinkMessage, PeerAddress, ReplyHead, StoreState};
 use crate::sockets;
 use crate::state::MeshShared;
+use crate::stop::CallMark;
 use crate::versions::UntoldSteps;
 
 /// Streams that one other daemon may have open.
@@ -207,6 +208,7 @@
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
 ) -> Result<(), LinkError> {
+    let _mark = CallMark::new(&shared);
     let mut incoming = request.into_body();
     let mut buffer = BytesMut::new();
     let call: CallHead = loop {
--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -49,7 +49,12 @@
     pub changed: Notify,
 }
 
-/// Counts a call of a client for as long as it lives.
+/// Counts a call, of a client or of another daemon, from when it is taken until
+/// its answer is handed to its connection.
+///
+/// Guards against stops that cut an answer whose run is over: it still leaves
+/// over a slow link, read ahead of its taker, while nothing is in work at the
+/// target any more.
 pub struct CallMark {
     shared: Rc<MeshShared>,
 }
--- a/tests/mesh_links.rs
+++ b/tests/mesh_links.rs
@@ -9,19 +9,7 @@
 use filbert_platform_standin::{Client, Conduct, RouteSpec};
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use users::{eventually, fleet, Fleet, SETTLE_WITHIN};
-
-async fn pair() -> Fleet {
-    let routes = [
-        RouteSpec::reads("/read/", "quotes"),
-        RouteSpec::orders("/order/", "quotes"),
-    ];
-    fleet(
-        &routes,
-        &[("caller", "a", "art"), ("quoter", "b", "quotes")],
-    )
-    .await
-}
+use users::{eventually, fleet, pair, Fleet, SETTLE_WITHIN};
 
 /// The daemon beside the only target stands still for a moment, long enough
 /// that its link counts as silent, or is given up. The call that runs there
@@ -36,7 +24,7 @@
     #[case] line: &str,
     #[case] pause_ms: u64,
 ) {
-    let fleet = pair().await;
+    let fleet = pair("b").await;
     let target = &fleet.hosts[1].target;
     target.set_conduct(Conduct::AnswersAfter(Duration::from_millis(200)));
     let mut client = Client::connect(fleet.hosts[0].calls)
--- a/tests/mesh_stops.rs
+++ b/tests/mesh_stops.rs
@@ -6,25 +6,13 @@
 use std::time::Duration;
 
 use filbert_platform_standin::host::call_headers;
-use filbert_platform_standin::{Client, Conduct, RouteSpec};
+use filbert_platform_standin::{Client, Conduct};
 use nix::sys::signal::Signal;
-use users::{eventually, eventually_logs, fleet, Fleet, SETTLE_WITHIN};
+use users::{eventually, eventually_logs, pair, Fleet, SETTLE_WITHIN};
 
 const READ: &str = "GET /read/a HTTP/1.1";
 const ORDER: &str = "POST /order/a HTTP/1.1";
 
-async fn pair() -> Fleet {
-    let routes = [
-        RouteSpec::reads("/read/", "quotes"),
-        RouteSpec::orders("/order/", "quotes"),
-    ];
-    fleet(
-        &routes,
-        &[("caller", "a", "art"), ("quoter", "a", "quotes")],
-    )
-    .await
-}
-
 /// Asks for readiness as the platform does, once a second, until it is told no
 /// twice.
 async fn miss_twice(fleet: &Fleet, host: usize) {
@@ -39,7 +27,7 @@
 /// close without an answer cut.
 #[tokio::test]
 async fn a_stop_cuts_no_call() {
-    let mut fleet = pair().await;
+    let mut fleet = pair("a").await;
     fleet.hosts[1]
         .target
         .set_conduct(Conduct::AnswersAfter(Duration::from_millis(1_300)));
@@ -71,7 +59,7 @@
 /// for another host must be answered whole, and new ones are not lost.
 #[tokio::test]
 async fn a_stop_beside_the_target_cuts_no_call() {
-    let mut fleet = pair().await;
+    let mut fleet = pair("a").await;
     fleet.hosts[1]
         .target
         .set_conduct(Conduct::AnswersAfter(Duration::from_millis(1_300)));
@@ -94,10 +82,38 @@
     assert_eq!(answer.status, 503, "no target is left, and it was not run");
 }
 
+/// A target has answered with 200 KB, and its daemon still sends them over a
+/// slow link when it is told to stop. Nothing runs at the target any more, but
+/// the caller on the other host has half an answer: it must get all of it.
+#[tokio::test]
+async fn a_stop_cuts_no_answer_that_leaves_over_a_slow_link() {
+    const LENGTH: usize = 200_000;
+    let mut fleet = pair("a").await;
+    let path = &fleet.hosts[1].settings_path;
+    let text = std::fs::read_to_string(path).expect("the settings");
+    std::fs::write(path, format!("{text}\n[link]\nmbps = 0.7\n")).expect("written");
+    fleet.hosts[1].signal(Signal::SIGHUP);
+    assert!(eventually_logs(&fleet.hosts[1], "event=reloaded changed=true").await);
+    let target = &fleet.hosts[1].target;
+    target.set_body_bytes(LENGTH);
+    let mut busy = Client::connect(fleet.hosts[0].calls)
+        .await
+        .expect("a connection");
+    busy.send(READ, &call_headers("read-1"), b"")
+        .await
+        .expect("sent");
+    assert!(eventually(SETTLE_WITHIN, || async { target.runs().len() == 1 }).await);
+    fleet.hosts[1].signal(Signal::SIGTERM);
+    let (answer, ()) = tokio::join!(busy.answer(), miss_twice(&fleet, 1));
+    let answer = answer.expect("the whole answer");
+    assert_eq!(answer.body.len(), LENGTH, "{}", fleet.hosts[1].log());
+    assert!(fleet.hosts[1].ended(Duration::from_secs(6)).await);
+}
+
 /// Nobody asks for readiness. The stop must not wait for that for ever.
 #[tokio::test]
 async fn a_stop_ends_within_the_grace_time_without_checks() {
-    let mut fleet = pair().await;
+    let mut fleet = pair("a").await;
     fleet.hosts[0].signal(Signal::SIGTERM);
     assert!(fleet.hosts[0].ended(Duration::from_secs(6)).await);
 }
@@ -106,7 +122,7 @@
 /// settings are in force.
 #[tokio::test]
 async fn a_reload_harms_nothing() {
-    let fleet = pair().await;
+    let fleet = pair("a").await;
     let path = &fleet.hosts[0].settings_path;
     let text = std::fs::read_to_string(path).expect("the settings");
     std::fs::write(
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -52,6 +52,20 @@
     fleet
 }
 
+/// A host of a service that only calls, in zone `a`, and a host of `quotes`
+/// in `zone`.
+pub async fn pair(zone: &str) -> Fleet {
+    let routes = [
+        RouteSpec::reads("/read/", "quotes"),
+        RouteSpec::orders("/order/", "quotes"),
+    ];
+    fleet(
+        &routes,
+        &[("caller", "a", "art"), ("quoter", zone, "quotes")],
+    )
+    .await
+}
+
 impl Fleet {
     /// Waits until every daemon is ready and knows every other's target.
     pub async fn settle(&self) {
