A restarted daemon asks one peer at a time for a whole version

With nothing in force it asked every one of them for the whole text (600 KB). Worse, an ask that had been waiting went out also when the version had come meanwhile: "have 6, wanted 6", 18 times. The copies filled the link of 21 Mbit/s; 13 links fell silent, version 6 came after 2.1 s, and the steps to 10 waited behind the copies for 2.3 s more.

Ruled out: processor time (the same with none charged); the store (its readers had version 10 at 27.06 s and told it at once).

Change: one ask for a whole text is under way at a time; another peer is turned to when the first is done or says nothing for 700 ms. Peers of other zones stand back 300 ms. What is in force by then is not asked for. A text that brings less than its peer has makes the daemon ask for steps at once, not two seconds later. Asking moved out of links.rs into asking.rs; each ask is logged.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -3,10 +3,12 @@
 //! A call crosses two daemons. The one on the caller's host ([`ingress`],
 //! [`calls`]) routes it, picks a target's host and answers for it. The one on
 //! the target's host ([`gate`], [`target`]) is the only way to that target
-//! and decides what runs, waits or is declined. [`links`] join the daemons;
-//! [`feeds`] bring configuration and membership from the store; [`control`]
-//! hears the target beside the daemon; [`stop`] sees a planned stop through.
+//! and decides what runs, waits or is declined. [`links`] join the daemons, and
+//! [`asking`] gets versions over them; [`feeds`] bring configuration and
+//! membership from the store; [`control`] hears the target beside the daemon;
+//! [`stop`] sees a planned stop through.
 
+pub mod asking;
 pub mod body;
 pub mod calls;
 pub mod control;
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 use tokio::sync::oneshot;
 
+use crate::asking::VersionAsker;
 use crate::body::next_data;
 use crate::members::StoreRole;
 use crate::messages::{encode, take, LinkMessage, StoreState, TargetState};
@@ -50,28 +51,6 @@
 /// Time without a link after which a host counts as failing, and another is
 /// linked to in its place: a restart takes less.
 const FAILING_AFTER: Duration = Duration::from_millis(600);
-/// How long a newer version may take to come from the store before the peer
-/// that has it is asked: longer than the pause between two calls to the store,
-/// as a version over a link may cost bytes between zones.
-const STORE_HEAD_START: Duration = Duration::from_millis(800);
-/// The same for a daemon that does not ask the store itself, before it asks
-/// others of its zone and of other zones than those that follow the store for
-/// it: these tell a version within some 10 ms.
-const NEAR_HEAD_START: Duration = Duration::from_millis(300);
-const FAR_HEAD_START: Duration = Duration::from_millis(600);
-/// Time for another peer's steps, before the store is asked for a version to
-/// which one peer has none.
-///
-/// Guards against whole versions being read from the store by every daemon in
-/// a storm: each of a zone's readers takes the newest after a pause, so they
-/// skip different ones, and have no steps from those that they skipped.
-const OTHERS_HEAD_START: Duration = Duration::from_millis(600);
-/// Time for the store to give a version whose steps a peer has forgotten,
-/// before the peer is asked for its text.
-const WHOLE_HEAD_START: Duration = Duration::from_millis(700);
-/// Time after which a peer that did not answer for its version is asked again.
-const LONGEST_ASK: Duration = Duration::from_secs(2);
-
 /// Why a link ended.
 #[derive(Debug)]
 pub enum LinkError {
@@ -316,25 +295,6 @@
     Ok((outgoing, answer.into_body()))
 }
 
-/// A newer version that the peer has.
-struct WantedVersion {
-    number: u64,
-    /// When to ask for it, if it has not come from elsewhere.
-    ask_at: Instant,
-    stage: AskStage,
-}
-
-/// Whom to ask next for a version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AskStage {
-    /// The peer, for steps.
-    Steps,
-    /// The store: the peer has no steps.
-    Store,
-    /// The peer, for the whole text, should the store be away.
-    Whole,
-}
-
 async fn hear(
     shared: &Rc<MeshShared>,
     peer: &Rc<Peer>,
@@ -343,7 +303,7 @@
     was_up: &Cell<bool>,
 ) -> Result<(), LinkError> {
     let mut buffer = BytesMut::new();
-    let mut wanted: Option<WantedVersion> = None;
+    let mut asker = VersionAsker::new(shared, peer);
     loop {
         while let Some(message) = take(&mut buffer).map_err(|_| LinkError::Frame)? {
             if !was_up.replace(true) {
@@ -353,48 +313,28 @@
                 }
             }
             match message {
-                LinkMessage::InForce { version } if version > shared.versions.number() => {
-                    // Guards against a storm of versions that puts the asking
-                    // off for ever: a newer one keeps the time of the first.
-                    wanted = Some(match wanted {
-                        Some(earlier) => WantedVersion {
-                            number: version,
-                            ..earlier
-                        },
-                        None => want(shared, peer, version),
-                    });
-                }
+                LinkMessage::InForce { version } => asker.hear(version),
                 LinkMessage::Steps { steps } => {
                     if !shared.offer_steps(&steps, &peer.address.id) {
                         shared.versions.wanted.notify_one();
                     }
-                    wanted = wanted.map(|wanted| want(shared, peer, wanted.number));
+                    asker.take_answer();
                 }
-                LinkMessage::NoSteps { are_heavy } => {
-                    let head_start = if are_heavy {
-                        Duration::ZERO
-                    } else {
-                        OTHERS_HEAD_START
-                    };
-                    wanted = wanted.map(|wanted| WantedVersion {
-                        ask_at: shared.clock.now() + head_start,
-                        stage: AskStage::Store,
-                        ..wanted
-                    });
+                LinkMessage::Version { text } => {
+                    shared.offer_version(&Bytes::from(text), &peer.address.id);
+                    asker.take_answer();
                 }
+                LinkMessage::NoSteps { are_heavy } => asker.lacks_steps(are_heavy),
                 LinkMessage::WantMembers => {
                     outgoing.send_data(encode(&shared.member_list()), false)?;
                 }
                 other => heard_news(shared, peer, other),
             }
         }
-        if wanted
-            .as_ref()
-            .is_some_and(|wanted| wanted.number <= shared.versions.number())
-        {
-            wanted = None;
+        if !buffer.is_empty() {
+            asker.take_part();
         }
-        let ask_at = wanted.as_ref().map(|wanted| wanted.ask_at);
+        let ask_at = asker.ask_at();
         tokio::select! {
             data = next_data(incoming) => match data {
                 Some(Ok(piece)) => {
@@ -407,74 +347,19 @@
             () = tokio::time::sleep_until(ask_at.unwrap_or_else(Instant::now).into()),
                 if ask_at.is_some() =>
             {
-                if let Some(wanted) = &mut wanted {
-                    if let Some(ask) = next_ask(shared, wanted) {
-                        outgoing.send_data(encode(&ask), false)?;
-                    }
+                if let Some(ask) = asker.ask() {
+                    outgoing.send_data(encode(&ask), false)?;
                 }
             }
         }
     }
 }
 
-/// When a peer is asked for its newer version.
-fn want(shared: &MeshShared, peer: &Peer, number: u64) -> WantedVersion {
-    let is_near = peer.address.zone == shared.settings.borrow().zone;
-    let head_start = if shared.versions.number() == 0 {
-        // With nothing in force there is no reason to wait.
-        Duration::ZERO
-    } else {
-        match *shared.members.role.borrow() {
-            StoreRole::Reads => STORE_HEAD_START,
-            StoreRole::Follows if shared.is_reader_here(&peer.address.id) => Duration::ZERO,
-            StoreRole::Follows if is_near => NEAR_HEAD_START,
-            StoreRole::Follows => FAR_HEAD_START,
-        }
-    };
-    WantedVersion {
-        number,
-        ask_at: shared.clock.now() + head_start,
-        stage: if shared.versions.number() == 0 && shared.versions.store_is_away.get() {
-            AskStage::Whole
-        } else {
-            AskStage::Steps
-        },
-    }
-}
-
-/// What to ask a peer for now.
-///
-/// Guards against a text of 600 KB being sent by peers over slow links while
-/// the store is giving it: as long as the store is not known to be away, it is
-/// waited for.
-fn next_ask(shared: &MeshShared, wanted: &mut WantedVersion) -> Option<LinkMessage> {
-    let now = shared.clock.now();
-    let or_whole = wanted.stage == AskStage::Whole;
-    let asks_store = match wanted.stage {
-        AskStage::Steps => false,
-        AskStage::Store => true,
-        AskStage::Whole => !shared.versions.store_is_away.get(),
-    };
-    if asks_store {
-        shared.versions.wanted.notify_one();
-        wanted.stage = AskStage::Whole;
-        wanted.ask_at = now + WHOLE_HEAD_START;
-        return None;
-    }
-    // Asked again only behind an answer that did not help.
-    wanted.ask_at = now + LONGEST_ASK;
-    Some(LinkMessage::WantVersion {
-        have: shared.versions.number(),
-        or_whole,
-    })
-}
-
 /// News that need no answer.
 fn heard_news(shared: &Rc<MeshShared>, peer: &Peer, message: LinkMessage) {
     let from = peer.address.id.as_str();
     match message {
         LinkMessage::Target(target) => heard_target(peer, target),
-        LinkMessage::Version { text } => shared.offer_version(&Bytes::from(text), from),
         LinkMessage::Store(state) => {
             if peer.store.replace(state) != state {
                 shared.members.changed.notify_one();
@@ -505,6 +390,7 @@
         | LinkMessage::WantMembers
         | LinkMessage::WantVersion { .. }
         | LinkMessage::Steps { .. }
+        | LinkMessage::Version { .. }
         | LinkMessage::NoSteps { .. } => {}
     }
 }
--- a/crates/mesh/src/versions.rs
+++ b/crates/mesh/src/versions.rs
@@ -9,6 +9,7 @@
 use filbert_policy::routing::RouteIndex;
 use tokio::sync::Notify;
 
+use crate::asking::WholeSlot;
 use crate::messages::{encode, LinkMessage, VersionStep};
 use crate::state::MeshShared;
 use crate::text_delta::TextDelta;
@@ -69,6 +70,8 @@
     decoder: RefCell<ConfigDecoder>,
     /// Asks for the version from the store now.
     pub wanted: Notify,
+    /// The one ask of a peer for a whole text.
+    pub whole_slot: WholeSlot,
     /// Whether the store gave no answer when it was last asked for the
     /// configuration.
     pub store_is_away: Cell<bool>,
--- a/tests/mesh_members.rs
+++ b/tests/mesh_members.rs
@@ -276,3 +276,39 @@
         host.log()
     );
 }
+
+/// The store is away, and a daemon with a heavy configuration is restarted:
+/// every peer tells it that it has a version. Were it to ask all of them for
+/// the whole text, its link would be full of copies for seconds, and the next
+/// version late behind them. One must be asked, or one after the other.
+#[tokio::test]
+async fn a_restarted_daemon_asks_one_peer_for_the_whole_text() {
+    const PEERS: usize = 6;
+    let names: Vec<String> = (0..=PEERS).map(|number| format!("h{number}")).collect();
+    let hosts: Vec<(&str, &str, &str)> = names
+        .iter()
+        .map(|name| (name.as_str(), "a", "quotes"))
+        .collect();
+    let mut routes = versions(1);
+    routes.extend((0..1_500).map(|number| RouteSpec::reads(&format!("/idle{number}/"), "quotes")));
+    let mut fleet = fleet(&routes, &hosts).await;
+    fleet.store.set_fault(StoreFault::Resets);
+    fleet.hosts[0].kill();
+    let before = fleet.hosts[0].log().len();
+    fleet.hosts[0].start_daemon();
+    let host = &fleet.hosts[0];
+    assert!(serves(host, 1, SETTLE_WITHIN).await, "{}", host.log());
+    for peer in &names[1..] {
+        let linked =
+            || async { host.log()[before..].contains(&format!("event=link_up peer={peer}")) };
+        assert!(eventually(SETTLE_WITHIN, linked).await, "{}", host.log());
+    }
+    // Those that were not asked could be by now, for what is no longer wanted.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let log = &host.log()[before..];
+    let asked: Vec<&str> = log
+        .lines()
+        .filter(|line| line.contains("event=version_asked") && line.contains("whole=true"))
+        .collect();
+    assert_eq!(asked.len(), 1, "{asked:#?}\n{log}");
+}
