filbertctl mesh status; a mistyped settings key names the nearest known one

Cause: operators on the users' platform had no view of what each daemon has in force (watch says only who is behind), and a mistyped key in a settings file was answered with the list of all known ones.

Ruled out: a place of its own for daemons to write their status: their metrics have it, and the store would pay for it.

Change: `filbertctl mesh status` reads each host's metrics (version, links, calls at the target and waiting, ill share, memory; text or JSON). Both daemons' settings use the one ParseError, moved into its own file, which also unties branch and version in the tree crate; it ends with "did you mean ...?".

Tests: mesh_operator an_operator_sees_what_each_daemon_has_in_force; three more cases in messages_for_people (failed first). No measurement: nothing on the call path changes.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -5,6 +5,9 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
+/// Port of the daemons' metrics, unless told otherwise.
+const METRICS_PORT: u16 = 9464;
+
 /// Edit, accept, watch and withdraw filbertladder settings.
 #[derive(Debug, Parser)]
 #[command(name = "filbertctl", version, about)]
@@ -132,12 +135,21 @@
         #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
         output: OutputFormat,
     },
+    /// Show what each host's daemon has in force and how busy its target is.
+    Status {
+        /// Port of the daemons' metrics.
+        #[arg(long, default_value_t = METRICS_PORT)]
+        metrics_port: u16,
+        /// How to print it.
+        #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
+        output: OutputFormat,
+    },
     /// Wait until a version is in force on every host.
     Watch {
         /// The version's number; the one in the store when left out.
         version: Option<u64>,
         /// Port of the daemons' metrics.
-        #[arg(long, default_value_t = 9464)]
+        #[arg(long, default_value_t = METRICS_PORT)]
         metrics_port: u16,
         /// Give up after this many seconds.
         #[arg(long, default_value_t = 30)]
--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -12,7 +12,7 @@
 
 use crate::cli::{MeshCommand, OutputFormat};
 use crate::error::CtlError;
-use crate::mesh::{version_in_metrics, MeshTree};
+use crate::mesh::{DaemonReadings, HostStatus, MeshTree};
 use crate::store::CtlResult;
 
 /// How long one call to the store or to a daemon may take.
@@ -26,6 +26,10 @@
         MeshCommand::Show { below, output } => show(&store, &below, output).await,
         MeshCommand::Diff { older } => diff(&store, &older).await,
         MeshCommand::Hosts { output } => hosts(&store, output).await,
+        MeshCommand::Status {
+            metrics_port,
+            output,
+        } => status(&store, metrics_port, output).await,
         MeshCommand::Watch {
             version,
             metrics_port,
@@ -101,6 +105,70 @@
     Ok(())
 }
 
+async fn status(store: &StoreClient, metrics_port: u16, output: OutputFormat) -> CtlResult<()> {
+    let http = metrics_client()?;
+    let mut asked = tokio::task::JoinSet::new();
+    for (place, member) in members(store).await?.into_iter().enumerate() {
+        let http = http.clone();
+        asked.spawn(async move {
+            let daemon = readings_of(&http, &member, metrics_port).await;
+            (place, host_status(member, daemon))
+        });
+    }
+    let mut hosts = asked.join_all().await;
+    hosts.sort_by_key(|(place, _)| *place);
+    let hosts: Vec<HostStatus> = hosts.into_iter().map(|(_, host)| host).collect();
+    if output == OutputFormat::Json {
+        println!("{}", json(&hosts)?);
+        return Ok(());
+    }
+    println!(
+        "{:<32} {:<16} {:<16} {:>8} {:>6} {:>8} {:>8} {:>5} {:>8}",
+        "host", "zone", "service", "version", "links", "running", "waiting", "ill", "memory"
+    );
+    for HostStatus {
+        host,
+        zone,
+        service,
+        daemon,
+    } in hosts
+    {
+        let said = daemon.map_or_else(
+            || "does not answer".to_owned(),
+            |daemon| {
+                format!(
+                    "{:08x} {:>6} {:>8} {:>8} {:>5.2} {:>5} MB",
+                    daemon.version,
+                    daemon.links,
+                    daemon.running,
+                    daemon.waiting,
+                    daemon.ill_share,
+                    daemon.memory_bytes / 1_000_000
+                )
+            },
+        );
+        println!("{host:<32} {zone:<16} {service:<16} {said}");
+    }
+    Ok(())
+}
+
+fn host_status(member: PeerAddress, daemon: Option<DaemonReadings>) -> HostStatus {
+    HostStatus {
+        host: member.id,
+        zone: member.zone,
+        service: member.service,
+        daemon,
+    }
+}
+
+fn metrics_client() -> CtlResult<reqwest::Client> {
+    reqwest::Client::builder()
+        .timeout(CALL_TIMEOUT)
+        .no_proxy()
+        .build()
+        .change_context(CtlError::Platform)
+}
+
 async fn watch(
     store: &StoreClient,
     version: Option<u64>,
@@ -111,18 +179,14 @@
         Some(version) => version,
         None => current(store).await?.1.version,
     };
-    let http = reqwest::Client::builder()
-        .timeout(CALL_TIMEOUT)
-        .no_proxy()
-        .build()
-        .change_context(CtlError::Platform)?;
+    let http = metrics_client()?;
     let started = Instant::now();
     let mut behind = members(store).await?;
     while !behind.is_empty() && started.elapsed() < timeout {
         let mut still = Vec::new();
         for member in behind {
-            let in_force = version_of(&http, &member, metrics_port).await;
-            if in_force.is_none_or(|number| number < wanted) {
+            let daemon = readings_of(&http, &member, metrics_port).await;
+            if daemon.is_none_or(|daemon| daemon.version < wanted) {
                 still.push(member);
             }
         }
@@ -145,15 +209,19 @@
     )))
 }
 
-/// The version in force on a host; `None` when its daemon does not answer.
-async fn version_of(http: &reqwest::Client, member: &PeerAddress, port: u16) -> Option<u64> {
+/// What a host's daemon says of itself; `None` when it does not answer.
+async fn readings_of(
+    http: &reqwest::Client,
+    member: &PeerAddress,
+    port: u16,
+) -> Option<DaemonReadings> {
     let host = member.address.rsplit_once(':')?.0;
     let answer = http
         .get(format!("http://{host}:{port}/metrics"))
         .send()
         .await
         .ok()?;
-    version_in_metrics(&answer.text().await.ok()?)
+    DaemonReadings::read(&answer.text().await.ok()?)
 }
 
 fn json<T: serde::Serialize>(value: &T) -> CtlResult<String> {
--- a/crates/ctl/src/mesh.rs
+++ b/crates/ctl/src/mesh.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::str::FromStr;
 
 use filbert_policy::routing::{MeshVersion, RouteKind, RouteRule};
 use serde::Serialize;
@@ -145,11 +146,58 @@
     ])
 }
 
-/// The version in force that a daemon's metrics name.
-#[must_use]
-pub fn version_in_metrics(text: &str) -> Option<u64> {
-    text.lines()
-        .find(|line| line.starts_with("filbert_version"))
-        .and_then(|line| line.rsplit(' ').next())
-        .and_then(|number| number.parse().ok())
+/// What a host's daemon says of itself in its metrics.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct HostStatus {
+    /// The host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The service of its target.
+    pub service: String,
+    /// The daemon's own words; `None` when it does not answer.
+    pub daemon: Option<DaemonReadings>,
+}
+
+/// Readings of one daemon's metrics.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct DaemonReadings {
+    /// Version in force; 0 when there is none.
+    pub version: u64,
+    /// Links to other daemons that are up.
+    pub links: u64,
+    /// Calls at the target.
+    pub running: u64,
+    /// Calls that wait for it.
+    pub waiting: u64,
+    /// Share of its recent runs that ended ill, 0 to 1.
+    pub ill_share: f64,
+    /// Resident memory, in bytes.
+    pub memory_bytes: u64,
+}
+
+impl DaemonReadings {
+    /// Reads the text exposition of a daemon's metrics; `None` when it names
+    /// no version.
+    #[must_use]
+    pub fn read(text: &str) -> Option<DaemonReadings> {
+        Some(DaemonReadings {
+            version: reading(text, "filbert_version")?,
+            links: reading(text, "filbert_links").unwrap_or_default(),
+            running: reading(text, "filbert_gate_running").unwrap_or_default(),
+            waiting: reading(text, "filbert_gate_waiting").unwrap_or_default(),
+            ill_share: reading(text, "filbert_target_ill_share").unwrap_or_default(),
+            memory_bytes: reading(text, "process_resident_memory_bytes").unwrap_or_default(),
+        })
+    }
+}
+
+/// The value of the first sample called `name`.
+fn reading<T: FromStr>(text: &str, name: &str) -> Option<T> {
+    let is_named = |line: &&str| {
+        line.strip_prefix(name)
+            .is_some_and(|rest| rest.starts_with(['{', ' ']))
+    };
+    let sample = text.lines().find(is_named)?;
+    sample.rsplit(' ').next()?.parse().ok()
 }
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -9,6 +9,7 @@
 use filbert_platform::operator::parse_time;
 use filbert_policy::budget::BudgetTerms;
 use filbert_policy::placement::CrossingCost;
+use filbert_tree::ParseError;
 use serde::{Deserialize, Deserializer};
 
 /// Everything the daemon reads from its settings file.
@@ -127,7 +128,7 @@
     /// It could not be read.
     Unreadable,
     /// It is not valid TOML for these settings.
-    Invalid,
+    Invalid(ParseError),
     /// A value is out of range.
     OutOfRange {
         /// The key.
@@ -141,7 +142,9 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             MeshSettingsError::Unreadable => formatter.write_str("settings file unreadable"),
-            MeshSettingsError::Invalid => formatter.write_str("settings file invalid"),
+            MeshSettingsError::Invalid(error) => {
+                write!(formatter, "settings file invalid: {error}")
+            }
             MeshSettingsError::OutOfRange { key, reason } => {
                 write!(formatter, "key `{key}`: {reason}")
             }
@@ -175,8 +178,10 @@
     /// # Errors
     /// [`MeshSettingsError`] with the line and key where known.
     pub fn parse(text: &str) -> Result<MeshSettings, Report<MeshSettingsError>> {
-        let settings: MeshSettings =
-            toml::from_str(text).change_context(MeshSettingsError::Invalid)?;
+        let settings: MeshSettings = toml::from_str(text).map_err(|error| {
+            let error = ParseError::from_toml(text, &error);
+            Report::new(MeshSettingsError::Invalid(error))
+        })?;
         settings.check()?;
         Ok(settings)
     }
--- a/crates/tree/src/branch.rs
+++ b/crates/tree/src/branch.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::parse_error::ParseError;
 use crate::settings::BranchSettings;
-use crate::version::ParseError;
 
 /// A whole settings tree, rooted at its site.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/tree/src/lib.rs
+++ b/crates/tree/src/lib.rs
@@ -7,6 +7,7 @@
 mod delta;
 mod diff;
 mod edit;
+mod parse_error;
 mod route_table;
 mod settings;
 mod validate;
@@ -16,7 +17,8 @@
 pub use delta::{DeltaError, TreeDelta, TreeEdit};
 pub use diff::{diff_trees, DiffLine};
 pub use edit::EditError;
+pub use parse_error::ParseError;
 pub use route_table::{RouteEntry, RouteTable};
 pub use settings::{BranchSettings, RouteSettings, SETTING_KEYS};
 pub use validate::{TreeProblem, TreeProblems};
-pub use version::{ParseError, VersionCodec, VersionRecord};
+pub use version::{VersionCodec, VersionRecord};
--- a/crates/tree/src/version.rs
+++ b/crates/tree/src/version.rs
@@ -1,7 +1,5 @@
 //! Accepted versions: immutable numbered trees, and their wire encoding.
 
-use std::fmt;
-
 use serde::{Deserialize, Serialize};
 
 use crate::branch::SettingsTree;
@@ -73,55 +71,3 @@
         Err(format!("{} trailing bytes", bytes.len() - used))
     }
 }
-
-/// A settings file that could not be read: where, which key, and why.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ParseError {
-    /// Line number, from 1, when known.
-    pub line: Option<usize>,
-    /// The key at fault, when the parser named one.
-    pub key: Option<String>,
-    /// The parser's message.
-    pub message: String,
-}
-
-impl ParseError {
-    /// Builds an error from a `toml` error and the text it came from.
-    #[must_use]
-    pub fn from_toml(text: &str, error: &toml::de::Error) -> ParseError {
-        let line = error
-            .span()
-            .map(|span| text[..span.start.min(text.len())].matches('\n').count() + 1);
-        let message = error.message().to_owned();
-        let key = message
-            .split('`')
-            .nth(1)
-            .map(str::to_owned)
-            .or_else(|| key_at(text, error.span().map(|span| span.start)));
-        ParseError { line, key, message }
-    }
-}
-
-/// The key written at the start of the line holding `offset`, if any.
-fn key_at(text: &str, offset: Option<usize>) -> Option<String> {
-    let offset = offset?.min(text.len());
-    let line_start = text[..offset].rfind('\n').map_or(0, |index| index + 1);
-    let line = text[line_start..].lines().next()?;
-    let (key, _) = line.split_once('=')?;
-    Some(key.trim().to_owned())
-}
-
-impl fmt::Display for ParseError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match (&self.line, &self.key) {
-            (Some(line), Some(key)) => {
-                write!(formatter, "line {line}, key `{key}`: {}", self.message)
-            }
-            (Some(line), None) => write!(formatter, "line {line}: {}", self.message),
-            (None, Some(key)) => write!(formatter, "key `{key}`: {}", self.message),
-            (None, None) => write!(formatter, "{}", self.message),
-        }
-    }
-}
-
-impl std::error::Error for ParseError {}
--- a/tests/mesh_operator.rs
+++ b/tests/mesh_operator.rs
@@ -90,3 +90,30 @@
         "{message}"
     );
 }
+
+#[tokio::test]
+async fn an_operator_sees_what_each_daemon_has_in_force() {
+    let routes = [RouteSpec::reads("/read/", "quotes")];
+    let mut fleet = fleet(&routes, &[("quoter", "b", "quotes")]).await;
+    let port = fleet.hosts[0].metrics.port().to_string();
+    let words = ["status", "--metrics-port", &port];
+    let shown = text(&ctl(&fleet, &words).await);
+    let line = shown.lines().nth(1).expect("a line for the host");
+    assert!(
+        line.contains("quoter") && line.contains("00000001"),
+        "{shown}"
+    );
+    let words = ["status", "--metrics-port", &port, "--output", "json"];
+    let shown = text(&ctl(&fleet, &words).await);
+    let hosts: serde_json::Value = serde_json::from_str(&shown).expect("JSON");
+    assert_eq!(hosts[0]["service"], "quotes");
+    assert_eq!(hosts[0]["daemon"]["version"], 1);
+    assert!(
+        hosts[0]["daemon"]["memory_bytes"].as_u64() > Some(0),
+        "{shown}"
+    );
+    fleet.hosts[0].kill();
+    let words = ["status", "--metrics-port", &port];
+    let shown = text(&ctl(&fleet, &words).await);
+    assert!(shown.contains("does not answer"), "{shown}");
+}
--- a/tests/messages_for_people.rs
+++ b/tests/messages_for_people.rs
@@ -11,7 +11,9 @@
 }
 
 #[rstest]
-#[case(MessageCase { text: "id = \"h\"\nzon = \"a\"\n", parts: &["settings file invalid", "settings.toml", "line 2", "zon"] })]
+#[case(MessageCase { text: "id = \"h\"\nzon = \"a\"\n", parts: &["settings file invalid", "settings.toml", "line 2", "zon", "did you mean `zone`?"] })]
+#[case(MessageCase { text: "[listen]\ncals = \"127.0.0.1:1\"\n", parts: &["line 2", "did you mean `calls`?"] })]
+#[case(MessageCase { text: "[times]\ngrace = \"soon\"\n", parts: &["line 2", "`soon` is no time"] })]
 #[case(MessageCase { text: "id = \"h", parts: &["settings file invalid", "line 1"] })]
 #[case(MessageCase { text: "zöne = 1\n", parts: &["settings file invalid", "line 1"] })]
 fn a_bad_settings_file_is_named_in_a_line(#[case] case: MessageCase) {
