Links go only to services that are called, in a fleet of many

Cause: links are bounded for each service (16 targets), not over services.

Ruled out: fewer targets a service (a call needs some ten to choose from); a list of called services in the settings (it goes stale with the routes).

Change: with more services in the fleet than `link.services` (24) a daemon links to the targets of those called in the last ten minutes, the latest first; a call to another has it planned in and waits for its first link, 600 ms at most. Up to 24 services nothing changes. Reloaded settings are planned with at once. MemberBook::is_empty is gone with its len.

Tests, failed first (no such choice): membership_cases a_daemon_among_many_services_links_to_those_it_calls (2,300 hosts, 270 services, 3 called: links to their targets only) and the_services_called_last_are_linked_to; mesh_members a_service_is_linked_to_when_it_is_called. reload_with in support/users takes the place of a copy in mesh_stops.

--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -30,6 +30,11 @@
 /// When to come back for a service without any open target.
 const NO_TARGET: Duration = Duration::from_millis(300);
 
+/// Time for the first link to a target of a service that was not called of
+/// late: a connection and a description of the target, with the retries of a
+/// lost packet. A call that finds none by then is refused as without one.
+const FIRST_LINK_WITHIN: Duration = Duration::from_millis(600);
+
 /// What has happened to a call so far; read when its time is up.
 #[derive(Default)]
 pub(super) struct CallProgress {
@@ -105,6 +110,7 @@
         // a target that is merely slow may still answer first, and a call is
         // not ended while one is at work on it.
         let mut silent = Vec::new();
+        self.await_links().await;
         loop {
             let now = self.shared.clock.now();
             self.head.left_us = micros(self.limit.saturating_duration_since(now));
@@ -143,6 +149,26 @@
         }
     }
 
+    /// Waits for a first target when the service was not linked to until now.
+    async fn await_links(&self) {
+        let service = self.head.service.as_str();
+        let now = self.shared.clock.now();
+        if !self.shared.members.note_call(service, now) {
+            return;
+        }
+        let until = self.limit.min(now + FIRST_LINK_WITHIN);
+        loop {
+            let described = self.shared.peers.described.notified();
+            if pick(self.shared, self.route, &self.head, &[]).is_some() {
+                return;
+            }
+            tokio::select! {
+                () = described => {}
+                () = tokio::time::sleep_until(until.into()) => return,
+            }
+        }
+    }
+
     /// Waits for the end of an attempt, or of an earlier one that went on;
     /// `None` when its link fell silent and another target is to be tried.
     async fn await_end(
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -359,7 +359,10 @@
 fn heard_news(shared: &Rc<MeshShared>, peer: &Peer, message: LinkMessage) {
     let from = peer.address.id.as_str();
     match message {
-        LinkMessage::Target(target) => heard_target(peer, target),
+        LinkMessage::Target(target) => {
+            heard_target(peer, target);
+            shared.peers.described.notify_waiters();
+        }
         LinkMessage::Store(state) => {
             if peer.store.replace(state) != state {
                 shared.members.changed.notify_one();
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -1,9 +1,10 @@
 //! Which hosts there are, and which of them this daemon links to.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbert_policy::membership::{plan_links, HostView, LinkLimits, LinkPlan};
 use tokio::sync::{watch, Notify};
@@ -16,6 +17,14 @@
 /// and go in numbers.
 const GATHER: Duration = Duration::from_millis(20);
 
+/// Time without a call after which a service is no longer linked to, in a fleet
+/// with more services than links are kept for: longer than a slow caller's
+/// usual pause, so that its calls do not wait for links.
+const CALLED_OF_LATE: Duration = Duration::from_mins(10);
+/// How often links are planned anew though nothing came or went, so that
+/// services that nobody calls any more are let go.
+const PLAN_AT_LEAST: Duration = Duration::from_mins(1);
+
 /// How this daemon learns what lies in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreRole {
@@ -32,6 +41,8 @@
     /// Hosts whose row is gone and whose daemon still answers.
     rowless: RefCell<BTreeSet<String>>,
     plan: RefCell<LinkPlan>,
+    /// Services called, with when they last were.
+    called: RefCell<HashMap<String, Instant>>,
     /// Whether the members were read, from the store or from a peer.
     pub is_known: Cell<bool>,
     /// Asks for a new plan.
@@ -52,6 +63,7 @@
             hosts: RefCell::default(),
             rowless: RefCell::default(),
             plan: RefCell::default(),
+            called: RefCell::default(),
             is_known: Cell::new(false),
             changed: Notify::new(),
             role: watch::Sender::new(StoreRole::Reads),
@@ -65,22 +77,45 @@
 impl MemberBook {
     /// Number of hosts, this one included.
     #[must_use]
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.hosts.borrow().len() + 1
     }
 
-    /// Never: this host is always one.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        false
-    }
-
     /// The other hosts.
     #[must_use]
     pub fn hosts(&self) -> Vec<PeerAddress> {
         self.hosts.borrow().values().cloned().collect()
     }
 
+    /// Notes a call to `service`; true when it is not linked to yet, which is
+    /// asked for.
+    pub fn note_call(&self, service: &str, now: Instant) -> bool {
+        let mut called = self.called.borrow_mut();
+        match called.get_mut(service) {
+            Some(last) => *last = now,
+            None => {
+                called.insert(service.to_owned(), now);
+            }
+        }
+        let is_left_out = self.plan.borrow().left_out.contains(service);
+        if is_left_out {
+            self.changed.notify_one();
+        }
+        is_left_out
+    }
+
+    /// The services called of late, the latest first.
+    fn called_of_late(&self, now: Instant) -> Vec<String> {
+        let mut called = self.called.borrow_mut();
+        called.retain(|_, last| now < *last + CALLED_OF_LATE);
+        let mut latest: Vec<_> = called.iter().collect();
+        latest.sort_unstable_by_key(|(service, last)| (Reverse(**last), *service));
+        latest
+            .into_iter()
+            .map(|(service, _)| service.clone())
+            .collect()
+    }
+
     /// Whether this daemon is to follow the store for its zone.
     #[must_use]
     pub fn is_reader(&self) -> bool {
@@ -257,7 +292,13 @@
             is_failing: false,
             lost_store: false,
         };
-        let plan = plan_links(&own_view, &others, &LinkLimits::default());
+        let called = self.members.called_of_late(self.clock.now());
+        let called: Vec<&str> = called.iter().map(String::as_str).collect();
+        let limits = LinkLimits {
+            services: self.settings.borrow().link.services,
+            ..LinkLimits::default()
+        };
+        let plan = plan_links(&own_view, &others, &called, &limits);
         for id in self.peers.ids() {
             if !plan.links.contains(&id) {
                 self.peers.release(&id);
@@ -272,11 +313,12 @@
         let after = self.members.plan.borrow();
         if *after != before {
             log::info!(
-                "event=links_planned hosts={} links={} readers={:?} is_reader={}",
+                "event=links_planned hosts={} links={} readers={:?} is_reader={} services_left_out={}",
                 hosts.len() + 1,
                 after.links.len(),
                 after.readers,
-                after.is_reader
+                after.is_reader,
+                after.left_out.len()
             );
         }
     }
@@ -298,7 +340,8 @@
         if is_changed {
             log::info!("event=store_role role={role:?}");
         }
-        shared.members.changed.notified().await;
+        // Nothing changed for a while: planned anew all the same.
+        let _ = tokio::time::timeout(PLAN_AT_LEAST, shared.members.changed.notified()).await;
         tokio::time::sleep(GATHER).await;
     }
 }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -147,7 +147,7 @@
     fn text(&self, shared: &MeshShared) -> String {
         self.version.record(shared.versions.number(), &[]);
         self.links.record(shared.peers.linked() as u64, &[]);
-        self.peers.record((shared.members.len() - 1) as u64, &[]);
+        self.peers.record((shared.members.count() - 1) as u64, &[]);
         if let Some(status) = shared.gate.status() {
             self.running.record(u64::from(status.load.running), &[]);
             self.waiting.record(u64::from(status.load.waiting), &[]);
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -233,6 +233,8 @@
 pub struct PeerBook {
     peers: RefCell<BTreeMap<String, Rc<Peer>>>,
     watchers: RefCell<Vec<NewsWatcher>>,
+    /// Wakes calls that wait for a first target of their service.
+    pub described: Notify,
 }
 
 /// Messages that may wait for one watcher; one that falls further behind is
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -65,6 +65,7 @@
     shared.egress.set_rate(settings.link.mbps);
     let address = shared.own_address();
     *shared.settings.borrow_mut() = Rc::new(settings);
+    shared.members.changed.notify_one();
     if shared.own_address() != address {
         shared.members.row_missing.notify_one();
     }
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -8,6 +8,7 @@
 use error_stack::{Report, ResultExt};
 use filbert_platform::operator::parse_time;
 use filbert_policy::budget::BudgetTerms;
+use filbert_policy::membership::DEFAULT_SERVICES;
 use filbert_policy::placement::CrossingCost;
 use filbert_tree::ParseError;
 use serde::{Deserialize, Deserializer};
@@ -41,12 +42,23 @@
 }
 
 /// The host's link.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct LinkSettings {
     /// Its rate in Mbit/s; 0 when it is no limit.
-    #[serde(default)]
     pub mbps: f64,
+    /// Services to whose targets links are kept; with more in the fleet, those
+    /// called of late.
+    pub services: usize,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        LinkSettings {
+            mbps: 0.0,
+            services: DEFAULT_SERVICES,
+        }
+    }
 }
 
 /// Where the daemon listens.
@@ -205,6 +217,7 @@
                 !(self.link.mbps >= 0.0 && self.link.mbps.is_finite()),
                 "must not be negative",
             ),
+            ("link.services", self.link.services == 0, "must be above 0"),
             ("times.grace", self.times.grace.is_zero(), "must be above 0"),
         ];
         match checks.into_iter().find(|(_, failed, _)| *failed) {
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -99,7 +99,7 @@
     /// Daemons that share the retry budget, this one included.
     #[must_use]
     pub fn daemons(&self) -> usize {
-        self.members.len()
+        self.members.count()
     }
 
     /// Notes how long a client of `route` waits, and gives the longest so far.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -32,18 +32,28 @@
     /// Daemons of a zone that follow the store for all others there. Two, so
     /// that a change still comes at once when one of them dies.
     pub readers: usize,
+    /// Services whose targets are linked to; with more of them in the fleet
+    /// only those that were called of late. 270 services would be 4,320 links
+    /// a daemon; calls from one host go to some ten.
+    pub services: usize,
     /// Those and the ones that step in for readers that lost the store, at
     /// most. A store that is away for all is asked in vain by these only: with
     /// no such limit 69 hosts made 4,638 calls on a day with an outage of 8 s.
     pub most_readers: usize,
 }
 
+/// Services linked to unless settings say otherwise: up to here a fleet is so
+/// small that being ready for all of them costs less than a first call that
+/// waits for a link.
+pub const DEFAULT_SERVICES: usize = 24;
+
 impl Default for LinkLimits {
     fn default() -> Self {
         LinkLimits {
             near: 10,
             per_service: 16,
             readers: 2,
+            services: DEFAULT_SERVICES,
             most_readers: 4,
         }
     }
@@ -58,9 +68,12 @@
     pub readers: BTreeSet<String>,
     /// Whether this daemon follows the store itself.
     pub is_reader: bool,
+    /// Services that are not linked to until a call wants one.
+    pub left_out: BTreeSet<String>,
 }
 
-/// Plans the links of the daemon on `own` among `others`.
+/// Plans the links of the daemon on `own` among `others`, where `called` are
+/// the services called of late, the latest first.
 ///
 /// Load pattern: a fleet that grows. With a link from each daemon to each
 /// other, links, pings and reports of load grow with the square of the fleet
@@ -74,11 +87,20 @@
 /// live ones are linked however many are gone for good; they stay in the plan
 /// to be tried again.
 #[must_use]
-pub fn plan_links(own: &HostView<'_>, others: &[HostView<'_>], limits: &LinkLimits) -> LinkPlan {
+pub fn plan_links(
+    own: &HostView<'_>,
+    others: &[HostView<'_>],
+    called: &[&str],
+    limits: &LinkLimits,
+) -> LinkPlan {
     let mut plan = LinkPlan::default();
     choose_readers(own, others, limits, &mut plan);
+    let linked_to = choose_services(others, called, limits, &mut plan);
     let mut services: BTreeMap<&str, Vec<(bool, u64, &HostView<'_>)>> = BTreeMap::new();
-    for host in others {
+    for host in others
+        .iter()
+        .filter(|host| linked_to.contains(host.service))
+    {
         let rank = XxHash64::oneshot(seed_of(own.id), host.id.as_bytes());
         let entry = (host.zone != own.zone, rank, host);
         services.entry(host.service).or_default().push(entry);
@@ -94,6 +116,26 @@
     plan
 }
 
+/// The services to link to: all while they are few, else those called of late.
+fn choose_services<'a>(
+    others: &[HostView<'a>],
+    called: &[&str],
+    limits: &LinkLimits,
+    plan: &mut LinkPlan,
+) -> BTreeSet<&'a str> {
+    let mut services: BTreeSet<&str> = others.iter().map(|host| host.service).collect();
+    if services.len() > limits.services {
+        let kept = &called[..called.len().min(limits.services)];
+        plan.left_out = services
+            .iter()
+            .filter(|service| !kept.contains(service))
+            .map(|service| (*service).to_owned())
+            .collect();
+        services.retain(|service| kept.contains(service));
+    }
+    services
+}
+
 /// Adds hosts in the order of their rank until `most` live ones are among
 /// them; the number of live ones.
 fn take_live(
--- a/crates/policy/tests/membership_cases.rs
+++ b/crates/policy/tests/membership_cases.rs
@@ -41,13 +41,17 @@
 }
 
 fn plan_of(hosts: &[TestHost], own: usize) -> LinkPlan {
+    plan_calling(hosts, own, &[])
+}
+
+fn plan_calling(hosts: &[TestHost], own: usize, called: &[&str]) -> LinkPlan {
     let others: Vec<HostView<'_>> = hosts
         .iter()
         .enumerate()
         .filter(|(index, _)| *index != own)
         .map(|(_, host)| host.view())
         .collect();
-    plan_links(&hosts[own].view(), &others, &LinkLimits::default())
+    plan_links(&hosts[own].view(), &others, called, &LinkLimits::default())
 }
 
 fn plans(hosts: &[TestHost]) -> Vec<LinkPlan> {
@@ -75,6 +79,58 @@
     }
 }
 
+/// A mesh of the size aimed at: 270 services on 2,300 hosts. A daemon must link
+/// to the few that its callers use, not to all; those left out are named, so
+/// that a call can ask for them.
+#[test]
+fn a_daemon_among_many_services_links_to_those_it_calls() {
+    const SERVICES: usize = 270;
+    let names: Vec<String> = (0..SERVICES).map(|number| format!("s{number}")).collect();
+    let names: &'static [String] = names.leak();
+    let hosts: Vec<TestHost> = (0..2_300)
+        .map(|number| TestHost {
+            id: format!("host-{number}"),
+            zone: ZONES[(number + number / SERVICES) % ZONES.len()],
+            service: &names[number % SERVICES],
+            is_failing: false,
+            lost_store: false,
+        })
+        .collect();
+    let idle = plan_of(&hosts, 0);
+    assert!(idle.links.len() <= 2, "{:?}", idle.links);
+    assert_eq!(idle.left_out.len(), SERVICES);
+    let plan = plan_calling(&hosts, 0, &["s7", "s9", "s200"]);
+    let wanted = ["s7", "s9", "s200"];
+    for host in &hosts {
+        let is_wanted = wanted.contains(&host.service);
+        let is_linked = plan.links.contains(&host.id) && !plan.readers.contains(&host.id);
+        assert_eq!(is_linked, is_wanted, "{} of {}", host.id, host.service);
+    }
+    assert_eq!(plan.left_out.len(), SERVICES - wanted.len());
+}
+
+/// More services are called than are linked to: the latest are kept.
+#[test]
+fn the_services_called_last_are_linked_to() {
+    let names: Vec<String> = (0..60).map(|number| format!("s{number}")).collect();
+    let names: &'static [String] = names.leak();
+    let hosts: Vec<TestHost> = (0..120)
+        .map(|number| TestHost {
+            id: format!("host-{number}"),
+            zone: "a",
+            service: &names[number % names.len()],
+            is_failing: false,
+            lost_store: false,
+        })
+        .collect();
+    let called: Vec<&str> = names[1..].iter().map(String::as_str).collect();
+    let most = LinkLimits::default().services;
+    let plan = plan_calling(&hosts, 0, &called);
+    for (place, service) in called.iter().enumerate() {
+        assert_eq!(plan.left_out.contains(*service), place >= most, "{service}");
+    }
+}
+
 /// Every target must be found by enough callers, none by so many that it is
 /// herded upon: the links that lead to a target stay near their mean.
 #[test]
--- a/tests/mesh_members.rs
+++ b/tests/mesh_members.rs
@@ -8,7 +8,9 @@
 use filbert_platform_standin::{Host, RouteSpec, StandinStore, StoreFault};
 use filbert_standin::pipe::{FaultPipe, PipeMode};
 use nix::sys::signal::Signal;
-use users::{eventually, eventually_logs, fleet, host_spec, publish, Fleet, SETTLE_WITHIN};
+use users::{
+    eventually, eventually_logs, fleet, host_spec, publish, reload_with, Fleet, SETTLE_WITHIN,
+};
 
 const HOSTS: &str = "filbert-hosts";
 /// Hosts of the one zone: two follow the store, two are told by them.
@@ -312,3 +314,45 @@
         .collect();
     assert_eq!(asked.len(), 1, "{asked:#?}\n{log}");
 }
+
+/// A mesh has more services than a daemon keeps links for. It must not be
+/// linked to those that nobody calls, and the first call to one must be
+/// answered all the same, also when another has to make room.
+#[tokio::test]
+async fn a_service_is_linked_to_when_it_is_called() {
+    let routes = [
+        RouteSpec::reads("/quotes/", "quotes"),
+        RouteSpec::reads("/signs/", "signs"),
+    ];
+    let hosts = [
+        ("caller", "a", "art"),
+        ("quoter", "a", "quotes"),
+        ("signer", "a", "signs"),
+        ("drawer", "a", "art"),
+    ];
+    let fleet = fleet(&routes, &hosts).await;
+    let caller = &fleet.hosts[0];
+    reload_with(caller, "[link]\nservices = 1\n").await;
+    assert!(
+        eventually_logs(caller, "services_left_out=3").await,
+        "{}",
+        caller.log()
+    );
+    for line in [
+        "GET /quotes/a HTTP/1.1",
+        "GET /signs/a HTTP/1.1",
+        "GET /quotes/b HTTP/1.1",
+    ] {
+        let answer = caller.call(line, "first", b"").await.expect("an answer");
+        assert_eq!(answer.status, 200, "{line}\n{}", caller.log());
+        // Links are planned anew some 20 ms behind a call.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let released = "event=link_down peer=quoter reason=\"host moved or removed\"";
+    let made_room = || async { caller.log().matches(released).count() >= 2 };
+    assert!(
+        eventually(SETTLE_WITHIN, made_room).await,
+        "{}",
+        caller.log()
+    );
+}
--- a/tests/mesh_stops.rs
+++ b/tests/mesh_stops.rs
@@ -8,7 +8,7 @@
 use filbert_platform_standin::host::call_headers;
 use filbert_platform_standin::{Client, Conduct};
 use nix::sys::signal::Signal;
-use users::{eventually, eventually_logs, pair, Fleet, SETTLE_WITHIN};
+use users::{eventually, eventually_logs, pair, reload_with, Fleet, SETTLE_WITHIN};
 
 const READ: &str = "GET /read/a HTTP/1.1";
 const ORDER: &str = "POST /order/a HTTP/1.1";
@@ -89,11 +89,7 @@
 async fn a_stop_cuts_no_answer_that_leaves_over_a_slow_link() {
     const LENGTH: usize = 200_000;
     let mut fleet = pair("a").await;
-    let path = &fleet.hosts[1].settings_path;
-    let text = std::fs::read_to_string(path).expect("the settings");
-    std::fs::write(path, format!("{text}\n[link]\nmbps = 0.7\n")).expect("written");
-    fleet.hosts[1].signal(Signal::SIGHUP);
-    assert!(eventually_logs(&fleet.hosts[1], "event=reloaded changed=true").await);
+    reload_with(&fleet.hosts[1], "[link]\nmbps = 0.7\n").await;
     let target = &fleet.hosts[1].target;
     target.set_body_bytes(LENGTH);
     let mut busy = Client::connect(fleet.hosts[0].calls)
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use filbert_platform_standin::{config_text, Host, HostSpec, RouteSpec, StandinStore};
+use nix::sys::signal::Signal;
 
 /// How long tests wait for what must happen; far beyond what it takes.
 pub const SETTLE_WITHIN: Duration = Duration::from_secs(20);
@@ -94,6 +95,15 @@
     }
 }
 
+/// Adds `more` to the settings of `host` and has them reloaded.
+pub async fn reload_with(host: &Host, more: &str) {
+    let path = &host.settings_path;
+    let text = std::fs::read_to_string(path).expect("the settings");
+    std::fs::write(path, format!("{text}\n{more}")).expect("written");
+    host.signal(Signal::SIGHUP);
+    assert!(eventually_logs(host, "event=reloaded changed=true").await);
+}
+
 /// Waits until `host` has logged `text`; whether it did in time.
 pub async fn eventually_logs(host: &Host, text: &str) -> bool {
     eventually(SETTLE_WITHIN, || async { host.log().contains(text) }).await
