Untie modules that use each other; set the tests' scenes once

Ruled out: moving the reducers' own parts; only what others borrowed moves.

Change: control/pace.rs holds the pauses and the spread that lease, uplink and zone share; standin/spec.rs the shape of a mesh, standin/serving.rs what its servers share. Fleet::connect, runs_of and call_under_way take the place of their copies. No check changes.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -7,8 +7,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbert_standin::mesh::{LocalMesh, MeshSpec};
+use filbert_standin::mesh::LocalMesh;
 use filbert_standin::process::DaemonProcess;
+use filbert_standin::spec::MeshSpec;
 use filbert_standin::target::{ExecutionLog, TargetHandle, TargetSpec};
 use filbert_standin::trees::{with_small_edit, TreeShape};
 use filbert_standin::usage::ProcessUsage;
--- a/benches/convergence.rs
+++ b/benches/convergence.rs
@@ -9,7 +9,8 @@
 
 use filbert_daemon::settings::DistributionMode;
 use filbert_standin::history::{applied_history, AppliedRecord};
-use filbert_standin::mesh::{LocalMesh, MeshSpec};
+use filbert_standin::mesh::LocalMesh;
+use filbert_standin::spec::MeshSpec;
 use filbert_standin::trees::{with_small_edit, TreeShape};
 use filbert_tree::TreeDelta;
 use hdrhistogram::Histogram;
--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -6,7 +6,7 @@
 use filbert_store::{LeaseRecord, RowExpect};
 use rand::Rng;
 
-use super::zone::spread_window;
+use super::pace::spread_window;
 use super::{ControlEffect, ControlState, LeaseRow, StateChange, ZoneRole};
 use crate::messages::PeerMessage;
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod change;
 mod directory;
 mod lease;
+mod pace;
 mod peers;
 mod settings;
 mod uplink;
--- a/crates/daemon/src/control/uplink.rs
+++ b/crates/daemon/src/control/uplink.rs
@@ -5,12 +5,10 @@
 
 use rand::Rng;
 
-use super::zone::{spread_window, RELAY_HEAD_START};
+use super::pace::{spread_window, CANDIDATE_PAUSE, RELAY_HEAD_START};
 use super::{ControlEffect, ControlState, StateChange, ZoneRole};
 use crate::messages::{PeerHello, PeerMessage, RelayMessage, RelayWelcome};
 
-/// Pause before the next candidate is tried, at most this much more by jitter.
-pub(super) const CANDIDATE_PAUSE: Duration = Duration::from_millis(100);
 /// How often a linked daemon says it is alive.
 const BEAT_EVERY: Duration = Duration::from_secs(2);
 /// A link that brought no message for this long is given up, on both sides.
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -17,7 +17,8 @@
 use rand::Rng;
 
 use super::lease::{HeldLease, LeaseCall, SeenLease};
-use super::uplink::{RelayLink, CANDIDATE_PAUSE};
+use super::pace::{spread_window, CANDIDATE_PAUSE, RELAY_HEAD_START};
+use super::uplink::RelayLink;
 use super::{ControlEffect, ControlSettings, ControlState, StateChange};
 use crate::messages::ZoneShape;
 use crate::settings::DistributionMode;
@@ -29,9 +30,6 @@
 /// size, which keeps the relay's bytes for loads constant; proxies of large
 /// zones go by the loads that answers carry.
 const LOADS_ZONE_SIZE: u32 = 16;
-/// Head start the zone's relay gets before a daemon without one reads the
-/// version in force from the platform itself.
-pub(super) const RELAY_HEAD_START: Duration = Duration::from_secs(1);
 /// Without a relay for this long, a daemon keeps its own rows.
 const FALL_BACK_AFTER: Duration = Duration::from_secs(3);
 /// Longest pause between platform reads while the platform fails.
@@ -136,12 +134,6 @@
     }
 }
 
-/// The time over which a zone's daemons spread one platform read each, so
-/// that together they stay within the zone's read limit.
-pub(super) fn spread_window(settings: &ControlSettings, daemons: u32) -> Duration {
-    Duration::from_secs(1) * daemons / settings.zone_reads_per_second.max(1)
-}
-
 impl ControlState {
     pub(super) fn tick_zone(&mut self, effects: &mut Vec<ControlEffect>) {
         match self.zone.role {
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -8,7 +8,8 @@
 use clap::Parser;
 use filbert_ctl::{cmd, Cli};
 
-use crate::mesh::{LocalMesh, MeshSpec};
+use crate::mesh::LocalMesh;
+use crate::spec::MeshSpec;
 
 /// The Co-op example tree, built into the binary.
 const COOP_TREE: &str = include_str!("../../../examples/coop.toml");
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod platform;
 pub mod ports;
 pub mod process;
+pub mod serving;
+pub mod spec;
 pub mod target;
 pub mod trees;
 pub mod usage;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -16,6 +16,8 @@
 use rocket::serde::json::Json;
 use rocket::{get, post, put, routes, State};
 
+use crate::serving::{quiet_config, wait_listening};
+
 /// The stand-in's whole state. Shared between the server and tests.
 #[derive(Default)]
 pub struct PlatformStore {
@@ -208,18 +210,6 @@
     )
 }
 
-/// A rocket configuration on loopback that prints nothing.
-#[must_use]
-pub fn quiet_config(port: u16) -> rocket::Config {
-    rocket::Config {
-        port,
-        address: std::net::Ipv4Addr::LOCALHOST.into(),
-        log_level: rocket::config::LogLevel::Off,
-        cli_colors: false,
-        ..rocket::Config::release_default()
-    }
-}
-
 /// A running stand-in: its address and its store.
 pub struct PlatformHandle {
     /// Base URL, such as `http://127.0.0.1:7000`.
@@ -246,7 +236,7 @@
         let shutdown = ignited.shutdown();
         tokio::spawn(ignited.launch());
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        crate::target::wait_listening(port).await;
+        wait_listening(port).await;
         PlatformHandle {
             url: format!("http://{address}"),
             address,
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -11,9 +11,9 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 
-use crate::mesh::MeshSpec;
 use crate::pipe::FaultPipe;
 use crate::ports::free_port;
+use crate::spec::MeshSpec;
 
 /// What a `filbertd` process is started with.
 pub struct DaemonPlan {
--- /dev/null
+++ b/crates/standin/src/serving.rs
@@ -0,0 +1,28 @@
+//! What servers of this process have in common.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A rocket configuration on loopback that prints nothing.
+#[must_use]
+pub fn quiet_config(port: u16) -> rocket::Config {
+    rocket::Config {
+        port,
+        address: std::net::Ipv4Addr::LOCALHOST.into(),
+        log_level: rocket::config::LogLevel::Off,
+        cli_colors: false,
+        ..rocket::Config::release_default()
+    }
+}
+
+/// Waits until something accepts connections on the loopback `port`, for at
+/// most five seconds.
+pub async fn wait_listening(port: u16) {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    for _ in 0..500 {
+        if tokio::net::TcpStream::connect(address).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::pipe::FaultPipe;
+use crate::serving::{quiet_config, wait_listening};
 use filbert_store::TargetAnnouncement;
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::{Header, Status};
@@ -320,7 +321,7 @@
             declined: AtomicU32::new(0),
             log,
         });
-        let ignited = rocket::custom(crate::platform::quiet_config(port))
+        let ignited = rocket::custom(quiet_config(port))
             .manage(Arc::clone(&state))
             .mount("/", routes![read_call, write_call])
             .ignite()
@@ -410,15 +411,3 @@
         tokio::time::sleep(ANNOUNCE_EVERY).await;
     }
 }
-
-/// Waits until something accepts connections on the loopback `port`, for at
-/// most five seconds.
-pub async fn wait_listening(port: u16) {
-    let address = SocketAddr::from(([127, 0, 0, 1], port));
-    for _ in 0..500 {
-        if tokio::net::TcpStream::connect(address).await.is_ok() {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbert_standin::mesh::MeshSpec;
+use filbert_standin::spec::MeshSpec;
 use filbert_standin::target::{ExecutionRecord, TargetHandle, TargetMode, TargetSpec};
 use nix::sys::signal::Signal;
 use rstest::rstest;
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -8,7 +8,8 @@
 use std::process::Command;
 use std::time::Duration;
 
-use filbert_standin::mesh::{LocalMesh, MeshSpec};
+use filbert_standin::mesh::LocalMesh;
+use filbert_standin::spec::MeshSpec;
 use filbert_standin::target::TargetMode;
 use support::{get, CTL_EXE, DAEMON_EXE};
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbert_standin::mesh::{LocalMesh, MeshSpec};
+use filbert_standin::mesh::LocalMesh;
+use filbert_standin::spec::MeshSpec;
 use filbert_standin::target::{TargetHandle, TargetSpec};
 use filbert_store::FaultSwitches;
 use filbert_tree::BranchPath;
--- a/tests/mesh_calls.rs
+++ b/tests/mesh_calls.rs
@@ -163,11 +163,7 @@
             .await
             .expect("an answer");
         assert_eq!(answer.status, 502);
-        let runs: usize = fleet.hosts[1..]
-            .iter()
-            .map(|host| host.target.runs().iter().filter(|run| run.id == id).count())
-            .sum();
-        assert_eq!(runs, 1, "{id}");
+        assert_eq!(fleet.runs_of(&id), 1, "{id}");
     }
 }
 
@@ -181,9 +177,7 @@
     let target = &fleet.hosts[1].target;
     target.set_conduct(Conduct::Chunks);
     target.set_body_bytes(200_000);
-    let mut client = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
+    let mut client = fleet.connect(0).await;
     for round in 0..5 {
         let id = format!("download-{round}");
         client
@@ -221,11 +215,7 @@
             .await
             .expect("an answer");
         assert!(answer.status >= 500);
-        let runs: usize = fleet.hosts[1..]
-            .iter()
-            .map(|host| host.target.runs().iter().filter(|run| run.id == id).count())
-            .sum();
-        assert_eq!(runs, 1, "{id}");
+        assert_eq!(fleet.runs_of(&id), 1, "{id}");
     }
 }
 
@@ -247,9 +237,7 @@
     fleet.hosts[1]
         .target
         .set_conduct(Conduct::AnswersAfter(Duration::from_millis(400)));
-    let mut client = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
+    let mut client = fleet.connect(0).await;
     let started = Instant::now();
     for id in ["p-1", "p-2", "p-3"] {
         client
@@ -278,9 +266,7 @@
     let fleet = remote_pair().await;
     let target = &fleet.hosts[1].target;
     target.set_conduct(Conduct::Hangs);
-    let mut client = Client::connect(fleet.hosts[host].calls)
-        .await
-        .expect("a connection");
+    let mut client = fleet.connect(host).await;
     client
         .send(READ, &call_headers("left"), b"")
         .await
@@ -429,9 +415,7 @@
 #[tokio::test]
 async fn what_cannot_be_read_in_one_way_is_turned_away(#[case] case: SmuggleCase) {
     let fleet = remote_pair().await;
-    let mut client = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
+    let mut client = fleet.connect(0).await;
     client.send_raw(case.bytes).await.expect("sent");
     let answer = client.answer().await.expect("an answer");
     assert_eq!(answer.status, case.status);
@@ -453,9 +437,7 @@
 #[tokio::test]
 async fn a_long_chunked_call_arrives_whole() {
     let fleet = remote_pair().await;
-    let mut client = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
+    let mut client = fleet.connect(0).await;
     let head = "POST /order/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: long\r\nTransfer-Encoding: chunked\r\n\r\n";
     client.send_raw(head.as_bytes()).await.expect("sent");
     let piece = "y".repeat(50_000);
--- a/tests/mesh_links.rs
+++ b/tests/mesh_links.rs
@@ -27,14 +27,7 @@
     let fleet = pair("b").await;
     let target = &fleet.hosts[1].target;
     target.set_conduct(Conduct::AnswersAfter(Duration::from_millis(200)));
-    let mut client = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
-    client
-        .send(line, &call_headers("call-1"), b"")
-        .await
-        .expect("sent");
-    assert!(eventually(SETTLE_WITHIN, || async { target.runs().len() == 1 }).await);
+    let mut client = fleet.call_under_way(line, "call-1").await;
     fleet.hosts[1].signal(Signal::SIGSTOP);
     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     fleet.hosts[1].signal(Signal::SIGCONT);
@@ -65,9 +58,7 @@
 
 /// Makes a call; its connection, the host it runs at, and the other.
 async fn call_under_way(fleet: &Fleet) -> (Client, usize, usize) {
-    let mut client = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
+    let mut client = fleet.connect(0).await;
     client
         .send("GET /read/a HTTP/1.1", &call_headers("call-1"), b"")
         .await
--- a/tests/mesh_stops.rs
+++ b/tests/mesh_stops.rs
@@ -5,10 +5,9 @@
 
 use std::time::Duration;
 
-use filbert_platform_standin::host::call_headers;
-use filbert_platform_standin::{Client, Conduct};
+use filbert_platform_standin::Conduct;
 use nix::sys::signal::Signal;
-use users::{eventually, eventually_logs, pair, reload_with, Fleet, SETTLE_WITHIN};
+use users::{eventually_logs, pair, reload_with, Fleet};
 
 const READ: &str = "GET /read/a HTTP/1.1";
 const ORDER: &str = "POST /order/a HTTP/1.1";
@@ -31,17 +30,8 @@
     fleet.hosts[1]
         .target
         .set_conduct(Conduct::AnswersAfter(Duration::from_millis(1_300)));
-    let mut idle = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
-    let mut busy = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
-    busy.send(ORDER, &call_headers("order-1"), b"sign")
-        .await
-        .expect("sent");
-    let target = &fleet.hosts[1].target;
-    assert!(eventually(SETTLE_WITHIN, || async { target.runs().len() == 1 }).await);
+    let mut idle = fleet.connect(0).await;
+    let mut busy = fleet.call_under_way(ORDER, "order-1").await;
     fleet.hosts[0].signal(Signal::SIGTERM);
     let early = fleet.hosts[0].call(READ, "early", b"");
     let (early, ()) = tokio::join!(early, miss_twice(&fleet, 0));
@@ -63,14 +53,7 @@
     fleet.hosts[1]
         .target
         .set_conduct(Conduct::AnswersAfter(Duration::from_millis(1_300)));
-    let mut busy = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
-    busy.send(ORDER, &call_headers("order-1"), b"sign")
-        .await
-        .expect("sent");
-    let target = &fleet.hosts[1].target;
-    assert!(eventually(SETTLE_WITHIN, || async { target.runs().len() == 1 }).await);
+    let mut busy = fleet.call_under_way(ORDER, "order-1").await;
     fleet.hosts[1].signal(Signal::SIGTERM);
     miss_twice(&fleet, 1).await;
     assert_eq!(busy.answer().await.expect("the whole answer").status, 200);
@@ -90,15 +73,8 @@
     const LENGTH: usize = 200_000;
     let mut fleet = pair("a").await;
     reload_with(&fleet.hosts[1], "[link]\nmbps = 0.7\n").await;
-    let target = &fleet.hosts[1].target;
-    target.set_body_bytes(LENGTH);
-    let mut busy = Client::connect(fleet.hosts[0].calls)
-        .await
-        .expect("a connection");
-    busy.send(READ, &call_headers("read-1"), b"")
-        .await
-        .expect("sent");
-    assert!(eventually(SETTLE_WITHIN, || async { target.runs().len() == 1 }).await);
+    fleet.hosts[1].target.set_body_bytes(LENGTH);
+    let mut busy = fleet.call_under_way(READ, "read-1").await;
     fleet.hosts[1].signal(Signal::SIGTERM);
     let (answer, ()) = tokio::join!(busy.answer(), miss_twice(&fleet, 1));
     let answer = answer.expect("the whole answer");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use filbert_standin::history::{applied_history, backward_moves};
-use filbert_standin::mesh::{LocalMesh, MeshSpec};
+use filbert_standin::mesh::LocalMesh;
 use filbert_standin::process::DaemonProcess;
+use filbert_standin::spec::MeshSpec;
 use filbert_tree::{BranchPath, SettingsTree};
 
 pub const DAEMON_EXE: &str = env!("CARGO_BIN_EXE_filbertd");
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -6,7 +6,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use filbert_platform_standin::{config_text, Host, HostSpec, RouteSpec, StandinStore};
+use filbert_platform_standin::host::call_headers;
+use filbert_platform_standin::{config_text, Client, Host, HostSpec, RouteSpec, StandinStore};
 use nix::sys::signal::Signal;
 
 /// How long tests wait for what must happen; far beyond what it takes.
@@ -68,6 +69,31 @@
 }
 
 impl Fleet {
+    /// A connection to the daemon of `host`.
+    pub async fn connect(&self, host: usize) -> Client {
+        Client::connect(self.hosts[host].calls)
+            .await
+            .expect("a connection")
+    }
+
+    /// How often call `id` ran, at all targets together.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let runs = |host: &Host| host.target.runs().iter().filter(|run| run.id == id).count();
+        self.hosts.iter().map(runs).sum()
+    }
+
+    /// A call of host 0 that runs at the target of host 1 by now.
+    pub async fn call_under_way(&self, line: &str, id: &str) -> Client {
+        let mut client = self.connect(0).await;
+        client
+            .send(line, &call_headers(id), b"sign")
+            .await
+            .expect("sent");
+        let target = &self.hosts[1].target;
+        assert!(eventually(SETTLE_WITHIN, || async { target.runs().len() == 1 }).await);
+        client
+    }
+
     /// Waits until every daemon is ready and knows every other's target.
     pub async fn settle(&self) {
         for host in &self.hosts {
