Remove what nobody calls: InstanceTracker::heard, RouteIndex::service

Cause: two accessors and the map behind one of them were kept for callers that never came; each version built a map of all its services for nothing.

Ruled out: a use in tests or benches (none).

Change: both removed with their fields.

Nothing on the call path used them.

--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -42,7 +42,6 @@
     leaving_since: Option<Instant>,
     /// Whether it was leaving already when it was first heard of.
     left_before: bool,
-    heard: Instant,
     cold_until: Instant,
 }
 
@@ -74,7 +73,6 @@
                 if report.sequence <= current.report.sequence {
                     return InstanceChange::Stale;
                 }
-                current.heard = now;
                 current.cold_until = cold_until;
                 let was_leaving = current.leaving_since.is_some();
                 // Once a target has said that it leaves, it stays leaving:
@@ -101,7 +99,6 @@
                     left_before: report.is_draining,
                     report,
                     leaving_since,
-                    heard: now,
                     cold_until,
                 };
                 if let Some(old) = self.current.replace(fresh) {
@@ -177,12 +174,6 @@
         self.current.as_ref()?.leaving_since
     }
 
-    /// When the target was last heard from.
-    #[must_use]
-    pub fn heard(&self) -> Option<Instant> {
-        self.current.as_ref().map(|current| current.heard)
-    }
-
     /// Whether the target is still slow from its start.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -110,7 +110,6 @@
     number: u64,
     limits: ClientLimits,
     hosts: HashMap<String, HashMap<String, Arc<RouteRule>>>,
-    services: HashMap<String, ServiceRule>,
 }
 
 impl RouteIndex {
@@ -124,16 +123,10 @@
                 .or_default()
                 .insert(route.prefix.clone(), route);
         }
-        let services = version
-            .services
-            .into_iter()
-            .map(|service| (service.name.clone(), service))
-            .collect();
         RouteIndex {
             number: version.number,
             limits: version.limits,
             hosts,
-            services,
         }
     }
 
@@ -149,12 +142,6 @@
         &self.limits
     }
 
-    /// The rule of a service.
-    #[must_use]
-    pub fn service(&self, name: &str) -> Option<&ServiceRule> {
-        self.services.get(name)
-    }
-
     /// The route with the longest prefix that begins `target` (a path with or
     /// without a query) on `host` (with or without a port).
     ///
