filbertctl status and show print JSON for programs

Ruled out: a flag for all commands; those that write say one line that is told by its exit code.

Change: `status` and `show` take `--output json`; `raw`, which only the mesh's configuration has, is an own set of formats, so it is refused elsewhere.

Tests: end_to_end read_as_json (the fleet, a branch, the whole tree), failed first as an unknown option. No measurement: command line only.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -57,6 +57,9 @@
         /// Show the pending tree instead of the version in force.
         #[arg(long)]
         pending: bool,
+        /// How to print it.
+        #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
+        output: ReadFormat,
     },
     /// Show what accepting the pending tree would change.
     Diff,
@@ -81,7 +84,11 @@
         expect: Option<u64>,
     },
     /// List the proxies and the version each has in force.
-    Status,
+    Status {
+        /// How to print them.
+        #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
+        output: ReadFormat,
+    },
     /// Print the completions of a shell.
     Completions {
         /// The shell.
@@ -121,8 +128,8 @@
         #[arg(default_value = "")]
         below: String,
         /// How to print it; `raw` as the operator wrote it, for `diff`.
-        #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
-        output: OutputFormat,
+        #[arg(long, value_enum, default_value_t = ConfigFormat::Text)]
+        output: ConfigFormat,
     },
     /// Show what changed from a configuration saved earlier with `--output raw`.
     Diff {
@@ -132,8 +139,8 @@
     /// List the hosts and where their daemons are.
     Hosts {
         /// How to print them.
-        #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
-        output: OutputFormat,
+        #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
+        output: ReadFormat,
     },
     /// Show what each host's daemon has in force and how busy its target is.
     Status {
@@ -141,8 +148,8 @@
         #[arg(long, default_value_t = METRICS_PORT)]
         metrics_port: u16,
         /// How to print it.
-        #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
-        output: OutputFormat,
+        #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
+        output: ReadFormat,
     },
     /// Wait until a version is in force on every host.
     Watch {
@@ -159,7 +166,16 @@
 
 /// How a reading command prints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
-pub enum OutputFormat {
+pub enum ReadFormat {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// How a configuration is printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum ConfigFormat {
     /// For people.
     Text,
     /// For programs.
--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -10,10 +10,10 @@
 use filbert_platform::operator::read_config;
 use filbert_platform::store::{StoreClient, CONFIG_KEY, OPERATOR_TABLE};
 
-use crate::cli::{MeshCommand, OutputFormat};
+use crate::cli::{ConfigFormat, MeshCommand, ReadFormat};
 use crate::error::CtlError;
 use crate::mesh::{DaemonReadings, HostStatus, MeshTree};
-use crate::store::CtlResult;
+use crate::store::{json, CtlResult};
 
 /// How long one call to the store or to a daemon may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -55,12 +55,12 @@
     Ok((text, MeshTree::of(&version)))
 }
 
-async fn show(store: &StoreClient, below: &str, output: OutputFormat) -> CtlResult<()> {
+async fn show(store: &StoreClient, below: &str, output: ConfigFormat) -> CtlResult<()> {
     let (text, tree) = current(store).await?;
     match output {
-        OutputFormat::Text => print!("{}", tree.text(below)),
-        OutputFormat::Json => println!("{}", json(&tree)?),
-        OutputFormat::Raw => println!("{}", String::from_utf8_lossy(&text)),
+        ConfigFormat::Text => print!("{}", tree.text(below)),
+        ConfigFormat::Json => println!("{}", json(&tree)?),
+        ConfigFormat::Raw => println!("{}", String::from_utf8_lossy(&text)),
     }
     Ok(())
 }
@@ -93,9 +93,9 @@
         .collect())
 }
 
-async fn hosts(store: &StoreClient, output: OutputFormat) -> CtlResult<()> {
+async fn hosts(store: &StoreClient, output: ReadFormat) -> CtlResult<()> {
     let members = members(store).await?;
-    if output == OutputFormat::Json {
+    if output == ReadFormat::Json {
         println!("{}", json(&members)?);
         return Ok(());
     }
@@ -105,7 +105,7 @@
     Ok(())
 }
 
-async fn status(store: &StoreClient, metrics_port: u16, output: OutputFormat) -> CtlResult<()> {
+async fn status(store: &StoreClient, metrics_port: u16, output: ReadFormat) -> CtlResult<()> {
     let http = metrics_client()?;
     let mut asked = tokio::task::JoinSet::new();
     for (place, member) in members(store).await?.into_iter().enumerate() {
@@ -118,7 +118,7 @@
     let mut hosts = asked.join_all().await;
     hosts.sort_by_key(|(place, _)| *place);
     let hosts: Vec<HostStatus> = hosts.into_iter().map(|(_, host)| host).collect();
-    if output == OutputFormat::Json {
+    if output == ReadFormat::Json {
         println!("{}", json(&hosts)?);
         return Ok(());
     }
@@ -223,7 +223,3 @@
         .ok()?;
     DaemonReadings::read(&answer.text().await.ok()?)
 }
-
-fn json<T: serde::Serialize>(value: &T) -> CtlResult<String> {
-    serde_json::to_string_pretty(value).change_context(CtlError::Platform)
-}
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -37,14 +37,15 @@
             branch,
             resolved,
             pending,
-        } => show::run(&platform, branch.as_deref(), resolved, pending).await,
+            output,
+        } => show::run(&platform, branch.as_deref(), resolved, pending, output).await,
         Command::Diff => diff::run(&platform).await,
         Command::Accept { expect } => accept::run(&platform, expect).await,
         Command::Watch { version, timeout } => {
             watch::run(&platform, version, std::time::Duration::from_secs(timeout)).await
         }
         Command::Withdraw { expect } => withdraw::run(&platform, expect).await,
-        Command::Status => status::run(&platform).await,
+        Command::Status { output } => status::run(&platform, output).await,
         Command::Completions { shell } => {
             completions::run(shell);
             Ok(())
--- a/crates/ctl/src/cmd/show.rs
+++ b/crates/ctl/src/cmd/show.rs
@@ -3,6 +3,7 @@
 use error_stack::Report;
 use filbert_store::PlatformClient;
 
+use crate::cli::ReadFormat;
 use crate::error::CtlError;
 use crate::store::{self, CtlResult};
 
@@ -11,16 +12,22 @@
     branch: Option<&str>,
     resolved: bool,
     pending: bool,
+    output: ReadFormat,
 ) -> CtlResult<()> {
-    let tree = if pending {
-        store::draft(platform).await?.0
+    let (version, tree) = if pending {
+        (None, store::draft(platform).await?.0)
     } else {
         let in_force = store::in_force(platform).await?;
-        println!("# version {}", in_force.number());
-        in_force.tree()
+        (Some(in_force.number()), in_force.tree())
     };
     let Some(branch) = branch else {
-        print!("{}", tree.to_toml());
+        match output {
+            ReadFormat::Text => print!("{}{}", heading(version), tree.to_toml()),
+            ReadFormat::Json => {
+                let shown = serde_json::json!({ "version": version, "tree": tree });
+                println!("{}", store::json(&shown)?);
+            }
+        }
         return Ok(());
     };
     let path = store::parse_branch(branch)?;
@@ -31,9 +38,24 @@
     };
     let settings = settings
         .ok_or_else(|| Report::new(CtlError::BadInput).attach(format!("{path}: no such branch")))?;
-    println!("[{path}]");
-    for (key, value) in settings.pairs() {
-        println!("{key} = {value}");
+    match output {
+        ReadFormat::Text => {
+            println!("{}[{path}]", heading(version));
+            for (key, value) in settings.pairs() {
+                println!("{key} = {value}");
+            }
+        }
+        ReadFormat::Json => {
+            let shown = serde_json::json!({
+                "version": version, "branch": path.to_string(), "settings": settings,
+            });
+            println!("{}", store::json(&shown)?);
+        }
     }
     Ok(())
 }
+
+/// The line on the version in force; none for the pending tree.
+fn heading(version: Option<u64>) -> String {
+    version.map_or_else(String::new, |version| format!("# version {version}\n"))
+}
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -146,3 +146,11 @@
         ))
     })
 }
+
+/// A value as JSON for programs.
+///
+/// # Errors
+/// [`CtlError::Platform`] when what the platform gave cannot be written so.
+pub fn json<T: serde::Serialize>(value: &T) -> CtlResult<String> {
+    serde_json::to_string_pretty(value).change_context(CtlError::Platform)
+}
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -163,6 +163,26 @@
     for status in mesh.statuses().await {
         assert_eq!(status.applied, 3, "{} did not apply version 3", status.id);
     }
+    read_as_json(&mesh);
+}
+
+/// Programs read what operators read: the fleet and a branch, as JSON.
+fn read_as_json(mesh: &LocalMesh) {
+    let read = |words: &[&str]| -> serde_json::Value {
+        let (code, text) = ctl(mesh, words);
+        assert_eq!(code, 0, "{text}");
+        serde_json::from_str(&text).expect("JSON")
+    };
+    let status = read(&["status", "--output", "json"]);
+    assert_eq!(status["version"], 3);
+    let live = status["live"].as_array().map_or(0, Vec::len);
+    assert_eq!(live, mesh.daemons.len(), "{status}");
+    let branch = "site/north-signs/quoting/quotes";
+    let shown = read(&["show", branch, "--resolved", "--output", "json"]);
+    assert_eq!(shown["settings"]["timeout_ms"], 1500, "{shown}");
+    let whole = read(&["show", "--output", "json"]);
+    assert_eq!(whole["version"], 3);
+    assert!(whole["tree"].is_object(), "{whole}");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
