Both daemons write their lines through the one bounded logger

Cause: logging stood twice.

Ruled out: a shared crate for the few lines of a format; the bounded logger has all that the other did.

Change: filbertd starts the mesh's logger in both modes; the older one's module is gone, and its lines no longer name the module.

Tests: no new one; mesh_logs a_stalled_reader_of_the_log_... covers the logger; answers, failures, convergence_faults, end_to_end, mesh_logs: 37 passed. Not measured: no path of a call on the users' platform changes.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod counters;
 pub mod limits;
 pub mod links;
-pub mod logging;
 pub mod messages;
 pub mod platform_calls;
 pub mod proxy;
--- a/crates/mesh/src/logging.rs
+++ b/crates/mesh/src/logging.rs
@@ -14,7 +14,7 @@
 use flexi_logger::{DeferredNow, LogSpecification, Logger, LoggerHandle};
 
 /// Libraries whose own lines say nothing about the daemon's decisions.
-const LIBRARY_LEVELS: &str = "h2=warn,hyper=warn,reqwest=warn,hyper_util=warn";
+const LIBRARY_LEVELS: &str = "h2=warn,hyper=warn,reqwest=warn,hyper_util=warn,rocket=error,_=error";
 /// Most bytes that wait for the writer: some seconds of lines at the budget's
 /// rates, small against the memory a host has for the daemon.
 const MOST_WAITING: usize = 256 * 1024;
--- a/src/bin/filbertd.rs
+++ b/src/bin/filbertd.rs
@@ -6,8 +6,8 @@
 use clap::{Parser, Subcommand};
 use error_stack::Report;
 use filbert_ctl::error::for_people;
-use filbert_daemon::{logging, DaemonSettings};
-use filbert_mesh::MeshSettings;
+use filbert_daemon::DaemonSettings;
+use filbert_mesh::{logging, MeshSettings};
 
 /// Threads that run the daemon's tasks. Its host's processors belong to the
 /// target beside it.
@@ -80,7 +80,7 @@
         println!("{}: the settings are whole", path.display());
         return ExitCode::SUCCESS;
     }
-    let _logger = filbert_mesh::logging::start(log);
+    let _logger = logging::start(log);
     // One thread: a host gives the daemon a fifth of a core, and parts that
     // share one thread need no locks.
     let runtime = tokio::runtime::Builder::new_current_thread()
