A target announced between hello and welcome is told to the zone's relay

The relay never learnt the other, also not in 30 s: a daemon over our own store tells its relay of its targets in its hello, and of later ones once the relay has answered; a target that announced itself in between was told to nobody (log: target_joined 5 ms before relay_joined).

Ruled out: load alone (the state stays); the targets' own announcements (the daemon beside the target had it).

Change: targets go up behind the hello, answered yet or not; messages of a link keep their order. The test of the process now says what it needs: it waits until the daemon knows both targets, for 30 s at most, which the old code fails.

The daemon on the users' platform has no part of this code.

--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -149,7 +149,7 @@
             self.load_moves.extend(change.loads);
             return;
         }
-        self.send_up(PeerMessage::Targets(change.clone()), effects);
+        self.send_behind_hello(PeerMessage::Targets(change.clone()), effects);
         self.tell_peers_of(&change, None, effects);
     }
 
@@ -162,7 +162,7 @@
             loads: std::mem::take(&mut self.load_moves).into_iter().collect(),
             ..TargetChange::default()
         };
-        self.send_up(PeerMessage::Targets(change.clone()), effects);
+        self.send_behind_hello(PeerMessage::Targets(change.clone()), effects);
         self.tell_peers_of(&change, None, effects);
     }
 
--- a/crates/daemon/src/control/uplink.rs
+++ b/crates/daemon/src/control/uplink.rs
@@ -86,6 +86,20 @@
         }
     }
 
+    /// Sends to the relay behind this daemon's hello, answered yet or not.
+    ///
+    /// Guards against a target that its zone never hears of (seen as a relay
+    /// that sends every call to the other target): announced between the hello,
+    /// which does not name it, and the welcome, it was told to nobody.
+    pub(super) fn send_behind_hello(&self, message: PeerMessage, effects: &mut Vec<ControlEffect>) {
+        if let Some(link) = &self.zone.link {
+            effects.push(ControlEffect::SendUp {
+                link: link.id,
+                message,
+            });
+        }
+    }
+
     /// Sends to the relay, when linked.
     pub(super) fn send_up(&self, message: PeerMessage, effects: &mut Vec<ControlEffect>) {
         if let Some(link) = self.zone.link.as_ref().filter(|link| link.joined) {
--- a/crates/daemon/tests/control_cases.rs
+++ b/crates/daemon/tests/control_cases.rs
@@ -9,7 +9,7 @@
     ControlEffect, ControlEvent, ControlSettings, ControlState, LeaseRow, PlatformStep,
     StateChange, ZoneRole,
 };
-use filbert_daemon::messages::{RelayMessage, RelayWelcome, TargetChange, ZoneShape};
+use filbert_daemon::messages::{PeerMessage, RelayMessage, RelayWelcome, TargetChange, ZoneShape};
 use filbert_daemon::settings::DistributionMode;
 use filbert_store::{LeaseRecord, TargetAnnouncement, TargetRecord};
 use filbert_tree::{BranchPath, SettingsTree, VersionRecord};
@@ -350,6 +350,37 @@
     assert!(reads(&daemon.step_at(310, ControlEvent::Tick)));
 }
 
+/// A target announces itself between its daemon's hello to the zone's relay and
+/// the relay's answer. The relay must be told all the same, or no other daemon
+/// of the zone ever sends it a call.
+#[test]
+fn a_target_that_comes_between_hello_and_welcome_is_told_to_the_relay() {
+    let mut daemon = TestDaemon::in_mode(DistributionMode::Relay);
+    let row = LeaseRow {
+        version: 1,
+        record: lease_record("a2", "127.0.0.1:2"),
+    };
+    daemon.step_at(100, ControlEvent::LeaseRead { row: Some(row) });
+    let announcement = TargetAnnouncement {
+        service: "pricing".to_owned(),
+        address: "127.0.0.1:9009".to_owned(),
+        load: 0,
+        leaving: false,
+    };
+    let effects = daemon.step_at(105, ControlEvent::Announced { announcement });
+    let is_told = effects.iter().any(|effect| match effect {
+        ControlEffect::SendUp {
+            message: PeerMessage::Targets(change),
+            ..
+        } => change
+            .upserts
+            .iter()
+            .any(|target| target.address == "127.0.0.1:9009"),
+        _ => false,
+    });
+    assert!(is_told, "{effects:?}");
+}
+
 fn lease_record(holder: &str, address: &str) -> LeaseRecord {
     LeaseRecord {
         holder: holder.to_owned(),
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -11,7 +11,7 @@
 use filbert_standin::target::{ExecutionRecord, TargetHandle, TargetMode, TargetSpec};
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use support::{get, leader_of, mesh_in_force, spec, DAEMON_EXE, SETTLE_WITHIN};
+use support::{get, leader_of, mesh_in_force, spec, targets_known, DAEMON_EXE, SETTLE_WITHIN};
 
 /// Calls each of the concurrent callers makes.
 const CALLS: u64 = 12;
@@ -90,6 +90,9 @@
     // answered by the other one; only a target whose failures are answers
     // costs a few calls until it is passed over.
     let mesh = mesh_in_force(spec(&["quoting"]).zones(&["zone-a"])).await;
+    // A daemon that has not heard of the other target yet has no choice.
+    let knows_both = || async { targets_known(&mesh.daemons[0], "quoting").await == 2 };
+    assert!(support::eventually(SETTLE_WITHIN, knows_both).await);
     mesh.targets[0].set_mode(case.mode);
     let mut failures = 0;
     for call in 0..20 {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -121,3 +121,11 @@
     assert!(!history.is_empty(), "no history recorded");
     assert_eq!(backward_moves(&history), [], "a proxy moved back");
 }
+
+/// How many targets of `service` a daemon knows in its zone.
+pub async fn targets_known(daemon: &DaemonProcess, service: &str) -> u64 {
+    let url = format!("{}/status", daemon.admin_url);
+    let reply = reqwest::get(url).await.expect("the daemon answers");
+    let status: serde_json::Value = reply.json().await.expect("a status is JSON");
+    status["targets"][service].as_u64().unwrap_or(0)
+}
