--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -106,9 +106,9 @@
     ///
     /// Guards against a heavy version that is late behind old ones: the history
     /// since a follower's last ask holds the whole text of each version that
-    /// its readers told it meanwhile. Six of 600 KB took a link of 7.5 Mbit/s
-    /// for 2.4 s, and the new version, asked for behind them, was in force
-    /// 4.6 s after its announcement; it may take 2.5 s.
+    /// its readers told it meanwhile. These, 600 KB each, took a link of 7.5
+    /// Mbit/s for 2.4 s, and the new version, asked for behind them, was in
+    /// force 4.6 s after its announcement.
     fn skip_history(&mut self, shared: &MeshShared) {
         let is_configuration = self.subject == FeedSubject::Configuration;
         if is_configuration && shared.versions.number() != self.reached {
