--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -127,8 +127,8 @@
     /// had late from the own zone, a small one soon from any.
     fn default() -> Self {
         CrossingSettings {
-            base: 0.01,
-            per_kib: 0.006,
+            base: 0.25,
+            per_kib: 0.2,
             most: 0.9,
         }
     }
