A run time for each kind of call

Cause: the gate judged each call by the mean of all runs, so lookups of 30 ms beside reports of 480 ms were refused at once and the runs that waited for them failed. Change: admission, waits and placement go by a call's own kind; a new kind by what it usually takes and the target's pace.

--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -29,7 +29,14 @@
 /// How one attempt ended.
 pub(super) enum AttemptOutcome {
     /// With the target's answer.
-    Answer(AnswerHead, AnswerBody),
+    Answer {
+        /// Its head.
+        head: AnswerHead,
+        /// Its body.
+        body: AnswerBody,
+        /// Time from the start of the run to the head.
+        ran: Duration,
+    },
     /// The target saw nothing.
     Declined {
         /// When room is expected there.
@@ -106,8 +113,12 @@
         },
         ReplyHead::Rejected { .. } => AttemptOutcome::Rejected,
         ReplyHead::Lost { .. } => AttemptOutcome::Lost,
-        ReplyHead::Answer { head, .. } => match body.read_ahead(READ_AHEAD).await {
-            Ok(body) => AttemptOutcome::Answer(head, body),
+        ReplyHead::Answer { head, ran_us, .. } => match body.read_ahead(READ_AHEAD).await {
+            Ok(body) => AttemptOutcome::Answer {
+                head,
+                body,
+                ran: Duration::from_micros(ran_us),
+            },
             Err(_) => AttemptOutcome::Lost,
         },
     }
--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -49,6 +49,7 @@
         .borrow()
         .get(&route.name)
         .map_or(0.0, |history| history.answer_kib);
+    let usual_ms = millis(head.usual_run_us);
     let carried_kib = answer_kib + kib(head.body_length.unwrap_or(0));
     let mut views = Vec::new();
     let mut candidates = Vec::new();
@@ -57,6 +58,7 @@
             if let Some(view) = view_of(
                 &status,
                 service,
+                usual_ms,
                 true,
                 f64::from(status.load.running + status.load.waiting),
             )
@@ -77,7 +79,7 @@
         let in_zone = peer.address.zone == settings.zone;
         let reported = status.load.running + status.load.waiting;
         let occupancy = assumed_occupancy(reported, sent, shared.daemons().min(MOST_ALIKE));
-        if let Some(mut view) = view_of(&status, service, in_zone, occupancy) {
+        if let Some(mut view) = view_of(&status, service, usual_ms, in_zone, occupancy) {
             // What was placed there since the report will want the link too.
             let unseen = occupancy - f64::from(reported);
             view.link_ms += unseen * carried_kib * view.link_ms_per_kib;
@@ -115,6 +117,7 @@
 fn view_of(
     status: &TargetStatus,
     service: &str,
+    usual_ms: f64,
     in_zone: bool,
     occupancy: f64,
 ) -> Option<TargetView> {
@@ -126,7 +129,12 @@
         in_zone,
         slots: load.slots,
         occupancy,
-        run_ms: load.run_ms,
+        run_ms: if usual_ms > 0.0 {
+            usual_ms * load.pace
+        } else {
+            load.run_ms
+        },
+        turn_ms: load.run_ms,
         ill_share: load.ill_share,
         is_cold: status.is_cold,
         is_leaving: status.state == TargetState::Leaving,
--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -135,12 +135,14 @@
             let step = self.decide(end);
             self.tell(&target, end, step);
             match (step, outcome) {
-                (NextStep::PassOn, AttemptOutcome::Answer(head, body)) => {
-                    let length = head.body_length.unwrap_or(0);
-                    self.shared.note_answer(&self.route.name, length);
+                (NextStep::PassOn, AttemptOutcome::Answer { head, body, ran }) => {
+                    if head.status < FIRST_FAILURE {
+                        let length = head.body_length.unwrap_or(0);
+                        self.shared.note_answer(&self.route.name, length, ran);
+                    }
                     return ClientAnswer::Target(head, body);
                 }
-                (NextStep::SendAgain, AttemptOutcome::Answer(head, body)) => {
+                (NextStep::SendAgain, AttemptOutcome::Answer { head, body, .. }) => {
                     self.failure = Some((head, body));
                 }
                 (NextStep::SendAgain, _) => {}
@@ -182,7 +184,7 @@
                 biased;
                 outcome = running.end() => return Some(outcome),
                 (host, earlier) = first_end(silent) => {
-                    if matches!(earlier, AttemptOutcome::Answer(..)) {
+                    if matches!(earlier, AttemptOutcome::Answer { .. }) {
                         self.story.host = host;
                         return Some(earlier);
                     }
@@ -202,7 +204,7 @@
         self.progress.in_attempt.set(!silent.is_empty());
         while !silent.is_empty() {
             let (host, outcome) = first_end(&mut silent).await;
-            if let AttemptOutcome::Answer(head, body) = outcome {
+            if let AttemptOutcome::Answer { head, body, .. } = outcome {
                 self.story.host = host;
                 return ClientAnswer::Target(head, body);
             }
@@ -214,10 +216,10 @@
     fn count(&mut self, target: &PickedTarget, outcome: &AttemptOutcome) -> AttemptEnd {
         self.tried.push(target.host.clone());
         let end = match outcome {
-            AttemptOutcome::Answer(answer, _) if answer.status >= FIRST_FAILURE => {
+            AttemptOutcome::Answer { head, .. } if head.status >= FIRST_FAILURE => {
                 AttemptEnd::AnsweredFailure
             }
-            AttemptOutcome::Answer(..) => AttemptEnd::Answered,
+            AttemptOutcome::Answer { .. } => AttemptEnd::Answered,
             AttemptOutcome::Declined { room_in } => {
                 self.declines += 1;
                 self.room = Some(self.room.map_or(*room_in, |least| least.min(*room_in)));
@@ -382,6 +384,8 @@
         aim_us: 0,
         priority: route.priority,
         answer_bytes: shared.usual_answer(&route.name),
+        kind: route.name.clone(),
+        usual_run_us: shared.usual_run(&route.name),
     };
     (head, call.body)
 }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -16,12 +16,13 @@
 use filbert_policy::health::{RunSign, TargetHealth};
 use filbert_policy::instance::{InstanceChange, InstanceReport, InstanceTracker};
 use filbert_policy::numbers::count_of;
+use filbert_policy::run_times::RunTimes;
 use tokio::sync::{oneshot, Notify, Semaphore};
 
 use crate::body::MOST_AHEAD_KIB;
 use crate::egress::EgressPacer;
 use crate::logging::LineBudget;
-use crate::messages::{TargetLoad, TargetState, TargetStatus};
+use crate::messages::{CallHead, TargetLoad, TargetState, TargetStatus};
 use crate::metrics::MeshMetrics;
 use crate::settings::TimeSettings;
 use crate::target::TargetConnections;
@@ -34,14 +35,23 @@
 struct GateState {
     queue: GateQueue,
     health: TargetHealth,
+    times: RunTimes,
     tracker: InstanceTracker,
     waiters: HashMap<WaitTicket, oneshot::Sender<Result<(), Duration>>>,
     down_until: Option<Instant>,
-    /// Calls that started, by number, with when they did.
-    started: HashMap<u64, Instant>,
+    /// Calls that started, by number.
+    started: HashMap<u64, StartedRun>,
     next_run: u64,
 }
 
+/// A run under way.
+#[derive(Clone, Copy)]
+struct StartedRun {
+    at: Instant,
+    /// How long it was expected to take.
+    expected: Duration,
+}
+
 /// The gate of the target beside the daemon.
 pub struct Gate {
     state: RefCell<GateState>,
@@ -76,6 +86,7 @@
             state: RefCell::new(GateState {
                 queue: GateQueue::new(WaitLimits::default()),
                 health: TargetHealth::default(),
+                times: RunTimes::default(),
                 tracker: InstanceTracker::default(),
                 waiters: HashMap::new(),
                 down_until: None,
@@ -134,6 +145,7 @@
                 InstanceChange::Stale => {}
                 InstanceChange::Replaced => {
                     state.health = TargetHealth::default();
+                    state.times = RunTimes::default();
                     state.queue.set_slots(slots);
                     state.down_until = None;
                 }
@@ -211,7 +223,8 @@
             slots: state.queue.slots(),
             running: state.queue.running(),
             waiting: state.queue.waiting(),
-            run_ms: run_ms(state, now),
+            run_ms: millis(turn_time(state, now)),
+            pace: state.times.pace(),
             ill_share: state.health.ill_share(),
             link_ms: millis(self.egress.backlog()),
             link_ms_per_kib: millis(self.egress.time_of(KIB)),
@@ -222,36 +235,48 @@
         self.state.borrow_mut().health.note(sign);
     }
 
-    /// Time that an answer of `bytes` over the host's link would need, beyond
-    /// a usual run.
+    /// How long a run of `call` is expected to take here.
+    #[must_use]
+    pub fn expected_run(&self, call: &CallHead) -> Duration {
+        let usual = (call.usual_run_us > 0).then(|| Duration::from_micros(call.usual_run_us));
+        self.state.borrow().times.expect(&call.kind, usual)
+    }
+
+    /// Time that the answer to `call` over the host's link would need, beyond
+    /// its run.
     #[must_use]
-    pub fn link_time(&self, bytes: u64) -> LinkTime {
-        let run = Self::run_time(&self.state.borrow(), self.clock.now());
+    pub fn link_time(&self, call: &CallHead) -> LinkTime {
+        let bytes = call.answer_bytes;
         LinkTime {
-            wait: self.egress.wait_of(bytes).saturating_sub(run),
+            wait: self
+                .egress
+                .wait_of(bytes)
+                .saturating_sub(self.expected_run(call)),
             send: self.egress.time_of(bytes),
         }
     }
-
-    fn run_time(state: &GateState, now: Instant) -> Duration {
-        Duration::from_secs_f64(run_ms(state, now) / 1_000.0)
-    }
 }
 
-/// Mean run time, raised by runs that already take longer: a target that
-/// turned slow shows it before its slow runs end.
-fn run_ms(state: &GateState, now: Instant) -> f64 {
-    let mean = state.health.run_ms();
-    let overdue: Vec<f64> = state
+/// Mean time that the runs under way are expected to take; of all runs when
+/// there is none. Raised by runs that already take longer: a target that turned
+/// slow shows it before its slow runs end.
+fn turn_time(state: &GateState, now: Instant) -> Duration {
+    /// Part of its expected time by which a run is overdue.
+    const OVERDUE: f64 = 2.0;
+    if state.started.is_empty() {
+        return Duration::from_secs_f64(state.times.mean_ms() / 1_000.0);
+    }
+    let total: Duration = state
         .started
         .values()
-        .map(|started| now.saturating_duration_since(*started).as_secs_f64() * 1_000.0)
-        .filter(|age| *age > 2.0 * mean)
-        .collect();
-    if overdue.is_empty() {
-        return mean;
-    }
-    let share = count_of(overdue.len()) / count_of(state.started.len());
-    let age = overdue.iter().sum::<f64>() / count_of(overdue.len());
-    mean + (age - mean) * share
+        .map(|run| {
+            let age = now.saturating_duration_since(run.at);
+            if age > run.expected.mul_f64(OVERDUE) {
+                age
+            } else {
+                run.expected
+            }
+        })
+        .sum();
+    total.div_f64(count_of(state.started.len()))
 }
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -36,6 +36,7 @@
             priority: call.priority,
             aim: received + Duration::from_micros(call.aim_us),
             deadline: received + Duration::from_micros(call.left_us),
+            run: self.expected_run(call),
             link,
         };
         let none = AnswerBody::Whole(bytes::Bytes::new());
@@ -69,9 +70,11 @@
         };
         match end {
             ExchangeEnd::Answer(head, body) => {
-                self.note_answer(&run, &head);
+                let took = self.clock.now().saturating_duration_since(started);
+                self.note_answer(&run, &head, took);
                 let reply = ReplyHead::Answer {
                     head: answer_head(&head),
+                    ran_us: micros(took),
                     load: self.load(),
                 };
                 let is_short = head
@@ -97,14 +100,14 @@
         }
     }
 
-    fn note_answer(&self, run: &CallRun<'_>, head: &ResponseHead) {
-        let took = self.clock.now().saturating_duration_since(run.started);
+    fn note_answer(&self, run: &CallRun<'_>, head: &ResponseHead, took: Duration) {
         self.metrics.gate("ran");
         self.metrics.run(run.waited(), took);
         {
             let mut state = self.state.borrow_mut();
             if head.status < FIRST_FAILURE {
-                state.health.ran(took);
+                let usual = run.usual();
+                state.times.note(&run.call.kind, usual, took);
                 state.health.note(RunSign::Well);
             } else {
                 state.health.note(RunSign::Ill);
@@ -160,7 +163,7 @@
         }
         let load = self.load();
         log::info!(
-            "event=gate_declined request={} service={} reason={:?} waited_ms={} room_in_ms={} running={} waiting={} slots={} run_ms={:.0} link_ms={:.0} aim_ms={} left_ms={}",
+            "event=gate_declined request={} service={} reason={:?} waited_ms={} room_in_ms={} running={} waiting={} slots={} run_ms={:.0} link_ms={:.0} aim_ms={} left_ms={} route={} priority={} own_run_ms={}",
             call.id,
             call.service,
             declined.reason,
@@ -172,14 +175,17 @@
             load.run_ms,
             load.link_ms,
             call.aim_us / 1_000,
-            call.left_us / 1_000
+            call.left_us / 1_000,
+            call.kind,
+            call.priority,
+            self.expected_run(call).as_millis()
         );
     }
 
     fn declined(&self, declined: Declined) -> ReplyHead {
         ReplyHead::Declined {
             closed: crate::messages::is_closed(declined.reason),
-            room_us: u64::try_from(declined.room_in.as_micros()).unwrap_or(u64::MAX),
+            room_us: micros(declined.room_in),
             load: self.load(),
         }
     }
@@ -194,6 +200,12 @@
 }
 
 impl CallRun<'_> {
+    /// What such runs take elsewhere, as far as the caller's daemon knows.
+    fn usual(&self) -> Option<Duration> {
+        let usual = Duration::from_micros(self.call.usual_run_us);
+        (!usual.is_zero()).then_some(usual)
+    }
+
     /// How long it waited for its turn.
     fn waited(&self) -> Duration {
         self.started.saturating_duration_since(self.received)
@@ -210,3 +222,7 @@
         body_length: head.framing.length(),
     }
 }
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -7,7 +7,7 @@
 use filbert_policy::health::RunSign;
 use tokio::sync::oneshot;
 
-use super::Gate;
+use super::{turn_time, Gate, StartedRun};
 use crate::messages::TargetState;
 
 /// How often waiting calls are checked for having become too late.
@@ -110,8 +110,8 @@
                 .is_some_and(|report| report.service == service);
             let is_open = is_here && self.target_state(state, now) != TargetState::Closed;
             state.queue.set_open(is_open);
-            let run = Self::run_time(state, now);
-            match state.queue.offer(demand, run, now) {
+            let turn = turn_time(state, now);
+            match state.queue.offer(demand, turn, now) {
                 GateVerdict::Run => None,
                 GateVerdict::Decline { reason, room_in } => {
                     return Err(Declined { reason, room_in })
@@ -136,14 +136,15 @@
                 room_in,
             })?;
         }
-        Ok(self.start_run())
+        Ok(self.start_run(demand.run))
     }
 
-    fn start_run(self: &Rc<Self>) -> RunPermit {
+    fn start_run(self: &Rc<Self>, expected: Duration) -> RunPermit {
         let mut state = self.state.borrow_mut();
         let run = state.next_run;
         state.next_run += 1;
-        state.started.insert(run, self.clock.now());
+        let at = self.clock.now();
+        state.started.insert(run, StartedRun { at, expected });
         RunPermit {
             gate: Rc::clone(self),
             run,
@@ -160,11 +161,11 @@
             if state.queue.waiting() == 0 {
                 return;
             }
-            let run = Self::run_time(state, now);
+            let turn = turn_time(state, now);
             let ends = if self.target_state(state, now) == TargetState::Closed {
-                state.queue.turn_away_all(run)
+                state.queue.turn_away_all(turn)
             } else {
-                state.queue.settle(run, now)
+                state.queue.settle(turn, now)
             };
             for end in ends {
                 let (ticket, answer) = match end {
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -59,8 +59,10 @@
     pub running: u32,
     /// Calls that wait for it.
     pub waiting: u32,
-    /// Mean time of a run, in milliseconds.
+    /// Mean time of the runs under way, in milliseconds.
     pub run_ms: f64,
+    /// How much longer than usual runs of all kinds take; 1 when usual.
+    pub pace: f64,
     /// Share of its recent runs that ended ill, 0 to 1.
     pub ill_share: f64,
     /// Time until the host's link is free of the answers that are due, in
@@ -178,6 +180,10 @@
     pub priority: u8,
     /// Usual size of an answer to it, in bytes.
     pub answer_bytes: u64,
+    /// Its kind: the name of its route.
+    pub kind: String,
+    /// Usual time of a run of this kind, in microseconds; 0 when not known.
+    pub usual_run_us: u64,
 }
 
 /// What the target's daemon says of a call; an answer's body follows.
@@ -206,6 +212,8 @@
     Answer {
         /// Its head.
         head: AnswerHead,
+        /// Time from the start of the run to that head, in microseconds.
+        ran_us: u64,
         /// The target's load.
         load: TargetLoad,
     },
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -222,7 +222,7 @@
     };
     let work = async {
         let body = read_body(&call, incoming, buffer).await?;
-        let link = shared.gate.link_time(call.answer_bytes);
+        let link = shared.gate.link_time(&call);
         let promise = shared.egress.promise(call.answer_bytes);
         let done = shared.gate.run(&call, body, link).await;
         drop(promise);
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -32,9 +32,11 @@
     pub longest_wait: Duration,
     /// Usual size of an answer, in KiB.
     pub answer_kib: f64,
+    /// Usual time of a run, in milliseconds; 0 before the first.
+    pub run_ms: f64,
 }
 
-/// Weight of the newest answer in a route's usual size.
+/// Weight of the newest answer in a route's usual size and run time.
 const NEWEST_ANSWER: f64 = 0.05;
 
 /// What the daemon's parts share.
@@ -111,21 +113,18 @@
         }
         let history = RouteHistory {
             longest_wait: wait,
-            answer_kib: 0.0,
+            ..RouteHistory::default()
         };
         routes.insert(route.to_owned(), history);
         history
     }
 
-    /// Notes the size of an answer on `route`.
-    pub fn note_answer(&self, route: &str, bytes: u64) {
+    /// Notes the size of an answer on `route`, and the time of its run.
+    pub fn note_answer(&self, route: &str, bytes: u64, ran: Duration) {
         if let Some(history) = self.routes.borrow_mut().get_mut(route) {
             let kib = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1024.0;
-            if history.answer_kib == 0.0 {
-                history.answer_kib = kib;
-            } else {
-                history.answer_kib += (kib - history.answer_kib) * NEWEST_ANSWER;
-            }
+            note_in(&mut history.answer_kib, kib);
+            note_in(&mut history.run_ms, ran.as_secs_f64() * 1_000.0);
         }
     }
 
@@ -140,6 +139,17 @@
         whole_of(kib * 1024.0)
     }
 
+    /// Usual time of a run on `route`, in microseconds; 0 before the first.
+    #[must_use]
+    pub fn usual_run(&self, route: &str) -> u64 {
+        let run_ms = self
+            .routes
+            .borrow()
+            .get(route)
+            .map_or(0.0, |history| history.run_ms);
+        whole_of(run_ms * 1_000.0)
+    }
+
     /// Whether callers can be served: a version is in force and it is known
     /// whom to call.
     #[must_use]
@@ -147,3 +157,12 @@
         self.versions.number() > 0 && self.members.is_known.get()
     }
 }
+
+/// Takes `newest` into a running mean; 0 is none yet.
+fn note_in(mean: &mut f64, newest: f64) {
+    if *mean == 0.0 {
+        *mean = newest;
+    } else {
+        *mean += (newest - *mean) * NEWEST_ANSWER;
+    }
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -7,7 +7,6 @@
 
 use std::time::{Duration, Instant};
 
-use crate::numbers::count_of;
 
 /// A call at the gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +17,8 @@
     pub aim: Instant,
     /// Until when an answer is worth anything.
     pub deadline: Instant,
+    /// How long its run is expected to take here.
+    pub run: Duration,
     /// Time that its answer waits for the host's link, behind others', and
     /// that it takes there.
     pub link: LinkTime,
@@ -177,35 +178,37 @@
         self.slots
     }
 
-    /// Time until a call with `ahead` calls before it starts, if runs take `run`.
-    fn wait_behind(&self, ahead: usize, run: Duration) -> Duration {
-        if self.running < self.slots && ahead == 0 {
+    /// Time until a call starts behind calls that take `ahead` together, if
+    /// those at the target take `turn`.
+    fn wait_behind(&self, ahead: Duration, turn: Duration) -> Duration {
+        if self.running < self.slots && ahead.is_zero() {
             return Duration::ZERO;
         }
-        let starts = count_of(ahead) + 1.0;
-        run.mul_f64(starts / f64::from(self.slots))
+        (turn + ahead) / self.slots
     }
 
-    /// When a newcomer of the lowest rank could start.
+    /// When a newcomer of the lowest rank could start, if calls at the target
+    /// take `turn`.
     #[must_use]
-    pub fn room_in(&self, run: Duration) -> Duration {
-        self.wait_behind(self.waiting.len(), run)
+    pub fn room_in(&self, turn: Duration) -> Duration {
+        let ahead = self.waiting.iter().map(|call| call.demand.run).sum();
+        self.wait_behind(ahead, turn)
     }
 
-    /// Takes a call, if runs take `run` here.
-    pub fn offer(&mut self, demand: CallDemand, run: Duration, now: Instant) -> GateVerdict {
+    /// Takes a call, if those at the target take `turn`.
+    pub fn offer(&mut self, demand: CallDemand, turn: Duration, now: Instant) -> GateVerdict {
         if !self.is_open {
             return GateVerdict::Decline {
                 reason: DeclineReason::Closed,
-                room_in: run,
+                room_in: turn,
             };
         }
         if self.running < self.slots && self.waiting.is_empty() {
             // Guards against work whose answer the host's link cannot carry in
             // time: with free slots alone to go by, answers of 90 KB pile up
             // in front of a link of 7.5 Mbit/s until all of them are late.
-            let has_link = demand.link.wait.is_zero()
-                || Self::worth_waiting(&demand, Duration::ZERO, run, now);
+            let has_link =
+                demand.link.wait.is_zero() || Self::worth_waiting(&demand, Duration::ZERO, now);
             if !has_link {
                 return GateVerdict::Decline {
                     reason: DeclineReason::Crowded,
@@ -215,18 +218,19 @@
             self.running += 1;
             return GateVerdict::Run;
         }
-        let key = order_key(&demand, run, now);
+        let key = order_key(&demand, now);
         let ahead = self
             .waiting
             .iter()
-            .filter(|other| order_key(&other.demand, run, now) <= key)
-            .count();
-        let wait = self.wait_behind(ahead, run);
+            .filter(|other| order_key(&other.demand, now) <= key)
+            .map(|other| other.demand.run)
+            .sum();
+        let wait = self.wait_behind(ahead, turn);
         let most = (self.limits.per_slot * self.slots) as usize;
-        if !Self::worth_waiting(&demand, wait, run, now) || self.waiting.len() >= most {
+        if !Self::worth_waiting(&demand, wait, now) || self.waiting.len() >= most {
             return GateVerdict::Decline {
                 reason: DeclineReason::Crowded,
-                room_in: self.room_in(run),
+                room_in: self.room_in(turn),
             };
         }
         let ticket = WaitTicket(self.next_ticket);
@@ -239,7 +243,8 @@
         GateVerdict::Wait(ticket)
     }
 
-    fn worth_waiting(demand: &CallDemand, wait: Duration, run: Duration, now: Instant) -> bool {
+    fn worth_waiting(demand: &CallDemand, wait: Duration, now: Instant) -> bool {
+        let run = demand.run;
         let start = now + wait;
         let link = demand.link.total();
         if start + run.mul_f64(AIM_RUNS) + link <= demand.aim {
@@ -252,7 +257,8 @@
     /// Whether a call that waits since `since` still has a use for it. Milder
     /// than for a newcomer, so that a call is not taken only to be turned away
     /// when the next run takes a little longer than most.
-    fn worth_staying(call: &WaitingCall, wait: Duration, run: Duration, now: Instant) -> bool {
+    fn worth_staying(call: &WaitingCall, wait: Duration, now: Instant) -> bool {
+        let run = call.demand.run;
         let start = now + wait;
         let send = call.demand.link.send;
         if start + run.mul_f64(STAY_RUNS) + send <= call.demand.aim {
@@ -276,9 +282,10 @@
 
     /// Starts what can start and turns away what can no longer be answered in
     /// time. To be called after each change and from time to time.
-    pub fn settle(&mut self, run: Duration, now: Instant) -> Vec<WaitEnd> {
+    /// Calls at the target take `turn`.
+    pub fn settle(&mut self, turn: Duration, now: Instant) -> Vec<WaitEnd> {
         let mut ends = Vec::new();
-        self.turn_away_late(run, now, &mut ends);
+        self.turn_away_late(turn, now, &mut ends);
         // Sorted by now: the first goes first.
         let room = self.slots.saturating_sub(self.running) as usize;
         let starting = room.min(self.waiting.len());
@@ -292,14 +299,16 @@
     /// Guards against calls held until their aim is lost and then turned away
     /// all the same, as when more urgent ones came behind them: a call is told
     /// as soon as what is now ahead of it leaves no time.
-    fn turn_away_late(&mut self, run: Duration, now: Instant, ends: &mut Vec<WaitEnd>) {
-        let room_in = self.room_in(run);
+    fn turn_away_late(&mut self, turn: Duration, now: Instant, ends: &mut Vec<WaitEnd>) {
+        let room_in = self.room_in(turn);
         self.waiting
-            .sort_by_key(|call| (order_key(&call.demand, run, now), call.ticket));
+            .sort_by_key(|call| (order_key(&call.demand, now), call.ticket));
         let mut kept = Vec::with_capacity(self.waiting.len());
+        let mut ahead = Duration::ZERO;
         for call in std::mem::take(&mut self.waiting) {
-            let wait = self.wait_behind(kept.len(), run);
-            if Self::worth_staying(&call, wait, run, now) {
+            let wait = self.wait_behind(ahead, turn);
+            if Self::worth_staying(&call, wait, now) {
+                ahead += call.demand.run;
                 kept.push(call);
             } else {
                 ends.push(WaitEnd::Decline {
@@ -312,12 +321,12 @@
     }
 
     /// Turns away all that wait, as when the target is gone.
-    pub fn turn_away_all(&mut self, run: Duration) -> Vec<WaitEnd> {
+    pub fn turn_away_all(&mut self, turn: Duration) -> Vec<WaitEnd> {
         self.waiting
             .drain(..)
             .map(|call| WaitEnd::Decline {
                 ticket: call.ticket,
-                room_in: run,
+                room_in: turn,
             })
             .collect()
     }
@@ -325,8 +334,8 @@
 
 /// Calls whose aim can still be met go first, by rank, then by the moment at
 /// which they must start; then the late ones, by rank and deadline.
-fn order_key(demand: &CallDemand, run: Duration, now: Instant) -> (bool, u8, Instant) {
-    let is_late = now + run.mul_f64(0.5) > demand.aim;
+fn order_key(demand: &CallDemand, now: Instant) -> (bool, u8, Instant) {
+    let is_late = now + demand.run.mul_f64(0.5) > demand.aim;
     let by = if is_late { demand.deadline } else { demand.aim };
     (is_late, demand.priority, by)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,8 +5,8 @@
 //! ([`placement`]), admitted, made to wait or declined there ([`admission`]),
 //! sent again or given up ([`attempt`], [`budget`]), and refused with a time
 //! to come back ([`refusal`]). [`instance`] follows the life of the target
-//! beside the daemon, [`health`] what its calls say about it, [`egress`]
-//! paces answers on a slow link, and [`membership`] plans which other hosts a daemon links to.
+//! beside the daemon, [`health`] and [`run_times`] what its calls say about
+//! it, [`egress`] paces answers on a slow link, and [`membership`] plans which other hosts a daemon links to.
 
 pub mod admission;
 pub mod attempt;
@@ -20,4 +20,5 @@
 pub mod placement;
 pub mod refusal;
 pub mod routing;
+pub mod run_times;
 pub mod weights;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -15,8 +15,10 @@
     /// Calls that it runs or that wait for it: as last reported, and what was
     /// sent there since.
     pub occupancy: f64,
-    /// Mean time of its runs, in milliseconds.
+    /// Time that a run of the call is expected to take there, in milliseconds.
     pub run_ms: f64,
+    /// Mean time of the runs that the call would wait behind, in milliseconds.
+    pub turn_ms: f64,
     /// Share of its recent runs that ended ill, 0 to 1.
     pub ill_share: f64,
     /// Whether it started so lately that it is still slow.
@@ -109,7 +111,7 @@
     let factor = if view.is_cold { COLD_FACTOR } else { 1.0 };
     let run_ms = (view.run_ms * factor).max(1.0);
     let slots = f64::from(view.slots.max(1));
-    let wait_ms = calls_ahead(view.occupancy + 1.0 - slots) * run_ms / slots;
+    let wait_ms = calls_ahead(view.occupancy + 1.0 - slots) * view.turn_ms * factor / slots;
     // The answer leaves when its run has ended and the host's link is free.
     let link_wait_ms = if call.carried_kib * 1024.0 > bytes_of(SHORT_ANSWER) {
         (view.link_ms - wait_ms - run_ms).max(0.0)
