Late calls may wait for half of their time; rank, slot time, start

Cause: lookups whose aim cannot be met were refused with 350 ms left. Change: a likely late call waits up to half of its time; the order is rank, slot time, start.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -102,8 +102,12 @@
 const AIM_RUNS: f64 = 2.7;
 /// The same for a call that waits already.
 const STAY_RUNS: f64 = 1.5;
-/// Part of a run that a call with a lost aim may wait. Such calls fill gaps.
-const LATE_RUNS: f64 = 0.6;
+/// Runs that must fit between the start of a call whose aim is lost and its
+/// deadline.
+const LATE_RUNS: f64 = 1.5;
+/// Part of its remaining time that a call whose aim is lost may wait: whoever
+/// is refused after that has no time left to come back.
+const LATE_HOLD: f64 = 0.5;
 
 #[derive(Clone, Copy, Debug)]
 struct WaitingCall {
@@ -128,6 +132,7 @@
     waiting: Vec<WaitingCall>,
     next_ticket: u64,
     is_open: bool,
+    load: OfferedLoad,
 }
 
 impl GateQueue {
@@ -141,6 +146,7 @@
             waiting: Vec::new(),
             next_ticket: 0,
             is_open: false,
+            load: OfferedLoad::default(),
         }
     }
 
@@ -203,6 +209,7 @@
                 room_in: turn,
             };
         }
+        self.load.note(&demand, self.slots, now);
         if self.running < self.slots && self.waiting.is_empty() {
             // Guards against work whose answer the host's link cannot carry in
             // time: with free slots alone to go by, answers of 90 KB pile up
@@ -219,13 +226,13 @@
             return GateVerdict::Run;
         }
         let key = order_key(&demand, now);
-        let ahead = self
+        let ahead: Duration = self
             .waiting
             .iter()
             .filter(|other| order_key(&other.demand, now) <= key)
             .map(|other| other.demand.run)
             .sum();
-        let wait = self.wait_behind(ahead, turn);
+        let wait = self.wait_of(&demand, ahead, turn, now);
         let most = (self.limits.per_slot * self.slots) as usize;
         if !Self::worth_waiting(&demand, wait, now) || self.waiting.len() >= most {
             return GateVerdict::Decline {
@@ -243,29 +250,46 @@
         GateVerdict::Wait(ticket)
     }
 
+    /// Time until `demand` starts behind calls that take `ahead` together.
+    ///
+    /// Calls that come while it waits and go before it make the wait longer:
+    /// behind a share of the slots that they take, by that share's complement.
+    fn wait_of(&self, demand: &CallDemand, ahead: Duration, turn: Duration, now: Instant) -> Duration {
+        let wait = self.wait_behind(ahead, turn);
+        if wait.is_zero() {
+            return wait;
+        }
+        let before = if is_late(demand, now) {
+            self.load.up_to(demand.priority, now)
+        } else {
+            self.load.before(demand.priority, now)
+        };
+        wait.div_f64(1.0 - before.min(MOST_BEFORE))
+    }
+
     fn worth_waiting(demand: &CallDemand, wait: Duration, now: Instant) -> bool {
-        let run = demand.run;
         let start = now + wait;
         let link = demand.link.total();
-        if start + run.mul_f64(AIM_RUNS) + link <= demand.aim {
+        if start + demand.run.mul_f64(AIM_RUNS) + link <= demand.aim {
             return true;
         }
-        // Nobody waits for long with a lost aim: only a short queue is worth it.
-        wait + demand.link.wait <= run.mul_f64(LATE_RUNS) && start + run + link <= demand.deadline
+        let left = demand.deadline.saturating_duration_since(now);
+        wait + demand.link.wait <= left.mul_f64(LATE_HOLD)
+            && demand.run.mul_f64(LATE_RUNS) + wait + link <= left
     }
 
-    /// Whether a call that waits since `since` still has a use for it. Milder
-    /// than for a newcomer, so that a call is not taken only to be turned away
-    /// when the next run takes a little longer than most.
+    /// Whether a call that waits still has a use for it. Milder than for a
+    /// newcomer, so that a call is not taken only to be turned away when the
+    /// next run takes a little longer than most.
     fn worth_staying(call: &WaitingCall, wait: Duration, now: Instant) -> bool {
-        let run = call.demand.run;
+        let demand = &call.demand;
         let start = now + wait;
-        let send = call.demand.link.send;
-        if start + run.mul_f64(STAY_RUNS) + send <= call.demand.aim {
+        if start + demand.run.mul_f64(STAY_RUNS) + demand.link.send <= demand.aim {
             return true;
         }
-        start <= call.since + run.mul_f64(2.0 * LATE_RUNS)
-            && start + run + send <= call.demand.deadline
+        let had = demand.deadline.saturating_duration_since(call.since);
+        start <= call.since + had.mul_f64(LATE_HOLD)
+            && start + demand.run + demand.link.send <= demand.deadline
     }
 
     /// Takes back a call that waits; false when it does not wait (any more).
@@ -306,7 +330,7 @@
         let mut kept = Vec::with_capacity(self.waiting.len());
         let mut ahead = Duration::ZERO;
         for call in std::mem::take(&mut self.waiting) {
-            let wait = self.wait_behind(ahead, turn);
+            let wait = self.wait_of(&call.demand, ahead, turn, now);
             if Self::worth_staying(&call, wait, now) {
                 ahead += call.demand.run;
                 kept.push(call);
@@ -332,10 +356,77 @@
     }
 }
 
-/// Calls whose aim can still be met go first, by rank, then by the moment at
-/// which they must start; then the late ones, by rank and deadline.
-fn order_key(demand: &CallDemand, now: Instant) -> (bool, u8, Instant) {
-    let is_late = now + demand.run.mul_f64(0.5) > demand.aim;
-    let by = if is_late { demand.deadline } else { demand.aim };
-    (is_late, demand.priority, by)
+/// Whether the aim of a call is lost, even if it started now.
+fn is_late(demand: &CallDemand, now: Instant) -> bool {
+    now + demand.run.mul_f64(0.5) > demand.aim
+}
+
+/// The order in which calls run: by rank, then by the slot time that they take
+/// for what they are worth, then by the moment at which they must start.
+///
+/// Load pattern: a service runs lookups of 30 ms, made by runs elsewhere that
+/// wait for them, beside calls of 160 ms of the same rank. Each lookup that is
+/// put behind the others until it is late costs a run elsewhere, which took
+/// more slot time than the lookup would have. A late call counts for a third,
+/// so a call whose aim can be met goes before a late one of its length.
+fn order_key(demand: &CallDemand, now: Instant) -> (u8, u32, Instant) {
+    /// Doublings of the slot time that a lost aim counts for.
+    const LATE_DOUBLINGS: u32 = 2;
+    let run_ms = u32::try_from(demand.run.as_millis()).unwrap_or(u32::MAX);
+    let doublings = run_ms.max(1).ilog2();
+    if is_late(demand, now) {
+        (demand.priority, doublings + LATE_DOUBLINGS, demand.deadline)
+    } else {
+        (demand.priority, doublings, demand.aim)
+    }
+}
+
+/// Ranks told apart in [`OfferedLoad`]; lower ones count as the last.
+const RANKS: usize = 8;
+/// Time constant of [`OfferedLoad`]: a few waits long, so that it tells a
+/// lasting overload from a moment's crowd.
+const LOAD_OVER: Duration = Duration::from_secs(1);
+/// Share of the slots above which the calls that go before are not counted.
+const MOST_BEFORE: f64 = 0.95;
+
+/// Share of the slots that the calls of each rank want, of late.
+///
+/// Load pattern: more calls than slots for seconds. A late call that waits
+/// behind those whose aim can be met waits for ever, as more of them come, and
+/// is turned away in the end with no time left. By the load it is told at
+/// once; in a crowd of a moment it waits and is served.
+#[derive(Clone, Copy, Debug, Default)]
+struct OfferedLoad {
+    ranks: [f64; RANKS],
+    at: Option<Instant>,
+}
+
+impl OfferedLoad {
+    fn fade(&self, now: Instant) -> f64 {
+        let passed = self
+            .at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        (-passed.as_secs_f64() / LOAD_OVER.as_secs_f64()).exp()
+    }
+
+    fn note(&mut self, demand: &CallDemand, slots: u32, now: Instant) {
+        let fade = self.fade(now);
+        for share in &mut self.ranks {
+            *share *= fade;
+        }
+        self.at = Some(now);
+        let share = demand.run.as_secs_f64() / LOAD_OVER.as_secs_f64() / f64::from(slots);
+        self.ranks[usize::from(demand.priority).min(RANKS - 1)] += share;
+    }
+
+    /// Share that ranks before `priority` want.
+    fn before(&self, priority: u8, now: Instant) -> f64 {
+        let ranks = usize::from(priority).min(RANKS);
+        self.ranks[..ranks].iter().sum::<f64>() * self.fade(now)
+    }
+
+    /// Share that ranks up to `priority` want.
+    fn up_to(&self, priority: u8, now: Instant) -> f64 {
+        self.before(priority.saturating_add(1), now)
+    }
 }
