Slots go by worth a slot time over ranks; fillers come last

Cause: late calls took slots in a lasting overload, and lookups were refused behind more urgent calls.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -7,6 +7,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::numbers::whole_of;
 
 /// A call at the gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,6 +115,14 @@
     ticket: WaitTicket,
     demand: CallDemand,
     since: Instant,
+    /// Whether its aim was taken for lost when it came.
+    is_filler: bool,
+}
+
+impl WaitingCall {
+    fn order(&self, now: Instant) -> CallOrder {
+        CallOrder::of(&self.demand, self.is_filler, now)
+    }
 }
 
 /// The queue in front of one target.
@@ -214,8 +223,9 @@
             // Guards against work whose answer the host's link cannot carry in
             // time: with free slots alone to go by, answers of 90 KB pile up
             // in front of a link of 7.5 Mbit/s until all of them are late.
-            let has_link =
-                demand.link.wait.is_zero() || Self::worth_waiting(&demand, Duration::ZERO, now);
+            let has_link = demand.link.wait.is_zero()
+                || Self::meets_aim(&demand, Duration::ZERO, now)
+                || Self::fits_in(&demand, Duration::ZERO, now);
             if !has_link {
                 return GateVerdict::Decline {
                     reason: DeclineReason::Crowded,
@@ -225,16 +235,11 @@
             self.running += 1;
             return GateVerdict::Run;
         }
-        let key = order_key(&demand, now);
-        let ahead: Duration = self
-            .waiting
-            .iter()
-            .filter(|other| order_key(&other.demand, now) <= key)
-            .map(|other| other.demand.run)
-            .sum();
-        let wait = self.wait_of(&demand, ahead, turn, now);
+        let is_filler = !Self::meets_aim(&demand, self.wait_as(&demand, false, turn, now), now);
+        let wait = self.wait_as(&demand, is_filler, turn, now);
         let most = (self.limits.per_slot * self.slots) as usize;
-        if !Self::worth_waiting(&demand, wait, now) || self.waiting.len() >= most {
+        let is_in_vain = is_filler && !Self::fits_in(&demand, wait, now);
+        if is_in_vain || self.waiting.len() >= most {
             return GateVerdict::Decline {
                 reason: DeclineReason::Crowded,
                 room_in: self.room_in(turn),
@@ -246,36 +251,45 @@
             ticket,
             demand,
             since: now,
+            is_filler,
         });
         GateVerdict::Wait(ticket)
     }
 
-    /// Time until `demand` starts behind calls that take `ahead` together.
-    ///
-    /// Calls that come while it waits and go before it make the wait longer:
+    /// Time until `demand` starts, as a filler or not.
+    fn wait_as(
+        &self,
+        demand: &CallDemand,
+        is_filler: bool,
+        turn: Duration,
+        now: Instant,
+    ) -> Duration {
+        let order = CallOrder::of(demand, is_filler, now);
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|other| other.order(now) <= order)
+            .map(|other| other.demand.run)
+            .sum();
+        self.stretched(self.wait_behind(ahead, turn), order, now)
+    }
+
+    /// A wait made longer by the calls that come in the meantime and go before:
     /// behind a share of the slots that they take, by that share's complement.
-    fn wait_of(&self, demand: &CallDemand, ahead: Duration, turn: Duration, now: Instant) -> Duration {
-        let wait = self.wait_behind(ahead, turn);
-        if wait.is_zero() {
-            return wait;
-        }
-        let before = if is_late(demand, now) {
-            self.load.up_to(demand.priority, now)
-        } else {
-            self.load.before(demand.priority, now)
-        };
-        wait.div_f64(1.0 - before.min(MOST_BEFORE))
+    fn stretched(&self, wait: Duration, order: CallOrder, now: Instant) -> Duration {
+        wait.div_f64(1.0 - self.load.before(order, now).min(MOST_BEFORE))
     }
 
-    fn worth_waiting(demand: &CallDemand, wait: Duration, now: Instant) -> bool {
-        let start = now + wait;
-        let link = demand.link.total();
-        if start + demand.run.mul_f64(AIM_RUNS) + link <= demand.aim {
-            return true;
-        }
+    /// Whether a call that starts after `wait` is likely answered in time.
+    fn meets_aim(demand: &CallDemand, wait: Duration, now: Instant) -> bool {
+        now + wait + demand.run.mul_f64(AIM_RUNS) + demand.link.total() <= demand.aim
+    }
+
+    /// Whether a call that is likely late is worth its wait all the same.
+    fn fits_in(demand: &CallDemand, wait: Duration, now: Instant) -> bool {
         let left = demand.deadline.saturating_duration_since(now);
         wait + demand.link.wait <= left.mul_f64(LATE_HOLD)
-            && demand.run.mul_f64(LATE_RUNS) + wait + link <= left
+            && wait + demand.run.mul_f64(LATE_RUNS) + demand.link.total() <= left
     }
 
     /// Whether a call that waits still has a use for it. Milder than for a
@@ -326,11 +340,11 @@
     fn turn_away_late(&mut self, turn: Duration, now: Instant, ends: &mut Vec<WaitEnd>) {
         let room_in = self.room_in(turn);
         self.waiting
-            .sort_by_key(|call| (order_key(&call.demand, now), call.ticket));
+            .sort_by_key(|call| (call.order(now), call.ticket));
         let mut kept = Vec::with_capacity(self.waiting.len());
         let mut ahead = Duration::ZERO;
         for call in std::mem::take(&mut self.waiting) {
-            let wait = self.wait_of(&call.demand, ahead, turn, now);
+            let wait = self.stretched(self.wait_behind(ahead, turn), call.order(now), now);
             if Self::worth_staying(&call, wait, now) {
                 ahead += call.demand.run;
                 kept.push(call);
@@ -356,40 +370,59 @@
     }
 }
 
-/// Whether the aim of a call is lost, even if it started now.
-fn is_late(demand: &CallDemand, now: Instant) -> bool {
-    now + demand.run.mul_f64(0.5) > demand.aim
+/// Where a call stands among those that wait; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct CallOrder {
+    /// Slot time that it takes for what it is worth, in quarters of a doubling.
+    cost: u64,
+    /// When it must start.
+    by: Instant,
 }
 
-/// The order in which calls run: by rank, then by the slot time that they take
-/// for what they are worth, then by the moment at which they must start.
-///
-/// Load pattern: a service runs lookups of 30 ms, made by runs elsewhere that
-/// wait for them, beside calls of 160 ms of the same rank. Each lookup that is
-/// put behind the others until it is late costs a run elsewhere, which took
-/// more slot time than the lookup would have. A late call counts for a third,
-/// so a call whose aim can be met goes before a late one of its length.
-fn order_key(demand: &CallDemand, now: Instant) -> (u8, u32, Instant) {
-    /// Doublings of the slot time that a lost aim counts for.
-    const LATE_DOUBLINGS: u32 = 2;
-    let run_ms = u32::try_from(demand.run.as_millis()).unwrap_or(u32::MAX);
-    let doublings = run_ms.max(1).ilog2();
-    if is_late(demand, now) {
-        (demand.priority, doublings + LATE_DOUBLINGS, demand.deadline)
-    } else {
-        (demand.priority, doublings, demand.aim)
+/// Quarters of a doubling in [`CallOrder::cost`]: fine enough to keep ranks
+/// apart, coarse enough that calls of one kind go by their time.
+const QUARTERS: f64 = 4.0;
+/// Doublings that each rank counts for.
+const RANK_DOUBLINGS: f64 = 1.0;
+/// Doublings that a lost aim counts for: a late answer is worth about a third.
+const LATE_DOUBLINGS: f64 = 2.0;
+
+impl CallOrder {
+    /// The order in which calls run: by the slot time that they take for what
+    /// they are worth, then by the moment at which they must start.
+    ///
+    /// Load pattern: a service runs lookups of 30 ms, made by runs elsewhere
+    /// that wait for them, beside calls of 140 ms that are more urgent. Each
+    /// lookup that is put behind the others until it is late costs a run
+    /// elsewhere, which took more slot time than the lookup would have. A
+    /// rank counts for a doubling of the slot time, a lost aim for two.
+    fn of(demand: &CallDemand, is_filler: bool, now: Instant) -> CallOrder {
+        let is_late = is_filler || now + demand.run.mul_f64(0.5) > demand.aim;
+        let run_ms = (demand.run.as_secs_f64() * 1_000.0).max(1.0);
+        let late = if is_late { LATE_DOUBLINGS } else { 0.0 };
+        let doublings = run_ms.log2() + f64::from(demand.priority) * RANK_DOUBLINGS + late;
+        CallOrder {
+            cost: whole_of(doublings * QUARTERS),
+            by: if is_late { demand.deadline } else { demand.aim },
+        }
+    }
+
+    /// The step of [`OfferedLoad`] that it is counted in.
+    fn step(self) -> usize {
+        usize::try_from(self.cost / whole_of(QUARTERS)).unwrap_or(STEPS)
     }
 }
 
-/// Ranks told apart in [`OfferedLoad`]; lower ones count as the last.
-const RANKS: usize = 8;
+/// Steps told apart in [`OfferedLoad`], a doubling each; those beyond count as
+/// the last. A run of 16 s at the first rank, or of 1 s at the fifth.
+const STEPS: usize = 15;
 /// Time constant of [`OfferedLoad`]: a few waits long, so that it tells a
 /// lasting overload from a moment's crowd.
 const LOAD_OVER: Duration = Duration::from_secs(1);
 /// Share of the slots above which the calls that go before are not counted.
 const MOST_BEFORE: f64 = 0.95;
 
-/// Share of the slots that the calls of each rank want, of late.
+/// Share of the slots that calls want, of late, by where they stand.
 ///
 /// Load pattern: more calls than slots for seconds. A late call that waits
 /// behind those whose aim can be met waits for ever, as more of them come, and
@@ -397,7 +430,7 @@
 /// once; in a crowd of a moment it waits and is served.
 #[derive(Clone, Copy, Debug, Default)]
 struct OfferedLoad {
-    ranks: [f64; RANKS],
+    steps: [f64; STEPS],
     at: Option<Instant>,
 }
 
@@ -411,22 +444,18 @@
 
     fn note(&mut self, demand: &CallDemand, slots: u32, now: Instant) {
         let fade = self.fade(now);
-        for share in &mut self.ranks {
+        for share in &mut self.steps {
             *share *= fade;
         }
         self.at = Some(now);
         let share = demand.run.as_secs_f64() / LOAD_OVER.as_secs_f64() / f64::from(slots);
-        self.ranks[usize::from(demand.priority).min(RANKS - 1)] += share;
-    }
-
-    /// Share that ranks before `priority` want.
-    fn before(&self, priority: u8, now: Instant) -> f64 {
-        let ranks = usize::from(priority).min(RANKS);
-        self.ranks[..ranks].iter().sum::<f64>() * self.fade(now)
+        let step = CallOrder::of(demand, false, now).step();
+        self.steps[step.min(STEPS - 1)] += share;
     }
 
-    /// Share that ranks up to `priority` want.
-    fn up_to(&self, priority: u8, now: Instant) -> f64 {
-        self.before(priority.saturating_add(1), now)
+    /// Share that calls before `order` want.
+    fn before(&self, order: CallOrder, now: Instant) -> f64 {
+        let steps = order.step().min(STEPS);
+        self.steps[..steps].iter().sum::<f64>() * self.fade(now)
     }
 }
