--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -375,6 +375,8 @@
 struct CallOrder {
     /// Slot time that it takes for what it is worth, in quarters of a doubling.
     cost: u64,
+    /// Whether its aim is lost.
+    is_late: bool,
     /// When it must start.
     by: Instant,
 }
@@ -384,8 +386,6 @@
 const QUARTERS: f64 = 4.0;
 /// Doublings that each rank counts for.
 const RANK_DOUBLINGS: f64 = 1.0;
-/// Doublings that a lost aim counts for: a late answer is worth about a third.
-const LATE_DOUBLINGS: f64 = 2.0;
 
 impl CallOrder {
     /// The order in which calls run: by the slot time that they take for what
@@ -395,14 +395,14 @@
     /// that wait for them, beside calls of 140 ms that are more urgent. Each
     /// lookup that is put behind the others until it is late costs a run
     /// elsewhere, which took more slot time than the lookup would have. A
-    /// rank counts for a doubling of the slot time, a lost aim for two.
+    /// rank counts for a doubling of the slot time.
     fn of(demand: &CallDemand, is_filler: bool, now: Instant) -> CallOrder {
         let is_late = is_filler || now + demand.run.mul_f64(0.5) > demand.aim;
         let run_ms = (demand.run.as_secs_f64() * 1_000.0).max(1.0);
-        let late = if is_late { LATE_DOUBLINGS } else { 0.0 };
-        let doublings = run_ms.log2() + f64::from(demand.priority) * RANK_DOUBLINGS + late;
+        let doublings = run_ms.log2() + f64::from(demand.priority) * RANK_DOUBLINGS;
         CallOrder {
             cost: whole_of(doublings * QUARTERS),
+            is_late,
             by: if is_late { demand.deadline } else { demand.aim },
         }
     }
@@ -453,9 +453,10 @@
         self.steps[step.min(STEPS - 1)] += share;
     }
 
-    /// Share that calls before `order` want.
+    /// Share that calls before `order` want; before a late call those that
+    /// stand with it and are not late.
     fn before(&self, order: CallOrder, now: Instant) -> f64 {
-        let steps = order.step().min(STEPS);
+        let steps = (order.step() + usize::from(order.is_late)).min(STEPS);
         self.steps[..steps].iter().sum::<f64>() * self.fade(now)
     }
 }
