--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -5,9 +5,13 @@
 //! It keeps as many calls at the target as the target has slots and lets the
 //! rest wait here, where they can be put in order, cancelled and timed out.
 
+mod order;
+mod wait;
+
 use std::time::{Duration, Instant};
 
-use crate::numbers::whole_of;
+use order::{CallOrder, OfferedLoad};
+use wait::ExpectedWait;
 
 /// A call at the gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,19 +101,6 @@
     }
 }
 
-/// Runs that must fit between a call's start and its aim for it to wait: run
-/// times have long tails, and a wait that leaves just the mean is lost on half
-/// of the calls.
-const AIM_RUNS: f64 = 2.7;
-/// The same for a call that waits already.
-const STAY_RUNS: f64 = 1.5;
-/// Runs that must fit between the start of a call whose aim is lost and its
-/// deadline.
-const LATE_RUNS: f64 = 1.5;
-/// Part of its remaining time that a call whose aim is lost may wait: whoever
-/// is refused after that has no time left to come back.
-const LATE_HOLD: f64 = 0.5;
-
 #[derive(Clone, Copy, Debug)]
 struct WaitingCall {
     ticket: WaitTicket,
@@ -223,9 +214,10 @@
             // Guards against work whose answer the host's link cannot carry in
             // time: with free slots alone to go by, answers of 90 KB pile up
             // in front of a link of 7.5 Mbit/s until all of them are late.
+            let at_once = ExpectedWait::none(turn);
             let has_link = demand.link.wait.is_zero()
-                || Self::meets_aim(&demand, Duration::ZERO, now)
-                || Self::fits_in(&demand, Duration::ZERO, now);
+                || at_once.meets_aim(&demand, now)
+                || at_once.fits_in(&demand, now);
             if !has_link {
                 return GateVerdict::Decline {
                     reason: DeclineReason::Crowded,
@@ -235,10 +227,10 @@
             self.running += 1;
             return GateVerdict::Run;
         }
-        let is_filler = !Self::meets_aim(&demand, self.wait_as(&demand, false, turn, now), now);
-        let wait = self.wait_as(&demand, is_filler, turn, now);
+        let at_best = self.wait_as(&demand, false, turn, now);
+        let is_filler = !at_best.meets_aim(&demand, now);
         let most = (self.limits.per_slot * self.slots) as usize;
-        let is_in_vain = is_filler && !Self::fits_in(&demand, wait, now);
+        let is_in_vain = is_filler && !self.wait_as(&demand, true, turn, now).fits_in(&demand, now);
         if is_in_vain || self.waiting.len() >= most {
             return GateVerdict::Decline {
                 reason: DeclineReason::Crowded,
@@ -256,14 +248,14 @@
         GateVerdict::Wait(ticket)
     }
 
-    /// Time until `demand` starts, as a filler or not.
+    /// The wait of `demand`, as a filler or not.
     fn wait_as(
         &self,
         demand: &CallDemand,
         is_filler: bool,
         turn: Duration,
         now: Instant,
-    ) -> Duration {
+    ) -> ExpectedWait {
         let order = CallOrder::of(demand, is_filler, now);
         let ahead = self
             .waiting
@@ -271,39 +263,19 @@
             .filter(|other| other.order(now) <= order)
             .map(|other| other.demand.run)
             .sum();
-        self.stretched(self.wait_behind(ahead, turn), order, now)
-    }
-
-    /// A wait made longer by the calls that come in the meantime and go before:
-    /// behind a share of the slots that they take, by that share's complement.
-    fn stretched(&self, wait: Duration, order: CallOrder, now: Instant) -> Duration {
-        wait.div_f64(1.0 - self.load.before(order, now).min(MOST_BEFORE))
-    }
-
-    /// Whether a call that starts after `wait` is likely answered in time.
-    fn meets_aim(demand: &CallDemand, wait: Duration, now: Instant) -> bool {
-        now + wait + demand.run.mul_f64(AIM_RUNS) + demand.link.total() <= demand.aim
-    }
-
-    /// Whether a call that is likely late is worth its wait all the same.
-    fn fits_in(demand: &CallDemand, wait: Duration, now: Instant) -> bool {
-        let left = demand.deadline.saturating_duration_since(now);
-        wait + demand.link.wait <= left.mul_f64(LATE_HOLD)
-            && wait + demand.run.mul_f64(LATE_RUNS) + demand.link.total() <= left
+        self.expected_wait(ahead, order, turn, now)
     }
 
-    /// Whether a call that waits still has a use for it. Milder than for a
-    /// newcomer, so that a call is not taken only to be turned away when the
-    /// next run takes a little longer than most.
-    fn worth_staying(call: &WaitingCall, wait: Duration, now: Instant) -> bool {
-        let demand = &call.demand;
-        let start = now + wait;
-        if start + demand.run.mul_f64(STAY_RUNS) + demand.link.send <= demand.aim {
-            return true;
-        }
-        let had = demand.deadline.saturating_duration_since(call.since);
-        start <= call.since + had.mul_f64(LATE_HOLD)
-            && start + demand.run + demand.link.send <= demand.deadline
+    /// The wait behind calls that take `ahead` together.
+    fn expected_wait(
+        &self,
+        ahead: Duration,
+        order: CallOrder,
+        turn: Duration,
+        now: Instant,
+    ) -> ExpectedWait {
+        let plain = self.wait_behind(ahead, turn);
+        ExpectedWait::among(plain, self.load.before(order, now), turn)
     }
 
     /// Takes back a call that waits; false when it does not wait (any more).
@@ -344,8 +316,8 @@
         let mut kept = Vec::with_capacity(self.waiting.len());
         let mut ahead = Duration::ZERO;
         for call in std::mem::take(&mut self.waiting) {
-            let wait = self.stretched(self.wait_behind(ahead, turn), call.order(now), now);
-            if Self::worth_staying(&call, wait, now) {
+            let wait = self.expected_wait(ahead, call.order(now), turn, now);
+            if wait.is_worth_staying(&call.demand, call.since, now) {
                 ahead += call.demand.run;
                 kept.push(call);
             } else {
@@ -369,94 +341,3 @@
             .collect()
     }
 }
-
-/// Where a call stands among those that wait; the least goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct CallOrder {
-    /// Slot time that it takes for what it is worth, in quarters of a doubling.
-    cost: u64,
-    /// Whether its aim is lost.
-    is_late: bool,
-    /// When it must start.
-    by: Instant,
-}
-
-/// Quarters of a doubling in [`CallOrder::cost`]: fine enough to keep ranks
-/// apart, coarse enough that calls of one kind go by their time.
-const QUARTERS: f64 = 4.0;
-/// Doublings that each rank counts for.
-const RANK_DOUBLINGS: f64 = 1.0;
-
-impl CallOrder {
-    /// The order in which calls run: by the slot time that they take for what
-    /// they are worth, then by the moment at which they must start.
-    ///
-    /// Load pattern: a service runs lookups of 30 ms, made by runs elsewhere
-    /// that wait for them, beside calls of 140 ms that are more urgent. Each
-    /// lookup that is put behind the others until it is late costs a run
-    /// elsewhere, which took more slot time than the lookup would have. A
-    /// rank counts for a doubling of the slot time.
-    fn of(demand: &CallDemand, is_filler: bool, now: Instant) -> CallOrder {
-        let is_late = is_filler || now + demand.run.mul_f64(0.5) > demand.aim;
-        let run_ms = (demand.run.as_secs_f64() * 1_000.0).max(1.0);
-        let doublings = run_ms.log2() + f64::from(demand.priority) * RANK_DOUBLINGS;
-        CallOrder {
-            cost: whole_of(doublings * QUARTERS),
-            is_late,
-            by: if is_late { demand.deadline } else { demand.aim },
-        }
-    }
-
-    /// The step of [`OfferedLoad`] that it is counted in.
-    fn step(self) -> usize {
-        usize::try_from(self.cost / whole_of(QUARTERS)).unwrap_or(STEPS)
-    }
-}
-
-/// Steps told apart in [`OfferedLoad`], a doubling each; those beyond count as
-/// the last. A run of 16 s at the first rank, or of 1 s at the fifth.
-const STEPS: usize = 15;
-/// Time constant of [`OfferedLoad`]: a few waits long, so that it tells a
-/// lasting overload from a moment's crowd.
-const LOAD_OVER: Duration = Duration::from_secs(1);
-/// Share of the slots above which the calls that go before are not counted.
-const MOST_BEFORE: f64 = 0.95;
-
-/// Share of the slots that calls want, of late, by where they stand.
-///
-/// Load pattern: more calls than slots for seconds. A late call that waits
-/// behind those whose aim can be met waits for ever, as more of them come, and
-/// is turned away in the end with no time left. By the load it is told at
-/// once; in a crowd of a moment it waits and is served.
-#[derive(Clone, Copy, Debug, Default)]
-struct OfferedLoad {
-    steps: [f64; STEPS],
-    at: Option<Instant>,
-}
-
-impl OfferedLoad {
-    fn fade(&self, now: Instant) -> f64 {
-        let passed = self
-            .at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        (-passed.as_secs_f64() / LOAD_OVER.as_secs_f64()).exp()
-    }
-
-    fn note(&mut self, demand: &CallDemand, slots: u32, now: Instant) {
-        let fade = self.fade(now);
-        for share in &mut self.steps {
-            *share *= fade;
-        }
-        self.at = Some(now);
-        let share = demand.run.as_secs_f64() / LOAD_OVER.as_secs_f64() / f64::from(slots);
-        let step = CallOrder::of(demand, false, now).step();
-        self.steps[step.min(STEPS - 1)] += share;
-    }
-
-    /// Share that calls before `order` want; before a late call those that
-    /// stand with it and are not late.
-    fn before(&self, order: CallOrder, now: Instant) -> f64 {
-        let steps = (order.step() + usize::from(order.is_late)).min(STEPS);
-        self.steps[..steps].iter().sum::<f64>() * self.fade(now)
-    }
-}
--- /dev/null
+++ b/crates/policy/src/admission/wait.rs
@@ -0,0 +1,98 @@
+//! How long a call waits at a target, and whether that is worth it.
+
+use std::time::{Duration, Instant};
+
+use super::CallDemand;
+
+/// Runs that must fit between a call's start and its aim for it to wait: run
+/// times have long tails, and a wait that leaves just the mean is lost on half
+/// of the calls.
+const AIM_RUNS: f64 = 2.7;
+/// The same for a call that waits already.
+const STAY_RUNS: f64 = 1.5;
+/// Runs that must fit between the start of a call whose aim is lost and its
+/// deadline.
+const LATE_RUNS: f64 = 1.5;
+/// Part of a run, its own or that of those at the target, that a call with a
+/// lost aim may wait whatever else comes: it fills gaps.
+const GAP_RUNS: f64 = 0.6;
+/// Part of its remaining time that a call whose aim is lost may wait: whoever
+/// is refused after that has no time left to come back.
+const LATE_HOLD: f64 = 0.5;
+
+/// Share of the slots above which the calls that go before are not counted.
+const MOST_BEFORE: f64 = 0.95;
+
+/// A wait that lies before a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ExpectedWait {
+    /// If nothing else comes.
+    plain: Duration,
+    /// With the calls that come in the meantime and go before.
+    likely: Duration,
+    /// Mean time of the runs at the target.
+    turn: Duration,
+}
+
+impl ExpectedWait {
+    /// No wait at all.
+    pub(super) fn none(turn: Duration) -> ExpectedWait {
+        ExpectedWait {
+            plain: Duration::ZERO,
+            likely: Duration::ZERO,
+            turn,
+        }
+    }
+
+    /// A wait of `plain` where calls that go before take `share` of the slots:
+    /// it grows by that share's complement, as behind a queue with ranks.
+    pub(super) fn among(plain: Duration, share: f64, turn: Duration) -> ExpectedWait {
+        ExpectedWait {
+            plain,
+            likely: plain.div_f64(1.0 - share.min(MOST_BEFORE)),
+            turn,
+        }
+    }
+
+    /// Whether a call that waits so long is likely answered in time.
+    pub(super) fn meets_aim(&self, demand: &CallDemand, now: Instant) -> bool {
+        let run = demand.run.mul_f64(AIM_RUNS);
+        now + self.likely + run + demand.link.total() <= demand.aim
+    }
+
+    /// Whether a call that is likely late is worth its wait all the same.
+    pub(super) fn fits_in(&self, demand: &CallDemand, now: Instant) -> bool {
+        let left = demand.deadline.saturating_duration_since(now);
+        let link = demand.link.total();
+        let run = demand.run.mul_f64(LATE_RUNS);
+        if self.likely + demand.link.wait <= left.mul_f64(LATE_HOLD) {
+            return self.likely + run + link <= left;
+        }
+        self.plain + demand.link.wait <= self.gap(demand) && self.plain + run + link <= left
+    }
+
+    fn gap(&self, demand: &CallDemand) -> Duration {
+        demand.run.max(self.turn).mul_f64(GAP_RUNS)
+    }
+
+    /// Whether a call that waits since `since` still has a use for it. Milder
+    /// than for a newcomer, so that a call is not taken only to be turned away
+    /// when the next run takes a little longer than most.
+    pub(super) fn is_worth_staying(
+        &self,
+        demand: &CallDemand,
+        since: Instant,
+        now: Instant,
+    ) -> bool {
+        let rest = demand.run.mul_f64(STAY_RUNS) + demand.link.send;
+        if now + self.likely + rest <= demand.aim {
+            return true;
+        }
+        if now + self.plain + demand.run + demand.link.send > demand.deadline {
+            return false;
+        }
+        let had = demand.deadline.saturating_duration_since(since);
+        now + self.likely <= since + had.mul_f64(LATE_HOLD)
+            || now + self.plain <= since + self.gap(demand) * 2
+    }
+}
