--- a/crates/policy/src/admission/wait.rs
+++ b/crates/policy/src/admission/wait.rs
@@ -13,9 +13,11 @@
 /// Runs that must fit between the start of a call whose aim is lost and its
 /// deadline.
 const LATE_RUNS: f64 = 1.5;
-/// Part of a run, its own or that of those at the target, that a call with a
-/// lost aim may wait whatever else comes: it fills gaps.
-const GAP_RUNS: f64 = 0.6;
+/// Part of the runs at the target that a short call with a lost aim may wait
+/// whatever else comes: a handful of slots end in that time.
+const SHORT_WAIT: f64 = 0.6;
+/// Part of the runs at the target up to which a call is short.
+const SHORT_RUN: f64 = 0.5;
 /// Part of its remaining time that a call whose aim is lost may wait: whoever
 /// is refused after that has no time left to come back.
 const LATE_HOLD: f64 = 0.5;
@@ -68,11 +70,20 @@
         if self.likely + demand.link.wait <= left.mul_f64(LATE_HOLD) {
             return self.likely + run + link <= left;
         }
-        self.plain + demand.link.wait <= self.gap(demand) && self.plain + run + link <= left
+        self.plain + demand.link.wait <= self.short_wait(demand) && self.plain + run + link <= left
     }
 
-    fn gap(&self, demand: &CallDemand) -> Duration {
-        demand.run.max(self.turn).mul_f64(GAP_RUNS)
+    /// How long a short call may wait at least.
+    ///
+    /// Load pattern: runs elsewhere wait for lookups of 30 ms at a target whose
+    /// other runs take 480 ms. Turned away, a lookup costs the run that waits
+    /// for it; let in, it takes a slot for a moment.
+    fn short_wait(&self, demand: &CallDemand) -> Duration {
+        if demand.run <= self.turn.mul_f64(SHORT_RUN) {
+            self.turn.mul_f64(SHORT_WAIT)
+        } else {
+            Duration::ZERO
+        }
     }
 
     /// Whether a call that waits since `since` still has a use for it. Milder
@@ -93,6 +104,6 @@
         }
         let had = demand.deadline.saturating_duration_since(since);
         now + self.likely <= since + had.mul_f64(LATE_HOLD)
-            || now + self.plain <= since + self.gap(demand) * 2
+            || now + self.plain <= since + self.short_wait(demand) * 2
     }
 }
