Bytes between zones are counted by cause

Cause: what crosses between zones binds the new deployment, and nobody could say what it is for. Change: a counter filbert.zone.bytes, by cause, kept by the daemon that opened the link.

--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -14,6 +14,7 @@
 use crate::body::{next_data, AnswerBody, CallBody, LinkBody};
 use crate::links::CALL_PATH;
 use crate::messages::{encode, take, AnswerHead, CallHead, ReplyHead};
+use crate::metrics::CrossingCause;
 use crate::peers::{LinkUse, Peer};
 use crate::serve_peers::send_piece;
 use crate::state::MeshShared;
@@ -124,6 +125,15 @@
     }
 }
 
+fn cause_of(reply: &ReplyHead) -> CrossingCause {
+    match reply {
+        ReplyHead::Answer { .. } => CrossingCause::Answer,
+        ReplyHead::Declined { .. } | ReplyHead::Rejected { .. } | ReplyHead::Lost { .. } => {
+            CrossingCause::Refusal
+        }
+    }
+}
+
 fn note_reply(peer: &Peer, reply: &ReplyHead) {
     match reply {
         ReplyHead::Declined { closed: true, .. } => peer.mark_closed(),
@@ -155,8 +165,17 @@
         let mut incoming = answer.await?.into_body();
         let mut buffer = BytesMut::new();
         loop {
+            let unread = buffer.len();
             match take::<ReplyHead>(&mut buffer) {
-                Ok(Some(reply)) => return Ok(Some((reply, LinkBody::new(incoming, buffer)))),
+                Ok(Some(reply)) => {
+                    let length = match &reply {
+                        ReplyHead::Answer { head, .. } => head.body_length.unwrap_or(0),
+                        _ => 0,
+                    };
+                    let bytes = unread - buffer.len() + usize::try_from(length).unwrap_or(0);
+                    shared.count_crossing(peer, cause_of(&reply), bytes);
+                    return Ok(Some((reply, LinkBody::new(incoming, buffer))));
+                }
                 Ok(None) => {}
                 Err(_) => return Ok(None),
             }
@@ -171,11 +190,13 @@
             CallBody::Whole(whole) => {
                 let mut start = BytesMut::from(encode(head));
                 start.extend_from_slice(&whole);
+                shared.count_crossing(peer, CrossingCause::Call, start.len());
                 outgoing.send_data(start.freeze(), true).map_err(|_| ())?;
             }
             CallBody::Pieces(mut pieces) => {
                 outgoing.send_data(encode(head), false).map_err(|_| ())?;
                 while let Some(piece) = pieces.next().await.map_err(|_| ())? {
+                    shared.count_crossing(peer, CrossingCause::Call, piece.len());
                     send_piece(&mut outgoing, piece).await.map_err(|_| ())?;
                 }
                 outgoing.send_data(Bytes::new(), true).map_err(|_| ())?;
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -19,6 +19,7 @@
 use crate::body::next_data;
 use crate::members::StoreRole;
 use crate::messages::{encode, take, LinkMessage, StoreState, TargetState};
+use crate::metrics::CrossingCause;
 use crate::peers::Peer;
 use crate::sockets;
 use crate::state::MeshShared;
@@ -264,11 +265,12 @@
 ) -> LinkError {
     match news_stream(sender.clone()).await {
         Ok((mut outgoing, mut incoming)) => {
-            let hello = LinkMessage::Hello {
+            let hello = encode(&LinkMessage::Hello {
                 from: shared.own_address(),
                 left: peer.left(),
-            };
-            if let Err(error) = outgoing.send_data(encode(&hello), false) {
+            });
+            shared.count_crossing(peer, CrossingCause::Member, hello.len());
+            if let Err(error) = outgoing.send_data(hello, false) {
                 return LinkError::Protocol(error);
             }
             peer.link.replace(Some(sender));
@@ -305,7 +307,11 @@
     let mut buffer = BytesMut::new();
     let mut asker = VersionAsker::new(shared, peer);
     loop {
+        let mut unread = buffer.len();
         while let Some(message) = take(&mut buffer).map_err(|_| LinkError::Frame)? {
+            let bytes = unread - buffer.len();
+            unread = buffer.len();
+            shared.count_crossing(peer, cause_of(&message), bytes);
             if !was_up.replace(true) {
                 log::info!("event=link_up peer={}", peer.address.id);
                 if peer.is_failing.replace(false) {
@@ -326,7 +332,9 @@
                 }
                 LinkMessage::NoSteps { are_heavy } => asker.lacks_steps(are_heavy),
                 LinkMessage::WantMembers => {
-                    outgoing.send_data(encode(&shared.member_list()), false)?;
+                    let list = encode(&shared.member_list());
+                    shared.count_crossing(peer, CrossingCause::Member, list.len());
+                    outgoing.send_data(list, false)?;
                 }
                 other => heard_news(shared, peer, other),
             }
@@ -348,13 +356,33 @@
                 if ask_at.is_some() =>
             {
                 if let Some(ask) = asker.ask() {
-                    outgoing.send_data(encode(&ask), false)?;
+                    let ask = encode(&ask);
+                    shared.count_crossing(peer, CrossingCause::Version, ask.len());
+                    outgoing.send_data(ask, false)?;
                 }
             }
         }
     }
 }
 
+fn cause_of(message: &LinkMessage) -> CrossingCause {
+    match message {
+        LinkMessage::Target(_) => CrossingCause::Load,
+        LinkMessage::InForce { .. }
+        | LinkMessage::WantVersion { .. }
+        | LinkMessage::HeavyVersion
+        | LinkMessage::Steps { .. }
+        | LinkMessage::NoSteps { .. }
+        | LinkMessage::Version { .. } => CrossingCause::Version,
+        LinkMessage::Hello { .. }
+        | LinkMessage::WantMembers
+        | LinkMessage::Members { .. }
+        | LinkMessage::HostCame(_)
+        | LinkMessage::HostGone { .. }
+        | LinkMessage::Store(_) => CrossingCause::Member,
+    }
+}
+
 /// News that need no answer.
 fn heard_news(shared: &Rc<MeshShared>, peer: &Peer, message: LinkMessage) {
     let from = peer.address.id.as_str();
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -17,6 +17,36 @@
 /// between 0.1 and 1.
 const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
 
+/// What bytes on a link to another availability zone are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrossingCause {
+    /// A call and its body.
+    Call,
+    /// An answer and its body.
+    Answer,
+    /// Word that a call was not run, or may have been.
+    Refusal,
+    /// How busy a target is.
+    Load,
+    /// Versions of the configuration, and asking for them.
+    Version,
+    /// Which hosts there are, and who follows the store.
+    Member,
+}
+
+impl CrossingCause {
+    fn label(self) -> &'static str {
+        match self {
+            CrossingCause::Call => "call",
+            CrossingCause::Answer => "answer",
+            CrossingCause::Refusal => "refusal",
+            CrossingCause::Load => "load",
+            CrossingCause::Version => "version",
+            CrossingCause::Member => "member",
+        }
+    }
+}
+
 /// Every instrument of the daemon.
 pub struct MeshMetrics {
     registry: Registry,
@@ -28,6 +58,7 @@
     gate_wait: Histogram<f64>,
     run_time: Histogram<f64>,
     store_calls: Counter<u64>,
+    zone_bytes: Counter<u64>,
     version: Gauge<u64>,
     running: Gauge<u64>,
     waiting: Gauge<u64>,
@@ -82,6 +113,10 @@
                 "filbert.store.calls",
                 "Calls to the store, by subject and outcome",
             ),
+            zone_bytes: counter(
+                "filbert.zone.bytes",
+                "Bytes over own links to other availability zones, by cause",
+            ),
             version: gauge("filbert.version", "The version in force"),
             running: gauge("filbert.gate.running", "Calls at the target"),
             waiting: gauge("filbert.gate.waiting", "Calls that wait for the target"),
@@ -144,6 +179,13 @@
         );
     }
 
+    /// Counts bytes, without those of the transport, that went to another
+    /// availability zone or came from there over a link that this daemon opened.
+    pub fn crossed(&self, cause: CrossingCause, bytes: usize) {
+        let labels = [KeyValue::new("cause", cause.label())];
+        self.zone_bytes.add(bytes as u64, &labels);
+    }
+
     fn text(&self, shared: &MeshShared) -> String {
         self.version.record(shared.versions.number(), &[]);
         self.links.record(shared.peers.linked() as u64, &[]);
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -19,8 +19,8 @@
 use crate::logging::LineBudget;
 use crate::members::MemberBook;
 use crate::messages::PeerAddress;
-use crate::metrics::MeshMetrics;
-use crate::peers::PeerBook;
+use crate::metrics::{CrossingCause, MeshMetrics};
+use crate::peers::{Peer, PeerBook};
 use crate::settings::MeshSettings;
 use crate::stop::StopState;
 use crate::versions::VersionBook;
@@ -98,6 +98,13 @@
         self.versions.index()
     }
 
+    /// Counts bytes over the link to `peer`, if it crosses into another zone.
+    pub fn count_crossing(&self, peer: &Peer, cause: CrossingCause, bytes: usize) {
+        if peer.address.zone != self.settings.borrow().zone {
+            self.metrics.crossed(cause, bytes);
+        }
+    }
+
     /// Daemons that share the retry budget, this one included.
     #[must_use]
     pub fn daemons(&self) -> usize {
