--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -90,6 +90,7 @@
         aim_ms: millis(head.aim_us),
         left_ms: millis(head.left_us),
         is_served_at_home,
+        goes_before: route.priority < shared.current_index().last_rank(),
     };
     let index = choose(&views, &shape, &settings.crossing_cost(), &mut rand::rng())?;
     let count = candidates.len();
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -44,6 +44,9 @@
     /// Whether a target in the caller's zone takes calls, be it that it turned
     /// this one away.
     pub is_served_at_home: bool,
+    /// Whether it goes before other calls where it waits: its rank is not the
+    /// last of those in force.
+    pub goes_before: bool,
 }
 
 /// What it costs to cross into another availability zone, as parts of what a
@@ -143,11 +146,11 @@
 /// Load pattern: all zones have more calls than slots. What one zone turned
 /// away went to the next, which turned it away too or turned away a call of
 /// its own for it: of 27,000 calls between zones 15,000 were refused. Another
-/// zone is for what can run there at once; one without any target of its own
-/// waits elsewhere too.
+/// zone is for what can run there at once, or goes before others there; one
+/// without any target of its own waits elsewhere too.
 fn is_eligible(view: &TargetView, call: &CallShape) -> bool {
     let has_free_slot = view.occupancy + 1.0 <= f64::from(view.slots);
-    view.in_zone || has_free_slot || !call.is_served_at_home
+    view.in_zone || has_free_slot || call.goes_before || !call.is_served_at_home
 }
 
 /// The index of the target to send to; `None` when there is none.
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -109,6 +109,7 @@
 pub struct RouteIndex {
     number: u64,
     limits: ClientLimits,
+    last_rank: u8,
     hosts: HashMap<String, HashMap<String, Arc<RouteRule>>>,
 }
 
@@ -116,6 +117,7 @@
     /// Compiles `version`.
     #[must_use]
     pub fn compile(version: MeshVersion) -> RouteIndex {
+        let last_rank = version.routes.iter().map(|route| route.priority).max();
         let mut hosts: HashMap<String, HashMap<String, Arc<RouteRule>>> = HashMap::new();
         for route in version.routes {
             hosts
@@ -126,6 +128,7 @@
         RouteIndex {
             number: version.number,
             limits: version.limits,
+            last_rank: last_rank.unwrap_or(0),
             hosts,
         }
     }
@@ -136,6 +139,12 @@
         self.number
     }
 
+    /// The least urgent rank of any route.
+    #[must_use]
+    pub fn last_rank(&self) -> u8 {
+        self.last_rank
+    }
+
     /// What callers may send.
     #[must_use]
     pub fn limits(&self) -> &ClientLimits {
