--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -61,6 +61,13 @@
     pub most: f64,
 }
 
+impl CrossingCost {
+    /// Part of the worth of a call that carries `kib` KiB, not bounded.
+    fn of(&self, kib: f64) -> f64 {
+        self.base + kib * self.per_kib
+    }
+}
+
 /// Factor on a cold target's run time.
 const COLD_FACTOR: f64 = 2.0;
 /// Loss at a leaving target: only where there is no other.
@@ -133,7 +140,7 @@
         + view.ill_share * ILL_LOSS
         + (view.occupancy / slots).min(1.0) * LEVEL_LOSS;
     if !view.in_zone {
-        loss += (crossing.base + call.carried_kib * crossing.per_kib).min(crossing.most);
+        loss += crossing.of(call.carried_kib).min(crossing.most);
     }
     if view.is_leaving {
         loss += LEAVING_LOSS;
@@ -148,9 +155,10 @@
 /// its own for it: of 27,000 calls between zones 15,000 were refused. Another
 /// zone is for what can run there at once, or goes before others there; one
 /// without any target of its own waits elsewhere too.
-fn is_eligible(view: &TargetView, call: &CallShape) -> bool {
+fn is_eligible(view: &TargetView, call: &CallShape, crossing: &CrossingCost) -> bool {
     let has_free_slot = view.occupancy + 1.0 <= f64::from(view.slots);
-    view.in_zone || has_free_slot || call.goes_before || !call.is_served_at_home
+    let may_queue = call.goes_before && crossing.of(call.carried_kib) < crossing.most;
+    view.in_zone || has_free_slot || may_queue || !call.is_served_at_home
 }
 
 /// The index of the target to send to; `None` when there is none.
@@ -162,7 +170,7 @@
 ) -> Option<usize> {
     let mut best: Option<(usize, f64)> = None;
     for (index, view) in views.iter().enumerate() {
-        if !is_eligible(view, call) {
+        if !is_eligible(view, call, crossing) {
             continue;
         }
         let loss = expected_loss(view, call, crossing) + SPREAD * rng.random::<f64>();
