Aims are judged by the spread of a kind's runs

Cause: 2.7 mean runs had to fit before an aim, as if times were exponential; a call of 200 ms with an aim of 500 never waited though its runs differ by half.

--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -4,6 +4,7 @@
 
 use filbert_policy::placement::{assumed_occupancy, choose, CallShape, TargetView};
 use filbert_policy::routing::RouteRule;
+use filbert_policy::run_times::RunTime;
 
 use crate::messages::{CallHead, TargetState, TargetStatus};
 use crate::peers::Peer;
@@ -49,14 +50,14 @@
         .borrow()
         .get(&route.name)
         .map_or(0.0, |history| history.answer_kib);
-    let usual_ms = millis(head.usual_run_us);
+    let usual = head.usual_run.map(RunTime::from);
     let carried_kib = answer_kib + kib(head.body_length.unwrap_or(0));
     let mut views = Vec::new();
     let mut candidates = Vec::new();
     let mut is_served_at_home = false;
     if let Some(status) = shared.gate.status() {
         let occupancy = f64::from(status.load.running + status.load.waiting);
-        if let Some(view) = view_of(&status, service, usual_ms, true, occupancy).map(beside) {
+        if let Some(view) = view_of(&status, service, usual, true, occupancy).map(beside) {
             is_served_at_home |= !view.is_leaving;
             if !tried.contains(&settings.id) {
                 views.push(view);
@@ -71,7 +72,7 @@
         let in_zone = peer.address.zone == settings.zone;
         let reported = status.load.running + status.load.waiting;
         let occupancy = assumed_occupancy(reported, sent, shared.daemons().min(MOST_ALIKE));
-        let Some(mut view) = view_of(&status, service, usual_ms, in_zone, occupancy) else {
+        let Some(mut view) = view_of(&status, service, usual, in_zone, occupancy) else {
             continue;
         };
         is_served_at_home |= in_zone && !view.is_leaving;
@@ -116,7 +117,7 @@
 fn view_of(
     status: &TargetStatus,
     service: &str,
-    usual_ms: f64,
+    usual: Option<RunTime>,
     in_zone: bool,
     occupancy: f64,
 ) -> Option<TargetView> {
@@ -124,15 +125,13 @@
         return None;
     }
     let load = &status.load;
+    let run = usual.map_or_else(|| load.mean_run(), |usual| usual.at_pace(load.pace));
     Some(TargetView {
         in_zone,
         slots: load.slots,
         occupancy,
-        run_ms: if usual_ms > 0.0 {
-            usual_ms * load.pace
-        } else {
-            load.run_ms
-        },
+        run_ms: run.mean.as_secs_f64() * 1_000.0,
+        spread_ms: run.spread.as_secs_f64() * 1_000.0,
         turn_ms: load.run_ms,
         ill_share: load.ill_share,
         is_cold: status.is_cold,
--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -18,7 +18,7 @@
 use super::{refuse, ClientAnswer, ClientCall, BAD_GATEWAY, FIRST_FAILURE};
 use crate::body::{AnswerBody, CallBody};
 use crate::logging::LineWeight;
-use crate::messages::{AnswerHead, CallHead};
+use crate::messages::{AnswerHead, CallHead, UsualRun};
 use crate::state::MeshShared;
 
 /// Gates asked before a call is refused. Each costs a round trip and no work;
@@ -385,7 +385,7 @@
         priority: route.priority,
         answer_bytes: shared.usual_answer(&route.name),
         kind: route.name.clone(),
-        usual_run_us: shared.usual_run(&route.name),
+        usual_run: shared.usual_run(&route.name).map(UsualRun::from),
     };
     (head, call.body)
 }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -16,7 +16,7 @@
 use filbert_policy::health::{RunSign, TargetHealth};
 use filbert_policy::instance::{InstanceChange, InstanceReport, InstanceTracker};
 use filbert_policy::numbers::count_of;
-use filbert_policy::run_times::RunTimes;
+use filbert_policy::run_times::{RunTime, RunTimes};
 use tokio::sync::{oneshot, Notify, Semaphore};
 
 use crate::body::MOST_AHEAD_KIB;
@@ -237,8 +237,8 @@
 
     /// How long a run of `call` is expected to take here.
     #[must_use]
-    pub fn expected_run(&self, call: &CallHead) -> Duration {
-        let usual = (call.usual_run_us > 0).then(|| Duration::from_micros(call.usual_run_us));
+    pub fn expected_run(&self, call: &CallHead) -> RunTime {
+        let usual = call.usual_run.map(RunTime::from);
         self.state.borrow().times.expect(&call.kind, usual)
     }
 
@@ -251,7 +251,7 @@
             wait: self
                 .egress
                 .wait_of(bytes)
-                .saturating_sub(self.expected_run(call)),
+                .saturating_sub(self.expected_run(call).mean),
             send: self.egress.time_of(bytes),
         }
     }
@@ -264,7 +264,7 @@
     /// Part of its expected time by which a run is overdue.
     const OVERDUE: f64 = 2.0;
     if state.started.is_empty() {
-        return Duration::from_secs_f64(state.times.mean_ms() / 1_000.0);
+        return state.times.mean();
     }
     let total: Duration = state
         .started
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -7,6 +7,7 @@
 use filbert_policy::admission::{CallDemand, DeclineReason, LinkTime};
 use filbert_policy::egress::SHORT_ANSWER;
 use filbert_policy::health::RunSign;
+use filbert_policy::run_times::RunTime;
 
 use super::wait::Declined;
 use super::Gate;
@@ -106,7 +107,7 @@
         {
             let mut state = self.state.borrow_mut();
             if head.status < FIRST_FAILURE {
-                let usual = run.usual();
+                let usual = run.call.usual_run.map(RunTime::from);
                 state.times.note(&run.call.kind, usual, took);
                 state.health.note(RunSign::Well);
             } else {
@@ -178,7 +179,7 @@
             call.left_us / 1_000,
             call.kind,
             call.priority,
-            self.expected_run(call).as_millis()
+            self.expected_run(call).mean.as_millis()
         );
     }
 
@@ -200,12 +201,6 @@
 }
 
 impl CallRun<'_> {
-    /// What such runs take elsewhere, as far as the caller's daemon knows.
-    fn usual(&self) -> Option<Duration> {
-        let usual = Duration::from_micros(self.call.usual_run_us);
-        (!usual.is_zero()).then_some(usual)
-    }
-
     /// How long it waited for its turn.
     fn waited(&self) -> Duration {
         self.started.saturating_duration_since(self.received)
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -136,7 +136,7 @@
                 room_in,
             })?;
         }
-        Ok(self.start_run(demand.run))
+        Ok(self.start_run(demand.run.mean))
     }
 
     fn start_run(self: &Rc<Self>, expected: Duration) -> RunPermit {
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -1,7 +1,10 @@
 //! What daemons say to each other: `bincode` messages, each behind its length.
 
+use std::time::Duration;
+
 use bytes::{Buf, Bytes, BytesMut};
 use filbert_policy::admission::DeclineReason;
+use filbert_policy::run_times::RunTime;
 use serde::{Deserialize, Serialize};
 
 use crate::text_delta::TextDelta;
@@ -72,6 +75,15 @@
     pub link_ms_per_kib: f64,
 }
 
+impl TargetLoad {
+    /// Time of a run of any kind.
+    #[must_use]
+    pub fn mean_run(&self) -> RunTime {
+        let mean = Duration::from_secs_f64(self.run_ms.max(0.0) / 1_000.0);
+        RunTime::of_unknown_spread(mean)
+    }
+}
+
 /// Messages of the long stream that each link has, both ways. The daemon that
 /// links says hello and asks; the one that it links to tells.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -182,8 +194,36 @@
     pub answer_bytes: u64,
     /// Its kind: the name of its route.
     pub kind: String,
-    /// Usual time of a run of this kind, in microseconds; 0 when not known.
-    pub usual_run_us: u64,
+    /// Usual time of a run of this kind.
+    pub usual_run: Option<UsualRun>,
+}
+
+/// What runs of a kind usually take, on all targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsualRun {
+    /// On average, in microseconds.
+    pub mean_us: u64,
+    /// Mean distance from that, in microseconds.
+    pub spread_us: u64,
+}
+
+impl From<RunTime> for UsualRun {
+    fn from(time: RunTime) -> UsualRun {
+        let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        UsualRun {
+            mean_us: micros(time.mean),
+            spread_us: micros(time.spread),
+        }
+    }
+}
+
+impl From<UsualRun> for RunTime {
+    fn from(usual: UsualRun) -> RunTime {
+        RunTime {
+            mean: Duration::from_micros(usual.mean_us),
+            spread: Duration::from_micros(usual.spread_us),
+        }
+    }
 }
 
 /// What the target's daemon says of a call; an answer's body follows.
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -10,6 +10,7 @@
 use filbert_policy::clock::Clock;
 use filbert_policy::numbers::whole_of;
 use filbert_policy::routing::RouteIndex;
+use filbert_policy::run_times::{RunMean, RunTime};
 use filbert_policy::weights::WeightDealer;
 
 use tokio::sync::Notify;
@@ -32,11 +33,11 @@
     pub longest_wait: Duration,
     /// Usual size of an answer, in KiB.
     pub answer_kib: f64,
-    /// Usual time of a run, in milliseconds; 0 before the first.
-    pub run_ms: f64,
+    /// Usual time of a run.
+    pub run: RunMean,
 }
 
-/// Weight of the newest answer in a route's usual size and run time.
+/// Weight of the newest answer in a route's usual size.
 const NEWEST_ANSWER: f64 = 0.05;
 
 /// What the daemon's parts share.
@@ -130,8 +131,12 @@
     pub fn note_answer(&self, route: &str, bytes: u64, ran: Duration) {
         if let Some(history) = self.routes.borrow_mut().get_mut(route) {
             let kib = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1024.0;
-            note_in(&mut history.answer_kib, kib);
-            note_in(&mut history.run_ms, ran.as_secs_f64() * 1_000.0);
+            if history.answer_kib == 0.0 {
+                history.answer_kib = kib;
+            } else {
+                history.answer_kib += (kib - history.answer_kib) * NEWEST_ANSWER;
+            }
+            history.run.note(ran);
         }
     }
 
@@ -146,15 +151,10 @@
         whole_of(kib * 1024.0)
     }
 
-    /// Usual time of a run on `route`, in microseconds; 0 before the first.
+    /// Usual time of a run on `route`; `None` before the first.
     #[must_use]
-    pub fn usual_run(&self, route: &str) -> u64 {
-        let run_ms = self
-            .routes
-            .borrow()
-            .get(route)
-            .map_or(0.0, |history| history.run_ms);
-        whole_of(run_ms * 1_000.0)
+    pub fn usual_run(&self, route: &str) -> Option<RunTime> {
+        self.routes.borrow().get(route)?.run.time()
     }
 
     /// Whether callers can be served: a version is in force and it is known
@@ -164,12 +164,3 @@
         self.versions.number() > 0 && self.members.is_known.get()
     }
 }
-
-/// Takes `newest` into a running mean; 0 is none yet.
-fn note_in(mean: &mut f64, newest: f64) {
-    if *mean == 0.0 {
-        *mean = newest;
-    } else {
-        *mean += (newest - *mean) * NEWEST_ANSWER;
-    }
-}
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -13,6 +13,8 @@
 use order::{CallOrder, OfferedLoad};
 use wait::ExpectedWait;
 
+use crate::run_times::RunTime;
+
 /// A call at the gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallDemand {
@@ -23,7 +25,7 @@
     /// Until when an answer is worth anything.
     pub deadline: Instant,
     /// How long its run is expected to take here.
-    pub run: Duration,
+    pub run: RunTime,
     /// Time that its answer waits for the host's link, behind others', and
     /// that it takes there.
     pub link: LinkTime,
@@ -197,7 +199,7 @@
     /// take `turn`.
     #[must_use]
     pub fn room_in(&self, turn: Duration) -> Duration {
-        let ahead = self.waiting.iter().map(|call| call.demand.run).sum();
+        let ahead = self.waiting.iter().map(|call| call.demand.run.mean).sum();
         self.wait_behind(ahead, turn)
     }
 
@@ -261,7 +263,7 @@
             .waiting
             .iter()
             .filter(|other| other.order(now) <= order)
-            .map(|other| other.demand.run)
+            .map(|other| other.demand.run.mean)
             .sum();
         self.expected_wait(ahead, order, turn, now)
     }
@@ -318,7 +320,7 @@
         for call in std::mem::take(&mut self.waiting) {
             let wait = self.expected_wait(ahead, call.order(now), turn, now);
             if wait.is_worth_staying(&call.demand, call.since, now) {
-                ahead += call.demand.run;
+                ahead += call.demand.run.mean;
                 kept.push(call);
             } else {
                 ends.push(WaitEnd::Decline {
--- a/crates/policy/src/admission/order.rs
+++ b/crates/policy/src/admission/order.rs
@@ -32,8 +32,8 @@
     /// elsewhere, which took more slot time than the lookup would have. A
     /// rank counts for a doubling of the slot time.
     pub(super) fn of(demand: &CallDemand, is_filler: bool, now: Instant) -> CallOrder {
-        let is_late = is_filler || now + demand.run.mul_f64(0.5) > demand.aim;
-        let run_ms = (demand.run.as_secs_f64() * 1_000.0).max(1.0);
+        let is_late = is_filler || now + demand.run.mean.mul_f64(0.5) > demand.aim;
+        let run_ms = (demand.run.mean.as_secs_f64() * 1_000.0).max(1.0);
         let doublings = run_ms.log2() + f64::from(demand.priority) * RANK_DOUBLINGS;
         CallOrder {
             cost: whole_of(doublings * QUARTERS),
@@ -80,7 +80,7 @@
             *share *= fade;
         }
         self.at = Some(now);
-        let share = demand.run.as_secs_f64() / LOAD_OVER.as_secs_f64() / f64::from(slots);
+        let share = demand.run.mean.as_secs_f64() / LOAD_OVER.as_secs_f64() / f64::from(slots);
         let step = CallOrder::of(demand, false, now).step();
         self.steps[step.min(STEPS - 1)] += share;
     }
--- a/crates/policy/src/admission/wait.rs
+++ b/crates/policy/src/admission/wait.rs
@@ -4,12 +4,9 @@
 
 use super::CallDemand;
 
-/// Runs that must fit between a call's start and its aim for it to wait: run
-/// times have long tails, and a wait that leaves just the mean is lost on half
-/// of the calls.
-const AIM_RUNS: f64 = 2.7;
-/// The same for a call that waits already.
-const STAY_RUNS: f64 = 1.5;
+/// Part of the spread that must fit between the start of a call that waits
+/// already and its aim.
+const STAY_SPREAD: f64 = 0.5;
 /// Runs that must fit between the start of a call whose aim is lost and its
 /// deadline.
 const LATE_RUNS: f64 = 1.5;
@@ -58,15 +55,14 @@
 
     /// Whether a call that waits so long is likely answered in time.
     pub(super) fn meets_aim(&self, demand: &CallDemand, now: Instant) -> bool {
-        let run = demand.run.mul_f64(AIM_RUNS);
-        now + self.likely + run + demand.link.total() <= demand.aim
+        now + self.likely + demand.run.most() + demand.link.total() <= demand.aim
     }
 
     /// Whether a call that is likely late is worth its wait all the same.
     pub(super) fn fits_in(&self, demand: &CallDemand, now: Instant) -> bool {
         let left = demand.deadline.saturating_duration_since(now);
         let link = demand.link.total();
-        let run = demand.run.mul_f64(LATE_RUNS);
+        let run = demand.run.mean.mul_f64(LATE_RUNS);
         if self.likely + demand.link.wait <= left.mul_f64(LATE_HOLD) {
             return self.likely + run + link <= left;
         }
@@ -79,7 +75,7 @@
     /// other runs take 480 ms. Turned away, a lookup costs the run that waits
     /// for it; let in, it takes a slot for a moment.
     fn short_wait(&self, demand: &CallDemand) -> Duration {
-        if demand.run <= self.turn.mul_f64(SHORT_RUN) {
+        if demand.run.mean <= self.turn.mul_f64(SHORT_RUN) {
             self.turn.mul_f64(SHORT_WAIT)
         } else {
             Duration::ZERO
@@ -95,11 +91,12 @@
         since: Instant,
         now: Instant,
     ) -> bool {
-        let rest = demand.run.mul_f64(STAY_RUNS) + demand.link.send;
+        let run = demand.run.mean + demand.run.spread.mul_f64(STAY_SPREAD);
+        let rest = run + demand.link.send;
         if now + self.likely + rest <= demand.aim {
             return true;
         }
-        if now + self.plain + demand.run + demand.link.send > demand.deadline {
+        if now + self.plain + demand.run.mean + demand.link.send > demand.deadline {
             return false;
         }
         let had = demand.deadline.saturating_duration_since(since);
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -17,6 +17,8 @@
     pub occupancy: f64,
     /// Time that a run of the call is expected to take there, in milliseconds.
     pub run_ms: f64,
+    /// Mean distance of such runs from that, in milliseconds.
+    pub spread_ms: f64,
     /// Mean time of the runs that the call would wait behind, in milliseconds.
     pub turn_ms: f64,
     /// Share of its recent runs that ended ill, 0 to 1.
@@ -111,13 +113,28 @@
     UNSEEN * (over / UNSEEN).exp().ln_1p()
 }
 
+/// Chance that a run takes longer than `spare_ms`.
+///
+/// As of exponential times where the spread says so; where runs take about the
+/// same each, a target with a call's time to spare is as good as an idle one.
+fn miss_chance(run_ms: f64, spread_ms: f64, spare_ms: f64) -> f64 {
+    /// Chance at the mean, and the mean's multiple of the spread, of
+    /// exponential times.
+    const AT_MEAN: f64 = 0.37;
+    const MEANS_OF_SPREAD: f64 = 1.36;
+    if spare_ms >= run_ms {
+        let scale_ms = (spread_ms * MEANS_OF_SPREAD).max(1.0);
+        AT_MEAN * (-(spare_ms - run_ms) / scale_ms).exp()
+    } else {
+        1.0 - (1.0 - AT_MEAN) * spare_ms / run_ms
+    }
+}
+
 /// Expected part of a call's worth that is lost when it is placed there.
 ///
 /// Load pattern: targets of one service run at different speeds, from fast to
 /// slow by more than two to one. An answer within its aim is worth the same
-/// however early, so what counts is the chance of missing it. Run times have
-/// long tails; taken as exponential, the chance is `exp(-spare / run)`. A fast
-/// target is worth a little waiting, a slow one is for when the fast are full,
+/// however early, so what counts is the chance of missing it. A fast target is worth a little waiting, a slow one is for when the fast are full,
 /// and another zone's for when waiting at home would cost more than the way.
 #[must_use]
 pub fn expected_loss(view: &TargetView, call: &CallShape, crossing: &CrossingCost) -> f64 {
@@ -133,7 +150,7 @@
     };
     let link_ms = link_wait_ms + call.carried_kib * view.link_ms_per_kib;
     let spare_ms = (call.aim_ms - wait_ms - link_ms).max(0.0);
-    let late = (-spare_ms / run_ms).exp();
+    let late = miss_chance(run_ms, view.spread_ms * factor, spare_ms);
     let never = ((wait_ms + run_ms + link_ms) / call.left_ms.max(1.0)).min(1.0);
     let mut loss = late * LATE_LOSS
         + never * NEVER_LOSS
--- a/crates/policy/src/run_times.rs
+++ b/crates/policy/src/run_times.rs
@@ -6,29 +6,87 @@
 /// Weight of the newest run in a running mean: some thirty runs back count.
 /// Fewer would make chance look like speed, as run times have long tails.
 const NEWEST: f64 = 0.03;
-/// Run time assumed before any was seen, in milliseconds.
-const FIRST_GUESS_MS: f64 = 100.0;
+/// Run time assumed before any was seen.
+const FIRST_GUESS: Duration = Duration::from_millis(100);
 /// Runs that a guess from elsewhere counts for among a kind's first own runs.
 const GUESS_RUNS: f64 = 3.0;
 /// Kinds remembered. A target is called on a handful of routes; the limit
 /// bounds memory where routes come and go for months.
 const MOST_KINDS: usize = 256;
 
-/// A running mean of run times.
+/// How long a run takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunTime {
+    /// On average.
+    pub mean: Duration,
+    /// Mean distance from that.
+    pub spread: Duration,
+}
+
+impl RunTime {
+    /// Time within which some nine of ten runs end, be their times even or
+    /// with a long tail: 1.5 means where they differ by a quarter, 2.5 where
+    /// they are exponential.
+    #[must_use]
+    pub fn most(&self) -> Duration {
+        self.mean + self.spread * 2
+    }
+
+    /// Runs of which only the mean is known: taken as exponential.
+    #[must_use]
+    pub fn of_unknown_spread(mean: Duration) -> RunTime {
+        RunTime {
+            mean,
+            spread: mean.mul_f64(FIRST_SPREAD),
+        }
+    }
+
+    /// The same run at a target `pace` times as slow.
+    #[must_use]
+    pub fn at_pace(&self, pace: f64) -> RunTime {
+        RunTime {
+            mean: self.mean.mul_f64(pace),
+            spread: self.spread.mul_f64(pace),
+        }
+    }
+}
+
+/// Spread taken for a kind whose runs were not seen yet, as a part of its mean:
+/// as of exponential times.
+const FIRST_SPREAD: f64 = 0.75;
+
+/// A running mean of run times, and of their distance from it.
 #[derive(Clone, Copy, Debug, Default)]
-struct RunMean {
+pub struct RunMean {
     mean_ms: f64,
+    spread_ms: f64,
     runs: u32,
     /// Number of the run, of all kinds, that was noted last.
     last: u64,
 }
 
 impl RunMean {
-    fn note(&mut self, took_ms: f64) {
+    /// Counts a run.
+    pub fn note(&mut self, took: Duration) {
+        let took_ms = millis(took);
+        if self.runs == 0 {
+            self.mean_ms = took_ms;
+            self.spread_ms = took_ms * FIRST_SPREAD;
+        }
         self.runs = self.runs.saturating_add(1);
-        let weight = NEWEST.max(1.0 / f64::from(self.runs));
+        let weight = NEWEST.max(1.0 / (f64::from(self.runs) + 1.0));
+        self.spread_ms += ((took_ms - self.mean_ms).abs() - self.spread_ms) * weight;
         self.mean_ms += (took_ms - self.mean_ms) * weight;
     }
+
+    /// What is known; `None` before the first run.
+    #[must_use]
+    pub fn time(&self) -> Option<RunTime> {
+        (self.runs > 0).then(|| RunTime {
+            mean: Duration::from_secs_f64(self.mean_ms / 1_000.0),
+            spread: Duration::from_secs_f64(self.spread_ms / 1_000.0),
+        })
+    }
 }
 
 /// Mean run times of one target, by kind of call.
@@ -62,20 +120,20 @@
 impl RunTimes {
     /// Counts a run of `kind` that answered in full after `took`; `usual` is
     /// what such runs take elsewhere, as far as that is known.
-    pub fn note(&mut self, kind: &str, usual: Option<Duration>, took: Duration) {
-        let took_ms = millis(took);
+    pub fn note(&mut self, kind: &str, usual: Option<RunTime>, took: Duration) {
         self.noted += 1;
-        self.all.note(took_ms);
-        if let Some(usual) = usual.map(millis).filter(|usual| *usual > 0.0) {
+        self.all.note(took);
+        if let Some(usual) = usual.filter(|usual| !usual.mean.is_zero()) {
             let weight = NEWEST.max(1.0 / (f64::from(self.all.runs) + GUESS_RUNS));
-            self.pace += (took_ms / usual - self.pace) * weight;
+            let pace = millis(took) / millis(usual.mean);
+            self.pace += (pace - self.pace) * weight;
         }
         if !self.kinds.contains_key(kind) {
             self.make_room();
             self.kinds.insert(kind.to_owned(), RunMean::default());
         }
         if let Some(mean) = self.kinds.get_mut(kind) {
-            mean.note(took_ms);
+            mean.note(took);
             mean.last = self.noted;
         }
     }
@@ -92,26 +150,33 @@
 
     /// How long a run of `kind` is expected to take here.
     #[must_use]
-    pub fn expect(&self, kind: &str, usual: Option<Duration>) -> Duration {
+    pub fn expect(&self, kind: &str, usual: Option<RunTime>) -> RunTime {
         let own = self.kinds.get(kind).copied().unwrap_or_default();
-        let guess_ms = match usual.map(millis) {
-            Some(usual) if usual > 0.0 => usual * self.pace,
-            _ if own.runs > 0 => own.mean_ms,
-            _ => self.mean_ms(),
-        };
+        let guess = usual
+            .map(|usual| usual.at_pace(self.pace))
+            .or_else(|| own.time())
+            .unwrap_or_else(|| self.of_any_kind());
         let runs = f64::from(own.runs);
-        let mean_ms = (own.mean_ms * runs + guess_ms * GUESS_RUNS) / (runs + GUESS_RUNS);
-        Duration::from_secs_f64(mean_ms / 1_000.0)
+        let mixed = |own_ms: f64, guess: Duration| {
+            let sum_ms = own_ms * runs + millis(guess) * GUESS_RUNS;
+            Duration::from_secs_f64(sum_ms / (runs + GUESS_RUNS) / 1_000.0)
+        };
+        RunTime {
+            mean: mixed(own.mean_ms, guess.mean),
+            spread: mixed(own.spread_ms, guess.spread),
+        }
     }
 
-    /// Mean time of all runs, in milliseconds.
+    fn of_any_kind(&self) -> RunTime {
+        self.all
+            .time()
+            .unwrap_or(RunTime::of_unknown_spread(FIRST_GUESS))
+    }
+
+    /// Mean time of all runs.
     #[must_use]
-    pub fn mean_ms(&self) -> f64 {
-        if self.all.runs == 0 {
-            FIRST_GUESS_MS
-        } else {
-            self.all.mean_ms
-        }
+    pub fn mean(&self) -> Duration {
+        self.of_any_kind().mean
     }
 
     /// How much longer than usual runs take here; 1 for a usual target.
