A start of a target is told by its birth; foreign reports and rows name nobody

Cause: (1) a target may start again under its id with counts anew; judged by the sequence alone its reports were outdated and it got no calls.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -12,6 +12,7 @@
 use filbert_policy::routing::{
     ClientLimits, MeshVersion, RouteIndex, RouteKind, RoutePart, RouteRule,
 };
+use filbert_policy::run_times::RunTime;
 use filbert_policy::weights::WeightDealer;
 
 /// Decisions measured for each figure.
@@ -113,6 +114,8 @@
         carried_kib: 5.0,
         aim_ms: 600.0,
         left_ms: 2_000.0,
+        is_served_at_home: true,
+        goes_before: false,
     };
     let crossing = CrossingCost {
         base: 0.01,
@@ -126,6 +129,8 @@
                 slots: 9,
                 occupancy: f64::from(target % 9),
                 run_ms: 150.0 + f64::from(target),
+                spread_ms: 60.0,
+                turn_ms: 150.0,
                 ill_share: 0.0,
                 is_cold: false,
                 is_leaving: false,
@@ -147,6 +152,7 @@
         priority: u8::from(round.is_multiple_of(2)),
         aim: now + Duration::from_secs(2),
         deadline: now + Duration::from_secs(4),
+        run: RunTime::of_unknown_spread(run),
         link: LinkTime::default(),
     };
     for round in 0..40 {
--- a/crates/mesh/src/control.rs
+++ b/crates/mesh/src/control.rs
@@ -23,28 +23,46 @@
     .await;
 }
 
+const BAD_REQUEST: u16 = 400;
+
+/// Whether a report of `service` can be of the target here.
+///
+/// Guards against a report by another writer: taken for a new start of the
+/// target it would close the live one for good.
+fn is_known_service(shared: &MeshShared, service: &str) -> bool {
+    shared.settings.borrow().service == service || shared.current_index().has_service(service)
+}
+
 fn take_call(shared: &Rc<MeshShared>, head: &RequestHead, body: &[u8]) -> u16 {
     match instances::read_call(&head.method, &head.target, body) {
         InstanceCall::Report(report) => {
-            let id = report.id.clone();
+            if !is_known_service(shared, &report.service) {
+                log::warn!(
+                    "event=target_report_foreign instance={} service={}",
+                    report.key,
+                    report.service
+                );
+                return BAD_REQUEST;
+            }
+            let key = report.key.clone();
             let sequence = report.sequence;
             let change = shared.gate.report(report);
             if change != InstanceChange::None {
                 log::info!(
-                    "event=target_report instance={id} sequence={sequence} change={change:?}"
+                    "event=target_report instance={key} sequence={sequence} change={change:?}"
                 );
             }
             200
         }
-        InstanceCall::Leave { id } => {
-            let change = shared.gate.leave(&id);
-            log::info!("event=target_leaves instance={id} change={change:?}");
+        InstanceCall::Leave { key } => {
+            let change = shared.gate.leave(&key);
+            log::info!("event=target_leaves instance={key} change={change:?}");
             200
         }
         InstanceCall::Unknown => 404,
         InstanceCall::Malformed => {
             log::warn!("event=target_report_malformed path={}", head.target);
-            400
+            BAD_REQUEST
         }
     }
 }
--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -1,6 +1,7 @@
 //! Brings configuration and membership from the store, or leaves that to a
 //! daemon of the zone that tells this one.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -370,18 +371,36 @@
     }
 }
 
-/// The daemon that a row of [`HOSTS_TABLE`] names.
+/// The daemon that a row of [`HOSTS_TABLE`] names; `None` when it names none.
 #[must_use]
 pub fn decode_member(row: &StoreRow) -> Option<PeerAddress> {
     let value = row.value.as_ref()?;
-    match bincode::serde::decode_from_slice(value, bincode::config::standard()) {
-        Ok((address, _)) => Some(address),
-        Err(error) => {
-            log::error!(
-                "event=member_row_malformed key={} error=\"{error}\"",
+    match read_member(&row.key, value) {
+        Ok(address) => Some(address),
+        Err(reason) => {
+            log::warn!(
+                "event=member_row_malformed key={} error=\"{reason}\"",
                 row.key
             );
             None
         }
     }
 }
+
+/// Guards against a row by another writer whose bytes happen to decode: a host
+/// without an address or with another's name would be dialed for ever.
+fn read_member(key: &str, value: &[u8]) -> Result<PeerAddress, String> {
+    let (address, used): (PeerAddress, usize) =
+        bincode::serde::decode_from_slice(value, bincode::config::standard())
+            .map_err(|error| error.to_string())?;
+    if used != value.len() {
+        return Err("bytes behind the address".to_owned());
+    }
+    if address.id != key {
+        return Err(format!("names another host, {}", address.id));
+    }
+    if address.zone.is_empty() || address.address.parse::<SocketAddr>().is_err() {
+        return Err("no address".to_owned());
+    }
+    Ok(address)
+}
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -14,7 +14,7 @@
 use filbert_policy::admission::{GateQueue, LinkTime, WaitLimits, WaitTicket};
 use filbert_policy::clock::Clock;
 use filbert_policy::health::{RunSign, TargetHealth};
-use filbert_policy::instance::{InstanceChange, InstanceReport, InstanceTracker};
+use filbert_policy::instance::{InstanceChange, InstanceKey, InstanceReport, InstanceTracker};
 use filbert_policy::numbers::count_of;
 use filbert_policy::run_times::{RunTime, RunTimes};
 use tokio::sync::{oneshot, Notify, Semaphore};
@@ -166,19 +166,20 @@
     }
 
     /// Takes a farewell of the target.
-    pub fn leave(&self, id: &str) -> InstanceChange {
-        let change = self.state.borrow_mut().tracker.leave(id, self.clock.now());
+    pub fn leave(&self, key: &InstanceKey) -> InstanceChange {
+        let now = self.clock.now();
+        let change = self.state.borrow_mut().tracker.leave(key, now);
         if change == InstanceChange::Draining {
             self.changed.notify_waiters();
         }
         change
     }
 
-    /// Takes word of peers that instance `id` was leaving before this daemon
+    /// Takes word of peers that instance `key` was leaving before this daemon
     /// started.
-    pub fn left_before(&self, id: &str) {
+    pub fn left_before(&self, key: &InstanceKey) {
         let now = self.clock.now();
-        self.state.borrow_mut().tracker.left_before(id, now);
+        self.state.borrow_mut().tracker.left_before(key, now);
         self.changed.notify_waiters();
     }
 
@@ -205,7 +206,7 @@
         let report = state.tracker.current()?;
         Some(TargetStatus {
             service: report.service.clone(),
-            instance: report.id.clone(),
+            instance: report.key.clone(),
             state: self.target_state(&state, now),
             is_cold: state.tracker.is_cold(now),
             load: self.load_of(&state, now),
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -49,7 +49,7 @@
             }
         };
         let instance = match self.state.borrow().tracker.current() {
-            Some(report) => report.id.clone(),
+            Some(report) => report.key.id.clone(),
             None => String::new(),
         };
         let started = self.clock.now();
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -436,7 +436,10 @@
     peer.describe(target);
     let after = summary(&peer.target());
     if before != after {
-        let (instance, state) = after.unwrap_or((String::new(), TargetState::Closed));
+        let (instance, state) = match after {
+            Some((key, state)) => (key.to_string(), state),
+            None => (String::new(), TargetState::Closed),
+        };
         log::info!(
             "event=target_heard peer={} instance={instance} state={state:?}",
             peer.address.id
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use filbert_policy::admission::DeclineReason;
+use filbert_policy::instance::InstanceKey;
 use filbert_policy::run_times::RunTime;
 use serde::{Deserialize, Serialize};
 
@@ -43,8 +44,8 @@
 pub struct TargetStatus {
     /// Its service.
     pub service: String,
-    /// The id of this start of it.
-    pub instance: String,
+    /// Which start of it.
+    pub instance: InstanceKey,
     /// Whether it takes calls.
     pub state: TargetState,
     /// Whether it is still slow from its start.
@@ -93,7 +94,7 @@
         /// The daemon that links.
         from: PeerAddress,
         /// Instances beside the receiver that it heard were leaving.
-        left: Vec<String>,
+        left: Vec<InstanceKey>,
     },
     /// The receiver should list the hosts that it knows.
     WantMembers,
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use filbert_policy::clock::Clock;
+use filbert_policy::instance::InstanceKey;
 use h2::client::SendRequest;
 use tokio::sync::{mpsc, Notify};
 
@@ -26,7 +27,7 @@
     /// The target beside it as last described over the link.
     target: RefCell<Option<TargetStatus>>,
     /// Instances there that were heard to be leaving.
-    left: RefCell<Vec<String>>,
+    left: RefCell<Vec<InstanceKey>>,
     /// Calls sent there since that description.
     sent_since: Cell<u32>,
     /// Set when the entry is replaced or removed: its link ends as soon as no
@@ -132,7 +133,7 @@
 
     /// The instances there that were heard to be leaving, newest last.
     #[must_use]
-    pub fn left(&self) -> Vec<String> {
+    pub fn left(&self) -> Vec<InstanceKey> {
         self.left.borrow().clone()
     }
 
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -97,8 +97,8 @@
         return Err(LinkError::Frame);
     };
     let mut frames = shared.peers.watch(&from.zone);
-    for id in &left {
-        shared.gate.left_before(id);
+    for key in &left {
+        shared.gate.left_before(key);
     }
     for message in first_news(&shared, &from.zone) {
         outgoing.send_data(encode(&message), false)?;
--- a/crates/policy/src/admission/wait.rs
+++ b/crates/policy/src/admission/wait.rs
@@ -10,14 +10,19 @@
 /// Runs that must fit between the start of a call whose aim is lost and its
 /// deadline.
 const LATE_RUNS: f64 = 1.5;
+/// Part of a run that the answer to a call that is likely late may wait for
+/// the host's link: late answers would keep it from those that are in time.
+const LATE_LINK: f64 = 0.6;
 /// Part of the runs at the target that a short call with a lost aim may wait
 /// whatever else comes: a handful of slots end in that time.
 const SHORT_WAIT: f64 = 0.6;
 /// Part of the runs at the target up to which a call is short.
 const SHORT_RUN: f64 = 0.5;
-/// Part of its remaining time that a call whose aim is lost may wait: whoever
-/// is refused after that has no time left to come back.
+/// Part of its time that a call that is likely late may wait: whoever is
+/// refused after that has little time left to come back.
 const LATE_HOLD: f64 = 0.5;
+/// The same of the time to its aim, while that lies ahead.
+const AIM_HOLD: f64 = 0.6;
 
 /// Share of the slots above which the calls that go before are not counted.
 const MOST_BEFORE: f64 = 0.95;
@@ -61,9 +66,13 @@
     /// Whether a call that is likely late is worth its wait all the same.
     pub(super) fn fits_in(&self, demand: &CallDemand, now: Instant) -> bool {
         let left = demand.deadline.saturating_duration_since(now);
+        let hold = longest_hold(demand, now);
         let link = demand.link.total();
         let run = demand.run.mean.mul_f64(LATE_RUNS);
-        if self.likely + demand.link.wait <= left.mul_f64(LATE_HOLD) {
+        if demand.link.wait > demand.run.mean.mul_f64(LATE_LINK) {
+            return false;
+        }
+        if self.likely + demand.link.wait <= hold {
             return self.likely + run + link <= left;
         }
         self.plain + demand.link.wait <= self.short_wait(demand) && self.plain + run + link <= left
@@ -99,8 +108,17 @@
         if now + self.plain + demand.run.mean + demand.link.send > demand.deadline {
             return false;
         }
-        let had = demand.deadline.saturating_duration_since(since);
-        now + self.likely <= since + had.mul_f64(LATE_HOLD)
+        now + self.likely <= since + longest_hold(demand, since)
             || now + self.plain <= since + self.short_wait(demand) * 2
     }
 }
+
+/// How long a call that came at `since` and is likely late may wait.
+fn longest_hold(demand: &CallDemand, since: Instant) -> Duration {
+    let had = demand.deadline.saturating_duration_since(since);
+    let hold = had.mul_f64(LATE_HOLD);
+    match demand.aim.saturating_duration_since(since) {
+        Duration::ZERO => hold,
+        to_aim => hold.min(to_aim.mul_f64(AIM_HOLD)),
+    }
+}
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -1,12 +1,42 @@
 //! The life of the target beside the daemon, as its own calls tell it.
 
+use std::fmt;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
+/// Names one start of a target: a target may start again under its id.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceKey {
+    /// The id that it goes by.
+    pub id: String,
+    /// Unix millisecond of its start by its own clock, where it tells.
+    pub born: Option<u64>,
+}
+
+impl InstanceKey {
+    /// Whether word about `self` may be about `other`: the same id, and no
+    /// other start of it.
+    fn may_be(&self, other: &InstanceKey) -> bool {
+        self.id == other.id
+            && (self.born.is_none() || other.born.is_none() || self.born == other.born)
+    }
+}
+
+impl fmt::Display for InstanceKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born {
+            Some(born) => write!(formatter, "{}@{born}", self.id),
+            None => formatter.write_str(&self.id),
+        }
+    }
+}
+
 /// What a target says about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InstanceReport {
-    /// The id of this start of the target.
-    pub id: String,
+    /// Which start of the target it is.
+    pub key: InstanceKey,
     /// The service it belongs to.
     pub service: String,
     /// Where it listens.
@@ -43,37 +73,44 @@
     /// Whether it was leaving already when it was first heard of.
     left_before: bool,
     cold_until: Instant,
+    heard: Instant,
 }
 
 /// Follows the target beside the daemon.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTracker {
     current: Option<CurrentInstance>,
-    /// Ids that were replaced or said farewell, newest last.
-    former: Vec<String>,
+    /// Starts that were replaced or said farewell, newest last.
+    former: Vec<InstanceKey>,
 }
 
-/// Former ids remembered.
+/// Silence of the target in place after which another start under its id is
+/// taken though its clock says that it is the earlier one: several reports are
+/// missing then. The clock may have been set back between the two.
+const SILENT_AFTER: Duration = Duration::from_secs(5);
+/// Former starts remembered.
 const FORMER_KEPT: usize = 64;
 
 impl InstanceTracker {
     /// Takes a report.
     ///
     /// Guards against a report that was held up on the way and arrives after
-    /// its sender ended and another target took the address: an id that was
-    /// replaced or left is never taken back, and of one id only reports with
-    /// a higher sequence count.
+    /// its sender ended and another target took the address: a start that was
+    /// replaced or left is never taken back, and of one start only reports with
+    /// a higher sequence count. A target that starts again under its id counts
+    /// from the beginning: it is told by its birth.
     pub fn report(&mut self, report: InstanceReport, now: Instant) -> InstanceChange {
-        if self.former.contains(&report.id) {
+        if self.is_outdated(&report.key, now) {
             return InstanceChange::Stale;
         }
         let cold_until = now + report.cold_left;
         match &mut self.current {
-            Some(current) if current.report.id == report.id => {
+            Some(current) if current.report.key == report.key => {
                 if report.sequence <= current.report.sequence {
                     return InstanceChange::Stale;
                 }
                 current.cold_until = cold_until;
+                current.heard = now;
                 let was_leaving = current.leaving_since.is_some();
                 // Once a target has said that it leaves, it stays leaving:
                 // its acknowledgement binds.
@@ -100,19 +137,43 @@
                     report,
                     leaving_since,
                     cold_until,
+                    heard: now,
                 };
                 if let Some(old) = self.current.replace(fresh) {
-                    self.forget(old.report.id);
+                    self.forget(old.report.key);
                 }
                 change
             }
         }
     }
 
-    /// Takes a farewell of `id`.
-    pub fn leave(&mut self, id: &str, now: Instant) -> InstanceChange {
+    /// Whether word of `key` comes from a start that is over, or from none.
+    ///
+    /// Guards against a report without a birth, or with that of an earlier
+    /// start, that goes by the id of the target in place: taken for another
+    /// start it would replace the live one, whose own reports were outdated
+    /// from then on.
+    fn is_outdated(&self, key: &InstanceKey, now: Instant) -> bool {
+        if let Some(current) = &self.current {
+            let place = &current.report.key;
+            if place == key {
+                return false;
+            }
+            let is_earlier = place.id == key.id && key.born < place.born;
+            if is_earlier && now < current.heard + SILENT_AFTER {
+                return true;
+            }
+        }
+        let no_birth = key.born.is_none();
+        self.former
+            .iter()
+            .any(|former| former == key || (no_birth && former.id == key.id))
+    }
+
+    /// Takes a farewell of `key`.
+    pub fn leave(&mut self, key: &InstanceKey, now: Instant) -> InstanceChange {
         match &mut self.current {
-            Some(current) if current.report.id == id => {
+            Some(current) if key.may_be(&current.report.key) => {
                 if current.leaving_since.is_some() {
                     return InstanceChange::None;
                 }
@@ -120,29 +181,32 @@
                 InstanceChange::Draining
             }
             _ => {
-                if !self.former.iter().any(|former| former == id) {
-                    self.forget(id.to_owned());
-                }
+                self.remember_former(key);
                 InstanceChange::Stale
             }
         }
     }
 
-    /// Takes word that `id` was leaving before this daemon started.
+    fn remember_former(&mut self, key: &InstanceKey) {
+        if !self.former.contains(key) {
+            self.forget(key.clone());
+        }
+    }
+
+    /// Takes word that `key` was leaving before this daemon started.
     ///
     /// Guards against a leaving that was acknowledged by this daemon's process
     /// before it was killed: a late report would make the target look ready
     /// again, and calls would reach it after it may have ended.
-    pub fn left_before(&mut self, id: &str, now: Instant) {
+    pub fn left_before(&mut self, key: &InstanceKey, now: Instant) {
         match &mut self.current {
-            Some(current) if current.report.id == id => {
+            Some(current) if current.report.key == *key => {
                 if current.leaving_since.is_none() {
                     current.leaving_since = Some(now);
                     current.left_before = true;
                 }
             }
-            _ if self.former.iter().any(|former| former == id) => {}
-            _ => self.forget(id.to_owned()),
+            _ => self.remember_former(key),
         }
     }
 
@@ -155,11 +219,11 @@
             .is_some_and(|current| current.left_before)
     }
 
-    fn forget(&mut self, id: String) {
+    fn forget(&mut self, key: InstanceKey) {
         if self.former.len() >= FORMER_KEPT {
             self.former.remove(0);
         }
-        self.former.push(id);
+        self.former.push(key);
     }
 
     /// What the target last said; `None` before its first report.
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -110,6 +110,7 @@
     number: u64,
     limits: ClientLimits,
     last_rank: u8,
+    services: Vec<ServiceRule>,
     hosts: HashMap<String, HashMap<String, Arc<RouteRule>>>,
 }
 
@@ -129,6 +130,7 @@
             number: version.number,
             limits: version.limits,
             last_rank: last_rank.unwrap_or(0),
+            services: version.services,
             hosts,
         }
     }
@@ -139,6 +141,12 @@
         self.number
     }
 
+    /// Whether the version names `service`.
+    #[must_use]
+    pub fn has_service(&self, service: &str) -> bool {
+        self.services.iter().any(|rule| rule.name == service)
+    }
+
     /// The least urgent rank of any route.
     #[must_use]
     pub fn last_rank(&self) -> u8 {
--- a/crates/policy/tests/admission_replay.rs
+++ b/crates/policy/tests/admission_replay.rs
@@ -13,6 +13,7 @@
 use filbert_policy::admission::{
     CallDemand, DeclineReason, GateQueue, GateVerdict, LinkTime, WaitEnd, WaitLimits, WaitTicket,
 };
+use filbert_policy::run_times::RunTime;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -78,6 +79,7 @@
                 priority: call.priority,
                 aim: start + call.at + call.aim,
                 deadline: start + call.at + call.left,
+                run: RunTime::of_unknown_spread(RUN),
                 link: LinkTime::default(),
             };
             match queue.offer(demand, RUN, start + now) {
@@ -203,6 +205,7 @@
         priority: 1,
         aim: now + Duration::from_millis(aim_ms),
         deadline: now + Duration::from_secs(2),
+        run: RunTime::of_unknown_spread(RUN),
         link: LinkTime::default(),
     };
     for _ in 0..SLOTS {
@@ -229,6 +232,7 @@
         priority: 0,
         aim: now + RUN * 3,
         deadline: now + RUN * 10,
+        run: RunTime::of_unknown_spread(RUN),
         link: LinkTime::default(),
     };
     assert!(matches!(
--- a/crates/policy/tests/call_cases.rs
+++ b/crates/policy/tests/call_cases.rs
@@ -4,7 +4,7 @@
 
 use filbert_policy::attempt::{next_step, AttemptEnd, CallAllowance, NextStep};
 use filbert_policy::health::{RunSign, TargetHealth};
-use filbert_policy::instance::{InstanceChange, InstanceReport, InstanceTracker};
+use filbert_policy::instance::{InstanceChange, InstanceKey, InstanceReport, InstanceTracker};
 use filbert_policy::routing::{
     ClientLimits, MeshVersion, RouteIndex, RouteKind, RoutePart, RouteRule,
 };
@@ -146,9 +146,16 @@
     }
 }
 
+fn key(id: &str) -> InstanceKey {
+    InstanceKey {
+        id: id.to_owned(),
+        born: None,
+    }
+}
+
 fn report(id: &str, sequence: u64, is_draining: bool) -> InstanceReport {
     InstanceReport {
-        id: id.to_owned(),
+        key: key(id),
         service: "quotes".to_owned(),
         address: "127.0.0.1:1".to_owned(),
         slots: 9,
@@ -178,7 +185,7 @@
         InstanceChange::Stale
     );
     assert_eq!(
-        tracker.current().map(|report| report.id.as_str()),
+        tracker.current().map(|report| report.key.id.as_str()),
         Some("new")
     );
     assert_eq!(
@@ -208,8 +215,8 @@
         InstanceChange::None
     );
     assert_eq!(tracker.leaving_since(), Some(now));
-    assert_eq!(tracker.leave("one", now), InstanceChange::None);
-    assert_eq!(tracker.leave("unheard", now), InstanceChange::Stale);
+    assert_eq!(tracker.leave(&key("one"), now), InstanceChange::None);
+    assert_eq!(tracker.leave(&key("unheard"), now), InstanceChange::Stale);
     assert_eq!(
         tracker.report(report("unheard", 9, false), now),
         InstanceChange::Stale
@@ -227,7 +234,7 @@
     assert!(tracker.is_gone());
 
     let mut tracker = InstanceTracker::default();
-    tracker.left_before("one", now);
+    tracker.left_before(&key("one"), now);
     assert_eq!(
         tracker.report(report("one", 8, false), now),
         InstanceChange::Stale
@@ -236,16 +243,98 @@
 
     let mut tracker = InstanceTracker::default();
     tracker.report(report("one", 8, false), now);
-    tracker.left_before("one", now);
+    tracker.left_before(&key("one"), now);
     assert!(tracker.is_gone());
 
     let mut tracker = InstanceTracker::default();
     tracker.report(report("one", 8, false), now);
     tracker.report(report("one", 9, true), now);
-    tracker.left_before("one", now);
+    tracker.left_before(&key("one"), now);
     assert!(!tracker.is_gone(), "its own acknowledgement, with its time");
 }
 
+/// One report under an id that was used before.
+struct BirthCase {
+    story: &'static str,
+    /// Birth, sequence and time since the first report.
+    born: Option<u64>,
+    sequence: u64,
+    after: Duration,
+    change: InstanceChange,
+}
+
+/// A target crashes and starts again under its id: its counts start anew, and
+/// a late report of the start before may still come. Judged by the sequence
+/// alone, the new start would count as outdated and get no calls, and a late
+/// report would bring the ended one back.
+#[rstest]
+#[case(BirthCase {
+    story: "a later start counts from the beginning",
+    born: Some(2_000), sequence: 1, after: Duration::from_secs(1), change: InstanceChange::Replaced,
+})]
+#[case(BirthCase {
+    story: "the same start goes on counting",
+    born: Some(1_000), sequence: 8, after: Duration::from_secs(1), change: InstanceChange::None,
+})]
+#[case(BirthCase {
+    story: "an old count of the same start",
+    born: Some(1_000), sequence: 7, after: Duration::from_secs(1), change: InstanceChange::Stale,
+})]
+#[case(BirthCase {
+    story: "a late report of the start before",
+    born: Some(500), sequence: 90, after: Duration::from_secs(1), change: InstanceChange::Stale,
+})]
+#[case(BirthCase {
+    story: "a start whose clock was set back, in place of one long silent",
+    born: Some(500), sequence: 1, after: Duration::from_secs(6), change: InstanceChange::Replaced,
+})]
+#[case(BirthCase {
+    story: "another writer that knows the id and no birth",
+    born: None, sequence: 99, after: Duration::from_secs(1), change: InstanceChange::Stale,
+})]
+fn a_start_is_told_by_its_birth(#[case] case: BirthCase) {
+    let now = Instant::now();
+    let mut tracker = InstanceTracker::default();
+    let of = |born, sequence| InstanceReport {
+        key: InstanceKey {
+            id: "one".to_owned(),
+            born,
+        },
+        ..report("one", sequence, false)
+    };
+    tracker.report(of(Some(1_000), 7), now);
+    let change = tracker.report(of(case.born, case.sequence), now + case.after);
+    assert_eq!(change, case.change, "{}", case.story);
+}
+
+/// A target leaves and starts again under its id before a late report, or the
+/// farewell, of the start before comes. Neither may close the gate of the one
+/// that is in place.
+#[test]
+fn what_a_start_said_binds_that_start_only() {
+    let now = Instant::now();
+    let start = |born| InstanceKey {
+        id: "one".to_owned(),
+        born: Some(born),
+    };
+    let of = |born, sequence, is_draining| InstanceReport {
+        key: start(born),
+        ..report("one", sequence, is_draining)
+    };
+    let mut tracker = InstanceTracker::default();
+    tracker.report(of(1_000, 7, true), now);
+    tracker.report(of(2_000, 1, false), now);
+    assert!(tracker.leaving_since().is_none());
+    assert_eq!(
+        tracker.report(of(1_000, 8, true), now),
+        InstanceChange::Stale
+    );
+    assert_eq!(tracker.leave(&start(1_000), now), InstanceChange::Stale);
+    tracker.left_before(&start(1_000), now);
+    assert!(tracker.leaving_since().is_none());
+    assert_eq!(tracker.leave(&start(2_000), now), InstanceChange::Draining);
+}
+
 /// A target rejects half of its calls: that must show within a second of
 /// calls, and wear off when it is well again.
 #[test]
--- a/crates/policy/tests/egress_replay.rs
+++ b/crates/policy/tests/egress_replay.rs
@@ -6,6 +6,7 @@
     CallDemand, DeclineReason, GateQueue, GateVerdict, LinkTime, WaitLimits,
 };
 use filbert_policy::egress::{EgressQueue, EgressTicket, EgressVerdict};
+use filbert_policy::run_times::RunTime;
 
 /// Rate of the slowest links of the users, in Mbit/s.
 const SLOW: f64 = 7.5;
@@ -126,6 +127,7 @@
             priority: 2,
             aim: now + Duration::from_millis(800),
             deadline: now + Duration::from_secs(5),
+            run: RunTime::of_unknown_spread(RUN),
             link: LinkTime {
                 wait: link.backlog(now).saturating_sub(RUN),
                 send: link.time_of(ANSWER),
--- a/crates/policy/tests/placement_replay.rs
+++ b/crates/policy/tests/placement_replay.rs
@@ -27,6 +27,8 @@
         slots: 9,
         occupancy: 0.0,
         run_ms,
+        spread_ms: run_ms * 0.75,
+        turn_ms: run_ms,
         ill_share: 0.0,
         is_cold: false,
         is_leaving: false,
@@ -40,6 +42,8 @@
         carried_kib,
         aim_ms: 600.0,
         left_ms: 2_000.0,
+        is_served_at_home: true,
+        goes_before: false,
     }
 }
 
