--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -316,6 +316,13 @@
             .retain(|watcher| watcher.frames.try_send(frame.clone()).is_ok());
     }
 
+    /// Tells the daemons of all zones but `zone` that linked here.
+    pub fn broadcast_outside(&self, zone: &str, frame: &Bytes) {
+        self.watchers.borrow_mut().retain(|watcher| {
+            watcher.zone == zone || watcher.frames.try_send(frame.clone()).is_ok()
+        });
+    }
+
     /// Tells the daemons of `zone` that linked here.
     pub fn broadcast_in(&self, zone: &str, frame: &Bytes) {
         self.watchers.borrow_mut().retain(|watcher| {
