--- a/crates/policy/src/admission/order.rs
+++ b/crates/policy/src/admission/order.rs
@@ -53,7 +53,7 @@
 const STEPS: usize = 15;
 /// Time constant of [`OfferedLoad`]: a few waits long, so that it tells a
 /// lasting overload from a moment's crowd.
-const LOAD_OVER: Duration = Duration::from_secs(3);
+const LOAD_OVER: Duration = Duration::from_secs(1);
 /// Share of the slots that calls want, of late, by where they stand.
 ///
 /// Load pattern: more calls than slots for seconds. A late call that waits
