--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -196,15 +196,12 @@
         (turn + ahead) / self.slots
     }
 
-    /// When a call of `order` that comes then is likely to start.
-    ///
-    /// Load pattern: an overload that lasts. Told by the queue alone, which is
-    /// worked off in a moment, refused callers return into the same crowd and
-    /// are refused for good; by what comes and goes before them they return
-    /// when it may be over.
-    fn room_in(&self, order: CallOrder, turn: Duration, now: Instant) -> Duration {
+    /// When a newcomer of the lowest rank could start, if calls at the target
+    /// take `turn`.
+    #[must_use]
+    pub fn room_in(&self, turn: Duration) -> Duration {
         let ahead = self.waiting.iter().map(|call| call.demand.run.mean).sum();
-        self.expected_wait(ahead, order, turn, now).likely()
+        self.wait_behind(ahead, turn)
     }
 
     /// Takes a call, if those at the target take `turn`.
@@ -240,7 +237,7 @@
         if is_in_vain || self.waiting.len() >= most {
             return GateVerdict::Decline {
                 reason: DeclineReason::Crowded,
-                room_in: self.room_in(CallOrder::of(&demand, true, now), turn, now),
+                room_in: self.room_in(turn),
             };
         }
         let ticket = WaitTicket(self.next_ticket);
@@ -316,10 +313,10 @@
     /// all the same, as when more urgent ones came behind them: a call is told
     /// as soon as what is now ahead of it leaves no time.
     fn turn_away_late(&mut self, turn: Duration, now: Instant, ends: &mut Vec<WaitEnd>) {
+        let room_in = self.room_in(turn);
         self.waiting
             .sort_by_key(|call| (call.order(now), call.ticket));
         let mut kept = Vec::with_capacity(self.waiting.len());
-        let mut late = Vec::new();
         let mut ahead = Duration::ZERO;
         for call in std::mem::take(&mut self.waiting) {
             let wait = self.expected_wait(ahead, call.order(now), turn, now);
@@ -327,14 +324,13 @@
                 ahead += call.demand.run.mean;
                 kept.push(call);
             } else {
-                late.push(call);
+                ends.push(WaitEnd::Decline {
+                    ticket: call.ticket,
+                    room_in,
+                });
             }
         }
         self.waiting = kept;
-        ends.extend(late.into_iter().map(|call| WaitEnd::Decline {
-            ticket: call.ticket,
-            room_in: self.room_in(call.order(now), turn, now),
-        }));
     }
 
     /// Turns away all that wait, as when the target is gone.
--- a/crates/policy/src/admission/wait.rs
+++ b/crates/policy/src/admission/wait.rs
@@ -58,11 +58,6 @@
         }
     }
 
-    /// The wait with the calls that come in the meantime and go before.
-    pub(super) fn likely(&self) -> Duration {
-        self.likely
-    }
-
     /// Whether a call that waits so long is likely answered in time.
     pub(super) fn meets_aim(&self, demand: &CallDemand, now: Instant) -> bool {
         now + self.likely + demand.run.most() + demand.link.total() <= demand.aim
