--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -12,7 +12,7 @@
 use filbert_policy::routing::{
     ClientLimits, MeshVersion, RouteIndex, RouteKind, RoutePart, RouteRule,
 };
-use filbert_policy::run_times::RunTime;
+use filbert_policy::run_times::{RunTime, RunTimes};
 use filbert_policy::weights::WeightDealer;
 
 /// Decisions measured for each figure.
@@ -93,23 +93,8 @@
     });
 }
 
-fn main() {
-    measure_versions();
-    let routes: Vec<Arc<RouteRule>> = (0..2_000).map(route).map(Arc::new).collect();
-    let first = Arc::clone(&routes[0]);
-    let index = RouteIndex::compile(MeshVersion {
-        number: 1,
-        routes,
-        services: Vec::new(),
-        limits: ClientLimits::default(),
-    });
-    measure("route lookup, 2,000 routes, depth 4", |_| {
-        black_box(index.lookup("shop.example", "/p1999/a/b/c?d=e"));
-    });
-    let mut dealer = WeightDealer::default();
-    measure("deal of a split route", |_| {
-        black_box(dealer.deal(&first, 7));
-    });
+/// Cost of choosing a call's target.
+fn measure_placement() {
     let call = CallShape {
         carried_kib: 5.0,
         aim_ms: 600.0,
@@ -143,6 +128,39 @@
             black_box(choose(&views, &call, &crossing, &mut rng));
         });
     }
+}
+
+/// Cost of noting a run and of judging the next by its kind.
+fn measure_run_times() {
+    let mut times = RunTimes::default();
+    let usual = RunTime::of_unknown_spread(Duration::from_millis(30));
+    let kinds = ["lookup", "order", "report"];
+    measure("a run noted and judged, by kind", |round| {
+        let kind = kinds[round as usize % kinds.len()];
+        times.note(kind, Some(usual), usual.mean);
+        black_box(times.expect(kind, Some(usual)));
+    });
+}
+
+fn main() {
+    measure_versions();
+    let routes: Vec<Arc<RouteRule>> = (0..2_000).map(route).map(Arc::new).collect();
+    let first = Arc::clone(&routes[0]);
+    let index = RouteIndex::compile(MeshVersion {
+        number: 1,
+        routes,
+        services: Vec::new(),
+        limits: ClientLimits::default(),
+    });
+    measure("route lookup, 2,000 routes, depth 4", |_| {
+        black_box(index.lookup("shop.example", "/p1999/a/b/c?d=e"));
+    });
+    let mut dealer = WeightDealer::default();
+    measure("deal of a split route", |_| {
+        black_box(dealer.deal(&first, 7));
+    });
+    measure_placement();
+    measure_run_times();
     let now = Instant::now();
     let run = Duration::from_millis(200);
     let mut queue = GateQueue::new(WaitLimits::default());
--- a/crates/policy/tests/run_time_cases.rs
+++ b/crates/policy/tests/run_time_cases.rs
@@ -8,8 +8,9 @@
 const LOOKUP: Duration = Duration::from_millis(30);
 const REPORT: Duration = Duration::from_millis(480);
 
-fn usual(mean: Duration) -> Option<RunTime> {
-    Some(RunTime::of_unknown_spread(mean))
+/// What a kind usually takes.
+fn usual(mean: Duration) -> RunTime {
+    RunTime::of_unknown_spread(mean)
 }
 
 fn is_near(time: Duration, wanted: Duration) -> bool {
@@ -23,11 +24,11 @@
 fn a_slow_kind_does_not_make_a_short_one_look_slow() {
     let mut times = RunTimes::default();
     for _ in 0..50 {
-        times.note("lookup", usual(LOOKUP), LOOKUP);
-        times.note("report", usual(REPORT), REPORT);
+        times.note("lookup", Some(usual(LOOKUP)), LOOKUP);
+        times.note("report", Some(usual(REPORT)), REPORT);
     }
-    let lookup = times.expect("lookup", usual(LOOKUP)).mean;
-    let report = times.expect("report", usual(REPORT)).mean;
+    let lookup = times.expect("lookup", Some(usual(LOOKUP))).mean;
+    let report = times.expect("report", Some(usual(REPORT))).mean;
     assert!(is_near(lookup, LOOKUP), "{lookup:?}");
     assert!(is_near(report, REPORT), "{report:?}");
     assert!(is_near(times.mean(), (LOOKUP + REPORT) / 2));
@@ -45,11 +46,11 @@
 #[rstest]
 #[case(NewKindCase {
     story: "judged by what it usually takes",
-    pace: 1.0, usual: usual(LOOKUP), expected: LOOKUP,
+    pace: 1.0, usual: Some(usual(LOOKUP)), expected: LOOKUP,
 })]
 #[case(NewKindCase {
     story: "at a target that is three times as slow",
-    pace: 3.0, usual: usual(LOOKUP), expected: Duration::from_millis(90),
+    pace: 3.0, usual: Some(usual(LOOKUP)), expected: Duration::from_millis(90),
 })]
 #[case(NewKindCase {
     story: "by the other runs where nothing is known",
@@ -58,7 +59,7 @@
 fn a_new_kind_is_judged_by_pace(#[case] case: NewKindCase) {
     let mut times = RunTimes::default();
     for _ in 0..120 {
-        times.note("report", usual(REPORT), REPORT.mul_f64(case.pace));
+        times.note("report", Some(usual(REPORT)), REPORT.mul_f64(case.pace));
     }
     let mean = times.expect("lookup", case.usual).mean;
     assert!(is_near(mean, case.expected), "{}: {mean:?}", case.story);
@@ -96,8 +97,8 @@
 fn forgotten_kinds_make_room() {
     let mut times = RunTimes::default();
     for number in 0..2_000 {
-        times.note("report", usual(REPORT), REPORT);
-        times.note(&format!("kind-{number}"), usual(LOOKUP), LOOKUP);
+        times.note("report", Some(usual(REPORT)), REPORT);
+        times.note(&format!("kind-{number}"), Some(usual(LOOKUP)), LOOKUP);
     }
     assert!(is_near(times.expect("report", None).mean, REPORT));
     let forgotten = times.expect("kind-0", None).mean;
