The soak tells starts of a target apart by their birth

Ruled out: work after leaving (the runs are those of the start in place). Change: the soak compares id and birth, and the test of a restarted daemon waits for the line with the birth.

--- a/tests/mesh_calls.rs
+++ b/tests/mesh_calls.rs
@@ -487,8 +487,10 @@
     let mut fleet = remote_three().await;
     let control = fleet.hosts[1].control;
     assert_eq!(fleet.hosts[1].target.drain(control).await, 200);
-    let heard = "event=target_heard peer=first instance=i-first-1 state=Leaving";
-    assert!(users::eventually_logs(&fleet.hosts[0], heard).await);
+    // The line names the instance with its birth.
+    let key = fleet.hosts[1].target.key();
+    let heard = format!("event=target_heard peer=first instance={key} state=Leaving");
+    assert!(users::eventually_logs(&fleet.hosts[0], &heard).await);
     fleet.hosts[1].kill();
     fleet.hosts[1].start_daemon();
     let host = &fleet.hosts[1];
