A stop waits for the last calls and for its row's removal side by side

Cause: the last calls were waited for until 0.3 s before the end of the grace time, and the store's word on the row for up to 0.3 s behind them: together the whole grace time.

Change: both waits run side by side, cut 0.3 s before the end.

--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -131,19 +131,31 @@
     );
     let last = began + grace.saturating_sub(LAST_MARGIN);
     let closing = clock.now();
-    loop {
-        tokio::time::sleep(CHECK_EVERY).await;
-        let now = clock.now();
-        let quiet_since = stop.last_call.get().unwrap_or(closing).max(closing);
-        let is_done =
-            stop.calls.get() == 0 && shared.gate.in_work() == 0 && now >= quiet_since + QUIET;
-        if is_done || now >= last {
-            break;
+    // Guards against a daemon that is ended by force: the store's word on the
+    // row and the last calls are waited for side by side. One behind the other
+    // they took longer than the grace time when the store was silent.
+    let row = async {
+        // The host goes with its target: nobody is to look for it any more.
+        if shared.gate.has_left() {
+            feeds::drop_own_row(&shared).await;
         }
-    }
-    // The host goes with its target: nobody is to look for it any more.
-    if shared.gate.has_left() {
-        feeds::drop_own_row(&shared).await;
+    };
+    let calls = async {
+        loop {
+            tokio::time::sleep(CHECK_EVERY).await;
+            let quiet_since = stop.last_call.get().unwrap_or(closing).max(closing);
+            let is_idle = stop.calls.get() == 0 && shared.gate.in_work() == 0;
+            if is_idle && clock.now() >= quiet_since + QUIET {
+                break;
+            }
+        }
+    };
+    let all_done = async { tokio::join!(row, calls) };
+    if tokio::time::timeout_at(last.into(), all_done)
+        .await
+        .is_err()
+    {
+        log::warn!("event=stop_cut_short reason=\"the grace time is over\"");
     }
     log::info!(
         "event=stopped calls={} at_target={}",
--- a/tests/mesh_stops.rs
+++ b/tests/mesh_stops.rs
@@ -5,9 +5,9 @@
 
 use std::time::Duration;
 
-use filbert_platform_standin::Conduct;
+use filbert_platform_standin::{Conduct, RouteSpec, StoreFault};
 use nix::sys::signal::Signal;
-use users::{eventually_logs, pair, reload_with, Fleet};
+use users::{eventually, eventually_logs, fleet, pair, reload_with, Fleet, SETTLE_WITHIN};
 
 const READ: &str = "GET /read/a HTTP/1.1";
 const ORDER: &str = "POST /order/a HTTP/1.1";
@@ -130,3 +130,35 @@
     assert_eq!(answer.status, 200);
     assert_eq!(caller(1), "third");
 }
+
+/// A host is taken away while the store is silent and a long lookup still runs
+/// at its server. Its daemon waits for the lookup as long as it may and for the
+/// store's word on its row behind it: together they are longer than the grace
+/// time, and the daemon would be ended by force.
+#[tokio::test]
+async fn a_stop_ends_within_the_grace_time_though_the_store_is_silent() {
+    const GRACE: Duration = Duration::from_secs(6);
+    let mut route = RouteSpec::reads("/read/", "quotes");
+    route.timeout_ms = 20_000;
+    let hosts = [("caller", "a", "art"), ("quoter", "a", "quotes")];
+    let mut fleet = fleet(&[route], &hosts).await;
+    fleet.hosts[1].target.set_conduct(Conduct::Hangs);
+    let mut client = fleet.connect(0).await;
+    let headers = [
+        ("Host", "shop.example"),
+        ("Request-Id", "long"),
+        ("Deadline-Ms", "20000"),
+    ];
+    client.send(READ, &headers, b"").await.expect("sent");
+    let target = &fleet.hosts[1].target;
+    assert!(eventually(SETTLE_WITHIN, || async { target.runs().len() == 1 }).await);
+    let control = fleet.hosts[1].control;
+    assert_eq!(fleet.hosts[1].target.leave(control).await, 200);
+    fleet.store.set_fault(StoreFault::Silent);
+    fleet.hosts[1].signal(Signal::SIGTERM);
+    assert!(
+        fleet.hosts[1].ended(GRACE).await,
+        "{}",
+        fleet.hosts[1].log()
+    );
+}
