--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -83,13 +83,13 @@
 
 async fn members(store: &StoreClient) -> CtlResult<Vec<PeerAddress>> {
     let batch = store
-        .read_table(filbert_mesh::feeds::HOSTS_TABLE)
+        .read_table(filbert_mesh::rows::HOSTS_TABLE)
         .await
         .change_context(CtlError::Platform)?;
     Ok(batch
         .rows
         .iter()
-        .filter_map(filbert_mesh::feeds::decode_member)
+        .filter_map(filbert_mesh::rows::decode_member)
         .collect())
 }
 
--- a/crates/mesh/src/asking.rs
+++ b/crates/mesh/src/asking.rs
@@ -121,6 +121,8 @@
     Store,
     /// The peer, for the whole text, should the store be away.
     Whole,
+    /// The peer, for the whole text: this daemon has no version yet.
+    First,
 }
 
 /// Asks one peer for its versions.
@@ -215,7 +217,7 @@
         let now = self.shared.clock.now();
         let wanted = self.wanted.as_mut()?;
         let asks_store = match wanted.stage {
-            AskStage::Steps => false,
+            AskStage::Steps | AskStage::First => false,
             AskStage::Store => true,
             AskStage::Whole => !versions.store_is_away.get(),
         };
@@ -225,7 +227,7 @@
             wanted.ask_at = now + WHOLE_HEAD_START;
             return None;
         }
-        let or_whole = wanted.stage == AskStage::Whole;
+        let or_whole = matches!(wanted.stage, AskStage::Whole | AskStage::First);
         if or_whole {
             // Its text is still under way, or its time is over.
             let held = self.whole.as_ref().and_then(WholeAsk::held_until);
@@ -262,19 +264,16 @@
         let is_near = self.peer.address.zone == shared.settings.borrow().zone;
         let has_none = shared.versions.number() == 0;
         let head_start = if has_none {
-            // Nobody has steps from nothing: the text is wanted, from the
-            // store, or at once from a peer when it is away.
-            match (shared.versions.store_is_away.get(), is_near) {
-                (true, true) => Duration::ZERO,
-                (true, false) => NEAR_HEAD_START,
-                (false, _) => WHOLE_HEAD_START,
+            // Nobody has steps from nothing, so the whole text is wanted.
+            if is_near {
+                Duration::ZERO
+            } else {
+                FAR_HEAD_START
             }
         } else {
             match *shared.members.role.borrow() {
                 StoreRole::Reads => STORE_HEAD_START,
-                StoreRole::Follows if shared.is_reader_here(&self.peer.address.id) => {
-                    Duration::ZERO
-                }
+                StoreRole::Follows if shared.is_told_by(&self.peer.address.id) => Duration::ZERO,
                 StoreRole::Follows if is_near => NEAR_HEAD_START,
                 StoreRole::Follows => FAR_HEAD_START,
             }
@@ -283,7 +282,7 @@
             number,
             ask_at: shared.clock.now() + head_start,
             stage: if has_none {
-                AskStage::Whole
+                AskStage::First
             } else {
                 AskStage::Steps
             },
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -6,20 +6,15 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use h2::client::SendRequest;
-use h2::{Ping, PingPong, RecvStream, SendStream};
-use http::Request;
+use h2::{Ping, PingPong};
 use rand::Rng;
 use tokio::sync::oneshot;
 
-use crate::asking::VersionAsker;
-use crate::body::next_data;
-use crate::members::StoreRole;
-use crate::messages::{encode, take, LinkMessage, StoreState, TargetState};
-use crate::metrics::CrossingCause;
+use crate::news;
 use crate::peers::Peer;
 use crate::sockets;
 use crate::state::MeshShared;
@@ -34,7 +29,7 @@
 /// HTTP/2 window of a connection, in bytes.
 pub const CONNECTION_WINDOW: u32 = 2 * 1024 * 1024;
 /// Time to connect and complete the HTTP/2 handshake.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+pub const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pauses between attempts to link: the first and the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
@@ -100,9 +95,7 @@
     while !peer.is_dropped.get() {
         let was_up = Cell::new(false);
         let end = link(&shared, &peer, &was_up).await;
-        peer.link.replace(None);
-        peer.describe(None);
-        peer.store.set(StoreState::Unused);
+        peer.reset();
         let now = shared.clock.now();
         if was_up.get() {
             pause = FIRST_PAUSE;
@@ -132,7 +125,7 @@
     match open(peer).await {
         Ok((sender, connection)) => {
             let (pings, ended) = drive(connection);
-            let news = follow_news(shared, peer, sender, was_up);
+            let news = news::follow(shared, peer, sender, was_up);
             tokio::select! {
                 end = ended => end.unwrap_or(LinkError::Ended),
                 end = check_silence(shared, peer, pings) => end,
@@ -256,193 +249,3 @@
         }
     }
 }
-
-async fn follow_news(
-    shared: &Rc<MeshShared>,
-    peer: &Rc<Peer>,
-    sender: SendRequest<Bytes>,
-    was_up: &Cell<bool>,
-) -> LinkError {
-    match news_stream(sender.clone()).await {
-        Ok((mut outgoing, mut incoming)) => {
-            let hello = encode(&LinkMessage::Hello {
-                from: shared.own_address(),
-                left: peer.left(),
-            });
-            shared.count_crossing(peer, CrossingCause::Member, hello.len());
-            if let Err(error) = outgoing.send_data(hello, false) {
-                return LinkError::Protocol(error);
-            }
-            peer.link.replace(Some(sender));
-            match hear(shared, peer, &mut outgoing, &mut incoming, was_up).await {
-                Ok(()) => LinkError::Ended,
-                Err(error) => error,
-            }
-        }
-        Err(error) => error,
-    }
-}
-
-async fn news_stream(
-    sender: SendRequest<Bytes>,
-) -> Result<(SendStream<Bytes>, RecvStream), LinkError> {
-    let request = Request::post(NEWS_PATH)
-        .body(())
-        .map_err(|_| LinkError::Frame)?;
-    let mut sender = sender.ready().await?;
-    let (answer, outgoing) = sender.send_request(request, false)?;
-    let answer = tokio::time::timeout(OPEN_TIMEOUT, answer)
-        .await
-        .map_err(|_| LinkError::Open)??;
-    Ok((outgoing, answer.into_body()))
-}
-
-async fn hear(
-    shared: &Rc<MeshShared>,
-    peer: &Rc<Peer>,
-    outgoing: &mut SendStream<Bytes>,
-    incoming: &mut RecvStream,
-    was_up: &Cell<bool>,
-) -> Result<(), LinkError> {
-    let mut buffer = BytesMut::new();
-    let mut asker = VersionAsker::new(shared, peer);
-    loop {
-        let mut unread = buffer.len();
-        while let Some(message) = take(&mut buffer).map_err(|_| LinkError::Frame)? {
-            let bytes = unread - buffer.len();
-            unread = buffer.len();
-            shared.count_crossing(peer, cause_of(&message), bytes);
-            if !was_up.replace(true) {
-                log::info!("event=link_up peer={}", peer.address.id);
-                if peer.is_failing.replace(false) {
-                    shared.members.changed.notify_one();
-                }
-            }
-            match message {
-                LinkMessage::InForce { version } => asker.hear(version),
-                LinkMessage::Steps { steps } => {
-                    if !shared.offer_steps(&steps, &peer.address.id) {
-                        shared.versions.wanted.notify_one();
-                    }
-                    asker.take_answer();
-                }
-                LinkMessage::Version { text } => {
-                    shared.offer_version(&Bytes::from(text), &peer.address.id);
-                    asker.take_answer();
-                }
-                LinkMessage::NoSteps { are_heavy } => asker.lacks_steps(are_heavy),
-                LinkMessage::WantMembers => {
-                    let list = encode(&shared.member_list());
-                    shared.count_crossing(peer, CrossingCause::Member, list.len());
-                    outgoing.send_data(list, false)?;
-                }
-                other => heard_news(shared, peer, other),
-            }
-        }
-        if !buffer.is_empty() {
-            asker.take_part();
-        }
-        let ask_at = asker.ask_at();
-        tokio::select! {
-            data = next_data(incoming) => match data {
-                Some(Ok(piece)) => {
-                    peer.hear(shared.clock.now());
-                    buffer.extend_from_slice(&piece);
-                }
-                Some(Err(error)) => return Err(LinkError::Protocol(error)),
-                None => return Ok(()),
-            },
-            () = tokio::time::sleep_until(ask_at.unwrap_or_else(Instant::now).into()),
-                if ask_at.is_some() =>
-            {
-                if let Some(ask) = asker.ask() {
-                    let ask = encode(&ask);
-                    shared.count_crossing(peer, CrossingCause::Version, ask.len());
-                    outgoing.send_data(ask, false)?;
-                }
-            }
-        }
-    }
-}
-
-fn cause_of(message: &LinkMessage) -> CrossingCause {
-    match message {
-        LinkMessage::Target(_) => CrossingCause::Load,
-        LinkMessage::InForce { .. }
-        | LinkMessage::WantVersion { .. }
-        | LinkMessage::HeavyVersion
-        | LinkMessage::Steps { .. }
-        | LinkMessage::NoSteps { .. }
-        | LinkMessage::Version { .. } => CrossingCause::Version,
-        LinkMessage::Hello { .. }
-        | LinkMessage::WantMembers
-        | LinkMessage::Members { .. }
-        | LinkMessage::HostCame(_)
-        | LinkMessage::HostGone { .. }
-        | LinkMessage::Store(_) => CrossingCause::Member,
-    }
-}
-
-/// News that need no answer.
-fn heard_news(shared: &Rc<MeshShared>, peer: &Peer, message: LinkMessage) {
-    let from = peer.address.id.as_str();
-    match message {
-        LinkMessage::Target(target) => {
-            heard_target(peer, target);
-            shared.peers.described.notify_waiters();
-        }
-        LinkMessage::Store(state) => {
-            if peer.store.replace(state) != state {
-                shared.members.changed.notify_one();
-            }
-        }
-        LinkMessage::Members { hosts } => {
-            let reads = *shared.members.role.borrow() == StoreRole::Reads;
-            if reads && shared.members.is_known.get() {
-                // What this daemon read itself tells who is gone; the list may
-                // still hold hosts that came since, when it is about to follow.
-                for host in hosts {
-                    shared.learn_host(host, from);
-                }
-            } else {
-                shared.take_members(hosts, from);
-            }
-        }
-        LinkMessage::HeavyVersion => {
-            if *shared.members.role.borrow() == StoreRole::Follows {
-                log::info!("event=heavy_version_coming from={from}");
-                shared.versions.wanted.notify_one();
-            }
-        }
-        LinkMessage::HostCame(address) => shared.learn_host(address, from),
-        LinkMessage::HostGone { id } => shared.forget_host(&id, from),
-        LinkMessage::InForce { .. }
-        | LinkMessage::Hello { .. }
-        | LinkMessage::WantMembers
-        | LinkMessage::WantVersion { .. }
-        | LinkMessage::Steps { .. }
-        | LinkMessage::Version { .. }
-        | LinkMessage::NoSteps { .. } => {}
-    }
-}
-
-fn heard_target(peer: &Peer, target: Option<crate::messages::TargetStatus>) {
-    let summary = |target: &Option<(crate::messages::TargetStatus, u32)>| {
-        target
-            .as_ref()
-            .map(|(target, _)| (target.instance.clone(), target.state))
-    };
-    let before = summary(&peer.target());
-    peer.describe(target);
-    let after = summary(&peer.target());
-    if before != after {
-        let (instance, state) = match after {
-            Some((key, state)) => (key.to_string(), state),
-            None => (String::new(), TargetState::Closed),
-        };
-        log::info!(
-            "event=target_heard peer={} instance={instance} state={state:?}",
-            peer.address.id
-        );
-    }
-}
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -1,30 +1,30 @@
-//! Which hosts there are, and which of them this daemon links to.
+//! Which hosts there are, and what others are told of them.
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use filbert_policy::membership::{plan_links, HostView, LinkLimits, LinkPlan};
+use filbert_policy::membership::LinkPlan;
 use tokio::sync::{watch, Notify};
+use twox_hash::XxHash64;
 
-use crate::links;
-use crate::messages::{encode, LinkMessage, PeerAddress, StoreState};
+use crate::messages::{
+    encode, HostChanges, HostList, LinkMessage, PeerAddress, RowChange, StoreState,
+};
+use crate::rows::RowBook;
 use crate::state::MeshShared;
 
-/// Pause in which changes gather before links are planned anew: hosts come
-/// and go in numbers.
-const GATHER: Duration = Duration::from_millis(20);
+/// Hosts that came at once and are told one by one. When a fleet starts, or
+/// comes back from a loss of power, readers learn hundreds from the store, and
+/// so do those that they tell: these get a checksum, and ask if it is not
+/// theirs.
+const MOST_CAME: usize = 32;
 
 /// Time without a call after which a service is no longer linked to, in a fleet
 /// with more services than links are kept for: longer than a slow caller's
 /// usual pause, so that its calls do not wait for links.
 const CALLED_OF_LATE: Duration = Duration::from_mins(10);
-/// How often links are planned anew though nothing came or went, so that
-/// services that nobody calls any more are let go.
-const PLAN_AT_LEAST: Duration = Duration::from_mins(1);
-
 /// How this daemon learns what lies in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreRole {
@@ -34,27 +34,40 @@
     Follows,
 }
 
+/// What became of a host.
+enum HostNews {
+    /// It came, or changed its address.
+    Came(PeerAddress),
+    /// Its row is gone.
+    Gone,
+    /// Its row was written for it.
+    Listed(PeerAddress),
+}
+
 /// The hosts known, and the plan made of them.
 pub struct MemberBook {
     /// The other hosts.
     hosts: RefCell<BTreeMap<String, PeerAddress>>,
     /// Hosts whose row is gone and whose daemon still answers.
     rowless: RefCell<BTreeSet<String>>,
-    plan: RefCell<LinkPlan>,
+    /// Whom this daemon links to and is told by.
+    pub plan: RefCell<LinkPlan>,
     /// Services called, with when they last were.
     called: RefCell<HashMap<String, Instant>>,
     /// Whether the members were read, from the store or from a peer.
     pub is_known: Cell<bool>,
+    /// Wakes whoever waits for that.
+    pub became_known: Notify,
     /// Asks for a new plan.
     pub changed: Notify,
     /// How this daemon learns what lies in the store.
     pub role: watch::Sender<StoreRole>,
-    /// Asks for this host's row to be written (again).
-    pub row_missing: Notify,
+    /// What those told by this daemon have not heard yet, by host.
+    untold: RefCell<BTreeMap<String, HostNews>>,
+    /// The rows that this daemon sees to.
+    pub rows: RowBook,
     /// What this daemon has of the store.
     store: Cell<StoreState>,
-    /// Whether this host is being taken away: its row is not written again.
-    pub is_parting: Cell<bool>,
 }
 
 impl Default for MemberBook {
@@ -65,11 +78,12 @@
             plan: RefCell::default(),
             called: RefCell::default(),
             is_known: Cell::new(false),
+            became_known: Notify::new(),
             changed: Notify::new(),
             role: watch::Sender::new(StoreRole::Reads),
-            row_missing: Notify::new(),
+            untold: RefCell::default(),
+            rows: RowBook::default(),
             store: Cell::default(),
-            is_parting: Cell::new(false),
         }
     }
 }
@@ -81,6 +95,12 @@
         self.hosts.borrow().len() + 1
     }
 
+    /// The other hosts, by name.
+    #[must_use]
+    pub fn hosts_by_name(&self) -> BTreeMap<String, PeerAddress> {
+        self.hosts.borrow().clone()
+    }
+
     /// The other hosts.
     #[must_use]
     pub fn hosts(&self) -> Vec<PeerAddress> {
@@ -105,7 +125,8 @@
     }
 
     /// The services called of late, the latest first.
-    fn called_of_late(&self, now: Instant) -> Vec<String> {
+    #[must_use]
+    pub fn called_of_late(&self, now: Instant) -> Vec<String> {
         let mut called = self.called.borrow_mut();
         called.retain(|_, last| now < *last + CALLED_OF_LATE);
         let mut latest: Vec<_> = called.iter().collect();
@@ -116,11 +137,23 @@
             .collect()
     }
 
-    /// Whether this daemon is to follow the store for its zone.
+    /// Whether this daemon tells its zone what lies in the store.
     #[must_use]
     pub fn is_reader(&self) -> bool {
         self.plan.borrow().is_reader
     }
+
+    /// Whether this daemon asks the store for the fleet.
+    #[must_use]
+    pub fn is_source(&self) -> bool {
+        self.plan.borrow().is_source
+    }
+
+    /// Notes what became of a host for those told by this daemon.
+    fn note_news(&self, id: &str, news: HostNews) {
+        self.untold.borrow_mut().insert(id.to_owned(), news);
+        self.changed.notify_one();
+    }
 }
 
 impl MeshShared {
@@ -129,7 +162,7 @@
         let own = self.own_address();
         if address.id == own.id {
             if address != own {
-                self.members.row_missing.notify_one();
+                self.members.rows.miss_own();
             }
             return;
         }
@@ -145,22 +178,85 @@
             address.zone,
             address.service
         );
-        hosts.insert(address.id.clone(), address.clone());
+        let id = address.id.clone();
+        hosts.insert(id.clone(), address.clone());
         drop(hosts);
-        self.members.changed.notify_one();
         // Told however it was learnt: the row of a host that said hello first
         // is no news any more when it is read.
-        if self.members.is_reader() {
-            self.tell_zone(&LinkMessage::HostCame(address));
+        self.members.note_news(&id, HostNews::Came(address));
+    }
+
+    /// Notes that this host's row is in the store, and right.
+    pub fn see_own_row(&self) {
+        if self.members.rows.see_own() {
+            self.members.changed.notify_one();
         }
     }
 
+    /// Takes over changes of hosts told by `from`.
+    pub fn take_changes(&self, changes: HostChanges, from: &str) {
+        let passes_on = self.passes_on(from);
+        for address in changes.came {
+            self.learn_host(address, from);
+        }
+        for id in &changes.gone {
+            if passes_on {
+                self.members.note_news(id, HostNews::Gone);
+            }
+            self.forget_host(id, from);
+        }
+        let own = self.settings.borrow().id.clone();
+        for id in &changes.listed {
+            if *id == own {
+                self.see_own_row();
+            } else if passes_on {
+                self.pass_listed(id);
+            }
+        }
+    }
+
+    /// Whether this daemon tells others what `from` tells it: a reader passes on
+    /// what sources say. Sources tell each other nothing further, or it would
+    /// go back and forth between them for ever.
+    fn passes_on(&self, from: &str) -> bool {
+        let plan = self.members.plan.borrow();
+        !plan.is_source && plan.sources.contains(from)
+    }
+
+    fn pass_listed(&self, id: &str) {
+        let address = self.members.hosts.borrow().get(id).cloned();
+        if let Some(address) = address {
+            self.members.note_news(id, HostNews::Listed(address));
+        }
+    }
+
+    /// Takes word that this daemon changed rows.
+    pub fn rows_have_changed(&self, changes: &[RowChange]) {
+        for change in changes {
+            match change {
+                RowChange::Write(address) if *address == self.own_address() => self.see_own_row(),
+                RowChange::Write(address) => {
+                    self.learn_host(address.clone(), "store");
+                    self.pass_listed(&address.id);
+                }
+                RowChange::Remove(id) => self.row_is_gone(id, "store"),
+            }
+        }
+    }
+
+    /// Takes word that a host's row is gone from the store, and passes it on: a
+    /// live host hears of it so, and has it written again.
+    pub fn row_is_gone(&self, id: &str, from: &str) {
+        self.members.note_news(id, HostNews::Gone);
+        self.forget_host(id, from);
+    }
+
     /// Removes a host whose row is gone, as soon as its daemon does not answer:
     /// rows vanish while the store is away, and their hosts write them back;
     /// a host that is taken away removes its row just before its daemon ends.
     pub fn forget_host(&self, id: &str, from: &str) {
         if id == self.settings.borrow().id {
-            self.members.row_missing.notify_one();
+            self.members.rows.miss_own();
             return;
         }
         if self.peers.get(id).is_some_and(|peer| peer.is_linked()) {
@@ -185,11 +281,11 @@
         }
     }
 
-    /// Takes over a whole list of hosts; true when this host's row was there
-    /// and right.
-    pub fn take_members(&self, listed: Vec<PeerAddress>, from: &str) -> bool {
+    /// Takes over a whole list of hosts, and tells those told by this daemon
+    /// who is not on it.
+    pub fn take_members(&self, listed: Vec<PeerAddress>, from: &str) {
+        log::info!("event=members_taken hosts={} from={from}", listed.len());
         let own = self.own_address();
-        let is_own_right = listed.contains(&own);
         let gone: Vec<String> = self
             .members
             .hosts
@@ -199,15 +295,17 @@
             .cloned()
             .collect();
         for id in gone {
-            self.forget_host(&id, from);
+            self.row_is_gone(&id, from);
         }
         for address in listed {
             if address.id != own.id {
                 self.learn_host(address, from);
             }
         }
-        self.members.is_known.set(true);
-        is_own_right
+        if !self.members.is_known.replace(true) {
+            self.members.became_known.notify_waiters();
+            self.members.changed.notify_one();
+        }
     }
 
     /// Every host known, this one included, as told to another daemon.
@@ -215,27 +313,55 @@
     pub fn member_list(&self) -> LinkMessage {
         let mut hosts = self.members.hosts();
         hosts.push(self.own_address());
-        LinkMessage::Members { hosts }
+        LinkMessage::Members(HostList::pack(&hosts))
     }
 
-    /// Tells the daemons of the own zone that follow this one.
-    pub fn tell_zone(&self, message: &LinkMessage) {
+    /// A checksum of that list.
+    #[must_use]
+    pub fn members_sum(&self) -> u64 {
+        let sum_of = |address: &PeerAddress| XxHash64::oneshot(0, &encode(address));
+        let hosts = self.members.hosts.borrow();
+        let others = hosts.values().map(sum_of);
+        others.fold(sum_of(&self.own_address()), |sum, one| sum ^ one)
+    }
+
+    /// Tells the daemons that follow this one.
+    pub fn tell_followers(&self, message: &LinkMessage) {
         let zone = self.settings.borrow().zone.clone();
-        self.peers.broadcast_in(&zone, &encode(message));
+        self.peers.broadcast_to_followers(&zone, &encode(message));
     }
 
-    /// Whether a daemon of the zone follows the store for this one, be it in
-    /// vain just now: with four that cannot reach it, others of the zone would
-    /// not either, and daemons of other zones tell of versions too.
-    #[must_use]
-    pub fn is_relayed(&self) -> bool {
-        let plan = self.members.plan.borrow();
-        !plan.is_reader
-            && plan.readers.iter().any(|id| {
-                self.peers
-                    .get(id)
-                    .is_some_and(|peer| peer.is_linked() && peer.store.get() != StoreState::Unused)
-            })
+    /// Tells those that follow this daemon which hosts came and went. Many at
+    /// once, as when a fleet starts, go in one message.
+    pub fn tell_changes(&self) {
+        let untold = self.members.untold.take();
+        if untold.is_empty() {
+            return;
+        }
+        let mut changes = HostChanges::default();
+        for (id, news) in untold {
+            match news {
+                HostNews::Came(address) => changes.came.push(address),
+                HostNews::Gone => changes.gone.push(id),
+                HostNews::Listed(address) => {
+                    changes.came.push(address);
+                    changes.listed.push(id);
+                }
+            }
+        }
+        if !self.members.is_reader() {
+            // Others tell of hosts; of the rows that it wrote it tells itself,
+            // also where it has handed that over to another by now.
+            changes.came.clear();
+            changes.gone.clear();
+        }
+        if changes.came.len() > MOST_CAME {
+            changes.came.clear();
+            self.tell_followers(&LinkMessage::MembersSum(self.members_sum()));
+        }
+        if changes != HostChanges::default() {
+            self.tell_followers(&LinkMessage::HostsChanged(changes));
+        }
     }
 
     /// What this daemon has of the store.
@@ -251,97 +377,8 @@
         }
         if state == StoreState::Answers {
             // Those that linked here before were not told whom it knows.
-            self.tell_zone(&self.member_list());
+            self.tell_followers(&LinkMessage::MembersSum(self.members_sum()));
         }
         self.peers.broadcast(&encode(&LinkMessage::Store(state)));
     }
-
-    /// Whether `id` follows the store for this daemon.
-    #[must_use]
-    pub fn is_reader_here(&self, id: &str) -> bool {
-        self.members.plan.borrow().readers.contains(id)
-    }
-
-    /// Plans the links anew and opens and releases links accordingly.
-    fn plan_anew(self: &Rc<Self>) {
-        let own = self.own_address();
-        let hosts = self.members.hosts.borrow().clone();
-        let view = |address: &PeerAddress| -> (bool, bool) {
-            self.peers.get(&address.id).map_or((false, false), |peer| {
-                let lost_store = peer.store.get() == StoreState::Lost;
-                (peer.is_failing.get(), lost_store)
-            })
-        };
-        let others: Vec<HostView<'_>> = hosts
-            .values()
-            .map(|address| {
-                let (is_failing, lost_store) = view(address);
-                HostView {
-                    id: &address.id,
-                    zone: &address.zone,
-                    service: &address.service,
-                    is_failing,
-                    lost_store,
-                }
-            })
-            .collect();
-        let own_view = HostView {
-            id: &own.id,
-            zone: &own.zone,
-            service: &own.service,
-            is_failing: false,
-            lost_store: false,
-        };
-        let called = self.members.called_of_late(self.clock.now());
-        let called: Vec<&str> = called.iter().map(String::as_str).collect();
-        let limits = LinkLimits {
-            services: self.settings.borrow().link.services,
-            ..LinkLimits::default()
-        };
-        let plan = plan_links(&own_view, &others, &called, &limits);
-        for id in self.peers.ids() {
-            if !plan.links.contains(&id) {
-                self.peers.release(&id);
-            }
-        }
-        for id in &plan.links {
-            if let Some(peer) = hosts.get(id).and_then(|host| self.peers.link_to(host)) {
-                tokio::task::spawn_local(links::keep_linked(Rc::clone(self), peer));
-            }
-        }
-        let before = self.members.plan.replace(plan);
-        let after = self.members.plan.borrow();
-        if *after != before {
-            log::info!(
-                "event=links_planned hosts={} links={} readers={:?} is_reader={} services_left_out={}",
-                hosts.len() + 1,
-                after.links.len(),
-                after.readers,
-                after.is_reader,
-                after.left_out.len()
-            );
-        }
-    }
-}
-
-/// Plans links anew whenever something changes. Runs for ever.
-pub async fn keep_planned(shared: Rc<MeshShared>) {
-    loop {
-        shared.plan_anew();
-        let role = if shared.is_relayed() {
-            StoreRole::Follows
-        } else {
-            StoreRole::Reads
-        };
-        let is_changed = shared
-            .members
-            .role
-            .send_if_modified(|before| std::mem::replace(before, role) != role);
-        if is_changed {
-            log::info!("event=store_role role={role:?}");
-        }
-        // Nothing changed for a while: planned anew all the same.
-        let _ = tokio::time::timeout(PLAN_AT_LEAST, shared.members.changed.notified()).await;
-        tokio::time::sleep(GATHER).await;
-    }
 }
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -8,6 +8,7 @@
 use filbert_policy::run_times::RunTime;
 use serde::{Deserialize, Serialize};
 
+use crate::deflate;
 use crate::text_delta::TextDelta;
 
 /// Longest message, in bytes: a version of a few thousand routes fits.
@@ -98,17 +99,24 @@
     },
     /// The receiver should list the hosts that it knows.
     WantMembers,
-    /// All hosts that the sender knows.
-    Members {
-        /// The hosts, the sender's included.
-        hosts: Vec<PeerAddress>,
-    },
-    /// A host came, or changed its address.
-    HostCame(PeerAddress),
-    /// A host's row is gone.
-    HostGone {
-        /// Its name.
-        id: String,
+    /// All hosts that the sender knows, itself included.
+    Members(HostList),
+    /// A checksum of them. The list of 400 hosts is 36 KB; told to 60 daemons
+    /// whenever the store came back it filled a link of 10 Mbit/s for two
+    /// seconds, and calls reached their targets after their callers had left.
+    MembersSum(u64),
+    /// What became of hosts.
+    HostsChanged(HostChanges),
+    /// The sender, a reader of its zone, is to be told of hosts like those of
+    /// the receiver's own zone.
+    Follow,
+    /// The receiver should see to a host's row.
+    WantRow {
+        /// What is to become of it.
+        change: RowChange,
+        /// Whether the sender was asked for it itself. The receiver then sees
+        /// to it by itself, so that it cannot go in circles.
+        is_passed_on: bool,
     },
     /// What the sender has of the store.
     Store(StoreState),
@@ -140,11 +148,74 @@
     },
     /// A whole version, as the operator wrote it.
     Version {
-        /// Its text.
-        text: Vec<u8>,
+        /// Its text, deflated.
+        deflated: Vec<u8>,
     },
 }
 
+/// A list of hosts, deflated: their names and addresses are much alike.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostList {
+    deflated: Vec<u8>,
+}
+
+impl HostList {
+    /// Packs `hosts`.
+    ///
+    /// # Panics
+    /// Never: addresses hold only plain data that bincode always encodes.
+    #[must_use]
+    pub fn pack(hosts: &[PeerAddress]) -> HostList {
+        let plain = bincode::serde::encode_to_vec(hosts, bincode::config::standard())
+            .expect("addresses always encode");
+        HostList {
+            deflated: deflate::pack(&plain),
+        }
+    }
+
+    /// The hosts.
+    ///
+    /// # Errors
+    /// [`BadMessage`] when the bytes are not such a list.
+    pub fn unpack(&self) -> Result<Vec<PeerAddress>, BadMessage> {
+        let plain = deflate::unpack(&self.deflated).map_err(|_| BadMessage)?;
+        bincode::serde::decode_from_slice(&plain, bincode::config::standard())
+            .map(|(hosts, _)| hosts)
+            .map_err(|_| BadMessage)
+    }
+}
+
+/// What became of hosts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostChanges {
+    /// Those that came, or changed their address.
+    pub came: Vec<PeerAddress>,
+    /// Names of those whose row is gone.
+    pub gone: Vec<String>,
+    /// Names of those whose row was written for them.
+    pub listed: Vec<String>,
+}
+
+/// What is to become of a host's row in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RowChange {
+    /// It is missing or wrong.
+    Write(PeerAddress),
+    /// The host of this name is taken away.
+    Remove(String),
+}
+
+impl RowChange {
+    /// The name of the host.
+    #[must_use]
+    pub fn host(&self) -> &str {
+        match self {
+            RowChange::Write(address) => &address.id,
+            RowChange::Remove(id) => id,
+        }
+    }
+}
+
 /// What a daemon has of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreState {
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -2,7 +2,7 @@
 //! and those that link here and want news.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,9 @@
 use h2::client::SendRequest;
 use tokio::sync::{mpsc, Notify};
 
-use crate::messages::{PeerAddress, StoreState, TargetLoad, TargetState, TargetStatus};
+use crate::messages::{
+    LinkMessage, PeerAddress, StoreState, TargetLoad, TargetState, TargetStatus,
+};
 
 /// Leaving instances remembered for a host: more than one is replaced there
 /// only in a long time.
@@ -41,6 +43,14 @@
     pub is_failing: Cell<bool>,
     /// What it has of the store, as far as it said.
     pub store: Cell<StoreState>,
+    /// The version that it has in force, as far as it said; 0 when it has none.
+    pub version: Cell<Option<u64>>,
+    /// Whether it was asked to tell of hosts.
+    is_followed: Cell<bool>,
+    /// Messages that are to go over the link.
+    unsent: RefCell<VecDeque<LinkMessage>>,
+    /// Wakes the link when one was added.
+    pub has_unsent: Notify,
     /// Wakes the dialer early.
     pub nudge: Notify,
     /// When anything last came over the link.
@@ -68,6 +78,10 @@
             unused: Notify::new(),
             is_failing: Cell::new(false),
             store: Cell::new(StoreState::Unused),
+            version: Cell::new(None),
+            is_followed: Cell::new(false),
+            unsent: RefCell::default(),
+            has_unsent: Notify::new(),
             nudge: Notify::new(),
             heard: Cell::new(None),
             doubted: Notify::new(),
@@ -82,6 +96,39 @@
         self.link.borrow().is_some() && !self.is_silent.get()
     }
 
+    /// Forgets what was true of a link that ended.
+    pub fn reset(&self) {
+        self.link.replace(None);
+        self.describe(None);
+        self.store.set(StoreState::Unused);
+        self.version.set(None);
+        self.is_followed.set(false);
+        self.unsent.borrow_mut().clear();
+    }
+
+    /// Sends a message over the link, if there is one; whether there is.
+    pub fn say(&self, message: LinkMessage) -> bool {
+        if !self.is_linked() {
+            return false;
+        }
+        self.unsent.borrow_mut().push_back(message);
+        self.has_unsent.notify_one();
+        true
+    }
+
+    /// The next message to send.
+    #[must_use]
+    pub fn next_unsent(&self) -> Option<LinkMessage> {
+        self.unsent.borrow_mut().pop_front()
+    }
+
+    /// Asks it, once a link, to tell of hosts.
+    pub fn follow(&self) {
+        if !self.is_followed.get() {
+            self.is_followed.set(self.say(LinkMessage::Follow));
+        }
+    }
+
     /// Whether anything came over the link within `pause`.
     #[must_use]
     pub fn heard_within(&self, now: Instant, pause: Duration) -> bool {
@@ -226,9 +273,19 @@
 /// A daemon that linked here and wants news.
 struct NewsWatcher {
     zone: String,
+    /// Whether it is told of hosts whatever its zone.
+    follows: Rc<Cell<bool>>,
     frames: mpsc::Sender<Bytes>,
 }
 
+/// What a daemon that linked here gets.
+pub struct NewsFeed {
+    /// Frames to pass on to it.
+    pub frames: mpsc::Receiver<Bytes>,
+    /// Whether it is told of hosts whatever its zone.
+    pub follows: Rc<Cell<bool>>,
+}
+
 /// The daemons linked to, by host name, and those that want news from here.
 #[derive(Default)]
 pub struct PeerBook {
@@ -294,13 +351,15 @@
     }
 
     /// Adds a daemon of `zone` that linked here and wants to hear of changes.
-    pub fn watch(&self, zone: &str) -> mpsc::Receiver<Bytes> {
-        let (frames, receiver) = mpsc::channel(WATCHER_QUEUE);
+    pub fn watch(&self, zone: &str) -> NewsFeed {
+        let (sender, frames) = mpsc::channel(WATCHER_QUEUE);
+        let follows = Rc::new(Cell::new(false));
         self.watchers.borrow_mut().push(NewsWatcher {
             zone: zone.to_owned(),
-            frames,
+            follows: Rc::clone(&follows),
+            frames: sender,
         });
-        receiver
+        NewsFeed { frames, follows }
     }
 
     /// Number of daemons that want news from here.
@@ -329,6 +388,15 @@
             watcher.zone != zone || watcher.frames.try_send(frame.clone()).is_ok()
         });
     }
+
+    /// Tells the daemons that are told of hosts: those of `zone`, and readers
+    /// of others.
+    pub fn broadcast_to_followers(&self, zone: &str, frame: &Bytes) {
+        self.watchers.borrow_mut().retain(|watcher| {
+            let is_told = watcher.zone == zone || watcher.follows.get();
+            !is_told || watcher.frames.try_send(frame.clone()).is_ok()
+        });
+    }
 }
 
 fn drop_peer(peer: &Peer) {
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -13,7 +13,9 @@
 
 use crate::body::{next_data, AnswerBody, CallBody, LinkBody, PieceSource};
 use crate::links::{LinkError, CONNECTION_WINDOW, NEWS_PATH, STREAM_WINDOW};
-use crate::messages::{encode, take, CallHead, LinkMessage, PeerAddress, ReplyHead, StoreState};
+use crate::messages::{
+    encode, take, BadMessage, CallHead, LinkMessage, PeerAddress, ReplyHead, RowChange, StoreState,
+};
 use crate::sockets;
 use crate::state::MeshShared;
 use crate::stop::CallMark;
@@ -96,7 +98,7 @@
     else {
         return Err(LinkError::Frame);
     };
-    let mut frames = shared.peers.watch(&from.zone);
+    let mut feed = shared.peers.watch(&from.zone);
     for key in &left {
         shared.gate.left_before(key);
     }
@@ -107,6 +109,13 @@
     loop {
         tokio::select! {
             message = next_message(&mut incoming, &mut buffer) => match message? {
+                Some(LinkMessage::Follow) => {
+                    feed.follows.set(true);
+                    if shared.store_state() == StoreState::Answers {
+                        let sum = LinkMessage::MembersSum(shared.members_sum());
+                        outgoing.send_data(encode(&sum), false)?;
+                    }
+                }
                 Some(message) => {
                     if let Some(answer) = answer_to(&shared, message) {
                         outgoing.send_data(encode(&answer), false)?;
@@ -114,7 +123,7 @@
                 }
                 None => return Ok(()),
             },
-            frame = frames.recv() => match frame {
+            frame = feed.frames.recv() => match frame {
                 Some(frame) => outgoing.send_data(frame, false)?,
                 None => return Ok(()),
             },
@@ -149,7 +158,7 @@
         },
     ];
     if store == StoreState::Answers && zone == shared.settings.borrow().zone {
-        news.push(shared.member_list());
+        news.push(LinkMessage::MembersSum(shared.members_sum()));
     }
     news.push(LinkMessage::Store(store));
     // A restarted daemon that cannot reach the store learns here whom to call.
@@ -177,22 +186,40 @@
             Some(match versions.steps_from(have) {
                 Ok(steps) => LinkMessage::Steps { steps },
                 Err(_) if or_whole => LinkMessage::Version {
-                    text: versions.text().to_vec(),
+                    deflated: versions.deflated().to_vec(),
                 },
                 Err(untold) => LinkMessage::NoSteps {
                     are_heavy: untold == UntoldSteps::Heavy,
                 },
             })
         }
-        LinkMessage::Members { hosts } if !shared.members.is_known.get() => {
-            shared.take_members(hosts, "hello");
+        LinkMessage::WantMembers => Some(shared.member_list()),
+        LinkMessage::Members(list) if !shared.members.is_known.get() => {
+            match list.unpack() {
+                Ok(hosts) => shared.take_members(hosts, "hello"),
+                Err(BadMessage) => log::error!("event=members_unreadable from=hello"),
+            }
+            None
+        }
+        LinkMessage::WantRow {
+            change,
+            is_passed_on,
+        } => {
+            if let RowChange::Write(address) = &change {
+                shared.learn_host(address.clone(), "hello");
+            }
+            if is_passed_on {
+                shared.members.rows.want(change);
+            } else {
+                shared.see_to_row(change, true);
+            }
             None
         }
         LinkMessage::Hello { .. }
-        | LinkMessage::WantMembers
-        | LinkMessage::Members { .. }
-        | LinkMessage::HostCame(_)
-        | LinkMessage::HostGone { .. }
+        | LinkMessage::Follow
+        | LinkMessage::Members(_)
+        | LinkMessage::MembersSum(_)
+        | LinkMessage::HostsChanged(_)
         | LinkMessage::Store(_)
         | LinkMessage::HeavyVersion
         | LinkMessage::Target(_)
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -27,6 +27,10 @@
     pub target: SocketAddr,
     /// The platform's store, `IP:PORT`.
     pub store: String,
+    /// Whether the whole fleet starts for the first time: the store holds no
+    /// hosts yet, and nobody calls.
+    #[serde(default)]
+    pub first_start: bool,
     /// Where the daemon listens.
     pub listen: ListenSettings,
     /// Times that the users set.
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -19,14 +19,16 @@
 use crate::egress::EgressPacer;
 use crate::gate::Gate;
 use crate::logging::LineBudget;
-use crate::members::{self, MemberBook};
+use crate::members::MemberBook;
 use crate::metrics::MeshMetrics;
 use crate::peers::PeerBook;
 use crate::settings::MeshSettings;
 use crate::state::MeshShared;
 use crate::stop::StopState;
 use crate::versions::{self, VersionBook};
-use crate::{control, feeds, ingress, metrics, ready, reload, serve_peers, sockets, status, stop};
+use crate::{
+    control, feeds, ingress, metrics, plan, ready, reload, rows, serve_peers, sockets, status, stop,
+};
 
 /// Why the daemon stopped other than by a planned stop.
 #[derive(Debug)]
@@ -150,8 +152,9 @@
     )));
     spawn(Box::pin(Rc::clone(&shared.gate).keep_settled()));
     spawn(Box::pin(status::keep_told(Rc::clone(shared))));
-    spawn(Box::pin(members::keep_planned(Rc::clone(shared))));
-    spawn(Box::pin(feeds::keep_row(Rc::clone(shared))));
+    spawn(Box::pin(plan::keep_planned(Rc::clone(shared))));
+    spawn(Box::pin(rows::keep_own(Rc::clone(shared))));
+    spawn(Box::pin(rows::keep_written(Rc::clone(shared))));
     spawn(Box::pin(versions::keep_warned(Rc::clone(shared))));
     spawn(Box::pin(feeds::follow_configuration(Rc::clone(shared))));
     spawn(Box::pin(feeds::follow_members(Rc::clone(shared))));
--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::Notify;
 
-use crate::feeds;
+use crate::rows;
 use crate::state::MeshShared;
 
 /// Readiness checks answered with "no" after which callers are sent elsewhere.
@@ -137,7 +137,7 @@
     let row = async {
         // The host goes with its target: nobody is to look for it any more.
         if shared.gate.has_left() {
-            feeds::drop_own_row(&shared).await;
+            rows::part(&shared).await;
         }
     };
     let calls = async {
--- a/crates/mesh/src/versions.rs
+++ b/crates/mesh/src/versions.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::asking::WholeSlot;
+use crate::deflate;
 use crate::messages::{encode, LinkMessage, VersionStep};
 use crate::state::MeshShared;
 use crate::text_delta::TextDelta;
@@ -42,7 +43,7 @@
         let text = shared.versions.text().len();
         let usual = encoded_length(text) + AROUND_TEXT;
         if text > 0 && length > usual + encoded_length(MOST_TOLD) && shared.members.is_reader() {
-            shared.tell_zone(&LinkMessage::HeavyVersion);
+            shared.tell_followers(&LinkMessage::HeavyVersion);
         }
     }
 }
@@ -66,6 +67,8 @@
 pub struct VersionBook {
     index: RefCell<Rc<RouteIndex>>,
     text: RefCell<Bytes>,
+    /// The text deflated; empty until somebody asks for it.
+    deflated: RefCell<Bytes>,
     steps: RefCell<VecDeque<VersionStep>>,
     decoder: RefCell<ConfigDecoder>,
     /// Asks for the version from the store now.
@@ -96,6 +99,16 @@
         self.text.borrow().clone()
     }
 
+    /// Its text, deflated. Worked out once for all that ask: plain, 1,200 routes
+    /// are a quarter of a second of a link of 10 Mbit/s.
+    pub fn deflated(&self) -> Bytes {
+        let mut kept = self.deflated.borrow_mut();
+        if kept.is_empty() {
+            *kept = deflate::pack(&self.text.borrow()).into();
+        }
+        kept.clone()
+    }
+
     /// The steps from version `have` to the one in force.
     ///
     /// # Errors
@@ -158,11 +171,20 @@
         }
         *book.index.borrow_mut() = Rc::new(RouteIndex::compile(version));
         *book.text.borrow_mut() = text.clone();
+        book.deflated.take();
         log::info!("event=version_in_force version={number:08x} before={before:08x} routes={routes} from={from}");
         self.peers
             .broadcast(&encode(&LinkMessage::InForce { version: number }));
     }
 
+    /// Puts a version whose text came deflated in force, if it is newer.
+    pub fn offer_deflated(&self, deflated: &[u8], from: &str) {
+        match deflate::unpack(deflated) {
+            Ok(text) => self.offer_version(&text.into(), from),
+            Err(error) => log::error!("event=version_refused from={from} error=\"{error}\""),
+        }
+    }
+
     /// Follows `steps` from the version in force; false when they do not lead
     /// on from it.
     pub fn offer_steps(&self, steps: &[VersionStep], from: &str) -> bool {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,8 @@
 //! sent again or given up ([`attempt`], [`budget`]), and refused with a time
 //! to come back ([`refusal`]). [`instance`] follows the life of the target
 //! beside the daemon, [`health`] and [`run_times`] what its calls say about
-//! it, [`egress`] paces answers on a slow link, and [`membership`] plans which other hosts a daemon links to.
+//! it, [`egress`] paces answers on a slow link. [`membership`] plans which other
+//! hosts a daemon links to, and [`store_asking`] who asks the store when.
 
 pub mod admission;
 pub mod attempt;
@@ -21,4 +22,5 @@
 pub mod refusal;
 pub mod routing;
 pub mod run_times;
+pub mod store_asking;
 pub mod weights;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -1,5 +1,5 @@
-//! Which hosts a daemon links to, and which daemons follow the store for
-//! their availability zone.
+//! Which hosts a daemon links to, which daemons tell their availability zone
+//! what lies in the store, and which ask the store for the whole fleet.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,6 +18,9 @@
     pub is_failing: bool,
     /// Whether its daemon said that it has lost the store.
     pub lost_store: bool,
+    /// Whether its row is in the store. A host that just came and knows a few
+    /// others only would take itself for the first of them all.
+    pub is_listed: bool,
 }
 
 /// How many links a daemon keeps.
@@ -29,16 +32,23 @@
     /// Targets of each service altogether; those in other zones take what
     /// spills over, and all when the own zone has none.
     pub per_service: usize,
-    /// Daemons of a zone that follow the store for all others there. Two, so
-    /// that a change still comes at once when one of them dies.
+    /// Daemons of a zone that tell all others there what lies in the store.
+    /// Two, so that a change still comes at once when one of them dies.
     pub readers: usize,
+    /// Daemons of the fleet that ask the store and tell the readers of all
+    /// zones. Two for the same reason: one that stands still is noticed after
+    /// a second and more, too late for a version that has two.
+    pub sources: usize,
+    /// Those and the ones that step in for sources that lost the store, at
+    /// most. Where the store turns a third of the hosts away, all six are among
+    /// them once in a thousand times.
+    pub most_sources: usize,
     /// Services whose targets are linked to; with more of them in the fleet
     /// only those that were called of late. 270 services would be 4,320 links
     /// a daemon; calls from one host go to some ten.
     pub services: usize,
     /// Those and the ones that step in for readers that lost the store, at
-    /// most. A store that is away for all is asked in vain by these only: with
-    /// no such limit 69 hosts made 4,638 calls on a day with an outage of 8 s.
+    /// most.
     pub most_readers: usize,
 }
 
@@ -53,6 +63,8 @@
             near: 10,
             per_service: 16,
             readers: 2,
+            sources: 2,
+            most_sources: 6,
             services: DEFAULT_SERVICES,
             most_readers: 4,
         }
@@ -64,14 +76,33 @@
 pub struct LinkPlan {
     /// Hosts to link to.
     pub links: BTreeSet<String>,
-    /// Hosts of the own zone, this one left out, that follow the store.
+    /// Hosts of the own zone, this one left out, that tell it what lies in the
+    /// store.
     pub readers: BTreeSet<String>,
-    /// Whether this daemon follows the store itself.
+    /// Whether this daemon is one of them.
     pub is_reader: bool,
+    /// Hosts, this one left out, that ask the store for the fleet; known to
+    /// readers only.
+    pub sources: BTreeSet<String>,
+    /// Whether this daemon is one of them.
+    pub is_source: bool,
     /// Services that are not linked to until a call wants one.
     pub left_out: BTreeSet<String>,
 }
 
+impl LinkPlan {
+    /// The hosts that tell this daemon what lies in the store: a reader is told
+    /// by the sources, any other by the readers of its zone.
+    #[must_use]
+    pub fn tellers(&self) -> &BTreeSet<String> {
+        if self.is_reader {
+            &self.sources
+        } else {
+            &self.readers
+        }
+    }
+}
+
 /// Plans the links of the daemon on `own` among `others`, where `called` are
 /// the services called of late, the latest first.
 ///
@@ -94,7 +125,7 @@
     limits: &LinkLimits,
 ) -> LinkPlan {
     let mut plan = LinkPlan::default();
-    choose_readers(own, others, limits, &mut plan);
+    choose_tellers(own, others, limits, &mut plan);
     let linked_to = choose_services(others, called, limits, &mut plan);
     let mut services: BTreeMap<&str, Vec<(bool, u64, &HostView<'_>)>> = BTreeMap::new();
     for host in others
@@ -157,42 +188,74 @@
     live
 }
 
-/// The first of the zone by a hash of their names follow the store. All its
-/// daemons come to the same choice but for what each knows of failures; a
-/// difference costs a reader more, never one less.
-fn choose_readers(
+/// Chooses the readers of the zone and, for one of them, the sources.
+///
+/// Load pattern: a fleet of many zones. Were each zone to ask the store by
+/// itself, its calls would grow with the zones times the versions; two daemons
+/// ask for all, and the readers of every zone are told by them.
+///
+/// Both are the first by one hash of their names, so all daemons come to the
+/// same choice but for what each knows of failures; a difference costs the
+/// store a few calls more, and never leaves anybody without. Whoever follows
+/// follows daemons ahead of it in that order, so that nothing goes in circles.
+fn choose_tellers(
     own: &HostView<'_>,
     others: &[HostView<'_>],
     limits: &LinkLimits,
     plan: &mut LinkPlan,
 ) {
-    let mut ranked: Vec<(u64, &HostView<'_>)> = others
+    let mut ranked: Vec<(bool, u64, &HostView<'_>)> = others
         .iter()
-        .filter(|host| host.zone == own.zone)
         .chain(std::iter::once(own))
         .map(|host| {
-            let rank = XxHash64::oneshot(seed_of(own.zone), host.id.as_bytes());
-            (rank, host)
+            let rank = XxHash64::oneshot(TELLER_SEED, host.id.as_bytes());
+            (!host.is_listed, rank, host)
         })
         .collect();
-    ranked.sort_unstable_by_key(|(rank, host)| (*rank, host.id));
+    ranked.sort_unstable_by_key(|(is_unlisted, rank, host)| (*is_unlisted, *rank, host.id));
+    let fleet = ranked.iter().map(|(.., host)| *host);
+    let zone = fleet.clone().filter(|host| host.zone == own.zone);
+    let readers = take_tellers(zone, limits.readers, limits.most_readers);
+    (plan.is_reader, plan.readers) = split_own(readers, own);
+    plan.links.extend(plan.readers.iter().cloned());
+    if plan.is_reader {
+        let sources = take_tellers(fleet, limits.sources, limits.most_sources);
+        (plan.is_source, plan.sources) = split_own(sources, own);
+        plan.links.extend(plan.sources.iter().cloned());
+    }
+}
+
+/// The first hosts until `wanted` of them answer and have the store, or `most`
+/// of them answer. One whose row is not in the store yet is taken only where
+/// there is no other: the hosts of a fleet that starts each know one or two
+/// that came before them.
+fn take_tellers<'a>(
+    ranked: impl Iterator<Item = &'a HostView<'a>>,
+    wanted: usize,
+    most: usize,
+) -> BTreeSet<String> {
+    let mut taken = BTreeSet::new();
     let mut live = 0;
-    let mut linked = 0;
-    for (_, host) in ranked {
-        if live == limits.readers || linked == limits.most_readers {
+    let mut answering = 0;
+    for host in ranked {
+        if live == wanted || answering == most || (live > 0 && !host.is_listed) {
             break;
         }
-        if host.id == own.id {
-            plan.is_reader = true;
-        } else {
-            plan.readers.insert(host.id.to_owned());
-            plan.links.insert(host.id.to_owned());
-        }
+        taken.insert(host.id.to_owned());
         live += usize::from(!host.is_failing && !host.lost_store);
-        linked += usize::from(!host.is_failing);
+        answering += usize::from(!host.is_failing);
     }
+    taken
+}
+
+fn split_own(mut tellers: BTreeSet<String>, own: &HostView<'_>) -> (bool, BTreeSet<String>) {
+    let is_own = tellers.remove(own.id);
+    (is_own, tellers)
 }
 
+/// Seed of the order in which daemons ask the store for others.
+const TELLER_SEED: u64 = 0;
+
 fn seed_of(name: &str) -> u64 {
     XxHash64::oneshot(0, name.as_bytes())
 }
--- a/crates/policy/tests/membership_cases.rs
+++ b/crates/policy/tests/membership_cases.rs
@@ -13,6 +13,7 @@
     service: &'static str,
     is_failing: bool,
     lost_store: bool,
+    is_listed: bool,
 }
 
 impl TestHost {
@@ -23,6 +24,7 @@
             service: self.service,
             is_failing: self.is_failing,
             lost_store: self.lost_store,
+            is_listed: self.is_listed,
         }
     }
 }
@@ -36,6 +38,7 @@
             service: if number % 6 == 5 { "art" } else { "quotes" },
             is_failing: false,
             lost_store: false,
+            is_listed: true,
         })
         .collect()
 }
@@ -94,6 +97,7 @@
             service: &names[number % SERVICES],
             is_failing: false,
             lost_store: false,
+            is_listed: true,
         })
         .collect();
     let idle = plan_of(&hosts, 0);
@@ -121,6 +125,7 @@
             service: &names[number % names.len()],
             is_failing: false,
             lost_store: false,
+            is_listed: true,
         })
         .collect();
     let called: Vec<&str> = names[1..].iter().map(String::as_str).collect();
@@ -263,3 +268,95 @@
         }
     }
 }
+
+/// One case of who asks the store for the fleet.
+struct SourceCase {
+    story: &'static str,
+    /// Applied to the two daemons that ask it while all is well.
+    spoil: fn(&mut TestHost),
+    /// Daemons that ask it then, of those that answer.
+    live: usize,
+}
+
+/// A fleet of three zones, and the two daemons that ask the store for it die or
+/// lose the store. As many others must step in, whatever their zone; all must
+/// come to the same choice, and none may follow one behind it.
+#[test]
+fn two_daemons_of_the_fleet_ask_the_store_and_others_step_in() {
+    let cases = [
+        SourceCase {
+            story: "all is well",
+            spoil: |_| {},
+            live: 2,
+        },
+        SourceCase {
+            story: "both died",
+            spoil: |host| host.is_failing = true,
+            live: 2,
+        },
+        SourceCase {
+            story: "both were cut off from the store",
+            spoil: |host| host.lost_store = true,
+            live: 4,
+        },
+    ];
+    for case in cases {
+        let mut hosts = fleet(82);
+        let sources_of = |hosts: &[TestHost]| -> Vec<usize> {
+            (0..hosts.len())
+                .filter(|own| plan_of(hosts, *own).is_source)
+                .collect()
+        };
+        let first = sources_of(&hosts);
+        assert_eq!(first.len(), 2, "{}", case.story);
+        for index in first {
+            (case.spoil)(&mut hosts[index]);
+        }
+        let sources: BTreeSet<&str> = sources_of(&hosts)
+            .into_iter()
+            .map(|own| &*hosts[own].id)
+            .collect();
+        let live = hosts
+            .iter()
+            .filter(|host| sources.contains(&*host.id) && !host.is_failing)
+            .count();
+        assert_eq!(live, case.live, "{}", case.story);
+        for (own, host) in hosts.iter().enumerate() {
+            let plan = plan_of(&hosts, own);
+            assert!(plan.sources.is_subset(&plan.links), "{}", case.story);
+            assert!(plan.is_reader || plan.sources.is_empty());
+            if plan.is_reader && !plan.is_source {
+                let named: BTreeSet<&str> = plan.sources.iter().map(|id| &**id).collect();
+                assert_eq!(named, sources, "{} on {}", case.story, host.id);
+            }
+        }
+    }
+}
+
+/// The store is away for all. Only a few daemons of the fleet ask it in vain.
+#[test]
+fn a_lost_store_is_asked_by_a_few() {
+    let mut hosts = fleet(300);
+    for host in &mut hosts {
+        host.lost_store = true;
+    }
+    let sources = plans(&hosts).iter().filter(|plan| plan.is_source).count();
+    assert_eq!(sources, LinkLimits::default().most_sources);
+}
+
+/// A host comes that knows one other and is not in the table yet. It must leave
+/// asking to that one, or each host of a fleet that starts would ask for all.
+#[test]
+fn a_host_without_a_row_leaves_asking_to_others() {
+    let mut hosts = fleet(2);
+    for host in &mut hosts {
+        host.zone = "a";
+    }
+    hosts[1].is_listed = false;
+    let newcomer = plan_of(&hosts, 1);
+    assert!(!newcomer.is_reader && !newcomer.is_source);
+    assert!(newcomer.readers.contains("host-0"));
+    hosts[0].is_failing = true;
+    let alone = plan_of(&hosts, 1);
+    assert!(alone.is_reader && alone.is_source);
+}
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -34,6 +34,7 @@
         store: store.address,
         stalled_log: false,
         piped_links: false,
+        is_first_start: false,
     }
 }
 
