Readers say that they are told; a silent teller is replaced at once

A reader passed 'lost' on from those that it is told by, so that it counted as having lost the store itself; others took its place and left it again each time the state of the daemons that ask changed. Besides, a link that was silent for a moment made a daemon ask.

Change: a fourth state, 'told'. A daemon that is silent is passed over by those whom it tells until it answers. Asking begins after 0.3 s without a teller, for hosts after 3 s. Each call to the store has a log line.

--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -44,6 +44,9 @@
 const PLAN_TIME: Duration = Duration::from_millis(100);
 /// Time for the first links to come up, on a host with a tenth of a core.
 const LINK_TIME: Duration = Duration::from_secs(2);
+/// Time without anybody that tells of hosts, after which a daemon that asks for
+/// itself alone asks for them: tellers that die are replaced within a second.
+const ALONE_FOR: Duration = Duration::from_secs(3);
 /// How often a daemon without a version looks again who has one.
 const VERSION_LOOK: Duration = Duration::from_millis(50);
 
@@ -141,6 +144,8 @@
                 // The wait ends in time should the word have been missed.
                 let _ = tokio::time::timeout(AWAY_LOOK, returned).await;
             }
+            StoreRole::Reads
+                if subject == FeedSubject::Membership && is_passing(&shared, &mut role).await => {}
             StoreRole::Reads => {
                 // A call that waits is dropped when a daemon of the zone
                 // begins to follow the store for this one.
@@ -154,6 +159,16 @@
     }
 }
 
+/// Whether this daemon, which nobody tells of hosts just now, is told again
+/// soon: hosts come and go seldom, and whoever comes says hello.
+async fn is_passing(shared: &MeshShared, role: &mut Receiver<StoreRole>) -> bool {
+    if shared.members.is_source() {
+        return false;
+    }
+    let follows = role.wait_for(|role| *role == StoreRole::Follows);
+    tokio::time::timeout(ALONE_FOR, follows).await.is_ok()
+}
+
 /// Learns the hosts, from the store or from whoever dials this daemon.
 async fn first_members(shared: &Rc<MeshShared>, state: &mut FeedState) {
     let is_first_start = shared.settings.borrow().first_start;
@@ -249,7 +264,7 @@
 async fn ask_once(shared: &Rc<MeshShared>, state: &mut FeedState) {
     let subject = state.subject;
     let is_configuration = subject == FeedSubject::Configuration;
-    match step(shared, subject, state.position).await {
+    match step(shared, subject, state.position, state.failures).await {
         Ok((next, has_changed)) => {
             shared.metrics.store_call(subject.label(), "answered");
             if state.failures > 0 {
@@ -262,7 +277,7 @@
             }
             if is_configuration {
                 shared.versions.store_is_away.set(false);
-                if *shared.members.role.borrow() == StoreRole::Reads {
+                if !shared.follows() {
                     shared.set_store_state(StoreState::Answers);
                 }
             }
@@ -281,7 +296,7 @@
             state.failures += 1;
             if is_configuration {
                 shared.versions.store_is_away.set(true);
-                if *shared.members.role.borrow() == StoreRole::Reads {
+                if !shared.follows() {
                     shared.set_store_state(StoreState::Lost);
                 }
             }
@@ -302,7 +317,13 @@
     shared: &Rc<MeshShared>,
     subject: FeedSubject,
     position: Option<u64>,
+    failures: u32,
 ) -> Result<(Option<u64>, bool), Report<StoreError>> {
+    log::info!(
+        "event=store_asked subject={subject:?} is_new={} is_source={} failures={failures}",
+        position.is_none(),
+        shared.members.is_source()
+    );
     let Some(position) = position else {
         let batch = shared.store.read_table(subject.table()).await?;
         let version = batch.version;
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -68,6 +68,8 @@
     pub rows: RowBook,
     /// What this daemon has of the store.
     store: Cell<StoreState>,
+    /// Since when nobody tells it what lies there.
+    untold_since: Cell<Option<Instant>>,
 }
 
 impl Default for MemberBook {
@@ -84,6 +86,7 @@
             untold: RefCell::default(),
             rows: RowBook::default(),
             store: Cell::default(),
+            untold_since: Cell::default(),
         }
     }
 }
@@ -149,6 +152,14 @@
         self.plan.borrow().is_source
     }
 
+    /// Notes whether others tell this daemon what lies in the store; since how
+    /// long nobody does.
+    pub fn note_told(&self, is_told: bool, now: Instant) -> Option<Duration> {
+        let since = self.untold_since.get().unwrap_or(now);
+        self.untold_since.set((!is_told).then_some(since));
+        (!is_told).then(|| now.saturating_duration_since(since))
+    }
+
     /// Notes what became of a host for those told by this daemon.
     fn note_news(&self, id: &str, news: HostNews) {
         self.untold.borrow_mut().insert(id.to_owned(), news);
@@ -375,7 +386,7 @@
         if self.members.store.replace(state) == state {
             return;
         }
-        if state == StoreState::Answers {
+        if state.is_current() {
             // Those that linked here before were not told whom it knows.
             self.tell_followers(&LinkMessage::MembersSum(self.members_sum()));
         }
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -219,13 +219,30 @@
 /// What a daemon has of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreState {
-    /// It does not ask it.
+    /// It does not ask it and tells nobody of it.
     #[default]
     Unused,
-    /// It follows it, and it answers.
+    /// It asks it, and it answers.
     Answers,
     /// It asks in vain.
     Lost,
+    /// It passes on what daemons that ask tell it.
+    Told,
+}
+
+impl StoreState {
+    /// Whether a daemon in this state tells others what lies in the store, be
+    /// it that it asks in vain just now: with some that do, others would too.
+    #[must_use]
+    pub fn tells(self) -> bool {
+        self != StoreState::Unused
+    }
+
+    /// Whether what a daemon in this state knows of the hosts is up to date.
+    #[must_use]
+    pub fn is_current(self) -> bool {
+        matches!(self, StoreState::Answers | StoreState::Told)
+    }
 }
 
 /// The step from one version to the next.
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -13,7 +13,6 @@
 use crate::asking::VersionAsker;
 use crate::body::next_data;
 use crate::links::{LinkError, NEWS_PATH, OPEN_TIMEOUT};
-use crate::members::StoreRole;
 use crate::messages::{encode, take, LinkMessage, TargetState, TargetStatus};
 use crate::metrics::CrossingCause;
 use crate::peers::Peer;
@@ -234,7 +233,7 @@
                 log::error!("event=members_unreadable from={from}");
                 return;
             };
-            let reads = *shared.members.role.borrow() == StoreRole::Reads;
+            let reads = !shared.follows();
             if reads && shared.members.is_known.get() {
                 // What this daemon read itself tells who is gone; the list may
                 // still hold hosts that came since, when it is about to follow.
@@ -246,7 +245,7 @@
             }
         }
         LinkMessage::HeavyVersion => {
-            if *shared.members.role.borrow() == StoreRole::Follows {
+            if shared.follows() {
                 log::info!("event=heavy_version_coming from={from}");
                 shared.versions.wanted.notify_one();
             }
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use filbert_policy::clock::Clock;
 use filbert_policy::instance::InstanceKey;
+use filbert_policy::membership::HostReach;
 use h2::client::SendRequest;
 use tokio::sync::{mpsc, Notify};
 
@@ -172,10 +173,16 @@
         self.fell_silent.notify_waiters();
     }
 
-    /// Whether a PING is overdue.
+    /// Whether it answers.
     #[must_use]
-    pub fn is_silent(&self) -> bool {
-        self.is_silent.get()
+    pub fn reach(&self) -> HostReach {
+        if self.is_failing.get() {
+            HostReach::Failing
+        } else if self.is_silent.get() {
+            HostReach::Silent
+        } else {
+            HostReach::Answers
+        }
     }
 
     /// The instances there that were heard to be leaving, newest last.
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbert_policy::membership::{plan_links, HostView, LinkLimits};
+use filbert_policy::membership::{plan_links, HostReach, HostView, LinkLimits};
 use filbert_policy::store_asking::AskPurpose;
 
 use crate::links;
 use crate::members::StoreRole;
-use crate::messages::{PeerAddress, StoreState};
+use crate::messages::StoreState;
 use crate::peers::Peer;
 use crate::state::MeshShared;
 
@@ -21,8 +21,14 @@
 /// services that nobody calls any more are let go.
 const PLAN_AT_LEAST: Duration = Duration::from_mins(1);
 
+/// Time without a daemon that tells this one before it asks the store itself.
+/// Links fall silent for a moment on hosts with a tenth of a core; asking costs
+/// two calls and the whole configuration. Short of what a version has, with the
+/// 1.25 s after which a link counts as silent.
+const UNTOLD_FOR: Duration = Duration::from_millis(300);
+
 impl MeshShared {
-    /// The linked daemons that tell this one what lies in the store.
+    /// The linked daemons that are to tell this one what lies in the store.
     #[must_use]
     pub fn linked_tellers(&self) -> Vec<Rc<Peer>> {
         let plan = self.members.plan.borrow();
@@ -46,34 +52,24 @@
         }
     }
 
-    /// What the daemons that tell this one have of the store, the best of them.
-    /// With some that ask in vain others would ask in vain too, so that counts
-    /// as being told.
-    #[must_use]
-    pub fn store_state_told(&self) -> StoreState {
-        let tellers = self.linked_tellers();
-        let has = |state| tellers.iter().any(|peer| peer.store.get() == state);
-        if has(StoreState::Answers) {
-            StoreState::Answers
-        } else if has(StoreState::Lost) {
-            StoreState::Lost
-        } else {
-            StoreState::Unused
-        }
-    }
-
     /// Whether `id` tells this daemon what lies in the store.
     #[must_use]
     pub fn is_told_by(&self, id: &str) -> bool {
         self.members.plan.borrow().tellers().contains(id)
     }
 
-    /// Settles whether this daemon asks the store or is told.
-    fn take_role(&self) {
-        let told = self.store_state_told();
-        let role = match told {
-            StoreState::Unused => StoreRole::Reads,
-            StoreState::Answers | StoreState::Lost => StoreRole::Follows,
+    /// Settles whether this daemon asks the store or is told; when to look
+    /// again, if that is due soon.
+    fn take_role(&self) -> Option<Duration> {
+        let mut tellers = self.linked_tellers();
+        tellers.retain(|peer| peer.store.get().tells());
+        let now = self.clock.now();
+        let untold_for = self.members.note_told(!tellers.is_empty(), now);
+        let may_wait = !self.members.is_source() && self.follows();
+        let role = if untold_for.is_none() || (may_wait && untold_for < Some(UNTOLD_FOR)) {
+            StoreRole::Follows
+        } else {
+            StoreRole::Reads
         };
         let is_changed = self
             .members
@@ -83,36 +79,47 @@
             log::info!("event=store_role role={role:?}");
         }
         if role == StoreRole::Follows {
-            // Readers pass on what they are told, so their followers go by it.
-            let is_reader = self.members.is_reader();
-            let state = if is_reader { told } else { StoreState::Unused };
-            self.set_store_state(state);
-            if is_reader {
-                self.linked_tellers().iter().for_each(|peer| peer.follow());
+            self.pass_on(&tellers);
+            return untold_for.map(|passed| UNTOLD_FOR.saturating_sub(passed));
+        }
+        None
+    }
+
+    /// Readers pass on what they are told: they follow those that tell them,
+    /// and say so to others.
+    fn pass_on(&self, tellers: &[Rc<Peer>]) {
+        if self.members.is_reader() {
+            self.set_store_state(StoreState::Told);
+            for teller in tellers {
+                teller.follow();
             }
+        } else {
+            self.set_store_state(StoreState::Unused);
         }
     }
 
+    /// Whether this daemon is told what lies in the store.
+    #[must_use]
+    pub fn follows(&self) -> bool {
+        *self.members.role.borrow() == StoreRole::Follows
+    }
+
     /// Plans the links anew and opens and releases links accordingly.
     fn plan_anew(self: &Rc<Self>) {
         let own = self.own_address();
         let hosts = self.members.hosts_by_name();
-        let view = |address: &PeerAddress| -> (bool, bool) {
-            self.peers.get(&address.id).map_or((false, false), |peer| {
-                let lost_store = peer.store.get() == StoreState::Lost;
-                (peer.is_failing.get(), lost_store)
-            })
-        };
         let others: Vec<HostView<'_>> = hosts
             .values()
             .map(|address| {
-                let (is_failing, lost_store) = view(address);
+                let peer = self.peers.get(&address.id);
                 HostView {
                     id: &address.id,
                     zone: &address.zone,
                     service: &address.service,
-                    is_failing,
-                    lost_store,
+                    reach: peer
+                        .as_ref()
+                        .map_or(HostReach::Answers, |peer| peer.reach()),
+                    lost_store: peer.is_some_and(|peer| peer.store.get() == StoreState::Lost),
                     is_listed: true,
                 }
             })
@@ -121,7 +128,7 @@
             id: &own.id,
             zone: &own.zone,
             service: &own.service,
-            is_failing: false,
+            reach: HostReach::Answers,
             lost_store: false,
             is_listed: self.members.rows.was_own_seen(),
         };
@@ -163,10 +170,10 @@
 pub async fn keep_planned(shared: Rc<MeshShared>) {
     loop {
         shared.plan_anew();
-        shared.take_role();
+        let look_again = shared.take_role().unwrap_or(PLAN_AT_LEAST);
         shared.tell_changes();
         // Nothing changed for a while: planned anew all the same.
-        let _ = tokio::time::timeout(PLAN_AT_LEAST, shared.members.changed.notified()).await;
+        let _ = tokio::time::timeout(look_again, shared.members.changed.notified()).await;
         tokio::time::sleep(GATHER).await;
     }
 }
--- a/crates/mesh/src/rows.rs
+++ b/crates/mesh/src/rows.rs
@@ -13,7 +13,6 @@
 use tokio::sync::Notify;
 
 use crate::feeds;
-use crate::members::StoreRole;
 use crate::messages::{LinkMessage, PeerAddress, RowChange, StoreState};
 use crate::state::MeshShared;
 
@@ -28,7 +27,7 @@
 const SEEN_TO_WITHIN: Duration = Duration::from_millis(1_500);
 /// Times that other daemons are asked to see to this host's row before it
 /// writes it itself.
-const TELLER_TRIES: u32 = 2;
+const TELLER_TRIES: u32 = 4;
 /// Longest time that a planned stop waits for its row to be removed.
 const PARTING_TIME: Duration = Duration::from_millis(600);
 
@@ -114,16 +113,17 @@
     /// daemon that tells it what lies there. `is_passed_on` says whether another
     /// daemon asked for it.
     pub fn see_to_row(&self, change: RowChange, is_passed_on: bool) {
-        let follows = *self.members.role.borrow() == StoreRole::Follows;
+        // One that asks the store itself first, else one that is told.
         let teller = self
             .linked_tellers()
             .into_iter()
-            .find(|teller| teller.store.get() == StoreState::Answers);
+            .filter(|teller| teller.store.get().is_current())
+            .min_by_key(|teller| teller.store.get() == StoreState::Told);
         let message = LinkMessage::WantRow {
             change: change.clone(),
             is_passed_on,
         };
-        let is_seen_to = follows && teller.is_some_and(|teller| teller.say(message));
+        let is_seen_to = self.follows() && teller.is_some_and(|teller| teller.say(message));
         if !is_seen_to {
             self.members.rows.want(change);
         }
@@ -214,9 +214,7 @@
         while !rows.is_parting.get() && !rows.is_own_seen() {
             let change = RowChange::Write(shared.own_address());
             // Guards against tellers that take the change and do not make it.
-            // While they have lost the store this daemon would call in vain.
-            let is_told_of_store = shared.store_state_told() == StoreState::Answers;
-            if tries >= TELLER_TRIES && is_told_of_store {
+            if tries >= TELLER_TRIES {
                 rows.want(change);
             } else {
                 shared.see_to_row(change, false);
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -14,7 +14,7 @@
 use crate::body::{next_data, AnswerBody, CallBody, LinkBody, PieceSource};
 use crate::links::{LinkError, CONNECTION_WINDOW, NEWS_PATH, STREAM_WINDOW};
 use crate::messages::{
-    encode, take, BadMessage, CallHead, LinkMessage, PeerAddress, ReplyHead, RowChange, StoreState,
+    encode, take, BadMessage, CallHead, LinkMessage, PeerAddress, ReplyHead, RowChange,
 };
 use crate::sockets;
 use crate::state::MeshShared;
@@ -111,7 +111,7 @@
             message = next_message(&mut incoming, &mut buffer) => match message? {
                 Some(LinkMessage::Follow) => {
                     feed.follows.set(true);
-                    if shared.store_state() == StoreState::Answers {
+                    if shared.store_state().is_current() {
                         let sum = LinkMessage::MembersSum(shared.members_sum());
                         outgoing.send_data(encode(&sum), false)?;
                     }
@@ -157,7 +157,7 @@
             version: shared.versions.number(),
         },
     ];
-    if store == StoreState::Answers && zone == shared.settings.borrow().zone {
+    if store.is_current() && zone == shared.settings.borrow().zone {
         news.push(LinkMessage::MembersSum(shared.members_sum()));
     }
     news.push(LinkMessage::Store(store));
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -14,8 +14,8 @@
     pub zone: &'a str,
     /// The service of its target.
     pub service: &'a str,
-    /// Whether links to it have failed of late.
-    pub is_failing: bool,
+    /// Whether its daemon answers.
+    pub reach: HostReach,
     /// Whether its daemon said that it has lost the store.
     pub lost_store: bool,
     /// Whether its row is in the store. A host that just came and knows a few
@@ -23,6 +23,19 @@
     pub is_listed: bool,
 }
 
+/// Whether a host's daemon answers, as far as one that links to it knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HostReach {
+    /// It does, or was not asked yet.
+    #[default]
+    Answers,
+    /// It does not just now, over a link that stands. Its target is still
+    /// linked to, but nobody waits to be told by it.
+    Silent,
+    /// Links to it have failed of late.
+    Failing,
+}
+
 /// How many links a daemon keeps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkLimits {
@@ -183,7 +196,7 @@
             break;
         }
         links.insert(host.id.to_owned());
-        live += usize::from(!host.is_failing);
+        live += usize::from(host.reach != HostReach::Failing);
     }
     live
 }
@@ -242,8 +255,9 @@
             break;
         }
         taken.insert(host.id.to_owned());
-        live += usize::from(!host.is_failing && !host.lost_store);
-        answering += usize::from(!host.is_failing);
+        let answers = host.reach == HostReach::Answers;
+        live += usize::from(answers && !host.lost_store);
+        answering += usize::from(answers);
     }
     taken
 }
