A first try's aim is not taken for lost by its caller's patience

Cause: what has passed since a caller's first try was told from how much less it waits than the most patient caller of its route.

Change: what has passed is measured against the wait that a quarter of the route's last 256 calls is below.

--- a/crates/mesh/src/calls/message.rs
+++ b/crates/mesh/src/calls/message.rs
@@ -12,12 +12,13 @@
 use crate::messages::{CallHead, UsualRun};
 use crate::state::MeshShared;
 
-/// Until when an answer is worth most, counted from the client's first try:
-/// what it waits less than others on the route has passed before.
+/// Until when an answer is worth most, counted from the client's first try.
+/// A client that does not say how long it waits has all of its aim.
 pub(super) fn aim_of(shared: &MeshShared, route: &RouteRule, call: &ClientCall) -> Instant {
-    let wait = call.headers.time_left.unwrap_or(Duration::ZERO);
-    let history = shared.note_wait(&route.name, wait);
-    let passed = history.longest_wait.saturating_sub(wait);
+    let passed = call
+        .headers
+        .time_left
+        .map_or(Duration::ZERO, |wait| shared.note_wait(&route.name, wait));
     call.received + route.aim.saturating_sub(passed)
 }
 
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -9,6 +9,7 @@
 use filbert_policy::budget::RetryBudget;
 use filbert_policy::clock::Clock;
 use filbert_policy::numbers::whole_of;
+use filbert_policy::patience::PatienceRecord;
 use filbert_policy::routing::RouteIndex;
 use filbert_policy::run_times::{RunMean, RunTime};
 use filbert_policy::weights::WeightDealer;
@@ -27,10 +28,10 @@
 use crate::versions::VersionBook;
 
 /// What was learnt of a route's calls.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RouteHistory {
-    /// The longest time that any client of it said it would wait.
-    pub longest_wait: Duration,
+    /// How long its clients said that they would wait.
+    pub patience: PatienceRecord,
     /// Usual size of an answer, in KiB.
     pub answer_kib: f64,
     /// Usual time of a run.
@@ -112,32 +113,31 @@
         self.members.count()
     }
 
-    /// Notes how long a client of `route` waits, and gives the longest so far.
-    pub fn note_wait(&self, route: &str, wait: Duration) -> RouteHistory {
+    /// Notes how long a client of `route` waits, and gives the time that has
+    /// likely passed since its first try.
+    pub fn note_wait(&self, route: &str, wait: Duration) -> Duration {
+        self.with_history(route, |history| history.patience.note(wait))
+    }
+
+    fn with_history<T>(&self, route: &str, change: impl FnOnce(&mut RouteHistory) -> T) -> T {
         let mut routes = self.routes.borrow_mut();
         if let Some(history) = routes.get_mut(route) {
-            history.longest_wait = history.longest_wait.max(wait);
-            return *history;
+            return change(history);
         }
-        let history = RouteHistory {
-            longest_wait: wait,
-            ..RouteHistory::default()
-        };
-        routes.insert(route.to_owned(), history);
-        history
+        change(routes.entry(route.to_owned()).or_default())
     }
 
     /// Notes the size of an answer on `route`, and the time of its run.
     pub fn note_answer(&self, route: &str, bytes: u64, ran: Duration) {
-        if let Some(history) = self.routes.borrow_mut().get_mut(route) {
-            let kib = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1024.0;
+        let kib = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1024.0;
+        self.with_history(route, |history| {
             if history.answer_kib == 0.0 {
                 history.answer_kib = kib;
             } else {
                 history.answer_kib += (kib - history.answer_kib) * NEWEST_ANSWER;
             }
             history.run.note(ran);
-        }
+        });
     }
 
     /// Usual size of an answer on `route`, in bytes; 0 before the first.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,9 +1,10 @@
 //! The daemon's decisions, apart from input and output: state in, verdict out,
 //! the clock handed in.
 //!
-//! A call is routed ([`routing`], [`weights`]), placed on a target
+//! A call is routed ([`routing`], [`weights`]), its time judged ([`patience`]), placed on a target
 //! ([`placement`]), admitted, made to wait or declined there ([`admission`]),
-//! sent again or given up ([`attempt`], [`budget`]), and refused with a time
+//! sent again or given up ([`attempt`],
+//! [`budget`]), and refused with a time
 //! to come back ([`refusal`]). [`instance`] follows the life of the target
 //! beside the daemon, [`health`] and [`run_times`] what its calls say about
 //! it, [`egress`] paces answers on a slow link. [`membership`] plans which other
@@ -18,6 +19,7 @@
 pub mod instance;
 pub mod membership;
 pub mod numbers;
+pub mod patience;
 pub mod placement;
 pub mod refusal;
 pub mod routing;
