--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -106,6 +106,7 @@
             let listed = format!("| mesh `{table}{key}` | ");
             assert!(REFERENCE.contains(&listed), "{listed} is missing");
             let value = match (table.as_str(), key) {
+                ("", "first_start") => "true",
                 ("", "target") | ("listen.", _) => "\"127.0.0.1:1\"",
                 ("times.", _) | ("retry.", "window") => "\"1500ms\"",
                 ("retry.", _) | ("link.", "mbps") => "0.2",
