--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -6,7 +6,6 @@
 
 use filbert_policy::attempt::{next_step, AttemptEnd, CallAllowance, NextStep};
 use filbert_policy::budget::RepeatCause;
-use filbert_policy::hedge::{hedge_now, HedgeView};
 use filbert_policy::refusal::{come_back_after, come_back_to_shedding};
 use filbert_policy::routing::RouteRule;
 use filbert_policy::run_times::RunTime;
@@ -107,9 +106,9 @@
 
     /// Tries targets until one answers or nothing is left to try.
     pub(super) async fn run(mut self) -> ClientAnswer {
-        // Attempts over links that fell silent, or that are overdue. They go on
-        // beside the others: a target that is merely slow may still answer
-        // first, and a call is not ended while one is at work on it.
+        // Attempts over links that fell silent. They go on beside the others:
+        // a target that is merely slow may still answer first, and a call is
+        // not ended while one is at work on it.
         let mut silent = Vec::new();
         self.await_links().await;
         loop {
@@ -136,13 +135,6 @@
             let step = self.decide(end);
             self.tell(&target, end, step);
             match (step, outcome) {
-                // An earlier attempt may still bring a better answer.
-                (NextStep::PassOn, AttemptOutcome::Answer { head, body, .. })
-                    if head.status >= FIRST_FAILURE && !silent.is_empty() =>
-                {
-                    self.failure = Some((head, body));
-                    return self.finish(silent).await;
-                }
                 (NextStep::PassOn, AttemptOutcome::Answer { head, body, ran }) => {
                     if head.status < FIRST_FAILURE {
                         let length = head.body_length.unwrap_or(0);
@@ -180,16 +172,13 @@
     }
 
     /// Waits for the end of an attempt, or of an earlier one that went on;
-    /// `None` when its link fell silent, or it is overdue, and another target is
-    /// to be tried beside it.
+    /// `None` when its link fell silent and another target is to be tried.
     async fn await_end(
         &mut self,
         target: &PickedTarget,
         running: &mut RunningAttempt,
         silent: &mut Vec<RunningAttempt>,
     ) -> Option<AttemptOutcome> {
-        let sent = self.shared.clock.now();
-        let mut was_overdue = false;
         loop {
             tokio::select! {
                 biased;
@@ -201,14 +190,7 @@
                     }
                 }
                 () = fall_silent(&target.candidate) => {
-                    if self.may_leave(&target.host, RepeatCause::NoAnswer) {
-                        return None;
-                    }
-                }
-                () = self.become_overdue(target, sent), if !was_overdue => {
-                    was_overdue = true;
-                    if self.may_leave(&target.host, RepeatCause::Overdue) {
-                        self.tell_overdue(target, sent);
+                    if self.may_leave(&target.host) {
                         return None;
                     }
                 }
@@ -216,45 +198,6 @@
         }
     }
 
-    /// Waits until the call is to be tried elsewhere too; for ever when it may
-    /// not be, or when it is not known what it usually takes.
-    async fn become_overdue(&self, target: &PickedTarget, sent: Instant) {
-        let usual = match self.head.usual_run {
-            Some(usual) if self.route.kind.is_repeatable() => RunTime::from(usual),
-            _ => return std::future::pending().await,
-        };
-        let view = &target.view;
-        let over = (view.occupancy + 1.0 - f64::from(view.slots)).max(0.0);
-        let wait_ms = over * view.turn_ms / f64::from(view.slots.max(1));
-        loop {
-            let overdue = hedge_now(&HedgeView {
-                passed: self.shared.clock.now().saturating_duration_since(sent),
-                wait: Duration::from_secs_f64(wait_ms / 1_000.0),
-                usual,
-                placed_turn_ms: view.turn_ms,
-                turn_ms: turn_at(self.shared, &target.candidate).unwrap_or(view.turn_ms),
-            });
-            match overdue {
-                Ok(()) => return,
-                Err(look_again) => tokio::time::sleep(look_again).await,
-            }
-        }
-    }
-
-    fn tell_overdue(&self, target: &PickedTarget, sent: Instant) {
-        let now = self.shared.clock.now();
-        if self.shared.lines.takes(LineWeight::Notable, now) {
-            log::info!(
-                "event=attempt_overdue request={} route={} host={} passed_ms={} turn_ms={:.0}",
-                self.head.id,
-                self.route.name,
-                target.host,
-                now.saturating_duration_since(sent).as_millis(),
-                target.view.turn_ms
-            );
-        }
-    }
-
     /// Waits for attempts that went on over silent links, and gives up when
     /// none of them answers.
     async fn finish(self, mut silent: Vec<RunningAttempt>) -> ClientAnswer {
@@ -321,19 +264,12 @@
     /// Whether the call, which is at `host`, may be sent to another target
     /// without waiting for what becomes of it there. If so the other attempt
     /// is paid for.
-    fn may_leave(&self, host: &str, cause: RepeatCause) -> bool {
+    fn may_leave(&self, host: &str) -> bool {
         let mut tried = self.tried.clone();
         tried.push(host.to_owned());
         let allowance = self.allowance(self.arrivals + 1);
-        let step = next_step(AttemptEnd::Lost, allowance, |_| {
-            let other = pick(self.shared, self.route, &self.head, &tried);
-            // Guards against an overload that feeds itself: an overdue call
-            // takes only a slot that is free.
-            let has_room = |other: PickedTarget| {
-                cause != RepeatCause::Overdue
-                    || other.view.occupancy + 1.0 <= f64::from(other.view.slots)
-            };
-            other.is_some_and(has_room) && self.spend(cause)
+        let step = next_step(AttemptEnd::Lost, allowance, |cause| {
+            pick(self.shared, self.route, &self.head, &tried).is_some() && self.spend(cause)
         });
         let leaves = step == NextStep::SendAgain;
         self.is_paid.set(leaves);
@@ -401,15 +337,6 @@
     }
 }
 
-/// Mean time of the runs at a target now, in milliseconds.
-fn turn_at(shared: &MeshShared, candidate: &Candidate) -> Option<f64> {
-    let status = match candidate {
-        Candidate::Here => shared.gate.status(),
-        Candidate::Peer(peer) => peer.target().map(|(status, _)| status),
-    };
-    status.map(|status| status.load.run_ms)
-}
-
 /// Waits until the link to a target falls silent; for ever beside it.
 async fn fall_silent(candidate: &Candidate) {
     match candidate {
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -26,10 +26,6 @@
 /// least: where many fail, the cause is mostly further down.
 const FAILED_SHARE: f64 = 0.5;
 
-/// The same for calls that are merely overdue: most of them are answered in the
-/// end, and what is spent on them is missing where answers are lost.
-const OVERDUE_SHARE: f64 = 0.5;
-
 /// Why an attempt is to be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RepeatCause {
@@ -37,8 +33,6 @@
     NoAnswer,
     /// The target ran the call and answered with a failure of its own.
     Failed,
-    /// The target takes much longer than usual.
-    Overdue,
 }
 
 #[derive(Debug)]
@@ -131,7 +125,6 @@
         let share = match cause {
             RepeatCause::NoAnswer => USED_SHARE,
             RepeatCause::Failed => USED_SHARE * FAILED_SHARE,
-            RepeatCause::Overdue => USED_SHARE * OVERDUE_SHARE,
         };
         let slack = self.terms.slack / count_of(daemons.max(1));
         let totals: Vec<(f64, f64)> = self
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! A call is routed ([`routing`], [`weights`]), its time judged ([`patience`]), placed on a target
 //! ([`placement`]), admitted, made to wait or declined there ([`admission`]),
-//! tried elsewhere beside ([`hedge`]), sent again or given up ([`attempt`],
+//! sent again or given up ([`attempt`],
 //! [`budget`]), and refused with a time
 //! to come back ([`refusal`]). [`instance`] follows the life of the target
 //! beside the daemon, [`health`] and [`run_times`] what its calls say about
@@ -16,7 +16,6 @@
 pub mod clock;
 pub mod egress;
 pub mod health;
-pub mod hedge;
 pub mod instance;
 pub mod membership;
 pub mod numbers;
