Log lines on calls name the call, not only the try

What callers saw: targets of one service end one after the other; all their calls go with them. Cause not known yet; whether one call is at work at each end could not be read from the logs, as a request id is new at each try of a client.

Change: a call has an identity, a hash of what its caller sends (method, host, path, headers that name the caller, body or the first 64 KiB of a long one). The lines gate_ran, attempt_ended and call_ended carry it as call=. No decision changes.

Ruled out: the hash that is in use for checksums (not a cryptographic one: rivals could make a call that is taken for another's); hashing in the target's daemon, which no longer has a streamed body's start.

--- a/crates/mesh/src/calls/message.rs
+++ b/crates/mesh/src/calls/message.rs
@@ -37,6 +37,7 @@
     let head = CallHead {
         lines: headers::lines_for_target(&call.head, &settings.service),
         id: call.headers.id,
+        identity: call.identity,
         service: service.to_owned(),
         has_body: call.head.framing != filbert_http1::BodyFraming::Empty
             || body_length.is_some_and(|length| length > 0),
--- a/crates/mesh/src/calls/mod.rs
+++ b/crates/mesh/src/calls/mod.rs
@@ -12,6 +12,7 @@
 
 use filbert_http1::RequestHead;
 use filbert_platform::headers::CallHeaders;
+use filbert_policy::identity::CallIdentity;
 use filbert_policy::routing::RouteRule;
 
 use crate::body::{AnswerBody, CallBody};
@@ -41,6 +42,8 @@
     pub head: RequestHead,
     /// What its headers say.
     pub headers: CallHeaders,
+    /// What it is, whichever try of its client it belongs to.
+    pub identity: CallIdentity,
     /// Its body.
     pub body: CallBody,
     /// When it was read.
--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -290,8 +290,9 @@
         }
         let view = &target.view;
         log::info!(
-            "event=attempt_ended request={} route={} host={} end={end:?} next={step:?} arrivals={} declines={} occupancy={:.0} slots={} run_ms={:.0} ill_share={:.2} in_zone={} link_ms={:.0} candidates={}",
+            "event=attempt_ended request={} call={} route={} host={} end={end:?} next={step:?} arrivals={} declines={} occupancy={:.0} slots={} run_ms={:.0} ill_share={:.2} in_zone={} link_ms={:.0} candidates={}",
             self.head.id,
+            self.head.identity,
             self.route.name,
             target.host,
             self.arrivals,
--- a/crates/mesh/src/calls/story.rs
+++ b/crates/mesh/src/calls/story.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use filbert_policy::identity::CallIdentity;
+
 use super::{ClientAnswer, ClientCall, FIRST_FAILURE, NOT_FOUND, TIMED_OUT, UNAVAILABLE};
 use crate::logging::LineWeight;
 use crate::state::MeshShared;
@@ -9,6 +11,7 @@
 /// What is known of a call when it ends.
 pub(super) struct CallStory {
     id: String,
+    identity: CallIdentity,
     received: Instant,
     version: u64,
     pub(super) route: String,
@@ -24,6 +27,7 @@
     pub(super) fn new(call: &ClientCall, version: u64) -> CallStory {
         CallStory {
             id: call.headers.id.clone(),
+            identity: call.identity,
             received: call.received,
             version,
             route: String::new(),
@@ -65,8 +69,9 @@
             return;
         }
         log::info!(
-            "event=call_ended request={} outcome={outcome} status={status} reason={} route={} service={} version={:08x} host={} attempts={} declines={} took_ms={} aim_ms={} come_back_ms={}",
+            "event=call_ended request={} call={} outcome={outcome} status={status} reason={} route={} service={} version={:08x} host={} attempts={} declines={} took_ms={} aim_ms={} come_back_ms={}",
             self.id,
+            self.identity,
             self.reason,
             self.route,
             self.service,
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -142,8 +142,9 @@
         let now = self.clock.now();
         if self.lines.takes(LineWeight::Notable, now) {
             log::info!(
-                "event=gate_ran request={} instance={} verdict={verdict} reason=\"{reason}\" waited_ms={} ran_ms={}",
+                "event=gate_ran request={} call={} instance={} verdict={verdict} reason=\"{reason}\" waited_ms={} ran_ms={}",
                 run.call.id,
+                run.call.identity,
                 run.instance,
                 run.waited().as_millis(),
                 now.saturating_duration_since(run.started).as_millis()
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -1,21 +1,22 @@
 //! Clients' connections: reads calls, several at once where a client sends
 //! them so, and writes the answers in the order of the calls.
 
+mod bodies;
+
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use filbert_http1::{BodyFraming, BodyPieces, HeadError, MessageReader, ReadError, RequestHead};
+use filbert_http1::{BodyPieces, HeadError, MessageReader, ReadError, RequestHead};
 use filbert_platform::headers;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-use crate::body::{AnswerBody, CallBody, PieceSource};
+use crate::body::AnswerBody;
 use crate::calls::{self, ClientAnswer, ClientCall};
 use crate::egress::EgressPacer;
 use crate::messages::AnswerHead;
@@ -24,14 +25,10 @@
 use crate::state::MeshShared;
 use crate::stop::CallMark;
 use crate::target::chunk;
+use bodies::{identity_of, pump_body, read_body};
 
 /// Calls of one connection in work at once; more stay unread.
 const MOST_AT_ONCE: usize = 16;
-/// Longest body that is read whole before its call is placed, in bytes. Such
-/// a call can be sent again.
-const WHOLE_BODY: u64 = 64 * 1024;
-/// Pieces of a longer body read ahead.
-const PIECES_AHEAD: usize = 4;
 /// How long a connection is read on after its last answer, so that the
 /// client gets that answer and no reset.
 const LINGER: Duration = Duration::from_millis(500);
@@ -196,23 +193,16 @@
     let is_http11 = head.is_http11;
     let framing = head.framing;
     let id = call_headers.id.clone();
-    let mut call = ClientCall {
+    let mut decoder = BodyPieces::new(framing);
+    let (body, rest) = read_body(reader, &mut decoder, framing).await?;
+    let identity = identity_of(&head, &call_headers.host, &body, rest.as_ref());
+    let call = ClientCall {
         head,
         headers: call_headers,
-        body: CallBody::Whole(Bytes::new()),
+        identity,
+        body,
         received,
     };
-    let mut decoder = BodyPieces::new(framing);
-    let rest = match framing {
-        BodyFraming::Empty | BodyFraming::UntilClose => None,
-        BodyFraming::Length(length) if length <= WHOLE_BODY => {
-            call.body = CallBody::Whole(read_whole(reader, &mut decoder).await?);
-            None
-        }
-        BodyFraming::Length(_) | BodyFraming::Chunked => {
-            read_start(reader, &mut decoder, &mut call).await?
-        }
-    };
     let shared_call = Rc::clone(shared);
     let answer = async move { calls::answer(&shared_call, call).await };
     push_due(shared, state, answer, id, is_http11, !keep_alive);
@@ -251,87 +241,6 @@
     Ok(())
 }
 
-async fn read_whole(
-    reader: &mut MessageReader<OwnedReadHalf>,
-    decoder: &mut BodyPieces,
-) -> Result<Bytes, ReadEnd> {
-    let mut whole = Vec::new();
-    loop {
-        match reader.read_piece(decoder).await {
-            Ok(Some(piece)) => whole.extend_from_slice(&piece),
-            Ok(None) => return Ok(Bytes::from(whole)),
-            Err(ReadError::Body(filbert_http1::BodyError::BadChunk)) => {
-                return Err(ReadEnd::Last(Some(BAD_REQUEST)))
-            }
-            Err(_) => return Err(ReadEnd::Gone),
-        }
-    }
-}
-
-type BodyRest = (Bytes, mpsc::Sender<Bytes>);
-
-/// Reads the start of a body that may be long. One that ends within the limit
-/// is taken whole; of another, the start and the way for the rest are returned.
-async fn read_start(
-    reader: &mut MessageReader<OwnedReadHalf>,
-    decoder: &mut BodyPieces,
-    call: &mut ClientCall,
-) -> Result<Option<BodyRest>, ReadEnd> {
-    let mut start = Vec::new();
-    while (start.len() as u64) < WHOLE_BODY {
-        match reader.read_piece(decoder).await {
-            Ok(Some(piece)) => start.extend_from_slice(&piece),
-            Ok(None) => {
-                call.body = CallBody::Whole(Bytes::from(start));
-                return Ok(None);
-            }
-            Err(ReadError::Body(filbert_http1::BodyError::BadChunk)) => {
-                return Err(ReadEnd::Last(Some(BAD_REQUEST)))
-            }
-            Err(_) => return Err(ReadEnd::Gone),
-        }
-    }
-    let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
-    call.body = CallBody::Pieces(PieceSource::Client(receiver));
-    Ok(Some((Bytes::from(start), sender)))
-}
-
-/// Hands the rest of a body on. An empty piece marks its end; a channel that
-/// closes without one marks a body that was broken off.
-async fn pump_body(
-    reader: &mut MessageReader<OwnedReadHalf>,
-    decoder: &mut BodyPieces,
-    start: Bytes,
-    pieces: &mpsc::Sender<Bytes>,
-    most: u64,
-) -> Result<(), ReadEnd> {
-    let mut total = start.len() as u64;
-    // A call that was answered early takes no more of its body; the rest is
-    // read and dropped so that the next call is found.
-    let mut is_wanted = pieces.send(start).await.is_ok();
-    loop {
-        match reader.read_piece(decoder).await {
-            Ok(Some(piece)) => {
-                total += piece.len() as u64;
-                if total > most {
-                    return Err(ReadEnd::Gone);
-                }
-                if is_wanted {
-                    is_wanted = pieces.send(piece).await.is_ok();
-                }
-            }
-            Ok(None) => {
-                if is_wanted {
-                    // Nobody left to hear the end is no failure here.
-                    let _ = pieces.send(Bytes::new()).await;
-                }
-                return Ok(());
-            }
-            Err(_) => return Err(ReadEnd::Gone),
-        }
-    }
-}
-
 /// Writes answers in the order of their calls; ends after the last.
 async fn write_answers(
     shared: &Rc<MeshShared>,
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use filbert_policy::admission::DeclineReason;
+use filbert_policy::identity::CallIdentity;
 use filbert_policy::instance::InstanceKey;
 use filbert_policy::run_times::RunTime;
 use serde::{Deserialize, Serialize};
@@ -265,6 +266,8 @@
 pub struct CallHead {
     /// The call's id.
     pub id: String,
+    /// What it is, whichever try of its client it belongs to.
+    pub identity: CallIdentity,
     /// The service that it was routed to.
     pub service: String,
     /// Its method.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod clock;
 pub mod egress;
 pub mod health;
+pub mod identity;
 pub mod instance;
 pub mod membership;
 pub mod numbers;
--- /dev/null
+++ b/crates/policy/tests/identity_cases.rs
@@ -0,0 +1,32 @@
+//! Which calls share an identity.
+
+use filbert_policy::identity::{CallIdentity, IdentityParts};
+use rstest::rstest;
+
+const LOOKUP: IdentityParts<'static> = IdentityParts {
+    method: "GET",
+    host: "shop.example",
+    target: "/read/a?b=c",
+    caller: &["key-1"],
+    body_start: b"",
+    body_length: Some(0),
+};
+
+#[test]
+fn two_tries_of_one_call_are_one() {
+    assert_eq!(CallIdentity::of(&LOOKUP), CallIdentity::of(&LOOKUP.clone()));
+}
+
+#[rstest]
+#[case::method(IdentityParts { method: "POST", ..LOOKUP })]
+#[case::host(IdentityParts { host: "other.example", ..LOOKUP })]
+#[case::path(IdentityParts { target: "/read/b?b=c", ..LOOKUP })]
+#[case::query(IdentityParts { target: "/read/a?b=d", ..LOOKUP })]
+#[case::caller(IdentityParts { caller: &["key-2"], ..LOOKUP })]
+#[case::body(IdentityParts { body_start: b"x", body_length: Some(1), ..LOOKUP })]
+#[case::longer_body(IdentityParts { body_length: Some(100_000), ..LOOKUP })]
+#[case::unknown_length(IdentityParts { body_length: None, ..LOOKUP })]
+#[case::moved_border(IdentityParts { host: "shop.exampl", target: "e/read/a?b=c", ..LOOKUP })]
+fn calls_that_differ_are_two(#[case] other: IdentityParts<'static>) {
+    assert_ne!(CallIdentity::of(&LOOKUP), CallIdentity::of(&other));
+}
