Calls that are held back outlive the daemons: a row each in the store

What callers would see: all daemons lose power, start again, and know nothing of a call that was held back; it ends three more targets.

Cause: what is believed of such calls lay in daemons alone. While one is left it tells the others as they link; when all end at one moment nobody does.

Change: the daemons that ask the store for the fleet write a row for each call that is held back, in the table of hosts, which is read at a start and followed anyway: no further call to read it. The row goes when the call is cleared or long over.

Ruled out: a table of its own (one more call for each start, and one that waits); rows for suspects too (most are bystanders).

--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 use tokio::sync::watch::Receiver;
 
+use crate::held_rows::is_held_key;
 use crate::members::StoreRole;
 use crate::messages::{PeerAddress, StoreState};
 use crate::rows::{decode_member, HOSTS_TABLE};
@@ -369,6 +370,7 @@
             }
         }
         FeedSubject::Membership => {
+            shared.take_held_rows(batch.rows.iter());
             let listed: Vec<PeerAddress> = batch.rows.iter().filter_map(decode_member).collect();
             if listed.contains(&shared.own_address()) {
                 shared.see_own_row();
@@ -381,6 +383,10 @@
 }
 
 fn take_member(shared: &Rc<MeshShared>, row: &StoreRow) {
+    if is_held_key(&row.key) {
+        shared.take_held_rows(std::iter::once(row));
+        return;
+    }
     match decode_member(row) {
         Some(address) if address == shared.own_address() => shared.see_own_row(),
         Some(address) => shared.learn_host(address, "store"),
--- /dev/null
+++ b/crates/mesh/src/held_rows.rs
@@ -0,0 +1,183 @@
+//! Rows of the calls that are held back. They outlive daemons: when all end at
+//! once, none is left that could tell the others.
+//!
+//! The rows stand in the table of hosts, which is read and followed anyway. The
+//! few daemons that ask the store for the fleet write them; others, and
+//! operators who let a call go, are heard through them.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use filbert_platform::store::StoreRow;
+use filbert_policy::clock::ClockReading;
+use filbert_policy::identity::CallIdentity;
+use filbert_policy::quarantine::{CallRecord, CrashMark};
+use serde::{Deserialize, Serialize};
+
+use crate::messages::RowChange;
+use crate::state::MeshShared;
+
+/// What the keys of these rows begin with; no host's name has a slash.
+const KEY_PREFIX: &str = "held/";
+
+/// A call that is held back, or was let go, as its row says it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldRow {
+    /// Which call.
+    pub call: CallIdentity,
+    /// The ends of targets under it.
+    pub marks: Vec<RowMark>,
+    /// Unix millisecond at which it was let go, if it was.
+    pub cleared_ms: Option<u64>,
+}
+
+/// A [`CrashMark`] in wall time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowMark {
+    id: u64,
+    began_ms: u64,
+    ended_ms: u64,
+}
+
+/// Wall time of `at`, in Unix milliseconds.
+fn wall_ms(at: Instant, clock: &ClockReading) -> u64 {
+    let age = clock.now.saturating_duration_since(at);
+    let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    clock.wall_ms().saturating_sub(age_ms)
+}
+
+/// The moment of a Unix millisecond; now when this host's clock is behind it.
+fn moment_of(wall_ms: u64, clock: &ClockReading) -> Option<Instant> {
+    let age_ms = clock.wall_ms().saturating_sub(wall_ms);
+    clock.now.checked_sub(Duration::from_millis(age_ms))
+}
+
+impl HeldRow {
+    /// The row of `call`.
+    #[must_use]
+    pub fn of(call: CallIdentity, record: &CallRecord, clock: &ClockReading) -> HeldRow {
+        let row_mark = |mark: &CrashMark| RowMark {
+            id: mark.id,
+            began_ms: wall_ms(mark.began, clock),
+            ended_ms: wall_ms(mark.ended, clock),
+        };
+        HeldRow {
+            call,
+            marks: record.marks().map(row_mark).collect(),
+            cleared_ms: record.cleared().map(|at| wall_ms(at, clock)),
+        }
+    }
+
+    /// The row that lets `call` go.
+    #[must_use]
+    pub fn release(call: CallIdentity, clock: &ClockReading) -> HeldRow {
+        HeldRow {
+            call,
+            marks: Vec::new(),
+            cleared_ms: Some(clock.wall_ms()),
+        }
+    }
+
+    /// The row of `row`; `None` when it is another, or cannot be read.
+    #[must_use]
+    pub fn read(row: &StoreRow) -> Option<HeldRow> {
+        if !is_held_key(&row.key) {
+            return None;
+        }
+        let value = row.value.as_ref()?;
+        let decoded = bincode::serde::decode_from_slice(value, bincode::config::standard());
+        match decoded {
+            Ok((held, used)) if used == value.len() => Some(held),
+            _ => {
+                log::warn!("event=held_row_malformed key={}", row.key);
+                None
+            }
+        }
+    }
+
+    /// Its value.
+    ///
+    /// # Panics
+    /// Never: a row holds only plain data that bincode always encodes.
+    #[must_use]
+    pub fn value(&self) -> Vec<u8> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard())
+            .expect("a row of plain data always encodes")
+    }
+
+    /// What it says.
+    #[must_use]
+    pub fn record(&self, clock: &ClockReading) -> CallRecord {
+        let mark = |mark: &RowMark| {
+            Some(CrashMark {
+                id: mark.id,
+                began: moment_of(mark.began_ms, clock)?,
+                ended: moment_of(mark.ended_ms, clock)?,
+            })
+        };
+        let marks = self.marks.iter().filter_map(mark).collect();
+        let cleared = self.cleared_ms.and_then(|ms| moment_of(ms, clock));
+        CallRecord::new(marks, cleared, None)
+    }
+}
+
+/// The key of the row of `call`.
+#[must_use]
+pub fn key_of(call: CallIdentity) -> String {
+    format!("{KEY_PREFIX}{call}")
+}
+
+/// Whether a row with `key` is of a call, not of a host.
+#[must_use]
+pub fn is_held_key(key: &str) -> bool {
+    key.starts_with(KEY_PREFIX)
+}
+
+/// The rows that are in the table, as far as is known.
+pub type WrittenRows = BTreeSet<CallIdentity>;
+
+impl MeshShared {
+    /// Takes over rows that were read.
+    pub fn take_held_rows<'a>(&self, rows: impl Iterator<Item = &'a StoreRow>) {
+        for row in rows.filter(|row| is_held_key(&row.key)) {
+            let Some(held) = HeldRow::read(row) else {
+                continue;
+            };
+            let is_remembered = self.quarantine.hear_row(&held);
+            if !is_remembered && self.members.is_source() {
+                self.members.rows.want(RowChange::Remove(key_of(held.call)));
+            }
+        }
+    }
+
+    /// Has the rows of calls of which there is news written or removed, if this
+    /// daemon asks the store for the fleet.
+    pub(crate) fn see_to_held_rows(&self, calls: &[CallIdentity]) {
+        if !self.members.is_source() {
+            return;
+        }
+        for call in calls {
+            if let Some(change) = self.quarantine.row_change(*call) {
+                self.members.rows.want(change);
+            }
+        }
+    }
+}
+
+/// What is to become of the row of a call with `record`: it stands while the
+/// call is held back.
+#[must_use]
+pub fn row_change(
+    call: CallIdentity,
+    record: &CallRecord,
+    written: &mut WrittenRows,
+    clock: &ClockReading,
+) -> Option<RowChange> {
+    if record.is_held() {
+        written.insert(call);
+        return Some(RowChange::Hold(HeldRow::of(call, record, clock)));
+    }
+    written
+        .remove(&call)
+        .then(|| RowChange::Remove(key_of(call)))
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod egress;
 pub mod feeds;
 pub mod gate;
+pub mod held_rows;
 pub mod ingress;
 pub mod links;
 pub mod logging;
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{watch, Notify};
 use twox_hash::XxHash64;
 
+use crate::held_rows::is_held_key;
 use crate::messages::{
     encode, HostChanges, HostList, LinkMessage, PeerAddress, RowChange, StoreState,
 };
@@ -250,7 +251,9 @@
                     self.learn_host(address.clone(), "store");
                     self.pass_listed(&address.id);
                 }
+                RowChange::Remove(key) if is_held_key(key) => {}
                 RowChange::Remove(id) => self.row_is_gone(id, "store"),
+                RowChange::Hold(_) => {}
             }
         }
     }
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::deflate;
+use crate::held_rows::{self, HeldRow};
 use crate::quarantine::{AgedMark, SuspectCall};
 use crate::text_delta::TextDelta;
 
@@ -209,17 +210,20 @@
 pub enum RowChange {
     /// It is missing or wrong.
     Write(PeerAddress),
-    /// The host of this name is taken away.
+    /// The host of this name is taken away, or the call of this key let go.
     Remove(String),
+    /// A call is held back.
+    Hold(HeldRow),
 }
 
 impl RowChange {
-    /// The name of the host.
+    /// The key of the row: of a host its name.
     #[must_use]
-    pub fn host(&self) -> &str {
+    pub fn key(&self) -> String {
         match self {
-            RowChange::Write(address) => &address.id,
-            RowChange::Remove(id) => id,
+            RowChange::Write(address) => address.id.clone(),
+            RowChange::Remove(id) => id.clone(),
+            RowChange::Hold(held) => held_rows::key_of(held.call),
         }
     }
 }
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -9,13 +9,14 @@
 use filbert_policy::clock::Clock;
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::quarantine::{
-    CallRecord, CallStanding, CrashMark, QuarantineBook, RecordChange,
+    is_forgotten, CallRecord, CallStanding, CrashMark, QuarantineBook, RecordChange,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+use crate::held_rows::{self, HeldRow, WrittenRows};
 use crate::logging::{LineBudget, LineWeight};
-use crate::messages::{encode, LinkMessage};
+use crate::messages::{encode, LinkMessage, RowChange};
 use crate::metrics::MeshMetrics;
 use crate::state::MeshShared;
 
@@ -113,6 +114,8 @@
     spread: f64,
     untold: RefCell<BTreeMap<CallIdentity, ToldCircle>>,
     has_untold: Notify,
+    /// Rows of held calls in the store.
+    written: RefCell<WrittenRows>,
     /// Whether anything was ever noted: most daemons never do.
     is_used: Cell<bool>,
 }
@@ -129,6 +132,7 @@
             spread: rand::random(),
             untold: RefCell::default(),
             has_untold: Notify::new(),
+            written: RefCell::default(),
             is_used: Cell::new(false),
         })
     }
@@ -164,6 +168,26 @@
         }
     }
 
+    /// Takes over a row of the store, unless it is long over; whether it is not.
+    pub fn hear_row(&self, held: &HeldRow) -> bool {
+        let record = held.record(&self.clock.reading());
+        if is_forgotten(&record, self.clock.now()) {
+            return false;
+        }
+        self.written.borrow_mut().insert(held.call);
+        self.note(held.call, &record, "store");
+        true
+    }
+
+    /// What is to become of the row of `call`, now that there is news of it.
+    #[must_use]
+    pub fn row_change(&self, call: CallIdentity) -> Option<RowChange> {
+        let book = self.book.borrow();
+        let mut written = self.written.borrow_mut();
+        let clock = self.clock.reading();
+        held_rows::row_change(call, book.record(call)?, &mut written, &clock)
+    }
+
     fn note(&self, call: CallIdentity, record: &CallRecord, from: &str) -> RecordChange {
         self.is_used.set(true);
         let now = self.clock.now();
@@ -326,6 +350,10 @@
     if calls.is_empty() {
         return;
     }
+    if circle == ToldCircle::All {
+        let news: Vec<CallIdentity> = calls.iter().map(|told| told.call).collect();
+        shared.see_to_held_rows(&news);
+    }
     let message = LinkMessage::Suspects(calls);
     shared.peers.broadcast_to(most, &encode(&message));
     for peer in shared.peers.some_linked(most) {
--- a/crates/mesh/src/rows.rs
+++ b/crates/mesh/src/rows.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::feeds;
+use crate::held_rows::is_held_key;
 use crate::messages::{LinkMessage, PeerAddress, RowChange, StoreState};
 use crate::state::MeshShared;
 
@@ -88,7 +89,7 @@
 
     /// Has a change made by this daemon.
     pub fn want(&self, change: RowChange) {
-        let id = change.host().to_owned();
+        let id = change.key();
         self.wanted.borrow_mut().insert(id, change);
         self.has_wanted.notify_one();
     }
@@ -104,7 +105,7 @@
     fn put_back(&self, changes: Vec<RowChange>) {
         let mut wanted = self.wanted.borrow_mut();
         for change in changes {
-            let id = change.host().to_owned();
+            let id = change.key();
             wanted.entry(id).or_insert(change);
         }
         self.has_wanted.notify_one();
@@ -162,13 +163,16 @@
 
 /// Makes `changes`; whether the store said that they are made.
 async fn write(shared: &MeshShared, changes: &[RowChange]) -> bool {
+    let keys: Vec<String> = changes.iter().map(RowChange::key).collect();
     let edits: Vec<RowEdit<'_>> = changes
         .iter()
-        .map(|change| RowEdit {
+        .zip(&keys)
+        .map(|(change, key)| RowEdit {
             table: HOSTS_TABLE,
-            key: change.host(),
+            key,
             value: match change {
                 RowChange::Write(address) => Some(encode_member(address)),
+                RowChange::Hold(held) => Some(held.value()),
                 RowChange::Remove(_) => None,
             },
         })
@@ -176,14 +180,17 @@
     match shared.store.edit_rows(&edits).await {
         Ok(()) => {
             shared.metrics.store_call("rows", "answered");
-            for change in changes {
-                let is_own = change.host() == shared.settings.borrow().id;
+            for (change, key) in changes.iter().zip(&keys) {
+                let is_own = *key == shared.settings.borrow().id;
                 let row = if is_own { "own_row" } else { "row" };
                 match change {
                     RowChange::Write(address) => {
                         log::info!("event={row}_written host={}", address.id);
                     }
                     RowChange::Remove(id) => log::info!("event={row}_removed host={id}"),
+                    RowChange::Hold(held) => {
+                        log::info!("event=held_row_written call={}", held.call);
+                    }
                 }
             }
             shared.rows_have_changed(changes);
@@ -258,6 +265,9 @@
 /// The daemon that a row of [`HOSTS_TABLE`] names; `None` when it names none.
 #[must_use]
 pub fn decode_member(row: &StoreRow) -> Option<PeerAddress> {
+    if is_held_key(&row.key) {
+        return None;
+    }
     let value = row.value.as_ref()?;
     match read_member(&row.key, value) {
         Ok(address) => Some(address),
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -101,6 +101,12 @@
         .mul_f64(1.0 + spread)
 }
 
+/// Whether what `record` says is so old that it is not remembered.
+#[must_use]
+pub fn is_forgotten(record: &CallRecord, now: Instant) -> bool {
+    record.is_over(hold_after(record.strikes(), 1.0) + REMEMBERED, now)
+}
+
 /// A daemon's book of the calls that were at work as targets ended.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineBook {
@@ -227,10 +233,7 @@
         if self.records.len() < MOST_CALLS {
             return;
         }
-        self.records.retain(|_, record| {
-            let hold = hold_after(record.strikes(), 1.0);
-            !record.is_over(hold + REMEMBERED, now)
-        });
+        self.records.retain(|_, record| !is_forgotten(record, now));
         while self.records.len() >= MOST_CALLS {
             let least = self
                 .records
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -104,6 +104,12 @@
         strikes
     }
 
+    /// Whether it speaks for holding the call back.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.strikes() >= HELD_STRIKES
+    }
+
     /// Takes over what `told` has; whether anything was new.
     pub(super) fn merge(&mut self, told: &CallRecord) -> bool {
         let mut is_new = false;
--- a/tests/mesh_harmful.rs
+++ b/tests/mesh_harmful.rs
@@ -6,14 +6,19 @@
 
 use std::time::{Duration, Instant};
 
-use filbert_platform_standin::{HarmfulCall, RouteSpec};
+use filbert_platform_standin::host::call_headers;
+use filbert_platform_standin::{Client, Conduct, HarmfulCall, Host, RouteSpec, StoreFault};
 use rstest::rstest;
-use users::{fleet, Fleet};
+use tokio::task::JoinSet;
+use users::{eventually, fleet, Fleet, SETTLE_WITHIN};
 
 /// Time from the third end of a target within which all daemons know of it.
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 /// Arrivals of a harmful call at targets after that.
 const MOST_ARRIVALS_AFTER: usize = 3;
+/// Arrivals of a call that is held back, within some seconds: one try when the
+/// first hold is over.
+const TRIES_AFTER_HOLD: usize = 1;
 /// Time that the harmful call's clients go on asking after that.
 const ASKED_ON_FOR: Duration = Duration::from_secs(5);
 /// Pause between two tries of the harmful call's clients.
@@ -84,31 +89,134 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_ends_three_targets_is_held_back_everywhere(#[case] case: HarmfulCase) {
     let fleet = fleet_with_harmful(case.line).await;
-    let request = format!("{} HTTP/1.1", case.line);
-    let mut third_end = None;
-    let started = Instant::now();
-    for number in 0_usize.. {
-        let host = &fleet.hosts[number % fleet.hosts.len()];
-        let id = format!("harmful-{number}");
-        // Whatever the answer, the client comes again.
-        let _ = host.call(&request, &id, case.body.as_bytes()).await;
-        let runs = fleet.runs_of_line(case.line);
-        third_end = third_end.or((runs.len() >= 3).then(Instant::now));
-        let asked_long = third_end.is_some_and(|at| at.elapsed() > KNOWN_WITHIN + ASKED_ON_FOR);
-        if asked_long || started.elapsed() > Duration::from_secs(30) {
-            break;
+    let third_end = fleet.ask_until_held(&case).await;
+    let asked_until = third_end + KNOWN_WITHIN + ASKED_ON_FOR;
+    fleet.ask_until(&case, asked_until).await;
+    let late = fleet.runs_since(case.line, third_end + KNOWN_WITHIN);
+    assert!(late.len() <= MOST_ARRIVALS_AFTER, "more arrivals: {late:?}");
+}
+
+impl Fleet {
+    /// Asks for `case` at one host after the other; each answer must be true.
+    async fn ask_until(&self, case: &HarmfulCase, until: Instant) {
+        let request = format!("{} HTTP/1.1", case.line);
+        let mut number = 0;
+        while Instant::now() < until {
+            number += 1;
+            let host = &self.hosts[number % self.hosts.len()];
+            let id = format!("harmful-{until:?}-{number}");
+            let answer = host.call(&request, &id, case.body.as_bytes()).await;
+            if answer.is_some_and(|answer| answer.status == 503) {
+                assert_eq!(self.runs_of(&id), 0, "{id} was said not to have run");
+            }
+            tokio::time::sleep(ASKED_EVERY).await;
+        }
+    }
+
+    /// Asks for `case` until all daemons hold it back; when the third target
+    /// had ended under it by.
+    async fn ask_until_held(&self, case: &HarmfulCase) -> Instant {
+        let started = Instant::now();
+        let mut third_end = None;
+        while started.elapsed() < SETTLE_WITHIN {
+            self.ask_until(case, Instant::now() + ASKED_EVERY).await;
+            if self.runs_of_line(case.line).len() >= 3 {
+                let third_end = *third_end.get_or_insert_with(Instant::now);
+                let is_held = |host: &Host| host.log().contains("event=call_held");
+                if self.hosts.iter().all(is_held) || third_end.elapsed() > KNOWN_WITHIN {
+                    return third_end;
+                }
+            }
+        }
+        panic!("the call does not reach three targets");
+    }
+
+    /// How long after `since` runs of `line` began.
+    fn runs_since(&self, line: &str, since: Instant) -> Vec<Duration> {
+        let runs = self.runs_of_line(line).into_iter();
+        runs.filter_map(|at| at.checked_duration_since(since))
+            .collect()
+    }
+}
+
+const HARMFUL_LOOKUP: HarmfulCase = HarmfulCase {
+    line: "GET /read/harmful",
+    body: "",
+};
+
+/// What ends after a call is held back, and for whom the store is silent.
+struct LossCase {
+    /// Places of the hosts whose daemons are killed and start again.
+    killed: std::ops::Range<usize>,
+    store: StoreFault,
+}
+
+/// A harmful lookup is held back. Then the daemons that saw it are gone: those
+/// beside the servers that ended, the one that is asked next, or all. The lookup
+/// comes again. What the daemons knew must not be gone with them, or three more
+/// servers end.
+#[rstest]
+#[case::those_of_the_targets(LossCase { killed: 2..7, store: StoreFault::None })]
+#[case::one_that_is_asked_then(LossCase { killed: 0..1, store: StoreFault::None })]
+#[case::all(LossCase { killed: 0..7, store: StoreFault::None })]
+#[case::those_of_the_targets_without_a_store(LossCase { killed: 2..7, store: StoreFault::Silent })]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_held_call_stays_so_when_daemons_end(#[case] case: LossCase) {
+    let mut fleet = fleet_with_harmful(HARMFUL_LOOKUP.line).await;
+    fleet.store.set_fault(case.store);
+    fleet.ask_until_held(&HARMFUL_LOOKUP).await;
+    if case.store == StoreFault::None {
+        let is_written = || async {
+            let mut keys = fleet.store.keys("filbert-hosts").into_iter();
+            keys.any(|key| key.starts_with("held/"))
+        };
+        assert!(eventually(SETTLE_WITHIN, is_written).await);
+    }
+    for host in &mut fleet.hosts[case.killed.clone()] {
+        host.kill();
+    }
+    let killed = Instant::now();
+    for host in &mut fleet.hosts[case.killed] {
+        host.start_daemon();
+    }
+    fleet
+        .ask_until(&HARMFUL_LOOKUP, killed + ASKED_ON_FOR)
+        .await;
+    let late = fleet.runs_since(HARMFUL_LOOKUP.line, killed);
+    assert!(late.len() <= TRIES_AFTER_HOLD, "more arrivals: {late:?}");
+}
+
+/// Four of five servers end at one moment, as with the power of a rack. A lookup
+/// that many ask for was at work in all of them. It is no reason to refuse it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_popular_call_is_served_after_many_targets_ended_at_once() {
+    const POPULAR: &str = "GET /read/popular HTTP/1.1";
+    let fleet = fleet_with_harmful("GET /read/nobody-asks").await;
+    for host in &fleet.hosts {
+        host.target
+            .set_conduct(Conduct::AnswersAfter(Duration::from_millis(200)));
+    }
+    for round in 0..3 {
+        let mut asked = JoinSet::new();
+        for number in 0..16 {
+            let calls = fleet.hosts[number % 2].calls;
+            let id = format!("popular-{round}-{number}");
+            asked.spawn(async move {
+                Client::once(calls, POPULAR, &call_headers(&id), b"").await;
+            });
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        for host in &fleet.hosts[3..] {
+            host.target.end_now();
+        }
+        asked.join_all().await;
+        // All but one of the servers are back by then.
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        for number in 0..8 {
+            let id = format!("after-{round}-{number}");
+            let host = &fleet.hosts[number % fleet.hosts.len()];
+            let answer = host.call(POPULAR, &id, b"").await.expect("an answer");
+            assert_eq!(answer.status, 200, "{}", host.log());
         }
-        tokio::time::sleep(ASKED_EVERY).await;
     }
-    let third_end = third_end.expect("the call reaches three targets");
-    let late: Vec<Duration> = fleet
-        .runs_of_line(case.line)
-        .into_iter()
-        .filter_map(|at| at.checked_duration_since(third_end + KNOWN_WITHIN))
-        .collect();
-    assert!(
-        late.len() <= MOST_ARRIVALS_AFTER,
-        "{} more arrivals: {late:?}",
-        late.len()
-    );
 }
