Operators list the calls that are held back, let one go, and have one explained

What the on-call engineer saw: nothing; which call ended which targets could only be put together by hand.

Change: `filbertctl mesh held` (text or JSON) lists them from their rows, `mesh release CALL` lets one go by a row that clears it, which the daemons that ask the store hear and pass on. `filbertctl explain` takes a call's identity too (all of its tries), and tells a try with what daemons came to believe of its call.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -4,6 +4,7 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
+use filbert_policy::identity::CallIdentity;
 
 /// Port of the daemons' metrics, unless told otherwise.
 const METRICS_PORT: u16 = 9464;
@@ -119,7 +120,7 @@
     },
 }
 
-/// The commands on the users' platform. They read only.
+/// The commands on the users' platform. All but `release` read only.
 #[derive(Debug, Subcommand)]
 pub enum MeshCommand {
     /// Show the configuration in the store as a tree.
@@ -151,6 +152,17 @@
         #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
         output: ReadFormat,
     },
+    /// List the calls that are held back because targets ended under them.
+    Held {
+        /// How to print them.
+        #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
+        output: ReadFormat,
+    },
+    /// Let a call that is held back go.
+    Release {
+        /// The call, as `held` lists it and logs name it (`call=`).
+        call: CallIdentity,
+    },
     /// Wait until a version is in force on every host.
     Watch {
         /// The version's number; the one in the store when left out.
--- /dev/null
+++ b/crates/ctl/src/cmd/held.rs
@@ -0,0 +1,97 @@
+//! `filbertctl mesh held` and `release`: the calls that are held back because
+//! targets ended under them, and letting one go.
+
+use error_stack::ResultExt;
+use filbert_mesh::held_rows::{key_of, HeldRow};
+use filbert_mesh::rows::HOSTS_TABLE;
+use filbert_platform::store::{RowEdit, StoreClient};
+use filbert_policy::clock::{Clock, ClockReading, SystemClock};
+use filbert_policy::identity::CallIdentity;
+use filbert_policy::quarantine::hold_after;
+use serde::Serialize;
+
+use crate::cli::ReadFormat;
+use crate::error::CtlError;
+use crate::store::{json, CtlResult};
+
+/// One call that is held back.
+#[derive(Debug, Serialize)]
+struct HeldCall {
+    /// Its identity, `call=` in the daemons' logs.
+    call: String,
+    /// Targets that ended under it.
+    ends: usize,
+    /// Seconds since the last of them.
+    last_end_ago_s: u64,
+    /// Seconds until a daemon may try it again; 0 when one may now.
+    tried_in_s: u64,
+}
+
+impl HeldCall {
+    fn of(row: &HeldRow, clock: &ClockReading) -> HeldCall {
+        let record = row.record(clock);
+        let hold = hold_after(record.strikes(), 0.0);
+        let age = record
+            .marks()
+            .last()
+            .map(|mark| clock.now.saturating_duration_since(mark.ended))
+            .unwrap_or_default();
+        HeldCall {
+            call: row.call.to_string(),
+            ends: record.marks().count(),
+            last_end_ago_s: age.as_secs(),
+            tried_in_s: hold.saturating_sub(age).as_secs(),
+        }
+    }
+}
+
+/// Lists the calls that are held back.
+pub(super) async fn list(store: &StoreClient, output: ReadFormat) -> CtlResult<()> {
+    let batch = store
+        .read_table(HOSTS_TABLE)
+        .await
+        .change_context(CtlError::Platform)?;
+    let clock = SystemClock.reading();
+    let held: Vec<HeldCall> = batch
+        .rows
+        .iter()
+        .filter_map(HeldRow::read)
+        .filter(|row| row.record(&clock).is_held())
+        .map(|row| HeldCall::of(&row, &clock))
+        .collect();
+    if output == ReadFormat::Json {
+        println!("{}", json(&held)?);
+        return Ok(());
+    }
+    if held.is_empty() {
+        println!("no call is held back");
+        return Ok(());
+    }
+    println!(
+        "{:<32} {:>5} {:>12} {:>9}",
+        "call", "ends", "last end", "tried in"
+    );
+    for call in held {
+        println!(
+            "{:<32} {:>5} {:>8} s ago {:>7} s",
+            call.call, call.ends, call.last_end_ago_s, call.tried_in_s
+        );
+    }
+    Ok(())
+}
+
+/// Lets a call go: its route's targets were mended, or it was held back wrongly.
+pub(super) async fn release(store: &StoreClient, call: CallIdentity) -> CtlResult<()> {
+    let row = HeldRow::release(call, &SystemClock.reading());
+    let edit = RowEdit {
+        table: HOSTS_TABLE,
+        key: &key_of(call),
+        value: Some(row.value()),
+    };
+    store
+        .edit_rows(&[edit])
+        .await
+        .change_context(CtlError::Platform)?;
+    println!("{call} is let go; daemons hear of it from the store");
+    Ok(())
+}
--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -1,6 +1,6 @@
-//! `filbertctl mesh ...`: the configuration and the hosts on the users'
-//! platform. Reads only: the store takes the configuration from its own
-//! operator interface alone.
+//! `filbertctl mesh ...`: the configuration, the hosts and the calls held back
+//! on the users' platform. The store takes the configuration from its own
+//! operator interface alone, so that is only read.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -10,6 +10,7 @@
 use filbert_platform::operator::read_config;
 use filbert_platform::store::{StoreClient, CONFIG_KEY, OPERATOR_TABLE};
 
+use super::held;
 use crate::cli::{ConfigFormat, MeshCommand, ReadFormat};
 use crate::error::CtlError;
 use crate::mesh::{DaemonReadings, HostStatus, MeshTree};
@@ -30,6 +31,8 @@
             metrics_port,
             output,
         } => status(&store, metrics_port, output).await,
+        MeshCommand::Held { output } => held::list(&store, output).await,
+        MeshCommand::Release { call } => held::release(&store, call).await,
         MeshCommand::Watch {
             version,
             metrics_port,
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod diff;
 mod edit;
 mod explain;
+mod held;
 mod mesh;
 mod publish;
 mod remove;
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -34,6 +34,11 @@
         self.fields.get(key).map_or("-", String::as_str)
     }
 
+    /// The identity of the call that it is about.
+    fn call(&self) -> Option<&str> {
+        self.fields.get("call").map(String::as_str)
+    }
+
     /// What the line says, in a sentence.
     #[must_use]
     pub fn sentence(&self) -> String {
@@ -70,6 +75,27 @@
                 get("ran_ms"),
                 get("reason"),
             ),
+            "gate_held_back" => format!(
+                "refused in front of the target: the call is held back for {} ms more",
+                get("left_ms"),
+            ),
+            "call_suspected" => format!(
+                "{} in a row ended under call {} (heard from: {})",
+                targets(get("strikes")),
+                get("call"),
+                get("from"),
+            ),
+            "call_held" => format!(
+                "call {} is held back from now on: three targets ended under it (heard from: {})",
+                get("call"),
+                get("from"),
+            ),
+            "call_tried" => format!("call {} is tried once", get("call")),
+            "call_cleared" => format!(
+                "call {} is cleared: a target ran it well (heard from: {})",
+                get("call"),
+                get("from"),
+            ),
             "call_ended" => format!(
                 "{} with status {} after {} ms (aim {} ms), reason {}; route {} to service {} in version {}, {} attempts, {} of them declined{}",
                 outcome(get("outcome")),
@@ -92,8 +118,16 @@
     }
 }
 
+fn targets(count: &str) -> String {
+    match count {
+        "1" => "one target".to_owned(),
+        count => format!("{count} targets"),
+    }
+}
+
 fn ending(end: &str) -> &str {
     match end {
+        "HeldBack" => "refused in front of the target, as it is held back",
         "Declined" => "declined before the target saw it",
         "Rejected" => "the target said that it did not run it",
         "Lost" => "sent, but no whole answer came",
@@ -168,14 +202,19 @@
 /// Changes of belief shown: the newest tell most.
 const MOST_CONTEXT: usize = 12;
 
-/// Gathers what `lines` say of call `id`; `None` when nothing does.
+/// Gathers what `lines` say of the try with request id `id`, or of all tries of
+/// the call with that identity; `None` when nothing does.
 #[must_use]
 pub fn story_of(id: &str, lines: &[LogLine]) -> Option<CallStory> {
-    let mut own: Vec<LogLine> = lines
-        .iter()
-        .filter(|line| line.get("request") == id)
-        .cloned()
-        .collect();
+    let tries = lines.iter().filter(|line| line.get("request") == id);
+    let calls: Vec<&str> = tries.filter_map(|line| line.call()).collect();
+    let is_own = |line: &&LogLine| {
+        // What daemons came to believe of the call names no try of it.
+        let is_belief = !line.fields.contains_key("request");
+        let is_of_call = line.call().is_some_and(|call| calls.contains(&call));
+        line.get("request") == id || line.call() == Some(id) || (is_belief && is_of_call)
+    };
+    let mut own: Vec<LogLine> = lines.iter().filter(is_own).cloned().collect();
     own.sort_by(|one, other| one.time.cmp(&other.time));
     let last = own.last()?.time.clone();
     let crossed: Vec<&str> = own.iter().map(|line| line.source.as_str()).collect();
--- a/crates/ctl/tests/explain_cases.rs
+++ b/crates/ctl/tests/explain_cases.rs
@@ -50,3 +50,37 @@
 fn a_call_that_no_line_names_has_no_story() {
     assert_eq!(story_of("unheard", &lines()), None);
 }
+
+/// A lookup ended three servers and is held back, as three daemons wrote it.
+const HELD: &str = r#"
+ts=2026-01-01T00:00:20.900+00:00 level=info event=call_suspected call=c1 strikes=2 from=reply
+ts=2026-01-01T00:00:21.000+00:00 level=info event=gate_ran request=look-3 call=c1 instance=i-3 verdict=target_ended reason="closed without an answer" waited_ms=0 ran_ms=40
+ts=2026-01-01T00:00:21.001+00:00 level=warn event=call_held call=c1 strikes=3 from=target
+ts=2026-01-01T00:00:21.002+00:00 level=warn event=call_held call=c2 strikes=3 from=target
+ts=2026-01-01T00:00:21.400+00:00 level=info event=call_ended request=look-4 call=c1 outcome=refused status=503 reason=held_back route=r-1 service=quotes version=0000000c host= attempts=0 declines=0 took_ms=0 aim_ms=600 come_back_ms=4600
+"#;
+
+#[rstest]
+#[case::one_try("look-4", &["call_suspected", "call_held", "call_ended"])]
+#[case::all_tries("c1", &["call_suspected", "gate_ran", "call_held", "call_ended"])]
+fn a_held_call_is_told_with_what_held_it(#[case] id: &str, #[case] events: &[&str]) {
+    let lines: Vec<LogLine> = HELD
+        .lines()
+        .filter_map(|line| LogLine::parse(line, "file"))
+        .collect();
+    let story = story_of(id, &lines).expect("a story");
+    let told: Vec<&str> = story
+        .lines
+        .iter()
+        .map(|line| line.fields["event"].as_str())
+        .collect();
+    assert_eq!(told, events);
+    let text = story.to_string();
+    for part in [
+        "2 targets in a row ended under call c1",
+        "call c1 is held back from now on",
+        "reason held_back",
+    ] {
+        assert!(text.contains(part), "{part} is not in:\n{text}");
+    }
+}
--- a/crates/policy/src/identity.rs
+++ b/crates/policy/src/identity.rs
@@ -1,6 +1,7 @@
 //! What a call is, whichever client's try, host or attempt brings it.
 
 use std::fmt;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -80,3 +81,31 @@
         write!(formatter, "CallIdentity({self})")
     }
 }
+
+/// The text is not an identity: 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadIdentity;
+
+impl fmt::Display for BadIdentity {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("not a call's identity: 32 hexadecimal digits, as `call=` in the logs")
+    }
+}
+
+impl std::error::Error for BadIdentity {}
+
+impl FromStr for CallIdentity {
+    type Err = BadIdentity;
+
+    fn from_str(text: &str) -> Result<CallIdentity, BadIdentity> {
+        if text.len() != 2 * BYTES || !text.is_ascii() {
+            return Err(BadIdentity);
+        }
+        let mut bytes = [0; BYTES];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[2 * index..2 * index + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| BadIdentity)?;
+        }
+        Ok(CallIdentity(bytes))
+    }
+}
--- a/crates/policy/tests/identity_cases.rs
+++ b/crates/policy/tests/identity_cases.rs
@@ -1,6 +1,6 @@
 //! Which calls share an identity.
 
-use filbert_policy::identity::{CallIdentity, IdentityParts};
+use filbert_policy::identity::{BadIdentity, CallIdentity, IdentityParts};
 use rstest::rstest;
 
 const LOOKUP: IdentityParts<'static> = IdentityParts {
@@ -30,3 +30,18 @@
 fn calls_that_differ_are_two(#[case] other: IdentityParts<'static>) {
     assert_ne!(CallIdentity::of(&LOOKUP), CallIdentity::of(&other));
 }
+
+#[test]
+fn an_identity_is_read_back_from_its_text() {
+    let call = CallIdentity::of(&LOOKUP);
+    assert_eq!(call.to_string().parse(), Ok(call));
+}
+
+#[rstest]
+#[case("")]
+#[case("0123")]
+#[case("zz3456789abcdef00123456789abcdef")]
+#[case("ä123456789abcdef0123456789abcde")]
+fn other_text_is_no_identity(#[case] text: &str) {
+    assert_eq!(text.parse::<CallIdentity>(), Err(BadIdentity));
+}
--- a/tests/mesh_harmful.rs
+++ b/tests/mesh_harmful.rs
@@ -220,3 +220,49 @@
         }
     }
 }
+
+/// The servers were mended: the lookup that ended them does no harm any more.
+/// The operator sees that it is held back, and lets it go.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_sees_a_held_call_and_lets_it_go() {
+    let fleet = fleet_with_harmful(HARMFUL_LOOKUP.line).await;
+    let none = ctl(&fleet, &["held"]).await;
+    assert_eq!(none.trim(), "no call is held back");
+    fleet.ask_until_held(&HARMFUL_LOOKUP).await;
+    let is_listed = || async { ctl(&fleet, &["held"]).await.contains(" s ago") };
+    assert!(eventually(SETTLE_WITHIN, is_listed).await);
+    let listed = ctl(&fleet, &["held", "--output", "json"]).await;
+    let listed: serde_json::Value = serde_json::from_str(&listed).expect("JSON");
+    assert!(listed[0]["ends"].as_u64() >= Some(3), "{listed}");
+    let call = listed[0]["call"].as_str().expect("an identity").to_owned();
+    for host in &fleet.hosts {
+        host.target.set_harmful(HarmfulCall {
+            line: "GET /read/nobody-asks".to_owned(),
+            ends_after: Duration::ZERO,
+            back_after: Duration::ZERO,
+        });
+    }
+    ctl(&fleet, &["release", &call]).await;
+    let request = format!("{} HTTP/1.1", HARMFUL_LOOKUP.line);
+    for host in &fleet.hosts {
+        let is_served = || async {
+            let answer = host.call(&request, "mended", b"").await;
+            answer.is_some_and(|answer| answer.status == 200)
+        };
+        assert!(eventually(KNOWN_WITHIN, is_served).await, "{}", host.log());
+    }
+    let is_gone = || async { ctl(&fleet, &["held"]).await.trim() == "no call is held back" };
+    assert!(eventually(SETTLE_WITHIN, is_gone).await);
+}
+
+/// What `filbertctl mesh` prints.
+async fn ctl(fleet: &Fleet, words: &[&str]) -> String {
+    let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_filbertctl"))
+        .args(["mesh", "--store", &fleet.store.address.to_string()])
+        .args(words)
+        .output()
+        .await
+        .expect("it runs");
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
