--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -80,7 +80,9 @@
 }
 
 impl SuspectCall {
-    fn of(call: CallIdentity, record: &CallRecord, now: Instant) -> SuspectCall {
+    /// What `record` says of `call`, in ages at `now`.
+    #[must_use]
+    pub fn of(call: CallIdentity, record: &CallRecord, now: Instant) -> SuspectCall {
         SuspectCall {
             call,
             marks: record.marks().map(|mark| AgedMark::of(mark, now)).collect(),
