Rows of held calls: written once, and none that names another call

Cause: a daemon that read a row at its start wrote the same row again; a row whose bytes name another call than its key does would have held that one back; the line for each try of a suspect had no bound.

Change: rows are written when their marks changed; a row must stand under its own key; `call_tried` is within the budget for lines.

--- a/crates/mesh/src/held_rows.rs
+++ b/crates/mesh/src/held_rows.rs
@@ -5,7 +5,7 @@
 //! few daemons that ask the store for the fleet write them; others, and
 //! operators who let a call go, are heard through them.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use filbert_platform::store::StoreRow;
@@ -87,7 +87,7 @@
         let value = row.value.as_ref()?;
         let decoded = bincode::serde::decode_from_slice(value, bincode::config::standard());
         match decoded {
-            Ok((held, used)) if used == value.len() => Some(held),
+            Ok((held, used)) if is_own(&held, &row.key) && used == value.len() => Some(held),
             _ => {
                 log::warn!("event=held_row_malformed key={}", row.key);
                 None
@@ -121,6 +121,11 @@
     }
 }
 
+/// Guards against a row by another writer whose bytes happen to decode.
+fn is_own(held: &HeldRow, key: &str) -> bool {
+    key_of(held.call) == key
+}
+
 /// The key of the row of `call`.
 #[must_use]
 pub fn key_of(call: CallIdentity) -> String {
@@ -133,8 +138,8 @@
     key.starts_with(KEY_PREFIX)
 }
 
-/// The rows that are in the table, as far as is known.
-pub type WrittenRows = BTreeSet<CallIdentity>;
+/// The rows that are in the table, as far as is known, and the marks in each.
+pub type WrittenRows = BTreeMap<CallIdentity, usize>;
 
 impl MeshShared {
     /// Takes over rows that were read.
@@ -174,10 +179,11 @@
     clock: &ClockReading,
 ) -> Option<RowChange> {
     if record.is_held() {
-        written.insert(call);
-        return Some(RowChange::Hold(HeldRow::of(call, record, clock)));
+        let held = HeldRow::of(call, record, clock);
+        let marks = held.marks.len();
+        let is_news = written.insert(call, marks) != Some(marks);
+        return is_news.then_some(RowChange::Hold(held));
     }
-    written
-        .remove(&call)
-        .then(|| RowChange::Remove(key_of(call)))
+    let was_written = written.remove(&call).is_some();
+    was_written.then(|| RowChange::Remove(key_of(call)))
 }
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -176,7 +176,8 @@
         if is_forgotten(&record, self.clock.now()) {
             return false;
         }
-        self.written.borrow_mut().insert(held.call);
+        let marks = held.marks.len();
+        self.written.borrow_mut().insert(held.call, marks);
         self.note(held.call, &record, "store");
         true
     }
@@ -274,7 +275,9 @@
     pub fn begin_trial(self: &Rc<Self>, call: CallIdentity) -> TrialPermit {
         self.book.borrow_mut().begin_trial(call, self.clock.now());
         self.tell(call, ToldCircle::All);
-        log::info!("event=call_tried call={call}");
+        if self.lines.takes(LineWeight::Notable, self.clock.now()) {
+            log::info!("event=call_tried call={call}");
+        }
         TrialPermit {
             quarantine: Rc::clone(self),
             call,
