--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -120,6 +120,9 @@
             self.make_room(now);
         }
         let record = self.records.entry(call).or_default();
+        if is_forgotten(record, now) {
+            *record = CallRecord::default();
+        }
         let before = record.strikes();
         let is_sender_behind = record.has_later_clearing(told);
         let is_new = record.merge(told);
@@ -153,7 +156,7 @@
             return CallStanding::Free;
         };
         let strikes = record.strikes();
-        if strikes < SUSPECT_STRIKES {
+        if strikes < SUSPECT_STRIKES || is_forgotten(record, now) {
             return CallStanding::Free;
         }
         let spread = (spread + call.fraction()).fract();
--- a/crates/policy/tests/quarantine_cases.rs
+++ b/crates/policy/tests/quarantine_cases.rs
@@ -138,6 +138,22 @@
     assert!(hold_after(40, 1.0) <= Duration::from_hours(16));
 }
 
+/// What ended targets once may be mended; nobody has asked for it since.
+#[test]
+fn a_suspect_is_forgotten_after_an_hour() {
+    let start = Instant::now();
+    let (mut book, _) = book_of(start, &[(0, 50), (60, 100)]);
+    let later = at(start, 100) + Duration::from_hours(1) + Duration::from_secs(3);
+    assert_eq!(standing(&book, 0.0, later), CallStanding::Free);
+    let mark = CrashMark {
+        id: 9,
+        began: later,
+        ended: later,
+    };
+    let change = book.merge(call(0), &CallRecord::of_mark(mark), later);
+    assert_eq!((change.before, change.now), (0, 1));
+}
+
 /// Callers make up paths, and targets end under them by the thousand.
 #[test]
 fn the_book_does_not_grow_and_keeps_what_is_held() {
