--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -1,5 +1,7 @@
 //! Places a call: tries targets until one answers or nothing is left to try.
 
+mod ending;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -7,21 +9,19 @@
 use filbert_policy::attempt::{next_step, AttemptEnd, CallAllowance, NextStep};
 use filbert_policy::budget::RepeatCause;
 use filbert_policy::quarantine::CallStanding;
-use filbert_policy::refusal::{come_back_after, come_back_to_shedding};
 use filbert_policy::routing::RouteRule;
 use filbert_policy::run_times::RunTime;
-use rand::Rng;
 
 use super::attempt::{first_end, start, AttemptOutcome, RunningAttempt};
 use super::message::{aim_of, into_message, BodyCopies};
 use super::pick::{pick, Candidate, PickedTarget};
 use super::story::CallStory;
-use super::{refuse, ClientAnswer, ClientCall, BAD_GATEWAY, FIRST_FAILURE};
+use super::{ClientAnswer, ClientCall, FIRST_FAILURE};
 use crate::body::AnswerBody;
-use crate::logging::LineWeight;
 use crate::messages::{micros, AnswerHead, CallHead};
 use crate::quarantine::TrialPermit;
 use crate::state::MeshShared;
+use ending::end_label;
 
 /// Gates asked before a call is refused. Each costs a round trip and no work;
 /// when the best few have no room, the others have none either.
@@ -32,9 +32,6 @@
 /// When to come back for a service without any open target.
 const NO_TARGET: Duration = Duration::from_millis(300);
 
-/// Shortest time to come back after for a call that is held back.
-const SHORTEST_HOLD: Duration = Duration::from_millis(40);
-
 /// Time for the first link to a target of a service that was not called of
 /// late: a connection and a description of the target, with the retries of a
 /// lost packet. A call that finds none by then is refused as without one.
@@ -332,67 +329,6 @@
         let mut budget = self.shared.budget.borrow_mut();
         budget.spend(&self.head.service, cause, daemons, now)
     }
-
-    fn tell(&self, target: &PickedTarget, end: AttemptEnd, step: NextStep) {
-        let now = self.shared.clock.now();
-        if end == AttemptEnd::Answered || !self.shared.lines.takes(LineWeight::Notable, now) {
-            return;
-        }
-        let view = &target.view;
-        log::info!(
-            "event=attempt_ended request={} call={} route={} host={} end={end:?} next={step:?} arrivals={} declines={} occupancy={:.0} slots={} run_ms={:.0} ill_share={:.2} in_zone={} link_ms={:.0} candidates={}",
-            self.head.id,
-            self.head.identity,
-            self.route.name,
-            target.host,
-            self.arrivals,
-            self.declines,
-            view.occupancy,
-            view.slots,
-            view.run_ms,
-            view.ill_share,
-            view.in_zone,
-            view.link_ms,
-            target.candidates
-        );
-    }
-
-    /// The answer when no further attempt is made: what a target said of its
-    /// own failure, or what is known.
-    fn give_up(self) -> ClientAnswer {
-        if let Some((head, body)) = self.failure {
-            return ClientAnswer::Target(head, body);
-        }
-        if self.progress.maybe_run.get() {
-            self.story.reason = "answer_lost";
-            return ClientAnswer::own(BAD_GATEWAY);
-        }
-        if let Some(left) = self.held_for {
-            self.story.reason = "held_back";
-            self.shared.metrics.quarantined("refused");
-            // The whole time, also where the caller will not wait so long: an
-            // earlier try would be refused too.
-            return refuse(left.max(SHORTEST_HOLD));
-        }
-        self.story.reason = match (self.last_end, self.room) {
-            (Some(AttemptEnd::Rejected), _) => "target_rejected",
-            (_, Some(_)) => "no_room",
-            (_, None) => "no_target",
-        };
-        let now = self.shared.clock.now();
-        let left = self.limit.saturating_duration_since(now);
-        let spread = rand::rng().random::<f64>();
-        let come_back = if self.last_end == Some(AttemptEnd::Rejected) {
-            let run = self
-                .head
-                .usual_run
-                .map_or(NO_TARGET, |usual| RunTime::from(usual).mean);
-            come_back_to_shedding(run, left, spread)
-        } else {
-            come_back_after(self.room.unwrap_or(NO_TARGET), left, spread)
-        };
-        refuse(come_back)
-    }
 }
 
 /// Waits until the link to a target falls silent; for ever beside it.
@@ -402,14 +338,3 @@
         Candidate::Peer(peer) => peer.fell_silent.notified().await,
     }
 }
-
-fn end_label(end: AttemptEnd) -> &'static str {
-    match end {
-        AttemptEnd::Answered => "answered",
-        AttemptEnd::AnsweredFailure => "answered_failure",
-        AttemptEnd::Declined => "declined",
-        AttemptEnd::HeldBack => "held_back",
-        AttemptEnd::Rejected => "rejected",
-        AttemptEnd::Lost => "lost",
-    }
-}
--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -1,25 +1,24 @@
 //! Brings configuration and membership from the store, or leaves that to a
 //! daemon of the zone that tells this one.
 
+mod take;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use error_stack::Report;
-use filbert_platform::store::{
-    FeedAnswer, RowBatch, StoreError, StoreRow, CONFIG_KEY, OPERATOR_TABLE,
-};
+use filbert_platform::store::{FeedAnswer, StoreError, OPERATOR_TABLE};
 use filbert_policy::store_asking::{
     first_look_after, first_version, pause_after, FirstVersion, VersionlessView,
 };
 use rand::Rng;
 use tokio::sync::watch::Receiver;
 
-use crate::held_rows::is_held_key;
 use crate::members::StoreRole;
-use crate::messages::{PeerAddress, StoreState};
-use crate::rows::{decode_member, HOSTS_TABLE};
+use crate::messages::StoreState;
+use crate::rows::HOSTS_TABLE;
 use crate::state::MeshShared;
+use take::{take_configuration, take_member, take_table};
 
 /// How long the configuration's feed waits for a change before it answers with
 /// none.
@@ -361,45 +360,3 @@
         }
     }
 }
-
-fn take_table(shared: &Rc<MeshShared>, subject: FeedSubject, batch: RowBatch) {
-    match subject {
-        FeedSubject::Configuration => {
-            for row in batch.rows {
-                take_configuration(shared, row);
-            }
-        }
-        FeedSubject::Membership => {
-            shared.take_held_rows(batch.rows.iter());
-            let listed: Vec<PeerAddress> = batch.rows.iter().filter_map(decode_member).collect();
-            if listed.contains(&shared.own_address()) {
-                shared.see_own_row();
-            } else {
-                shared.members.rows.miss_own();
-            }
-            shared.take_members(listed, "store");
-        }
-    }
-}
-
-fn take_member(shared: &Rc<MeshShared>, row: &StoreRow) {
-    if is_held_key(&row.key) {
-        shared.take_held_rows(std::iter::once(row));
-        return;
-    }
-    match decode_member(row) {
-        Some(address) if address == shared.own_address() => shared.see_own_row(),
-        Some(address) => shared.learn_host(address, "store"),
-        None => shared.row_is_gone(&row.key, "store"),
-    }
-}
-
-fn take_configuration(shared: &Rc<MeshShared>, row: StoreRow) {
-    if row.key != CONFIG_KEY {
-        return;
-    }
-    match row.value {
-        Some(value) => shared.offer_version(&Bytes::from(value), "store"),
-        None => log::error!("event=configuration_missing"),
-    }
-}
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -1,5 +1,7 @@
 //! What daemons say to each other: `bincode` messages, each behind its length.
 
+mod hosts;
+
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -9,11 +11,11 @@
 use filbert_policy::run_times::RunTime;
 use serde::{Deserialize, Serialize};
 
-use crate::deflate;
-use crate::held_rows::{self, HeldRow};
 use crate::quarantine::{AgedMark, SuspectCall};
 use crate::text_delta::TextDelta;
 
+pub use hosts::{HostChanges, HostList, RowChange};
+
 /// Longest message, in bytes: a version of a few thousand routes fits.
 const MAX_MESSAGE: usize = 16 * 1024 * 1024;
 /// Bytes of the length before each message.
@@ -162,72 +164,6 @@
     },
 }
 
-/// A list of hosts, deflated: their names and addresses are much alike.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostList {
-    deflated: Vec<u8>,
-}
-
-impl HostList {
-    /// Packs `hosts`.
-    ///
-    /// # Panics
-    /// Never: addresses hold only plain data that bincode always encodes.
-    #[must_use]
-    pub fn pack(hosts: &[PeerAddress]) -> HostList {
-        let plain = bincode::serde::encode_to_vec(hosts, bincode::config::standard())
-            .expect("addresses always encode");
-        HostList {
-            deflated: deflate::pack(&plain),
-        }
-    }
-
-    /// The hosts.
-    ///
-    /// # Errors
-    /// [`BadMessage`] when the bytes are not such a list.
-    pub fn unpack(&self) -> Result<Vec<PeerAddress>, BadMessage> {
-        let plain = deflate::unpack(&self.deflated).map_err(|_| BadMessage)?;
-        bincode::serde::decode_from_slice(&plain, bincode::config::standard())
-            .map(|(hosts, _)| hosts)
-            .map_err(|_| BadMessage)
-    }
-}
-
-/// What became of hosts.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostChanges {
-    /// Those that came, or changed their address.
-    pub came: Vec<PeerAddress>,
-    /// Names of those whose row is gone.
-    pub gone: Vec<String>,
-    /// Names of those whose row was written for them.
-    pub listed: Vec<String>,
-}
-
-/// What is to become of a host's row in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RowChange {
-    /// It is missing or wrong.
-    Write(PeerAddress),
-    /// The host of this name is taken away, or the call of this key let go.
-    Remove(String),
-    /// A call is held back.
-    Hold(HeldRow),
-}
-
-impl RowChange {
-    /// The key of the row: of a host its name.
-    #[must_use]
-    pub fn key(&self) -> String {
-        match self {
-            RowChange::Write(address) => address.id.clone(),
-            RowChange::Remove(id) => id.clone(),
-            RowChange::Hold(held) => held_rows::key_of(held.call),
-        }
-    }
-}
-
 /// What a daemon has of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreState {
--- /dev/null
+++ b/crates/mesh/src/peers/book.rs
@@ -0,0 +1,168 @@
+//! The daemons linked to, and those that link here and want news.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use rand::seq::SliceRandom;
+use tokio::sync::{mpsc, Notify};
+
+use super::Peer;
+use crate::messages::PeerAddress;
+
+/// A daemon that linked here and wants news.
+struct NewsWatcher {
+    zone: String,
+    /// Whether it is told of hosts whatever its zone.
+    follows: Rc<Cell<bool>>,
+    frames: mpsc::Sender<Bytes>,
+}
+
+/// What a daemon that linked here gets.
+pub struct NewsFeed {
+    /// Frames to pass on to it.
+    pub frames: mpsc::Receiver<Bytes>,
+    /// Whether it is told of hosts whatever its zone.
+    pub follows: Rc<Cell<bool>>,
+}
+
+/// The daemons linked to, by host name, and those that want news from here.
+#[derive(Default)]
+pub struct PeerBook {
+    peers: RefCell<BTreeMap<String, Rc<Peer>>>,
+    watchers: RefCell<Vec<NewsWatcher>>,
+    /// Wakes calls that wait for a first target of their service.
+    pub described: Notify,
+}
+
+/// Messages that may wait for one watcher; one that falls further behind is
+/// dropped, and its link with it.
+const WATCHER_QUEUE: usize = 64;
+
+impl PeerBook {
+    /// The entry for `address`, if there is none yet or the host moved: it is
+    /// to be dialed.
+    pub fn link_to(&self, address: &PeerAddress) -> Option<Rc<Peer>> {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(known) = peers.get(&address.id) {
+            if known.address == *address {
+                return None;
+            }
+            drop_peer(known);
+        }
+        let peer = Peer::new(address.clone());
+        peers.insert(peer.address.id.clone(), Rc::clone(&peer));
+        Some(peer)
+    }
+
+    /// Ends the link to a host as soon as no call uses it.
+    pub fn release(&self, id: &str) {
+        if let Some(peer) = self.peers.borrow_mut().remove(id) {
+            drop_peer(&peer);
+        }
+    }
+
+    /// Every peer.
+    #[must_use]
+    pub fn all(&self) -> Vec<Rc<Peer>> {
+        self.peers.borrow().values().cloned().collect()
+    }
+
+    /// The names of all peers.
+    #[must_use]
+    pub fn ids(&self) -> Vec<String> {
+        self.peers.borrow().keys().cloned().collect()
+    }
+
+    /// The peer on host `id`.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<Rc<Peer>> {
+        self.peers.borrow().get(id).cloned()
+    }
+
+    /// Number of peers with a link up.
+    #[must_use]
+    pub fn linked(&self) -> usize {
+        self.peers
+            .borrow()
+            .values()
+            .filter(|peer| peer.link.borrow().is_some())
+            .count()
+    }
+
+    /// Adds a daemon of `zone` that linked here and wants to hear of changes.
+    pub fn watch(&self, zone: &str) -> NewsFeed {
+        let (sender, frames) = mpsc::channel(WATCHER_QUEUE);
+        let follows = Rc::new(Cell::new(false));
+        self.watchers.borrow_mut().push(NewsWatcher {
+            zone: zone.to_owned(),
+            follows: Rc::clone(&follows),
+            frames: sender,
+        });
+        NewsFeed { frames, follows }
+    }
+
+    /// Number of daemons that want news from here.
+    #[must_use]
+    pub fn watchers(&self) -> usize {
+        self.watchers.borrow().len()
+    }
+
+    /// Tells every daemon that linked here.
+    pub fn broadcast(&self, frame: &Bytes) {
+        self.watchers
+            .borrow_mut()
+            .retain(|watcher| watcher.frames.try_send(frame.clone()).is_ok());
+    }
+
+    /// Tells `most` of the daemons that linked here, drawn at random.
+    pub fn broadcast_to(&self, most: usize, frame: &Bytes) {
+        let mut watchers = self.watchers.borrow_mut();
+        watchers.shuffle(&mut rand::rng());
+        let mut told = 0;
+        watchers.retain(|watcher| {
+            told += 1;
+            told > most || watcher.frames.try_send(frame.clone()).is_ok()
+        });
+    }
+
+    /// `most` of the peers with a link up, drawn at random.
+    #[must_use]
+    pub fn some_linked(&self, most: usize) -> Vec<Rc<Peer>> {
+        let mut peers = self.all();
+        peers.retain(|peer| peer.is_linked());
+        peers.shuffle(&mut rand::rng());
+        peers.truncate(most);
+        peers
+    }
+
+    /// Tells the daemons of all zones but `zone` that linked here.
+    pub fn broadcast_outside(&self, zone: &str, frame: &Bytes) {
+        self.watchers.borrow_mut().retain(|watcher| {
+            watcher.zone == zone || watcher.frames.try_send(frame.clone()).is_ok()
+        });
+    }
+
+    /// Tells the daemons of `zone` that linked here.
+    pub fn broadcast_in(&self, zone: &str, frame: &Bytes) {
+        self.watchers.borrow_mut().retain(|watcher| {
+            watcher.zone != zone || watcher.frames.try_send(frame.clone()).is_ok()
+        });
+    }
+
+    /// Tells the daemons that are told of hosts: those of `zone`, and readers
+    /// of others.
+    pub fn broadcast_to_followers(&self, zone: &str, frame: &Bytes) {
+        self.watchers.borrow_mut().retain(|watcher| {
+            let is_told = watcher.zone == zone || watcher.follows.get();
+            !is_told || watcher.frames.try_send(frame.clone()).is_ok()
+        });
+    }
+}
+
+fn drop_peer(peer: &Peer) {
+    peer.is_dropped.set(true);
+    peer.nudge.notify_one();
+    peer.unused.notify_one();
+}
