--- a/crates/mesh/src/calls/place/ending.rs
+++ b/crates/mesh/src/calls/place/ending.rs
@@ -16,6 +16,7 @@
 const SHORTEST_HOLD: Duration = Duration::from_millis(40);
 
 impl Placing<'_> {
+    /// Writes the line on an attempt that gave no good answer.
     pub(super) fn tell(&self, target: &PickedTarget, end: AttemptEnd, step: NextStep) {
         let now = self.shared.clock.now();
         if end == AttemptEnd::Answered || !self.shared.lines.takes(LineWeight::Notable, now) {
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -102,7 +102,9 @@
 /// Who is to hear of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ToldCircle {
+    /// Some daemons, which pass it on.
     Few,
+    /// All that are linked.
     All,
 }
 
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -30,7 +30,7 @@
 /// its one try. Long enough for a service to be itself again, as its targets are
 /// back within seconds, and short for a bystander of all three ends.
 const FIRST_HOLD: Duration = Duration::from_secs(5);
-/// Each further round makes the hold longer by this factor: a harmful call gets
+/// Each further strike makes the hold longer by this factor: a harmful call gets
 /// three more tries within an hour.
 const HOLD_GROWTH: u32 = 10;
 /// Longest hold.
@@ -38,7 +38,7 @@
 /// Time in which no second try of a suspect goes, unless the first has ended:
 /// nearly all runs take less.
 const TRIAL_TIME: Duration = Duration::from_secs(2);
-/// How long a call is remembered after its last round, or the end of its hold.
+/// How long a call is remembered after its last strike, or the end of its hold.
 const REMEMBERED: Duration = Duration::from_hours(1);
 /// Calls remembered. A target that ends adds as many as it has slots.
 const MOST_CALLS: usize = 2_048;
