Roll-outs, thin: an order is tried, judged by the gates' counters and ended

Callers saw a bad version get half of a service's calls for as long as the operator left it there: no code read the order, and a target's software version was decoded and thrown away.

Trial, judge, roll-back by flooded notes, completion written under a condition.

--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -1,8 +1,11 @@
 //! The targets a call can go to, and the choice among them.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use filbert_policy::placement::{assumed_occupancy, choose, CallShape, TargetView};
+use filbert_policy::placement::{assumed_occupancy, choose, CallShape, CrossingCost, TargetView};
+use filbert_policy::rollout::note::VersionLane;
 use filbert_policy::routing::RouteRule;
 use filbert_policy::run_times::RunTime;
 
@@ -30,6 +33,8 @@
     pub(super) candidate: Candidate,
     /// The host's name.
     pub(super) host: String,
+    /// The version of the target's software.
+    pub(super) software: String,
     /// The target as it was seen.
     pub(super) view: TargetView,
     /// Targets there were to choose from.
@@ -52,17 +57,16 @@
         .map_or(0.0, |history| history.answer_kib);
     let usual = head.usual_run.map(RunTime::from);
     let carried_kib = answer_kib + kib(head.body_length.unwrap_or(0));
-    let mut views = Vec::new();
-    let mut candidates = Vec::new();
-    let mut is_served_at_home = false;
+    let mut seen = Vec::new();
     if let Some(status) = shared.gate.status() {
         let occupancy = f64::from(status.load.running + status.load.waiting);
         if let Some(view) = view_of(&status, service, usual, true, occupancy).map(beside) {
-            is_served_at_home |= !view.is_leaving;
-            if !tried.contains(&settings.id) {
-                views.push(view);
-                candidates.push((Candidate::Here, settings.id.clone()));
-            }
+            seen.push(SeenTarget {
+                candidate: Candidate::Here,
+                host: settings.id.clone(),
+                software: status.software,
+                view,
+            });
         }
     }
     for peer in shared.peers.all() {
@@ -75,35 +79,94 @@
         let Some(mut view) = view_of(&status, service, usual, in_zone, occupancy) else {
             continue;
         };
-        is_served_at_home |= in_zone && !view.is_leaving;
-        if tried.contains(&peer.address.id) {
-            continue;
-        }
         // What was placed there since the report will want the link too.
         let unseen = occupancy - f64::from(reported);
         view.link_ms += unseen * carried_kib * view.link_ms_per_kib;
-        views.push(view);
-        let id = peer.address.id.clone();
-        candidates.push((Candidate::Peer(peer), id));
+        seen.push(SeenTarget {
+            host: peer.address.id.clone(),
+            candidate: Candidate::Peer(peer),
+            software: status.software,
+            view,
+        });
     }
     let shape = CallShape {
         carried_kib,
         aim_ms: millis(head.aim_us),
         left_ms: millis(head.left_us),
-        is_served_at_home,
+        is_served_at_home: false,
         goes_before: route.priority < shared.current_index().last_rank(),
     };
-    let index = choose(&views, &shape, &settings.crossing_cost(), &mut rand::rng())?;
-    let count = candidates.len();
-    let (candidate, host) = candidates.swap_remove(index);
+    let crossing = settings.crossing_cost();
+    let among = |seen: Vec<SeenTarget>| choose_among(seen, tried, shape, &crossing);
+    let Some(lane) = shared.rollouts.lane(service, &head.id) else {
+        return among(of_most_common(seen));
+    };
+    let (new, old): (Vec<_>, Vec<_>) = seen
+        .into_iter()
+        .partition(|target| target.software == lane.to);
+    match lane.lane {
+        VersionLane::NewOnly => among(new),
+        VersionLane::OldOnly => among(old),
+        // A call that was tried before has had its turn at the new version.
+        VersionLane::NewFirst if !tried.is_empty() => among(old),
+        VersionLane::NewFirst => among(new).or_else(|| among(old)),
+    }
+}
+
+/// A target of the call's service.
+struct SeenTarget {
+    candidate: Candidate,
+    host: String,
+    software: String,
+    view: TargetView,
+}
+
+/// The best of `seen` that is not among `tried`.
+fn choose_among(
+    mut seen: Vec<SeenTarget>,
+    tried: &[String],
+    mut shape: CallShape,
+    crossing: &CrossingCost,
+) -> Option<PickedTarget> {
+    let is_home = |target: &SeenTarget| target.view.in_zone && !target.view.is_leaving;
+    shape.is_served_at_home = seen.iter().any(is_home);
+    seen.retain(|target| !tried.contains(&target.host));
+    let views: Vec<TargetView> = seen.iter().map(|target| target.view).collect();
+    let index = choose(&views, &shape, crossing, &mut rand::rng())?;
+    let target = seen.swap_remove(index);
     Some(PickedTarget {
-        candidate,
-        host,
-        view: views[index],
-        candidates: count,
+        candidate: target.candidate,
+        host: target.host,
+        software: target.software,
+        view: target.view,
+        candidates: views.len(),
     })
 }
 
+/// The targets of the version that most of `seen` run.
+///
+/// Guards against calls to a new version by a daemon that has not heard of its
+/// roll-out yet: the old one's targets live beside it, and are no fewer.
+fn of_most_common(mut seen: Vec<SeenTarget>) -> Vec<SeenTarget> {
+    let is_alike = seen
+        .windows(2)
+        .all(|pair| pair[0].software == pair[1].software);
+    if is_alike {
+        return seen;
+    }
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for target in &seen {
+        *counts.entry(&target.software).or_default() += 1;
+    }
+    // Of two that are as common the first by name: versions count up.
+    let common = counts
+        .iter()
+        .min_by_key(|(software, count)| (Reverse(**count), **software))
+        .map(|(software, _)| (*software).to_owned());
+    seen.retain(|target| Some(&target.software) == common.as_ref());
+    seen
+}
+
 /// Bytes in KiB; more than `u32` holds costs the most anyway.
 fn kib(bytes: u64) -> f64 {
     f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1024.0
--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -135,6 +135,7 @@
             // Noted before the attempt: the line at the end names the host
             // also when the call's time ends first.
             self.story.host.clone_from(&target.host);
+            self.story.software.clone_from(&target.software);
             self.story.attempts += 1;
             self.progress.in_attempt.set(true);
             let body = self.bodies.next();
--- a/crates/mesh/src/calls/story.rs
+++ b/crates/mesh/src/calls/story.rs
@@ -17,6 +17,7 @@
     pub(super) route: String,
     pub(super) service: String,
     pub(super) host: String,
+    pub(super) software: String,
     pub(super) attempts: u32,
     pub(super) declines: u32,
     pub(super) aim_ms: u128,
@@ -33,6 +34,7 @@
             route: String::new(),
             service: String::new(),
             host: String::new(),
+            software: String::new(),
             attempts: 0,
             declines: 0,
             aim_ms: 0,
@@ -69,7 +71,7 @@
             return;
         }
         log::info!(
-            "event=call_ended request={} call={} outcome={outcome} status={status} reason={} route={} service={} version={:08x} host={} attempts={} declines={} took_ms={} aim_ms={} come_back_ms={}",
+            "event=call_ended request={} call={} outcome={outcome} status={status} reason={} route={} service={} version={:08x} host={} software={} attempts={} declines={} took_ms={} aim_ms={} come_back_ms={}",
             self.id,
             self.identity,
             self.reason,
@@ -77,6 +79,7 @@
             self.service,
             self.version,
             self.host,
+            self.software,
             self.attempts,
             self.declines,
             took.as_millis(),
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -27,7 +27,8 @@
 use crate::messages::{CallHead, TargetLoad, TargetState, TargetStatus};
 use crate::metrics::MeshMetrics;
 use crate::quarantine::SharedQuarantine;
-use crate::settings::TimeSettings;
+use crate::rollouts::RolloutBook;
+use crate::settings::{MeshSettings, TimeSettings};
 use crate::target::TargetConnections;
 pub use wait::RunPermit;
 
@@ -61,6 +62,9 @@
     state: RefCell<GateState>,
     connections: Rc<TargetConnections>,
     quarantine: Rc<SharedQuarantine>,
+    rollouts: Rc<RolloutBook>,
+    /// This host's name.
+    host: String,
     metrics: Rc<MeshMetrics>,
     egress: Rc<EgressPacer>,
     /// Room for answers that are read ahead of their takers, in KiB.
@@ -81,9 +85,9 @@
     /// A gate with no target yet.
     #[must_use]
     pub fn new(
-        address: SocketAddr,
-        times: &TimeSettings,
+        settings: &MeshSettings,
         quarantine: Rc<SharedQuarantine>,
+        rollouts: Rc<RolloutBook>,
         metrics: Rc<MeshMetrics>,
         egress: Rc<EgressPacer>,
         clock: Rc<dyn Clock>,
@@ -101,14 +105,16 @@
             }),
             connections: Rc::new(TargetConnections::default()),
             quarantine,
+            rollouts,
+            host: settings.id.clone(),
             metrics,
             egress,
             ahead: Arc::new(Semaphore::new(MOST_AHEAD_KIB)),
             lines: LineBudget::new(clock.now()),
             clock,
-            address: Cell::new(address),
-            drain: Cell::new(times.drain),
-            report_every: Cell::new(times.report_every),
+            address: Cell::new(settings.target),
+            drain: Cell::new(settings.times.drain),
+            report_every: Cell::new(settings.times.report_every),
             is_stopping: Cell::new(false),
             crowd: Notify::new(),
             changed: Notify::new(),
@@ -165,6 +171,7 @@
         };
         if change == InstanceChange::Replaced {
             self.connections.clear();
+            self.rollouts.own.target_replaced(now);
         }
         if change != InstanceChange::None && change != InstanceChange::Stale {
             self.changed.notify_waiters();
@@ -190,7 +197,34 @@
         self.changed.notify_waiters();
     }
 
+    /// The target's state as a roll-out lets it be: a version that takes no
+    /// calls now is closed to all.
     fn target_state(&self, state: &GateState, now: Instant) -> TargetState {
+        let is_admitted = state.tracker.current().is_some_and(|report| {
+            self.rollouts
+                .admits(&report.service, &report.software, &self.host)
+        });
+        if is_admitted {
+            self.own_state(state, now)
+        } else {
+            TargetState::Closed
+        }
+    }
+
+    /// Whether the target takes calls, but for what a roll-out says.
+    #[must_use]
+    pub fn would_take(&self) -> bool {
+        self.own_state(&self.state.borrow(), self.clock.now()) == TargetState::Open
+    }
+
+    /// Takes word that a roll-out is at another stage: calls that wait for a
+    /// target that is closed now are turned away, and others hear of it.
+    pub fn rollout_changed(&self) {
+        self.settle();
+        self.changed.notify_waiters();
+    }
+
+    fn own_state(&self, state: &GateState, now: Instant) -> TargetState {
         let is_down = state.down_until.is_some_and(|until| now < until);
         if self.is_stopping.get() || is_down || state.tracker.current().is_none() {
             return TargetState::Closed;
@@ -213,6 +247,7 @@
         let report = state.tracker.current()?;
         Some(TargetStatus {
             service: report.service.clone(),
+            software: report.software.clone(),
             instance: report.key.clone(),
             state: self.target_state(&state, now),
             is_cold: state.tracker.is_cold(now),
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -15,6 +15,7 @@
 use crate::logging::LineWeight;
 use crate::messages::{micros, AnswerHead, CallHead, ReplyHead};
 use crate::quarantine::AgedMark;
+use crate::rollouts::tally::{RunTold, RunWatch};
 use crate::target::{ExchangeEnd, ExchangeTerms};
 
 /// From this status on an answer is the target's failure.
@@ -57,6 +58,7 @@
             None => String::new(),
         };
         let started = self.clock.now();
+        let watch = self.watch(call);
         let terms = ExchangeTerms {
             address: self.address.get(),
             instance: &instance,
@@ -73,16 +75,33 @@
             received,
             started,
         };
-        self.reply(&run, end).await
+        let (reply, body, told) = self.reply(&run, end).await;
+        if let Some(watch) = watch {
+            watch.end(told);
+        }
+        (reply, body)
+    }
+
+    /// Watches a run for a roll-out of the target's service.
+    fn watch(&self, call: &CallHead) -> Option<RunWatch> {
+        self.rollouts.is_watching(&call.service).then(|| {
+            let usual = call.usual_run.map(|usual| RunTime::from(usual).mean);
+            RunWatch::new(&self.rollouts, &self.clock, &call.kind, usual)
+        })
     }
 
     /// What the caller's daemon is told of an exchange.
-    async fn reply(&self, run: &CallRun<'_>, end: ExchangeEnd) -> (ReplyHead, AnswerBody) {
+    async fn reply(&self, run: &CallRun<'_>, end: ExchangeEnd) -> (ReplyHead, AnswerBody, RunTold) {
         let none = AnswerBody::Whole(bytes::Bytes::new());
         match end {
             ExchangeEnd::Answer(head, body) => {
                 let took = self.clock.now().saturating_duration_since(run.started);
                 self.note_answer(run, &head, took);
+                let told = if head.status < FIRST_FAILURE {
+                    RunTold::Well
+                } else {
+                    RunTold::Badly
+                };
                 let reply = ReplyHead::Answer {
                     head: answer_head(&head),
                     ran_us: micros(took),
@@ -97,26 +116,30 @@
                 } else {
                     AnswerBody::Ahead(AheadBody::start(body, &self.ahead))
                 };
-                (reply, body)
+                (reply, body, told)
+            }
+            ExchangeEnd::NotConnected(error) => {
+                let reply = self.note_unreachable(run, &error);
+                (reply, none, RunTold::Nothing)
             }
-            ExchangeEnd::NotConnected(error) => (self.note_unreachable(run, &error), none),
             ExchangeEnd::Rejected(load) => {
                 self.note_ill(run, "rejected", &format!("stated load {load:?}"));
-                (ReplyHead::Rejected { load: self.load() }, none)
+                let reply = ReplyHead::Rejected { load: self.load() };
+                (reply, none, RunTold::Nothing)
             }
             ExchangeEnd::Lost(reason) => {
                 self.note_ill(run, "lost", reason);
-                (self.lost(None), none)
+                (self.lost(None), none, RunTold::Badly)
             }
             ExchangeEnd::BrokenOff(reason) => {
                 let ended = self.mark_if_ended(run.call.identity, run.started).await;
-                let verdict = if ended.is_some() {
-                    "target_ended"
+                let (verdict, told) = if ended.is_some() {
+                    ("target_ended", RunTold::Nothing)
                 } else {
-                    "lost"
+                    ("lost", RunTold::Badly)
                 };
                 self.note_ill(run, verdict, reason);
-                (self.lost(ended), none)
+                (self.lost(ended), none, told)
             }
         }
     }
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -167,7 +167,7 @@
     }
 
     /// Starts and turns away what the queue says.
-    fn settle(&self) {
+    pub(super) fn settle(&self) {
         let now = self.clock.now();
         let mut freed = 0;
         {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,7 +6,8 @@
 //! and decides what runs, waits or is declined. [`links`] join the daemons, and
 //! [`asking`] gets versions over them; [`feeds`] bring configuration and
 //! membership from the store; [`control`] hears the target beside the daemon;
-//! [`stop`] sees a planned stop through.
+//! [`stop`] sees a planned stop through. [`rollouts`] moves services to other
+//! software versions.
 
 pub mod asking;
 pub mod body;
@@ -29,6 +30,7 @@
 pub mod quarantine;
 pub mod ready;
 pub mod reload;
+pub mod rollouts;
 pub mod rows;
 pub mod serve_peers;
 pub mod settings;
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -99,6 +99,12 @@
         self.hosts.borrow().len() + 1
     }
 
+    /// Whether there is another host of this name.
+    #[must_use]
+    pub fn has_host(&self, id: &str) -> bool {
+        self.hosts.borrow().contains_key(id)
+    }
+
     /// The other hosts, by name.
     #[must_use]
     pub fn hosts_by_name(&self) -> BTreeMap<String, PeerAddress> {
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine::{AgedMark, SuspectCall};
+use crate::rollouts::news::{RolloutNews, TargetTally};
 use crate::text_delta::TextDelta;
 
 pub use hosts::{HostChanges, HostList, RowChange};
@@ -50,6 +51,8 @@
 pub struct TargetStatus {
     /// Its service.
     pub service: String,
+    /// The version of its software.
+    pub software: String,
     /// Which start of it.
     pub instance: InstanceKey,
     /// Whether it takes calls.
@@ -152,6 +155,10 @@
     },
     /// Calls that were at work as targets ended, or that ran well since.
     Suspects(Vec<SuspectCall>),
+    /// How far roll-outs are.
+    Rollouts(Vec<RolloutNews>),
+    /// What gates counted; for the daemons that decide on roll-outs.
+    Tallies(Vec<TargetTally>),
     /// The sender has no steps to tell.
     NoSteps {
         /// Whether they are too heavy for a link, rather than not known.
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -34,6 +34,8 @@
     Member,
     /// Which calls were at work as targets ended.
     Suspect,
+    /// How far roll-outs are, and what gates counted.
+    Rollout,
 }
 
 impl CrossingCause {
@@ -46,6 +48,7 @@
             CrossingCause::Version => "version",
             CrossingCause::Member => "member",
             CrossingCause::Suspect => "suspect",
+            CrossingCause::Rollout => "rollout",
         }
     }
 }
@@ -64,6 +67,7 @@
     zone_bytes: Counter<u64>,
     quarantined: Counter<u64>,
     held: Gauge<u64>,
+    rollouts: Counter<u64>,
     version: Gauge<u64>,
     running: Gauge<u64>,
     waiting: Gauge<u64>,
@@ -122,6 +126,7 @@
                 "filbert.zone.bytes",
                 "Bytes over own links to other availability zones, by cause",
             ),
+            rollouts: counter("filbert.rollouts", "Stages of roll-outs, by service"),
             quarantined: counter(
                 "filbert.quarantine.changes",
                 "Calls suspected, held back, refused and cleared",
@@ -167,6 +172,15 @@
         );
     }
 
+    /// Counts a stage of the roll-out of `service`.
+    pub fn rollout(&self, service: &str, stage: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("stage", stage),
+        ];
+        self.rollouts.add(1, &labels);
+    }
+
     /// Counts what became of a call at the gate.
     pub fn gate(&self, verdict: &'static str) {
         self.gate.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -55,6 +55,11 @@
             return error;
         }
     }
+    if let Some(rollouts) = shared.all_rollouts() {
+        if let Err(error) = listener.say(&rollouts) {
+            return error;
+        }
+    }
     peer.link.replace(Some(sender));
     match listener.hear(incoming).await {
         Ok(()) => LinkError::Ended,
@@ -211,6 +216,7 @@
     match message {
         LinkMessage::Target(_) => CrossingCause::Load,
         LinkMessage::Suspects(_) => CrossingCause::Suspect,
+        LinkMessage::Rollouts(_) | LinkMessage::Tallies(_) => CrossingCause::Rollout,
         LinkMessage::InForce { .. }
         | LinkMessage::WantVersion { .. }
         | LinkMessage::HeavyVersion
@@ -266,7 +272,9 @@
         }
         LinkMessage::HostsChanged(changes) => shared.take_changes(changes, from),
         LinkMessage::Suspects(calls) => shared.quarantine.hear(&calls, from),
-        LinkMessage::InForce { .. }
+        LinkMessage::Rollouts(news) => shared.hear_rollouts(&news, from),
+        LinkMessage::Tallies(_)
+        | LinkMessage::InForce { .. }
         | LinkMessage::MembersSum(_)
         | LinkMessage::Hello { .. }
         | LinkMessage::NotHere(_)
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -138,7 +138,11 @@
             services: self.settings.borrow().link.services,
             ..LinkLimits::default()
         };
-        let plan = plan_links(&own_view, &others, &called, &limits);
+        let mut plan = plan_links(&own_view, &others, &called, &limits);
+        // A few targets are tried by the whole fleet.
+        let canaries = self.rollouts.canaries().into_iter();
+        plan.links
+            .extend(canaries.filter(|id| hosts.contains_key(id)));
         for id in self.peers.ids() {
             if !plan.links.contains(&id) {
                 self.peers.release(&id);
--- /dev/null
+++ b/crates/mesh/src/rollouts/decide.rs
@@ -0,0 +1,228 @@
+//! What the daemons that ask the store for the fleet decide on roll-outs.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use filbert_policy::rollout::judge::{
+    CallCounts, TargetCounts, Verdict, VersionJudge, VersionSide,
+};
+use filbert_policy::rollout::note::{RolloutStage, StageReason};
+use filbert_policy::rollout::schedule::{ExposurePlan, RolloutView, TrialSpread};
+use twox_hash::XxHash64;
+
+use super::tally::HeardTally;
+use super::{DecisionTerms, RolloutEntry};
+use crate::state::MeshShared;
+
+/// Pause between two looks at the evidence.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// Pause between two confirmations of a stage.
+const CONFIRM_EVERY: Duration = Duration::from_secs(1);
+/// Age from which a tally is not counted on: its daemon may be gone.
+const TALLY_HOLDS: Duration = Duration::from_millis(1_500);
+/// Age from which the target of a tally is taken for gone, unless its host
+/// still has a row.
+const GONE_AFTER: Duration = Duration::from_secs(4);
+
+/// One roll-out as this daemon follows it.
+struct FollowedRollout {
+    judge: VersionJudge,
+    confirmed: Option<Instant>,
+}
+
+/// Decides on stages, while this daemon asks the store for the fleet. Runs for
+/// ever.
+pub async fn keep_decided(shared: Rc<MeshShared>) {
+    let mut followed: BTreeMap<String, FollowedRollout> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(LOOK_EVERY).await;
+        if !shared.rollouts.has_live() || !shared.members.is_source() {
+            followed.clear();
+            continue;
+        }
+        for service in shared.rollouts.services() {
+            let Some(entry) = shared.rollouts.entry(&service) else {
+                continue;
+            };
+            if !entry.is_live() {
+                followed.remove(&service);
+                continue;
+            }
+            let rollout = followed.entry(service).or_insert_with(|| FollowedRollout {
+                judge: VersionJudge::default(),
+                confirmed: None,
+            });
+            look(&shared, rollout, &entry);
+        }
+    }
+}
+
+fn look(shared: &Rc<MeshShared>, rollout: &mut FollowedRollout, entry: &RolloutEntry) {
+    let service = entry.note.service.as_str();
+    // Nothing begins before the store has taken this order: it may have been
+    // seen to its end before this daemon started.
+    if !entry.is_recorded {
+        shared.rollouts.has_unwritten.notify_one();
+        return;
+    }
+    let now = shared.clock.now();
+    let tallies = shared.rollouts.heard.of_service(service);
+    let verdict = rollout
+        .judge
+        .look(&counts_of(&tallies, &entry.note.to), now);
+    shared
+        .rollouts
+        .note_evidence(service, evidence_line(&verdict));
+    let view = view_of(shared, entry, &tallies, &verdict, now);
+    let plan = ExposurePlan {
+        share: shared.settings.borrow().rollout.share,
+        longest_call: shared.current_index().longest_timeout(service),
+        spread: TrialSpread::FewFull,
+    };
+    match plan.next_stage(&view) {
+        // Written first, under its condition.
+        Some((RolloutStage::Completed, reason)) => shared.want_completion(service, reason),
+        Some((stage, reason)) => {
+            log::info!(
+                "event=rollout_decided service={service} to={} stage={stage:?} reason={reason:?} elapsed_ms={} new_targets={} old_targets={} old_at_work={} old_unheard={} {}",
+                entry.note.to,
+                view.elapsed.as_millis(),
+                view.new_targets,
+                view.old_targets,
+                view.old_at_work,
+                view.old_unheard,
+                evidence_line(&verdict)
+            );
+            let begins = reason == StageReason::TargetsReady;
+            let canaries = begins.then(|| {
+                let terms = plan.trial(view.new_targets, view.old_targets);
+                choose_canaries(&tallies, &entry.note.to, terms.canaries)
+            });
+            let terms = DecisionTerms {
+                decided_by: shared.settings.borrow().id.clone(),
+                is_written: false,
+                canaries,
+            };
+            shared.rollouts.decide(service, stage, reason, terms);
+            rollout.confirmed = Some(now);
+        }
+        None => {
+            if rollout.confirmed.is_none_or(|at| now >= at + CONFIRM_EVERY) {
+                rollout.confirmed = Some(now);
+                shared.rollouts.confirm(service);
+            }
+        }
+    }
+}
+
+/// What a verdict rests on, in words.
+fn evidence_line(verdict: &Verdict) -> String {
+    format!(
+        "evidence={:.1} kind={} span_ms={} new_ended={} new_bad={} old_ended={} old_bad={}",
+        verdict.evidence,
+        verdict.kind.as_deref().unwrap_or("all"),
+        verdict.span.as_millis(),
+        verdict.calls.ended,
+        verdict.calls.bad,
+        verdict.old_calls.ended,
+        verdict.old_calls.bad
+    )
+}
+
+fn counts_of<'a>(tallies: &'a [HeardTally], to: &str) -> Vec<TargetCounts<'a>> {
+    let of_one = |heard: &'a HeardTally| {
+        let tally = &heard.tally;
+        let counts = tally.kinds.iter().map(|kind| {
+            let counts = CallCounts {
+                ended: kind.ended,
+                bad: kind.bad,
+            };
+            (kind.kind.as_str(), counts)
+        });
+        TargetCounts {
+            gate: &tally.host,
+            zone: &tally.zone,
+            side: side_of(heard, to),
+            kinds: counts.collect(),
+        }
+    };
+    tallies.iter().map(of_one).collect()
+}
+
+fn side_of(heard: &HeardTally, to: &str) -> VersionSide {
+    if heard.tally.software == to {
+        VersionSide::New
+    } else {
+        VersionSide::Old
+    }
+}
+
+fn view_of(
+    shared: &MeshShared,
+    entry: &RolloutEntry,
+    tallies: &[HeardTally],
+    verdict: &Verdict,
+    now: Instant,
+) -> RolloutView {
+    let to = entry.note.to.as_str();
+    let is_heard = |heard: &&HeardTally| now < heard.at + TALLY_HOLDS;
+    let open = |side| {
+        let is_open = |heard: &&HeardTally| heard.tally.is_open && side_of(heard, to) == side;
+        tallies.iter().filter(is_heard).filter(is_open).count()
+    };
+    let known = (entry.note.order, entry.note.step);
+    let old = tallies
+        .iter()
+        .filter(|heard| side_of(heard, to) == VersionSide::Old);
+    let mut old_at_work = 0;
+    let mut old_unheard = 0;
+    for heard in old {
+        if is_heard(&heard) && heard.tally.known == Some(known) {
+            old_at_work += heard.tally.at_work;
+        } else if now < heard.at + GONE_AFTER || shared.members.has_host(&heard.tally.host) {
+            old_unheard += 1;
+        }
+    }
+    RolloutView {
+        stage: entry.note.stage,
+        stage_for: now.saturating_duration_since(entry.stage_since),
+        elapsed: now.saturating_duration_since(entry.ordered),
+        allowed: entry.note.allowed,
+        new_targets: open(VersionSide::New),
+        old_targets: open(VersionSide::Old),
+        verdict: verdict.clone(),
+        old_at_work,
+        old_unheard,
+    }
+}
+
+/// `count` hosts of new targets, from all availability zones in turn.
+fn choose_canaries(tallies: &[HeardTally], to: &str, count: usize) -> Vec<String> {
+    let mut by_zone: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    let mut total = 0;
+    for heard in tallies {
+        if side_of(heard, to) == VersionSide::New && heard.tally.is_open {
+            let of_zone = by_zone.entry(&heard.tally.zone).or_default();
+            of_zone.push(&heard.tally.host);
+            total += 1;
+        }
+    }
+    if count >= total {
+        return Vec::new();
+    }
+    for hosts in by_zone.values_mut() {
+        hosts.sort_by_key(|host| XxHash64::oneshot(0, host.as_bytes()));
+    }
+    let mut chosen = Vec::new();
+    while chosen.len() < count {
+        for hosts in by_zone.values_mut() {
+            if let Some(host) = hosts.pop() {
+                if chosen.len() < count {
+                    chosen.push(host.to_owned());
+                }
+            }
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/mesh/src/rollouts/mod.rs
@@ -0,0 +1,463 @@
+//! Roll-outs as this daemon knows them: the book of notes, which calls and
+//! gates keep to, and the counters that verdicts rest on.
+//!
+//! [`news`] is what daemons tell each other, [`spread`] how it travels,
+//! [`decide`] and [`record`] are the work of the daemons that ask the store for
+//! the fleet.
+
+pub mod decide;
+pub mod news;
+pub mod record;
+pub mod row;
+pub mod spread;
+pub mod tally;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use filbert_policy::clock::Clock;
+use filbert_policy::rollout::note::{OrderId, RolloutNote, RolloutStage, StageReason, VersionLane};
+use tokio::sync::Notify;
+
+use crate::metrics::MeshMetrics;
+use row::RolloutRow;
+use tally::{GateTally, HeardTallies};
+
+/// Time without confirmation by a decider after which nothing goes to a version
+/// on trial: three missed confirmations.
+const FRESH_FOR: Duration = Duration::from_secs(3);
+
+/// What is known of one service's roll-out.
+#[derive(Clone, Debug)]
+pub struct RolloutEntry {
+    /// The note that wins so far.
+    pub note: RolloutNote,
+    /// When the order was given.
+    pub ordered: Instant,
+    /// When the stage began here.
+    pub stage_since: Instant,
+    /// Time from the order to the newest confirmation heard.
+    pub confirmed: Duration,
+    /// When that was heard.
+    pub heard: Instant,
+    /// The version of its row in the store, as far as is known; 0 without one.
+    pub row_at: u64,
+    /// Whether that row holds what is agreed of this order.
+    pub is_recorded: bool,
+    /// Set while the end of the old version is to be written.
+    pub completes: Option<StageReason>,
+    /// What the verdict rests on, in words.
+    pub evidence: String,
+}
+
+impl RolloutEntry {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now < self.heard + FRESH_FOR
+    }
+
+    /// Whether it has not come to its end.
+    #[must_use]
+    pub fn is_live(&self) -> bool {
+        !self.note.stage.is_final()
+    }
+}
+
+/// The book that the daemon's parts share.
+pub struct RolloutBook {
+    entries: RefCell<BTreeMap<String, RolloutEntry>>,
+    clock: Rc<dyn Clock>,
+    metrics: Rc<MeshMetrics>,
+    /// The counters of the gate here.
+    pub own: GateTally,
+    /// Counters of other gates.
+    pub heard: HeardTallies,
+    /// Services whose entry changed and has to be told.
+    untold: RefCell<Vec<String>>,
+    /// Wakes whoever tells.
+    has_untold: Notify,
+    /// Wakes whoever keeps the rows.
+    pub has_unwritten: Notify,
+    /// Wakes the gate here: a stage changed.
+    pub stage_changed: Notify,
+    /// Orders that wait until the rows were read.
+    waiting: RefCell<Vec<RolloutNote>>,
+    /// Whether the rows were read since this daemon started, and since the store
+    /// last came back from an older copy.
+    has_read_rows: Cell<bool>,
+    /// Whether any roll-out was ever heard of: most daemons never do.
+    is_used: Cell<bool>,
+}
+
+impl RolloutBook {
+    /// An empty book.
+    #[must_use]
+    pub fn new(metrics: Rc<MeshMetrics>, clock: Rc<dyn Clock>) -> Rc<RolloutBook> {
+        Rc::new(RolloutBook {
+            entries: RefCell::default(),
+            clock,
+            metrics,
+            own: GateTally::default(),
+            heard: HeardTallies::default(),
+            untold: RefCell::default(),
+            has_untold: Notify::new(),
+            has_unwritten: Notify::new(),
+            stage_changed: Notify::new(),
+            waiting: RefCell::default(),
+            has_read_rows: Cell::new(false),
+            is_used: Cell::new(false),
+        })
+    }
+
+    /// The services with an entry.
+    #[must_use]
+    pub fn services(&self) -> Vec<String> {
+        self.entries.borrow().keys().cloned().collect()
+    }
+
+    /// What is known of the roll-out of `service`.
+    #[must_use]
+    pub fn entry(&self, service: &str) -> Option<RolloutEntry> {
+        if !self.is_used.get() {
+            return None;
+        }
+        self.entries.borrow().get(service).cloned()
+    }
+
+    /// The targets that the call `id` to `service` may go to; `None` without a
+    /// roll-out.
+    #[must_use]
+    pub fn lane(&self, service: &str, id: &str) -> Option<CallLane> {
+        if !self.is_used.get() {
+            return None;
+        }
+        let entries = self.entries.borrow();
+        let entry = entries.get(service)?;
+        Some(CallLane {
+            lane: entry.note.lane(id, entry.is_fresh(self.clock.now())),
+            to: entry.note.to.clone(),
+        })
+    }
+
+    /// Whether a target of `service` that runs `software` takes calls on `host`.
+    #[must_use]
+    pub fn admits(&self, service: &str, software: &str, host: &str) -> bool {
+        if !self.is_used.get() {
+            return true;
+        }
+        let entries = self.entries.borrow();
+        let Some(entry) = entries.get(service) else {
+            return true;
+        };
+        let note = &entry.note;
+        let is_on_trial = software == note.to && matches!(note.stage, RolloutStage::Trial { .. });
+        let is_left_out = is_on_trial
+            && !note.canaries.is_empty()
+            && !note.canaries.iter().any(|canary| canary == host);
+        !is_left_out && note.admits(software, entry.is_fresh(self.clock.now()))
+    }
+
+    /// Whether the runs of `service` are counted.
+    #[must_use]
+    pub fn is_watching(&self, service: &str) -> bool {
+        self.is_used.get()
+            && self
+                .entries
+                .borrow()
+                .get(service)
+                .is_some_and(RolloutEntry::is_live)
+    }
+
+    /// Whether any roll-out has not come to its end.
+    #[must_use]
+    pub fn has_live(&self) -> bool {
+        self.is_used.get() && self.entries.borrow().values().any(RolloutEntry::is_live)
+    }
+
+    /// Hosts whose targets are tried now: every daemon links to them.
+    #[must_use]
+    pub fn canaries(&self) -> Vec<String> {
+        let entries = self.entries.borrow();
+        let live = entries.values().filter(|entry| entry.is_live());
+        live.flat_map(|entry| entry.note.canaries.clone()).collect()
+    }
+
+    /// Takes an order that was read from the store.
+    ///
+    /// Guards against an order that is begun again: it lies in the store for
+    /// ever, also after its end. Until the rows of roll-outs were read it waits.
+    pub fn take_order(&self, order: RolloutNote) {
+        if !self.has_read_rows.get() {
+            self.waiting.borrow_mut().push(order);
+            return;
+        }
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&order.service) {
+            if entry.note.is_same_order(&order) {
+                // Read again, or written again after the store came back.
+                entry.note.order = entry.note.order.max(order.order);
+                return;
+            }
+        }
+        log::info!(
+            "event=rollout_ordered service={} to={} allowed_ms={} order={}.{}",
+            order.service,
+            order.to,
+            order.allowed.as_millis(),
+            order.order.era,
+            order.order.version
+        );
+        self.merge(&order, Duration::ZERO, Duration::ZERO, "order");
+        self.has_unwritten.notify_one();
+    }
+
+    /// Notes that all rows of roll-outs were read.
+    pub fn rows_were_read(&self) {
+        self.has_read_rows.set(true);
+        for order in self.waiting.take() {
+            self.take_order(order);
+        }
+    }
+
+    /// Takes the row of a roll-out, as it stands in the store since `version`.
+    pub fn take_row(&self, stored: &RolloutRow, version: u64, elapsed: Duration) {
+        let note = &stored.note;
+        self.merge(note, elapsed, Duration::ZERO, "store");
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&note.service) else {
+            return;
+        };
+        entry.row_at = version;
+        // An older copy may show a roll-out that has ended since as under way.
+        let is_behind = entry.note.stage.is_final() && !note.stage.is_final();
+        entry.is_recorded = entry.note.is_same_order(note) && !is_behind;
+        if note.stage.is_final() && !stored.evidence.is_empty() {
+            entry.evidence.clone_from(&stored.evidence);
+        }
+        if !entry.is_recorded {
+            self.has_unwritten.notify_one();
+        }
+    }
+
+    /// Notes that there is no row of `service`.
+    pub fn row_is_missing(&self, service: &str) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(service) {
+            entry.row_at = 0;
+            entry.is_recorded = false;
+        }
+        self.has_unwritten.notify_one();
+    }
+
+    /// Has the end of the old version written.
+    pub fn want_completion(&self, service: &str, reason: StageReason) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(service) {
+            entry.completes = Some(reason);
+        }
+        self.has_unwritten.notify_one();
+    }
+
+    /// The services of which there is news to tell, as soon as there are some.
+    pub async fn next_untold(&self) -> Vec<String> {
+        loop {
+            let mut services = self.untold.take();
+            if !services.is_empty() {
+                services.sort_unstable();
+                services.dedup();
+                return services;
+            }
+            self.has_untold.notified().await;
+        }
+    }
+
+    /// Takes a note, told `elapsed` after its order and confirmed `confirmed`
+    /// after it; whether it is news to others too.
+    pub fn merge(
+        &self,
+        note: &RolloutNote,
+        elapsed: Duration,
+        confirmed: Duration,
+        from: &str,
+    ) -> bool {
+        self.is_used.set(true);
+        let now = self.clock.now();
+        let is_news = {
+            let mut entries = self.entries.borrow_mut();
+            match entries.get_mut(&note.service) {
+                Some(entry) => entry.merge(note, elapsed, confirmed, now),
+                None => {
+                    let entry = RolloutEntry {
+                        note: note.clone(),
+                        ordered: now.checked_sub(elapsed).unwrap_or(now),
+                        stage_since: now,
+                        confirmed,
+                        heard: now,
+                        row_at: 0,
+                        is_recorded: false,
+                        completes: None,
+                        evidence: String::new(),
+                    };
+                    entries.insert(note.service.clone(), entry);
+                    NoteNews::Stage
+                }
+            }
+        };
+        match is_news {
+            NoteNews::None => return false,
+            NoteNews::Confirmed => {}
+            NoteNews::Stage => self.say_stage(note, from),
+        }
+        self.untold.borrow_mut().push(note.service.clone());
+        self.has_untold.notify_one();
+        true
+    }
+
+    fn say_stage(&self, note: &RolloutNote, from: &str) {
+        log::info!(
+            "event=rollout_stage service={} to={} order={}.{} step={} stage={:?} reason={:?} decided_by={} written={} canaries={:?} from={from}",
+            note.service,
+            note.to,
+            note.order.era,
+            note.order.version,
+            note.step,
+            note.stage,
+            note.reason,
+            note.decided_by,
+            note.is_written,
+            note.canaries
+        );
+        self.metrics.rollout(&note.service, stage_label(note.stage));
+        self.stage_changed.notify_one();
+        if note.stage.is_final() && !note.is_written {
+            self.has_unwritten.notify_one();
+        }
+    }
+
+    /// Takes the next stage that this daemon decided.
+    pub fn decide(
+        &self,
+        service: &str,
+        stage: RolloutStage,
+        reason: StageReason,
+        terms: DecisionTerms,
+    ) {
+        let Some(entry) = self.entry(service) else {
+            return;
+        };
+        let mut note = entry.note.next(stage, reason, &terms.decided_by);
+        note.is_written = terms.is_written;
+        if let Some(canaries) = terms.canaries {
+            note.canaries = canaries;
+        }
+        let elapsed = self.clock.now().saturating_duration_since(entry.ordered);
+        self.merge(&note, elapsed, elapsed, "here");
+    }
+
+    /// Confirms the stage of `service`: a decider holds to it.
+    pub fn confirm(&self, service: &str) {
+        if let Some(entry) = self.entry(service) {
+            let elapsed = self.clock.now().saturating_duration_since(entry.ordered);
+            self.merge(&entry.note, elapsed, elapsed, "here");
+        }
+    }
+
+    /// Notes what a verdict rests on.
+    pub fn note_evidence(&self, service: &str, evidence: String) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(service) {
+            entry.evidence = evidence;
+        }
+    }
+
+    /// Forgets what the store held: it came back from an older copy.
+    pub fn store_came_back(&self) {
+        self.has_read_rows.set(false);
+        for entry in self.entries.borrow_mut().values_mut() {
+            entry.row_at = 0;
+            entry.is_recorded = false;
+        }
+    }
+
+    /// The order in force for `service` with its step, for those who wait for
+    /// this daemon to know it.
+    #[must_use]
+    pub fn known_step(&self, service: &str) -> Option<(OrderId, u32)> {
+        let entry = self.entry(service)?;
+        Some((entry.note.order, entry.note.step))
+    }
+}
+
+/// What a decision carries beside its stage.
+pub struct DecisionTerms {
+    /// This host's name.
+    pub decided_by: String,
+    /// Whether it lies in the store.
+    pub is_written: bool,
+    /// Hosts that are tried, where that changes.
+    pub canaries: Option<Vec<String>>,
+}
+
+/// The targets that one call may go to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallLane {
+    /// Which.
+    pub lane: VersionLane,
+    /// The new version.
+    pub to: String,
+}
+
+/// What a note changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoteNews {
+    None,
+    Confirmed,
+    Stage,
+}
+
+/// Confirmations closer together than this are one: two deciders confirm.
+const CONFIRMED_ANEW: Duration = Duration::from_millis(500);
+
+impl RolloutEntry {
+    fn merge(
+        &mut self,
+        note: &RolloutNote,
+        elapsed: Duration,
+        confirmed: Duration,
+        now: Instant,
+    ) -> NoteNews {
+        if note.supersedes(&self.note) {
+            let is_other = !note.is_same_order(&self.note);
+            if is_other {
+                self.ordered = now.checked_sub(elapsed).unwrap_or(now);
+                self.confirmed = Duration::ZERO;
+                self.is_recorded = false;
+                self.completes = None;
+                self.evidence.clear();
+            }
+            if is_other || note.stage != self.note.stage {
+                self.stage_since = now;
+            }
+            self.note = note.clone();
+            self.confirmed = self.confirmed.max(confirmed);
+            self.heard = now;
+            return NoteNews::Stage;
+        }
+        let is_same = note.is_same_order(&self.note) && note.step == self.note.step;
+        if is_same && confirmed > self.confirmed + CONFIRMED_ANEW {
+            self.confirmed = confirmed;
+            self.heard = now;
+            return NoteNews::Confirmed;
+        }
+        NoteNews::None
+    }
+}
+
+/// The stage as metrics name it.
+#[must_use]
+pub fn stage_label(stage: RolloutStage) -> &'static str {
+    match stage {
+        RolloutStage::Trial { per_mille: 0 } => "waiting",
+        RolloutStage::Trial { .. } => "trial",
+        RolloutStage::Moved => "moved",
+        RolloutStage::RolledBack => "rolled_back",
+        RolloutStage::Completed => "completed",
+    }
+}
--- a/crates/mesh/src/rows.rs
+++ b/crates/mesh/src/rows.rs
@@ -15,6 +15,7 @@
 use crate::feeds;
 use crate::held_rows::is_held_key;
 use crate::messages::{LinkMessage, PeerAddress, RowChange, StoreState};
+use crate::rollouts::row::is_rollout_key;
 use crate::state::MeshShared;
 
 /// The table in which daemons say where they are, a row a host.
@@ -265,7 +266,7 @@
 /// The daemon that a row of [`HOSTS_TABLE`] names; `None` when it names none.
 #[must_use]
 pub fn decode_member(row: &StoreRow) -> Option<PeerAddress> {
-    if is_held_key(&row.key) {
+    if is_held_key(&row.key) || is_rollout_key(&row.key) {
         return None;
     }
     let value = row.value.as_ref()?;
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -169,6 +169,7 @@
     }
     news.push(LinkMessage::Store(store));
     news.extend(shared.quarantine.serious());
+    news.extend(shared.all_rollouts());
     // A restarted daemon that cannot reach the store learns here whom to call.
     if !shared.members.is_known.get() {
         news.push(LinkMessage::WantMembers);
@@ -227,6 +228,14 @@
             shared.quarantine.hear(&calls, "a daemon linked here");
             None
         }
+        LinkMessage::Rollouts(news) => {
+            shared.hear_rollouts(&news, "a daemon linked here");
+            None
+        }
+        LinkMessage::Tallies(tallies) => {
+            shared.hear_tallies(tallies);
+            None
+        }
         LinkMessage::Hello { .. }
         | LinkMessage::NotHere(_)
         | LinkMessage::Follow
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -37,6 +37,9 @@
     pub times: TimeSettings,
     /// The retry budget of all daemons together.
     pub retry: RetrySettings,
+    /// What a roll-out may risk.
+    #[serde(default)]
+    pub rollout: RolloutSettings,
     /// What it costs to leave the availability zone.
     #[serde(default)]
     pub crossing: CrossingSettings,
@@ -45,6 +48,21 @@
     pub link: LinkSettings,
 }
 
+/// What a roll-out may risk.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RolloutSettings {
+    /// Share of a service's calls, from the order to its deadline, that a bad
+    /// version may get; 0 to 1.
+    pub share: f64,
+}
+
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        RolloutSettings { share: 0.1 }
+    }
+}
+
 /// The host's link.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -23,6 +23,7 @@
 use crate::metrics::MeshMetrics;
 use crate::peers::PeerBook;
 use crate::quarantine::{self, SharedQuarantine};
+use crate::rollouts::{self, RolloutBook};
 use crate::settings::MeshSettings;
 use crate::state::MeshShared;
 use crate::stop::StopState;
@@ -111,10 +112,11 @@
     let metrics = Rc::new(MeshMetrics::new());
     let egress = EgressPacer::new(settings.link.mbps, Rc::clone(&clock));
     let quarantine = SharedQuarantine::new(Rc::clone(&metrics), Rc::clone(&clock));
+    let rollouts = RolloutBook::new(Rc::clone(&metrics), Rc::clone(&clock));
     let gate = Gate::new(
-        settings.target,
-        &settings.times,
+        &settings,
         Rc::clone(&quarantine),
+        Rc::clone(&rollouts),
         Rc::clone(&metrics),
         Rc::clone(&egress),
         Rc::clone(&clock),
@@ -129,6 +131,7 @@
         egress,
         gate,
         quarantine,
+        rollouts,
         dealer: RefCell::new(WeightDealer::default()),
         routes: RefCell::new(HashMap::new()),
         metrics,
@@ -157,6 +160,11 @@
     spawn(Box::pin(Rc::clone(&shared.gate).keep_settled()));
     spawn(Box::pin(status::keep_told(Rc::clone(shared))));
     spawn(Box::pin(quarantine::keep_told(Rc::clone(shared))));
+    spawn(Box::pin(rollouts::spread::keep_told(Rc::clone(shared))));
+    spawn(Box::pin(rollouts::spread::keep_gate(Rc::clone(shared))));
+    spawn(Box::pin(rollouts::spread::keep_counted(Rc::clone(shared))));
+    spawn(Box::pin(rollouts::decide::keep_decided(Rc::clone(shared))));
+    spawn(Box::pin(rollouts::record::keep_recorded(Rc::clone(shared))));
     spawn(Box::pin(plan::keep_planned(Rc::clone(shared))));
     spawn(Box::pin(rows::keep_own(Rc::clone(shared))));
     spawn(Box::pin(rows::keep_written(Rc::clone(shared))));
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -24,6 +24,7 @@
 use crate::metrics::{CrossingCause, MeshMetrics};
 use crate::peers::{Peer, PeerBook};
 use crate::quarantine::SharedQuarantine;
+use crate::rollouts::RolloutBook;
 use crate::settings::MeshSettings;
 use crate::stop::StopState;
 use crate::versions::VersionBook;
@@ -62,6 +63,8 @@
     pub gate: Rc<Gate>,
     /// Calls that are held back.
     pub quarantine: Rc<SharedQuarantine>,
+    /// Roll-outs of software versions.
+    pub rollouts: Rc<RolloutBook>,
     /// What may be sent a second time.
     pub budget: RefCell<RetryBudget>,
     /// Deals split routes' calls.
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -39,6 +39,8 @@
     pub key: InstanceKey,
     /// The service it belongs to.
     pub service: String,
+    /// The version of its software.
+    pub software: String,
     /// Where it listens.
     pub address: String,
     /// Calls it runs at once.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 //! beside the daemon, [`health`] and [`run_times`] what its calls say about
 //! it, [`egress`] paces answers on a slow link. [`membership`] plans which other
 //! hosts a daemon links to, and [`store_asking`] who asks the store when.
+//! [`rollout`] moves a service to another software version, or takes it back.
 
 pub mod admission;
 pub mod attempt;
@@ -25,6 +26,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod refusal;
+pub mod rollout;
 pub mod routing;
 pub mod run_times;
 pub mod store_asking;
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -153,6 +153,18 @@
         self.last_rank
     }
 
+    /// Longest time for which a call to `service` is worked on.
+    #[must_use]
+    pub fn longest_timeout(&self, service: &str) -> Duration {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        let leads_there = |route: &&Arc<RouteRule>| {
+            let mut parts = route.parts.iter();
+            parts.any(|part| part.service == service)
+        };
+        let timeouts = routes.filter(leads_there).map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// What callers may send.
     #[must_use]
     pub fn limits(&self) -> &ClientLimits {
