--- a/crates/mesh/src/egress.rs
+++ b/crates/mesh/src/egress.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbert_policy::clock::Clock;
 use filbert_policy::egress::{EgressQueue, EgressTicket, EgressVerdict, SHORT_ANSWER};
@@ -31,6 +31,12 @@
         self.queue.borrow_mut().set_rate(mbps);
     }
 
+    /// The time by this way's clock.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// Time that `bytes` take on the link.
     #[must_use]
     pub fn time_of(&self, bytes: u64) -> Duration {
@@ -60,14 +66,15 @@
         }
     }
 
-    /// Waits until `bytes` may leave, of an answer of which `left` are left.
-    pub async fn pace(&self, bytes: u64, left: u64) {
+    /// Waits until `bytes` may leave, of an answer of which `left` are left, and
+    /// which began to leave at `began`.
+    pub async fn pace(&self, bytes: u64, left: u64, began: Instant) {
         if left <= SHORT_ANSWER {
             let now = self.clock.now();
             self.queue.borrow_mut().pass(bytes, now);
             return;
         }
-        let ticket = self.queue.borrow_mut().line_up(bytes, left);
+        let ticket = self.queue.borrow_mut().line_up(bytes, left, began);
         let place = LinePlace {
             pacer: self,
             ticket,
--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -97,11 +97,20 @@
     position: Option<u64>,
     /// The version in force when that place was reached.
     reached: u64,
+    /// How often the store had come back from an older copy by the last answer.
+    era: Option<u64>,
     /// Calls in vain since the last answer.
     failures: u32,
 }
 
 impl FeedState {
+    /// Whether the store has come back from an older copy since the last answer.
+    fn notes_era(&mut self, shared: &MeshShared) -> bool {
+        let era = shared.store.era();
+        shared.note_era(era);
+        self.era.replace(era).is_some_and(|before| before != era)
+    }
+
     /// Reads the table anew when versions came from elsewhere since the last
     /// answer.
     ///
@@ -124,6 +133,7 @@
         subject,
         position: None,
         reached: 0,
+        era: None,
         failures: 0,
     };
     match subject {
@@ -264,7 +274,7 @@
 async fn ask_once(shared: &Rc<MeshShared>, state: &mut FeedState) {
     let subject = state.subject;
     let is_configuration = subject == FeedSubject::Configuration;
-    match step(shared, subject, state.position, state.failures).await {
+    match step(shared, state).await {
         Ok((next, has_changed)) => {
             shared.metrics.store_call(subject.label(), "answered");
             if state.failures > 0 {
@@ -315,18 +325,19 @@
 /// the table anew, and whether something had changed.
 async fn step(
     shared: &Rc<MeshShared>,
-    subject: FeedSubject,
-    position: Option<u64>,
-    failures: u32,
+    state: &mut FeedState,
 ) -> Result<(Option<u64>, bool), Report<StoreError>> {
+    let subject = state.subject;
     log::info!(
-        "event=store_asked subject={subject:?} is_new={} is_source={} failures={failures}",
-        position.is_none(),
-        shared.members.is_source()
+        "event=store_asked subject={subject:?} is_new={} is_source={} failures={}",
+        state.position.is_none(),
+        shared.members.is_source(),
+        state.failures
     );
-    let Some(position) = position else {
+    let Some(position) = state.position else {
         let batch = shared.store.read_table(subject.table()).await?;
         let version = batch.version;
+        state.notes_era(shared);
         take_table(shared, subject, batch);
         return Ok((Some(version), true));
     };
@@ -342,6 +353,11 @@
             return Ok((None, false));
         }
     };
+    if state.notes_era(shared) {
+        // The place in the former history may lie in this one too, behind rows
+        // that were lost or written since.
+        return Ok((None, false));
+    }
     match answer {
         FeedAnswer::HistoryGone => {
             log::info!("event=store_history_gone subject={subject:?} position={position}");
--- a/crates/mesh/src/feeds/take.rs
+++ b/crates/mesh/src/feeds/take.rs
@@ -7,7 +7,7 @@
 
 use super::FeedSubject;
 use crate::held_rows::is_held_key;
-use crate::messages::PeerAddress;
+use crate::messages::{PeerAddress, RowChange};
 use crate::rollouts::row::is_rollout_key;
 use crate::rows::decode_member;
 use crate::state::MeshShared;
@@ -26,7 +26,9 @@
                 shared.take_rollout_row(row);
             }
             shared.rollouts.rows_were_read();
-            let listed: Vec<PeerAddress> = batch.rows.iter().filter_map(decode_member).collect();
+            let mut listed: Vec<PeerAddress> =
+                batch.rows.iter().filter_map(decode_member).collect();
+            listed.retain(|host| !is_back_wrongly(shared, &host.id));
             if listed.contains(&shared.own_address()) {
                 shared.see_own_row();
             } else {
@@ -37,6 +39,18 @@
     }
 }
 
+/// Whether `id` is a host that was taken away, listed again by an older copy of
+/// the store; its row is removed again.
+fn is_back_wrongly(shared: &MeshShared, id: &str) -> bool {
+    let answers = shared.peers.get(id).is_some_and(|peer| peer.is_linked());
+    let is_back = shared.members.rows.was_removed(id) && !answers;
+    if is_back {
+        log::info!("event=removed_host_listed host={id}");
+        shared.members.rows.want(RowChange::Remove(id.to_owned()));
+    }
+    is_back
+}
+
 /// Takes over a changed row of the table of hosts.
 pub(super) fn take_member(shared: &Rc<MeshShared>, row: &StoreRow) {
     if is_held_key(&row.key) {
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -329,13 +329,14 @@
     // Clients' answers use the host's link too: those of a host beside a
     // target with long answers compete with what it sends to other hosts.
     let mut left = length.unwrap_or(0);
-    egress.pace(start.len() as u64, left).await;
+    let began = egress.now();
+    egress.pace(start.len() as u64, left, began).await;
     writer.write_all(&start).await?;
     loop {
         match body.next().await {
             Ok(Some(piece)) => {
                 let bytes = piece.len() as u64;
-                egress.pace(bytes, left.max(bytes)).await;
+                egress.pace(bytes, left.max(bytes), began).await;
                 left = left.saturating_sub(bytes);
                 if is_chunked {
                     writer.write_all(&chunk(&piece)).await?;
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -193,6 +193,14 @@
         held_rows::row_change(call, book.record(call)?, &mut written, &clock)
     }
 
+    /// Takes all rows for lost; the calls whose rows may have to be written again.
+    #[must_use]
+    pub fn forget_rows(&self) -> Vec<CallIdentity> {
+        self.written.borrow_mut().clear();
+        let book = self.book.borrow();
+        book.serious().into_iter().map(|(call, _)| call).collect()
+    }
+
     fn note(&self, call: CallIdentity, record: &CallRecord, from: &str) -> RecordChange {
         self.is_used.set(true);
         let now = self.clock.now();
--- a/crates/mesh/src/rollouts/decide.rs
+++ b/crates/mesh/src/rollouts/decide.rs
@@ -29,6 +29,29 @@
 struct FollowedRollout {
     judge: VersionJudge,
     confirmed: Option<Instant>,
+    /// Open targets of the new version, and when their number last changed.
+    new_targets: Option<(usize, Instant)>,
+}
+
+impl FollowedRollout {
+    fn new() -> FollowedRollout {
+        FollowedRollout {
+            judge: VersionJudge::default(),
+            confirmed: None,
+            new_targets: None,
+        }
+    }
+
+    /// Time since the number of new targets, now `count`, last changed.
+    fn steady_for(&mut self, count: usize, now: Instant) -> Duration {
+        match self.new_targets {
+            Some((before, since)) if before == count => now.saturating_duration_since(since),
+            _ => {
+                self.new_targets = Some((count, now));
+                Duration::ZERO
+            }
+        }
+    }
 }
 
 /// Decides on stages, while this daemon asks the store for the fleet. Runs for
@@ -49,10 +72,7 @@
                 followed.remove(&service);
                 continue;
             }
-            let rollout = followed.entry(service).or_insert_with(|| FollowedRollout {
-                judge: VersionJudge::default(),
-                confirmed: None,
-            });
+            let rollout = followed.entry(service).or_insert_with(FollowedRollout::new);
             look(&shared, rollout, &entry);
         }
     }
@@ -74,9 +94,11 @@
     shared
         .rollouts
         .note_evidence(service, evidence_line(&verdict));
-    let view = view_of(shared, entry, &tallies, &verdict, now);
+    let mut view = view_of(shared, entry, &tallies, &verdict, now);
+    view.new_steady_for = rollout.steady_for(view.new_targets, now);
     let plan = ExposurePlan {
         share: shared.settings.borrow().rollout.share,
+        slack: shared.settings.borrow().rollout.slack,
         longest_call: shared.current_index().longest_timeout(service),
         spread: TrialSpread::FewFull,
     };
@@ -96,7 +118,7 @@
             );
             let begins = reason == StageReason::TargetsReady;
             let canaries = begins.then(|| {
-                let terms = plan.trial(view.new_targets, view.old_targets);
+                let terms = plan.trial(&view);
                 choose_canaries(&tallies, &entry.note.to, terms.canaries)
             });
             let terms = DecisionTerms {
@@ -190,6 +212,7 @@
         elapsed: now.saturating_duration_since(entry.ordered),
         allowed: entry.note.allowed,
         new_targets: open(VersionSide::New),
+        new_steady_for: Duration::ZERO,
         old_targets: open(VersionSide::Old),
         verdict: verdict.clone(),
         old_at_work,
--- a/crates/mesh/src/rows.rs
+++ b/crates/mesh/src/rows.rs
@@ -2,7 +2,7 @@
 //! that this daemon writes for others.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +33,8 @@
 /// Times that other daemons are asked to see to this host's row before it
 /// writes it itself.
 const TELLER_TRIES: u32 = 4;
+/// Removed rows remembered.
+const MOST_REMOVED: usize = 512;
 /// Longest time that a planned stop waits for its row to be removed.
 const PARTING_TIME: Duration = Duration::from_millis(600);
 
@@ -53,6 +55,8 @@
     own_missing: Notify,
     /// Wakes whoever waits for word of this host's row.
     own_changed: Notify,
+    /// Hosts whose row this daemon removed.
+    removed: RefCell<BTreeSet<String>>,
     /// Whether this host is being taken away: its row is not written again.
     is_parting: Cell<bool>,
 }
@@ -88,6 +92,32 @@
         self.was_own_seen.get()
     }
 
+    /// Whether this daemon removed the row of `id`.
+    ///
+    /// Guards against hosts that were taken away and are listed again, as the
+    /// store came back from an older copy.
+    #[must_use]
+    pub fn was_removed(&self, id: &str) -> bool {
+        self.removed.borrow().contains(id)
+    }
+
+    /// Notes a change that was made.
+    fn note_made(&self, change: &RowChange) {
+        let mut removed = self.removed.borrow_mut();
+        match change {
+            RowChange::Remove(id) if !is_held_key(id) => {
+                if removed.len() >= MOST_REMOVED {
+                    removed.pop_first();
+                }
+                removed.insert(id.clone());
+            }
+            RowChange::Write(address) => {
+                removed.remove(&address.id);
+            }
+            RowChange::Remove(_) | RowChange::Hold(_) => {}
+        }
+    }
+
     /// Has a change made by this daemon.
     pub fn want(&self, change: RowChange) {
         let id = change.key();
@@ -182,6 +212,7 @@
         Ok(()) => {
             shared.metrics.store_call("rows", "answered");
             for (change, key) in changes.iter().zip(&keys) {
+                shared.members.rows.note_made(change);
                 let is_own = *key == shared.settings.borrow().id;
                 let row = if is_own { "own_row" } else { "row" };
                 match change {
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -329,6 +329,7 @@
     length: Option<u64>,
 ) -> Result<(), LinkError> {
     let mut sent = 0;
+    let began = shared.clock.now();
     loop {
         let piece = tokio::select! {
             piece = body.next() => piece,
@@ -340,7 +341,7 @@
                     let part = piece.split_to(piece.len().min(PACED_PIECE));
                     let bytes = part.len() as u64;
                     let left = length.unwrap_or(0).saturating_sub(sent).max(bytes);
-                    shared.egress.pace(bytes, left).await;
+                    shared.egress.pace(bytes, left, began).await;
                     sent += bytes;
                     send_piece(outgoing, part).await?;
                 }
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -55,11 +55,16 @@
     /// Share of a service's calls, from the order to its deadline, that a bad
     /// version may get; 0 to 1.
     pub share: f64,
+    /// Calls that it may get beyond that.
+    pub slack: f64,
 }
 
 impl Default for RolloutSettings {
     fn default() -> Self {
-        RolloutSettings { share: 0.1 }
+        RolloutSettings {
+            share: 0.1,
+            slack: 50.0,
+        }
     }
 }
 
@@ -239,6 +244,16 @@
                 !(self.link.mbps >= 0.0 && self.link.mbps.is_finite()),
                 "must not be negative",
             ),
+            (
+                "rollout.share",
+                !(0.0..=1.0).contains(&self.rollout.share),
+                "must be in 0..=1",
+            ),
+            (
+                "rollout.slack",
+                !(self.rollout.slack >= 0.0 && self.rollout.slack.is_finite()),
+                "must not be negative",
+            ),
             ("link.services", self.link.services == 0, "must be above 0"),
             ("times.grace", self.times.grace.is_zero(), "must be above 0"),
         ];
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -1,6 +1,6 @@
 //! Starts the daemon's parts and sees a planned stop through.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
 use std::future::Future;
@@ -137,6 +137,7 @@
         metrics,
         lines: LineBudget::new(now),
         store_returned: tokio::sync::Notify::new(),
+        store_era: Cell::new(None),
         stop: StopState::default(),
         seed: rand::random(),
         clock,
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -1,6 +1,6 @@
 //! What the daemon's parts share. All run on one thread.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -77,6 +77,9 @@
     pub lines: LineBudget,
     /// Wakes the feed of the members when the store is back.
     pub store_returned: Notify,
+    /// How often the store had come back from an older copy, by what this daemon
+    /// has acted on.
+    pub store_era: Cell<Option<u64>>,
     /// How far a planned stop is.
     pub stop: StopState,
     /// A random number of this start.
@@ -100,6 +103,23 @@
         }
     }
 
+    /// Takes note of the store's era. In a new one, what was written since the
+    /// older copy is gone: what lies in rows of ours is taken for unwritten, and
+    /// written again as it is found missing.
+    pub fn note_era(&self, era: u64) {
+        let before = self.store_era.replace(Some(era));
+        if before.is_none_or(|before| before == era) {
+            return;
+        }
+        log::warn!(
+            "event=store_came_back era={era} before={}",
+            before.unwrap_or_default()
+        );
+        self.rollouts.store_came_back();
+        let held = self.quarantine.forget_rows();
+        self.see_to_held_rows(&held);
+    }
+
     /// The version in force, compiled.
     #[must_use]
     pub fn current_index(&self) -> Rc<RouteIndex> {
--- a/crates/policy/src/egress.rs
+++ b/crates/policy/src/egress.rs
@@ -19,10 +19,17 @@
 /// milliseconds on the slowest link, and are what others wait for most.
 pub const SHORT_ANSWER: u64 = 8 * 1024;
 
+/// How many times as long as an answer's rest takes on the link others that are
+/// shorter may go before it. Lets a burst go home shortest first, and leaves
+/// none behind for good.
+const PASSED_FOR: f64 = 3.0;
+
 /// Names an answer that waits for the link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EgressTicket {
-    /// Bytes left of the answer; the shortest goes first.
+    /// Until when others that come may go first.
+    passed_until: Instant,
+    /// Bytes left of the answer.
     left: u64,
     number: u64,
 }
@@ -47,6 +54,11 @@
 /// what it had done is done again elsewhere. So long answers go out piece by
 /// piece at the link's pace, the one with the least left first, which brings
 /// most of them home early; what is short goes past them.
+///
+/// Load pattern: calls for such answers come faster than the link carries them
+/// for many seconds. Shortest first by itself, an answer that is longer than
+/// most waited for as long as that lasted, 5.8 s, past its caller's patience and
+/// past the end of its caller's host. So each is passed for a while only.
 #[derive(Debug)]
 pub struct EgressQueue {
     /// Bytes a second; `None` when the link is no limit.
@@ -120,10 +132,13 @@
         self.free_at = self.free_at.max(now) + self.time_of(bytes);
     }
 
-    /// Lines up `bytes` of an answer of which `left` bytes are left.
-    pub fn line_up(&mut self, bytes: u64, left: u64) -> EgressTicket {
+    /// Lines up `bytes` of an answer of which `left` bytes are left, and which
+    /// began to leave at `began`.
+    pub fn line_up(&mut self, bytes: u64, left: u64, began: Instant) -> EgressTicket {
+        let left = left.max(bytes);
         let ticket = EgressTicket {
-            left: left.max(bytes),
+            passed_until: began + self.time_of(left).mul_f64(PASSED_FOR),
+            left,
             number: self.next_number,
         };
         self.next_number += 1;
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -79,6 +79,8 @@
     pub old_calls: CallCounts,
     /// The span over which that evidence was seen.
     pub span: Duration,
+    /// Time over which calls were counted.
+    pub watched: Duration,
 }
 
 /// Difference in the share of bad answers that is looked for.
@@ -121,6 +123,23 @@
     pub fn calls(&self) -> u64 {
         self.calls.ended
     }
+
+    /// Calls of both versions together.
+    #[must_use]
+    pub fn all_calls(&self) -> u64 {
+        self.calls.ended + self.old_calls.ended
+    }
+
+    /// Calls a second to the service.
+    #[must_use]
+    pub fn rate(&self) -> f64 {
+        let seconds = self.watched.as_secs_f64();
+        if seconds > 0.0 {
+            calls(self.all_calls()) / seconds
+        } else {
+            0.0
+        }
+    }
 }
 
 type Snapshot = BTreeMap<(String, String), CallCounts>;
@@ -148,7 +167,8 @@
                 }
             }
         }
-        if let Some((_, first)) = self.snapshots.first() {
+        if let Some((began, first)) = self.snapshots.first() {
+            verdict.watched = now.saturating_duration_since(*began);
             let span = SpanCounts::new(targets, first);
             verdict.calls = span.total(VersionSide::New);
             verdict.old_calls = span.total(VersionSide::Old);
--- a/crates/policy/src/rollout/schedule.rs
+++ b/crates/policy/src/rollout/schedule.rs
@@ -18,6 +18,8 @@
     /// Share of the service's calls, from the order to its deadline, that a bad
     /// version may get.
     pub share: f64,
+    /// Calls that it may get beyond that share.
+    pub slack: f64,
     /// Longest time that a call at an old target takes to end.
     pub longest_call: Duration,
     /// Where trial calls go.
@@ -36,6 +38,11 @@
 /// Part of the risked share that trial calls take. What is left covers the
 /// calls between a fault that shows only later and its discovery.
 const TRIAL_PART: f64 = 0.6;
+/// Part of the calls beyond that share that trial calls take. They tell where a
+/// service has few calls.
+const SLACK_PART: f64 = 0.5;
+/// Thousandths of the calls that a trial takes at most.
+const MOST_PER_MILLE: f64 = 500.0;
 /// New targets on trial at least: one in each of three availability zones, and
 /// enough to tell one ill target from an ill version.
 const LEAST_CANARIES: usize = 3;
@@ -55,6 +62,14 @@
 const LAST_CHANCE: Duration = Duration::from_millis(500);
 /// Calls that a verdict rests on at least.
 const LEAST_CALLS: u64 = 40;
+/// The same for a service that has fewer than [`QUIET_CALLS`] during a trial.
+const FEW_CALLS: u64 = 5;
+const QUIET_CALLS: u64 = 800;
+/// Time without another target of the new version after which all are taken to
+/// be there: they start within a second or two of each other.
+const STEADY_FOR: Duration = Duration::from_millis(600);
+/// Part of the allowed time after which a trial begins with those that are.
+const LATEST_BEGIN: f64 = 0.25;
 /// Time before the deadline at which an order without targets is given up.
 const GIVE_UP_BEFORE: Duration = Duration::from_secs(1);
 
@@ -71,6 +86,8 @@
     pub allowed: Duration,
     /// Open targets of the new version.
     pub new_targets: usize,
+    /// Time since their number last changed.
+    pub new_steady_for: Duration,
     /// Open targets of the old version.
     pub old_targets: usize,
     /// What the answers say.
@@ -92,11 +109,15 @@
 }
 
 impl ExposurePlan {
-    /// How the calls of a first trial are spent among `new` targets beside `old`.
+    /// How the calls of a trial are spent that begins with `view`.
     #[must_use]
-    pub fn trial(&self, new: usize, old: usize) -> TrialTerms {
-        let share = self.share * TRIAL_PART;
-        let per_mille = u16::try_from(whole_of(share * 1_000.0)).unwrap_or(u16::MAX);
+    pub fn trial(&self, view: &RolloutView) -> TrialTerms {
+        let (new, old) = (view.new_targets, view.old_targets);
+        let trial_time = self.move_at(view.allowed).saturating_sub(view.elapsed);
+        let expected = (view.verdict.rate() * trial_time.as_secs_f64()).max(1.0);
+        let share = self.share * TRIAL_PART + self.slack * SLACK_PART / expected;
+        let per_mille = whole_of((share * 1_000.0).min(MOST_PER_MILLE));
+        let per_mille = u16::try_from(per_mille).unwrap_or(u16::MAX);
         let alike = usize::try_from(whole_of((share * count_of(old)).round())).unwrap_or(new);
         let canaries = match self.spread {
             TrialSpread::FewFull => alike.max(LEAST_CANARIES).min(new),
@@ -136,8 +157,10 @@
     }
 
     fn begin(&self, view: &RolloutView) -> Option<(RolloutStage, StageReason)> {
-        if view.new_targets > 0 {
-            let terms = self.trial(view.new_targets, view.old_targets);
+        let is_all_here =
+            view.new_steady_for >= STEADY_FOR || view.elapsed >= view.allowed.mul_f64(LATEST_BEGIN);
+        if view.new_targets > 0 && is_all_here {
+            let terms = self.trial(view);
             let stage = RolloutStage::Trial {
                 per_mille: terms.per_mille,
             };
@@ -149,8 +172,7 @@
 
     fn go_on(&self, view: &RolloutView, per_mille: u16) -> Option<(RolloutStage, StageReason)> {
         let move_at = self.move_at(view.allowed);
-        let is_known = view.verdict.calls() >= LEAST_CALLS;
-        let looks_good = view.verdict.is_clear() && is_known;
+        let looks_good = view.verdict.is_clear() && is_known(&view.verdict);
         if view.elapsed + GIVE_UP_BEFORE >= view.allowed {
             return Some((RolloutStage::RolledBack, StageReason::TimeUp));
         }
@@ -169,6 +191,14 @@
     }
 }
 
+/// Whether a verdict rests on as many calls as the service gives.
+fn is_known(verdict: &Verdict) -> bool {
+    let is_unused = verdict.all_calls() < FEW_CALLS;
+    let is_quiet = verdict.all_calls() < QUIET_CALLS;
+    let least = if is_quiet { FEW_CALLS } else { LEAST_CALLS };
+    is_unused || verdict.calls() >= least
+}
+
 /// Whether the old targets may end.
 fn end(view: &RolloutView) -> Option<(RolloutStage, StageReason)> {
     let completed = |reason| Some((RolloutStage::Completed, reason));
--- a/crates/policy/tests/egress_replay.rs
+++ b/crates/policy/tests/egress_replay.rs
@@ -38,7 +38,7 @@
             let piece = answer.left.min(PIECE);
             let ticket = *answer
                 .ticket
-                .get_or_insert_with(|| queue.line_up(piece, answer.left));
+                .get_or_insert_with(|| queue.line_up(piece, answer.left, start));
             if queue.ask(ticket, now) == EgressVerdict::Go {
                 answer.ticket = None;
                 answer.left -= piece;
@@ -83,14 +83,53 @@
     assert!(answers[0].done > Some(Duration::from_secs(2)));
 }
 
+/// Guards against an answer that waits for as long as shorter ones keep coming.
+#[test]
+fn a_longer_answer_is_not_passed_for_ever() {
+    const LONG: u64 = 200_000;
+    const SHORTER: u64 = 60_000;
+    let start = Instant::now();
+    let mut queue = EgressQueue::new(SLOW, start);
+    // A little more than the link carries comes for ten seconds.
+    let every = queue.time_of(SHORTER).mul_f64(0.95);
+    let mut long = (LONG, None);
+    let mut shorter: Vec<(Instant, u64, Option<EgressTicket>)> = Vec::new();
+    let mut next = start;
+    let mut now = start;
+    while long.0 > 0 && now < start + Duration::from_secs(10) {
+        if now >= next {
+            shorter.push((now, SHORTER, None));
+            next += every;
+        }
+        for (began, left, ticket) in shorter
+            .iter_mut()
+            .map(|(began, left, ticket)| (*began, left, ticket))
+            .chain(std::iter::once((start, &mut long.0, &mut long.1)))
+        {
+            let piece = (*left).min(PIECE);
+            if piece == 0 {
+                continue;
+            }
+            let place = *ticket.get_or_insert_with(|| queue.line_up(piece, *left, began));
+            if queue.ask(place, now) == EgressVerdict::Go {
+                *ticket = None;
+                *left -= piece;
+            }
+        }
+        now += STEP;
+    }
+    let took = now - start;
+    assert!(took < Duration::from_secs(2), "it left after {took:?}");
+}
+
 /// A caller leaves while its answer is first in line. The next must not wait
 /// for it.
 #[test]
 fn a_cancelled_answer_holds_up_nobody() {
     let now = Instant::now();
     let mut queue = EgressQueue::new(SLOW, now);
-    let first = queue.line_up(PIECE, PIECE);
-    let second = queue.line_up(PIECE, 4 * PIECE);
+    let first = queue.line_up(PIECE, PIECE, now);
+    let second = queue.line_up(PIECE, 4 * PIECE, now);
     assert_eq!(queue.ask(second, now), EgressVerdict::Behind);
     queue.cancel(first);
     assert_eq!(queue.ask(second, now), EgressVerdict::Go);
@@ -101,7 +140,7 @@
     let now = Instant::now();
     let mut queue = EgressQueue::new(0.0, now);
     for _ in 0..100 {
-        let ticket = queue.line_up(PIECE, 100 * PIECE);
+        let ticket = queue.line_up(PIECE, 100 * PIECE, now);
         assert_eq!(queue.ask(ticket, now), EgressVerdict::Go);
     }
     assert_eq!(queue.backlog(now), Duration::ZERO);
