--- a/crates/policy/src/rollout/note.rs
+++ b/crates/policy/src/rollout/note.rs
@@ -1,6 +1,5 @@
 //! What daemons hold true of a roll-out, and where it lets calls go.
 
-use std::cmp::Ordering;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -134,23 +133,25 @@
     }
 
     /// Which of two notes of one service wins: the later order's; of one order
-    /// a final stage that is written, then any final one, then the later step.
-    /// Two that are decided at once differ in nothing but their stage: the
-    /// further one wins.
+    /// a final stage that is written, then any final one, then the later step,
+    /// then the further stage. Two that are decided at once may differ in what
+    /// is tried only: by the deciders' names, so that all daemons hold the same.
     #[must_use]
     pub fn supersedes(&self, other: &RolloutNote) -> bool {
         if !self.is_same_order(other) {
             return self.order > other.order;
         }
-        let rank = |note: &RolloutNote| {
-            let finality = match (note.stage.is_final(), note.is_written) {
-                (false, _) => 0,
-                (true, false) => 1,
-                (true, true) => 2,
-            };
-            (finality, note.step, note.stage, note.order)
+        self.rank() > other.rank()
+    }
+
+    fn rank(&self) -> impl Ord + '_ {
+        let finality = match (self.stage.is_final(), self.is_written) {
+            (false, _) => 0,
+            (true, false) => 1,
+            (true, true) => 2,
         };
-        rank(self).cmp(&rank(other)) == Ordering::Greater
+        let decider = (self.decided_by.as_str(), &self.canaries);
+        (finality, self.step, self.stage, decider, self.order)
     }
 
     /// Where a call goes: drawn by a hash of its id, alike in all daemons.
--- /dev/null
+++ b/crates/policy/tests/rollout_cases.rs
@@ -0,0 +1,307 @@
+//! What daemons hold true of roll-outs, and when these go on.
+
+use std::time::Duration;
+
+use filbert_policy::rollout::judge::{CallCounts, Verdict};
+use filbert_policy::rollout::note::{OrderId, RolloutNote, RolloutStage, StageReason, VersionLane};
+use filbert_policy::rollout::schedule::{ExposurePlan, RolloutView, TrialSpread};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const ALLOWED: Duration = Duration::from_secs(15);
+const TRIAL: RolloutStage = RolloutStage::Trial { per_mille: 60 };
+const RAMP: RolloutStage = RolloutStage::Trial { per_mille: 250 };
+const WAITING: RolloutStage = RolloutStage::Trial { per_mille: 0 };
+
+fn plan() -> ExposurePlan {
+    ExposurePlan {
+        share: 0.1,
+        slack: 50.0,
+        longest_call: Duration::from_secs(3),
+        spread: TrialSpread::FewFull,
+    }
+}
+
+fn clear() -> Verdict {
+    let counts = |ended| CallCounts { ended, bad: 0 };
+    Verdict {
+        evidence: -5.0,
+        calls: counts(500),
+        old_calls: counts(10_000),
+        watched: Duration::from_secs(8),
+        ..Verdict::default()
+    }
+}
+
+fn bad() -> Verdict {
+    Verdict {
+        evidence: 20.0,
+        calls: CallCounts { ended: 60, bad: 30 },
+        ..clear()
+    }
+}
+
+/// What a decider sees some time after an order, with all else well.
+fn view(stage: RolloutStage, elapsed_ms: u64) -> RolloutView {
+    RolloutView {
+        stage,
+        stage_for: Duration::from_secs(1),
+        elapsed: Duration::from_millis(elapsed_ms),
+        allowed: ALLOWED,
+        new_targets: 20,
+        new_steady_for: Duration::from_secs(1),
+        old_targets: 20,
+        verdict: clear(),
+        old_at_work: 0,
+        old_unheard: 0,
+    }
+}
+
+struct StageCase {
+    what: &'static str,
+    view: RolloutView,
+    next: Option<(RolloutStage, StageReason)>,
+}
+
+#[test]
+fn a_roll_out_goes_on_when_it_is_time() {
+    let moved = |change: fn(&mut RolloutView)| {
+        let mut view = view(RolloutStage::Moved, 11_500);
+        change(&mut view);
+        view
+    };
+    let cases = [
+        StageCase {
+            what: "no target yet",
+            view: RolloutView {
+                new_targets: 0,
+                ..view(WAITING, 3_000)
+            },
+            next: None,
+        },
+        StageCase {
+            what: "targets still come",
+            view: RolloutView {
+                new_steady_for: Duration::from_millis(100),
+                ..view(WAITING, 2_000)
+            },
+            next: None,
+        },
+        StageCase {
+            what: "no target at all",
+            view: RolloutView {
+                new_targets: 0,
+                ..view(WAITING, 14_200)
+            },
+            next: Some((RolloutStage::RolledBack, StageReason::NoTargets)),
+        },
+        StageCase {
+            what: "it may still turn bad",
+            view: view(TRIAL, 6_000),
+            next: None,
+        },
+        StageCase {
+            what: "it looked good long enough",
+            view: view(TRIAL, 10_000),
+            next: Some((RAMP, StageReason::LooksGood)),
+        },
+        StageCase {
+            what: "it looked good with more calls too",
+            view: view(RAMP, 10_600),
+            next: Some((RolloutStage::Moved, StageReason::LooksGood)),
+        },
+        StageCase {
+            what: "something speaks against it",
+            view: RolloutView {
+                verdict: Verdict {
+                    evidence: 6.0,
+                    ..clear()
+                },
+                ..view(TRIAL, 11_000)
+            },
+            next: None,
+        },
+        StageCase {
+            what: "no verdict in time",
+            view: RolloutView {
+                verdict: Verdict {
+                    evidence: 6.0,
+                    ..clear()
+                },
+                ..view(TRIAL, 14_100)
+            },
+            next: Some((RolloutStage::RolledBack, StageReason::TimeUp)),
+        },
+        StageCase {
+            what: "bad at once",
+            view: RolloutView {
+                verdict: bad(),
+                ..view(TRIAL, 2_500)
+            },
+            next: Some((RolloutStage::RolledBack, StageReason::LooksBad)),
+        },
+        StageCase {
+            what: "bad under all calls",
+            view: moved(|view| view.verdict = bad()),
+            next: Some((RolloutStage::RolledBack, StageReason::LooksBad)),
+        },
+        StageCase {
+            what: "calls still at work at old targets",
+            view: moved(|view| view.old_at_work = 3),
+            next: None,
+        },
+        StageCase {
+            what: "an old target that does not know of the move",
+            view: moved(|view| view.old_unheard = 1),
+            next: None,
+        },
+        StageCase {
+            what: "calls on their way to old targets",
+            view: moved(|view| view.stage_for = Duration::from_millis(300)),
+            next: None,
+        },
+        StageCase {
+            what: "old targets idle",
+            view: moved(|_| ()),
+            next: Some((RolloutStage::Completed, StageReason::OldIdle)),
+        },
+        StageCase {
+            what: "an old target that is cut off until the deadline",
+            view: RolloutView {
+                elapsed: Duration::from_millis(14_600),
+                ..moved(|view| view.old_unheard = 1)
+            },
+            next: Some((RolloutStage::Completed, StageReason::OldUnheard)),
+        },
+        StageCase {
+            what: "over",
+            view: view(RolloutStage::RolledBack, 3_000),
+            next: None,
+        },
+    ];
+    for StageCase { what, view, next } in cases {
+        assert_eq!(plan().next_stage(&view), next, "{what}");
+    }
+}
+
+/// The calls that a first trial takes leave room in the risked share for a fault
+/// that shows as all calls move, found within a second.
+#[rstest]
+#[case(2_000.0)]
+#[case(300.0)]
+#[case(40.0)]
+fn a_trial_leaves_room_for_what_shows_late(#[case] rate: f64) {
+    let mut view = view(WAITING, 2_000);
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let ended = (rate * 8.0) as u64;
+    view.verdict.calls = CallCounts::default();
+    view.verdict.old_calls = CallCounts { ended, bad: 0 };
+    let plan = plan();
+    let terms = plan.trial(&view);
+    let trial = plan.move_at(ALLOWED).as_secs_f64() - 2.0;
+    let on_trial = rate * trial * f64::from(terms.per_mille) / 1_000.0;
+    let all = rate * ALLOWED.as_secs_f64();
+    let late = rate * (0.7 * 0.25 + 0.3);
+    assert!(on_trial + late < all * plan.share + plan.slack, "{terms:?}");
+    assert!(terms.canaries >= 3);
+}
+
+fn note(order: (u64, u64), step: u32, stage: RolloutStage, is_written: bool) -> RolloutNote {
+    let order = OrderId {
+        era: order.0,
+        version: order.1,
+    };
+    RolloutNote {
+        step,
+        stage,
+        is_written,
+        ..RolloutNote::ordered("quotes", "v2", ALLOWED, order)
+    }
+}
+
+fn tried_by(decider: &str) -> RolloutNote {
+    RolloutNote {
+        decided_by: decider.to_owned(),
+        canaries: vec![format!("tried-by-{decider}")],
+        ..note((0, 5), 1, TRIAL, false)
+    }
+}
+
+#[rstest]
+#[case::a_later_step(note((0, 5), 2, RAMP, false), note((0, 5), 1, TRIAL, false))]
+#[case::an_end(note((0, 5), 2, RolloutStage::RolledBack, false), note((0, 5), 3, RolloutStage::Moved, false))]
+#[case::a_written_end(note((0, 5), 3, RolloutStage::Completed, true), note((0, 5), 4, RolloutStage::RolledBack, false))]
+#[case::a_later_order(note((0, 9), 0, WAITING, false), note((0, 5), 4, RolloutStage::RolledBack, true))]
+#[case::the_end_of_an_order_written_again(note((0, 9), 4, RolloutStage::Completed, true), note((1, 3), 0, WAITING, false))]
+#[case::of_two_deciders_at_once(tried_by("host-2"), tried_by("host-1"))]
+fn one_note_wins(#[case] winner: RolloutNote, #[case] loser: RolloutNote) {
+    assert!(winner.supersedes(&loser));
+    assert!(!loser.supersedes(&winner));
+}
+
+#[test]
+fn lanes_and_gates_keep_to_the_stage() {
+    let trial = note((0, 5), 1, RolloutStage::Trial { per_mille: 100 }, false);
+    let tried = (0..10_000)
+        .filter(|call| trial.lane(&format!("call-{call}"), true) == VersionLane::NewFirst)
+        .count();
+    assert!((900..1_100).contains(&tried), "{tried} of 10,000");
+    let cut_off =
+        (0..1_000).all(|call| trial.lane(&format!("call-{call}"), false) == VersionLane::OldOnly);
+    assert!(cut_off, "a daemon that is cut off tried the new version");
+    let cases = [
+        (trial.stage, true, [true, true]),
+        (trial.stage, false, [true, false]),
+        (WAITING, true, [true, false]),
+        (RolloutStage::Moved, true, [false, true]),
+        (RolloutStage::Completed, false, [false, true]),
+        (RolloutStage::RolledBack, true, [true, false]),
+    ];
+    for (stage, is_fresh, [old, new]) in cases {
+        let note = note((0, 5), 1, stage, false);
+        assert_eq!(note.admits("v1", is_fresh), old, "{stage:?}, old");
+        assert_eq!(note.admits("v2", is_fresh), new, "{stage:?}, new");
+    }
+}
+
+fn any_note() -> impl Strategy<Value = RolloutNote> {
+    let stages = prop_oneof![
+        Just(WAITING),
+        Just(TRIAL),
+        Just(RAMP),
+        Just(RolloutStage::Moved),
+        Just(RolloutStage::RolledBack),
+        Just(RolloutStage::Completed),
+    ];
+    let deciders = prop_oneof![Just("host-1"), Just("host-2")];
+    (0..3_u64, 0..5_u32, stages, any::<bool>(), deciders).prop_map(
+        |(version, step, stage, is_written, decider)| RolloutNote {
+            decided_by: decider.to_owned(),
+            canaries: vec![format!("tried-by-{decider}")],
+            ..note((0, version), step, stage, is_written && stage.is_final())
+        },
+    )
+}
+
+proptest! {
+    /// Guards against daemons that hold different notes for ever: whatever the
+    /// order in which notes come, the same one is left.
+    #[test]
+    fn notes_merge_alike_in_any_order(
+        notes in prop::collection::vec(any_note(), 1..6),
+        turn in 0..6_usize,
+    ) {
+        let merged = |notes: &[RolloutNote]| {
+            let mut best = notes[0].clone();
+            for note in notes {
+                if note.supersedes(&best) {
+                    best = note.clone();
+                }
+            }
+            best
+        };
+        let mut turned = notes.clone();
+        turned.rotate_left(turn % notes.len());
+        prop_assert_eq!(merged(&notes), merged(&turned));
+    }
+}
--- a/tests/mesh_rollout.rs
+++ b/tests/mesh_rollout.rs
@@ -296,14 +296,17 @@
     assert!(eventually(SETTLE_WITHIN, || caller.is_ready()).await);
     let traffic = Traffic::start(&caller);
     order(&fleet.store, "v2", ALLOWED);
-    let new = start_new(&fleet.store, Conduct::AnswersAfter(WORK)).await;
+    let mut new = start_new(&fleet.store, Conduct::AnswersAfter(WORK)).await;
     assert!(reaches(&fleet.store, "running", Duration::from_secs(2)).await);
     assert!(eventually(ALLOWED, || async { runs(&new) > 0 }).await);
-    let dead = deciders(&fleet.hosts);
-    assert!(!dead.is_empty());
-    for host in dead {
-        fleet.hosts[host].kill();
+    let mut killed = 0;
+    for hosts in [&mut fleet.hosts, &mut new] {
+        for host in deciders(hosts) {
+            hosts[host].kill();
+            killed += 1;
+        }
     }
+    assert!(killed > 0);
     for host in &new {
         host.target.set_conduct(Conduct::FailsAfter(WORK));
     }
