--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -158,6 +158,14 @@
         #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
         output: ReadFormat,
     },
+    /// Show how far roll-outs of software versions are, and why.
+    Rollout {
+        /// Only this service's.
+        service: Option<String>,
+        /// How to print them.
+        #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
+        output: ReadFormat,
+    },
     /// Let a call that is held back go.
     Release {
         /// The call, as `held` lists it and logs name it (`call=`).
--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -10,7 +10,7 @@
 use filbert_platform::operator::read_config;
 use filbert_platform::store::{StoreClient, CONFIG_KEY, OPERATOR_TABLE};
 
-use super::held;
+use super::{held, rollout};
 use crate::cli::{ConfigFormat, MeshCommand, ReadFormat};
 use crate::error::CtlError;
 use crate::mesh::{DaemonReadings, HostStatus, MeshTree};
@@ -32,6 +32,9 @@
             output,
         } => status(&store, metrics_port, output).await,
         MeshCommand::Held { output } => held::list(&store, output).await,
+        MeshCommand::Rollout { service, output } => {
+            rollout::list(&store, service.as_deref(), output).await
+        }
         MeshCommand::Release { call } => held::release(&store, call).await,
         MeshCommand::Watch {
             version,
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod publish;
 mod remove;
 mod report;
+mod rollout;
 mod set;
 mod show;
 mod status;
--- a/crates/mesh/src/rollouts/mod.rs
+++ b/crates/mesh/src/rollouts/mod.rs
@@ -46,6 +46,8 @@
     pub row_at: u64,
     /// Whether that row holds what is agreed of this order.
     pub is_recorded: bool,
+    /// The step that it holds.
+    pub recorded_step: u32,
     /// Set while the end of the old version is to be written.
     pub completes: Option<StageReason>,
     /// What the verdict rests on, in words.
@@ -231,6 +233,7 @@
         // An older copy may show a roll-out that has ended since as under way.
         let is_behind = entry.note.stage.is_final() && !note.stage.is_final();
         entry.is_recorded = entry.note.is_same_order(note) && !is_behind;
+        entry.recorded_step = note.step;
         if note.stage.is_final() && !stored.evidence.is_empty() {
             entry.evidence.clone_from(&stored.evidence);
         }
@@ -293,6 +296,7 @@
                         heard: now,
                         row_at: 0,
                         is_recorded: false,
+                        recorded_step: 0,
                         completes: None,
                         evidence: String::new(),
                     };
@@ -327,7 +331,7 @@
         );
         self.metrics.rollout(&note.service, stage_label(note.stage));
         self.stage_changed.notify_one();
-        if note.stage.is_final() && !note.is_written {
+        if !note.is_written {
             self.has_unwritten.notify_one();
         }
     }
--- a/crates/mesh/src/rollouts/record.rs
+++ b/crates/mesh/src/rollouts/record.rs
@@ -96,8 +96,12 @@
     if !entry.is_recorded {
         return Some(note.clone());
     }
-    let reason = entry.completes?;
     let host = shared.settings.borrow().id.clone();
+    let Some(reason) = entry.completes else {
+        // Operators see how far it is; whoever decided so writes it.
+        let is_news = note.step > entry.recorded_step && note.decided_by == host;
+        return is_news.then(|| note.clone());
+    };
     let mut completed = note.next(RolloutStage::Completed, reason, &host);
     completed.is_written = true;
     Some(completed)
--- a/tests/mesh_rollout.rs
+++ b/tests/mesh_rollout.rs
@@ -142,6 +142,16 @@
     eventually(within, || async { state(store) == wanted }).await
 }
 
+/// What an operator is shown.
+async fn shown(store: &StandinStore) -> String {
+    let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_filbertctl"))
+        .args(["mesh", "--store", &store.address.to_string(), "rollout"])
+        .output()
+        .await
+        .expect("it runs");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
 fn runs(hosts: &[Host]) -> usize {
     hosts.iter().map(|host| host.target.runs().len()).sum()
 }
@@ -226,6 +236,9 @@
         }
     }
     assert!(reaches(&fleet.store, "rolled_back", ALLOWED).await);
+    assert!(shown(&fleet.store)
+        .await
+        .contains("quotes to v2: rolled_back"));
     tokio::time::sleep(ON_THE_WAY).await;
     let before = runs(&new);
     tokio::time::sleep(Duration::from_secs(1)).await;
