An answer that is nearly due leaves first; a stopping daemon's calls end with it

Kept: shortest first, but an answer whose caller's wait nears its end goes first, and a daemon that stops says so through the time it gives its calls.

--- a/crates/mesh/src/calls/place.rs
+++ b/crates/mesh/src/calls/place.rs
@@ -124,7 +124,9 @@
         self.await_links().await;
         loop {
             let now = self.shared.clock.now();
-            self.head.left_us = micros(self.limit.saturating_duration_since(now));
+            let ends_by = self.shared.stop.ends_by().unwrap_or(self.limit);
+            let limit = self.limit.min(ends_by);
+            self.head.left_us = micros(limit.saturating_duration_since(now));
             self.head.aim_us = micros(self.aim.saturating_duration_since(now));
             if !self.may_go() {
                 return self.finish(silent).await;
--- a/crates/mesh/src/egress.rs
+++ b/crates/mesh/src/egress.rs
@@ -67,14 +67,14 @@
     }
 
     /// Waits until `bytes` may leave, of an answer of which `left` are left, and
-    /// which began to leave at `began`.
-    pub async fn pace(&self, bytes: u64, left: u64, began: Instant) {
+    /// whose caller waits until `due`.
+    pub async fn pace(&self, bytes: u64, left: u64, due: Instant) {
         if left <= SHORT_ANSWER {
             let now = self.clock.now();
             self.queue.borrow_mut().pass(bytes, now);
             return;
         }
-        let ticket = self.queue.borrow_mut().line_up(bytes, left, began);
+        let ticket = self.queue.borrow_mut().line_up(bytes, left, due);
         let place = LinePlace {
             pacer: self,
             ticket,
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -300,6 +300,10 @@
     }
 }
 
+/// Time in which an answer is to leave for a client of this host, whose own
+/// deadline was looked at before.
+const CLIENTS_WAIT: Duration = Duration::from_secs(3);
+
 async fn write_target_answer(
     egress: &EgressPacer,
     writer: &mut OwnedWriteHalf,
@@ -329,14 +333,14 @@
     // Clients' answers use the host's link too: those of a host beside a
     // target with long answers compete with what it sends to other hosts.
     let mut left = length.unwrap_or(0);
-    let began = egress.now();
-    egress.pace(start.len() as u64, left, began).await;
+    let due = egress.now() + CLIENTS_WAIT;
+    egress.pace(start.len() as u64, left, due).await;
     writer.write_all(&start).await?;
     loop {
         match body.next().await {
             Ok(Some(piece)) => {
                 let bytes = piece.len() as u64;
-                egress.pace(bytes, left.max(bytes), began).await;
+                egress.pace(bytes, left.max(bytes), due).await;
                 left = left.saturating_sub(bytes);
                 if is_chunked {
                     writer.write_all(&chunk(&piece)).await?;
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -3,7 +3,7 @@
 
 use std::future::poll_fn;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use h2::server::SendResponse;
@@ -269,6 +269,7 @@
             None => return Err(LinkError::Ended),
         }
     };
+    let due = shared.clock.now() + Duration::from_micros(call.left_us);
     let work = async {
         let body = read_body(&call, incoming, buffer).await?;
         let link = shared.gate.link_time(&call);
@@ -295,6 +296,7 @@
             ReplyHead::Answer { head, .. } => head.body_length,
             _ => None,
         };
+        let length = AnswerLength { length, due };
         send_body(&shared, &mut outgoing, body, length).await?;
     }
     Ok(())
@@ -322,14 +324,21 @@
     }
 }
 
+/// What is known of a body that is to leave.
+struct AnswerLength {
+    /// Its length, where that is told ahead.
+    length: Option<u64>,
+    /// Until when its caller waits.
+    due: Instant,
+}
+
 async fn send_body(
     shared: &MeshShared,
     outgoing: &mut SendStream<Bytes>,
     mut body: AnswerBody,
-    length: Option<u64>,
+    AnswerLength { length, due }: AnswerLength,
 ) -> Result<(), LinkError> {
     let mut sent = 0;
-    let began = shared.clock.now();
     loop {
         let piece = tokio::select! {
             piece = body.next() => piece,
@@ -341,7 +350,7 @@
                     let part = piece.split_to(piece.len().min(PACED_PIECE));
                     let bytes = part.len() as u64;
                     let left = length.unwrap_or(0).saturating_sub(sent).max(bytes);
-                    shared.egress.pace(bytes, left, began).await;
+                    shared.egress.pace(bytes, left, due).await;
                     sent += bytes;
                     send_piece(outgoing, part).await?;
                 }
--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -47,6 +47,7 @@
     last_miss: Cell<Option<Instant>>,
     calls: Cell<u32>,
     last_call: Cell<Option<Instant>>,
+    ends_by: Cell<Option<Instant>>,
     /// Wakes connections when the phase changes.
     pub changed: Notify,
 }
@@ -94,6 +95,13 @@
         self.phase.get() == StopPhase::Closing
     }
 
+    /// When the process ends at the latest, while a stop is under way: a call
+    /// taken now has no more time than that, whatever its client would wait.
+    #[must_use]
+    pub fn ends_by(&self) -> Option<Instant> {
+        self.ends_by.get()
+    }
+
     /// Counts a readiness check that was answered with "no" during the stop.
     pub fn count_miss(&self, now: Instant) {
         self.misses.set(self.misses.get() + 1);
@@ -118,6 +126,8 @@
     let grace = shared.settings.borrow().times.grace;
     let stop = &shared.stop;
     log::info!("event=stop_ordered calls={}", stop.calls.get());
+    let last = began + grace.saturating_sub(LAST_MARGIN);
+    stop.ends_by.set(Some(last));
     stop.phase.set(StopPhase::Leaving);
     while !may_close(stop, clock.now(), began, grace) {
         tokio::time::sleep(CHECK_EVERY).await;
@@ -131,7 +141,6 @@
         stop.calls.get(),
         shared.gate.in_work()
     );
-    let last = began + grace.saturating_sub(LAST_MARGIN);
     let closing = clock.now();
     // Guards against a daemon that is ended by force: the store's word on the
     // row and the last calls are waited for side by side. One behind the other
--- a/crates/policy/src/egress.rs
+++ b/crates/policy/src/egress.rs
@@ -19,17 +19,17 @@
 /// milliseconds on the slowest link, and are what others wait for most.
 pub const SHORT_ANSWER: u64 = 8 * 1024;
 
-/// How many times as long as an answer's rest takes on the link others that are
-/// shorter may go before it. Lets a burst go home shortest first, and leaves
-/// none behind for good.
-const PASSED_FOR: f64 = 3.0;
+/// How many times as long as an answer's rest takes on the link may be left until
+/// it is due when it goes first: others may have to go first as well.
+const SPARE: f64 = 1.5;
+/// Time between an answer's last piece and the end of its caller's wait that
+/// covers the way there, over hosts with a tenth of a core.
+const WAY_HOME: Duration = Duration::from_millis(700);
 
 /// Names an answer that waits for the link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EgressTicket {
-    /// Until when others that come may go first.
-    passed_until: Instant,
-    /// Bytes left of the answer.
+    /// Bytes left of the answer; the shortest goes first.
     left: u64,
     number: u64,
 }
@@ -45,6 +45,15 @@
     Behind,
 }
 
+/// A piece in the line.
+#[derive(Clone, Copy, Debug)]
+struct WaitingPiece {
+    /// Its length.
+    bytes: u64,
+    /// When its answer goes first.
+    first_at: Instant,
+}
+
 /// The answers that wait for one host's link.
 ///
 /// Load pattern: a host with a link of 7.5 Mbit/s beside a target whose
@@ -57,14 +66,15 @@
 ///
 /// Load pattern: calls for such answers come faster than the link carries them
 /// for many seconds. Shortest first by itself, an answer that is longer than
-/// most waited for as long as that lasted, 5.8 s, past its caller's patience and
-/// past the end of its caller's host. So each is passed for a while only.
+/// most waits for as long as that lasts, past its caller's patience or the end
+/// of its caller's host. So one that is nearly due goes first, the first due of
+/// several.
 #[derive(Debug)]
 pub struct EgressQueue {
     /// Bytes a second; `None` when the link is no limit.
     rate: Option<f64>,
     free_at: Instant,
-    waiting: BTreeMap<EgressTicket, u64>,
+    waiting: BTreeMap<EgressTicket, WaitingPiece>,
     /// Bytes of answers that are still to be made.
     promised: u64,
     next_number: u64,
@@ -132,28 +142,42 @@
         self.free_at = self.free_at.max(now) + self.time_of(bytes);
     }
 
-    /// Lines up `bytes` of an answer of which `left` bytes are left, and which
-    /// began to leave at `began`.
-    pub fn line_up(&mut self, bytes: u64, left: u64, began: Instant) -> EgressTicket {
+    /// Lines up `bytes` of an answer of which `left` bytes are left, and whose
+    /// caller waits until `due`.
+    pub fn line_up(&mut self, bytes: u64, left: u64, due: Instant) -> EgressTicket {
         let left = left.max(bytes);
         let ticket = EgressTicket {
-            passed_until: began + self.time_of(left).mul_f64(PASSED_FOR),
             left,
             number: self.next_number,
         };
         self.next_number += 1;
-        self.waiting.insert(ticket, bytes);
+        let spare = self.time_of(left).mul_f64(SPARE) + WAY_HOME;
+        let piece = WaitingPiece {
+            bytes,
+            first_at: due.checked_sub(spare).unwrap_or(due),
+        };
+        self.waiting.insert(ticket, piece);
         ticket
     }
 
+    /// The piece that leaves next.
+    fn front(&self, now: Instant) -> Option<EgressTicket> {
+        let is_due = |(_, piece): &(&EgressTicket, &WaitingPiece)| piece.first_at <= now;
+        let due = self.waiting.iter().filter(is_due);
+        let first_due = due.min_by_key(|(ticket, piece)| (piece.first_at, ticket.number));
+        first_due
+            .or_else(|| self.waiting.first_key_value())
+            .map(|(ticket, _)| *ticket)
+    }
+
     /// Whether the piece of `ticket` may leave; if so it is not lined up any
     /// more.
     pub fn ask(&mut self, ticket: EgressTicket, now: Instant) -> EgressVerdict {
-        let Some(bytes) = self.waiting.get(&ticket).copied() else {
+        let Some(WaitingPiece { bytes, .. }) = self.waiting.get(&ticket).copied() else {
             return EgressVerdict::Go;
         };
         if self.rate.is_some() {
-            if self.waiting.keys().next() != Some(&ticket) {
+            if self.front(now) != Some(ticket) {
                 return EgressVerdict::Behind;
             }
             if self.free_at > now + AHEAD {
