--- a/crates/mesh/src/rollouts/mod.rs
+++ b/crates/mesh/src/rollouts/mod.rs
@@ -285,24 +285,12 @@
         let now = self.clock.now();
         let is_news = {
             let mut entries = self.entries.borrow_mut();
-            match entries.get_mut(&note.service) {
-                Some(entry) => entry.merge(note, elapsed, confirmed, now),
-                None => {
-                    let entry = RolloutEntry {
-                        note: note.clone(),
-                        ordered: now.checked_sub(elapsed).unwrap_or(now),
-                        stage_since: now,
-                        confirmed,
-                        heard: now,
-                        row_at: 0,
-                        is_recorded: false,
-                        recorded_step: 0,
-                        completes: None,
-                        evidence: String::new(),
-                    };
-                    entries.insert(note.service.clone(), entry);
-                    NoteNews::Stage
-                }
+            if let Some(entry) = entries.get_mut(&note.service) {
+                entry.merge(note, elapsed, confirmed, now)
+            } else {
+                let entry = RolloutEntry::new(note, elapsed, confirmed, now);
+                entries.insert(note.service.clone(), entry);
+                NoteNews::Stage
             }
         };
         match is_news {
@@ -420,6 +408,21 @@
 const CONFIRMED_ANEW: Duration = Duration::from_millis(500);
 
 impl RolloutEntry {
+    fn new(note: &RolloutNote, elapsed: Duration, confirmed: Duration, now: Instant) -> Self {
+        RolloutEntry {
+            note: note.clone(),
+            ordered: now.checked_sub(elapsed).unwrap_or(now),
+            stage_since: now,
+            confirmed,
+            heard: now,
+            row_at: 0,
+            is_recorded: false,
+            recorded_step: 0,
+            completes: None,
+            evidence: String::new(),
+        }
+    }
+
     fn merge(
         &mut self,
         note: &RolloutNote,
--- a/crates/mesh/src/rollouts/tally.rs
+++ b/crates/mesh/src/rollouts/tally.rs
@@ -1,7 +1,7 @@
 //! Counts runs at the gate here, and keeps what other gates counted.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -154,7 +154,7 @@
 pub struct HeardTallies {
     by_host: RefCell<BTreeMap<String, HeardTally>>,
     /// Hosts whose tally has not been passed on.
-    unpassed: RefCell<BTreeMap<String, ()>>,
+    unpassed: RefCell<BTreeSet<String>>,
 }
 
 impl HeardTallies {
@@ -172,7 +172,7 @@
         }
         let host = tally.host.clone();
         by_host.insert(host.clone(), HeardTally { tally, at: now });
-        self.unpassed.borrow_mut().insert(host, ());
+        self.unpassed.borrow_mut().insert(host);
     }
 
     /// The tallies of targets of `service`.
@@ -190,7 +190,7 @@
     pub fn take_unpassed(&self) -> Vec<TargetTally> {
         let by_host = self.by_host.borrow();
         let unpassed = self.unpassed.take();
-        let tallies = unpassed.keys().filter_map(|host| by_host.get(host));
+        let tallies = unpassed.iter().filter_map(|host| by_host.get(host));
         tallies.map(|heard| heard.tally.clone()).collect()
     }
 
--- a/crates/policy/tests/call_cases.rs
+++ b/crates/policy/tests/call_cases.rs
@@ -157,6 +157,7 @@
     InstanceReport {
         key: key(id),
         service: "quotes".to_owned(),
+        software: "v1".to_owned(),
         address: "127.0.0.1:1".to_owned(),
         slots: 9,
         is_draining,
--- a/crates/policy/tests/rollout_cases.rs
+++ b/crates/policy/tests/rollout_cases.rs
@@ -63,14 +63,15 @@
     next: Option<(RolloutStage, StageReason)>,
 }
 
+fn check(cases: &[StageCase]) {
+    for StageCase { what, view, next } in cases {
+        assert_eq!(plan().next_stage(view), *next, "{what}");
+    }
+}
+
 #[test]
-fn a_roll_out_goes_on_when_it_is_time() {
-    let moved = |change: fn(&mut RolloutView)| {
-        let mut view = view(RolloutStage::Moved, 11_500);
-        change(&mut view);
-        view
-    };
-    let cases = [
+fn a_trial_begins_and_ends_when_it_is_time() {
+    check(&[
         StageCase {
             what: "no target yet",
             view: RolloutView {
@@ -140,6 +141,19 @@
             },
             next: Some((RolloutStage::RolledBack, StageReason::LooksBad)),
         },
+    ]);
+}
+
+/// What a decider sees after all calls moved.
+fn moved(change: fn(&mut RolloutView)) -> RolloutView {
+    let mut view = view(RolloutStage::Moved, 11_500);
+    change(&mut view);
+    view
+}
+
+#[test]
+fn old_targets_may_end_when_it_is_time() {
+    check(&[
         StageCase {
             what: "bad under all calls",
             view: moved(|view| view.verdict = bad()),
@@ -178,10 +192,7 @@
             view: view(RolloutStage::RolledBack, 3_000),
             next: None,
         },
-    ];
-    for StageCase { what, view, next } in cases {
-        assert_eq!(plan().next_stage(&view), next, "{what}");
-    }
+    ]);
 }
 
 /// The calls that a first trial takes leave room in the risked share for a fault
--- a/tests/mesh_rollout.rs
+++ b/tests/mesh_rollout.rs
@@ -289,11 +289,11 @@
 fn deciders(hosts: &[Host]) -> Vec<usize> {
     let asks = |host: &Host| {
         let log = host.log();
-        let plans = log
+        let mut plans = log
             .lines()
             .filter(|line| line.contains("event=links_planned"));
         plans
-            .last()
+            .next_back()
             .is_some_and(|plan| plan.contains("is_source=true"))
     };
     (0..hosts.len())
