A line of answers that stood still: whoever waits looks again when it is due

Cause: an answer becomes due with the time, and only a piece that leaves wakes the others: with the one that came first told to wait behind it, nobody left, and the link idled with 2.5 s of answers before it (probe: waiting=5, free_ms=0, no byte in 1.5 s).

--- a/crates/policy/src/egress.rs
+++ b/crates/policy/src/egress.rs
@@ -15,6 +15,10 @@
 /// it does not idle while the next piece is on its way to it.
 const AHEAD: Duration = Duration::from_millis(15);
 
+/// Time by which a piece may leave late without loss of the link's rate: a host
+/// with a tenth of a core has its turn once in a tenth of a second.
+const LATE_WAKE: Duration = Duration::from_millis(60);
+
 /// Answers up to this length, in bytes, are not paced: they are out in some
 /// milliseconds on the slowest link, and are what others wait for most.
 pub const SHORT_ANSWER: u64 = 8 * 1024;
@@ -41,7 +45,7 @@
     Go,
     /// Not before this moment, if nothing changes.
     NotBefore(Instant),
-    /// Others go first.
+    /// Others that are due go first.
     Behind,
 }
 
@@ -139,7 +143,8 @@
 
     /// Counts bytes that leave at once.
     pub fn pass(&mut self, bytes: u64, now: Instant) {
-        self.free_at = self.free_at.max(now) + self.time_of(bytes);
+        let earliest = now.checked_sub(LATE_WAKE).unwrap_or(now);
+        self.free_at = self.free_at.max(earliest) + self.time_of(bytes);
     }
 
     /// Lines up `bytes` of an answer of which `left` bytes are left, and whose
@@ -173,12 +178,16 @@
     /// Whether the piece of `ticket` may leave; if so it is not lined up any
     /// more.
     pub fn ask(&mut self, ticket: EgressTicket, now: Instant) -> EgressVerdict {
-        let Some(WaitingPiece { bytes, .. }) = self.waiting.get(&ticket).copied() else {
+        let Some(WaitingPiece { bytes, first_at }) = self.waiting.get(&ticket).copied() else {
             return EgressVerdict::Go;
         };
         if self.rate.is_some() {
             if self.front(now) != Some(ticket) {
-                return EgressVerdict::Behind;
+                return if first_at > now {
+                    EgressVerdict::NotBefore(first_at)
+                } else {
+                    EgressVerdict::Behind
+                };
             }
             if self.free_at > now + AHEAD {
                 return EgressVerdict::NotBefore(self.free_at.checked_sub(AHEAD).unwrap_or(now));
