--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -11,6 +11,8 @@
 use filbert_policy::identity::{CallIdentity, IdentityParts};
 use filbert_policy::placement::{choose, CallShape, CrossingCost, TargetView};
 use filbert_policy::quarantine::{CallRecord, CrashMark, QuarantineBook};
+use filbert_policy::rollout::judge::{CallCounts, TargetCounts, VersionJudge, VersionSide};
+use filbert_policy::rollout::note::{OrderId, RolloutNote, RolloutStage};
 use filbert_policy::routing::{
     ClientLimits, MeshVersion, RouteIndex, RouteKind, RoutePart, RouteRule,
 };
@@ -181,8 +183,56 @@
     });
 }
 
+/// A look of a decider at 114 targets with eight kinds of call, and the lane of
+/// one call.
+fn measure_rollout() {
+    let names: Vec<String> = (0..114).map(|target| format!("host-{target}")).collect();
+    let kinds: Vec<String> = (0..8).map(|kind| format!("r-{kind}")).collect();
+    let counts_at = |round: u32| -> Vec<TargetCounts<'_>> {
+        let of_target = |(target, gate): (usize, &'_ String)| TargetCounts {
+            gate: names[target].as_str(),
+            zone: ["a", "b", "c"][target % 3],
+            side: if gate.len() > 7 {
+                VersionSide::New
+            } else {
+                VersionSide::Old
+            },
+            kinds: kinds
+                .iter()
+                .map(|kind| {
+                    let ended = u64::from(round) * 3;
+                    (kind.as_str(), CallCounts { ended, bad: 0 })
+                })
+                .collect(),
+        };
+        names.iter().enumerate().map(of_target).collect()
+    };
+    let start = Instant::now();
+    let mut judge = VersionJudge::default();
+    let looks = 60;
+    let began = Instant::now();
+    for round in 0..looks {
+        let now = start + Duration::from_millis(200) * round;
+        black_box(judge.look(&counts_at(round), now));
+    }
+    println!(
+        "{:<44} {:>8.0} ns",
+        "judge's look, 114 targets, 8 kinds",
+        began.elapsed().as_secs_f64() * 1e9 / f64::from(looks)
+    );
+    let order = OrderId { era: 0, version: 5 };
+    let note = RolloutNote {
+        stage: RolloutStage::Trial { per_mille: 60 },
+        ..RolloutNote::ordered("quotes", "v2", Duration::from_secs(15), order)
+    };
+    measure("lane of a call during a trial", |_| {
+        black_box(note.lane("9c41d07be2a35f68", true));
+    });
+}
+
 fn main() {
     measure_versions();
+    measure_rollout();
     measure_quarantine();
     let routes: Vec<Arc<RouteRule>> = (0..2_000).map(route).map(Arc::new).collect();
     let first = Arc::clone(&routes[0]);
--- a/tests/mesh_harmful.rs
+++ b/tests/mesh_harmful.rs
@@ -186,6 +186,23 @@
     assert!(late.len() <= TRIES_AFTER_HOLD, "more arrivals: {late:?}");
 }
 
+/// Guards against a held call that is let go by a store that comes back from an
+/// older copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_held_calls_row_outlives_an_older_copy_of_the_store() {
+    let fleet = fleet_with_harmful(HARMFUL_LOOKUP.line).await;
+    let copy = fleet.store.copy();
+    fleet.ask_until_held(&HARMFUL_LOOKUP).await;
+    let is_written = || async {
+        let mut keys = fleet.store.keys("filbert-hosts").into_iter();
+        keys.any(|key| key.starts_with("held/"))
+    };
+    assert!(eventually(SETTLE_WITHIN, is_written).await);
+    fleet.store.come_back_from(&copy);
+    assert!(!is_written().await);
+    assert!(eventually(SETTLE_WITHIN, is_written).await, "written again");
+}
+
 /// Four of five servers end at one moment, as with the power of a rack. A lookup
 /// that many ask for was at work in all of them. It is no reason to refuse it.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/mesh_rollout.rs
+++ b/tests/mesh_rollout.rs
@@ -407,6 +407,34 @@
     assert!(runs(&new) > 0);
 }
 
+/// Guards against a write that the store makes late, after it came back from an
+/// older copy in which its premise is another's.
+#[tokio::test]
+async fn a_late_write_of_the_former_era_does_no_harm() {
+    let fleet = old_fleet().await;
+    let traffic = Traffic::start(&fleet.hosts[0]);
+    let copy = fleet.store.copy();
+    order(&fleet.store, "v2", ALLOWED);
+    let new = start_new(&fleet.store, Conduct::AnswersAfter(WORK)).await;
+    assert!(eventually(ALLOWED, || async { runs(&new) > 3 }).await);
+    fleet
+        .store
+        .set_fault(StoreFault::LateWrites(Duration::from_millis(1_500)));
+    for host in &new {
+        host.target.set_conduct(Conduct::FailsAfter(WORK));
+    }
+    assert!(eventually_logs(&fleet.hosts[0], "stage=RolledBack").await);
+    fleet.store.come_back_from(&copy);
+    order(&fleet.store, "v2", ALLOWED);
+    fleet.store.set_fault(StoreFault::None);
+    assert!(reaches(&fleet.store, "rolled_back", SETTLE_WITHIN).await);
+    let before = runs(&new);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(state(&fleet.store), "rolled_back");
+    assert_eq!(runs(&new), before, "the bad version got a call");
+    traffic.stop().await;
+}
+
 /// Guards against rows that stay lost, and a version that goes back, when the
 /// store comes back from an older copy.
 #[tokio::test]
