--- a/crates/mesh/src/rollouts/mod.rs
+++ b/crates/mesh/src/rollouts/mod.rs
@@ -6,6 +6,7 @@
 //! the fleet.
 
 pub mod decide;
+mod entry;
 pub mod news;
 pub mod record;
 pub mod row;
@@ -15,57 +16,18 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use filbert_policy::clock::Clock;
 use filbert_policy::rollout::note::{OrderId, RolloutNote, RolloutStage, StageReason, VersionLane};
 use tokio::sync::Notify;
 
 use crate::metrics::MeshMetrics;
+use entry::NoteNews;
+pub use entry::RolloutEntry;
 use row::RolloutRow;
 use tally::{GateTally, HeardTallies};
 
-/// Time without confirmation by a decider after which nothing goes to a version
-/// on trial: three missed confirmations.
-const FRESH_FOR: Duration = Duration::from_secs(3);
-
-/// What is known of one service's roll-out.
-#[derive(Clone, Debug)]
-pub struct RolloutEntry {
-    /// The note that wins so far.
-    pub note: RolloutNote,
-    /// When the order was given.
-    pub ordered: Instant,
-    /// When the stage began here.
-    pub stage_since: Instant,
-    /// Time from the order to the newest confirmation heard.
-    pub confirmed: Duration,
-    /// When that was heard.
-    pub heard: Instant,
-    /// The version of its row in the store, as far as is known; 0 without one.
-    pub row_at: u64,
-    /// Whether that row holds what is agreed of this order.
-    pub is_recorded: bool,
-    /// The step that it holds.
-    pub recorded_step: u32,
-    /// Set while the end of the old version is to be written.
-    pub completes: Option<StageReason>,
-    /// What the verdict rests on, in words.
-    pub evidence: String,
-}
-
-impl RolloutEntry {
-    fn is_fresh(&self, now: Instant) -> bool {
-        now < self.heard + FRESH_FOR
-    }
-
-    /// Whether it has not come to its end.
-    #[must_use]
-    pub fn is_live(&self) -> bool {
-        !self.note.stage.is_final()
-    }
-}
-
 /// The book that the daemon's parts share.
 pub struct RolloutBook {
     entries: RefCell<BTreeMap<String, RolloutEntry>>,
@@ -396,67 +358,6 @@
     pub to: String,
 }
 
-/// What a note changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NoteNews {
-    None,
-    Confirmed,
-    Stage,
-}
-
-/// Confirmations closer together than this are one: two deciders confirm.
-const CONFIRMED_ANEW: Duration = Duration::from_millis(500);
-
-impl RolloutEntry {
-    fn new(note: &RolloutNote, elapsed: Duration, confirmed: Duration, now: Instant) -> Self {
-        RolloutEntry {
-            note: note.clone(),
-            ordered: now.checked_sub(elapsed).unwrap_or(now),
-            stage_since: now,
-            confirmed,
-            heard: now,
-            row_at: 0,
-            is_recorded: false,
-            recorded_step: 0,
-            completes: None,
-            evidence: String::new(),
-        }
-    }
-
-    fn merge(
-        &mut self,
-        note: &RolloutNote,
-        elapsed: Duration,
-        confirmed: Duration,
-        now: Instant,
-    ) -> NoteNews {
-        if note.supersedes(&self.note) {
-            let is_other = !note.is_same_order(&self.note);
-            if is_other {
-                self.ordered = now.checked_sub(elapsed).unwrap_or(now);
-                self.confirmed = Duration::ZERO;
-                self.is_recorded = false;
-                self.completes = None;
-                self.evidence.clear();
-            }
-            if is_other || note.stage != self.note.stage {
-                self.stage_since = now;
-            }
-            self.note = note.clone();
-            self.confirmed = self.confirmed.max(confirmed);
-            self.heard = now;
-            return NoteNews::Stage;
-        }
-        let is_same = note.is_same_order(&self.note) && note.step == self.note.step;
-        if is_same && confirmed > self.confirmed + CONFIRMED_ANEW {
-            self.confirmed = confirmed;
-            self.heard = now;
-            return NoteNews::Confirmed;
-        }
-        NoteNews::None
-    }
-}
-
 /// The stage as metrics name it.
 #[must_use]
 pub fn stage_label(stage: RolloutStage) -> &'static str {
