Roll-outs: no trial begins when the time is up; an order written again is told to all

Found in reading: with a store that was away until the deadline, a trial would have begun after it (case added). In a new era only the sources took the order's new id, so that old gates' word of the move did not match theirs and the end waited for the last chance. Orders that wait for the rows are kept one a service.

--- a/crates/mesh/src/rollouts/mod.rs
+++ b/crates/mesh/src/rollouts/mod.rs
@@ -46,7 +46,7 @@
     /// Wakes the gate here: a stage changed.
     pub stage_changed: Notify,
     /// Orders that wait until the rows were read.
-    waiting: RefCell<Vec<RolloutNote>>,
+    waiting: RefCell<BTreeMap<String, RolloutNote>>,
     /// Whether the rows were read since this daemon started, and since the store
     /// last came back from an older copy.
     has_read_rows: Cell<bool>,
@@ -153,13 +153,19 @@
     /// ever, also after its end. Until the rows of roll-outs were read it waits.
     pub fn take_order(&self, order: RolloutNote) {
         if !self.has_read_rows.get() {
-            self.waiting.borrow_mut().push(order);
+            let service = order.service.clone();
+            self.waiting.borrow_mut().insert(service, order);
             return;
         }
-        if let Some(entry) = self.entries.borrow_mut().get_mut(&order.service) {
+        if let Some(entry) = self.entry(&order.service) {
             if entry.note.is_same_order(&order) {
                 // Read again, or written again after the store came back.
-                entry.note.order = entry.note.order.max(order.order);
+                let rebound = RolloutNote {
+                    order: entry.note.order.max(order.order),
+                    ..entry.note.clone()
+                };
+                let elapsed = self.clock.now().saturating_duration_since(entry.ordered);
+                self.merge(&rebound, elapsed, entry.confirmed, "order");
                 return;
             }
         }
@@ -178,7 +184,7 @@
     /// Notes that all rows of roll-outs were read.
     pub fn rows_were_read(&self) {
         self.has_read_rows.set(true);
-        for order in self.waiting.take() {
+        for order in self.waiting.take().into_values() {
             self.take_order(order);
         }
     }
--- a/crates/policy/src/rollout/schedule.rs
+++ b/crates/policy/src/rollout/schedule.rs
@@ -157,6 +157,9 @@
     }
 
     fn begin(&self, view: &RolloutView) -> Option<(RolloutStage, StageReason)> {
+        if view.elapsed + GIVE_UP_BEFORE >= view.allowed {
+            return Some((RolloutStage::RolledBack, StageReason::NoTargets));
+        }
         let is_all_here =
             view.new_steady_for >= STEADY_FOR || view.elapsed >= view.allowed.mul_f64(LATEST_BEGIN);
         if view.new_targets > 0 && is_all_here {
@@ -166,8 +169,7 @@
             };
             return Some((stage, StageReason::TargetsReady));
         }
-        let is_over = view.elapsed + GIVE_UP_BEFORE >= view.allowed;
-        is_over.then_some((RolloutStage::RolledBack, StageReason::NoTargets))
+        None
     }
 
     fn go_on(&self, view: &RolloutView, per_mille: u16) -> Option<(RolloutStage, StageReason)> {
--- a/crates/policy/tests/rollout_cases.rs
+++ b/crates/policy/tests/rollout_cases.rs
@@ -96,6 +96,11 @@
             },
             next: Some((RolloutStage::RolledBack, StageReason::NoTargets)),
         },
+        StageCase {
+            what: "targets that come when the time is up",
+            view: view(WAITING, 14_200),
+            next: Some((RolloutStage::RolledBack, StageReason::NoTargets)),
+        },
         StageCase {
             what: "it may still turn bad",
             view: view(TRIAL, 6_000),
