--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -97,7 +97,7 @@
                 get("from"),
             ),
             "call_ended" => format!(
-                "{} with status {} after {} ms (aim {} ms), reason {}; route {} to service {} in version {}, {} attempts, {} of them declined{}",
+                "{} with status {} after {} ms (aim {} ms), reason {}; route {} to service {} in version {}, {} attempts, {} of them declined{}{}",
                 outcome(get("outcome")),
                 get("status"),
                 get("took_ms"),
@@ -108,11 +108,24 @@
                 get("version"),
                 get("attempts"),
                 get("declines"),
+                match get("software") {
+                    "" | "-" => String::new(),
+                    software => format!("; last tried at a target of software {software}"),
+                },
                 match get("come_back_ms") {
                     "0" | "-" => String::new(),
                     after => format!("; told to come back after {after} ms"),
                 },
             ),
+            "rollout_stage" => format!(
+                "roll-out of {} to {}: {} ({}), decided by {}, heard from {}",
+                get("service"),
+                get("to"),
+                get("stage"),
+                get("reason"),
+                get("decided_by"),
+                get("from"),
+            ),
             other => other.to_owned(),
         }
     }
@@ -192,6 +205,7 @@
     "target_leaves",
     "target_heard",
     "link_down",
+    "rollout_stage",
     "link_up",
     "link_silent",
     "store_lost",
--- a/crates/ctl/tests/explain_cases.rs
+++ b/crates/ctl/tests/explain_cases.rs
@@ -8,7 +8,7 @@
   21.1 caller ts=2026-01-01T00:00:21.100+00:00 level=info event=link_down peer=far reason="no answer to a ping"
   21.2 gate ts=2026-01-01T00:00:21.201+00:00 level=info event=gate_declined request=order-7 service=quotes reason=Crowded waited_ms=0 room_in_ms=90 running=9 waiting=5 slots=9 run_ms=230 aim_ms=600 left_ms=3900
   21.2 caller ts=2026-01-01T00:00:21.202+00:00 level=info event=attempt_ended request=order-7 route=r-1 host=gate end=Declined next=SendAgain arrivals=0 declines=1 occupancy=12 slots=9 run_ms=230 ill_share=0.00 in_zone=true candidates=3
-  21.2 caller ts=2026-01-01T00:00:21.205+00:00 level=info event=call_ended request=order-7 outcome=refused status=503 reason=no_room route=r-1 service=quotes version=0000000c host=gate attempts=1 declines=1 took_ms=4 aim_ms=600 come_back_ms=120
+  21.2 caller ts=2026-01-01T00:00:21.205+00:00 level=info event=call_ended request=order-7 outcome=refused status=503 reason=no_room route=r-1 service=quotes version=0000000c host=gate software=v2 attempts=1 declines=1 took_ms=4 aim_ms=600 come_back_ms=120
   21.3 caller ts=2026-01-01T00:00:21.300+00:00 level=info event=lines_held_back ordinary=40 notable=3
   21.3 other ts=2026-01-01T00:00:21.300+00:00 level=info event=lines_held_back ordinary=1 notable=900
 garbage that is no line of ours
@@ -40,6 +40,7 @@
 #[case("declined before the target saw it; sent to another target")]
 #[case("refused, certainly not run with status 503")]
 #[case("told to come back after 120 ms")]
+#[case("last tried at a target of software v2")]
 #[case("link_down peer=far reason=no answer to a ping")]
 fn the_story_says_in_words(#[case] part: &str) {
     let story = story_of("order-7", &lines()).expect("a story").to_string();
