--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -199,7 +199,7 @@
 }
 
 /// Events that change what a daemon believes, which may explain a call.
-const BELIEFS: [&str; 11] = [
+const BELIEFS: [&str; 12] = [
     "version_in_force",
     "target_report",
     "target_leaves",
