--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -79,23 +79,6 @@
                 "refused in front of the target: the call is held back for {} ms more",
                 get("left_ms"),
             ),
-            "call_suspected" => format!(
-                "{} in a row ended under call {} (heard from: {})",
-                targets(get("strikes")),
-                get("call"),
-                get("from"),
-            ),
-            "call_held" => format!(
-                "call {} is held back from now on: three targets ended under it (heard from: {})",
-                get("call"),
-                get("from"),
-            ),
-            "call_tried" => format!("call {} is tried once", get("call")),
-            "call_cleared" => format!(
-                "call {} is cleared: a target ran it well (heard from: {})",
-                get("call"),
-                get("from"),
-            ),
             "call_ended" => format!(
                 "{} with status {} after {} ms (aim {} ms), reason {}; route {} to service {} in version {}, {} attempts, {} of them declined{}{}",
                 outcome(get("outcome")),
@@ -117,6 +100,31 @@
                     after => format!("; told to come back after {after} ms"),
                 },
             ),
+            _ => self.belief(),
+        }
+    }
+
+    /// What the line says of what a daemon came to believe, in words.
+    fn belief(&self) -> String {
+        let get = |key| self.get(key);
+        match get("event") {
+            "call_suspected" => format!(
+                "{} in a row ended under call {} (heard from: {})",
+                targets(get("strikes")),
+                get("call"),
+                get("from"),
+            ),
+            "call_held" => format!(
+                "call {} is held back from now on: three targets ended under it (heard from: {})",
+                get("call"),
+                get("from"),
+            ),
+            "call_tried" => format!("call {} is tried once", get("call")),
+            "call_cleared" => format!(
+                "call {} is cleared: a target ran it well (heard from: {})",
+                get("call"),
+                get("from"),
+            ),
             "rollout_stage" => format!(
                 "roll-out of {} to {}: {} ({}), decided by {}, heard from {}",
                 get("service"),
