--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -109,7 +109,7 @@
                 ("", "first_start") => "true",
                 ("", "target") | ("listen.", _) => "\"127.0.0.1:1\"",
                 ("times.", _) | ("retry.", "window") => "\"1500ms\"",
-                ("retry.", _) | ("link.", "mbps") | ("rollout.", _) => "0.2",
+                ("retry." | "rollout.", _) | ("link.", "mbps") => "0.2",
                 _ => "\"text\"",
             };
             filled += key;
