--- a/crates/mesh/src/calls/story.rs
+++ b/crates/mesh/src/calls/story.rs
@@ -71,7 +71,7 @@
             return;
         }
         log::info!(
-            "event=call_ended request={} call={} outcome={outcome} status={status} reason={} route={} service={} version={:08x} host={} software={} attempts={} declines={} took_ms={} aim_ms={} come_back_ms={}",
+            "event=call_ended request={} call={} outcome={outcome} status={status} reason={} route={} service={} version={:08x} host={} attempts={} declines={} software={} took_ms={} aim_ms={} come_back_ms={}",
             self.id,
             self.identity,
             self.reason,
@@ -79,9 +79,9 @@
             self.service,
             self.version,
             self.host,
-            self.software,
             self.attempts,
             self.declines,
+            self.software,
             took.as_millis(),
             self.aim_ms,
             come_back.map_or(0, |after| after.as_millis())
