--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -189,10 +189,10 @@
     let names: Vec<String> = (0..114).map(|target| format!("host-{target}")).collect();
     let kinds: Vec<String> = (0..8).map(|kind| format!("r-{kind}")).collect();
     let counts_at = |round: u32| -> Vec<TargetCounts<'_>> {
-        let of_target = |(target, gate): (usize, &'_ String)| TargetCounts {
+        let of_target = |target: usize| TargetCounts {
             gate: names[target].as_str(),
             zone: ["a", "b", "c"][target % 3],
-            side: if gate.len() > 7 {
+            side: if target >= 100 {
                 VersionSide::New
             } else {
                 VersionSide::Old
@@ -205,7 +205,7 @@
                 })
                 .collect(),
         };
-        names.iter().enumerate().map(of_target).collect()
+        (0..names.len()).map(of_target).collect()
     };
     let start = Instant::now();
     let mut judge = VersionJudge::default();
--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -3,12 +3,14 @@
 //! operator interface alone, so that is only read.
 
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use error_stack::{Report, ResultExt};
 use filbert_mesh::messages::PeerAddress;
 use filbert_platform::operator::read_config;
 use filbert_platform::store::{StoreClient, CONFIG_KEY, OPERATOR_TABLE};
+use filbert_policy::clock::SystemClock;
 
 use super::{held, rollout};
 use crate::cli::{ConfigFormat, MeshCommand, ReadFormat};
@@ -22,7 +24,7 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
 pub(super) async fn run(store: &str, command: MeshCommand) -> CtlResult<()> {
-    let store = StoreClient::new(store, CALL_TIMEOUT);
+    let store = StoreClient::new(store, CALL_TIMEOUT, Arc::new(SystemClock));
     match command {
         MeshCommand::Show { below, output } => show(&store, &below, output).await,
         MeshCommand::Diff { older } => diff(&store, &older).await,
--- a/crates/mesh/src/held_rows.rs
+++ b/crates/mesh/src/held_rows.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::messages::RowChange;
+use crate::row_value;
 use crate::state::MeshShared;
 
 /// What the keys of these rows begin with; no host's name has a slash.
@@ -85,9 +86,8 @@
             return None;
         }
         let value = row.value.as_ref()?;
-        let decoded = bincode::serde::decode_from_slice(value, bincode::config::standard());
-        match decoded {
-            Ok((held, used)) if is_own(&held, &row.key) && used == value.len() => Some(held),
+        match row_value::decode(value) {
+            Ok(held) if is_own(&held, &row.key) => Some(held),
             _ => {
                 log::warn!("event=held_row_malformed key={}", row.key);
                 None
@@ -96,13 +96,9 @@
     }
 
     /// Its value.
-    ///
-    /// # Panics
-    /// Never: a row holds only plain data that bincode always encodes.
     #[must_use]
     pub fn value(&self) -> Vec<u8> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard())
-            .expect("a row of plain data always encodes")
+        row_value::encode(self)
     }
 
     /// What it says.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod ready;
 pub mod reload;
 pub mod rollouts;
+pub mod row_value;
 pub mod rows;
 pub mod serve_peers;
 pub mod settings;
--- a/crates/mesh/src/rollouts/decide.rs
+++ b/crates/mesh/src/rollouts/decide.rs
@@ -59,8 +59,12 @@
 pub async fn keep_decided(shared: Rc<MeshShared>) {
     let mut followed: BTreeMap<String, FollowedRollout> = BTreeMap::new();
     loop {
+        if !shared.rollouts.has_live() {
+            followed.clear();
+            shared.rollouts.until_live().await;
+        }
         tokio::time::sleep(LOOK_EVERY).await;
-        if !shared.rollouts.has_live() || !shared.members.is_source() {
+        if !shared.members.is_source() {
             followed.clear();
             continue;
         }
@@ -104,7 +108,7 @@
     };
     match plan.next_stage(&view) {
         // Written first, under its condition.
-        Some((RolloutStage::Completed, reason)) => shared.want_completion(service, reason),
+        Some((RolloutStage::Completed, reason)) => shared.rollouts.want_completion(service, reason),
         Some((stage, reason)) => {
             log::info!(
                 "event=rollout_decided service={service} to={} stage={stage:?} reason={reason:?} elapsed_ms={} new_targets={} old_targets={} old_at_work={} old_unheard={} {}",
@@ -123,7 +127,6 @@
             });
             let terms = DecisionTerms {
                 decided_by: shared.settings.borrow().id.clone(),
-                is_written: false,
                 canaries,
             };
             shared.rollouts.decide(service, stage, reason, terms);
--- a/crates/mesh/src/rollouts/mod.rs
+++ b/crates/mesh/src/rollouts/mod.rs
@@ -45,6 +45,8 @@
     pub has_unwritten: Notify,
     /// Wakes the gate here: a stage changed.
     pub stage_changed: Notify,
+    /// Wakes whoever works only while roll-outs run.
+    has_news: Notify,
     /// Orders that wait until the rows were read.
     waiting: RefCell<BTreeMap<String, RolloutNote>>,
     /// Whether the rows were read since this daemon started, and since the store
@@ -68,6 +70,7 @@
             has_untold: Notify::new(),
             has_unwritten: Notify::new(),
             stage_changed: Notify::new(),
+            has_news: Notify::new(),
             waiting: RefCell::default(),
             has_read_rows: Cell::new(false),
             is_used: Cell::new(false),
@@ -139,6 +142,26 @@
         self.is_used.get() && self.entries.borrow().values().any(RolloutEntry::is_live)
     }
 
+    /// Waits until a roll-out runs; at once while one does.
+    pub async fn until_live(&self) {
+        self.until(|| self.has_live()).await;
+    }
+
+    /// Waits until any roll-out was heard of.
+    pub async fn until_used(&self) {
+        self.until(|| self.is_used.get()).await;
+    }
+
+    async fn until(&self, holds: impl Fn() -> bool) {
+        loop {
+            let news = self.has_news.notified();
+            if holds() {
+                return;
+            }
+            news.await;
+        }
+    }
+
     /// Hosts whose targets are tried now: every daemon links to them.
     #[must_use]
     pub fn canaries(&self) -> Vec<String> {
@@ -241,14 +264,8 @@
     }
 
     /// Takes a note, told `elapsed` after its order and confirmed `confirmed`
-    /// after it; whether it is news to others too.
-    pub fn merge(
-        &self,
-        note: &RolloutNote,
-        elapsed: Duration,
-        confirmed: Duration,
-        from: &str,
-    ) -> bool {
+    /// after it; what is news is told on.
+    pub fn merge(&self, note: &RolloutNote, elapsed: Duration, confirmed: Duration, from: &str) {
         self.is_used.set(true);
         let now = self.clock.now();
         let is_news = {
@@ -262,13 +279,12 @@
             }
         };
         match is_news {
-            NoteNews::None => return false,
+            NoteNews::None => return,
             NoteNews::Confirmed => {}
             NoteNews::Stage => self.say_stage(note, from),
         }
         self.untold.borrow_mut().push(note.service.clone());
         self.has_untold.notify_one();
-        true
     }
 
     fn say_stage(&self, note: &RolloutNote, from: &str) {
@@ -287,6 +303,7 @@
         );
         self.metrics.rollout(&note.service, stage_label(note.stage));
         self.stage_changed.notify_one();
+        self.has_news.notify_waiters();
         if !note.is_written {
             self.has_unwritten.notify_one();
         }
@@ -304,7 +321,6 @@
             return;
         };
         let mut note = entry.note.next(stage, reason, &terms.decided_by);
-        note.is_written = terms.is_written;
         if let Some(canaries) = terms.canaries {
             note.canaries = canaries;
         }
@@ -349,8 +365,6 @@
 pub struct DecisionTerms {
     /// This host's name.
     pub decided_by: String,
-    /// Whether it lies in the store.
-    pub is_written: bool,
     /// Hosts that are tried, where that changes.
     pub canaries: Option<Vec<String>>,
 }
--- a/crates/mesh/src/rollouts/record.rs
+++ b/crates/mesh/src/rollouts/record.rs
@@ -1,6 +1,7 @@
-//! Agrees on roll-outs in the store: that one was begun, and how it ended.
+//! Agrees on roll-outs in the store: that one was begun, how far it is, and how
+//! it ended.
 //!
-//! Both are written under the condition that the row is as this daemon knows
+//! Each is written under the condition that the row is as this daemon knows
 //! it, together with what the operator reads. Of two daemons that decide one is
 //! turned away, and takes over what stands there.
 
@@ -9,7 +10,7 @@
 
 use filbert_platform::rollouts::{self, RolloutState};
 use filbert_platform::store::{RowCondition, RowEdit, StoreRow, WriteEnd};
-use filbert_policy::rollout::note::{OrderId, RolloutNote, RolloutStage, StageReason};
+use filbert_policy::rollout::note::{OrderId, RolloutNote, RolloutStage};
 use filbert_policy::store_asking::pause_after;
 use rand::Rng;
 
@@ -45,17 +46,13 @@
         let elapsed = now.unwrap_or_default().saturating_sub(stored.ordered_at);
         self.rollouts.take_row(&stored, row.version, elapsed);
     }
-
-    /// Has the end of the old version of `service` written.
-    pub fn want_completion(&self, service: &str, reason: StageReason) {
-        self.rollouts.want_completion(service, reason);
-    }
 }
 
 /// Writes what is to be agreed, while this daemon asks the store for the fleet.
 /// Runs for ever.
 pub async fn keep_recorded(shared: Rc<MeshShared>) {
     let mut failures = 0;
+    shared.rollouts.until_used().await;
     loop {
         let unwritten = shared.rollouts.has_unwritten.notified();
         let _ = tokio::time::timeout(LOOK_EVERY, unwritten).await;
--- a/crates/mesh/src/rollouts/row.rs
+++ b/crates/mesh/src/rollouts/row.rs
@@ -7,6 +7,8 @@
 use filbert_policy::rollout::note::RolloutNote;
 use serde::{Deserialize, Serialize};
 
+use crate::row_value;
+
 /// What the keys of these rows begin with; no host's name has a slash.
 const KEY_PREFIX: &str = "rollout/";
 
@@ -27,12 +29,8 @@
     pub fn read(row: &StoreRow) -> Option<RolloutRow> {
         let service = row.key.strip_prefix(KEY_PREFIX)?;
         let value = row.value.as_ref()?;
-        let decoded: Result<(RolloutRow, usize), _> =
-            bincode::serde::decode_from_slice(value, bincode::config::standard());
-        match decoded {
-            Ok((stored, used)) if used == value.len() && stored.note.service == service => {
-                Some(stored)
-            }
+        match row_value::decode::<RolloutRow>(value) {
+            Ok(stored) if stored.note.service == service => Some(stored),
             _ => {
                 log::warn!("event=rollout_row_malformed key={}", row.key);
                 None
@@ -41,13 +39,9 @@
     }
 
     /// Its value.
-    ///
-    /// # Panics
-    /// Never: a row holds only plain data that bincode always encodes.
     #[must_use]
     pub fn value(&self) -> Vec<u8> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard())
-            .expect("a row of plain data always encodes")
+        row_value::encode(self)
     }
 }
 
--- a/crates/mesh/src/rollouts/spread.rs
+++ b/crates/mesh/src/rollouts/spread.rs
@@ -119,11 +119,11 @@
 /// Tells counters while roll-outs run. Runs for ever.
 pub async fn keep_counted(shared: Rc<MeshShared>) {
     loop {
-        tokio::time::sleep(TALLY_EVERY).await;
-        if shared.rollouts.has_live() {
+        shared.rollouts.until_live().await;
+        while shared.rollouts.has_live() {
+            tokio::time::sleep(TALLY_EVERY).await;
             shared.pass_tallies();
-        } else {
-            shared.rollouts.heard.clear();
         }
+        shared.rollouts.heard.clear();
     }
 }
--- a/crates/mesh/src/rows.rs
+++ b/crates/mesh/src/rows.rs
@@ -16,6 +16,7 @@
 use crate::held_rows::is_held_key;
 use crate::messages::{LinkMessage, PeerAddress, RowChange, StoreState};
 use crate::rollouts::row::is_rollout_key;
+use crate::row_value;
 use crate::state::MeshShared;
 
 /// The table in which daemons say where they are, a row a host.
@@ -202,7 +203,7 @@
             table: HOSTS_TABLE,
             key,
             value: match change {
-                RowChange::Write(address) => Some(encode_member(address)),
+                RowChange::Write(address) => Some(row_value::encode(address)),
                 RowChange::Hold(held) => Some(held.value()),
                 RowChange::Remove(_) => None,
             },
@@ -289,11 +290,6 @@
     }
 }
 
-fn encode_member(address: &PeerAddress) -> Vec<u8> {
-    bincode::serde::encode_to_vec(address, bincode::config::standard())
-        .expect("an address always encodes")
-}
-
 /// The daemon that a row of [`HOSTS_TABLE`] names; `None` when it names none.
 #[must_use]
 pub fn decode_member(row: &StoreRow) -> Option<PeerAddress> {
@@ -316,12 +312,7 @@
 /// Guards against a row by another writer whose bytes happen to decode: a host
 /// without an address or with another's name would be dialed for ever.
 fn read_member(key: &str, value: &[u8]) -> Result<PeerAddress, String> {
-    let (address, used): (PeerAddress, usize) =
-        bincode::serde::decode_from_slice(value, bincode::config::standard())
-            .map_err(|error| error.to_string())?;
-    if used != value.len() {
-        return Err("bytes behind the address".to_owned());
-    }
+    let address: PeerAddress = row_value::decode(value)?;
     if address.id != key {
         return Err(format!("names another host, {}", address.id));
     }
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
@@ -122,7 +123,7 @@
         Rc::clone(&clock),
     );
     Rc::new(MeshShared {
-        store: StoreClient::new(&settings.store, STORE_TIMEOUT),
+        store: StoreClient::new(&settings.store, STORE_TIMEOUT, Arc::new(SystemClock)),
         budget: RefCell::new(RetryBudget::new(settings.budget_terms(), now)),
         settings: RefCell::new(Rc::new(settings)),
         versions: VersionBook::default(),
--- a/crates/policy/src/egress.rs
+++ b/crates/policy/src/egress.rs
@@ -5,11 +5,9 @@
 
 use crate::numbers::bytes_of;
 
-/// Part of the link's rate that answers get. The rest is for packet headers
-/// (some 4%), calls sent elsewhere, news and pings. Short answers are counted
-/// within the share. Of the worth of downloads that links of 21 Mbit/s bound,
-/// 0.65 was served with 0.85, 0.71 with 0.93 and 0.73 with 0.97, and short calls
-/// no worse; the last step is left as room.
+/// Part of the link's rate that answers get. The rest is for packet headers,
+/// calls sent elsewhere, news and pings. Short answers are counted within the
+/// share.
 const PACED_SHARE: f64 = 0.93;
 /// Time by which pieces may be handed over before the link is free, so that
 /// it does not idle while the next piece is on its way to it.
--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -15,9 +15,9 @@
 /// Load pattern: callers differ in how long they wait, by a seventh and more
 /// (4.3 to 5 s), and say so with each call. Those that were refused come back
 /// with less time left than they had. A call's aim counts from the first try,
-/// so what has passed since has to be told from that time alone. Measured
-/// against the most patient caller, first tries looked as if up to 700 ms of an
-/// aim of 800 ms were gone: gates put them behind others or turned them away.
+/// so what has passed since has to be told from that time alone. Told against
+/// the most patient caller, first tries look as if most of their aim were gone:
+/// gates put them behind others or turn them away.
 #[derive(Clone, Debug, Default)]
 pub struct PatienceRecord {
     /// Waits in the order in which they came, in milliseconds.
--- a/crates/policy/tests/rollout_replay.rs
+++ b/crates/policy/tests/rollout_replay.rs
@@ -70,7 +70,7 @@
     }
 
     fn read(&self) -> Vec<TargetCounts<'_>> {
-        let read_one = |(target, name): (usize, &'_ String)| TargetCounts {
+        let read_one = |target: usize| TargetCounts {
             gate: self.names[target].as_str(),
             zone: ZONES[target % ZONES.len()],
             side: if target < self.old {
@@ -82,10 +82,9 @@
                 .iter()
                 .zip(self.counts[target])
                 .map(|((kind, _), counts)| (*kind, counts))
-                .filter(|_| !name.is_empty())
                 .collect(),
         };
-        self.names.iter().enumerate().map(read_one).collect()
+        (0..self.names.len()).map(read_one).collect()
     }
 }
 
