Every host brings its part of the tokens to two pools; who sees to organisations sees them

Cause: pools counted the daemons that had linked to them, some of them long gone, and where readers lose the store more than two step in: four pools each took themselves for half of the zone.

Change: a host says every 0.4 s to the two pools that it asks that it does; its part, 1/(zones x hosts), comes into being there and nowhere else. One that begins to grant has a quarter of its part for 1.5 s.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -9,6 +9,9 @@
 use filbert_policy::admission::{CallDemand, GateQueue, GateVerdict, LinkTime, WaitLimits};
 use filbert_policy::budget::{BudgetTerms, RepeatCause, RetryBudget};
 use filbert_policy::identity::{CallIdentity, IdentityParts};
+use filbert_policy::organisations::keys::{KeyHash, KeyIndex, OrganisationRule, RateLimit};
+use filbert_policy::organisations::quota::{PoolPart, TokenPool};
+use filbert_policy::organisations::stash::TokenStash;
 use filbert_policy::placement::{choose, CallShape, CrossingCost, TargetView};
 use filbert_policy::quarantine::{CallRecord, CrashMark, QuarantineBook};
 use filbert_policy::rollout::judge::{CallCounts, TargetCounts, VersionJudge, VersionSide};
@@ -231,8 +234,52 @@
     });
 }
 
+/// Cost of looking a key up among many, and of a token's way from a pool to a call.
+fn measure_organisations() {
+    const ORGANISATIONS: usize = 10_000;
+    const KEYS_EACH: usize = 10;
+    let key = |organisation: usize, key: usize| format!("key-{organisation}-{key}");
+    let limit = RateLimit {
+        per_s: 1e9,
+        burst: 1e9,
+    };
+    let organisations = (0..ORGANISATIONS).map(|number| {
+        let keys = (0..KEYS_EACH).map(|each| KeyHash::of(&key(number, each)));
+        let rule = OrganisationRule {
+            name: format!("organisation-{number}"),
+            keys: keys.collect(),
+            priority: None,
+            limit: Some(limit),
+        };
+        Arc::new(rule)
+    });
+    let index = KeyIndex::compile(organisations.collect());
+    let held = key(ORGANISATIONS / 2, 3);
+    measure("holder of a key, 100,000 keys", |_| {
+        black_box(index.holder(&held));
+    });
+    measure("holder of a key that is not known", |_| {
+        black_box(index.holder("no key at all"));
+    });
+    let now = Instant::now();
+    let part = PoolPart {
+        zones: 3,
+        pools: 2,
+        hosts: 20,
+        reached_by: 20,
+    };
+    let mut pool = TokenPool::new(20.0);
+    let mut stash = TokenStash::default();
+    measure("a token from pool to call", |round| {
+        let now = now + Duration::from_millis(u64::from(round));
+        stash.granted(pool.grant("one", limit, part.share(), 1, now), now);
+        black_box(stash.take(now));
+    });
+}
+
 fn main() {
     measure_versions();
+    measure_organisations();
     measure_rollout();
     measure_quarantine();
     let routes: Vec<Arc<RouteRule>> = (0..2_000).map(route).map(Arc::new).collect();
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -166,6 +166,15 @@
         #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
         output: ReadFormat,
     },
+    /// List the organisations: their limits, and what became of their calls.
+    Organisations {
+        /// Port of the daemons' metrics.
+        #[arg(long, default_value_t = METRICS_PORT)]
+        metrics_port: u16,
+        /// How to print them.
+        #[arg(long, value_enum, default_value_t = ReadFormat::Text)]
+        output: ReadFormat,
+    },
     /// Let a call that is held back go.
     Release {
         /// The call, as `held` lists it and logs name it (`call=`).
--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -12,7 +12,7 @@
 use filbert_platform::store::{StoreClient, CONFIG_KEY, OPERATOR_TABLE};
 use filbert_policy::clock::SystemClock;
 
-use super::{held, rollout};
+use super::{held, organisations, rollout};
 use crate::cli::{ConfigFormat, MeshCommand, ReadFormat};
 use crate::error::CtlError;
 use crate::mesh::{DaemonReadings, HostStatus, MeshTree};
@@ -37,6 +37,10 @@
         MeshCommand::Rollout { service, output } => {
             rollout::list(&store, service.as_deref(), output).await
         }
+        MeshCommand::Organisations {
+            metrics_port,
+            output,
+        } => organisations::list(&store, metrics_port, output).await,
         MeshCommand::Release { call } => held::release(&store, call).await,
         MeshCommand::Watch {
             version,
@@ -46,7 +50,8 @@
     }
 }
 
-async fn current(store: &StoreClient) -> CtlResult<(Vec<u8>, MeshTree)> {
+/// The configuration in the store, as text and as a tree.
+pub(super) async fn current(store: &StoreClient) -> CtlResult<(Vec<u8>, MeshTree)> {
     let batch = store
         .read_table(OPERATOR_TABLE)
         .await
@@ -89,7 +94,8 @@
     Ok(())
 }
 
-async fn members(store: &StoreClient) -> CtlResult<Vec<PeerAddress>> {
+/// The hosts whose rows are in the store.
+pub(super) async fn members(store: &StoreClient) -> CtlResult<Vec<PeerAddress>> {
     let batch = store
         .read_table(filbert_mesh::rows::HOSTS_TABLE)
         .await
@@ -114,18 +120,16 @@
 }
 
 async fn status(store: &StoreClient, metrics_port: u16, output: ReadFormat) -> CtlResult<()> {
-    let http = metrics_client()?;
-    let mut asked = tokio::task::JoinSet::new();
-    for (place, member) in members(store).await?.into_iter().enumerate() {
-        let http = http.clone();
-        asked.spawn(async move {
-            let daemon = readings_of(&http, &member, metrics_port).await;
-            (place, host_status(member, daemon))
-        });
-    }
-    let mut hosts = asked.join_all().await;
-    hosts.sort_by_key(|(place, _)| *place);
-    let hosts: Vec<HostStatus> = hosts.into_iter().map(|(_, host)| host).collect();
+    let members = members(store).await?;
+    let metrics = metrics_of(members.clone(), metrics_port).await?;
+    let readings = metrics
+        .into_iter()
+        .map(|(_, text)| text.and_then(|text| DaemonReadings::read(&text)));
+    let hosts: Vec<HostStatus> = members
+        .into_iter()
+        .zip(readings)
+        .map(|(member, daemon)| host_status(member, daemon))
+        .collect();
     if output == ReadFormat::Json {
         println!("{}", json(&hosts)?);
         return Ok(());
@@ -160,6 +164,26 @@
     Ok(())
 }
 
+/// What the daemons of `members` say in their metrics, by host and in that order;
+/// `None` of one that does not answer.
+pub(super) async fn metrics_of(
+    members: Vec<PeerAddress>,
+    port: u16,
+) -> CtlResult<Vec<(String, Option<String>)>> {
+    let http = metrics_client()?;
+    let mut asked = tokio::task::JoinSet::new();
+    for (place, member) in members.into_iter().enumerate() {
+        let http = http.clone();
+        asked.spawn(async move {
+            let text = metrics_text(&http, &member, port).await;
+            (place, member.id, text)
+        });
+    }
+    let mut told = asked.join_all().await;
+    told.sort_by_key(|(place, ..)| *place);
+    Ok(told.into_iter().map(|(_, id, text)| (id, text)).collect())
+}
+
 fn host_status(member: PeerAddress, daemon: Option<DaemonReadings>) -> HostStatus {
     HostStatus {
         host: member.id,
@@ -223,11 +247,11 @@
     member: &PeerAddress,
     port: u16,
 ) -> Option<DaemonReadings> {
+    DaemonReadings::read(&metrics_text(http, member, port).await?)
+}
+
+async fn metrics_text(http: &reqwest::Client, member: &PeerAddress, port: u16) -> Option<String> {
     let host = member.address.rsplit_once(':')?.0;
-    let answer = http
-        .get(format!("http://{host}:{port}/metrics"))
-        .send()
-        .await
-        .ok()?;
-    DaemonReadings::read(&answer.text().await.ok()?)
+    let asked = http.get(format!("http://{host}:{port}/metrics")).send();
+    asked.await.ok()?.text().await.ok()
 }
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod held;
 mod mesh;
+mod organisations;
 mod publish;
 mod remove;
 mod report;
--- a/crates/ctl/src/mesh.rs
+++ b/crates/ctl/src/mesh.rs
@@ -201,3 +201,40 @@
     let sample = text.lines().find(is_named)?;
     sample.rsplit(' ').next()?.parse().ok()
 }
+
+/// Adds what a daemon's metrics say of organisations' calls, by organisation and
+/// verdict.
+pub fn organisation_calls(text: &str, calls: &mut BTreeMap<(String, String), u64>) {
+    let named = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("filbert_organisation_calls{organisation=\""));
+    for line in named {
+        let Some((name, rest)) = line.split_once("\",verdict=\"") else {
+            continue;
+        };
+        let Some((verdict, count)) = rest.split_once("\"} ") else {
+            continue;
+        };
+        if let Ok(count) = count.parse::<u64>() {
+            let key = (unescaped(name), verdict.to_owned());
+            *calls.entry(key).or_default() += count;
+        }
+    }
+}
+
+fn unescaped(label: &str) -> String {
+    let mut text = String::with_capacity(label.len());
+    let mut letters = label.chars();
+    while let Some(letter) = letters.next() {
+        if letter != '\\' {
+            text.push(letter);
+            continue;
+        }
+        match letters.next() {
+            Some('n') => text.push('\n'),
+            Some(escaped) => text.push(escaped),
+            None => {}
+        }
+    }
+    text
+}
--- a/crates/mesh/src/calls/admit.rs
+++ b/crates/mesh/src/calls/admit.rs
@@ -54,12 +54,14 @@
             Ok(token) => token,
             Err(dry_for) => {
                 shared.metrics.keyed("over_quota");
+                desk.counts.over_quota(&holder.name);
                 story.reason = "over_quota";
                 return Err(over_quota(dry_for));
             }
         }
     };
-    shared.metrics.keyed("held");
+    shared.metrics.keyed("allowed");
+    desk.counts.allowed(&holder.name);
     call.holder = Some(holder);
     Ok(token)
 }
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -188,6 +188,8 @@
         /// The time of the question, as the receiver gave it.
         asked_us: u64,
     },
+    /// The sender reaches the receiver, a reader of its zone.
+    Reached,
     /// The receiver should grant tokens for calls.
     WantTokens {
         /// Names the question.
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -245,7 +245,7 @@
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
             log::error!("event=metrics_failed error=\"{error}\"");
         }
-        String::from_utf8_lossy(&out).into_owned()
+        String::from_utf8_lossy(&out).into_owned() + &shared.organisations.counts.text()
     }
 }
 
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -227,7 +227,9 @@
         | LinkMessage::WantClock { .. }
         | LinkMessage::StoreClock { .. }
         | LinkMessage::Version { .. } => CrossingCause::Version,
-        LinkMessage::WantTokens { .. } | LinkMessage::Tokens { .. } => CrossingCause::Token,
+        LinkMessage::Reached | LinkMessage::WantTokens { .. } | LinkMessage::Tokens { .. } => {
+            CrossingCause::Token
+        }
         LinkMessage::Hello { .. }
         | LinkMessage::NotHere(_)
         | LinkMessage::WantMembers
@@ -290,6 +292,7 @@
             },
         ),
         LinkMessage::WantTokens { .. }
+        | LinkMessage::Reached
         | LinkMessage::WantClock { .. }
         | LinkMessage::Tallies(_)
         | LinkMessage::InForce { .. }
--- a/crates/mesh/src/organisations/mod.rs
+++ b/crates/mesh/src/organisations/mod.rs
@@ -3,6 +3,7 @@
 //! ([`tokens`]).
 
 pub mod age;
+pub mod counts;
 pub mod tokens;
 
 use std::cell::{Cell, RefCell};
@@ -20,6 +21,7 @@
 use tokio::sync::{oneshot, Notify};
 
 use crate::settings::MeshSettings;
+use counts::OrganisationCounts;
 
 /// Age of a daemon's knowledge up to which a key that it does not know counts as
 /// unknown. A source hears of the store every two seconds at least.
@@ -31,13 +33,19 @@
     /// How soon a withdrawn key is refused everywhere, where that is bounded.
     withdrawn_within: Cell<Option<Duration>>,
     age: RefCell<KnowledgeAge>,
+    /// Whether keys were refused when last looked at, as the age was too high.
+    is_stale: Cell<bool>,
     pool: RefCell<TokenPool>,
     /// Hosts of the own availability zone, this one included.
     zone_hosts: Cell<usize>,
+    /// Whether any organisation has a limit.
+    has_limits: Cell<bool>,
     stashes: RefCell<HashMap<String, StashEntry>>,
     /// Questions to other daemons' pools that wait for their answers.
     asked: RefCell<HashMap<u64, oneshot::Sender<TokenGrant>>>,
     next_ask: Cell<u64>,
+    /// What became of organisations' calls.
+    pub counts: OrganisationCounts,
 }
 
 /// An organisation's tokens at this daemon.
@@ -73,11 +81,14 @@
             clock,
             withdrawn_within: Cell::new(None),
             age: RefCell::default(),
+            is_stale: Cell::new(false),
             pool: RefCell::new(TokenPool::new(settings.quota.slack)),
             zone_hosts: Cell::new(1),
+            has_limits: Cell::new(false),
             stashes: RefCell::default(),
             asked: RefCell::default(),
             next_ask: Cell::new(0),
+            counts: OrganisationCounts::default(),
         };
         desk.set_terms(settings);
         Rc::new(desk)
@@ -107,21 +118,38 @@
         }
         let age = self.age.borrow().age(self.clock.since_boot());
         let is_within = |bound: Duration| age.is_some_and(|age| age < bound);
+        let is_stale = !self.withdrawn_within.get().is_none_or(is_within);
+        self.note_stale(is_stale, age, index.number());
         match holder {
-            _ if !self.withdrawn_within.get().is_none_or(is_within) => CallHolder::Stale,
+            _ if is_stale => CallHolder::Stale,
             Some(holder) => CallHolder::Organisation(Arc::clone(holder)),
             None if is_within(KNOWN_WITHIN) => CallHolder::Unknown,
             None => CallHolder::Stale,
         }
     }
 
+    fn note_stale(&self, is_stale: bool, age: Option<Duration>, version: u64) {
+        if self.is_stale.replace(is_stale) == is_stale {
+            return;
+        }
+        let age_ms = age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        let event = if is_stale {
+            "keys_refused"
+        } else {
+            "keys_hold_again"
+        };
+        log::info!("event={event} version={version:08x} age_ms={age_ms}");
+    }
+
     /// Takes note of the version in force.
     pub fn version_in_force(&self, index: &RouteIndex) {
         self.age.borrow_mut().settle(index.number());
         let limited = index.organisations().limited();
         let names: Vec<&str> = limited.map(|rule| rule.name.as_str()).collect();
+        self.has_limits.set(!names.is_empty());
         let now = self.clock.now();
         self.pool.borrow_mut().keep(names.iter().copied(), now);
+        self.counts.keep(|name| index.organisations().has(name));
         let mut stashes = self.stashes.borrow_mut();
         stashes.retain(|name, entry| entry.waiting > 0 || index.organisations().has(name));
     }
--- a/crates/mesh/src/organisations/tokens.rs
+++ b/crates/mesh/src/organisations/tokens.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use filbert_policy::membership::LinkLimits;
 use filbert_policy::organisations::keys::{OrganisationRule, RateLimit};
 use filbert_policy::organisations::quota::{PoolPart, TokenGrant};
 use filbert_policy::organisations::stash::StashVerdict;
@@ -24,6 +23,30 @@
 /// at all.
 const NO_POOL: Duration = Duration::from_millis(150);
 
+/// Pools that a host asks: those of the two readers that a zone has.
+const POOLS: usize = 2;
+/// How often a daemon says to the readers of its zone that it reaches them.
+const REACH_EVERY: Duration = Duration::from_millis(400);
+/// Time after which a daemon that has not said so counts as cut off: two words may
+/// be late.
+const REACHED_WITHIN: Duration = Duration::from_millis(1_200);
+
+/// Says to the daemons whose pools this one asks that it reaches them, as long as
+/// there are limits. Runs for ever.
+pub async fn keep_reaching(shared: Rc<MeshShared>) {
+    loop {
+        tokio::time::sleep(REACH_EVERY).await;
+        if !shared.organisations.has_limits.get() {
+            continue;
+        }
+        for pool in shared.own_pools() {
+            if let PoolPlace::Peer(peer) = pool {
+                peer.say(LinkMessage::Reached);
+            }
+        }
+    }
+}
+
 /// The right to run one call.
 pub struct TokenHold {
     /// The organisation that it is counted for; empty where nothing is counted.
@@ -173,19 +196,36 @@
     /// The pools to ask for `organisation`, in turn. Daemons agree on the order, so
     /// that few tokens are not spread over many pools.
     fn pools_for(&self, organisation: &str) -> Vec<PoolPlace> {
+        let own = self.settings.borrow().id.clone();
+        let rank = |place: &PoolPlace| {
+            let id = match place {
+                PoolPlace::Here => own.as_str(),
+                PoolPlace::Peer(peer) => peer.address.id.as_str(),
+            };
+            XxHash64::oneshot(0, format!("{organisation} {id}").as_bytes())
+        };
+        let mut pools = self.own_pools();
+        pools.sort_unstable_by_key(rank);
+        pools
+    }
+
+    /// The pools that this host's part of the tokens comes into being in: as many
+    /// for each host, whoever takes itself for a reader.
+    fn own_pools(&self) -> Vec<PoolPlace> {
         let own = self.settings.borrow().id.clone();
         let plan = self.members.plan.borrow();
-        let rank = |id: &str| XxHash64::oneshot(0, format!("{organisation} {id}").as_bytes());
+        let rank = |id: &str| XxHash64::oneshot(0, id.as_bytes());
         let peers = plan.readers.iter().filter_map(|id| self.peers.get(id));
-        let mut places: Vec<(u64, PoolPlace)> = peers
+        let mut pools: Vec<(u64, PoolPlace)> = peers
             .filter(|peer| peer.is_linked())
             .map(|peer| (rank(&peer.address.id), PoolPlace::Peer(peer)))
             .collect();
-        if plan.is_reader || places.is_empty() {
-            places.push((rank(&own), PoolPlace::Here));
+        if plan.is_reader {
+            pools.push((rank(&own), PoolPlace::Here));
         }
-        places.sort_unstable_by_key(|(rank, _)| *rank);
-        places.into_iter().map(|(_, place)| place).collect()
+        pools.sort_unstable_by_key(|(rank, _)| *rank);
+        pools.truncate(POOLS);
+        pools.into_iter().map(|(_, place)| place).collect()
     }
 
     async fn ask_peer(&self, peer: &Peer, organisation: &str, wanted: u32) -> Option<TokenGrant> {
@@ -227,26 +267,16 @@
 
     fn pool_part(&self) -> PoolPart {
         let settings = self.settings.borrow();
+        let now = self.clock.now();
+        let since = now.checked_sub(REACHED_WITHIN).unwrap_or(now);
         let hosts = self.organisations.zone_hosts.get();
+        let mut own_pools = self.own_pools().into_iter();
+        let is_own = own_pools.any(|place| matches!(place, PoolPlace::Here));
         PoolPart {
             zones: settings.zones.len().max(self.members.zones_known()),
-            pools: LinkLimits::default().readers.min(hosts),
+            pools: POOLS.min(hosts),
             hosts,
-            reached_by: self.reached_by(&settings.zone) + 1,
-        }
-    }
-
-    /// Other hosts of `zone`, this daemon's, that reach it: those that linked here,
-    /// but none where it reaches none of its own links there.
-    fn reached_by(&self, zone: &str) -> usize {
-        let peers = self.peers.all();
-        let reaches = peers
-            .iter()
-            .any(|peer| peer.address.zone == zone && peer.is_linked());
-        if reaches {
-            self.peers.watchers_of(zone)
-        } else {
-            0
+            reached_by: self.peers.reached_by(&settings.zone, since) + usize::from(is_own),
         }
     }
 }
--- a/crates/mesh/src/peers/book.rs
+++ b/crates/mesh/src/peers/book.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use rand::seq::SliceRandom;
@@ -16,6 +17,8 @@
     zone: String,
     /// Whether it is told of hosts whatever its zone.
     follows: Rc<Cell<bool>>,
+    /// When it last said that it reaches this daemon.
+    reached: Rc<Cell<Option<Instant>>>,
     frames: mpsc::Sender<Bytes>,
 }
 
@@ -25,6 +28,8 @@
     pub frames: mpsc::Receiver<Bytes>,
     /// Whether it is told of hosts whatever its zone.
     pub follows: Rc<Cell<bool>>,
+    /// When it last said that it reaches this daemon.
+    pub reached: Rc<Cell<Option<Instant>>>,
 }
 
 /// The daemons linked to, by host name, and those that want news from here.
@@ -95,12 +100,18 @@
     pub fn watch(&self, zone: &str) -> NewsFeed {
         let (sender, frames) = mpsc::channel(WATCHER_QUEUE);
         let follows = Rc::new(Cell::new(false));
+        let reached = Rc::default();
         self.watchers.borrow_mut().push(NewsWatcher {
             zone: zone.to_owned(),
             follows: Rc::clone(&follows),
+            reached: Rc::clone(&reached),
             frames: sender,
         });
-        NewsFeed { frames, follows }
+        NewsFeed {
+            frames,
+            follows,
+            reached,
+        }
     }
 
     /// Number of daemons that want news from here.
@@ -109,11 +120,14 @@
         self.watchers.borrow().len()
     }
 
-    /// Number of daemons of `zone` that linked here.
+    /// Number of daemons of `zone` that said since `since` that they reach this one.
     #[must_use]
-    pub fn watchers_of(&self, zone: &str) -> usize {
+    pub fn reached_by(&self, zone: &str, since: Instant) -> usize {
         let watchers = self.watchers.borrow();
-        watchers.iter().filter(|one| one.zone == zone).count()
+        let in_zone = watchers.iter().filter(|one| one.zone == zone);
+        in_zone
+            .filter(|one| one.reached.get() >= Some(since))
+            .count()
     }
 
     /// Tells every daemon that linked here.
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -31,7 +31,8 @@
 use crate::stop::StopState;
 use crate::versions::{self, VersionBook};
 use crate::{
-    control, feeds, ingress, metrics, plan, ready, reload, rows, serve_peers, sockets, status, stop,
+    control, feeds, ingress, metrics, organisations, plan, ready, reload, rows, serve_peers,
+    sockets, status, stop,
 };
 
 /// Why the daemon stopped other than by a planned stop.
@@ -170,6 +171,9 @@
     spawn(Box::pin(rollouts::spread::keep_counted(Rc::clone(shared))));
     spawn(Box::pin(rollouts::decide::keep_decided(Rc::clone(shared))));
     spawn(Box::pin(rollouts::record::keep_recorded(Rc::clone(shared))));
+    spawn(Box::pin(organisations::tokens::keep_reaching(Rc::clone(
+        shared,
+    ))));
     spawn(Box::pin(plan::keep_planned(Rc::clone(shared))));
     spawn(Box::pin(rows::keep_own(Rc::clone(shared))));
     spawn(Box::pin(rows::keep_written(Rc::clone(shared))));
--- a/crates/policy/src/organisations/quota.rs
+++ b/crates/policy/src/organisations/quota.rs
@@ -20,16 +20,21 @@
 /// The same at the latest.
 const MOST_DRY: Duration = Duration::from_secs(1);
 
+/// Time for which a pool is new.
+const NEW_FOR: Duration = Duration::from_millis(1_500);
+/// Part of its tokens that come into being in a new pool.
+const NEW_PART: f64 = 0.25;
+
 /// How many pools an organisation's tokens come from.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolPart {
     /// Availability zones of the fleet.
     pub zones: usize,
-    /// Pools of each.
+    /// Pools that each host asks.
     pub pools: usize,
     /// Hosts of the pool's zone, its own included.
     pub hosts: usize,
-    /// Those of them that reach the pool.
+    /// Those of them that ask this pool.
     pub reached_by: usize,
 }
 
@@ -37,7 +42,7 @@
     /// The part of an organisation's tokens that come into being in the pool.
     ///
     /// Guards against a zone that falls apart, each part taking itself for the
-    /// whole: a pool has the more tokens the more hosts reach it.
+    /// whole: every host brings its own part to the pools that it asks.
     #[must_use]
     pub fn share(self) -> f64 {
         let reached = self.reached_by.min(self.hosts);
@@ -67,6 +72,8 @@
     buckets: HashMap<String, TokenBucket>,
     /// Calls beyond an organisation's burst that do no harm, over all pools.
     slack: f64,
+    /// When this daemon became one that grants.
+    began: Option<Instant>,
 }
 
 impl TokenPool {
@@ -79,6 +86,7 @@
         TokenPool {
             buckets: HashMap::new(),
             slack,
+            began: None,
         }
     }
 
@@ -92,6 +100,7 @@
         wanted: u32,
         now: Instant,
     ) -> TokenGrant {
+        let share = share * self.begun_part(now);
         let per_s = limit.per_s * share;
         let most = (limit.burst + self.slack) * share;
         let bucket = match self.buckets.get_mut(organisation) {
@@ -133,6 +142,7 @@
 
     /// Empties all buckets: the daemon has only now become one that grants.
     pub fn begin(&mut self, now: Instant) {
+        self.began = Some(now);
         for bucket in self.buckets.values_mut() {
             bucket.tokens = 0.0;
             bucket.filled = now;
@@ -140,6 +150,19 @@
     }
 }
 
+impl TokenPool {
+    /// Guards against two that grant in place of one: whoever granted before may go
+    /// on until it notices that it is not reached any more.
+    fn begun_part(&self, now: Instant) -> f64 {
+        let is_new = self.began.is_some_and(|began| now < began + NEW_FOR);
+        if is_new {
+            NEW_PART
+        } else {
+            1.0
+        }
+    }
+}
+
 fn dry_for(missing: f64, per_s: f64) -> Duration {
     if missing <= 0.0 {
         return Duration::ZERO;
