Limits count in a window: most of a burst flows as rate

Change: with quota.window four fifths of a burst flow as rate, the rest stays a burst; what daemons keep ahead is 150 ms of their use (250 before), which pays for it.

--- a/crates/mesh/src/organisations/mod.rs
+++ b/crates/mesh/src/organisations/mod.rs
@@ -82,7 +82,7 @@
             withdrawn_within: Cell::new(None),
             age: RefCell::default(),
             is_stale: Cell::new(false),
-            pool: RefCell::new(TokenPool::new(settings.quota.slack)),
+            pool: RefCell::new(TokenPool::new(settings.quota_terms())),
             zone_hosts: Cell::new(1),
             has_limits: Cell::new(false),
             stashes: RefCell::default(),
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -9,6 +9,7 @@
 use filbert_platform::operator::parse_time;
 use filbert_policy::budget::BudgetTerms;
 use filbert_policy::membership::DEFAULT_SERVICES;
+use filbert_policy::organisations::quota::QuotaTerms;
 use filbert_policy::placement::CrossingCost;
 use filbert_tree::ParseError;
 use serde::{Deserialize, Deserializer};
@@ -74,6 +75,10 @@
 pub struct QuotaSettings {
     /// Calls of an organisation beyond its burst that do no harm.
     pub slack: f64,
+    /// Any window of this length may hold a limit's rate and its burst; without it
+    /// a burst is used up once.
+    #[serde(deserialize_with = "some_time")]
+    pub window: Option<Duration>,
 }
 
 /// How soon a withdrawn key is refused everywhere.
@@ -227,6 +232,10 @@
     })
 }
 
+fn some_time<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Duration>, D::Error> {
+    time(deserializer).map(Some)
+}
+
 impl MeshSettings {
     /// Reads and checks the settings file at `path`.
     ///
@@ -286,6 +295,11 @@
                 !(self.quota.slack >= 0.0 && self.quota.slack.is_finite()),
                 "must not be negative",
             ),
+            (
+                "quota.window",
+                self.quota.window.is_some_and(|window| window.is_zero()),
+                "must be above 0",
+            ),
             (
                 "withdrawal.within",
                 self.withdrawal.is_some_and(|terms| terms.within.is_zero()),
@@ -312,6 +326,15 @@
         }
     }
 
+    /// How organisations' limits are meant.
+    #[must_use]
+    pub fn quota_terms(&self) -> QuotaTerms {
+        QuotaTerms {
+            window: self.quota.window,
+            slack: self.quota.slack,
+        }
+    }
+
     /// What placement charges for leaving the zone.
     #[must_use]
     pub fn crossing_cost(&self) -> CrossingCost {
--- a/crates/policy/src/organisations/quota.rs
+++ b/crates/policy/src/organisations/quota.rs
@@ -25,6 +25,32 @@
 /// Part of its tokens that come into being in a new pool.
 const NEW_PART: f64 = 0.25;
 
+/// Part of a burst that flows as rate where limits count in a window: in every
+/// window it may be used anew.
+const FLOWING_PART: f64 = 0.8;
+
+/// How limits are meant.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaTerms {
+    /// Any window of this length may hold a limit's rate times the window and its
+    /// burst; `None` where a burst is used up once.
+    pub window: Option<Duration>,
+    /// Calls beyond that, over all pools, that do no harm.
+    pub slack: f64,
+}
+
+impl QuotaTerms {
+    /// How tokens come into being under `limit`, over all pools.
+    fn flow(self, limit: RateLimit) -> RateLimit {
+        let flowing = self.window.map_or(0.0, |_| limit.burst * FLOWING_PART);
+        let window = self.window.unwrap_or(Duration::from_secs(1));
+        RateLimit {
+            per_s: limit.per_s + flowing / window.as_secs_f64(),
+            burst: limit.burst - flowing + self.slack,
+        }
+    }
+}
+
 /// How many pools an organisation's tokens come from.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolPart {
@@ -70,22 +96,21 @@
 #[derive(Debug)]
 pub struct TokenPool {
     buckets: HashMap<String, TokenBucket>,
-    /// Calls beyond an organisation's burst that do no harm, over all pools.
-    slack: f64,
+    terms: QuotaTerms,
     /// When this daemon became one that grants.
     began: Option<Instant>,
 }
 
 impl TokenPool {
-    /// An empty pool, where `slack` calls beyond a burst do no harm.
+    /// An empty pool.
     ///
-    /// The slack is for organisations whose burst is less than a call for each
-    /// pool: they would never be granted any.
+    /// The slack in its terms is for organisations whose burst is less than a call
+    /// for each pool: they would never be granted any.
     #[must_use]
-    pub fn new(slack: f64) -> TokenPool {
+    pub fn new(terms: QuotaTerms) -> TokenPool {
         TokenPool {
             buckets: HashMap::new(),
-            slack,
+            terms,
             began: None,
         }
     }
@@ -101,8 +126,9 @@
         now: Instant,
     ) -> TokenGrant {
         let share = share * self.begun_part(now);
-        let per_s = limit.per_s * share;
-        let most = (limit.burst + self.slack) * share;
+        let flow = self.terms.flow(limit);
+        let per_s = flow.per_s * share;
+        let most = flow.burst * share;
         let bucket = match self.buckets.get_mut(organisation) {
             Some(bucket) => bucket,
             None => self
--- a/crates/policy/src/organisations/stash.rs
+++ b/crates/policy/src/organisations/stash.rs
@@ -9,7 +9,7 @@
 const KEPT_FOR: Duration = Duration::from_secs(1);
 /// Time for whose calls tokens are asked for ahead: what all daemons keep is
 /// spent beyond the rate when calls rise, so it is kept short.
-const AHEAD: Duration = Duration::from_millis(250);
+const AHEAD: Duration = Duration::from_millis(150);
 /// Time over which the use of late is counted.
 const USE_OVER: Duration = Duration::from_secs(2);
 
