A host's part of the tokens counts at two pools at most; new pools are not slowed down

Cause: a pool that has just begun had a quarter of its tokens for 1.5 s, against two that grant in place of one. Change: the host that turns to another pool waits instead until the one before has forgotten it (1.6 s against 1.2 s), so its part never counts at more than two; one that links anew counts once. Nothing slows a pool whose predecessors are dead. Test: a_part_counts_at_two_pools_at_most, over generated turns.

--- a/crates/mesh/src/organisations/tokens.rs
+++ b/crates/mesh/src/organisations/tokens.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_policy::organisations::keys::{OrganisationRule, RateLimit};
-use filbert_policy::organisations::quota::{PoolPart, TokenGrant};
+use filbert_policy::organisations::quota::{PoolPart, TokenGrant, COUNTED_FOR};
 use filbert_policy::organisations::stash::StashVerdict;
 use tokio::sync::oneshot;
 use twox_hash::XxHash64;
@@ -25,24 +25,16 @@
 
 /// Pools that a host asks: those of the two readers that a zone has.
 const POOLS: usize = 2;
-/// How often a daemon says to the readers of its zone that it reaches them.
-const REACH_EVERY: Duration = Duration::from_millis(400);
-/// Time after which a daemon that has not said so counts as cut off: two words may
-/// be late.
-const REACHED_WITHIN: Duration = Duration::from_millis(1_200);
+/// How often it is looked at whether a pool is to be told.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 
-/// Says to the daemons whose pools this one asks that it reaches them, as long as
+/// Brings this host's part of the tokens to the pools that it asks, as long as
 /// there are limits. Runs for ever.
 pub async fn keep_reaching(shared: Rc<MeshShared>) {
     loop {
-        tokio::time::sleep(REACH_EVERY).await;
-        if !shared.organisations.has_limits.get() {
-            continue;
-        }
-        for pool in shared.own_pools() {
-            if let PoolPlace::Peer(peer) = pool {
-                peer.say(LinkMessage::Reached);
-            }
+        tokio::time::sleep(LOOK_EVERY).await;
+        if shared.organisations.has_limits.get() {
+            shared.bring_part();
         }
     }
 }
@@ -96,6 +88,16 @@
     Peer(Rc<Peer>),
 }
 
+impl PoolPlace {
+    /// The host that it is on, where `own` is this one.
+    fn host<'a>(&'a self, own: &'a str) -> &'a str {
+        match self {
+            PoolPlace::Here => own,
+            PoolPlace::Peer(peer) => &peer.address.id,
+        }
+    }
+}
+
 impl MeshShared {
     /// Waits for the right to run a call of `organisation` until `limit` at most.
     ///
@@ -198,17 +200,31 @@
     fn pools_for(&self, organisation: &str) -> Vec<PoolPlace> {
         let own = self.settings.borrow().id.clone();
         let rank = |place: &PoolPlace| {
-            let id = match place {
-                PoolPlace::Here => own.as_str(),
-                PoolPlace::Peer(peer) => peer.address.id.as_str(),
-            };
-            XxHash64::oneshot(0, format!("{organisation} {id}").as_bytes())
+            XxHash64::oneshot(0, format!("{organisation} {}", place.host(&own)).as_bytes())
         };
         let mut pools = self.own_pools();
         pools.sort_unstable_by_key(rank);
         pools
     }
 
+    fn bring_part(&self) {
+        let own = self.settings.borrow().id.clone();
+        let wanted: Vec<String> = self
+            .own_pools()
+            .iter()
+            .map(|place| place.host(&own).to_owned())
+            .collect();
+        let now = self.clock.now();
+        let due = self
+            .organisations
+            .votes
+            .borrow_mut()
+            .renew(&wanted, POOLS, now);
+        for peer in due.iter().filter_map(|id| self.peers.get(id)) {
+            peer.say(LinkMessage::Reached);
+        }
+    }
+
     /// The pools that this host's part of the tokens comes into being in: as many
     /// for each host, whoever takes itself for a reader.
     fn own_pools(&self) -> Vec<PoolPlace> {
@@ -268,10 +284,13 @@
     fn pool_part(&self) -> PoolPart {
         let settings = self.settings.borrow();
         let now = self.clock.now();
-        let since = now.checked_sub(REACHED_WITHIN).unwrap_or(now);
+        let since = now.checked_sub(COUNTED_FOR).unwrap_or(now);
         let hosts = self.organisations.zone_hosts.get();
-        let mut own_pools = self.own_pools().into_iter();
-        let is_own = own_pools.any(|place| matches!(place, PoolPlace::Here));
+        let is_own = self
+            .organisations
+            .votes
+            .borrow()
+            .counts_at(&settings.id, now);
         PoolPart {
             zones: settings.zones.len().max(self.members.zones_known()),
             pools: POOLS.min(hosts),
--- a/crates/mesh/src/peers/book.rs
+++ b/crates/mesh/src/peers/book.rs
@@ -14,6 +14,7 @@
 
 /// A daemon that linked here and wants news.
 struct NewsWatcher {
+    host: String,
     zone: String,
     /// Whether it is told of hosts whatever its zone.
     follows: Rc<Cell<bool>>,
@@ -96,13 +97,19 @@
             .count()
     }
 
-    /// Adds a daemon of `zone` that linked here and wants to hear of changes.
-    pub fn watch(&self, zone: &str) -> NewsFeed {
+    /// Adds a daemon that linked here and wants to hear of changes.
+    pub fn watch(&self, from: &PeerAddress) -> NewsFeed {
         let (sender, frames) = mpsc::channel(WATCHER_QUEUE);
         let follows = Rc::new(Cell::new(false));
         let reached = Rc::default();
-        self.watchers.borrow_mut().push(NewsWatcher {
-            zone: zone.to_owned(),
+        let mut watchers = self.watchers.borrow_mut();
+        // A daemon that links anew counts once.
+        for before in watchers.iter().filter(|one| one.host == from.id) {
+            before.reached.set(None);
+        }
+        watchers.push(NewsWatcher {
+            host: from.id.clone(),
+            zone: from.zone.clone(),
             follows: Rc::clone(&follows),
             reached: Rc::clone(&reached),
             frames: sender,
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -39,7 +39,7 @@
         outgoing.send_data(encode(&LinkMessage::NotHere(own)), true)?;
         return Ok(());
     }
-    let mut feed = shared.peers.watch(&from.zone);
+    let mut feed = shared.peers.watch(&from);
     for key in &left {
         shared.gate.left_before(key);
     }
--- a/crates/policy/src/organisations/quota.rs
+++ b/crates/policy/src/organisations/quota.rs
@@ -9,7 +9,7 @@
 //! runs stays below what came into being: a pool that nobody reaches spends
 //! nothing, one that starts is empty, and a grant that is lost is not made again.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::keys::RateLimit;
@@ -20,10 +20,12 @@
 /// The same at the latest.
 const MOST_DRY: Duration = Duration::from_secs(1);
 
-/// Time for which a pool is new.
-const NEW_FOR: Duration = Duration::from_millis(1_500);
-/// Part of its tokens that come into being in a new pool.
-const NEW_PART: f64 = 0.25;
+/// How often a host tells a pool that it brings its part there.
+const TOLD_EVERY: Duration = Duration::from_millis(400);
+/// Time for which a pool counts a part after it was told: two words may be late.
+pub const COUNTED_FOR: Duration = Duration::from_millis(1_200);
+/// Time after which a host takes itself for forgotten: that and the way there.
+const FORGOTTEN_AFTER: Duration = Duration::from_millis(1_600);
 
 /// Part of a burst that flows as rate where limits count in a window: in every
 /// window it may be used anew.
@@ -77,6 +79,42 @@
     }
 }
 
+/// The pools to which a host brings its part, by name.
+///
+/// Guards against a part that counts twice: a pool goes on to count it for a while
+/// after the host has turned to another, as it cannot know. So a host that turns
+/// away from a pool waits until that has forgotten it before it brings its part to
+/// the next.
+#[derive(Clone, Debug, Default)]
+pub struct PoolVotes {
+    /// When each was last told.
+    told: BTreeMap<String, Instant>,
+}
+
+impl PoolVotes {
+    /// Of `wanted`, at most `most`, the pools to be told now.
+    pub fn renew(&mut self, wanted: &[String], most: usize, now: Instant) -> Vec<String> {
+        self.told.retain(|_, told| now < *told + FORGOTTEN_AFTER);
+        let mut due = Vec::new();
+        for pool in wanted {
+            let told = self.told.get(pool).copied();
+            let has_room = told.is_some() || self.told.len() < most;
+            if has_room && told.is_none_or(|told| now >= told + TOLD_EVERY) {
+                self.told.insert(pool.clone(), now);
+                due.push(pool.clone());
+            }
+        }
+        due
+    }
+
+    /// Whether `pool` counts this host's part.
+    #[must_use]
+    pub fn counts_at(&self, pool: &str, now: Instant) -> bool {
+        let told = self.told.get(pool);
+        told.is_some_and(|told| now < *told + COUNTED_FOR)
+    }
+}
+
 /// What a pool gives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TokenGrant {
@@ -97,8 +135,6 @@
 pub struct TokenPool {
     buckets: HashMap<String, TokenBucket>,
     terms: QuotaTerms,
-    /// When this daemon became one that grants.
-    began: Option<Instant>,
 }
 
 impl TokenPool {
@@ -111,7 +147,6 @@
         TokenPool {
             buckets: HashMap::new(),
             terms,
-            began: None,
         }
     }
 
@@ -125,7 +160,6 @@
         wanted: u32,
         now: Instant,
     ) -> TokenGrant {
-        let share = share * self.begun_part(now);
         let flow = self.terms.flow(limit);
         let per_s = flow.per_s * share;
         let most = flow.burst * share;
@@ -168,7 +202,6 @@
 
     /// Empties all buckets: the daemon has only now become one that grants.
     pub fn begin(&mut self, now: Instant) {
-        self.began = Some(now);
         for bucket in self.buckets.values_mut() {
             bucket.tokens = 0.0;
             bucket.filled = now;
@@ -176,19 +209,6 @@
     }
 }
 
-impl TokenPool {
-    /// Guards against two that grant in place of one: whoever granted before may go
-    /// on until it notices that it is not reached any more.
-    fn begun_part(&self, now: Instant) -> f64 {
-        let is_new = self.began.is_some_and(|began| now < began + NEW_FOR);
-        if is_new {
-            NEW_PART
-        } else {
-            1.0
-        }
-    }
-}
-
 fn dry_for(missing: f64, per_s: f64) -> Duration {
     if missing <= 0.0 {
         return Duration::ZERO;
--- a/crates/policy/tests/quota_replay.rs
+++ b/crates/policy/tests/quota_replay.rs
@@ -5,7 +5,9 @@
 
 use filbert_policy::numbers::count_of;
 use filbert_policy::organisations::keys::RateLimit;
-use filbert_policy::organisations::quota::{PoolPart, QuotaTerms, TokenGrant, TokenPool};
+use filbert_policy::organisations::quota::{
+    PoolPart, PoolVotes, QuotaTerms, TokenGrant, TokenPool, COUNTED_FOR,
+};
 use filbert_policy::organisations::stash::{StashVerdict, TokenStash};
 use proptest::prelude::*;
 
@@ -246,3 +248,29 @@
     // In every window of five seconds the burst is there anew.
     assert!((200.0..=240.0).contains(&per_s), "{per_s} a second");
 }
+
+proptest! {
+    /// Guards against a host whose part counts at more than two pools at once, as it
+    /// turns from one to another and back.
+    #[test]
+    fn a_part_counts_at_two_pools_at_most(
+        turns in prop::collection::vec((0_usize..5, 0_usize..5, 1_u64..30), 1..20),
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut votes = PoolVotes::default();
+        // When each pool was last told, as the pools know it.
+        let mut told: Vec<Option<Instant>> = vec![None; 5];
+        for (one, other, looks) in turns {
+            let wanted = [format!("{one}"), format!("{other}")];
+            for _ in 0..looks {
+                now += Duration::from_millis(100);
+                for pool in votes.renew(&wanted, 2, now) {
+                    told[pool.parse::<usize>().expect("a number")] = Some(now);
+                }
+                let counting = told.iter().flatten().filter(|at| now < **at + COUNTED_FOR);
+                prop_assert!(counting.count() <= 2);
+            }
+        }
+    }
+}
