--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -6,12 +6,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use filbert_policy::membership::list_settle;
 use filbert_policy::organisations::quota::TokenGrant;
 use h2::client::SendRequest;
 use h2::{RecvStream, SendStream};
 use http::Request;
-use rand::Rng;
 
 use crate::asking::VersionAsker;
 use crate::body::next_data;
@@ -21,6 +19,10 @@
 use crate::peers::Peer;
 use crate::state::MeshShared;
 
+/// Time in which changes of hosts settle before a whole list is asked for: many
+/// come and go at once, and each is told by itself.
+const MEMBERS_SETTLE: Duration = Duration::from_millis(500);
+
 /// Hears news of `peer` over the connection of `sender` until they end, and
 /// gives the connection to calls.
 pub async fn follow(
@@ -170,8 +172,7 @@
             LinkMessage::NoSteps { are_heavy } => self.asker.lacks_steps(are_heavy),
             LinkMessage::MembersSum(sum) => {
                 let is_other = sum != self.shared.members_sum();
-                let settle = list_settle(self.shared.members.count(), rand::rng().random());
-                let at = self.shared.clock.now() + settle;
+                let at = self.shared.clock.now() + MEMBERS_SETTLE;
                 self.members_due = is_other.then_some((at, sum));
             }
             LinkMessage::NotHere(other) => {
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbert_policy::membership::{plan_gather, plan_links, HostReach, HostView, LinkLimits};
+use filbert_policy::membership::{plan_links, HostReach, HostView, LinkLimits};
 use filbert_policy::store_asking::AskPurpose;
 
 use crate::links;
@@ -13,6 +13,10 @@
 use crate::peers::Peer;
 use crate::state::MeshShared;
 
+/// Pause in which changes gather before links are planned anew: hosts come
+/// and go in numbers.
+const GATHER: Duration = Duration::from_millis(20);
+
 /// How often links are planned anew though nothing came or went, so that
 /// services that nobody calls any more are let go.
 const PLAN_AT_LEAST: Duration = Duration::from_mins(1);
@@ -180,7 +184,6 @@
         shared.tell_changes();
         // Nothing changed for a while: planned anew all the same.
         let _ = tokio::time::timeout(look_again, shared.members.changed.notified()).await;
-        let is_first_start = shared.settings.borrow().first_start && shared.versions.number() == 0;
-        tokio::time::sleep(plan_gather(shared.members.count(), is_first_start)).await;
+        tokio::time::sleep(GATHER).await;
     }
 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -2,12 +2,9 @@
 //! what lies in the store, and which ask the store for the whole fleet.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use twox_hash::XxHash64;
 
-use crate::numbers::count_of;
-
 /// A host as a daemon sees it when it plans its links.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HostView<'a> {
@@ -119,48 +116,6 @@
     }
 }
 
-/// Hosts up to which lists and plans follow changes without delay.
-const FEW_HOSTS: u32 = 250;
-/// Time in which changes of hosts settle, in a fleet of few, before a whole list is
-/// asked for: many come and go at once, and each is told by itself.
-const LIST_SETTLE: Duration = Duration::from_millis(500);
-/// Time in which changes gather before links are planned anew: hosts come and go in
-/// numbers.
-const PLAN_GATHER: Duration = Duration::from_millis(20);
-/// The same, for each host, while a fleet starts for the first time and nobody calls.
-const FIRST_GATHER_EACH: Duration = Duration::from_micros(500);
-
-/// How long changes settle before a list of `hosts` is asked for; `spread` is a
-/// random number in 0..1.
-///
-/// Load pattern: a fleet's first start. Rows come in hundreds for ten seconds, and
-/// all daemons miss some of them each time. A list's bytes grow with the hosts, and
-/// so do those that a reader tells: the pause grows with them.
-#[must_use]
-pub fn list_settle(hosts: usize, spread: f64) -> Duration {
-    let times = count_of(hosts) / f64::from(FEW_HOSTS);
-    let spread = 1.0 + 0.5 * spread.clamp(0.0, 1.0);
-    if times <= 1.0 {
-        LIST_SETTLE
-    } else {
-        LIST_SETTLE.mul_f64(times * spread)
-    }
-}
-
-/// How long changes gather before links among `hosts` are planned anew.
-///
-/// Load pattern: a first start. The sixteen best of a service's targets change with
-/// each host that comes, and each plan opens links that the next one drops.
-#[must_use]
-pub fn plan_gather(hosts: usize, is_first_start: bool) -> Duration {
-    let first = FIRST_GATHER_EACH.mul_f64(count_of(hosts));
-    if is_first_start {
-        PLAN_GATHER.max(first)
-    } else {
-        PLAN_GATHER
-    }
-}
-
 /// Plans the links of the daemon on `own` among `others`, where `called` are
 /// the services called of late, the latest first.
 ///
