--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -266,7 +266,7 @@
         zones: 3,
         pools: 2,
         hosts: 20,
-        reached_by: 20,
+        leased_by: 20,
     };
     let mut pool = TokenPool::new(QuotaTerms::default());
     let mut stash = TokenStash::default();
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -188,8 +188,9 @@
         /// The time of the question, as the receiver gave it.
         asked_us: u64,
     },
-    /// The sender reaches the receiver, a reader of its zone.
-    Reached,
+    /// The sender brings its part of the tokens to the pool of the receiver, a reader
+    /// of its zone, for a while.
+    RenewPool,
     /// The receiver should grant tokens for calls.
     WantTokens {
         /// Names the question.
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -227,7 +227,7 @@
         | LinkMessage::WantClock { .. }
         | LinkMessage::StoreClock { .. }
         | LinkMessage::Version { .. } => CrossingCause::Version,
-        LinkMessage::Reached | LinkMessage::WantTokens { .. } | LinkMessage::Tokens { .. } => {
+        LinkMessage::RenewPool | LinkMessage::WantTokens { .. } | LinkMessage::Tokens { .. } => {
             CrossingCause::Token
         }
         LinkMessage::Hello { .. }
@@ -292,7 +292,7 @@
             },
         ),
         LinkMessage::WantTokens { .. }
-        | LinkMessage::Reached
+        | LinkMessage::RenewPool
         | LinkMessage::WantClock { .. }
         | LinkMessage::Tallies(_)
         | LinkMessage::InForce { .. }
--- a/crates/mesh/src/organisations/mod.rs
+++ b/crates/mesh/src/organisations/mod.rs
@@ -15,7 +15,7 @@
 use filbert_policy::clock::Clock;
 use filbert_policy::organisations::freshness::KnowledgeAge;
 use filbert_policy::organisations::keys::OrganisationRule;
-use filbert_policy::organisations::quota::{PoolVotes, TokenGrant, TokenPool};
+use filbert_policy::organisations::quota::{PoolLeases, TokenGrant, TokenPool};
 use filbert_policy::organisations::stash::TokenStash;
 use filbert_policy::routing::{RouteIndex, RouteRule};
 use tokio::sync::{oneshot, Notify};
@@ -37,7 +37,7 @@
     is_stale: Cell<bool>,
     pool: RefCell<TokenPool>,
     /// The pools to which this host brings its part.
-    votes: RefCell<PoolVotes>,
+    leases: RefCell<PoolLeases>,
     /// Hosts of the own availability zone, this one included.
     zone_hosts: Cell<usize>,
     /// Whether any organisation has a limit.
@@ -87,7 +87,7 @@
             age: RefCell::default(),
             is_stale: Cell::new(false),
             pool: RefCell::new(TokenPool::new(settings.quota_terms())),
-            votes: RefCell::default(),
+            leases: RefCell::default(),
             zone_hosts: Cell::new(1),
             has_limits: Cell::new(false),
             limits_came: Notify::new(),
--- a/crates/mesh/src/organisations/tokens.rs
+++ b/crates/mesh/src/organisations/tokens.rs
@@ -30,13 +30,13 @@
 
 /// Brings this host's part of the tokens to the pools that it asks, as long as
 /// there are limits. Runs for ever.
-pub async fn keep_reaching(shared: Rc<MeshShared>) {
+pub async fn keep_leased(shared: Rc<MeshShared>) {
     let desk = &shared.organisations;
     loop {
         if !desk.has_limits.get() {
             desk.limits_came.notified().await;
         }
-        shared.bring_part();
+        shared.renew_pools();
         tokio::time::sleep(LOOK_EVERY).await;
     }
 }
@@ -209,7 +209,7 @@
         pools
     }
 
-    fn bring_part(&self) {
+    fn renew_pools(&self) {
         let own = self.settings.borrow().id.clone();
         let wanted: Vec<String> = self
             .own_pools()
@@ -219,11 +219,11 @@
         let now = self.clock.now();
         let due = self
             .organisations
-            .votes
+            .leases
             .borrow_mut()
             .renew(&wanted, POOLS, now);
         for peer in due.iter().filter_map(|id| self.peers.get(id)) {
-            peer.say(LinkMessage::Reached);
+            peer.say(LinkMessage::RenewPool);
         }
     }
 
@@ -290,14 +290,14 @@
         let hosts = self.organisations.zone_hosts.get();
         let is_own = self
             .organisations
-            .votes
+            .leases
             .borrow()
             .counts_at(&settings.id, now);
         PoolPart {
             zones: settings.zones.len().max(self.members.zones_known()),
             pools: POOLS.min(hosts),
             hosts,
-            reached_by: self.peers.reached_by(&settings.zone, since) + usize::from(is_own),
+            leased_by: self.peers.leased_by(&settings.zone, since) + usize::from(is_own),
         }
     }
 }
--- a/crates/mesh/src/peers/book.rs
+++ b/crates/mesh/src/peers/book.rs
@@ -19,7 +19,7 @@
     /// Whether it is told of hosts whatever its zone.
     follows: Rc<Cell<bool>>,
     /// When it last said that it reaches this daemon.
-    reached: Rc<Cell<Option<Instant>>>,
+    renewed: Rc<Cell<Option<Instant>>>,
     frames: mpsc::Sender<Bytes>,
 }
 
@@ -30,7 +30,7 @@
     /// Whether it is told of hosts whatever its zone.
     pub follows: Rc<Cell<bool>>,
     /// When it last said that it reaches this daemon.
-    pub reached: Rc<Cell<Option<Instant>>>,
+    pub renewed: Rc<Cell<Option<Instant>>>,
 }
 
 /// The daemons linked to, by host name, and those that want news from here.
@@ -101,23 +101,23 @@
     pub fn watch(&self, from: &PeerAddress) -> NewsFeed {
         let (sender, frames) = mpsc::channel(WATCHER_QUEUE);
         let follows = Rc::new(Cell::new(false));
-        let reached = Rc::default();
+        let renewed = Rc::default();
         let mut watchers = self.watchers.borrow_mut();
         // A daemon that links anew counts once.
         for before in watchers.iter().filter(|one| one.host == from.id) {
-            before.reached.set(None);
+            before.renewed.set(None);
         }
         watchers.push(NewsWatcher {
             host: from.id.clone(),
             zone: from.zone.clone(),
             follows: Rc::clone(&follows),
-            reached: Rc::clone(&reached),
+            renewed: Rc::clone(&renewed),
             frames: sender,
         });
         NewsFeed {
             frames,
             follows,
-            reached,
+            renewed,
         }
     }
 
@@ -129,11 +129,11 @@
 
     /// Number of daemons of `zone` that said since `since` that they reach this one.
     #[must_use]
-    pub fn reached_by(&self, zone: &str, since: Instant) -> usize {
+    pub fn leased_by(&self, zone: &str, since: Instant) -> usize {
         let watchers = self.watchers.borrow();
         let in_zone = watchers.iter().filter(|one| one.zone == zone);
         in_zone
-            .filter(|one| one.reached.get() >= Some(since))
+            .filter(|one| one.renewed.get() >= Some(since))
             .count()
     }
 
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -57,7 +57,7 @@
                         outgoing.send_data(encode(&sum), false)?;
                     }
                 }
-                Some(LinkMessage::Reached) => feed.reached.set(Some(shared.clock.now())),
+                Some(LinkMessage::RenewPool) => feed.renewed.set(Some(shared.clock.now())),
                 Some(message) => {
                     if let Some(answer) = answer_to(&shared, message) {
                         outgoing.send_data(encode(&answer), false)?;
@@ -181,7 +181,7 @@
         LinkMessage::Hello { .. }
         | LinkMessage::NotHere(_)
         | LinkMessage::Follow
-        | LinkMessage::Reached
+        | LinkMessage::RenewPool
         | LinkMessage::VersionAge(_)
         | LinkMessage::StoreClock { .. }
         | LinkMessage::Tokens { .. }
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -171,7 +171,7 @@
     spawn(Box::pin(rollouts::spread::keep_counted(Rc::clone(shared))));
     spawn(Box::pin(rollouts::decide::keep_decided(Rc::clone(shared))));
     spawn(Box::pin(rollouts::record::keep_recorded(Rc::clone(shared))));
-    spawn(Box::pin(organisations::tokens::keep_reaching(Rc::clone(
+    spawn(Box::pin(organisations::tokens::keep_leased(Rc::clone(
         shared,
     ))));
     spawn(Box::pin(plan::keep_planned(Rc::clone(shared))));
--- a/crates/policy/src/organisations/quota.rs
+++ b/crates/policy/src/organisations/quota.rs
@@ -20,12 +20,12 @@
 /// The same at the latest.
 const MOST_DRY: Duration = Duration::from_secs(1);
 
-/// How often a host tells a pool that it brings its part there.
-const TOLD_EVERY: Duration = Duration::from_millis(400);
-/// Time for which a pool counts a part after it was told: two words may be late.
+/// How often a host renews its lease at a pool.
+const RENEW_EVERY: Duration = Duration::from_millis(400);
+/// Time for which a pool counts a part after a renewal: two may be late.
 pub const COUNTED_FOR: Duration = Duration::from_millis(1_200);
-/// Time after which a host takes itself for forgotten: that and the way there.
-const FORGOTTEN_AFTER: Duration = Duration::from_millis(1_600);
+/// Time after which a host takes a lease to have run out: that and the way there.
+const RUNS_OUT_AFTER: Duration = Duration::from_millis(1_600);
 
 /// Part of a burst that flows as rate where limits count in a window: in every
 /// window it may be used anew.
@@ -63,7 +63,7 @@
     /// Hosts of the pool's zone, its own included.
     pub hosts: usize,
     /// Those of them that ask this pool.
-    pub reached_by: usize,
+    pub leased_by: usize,
 }
 
 impl PoolPart {
@@ -73,45 +73,45 @@
     /// whole: every host brings its own part to the pools that it asks.
     #[must_use]
     pub fn share(self) -> f64 {
-        let reached = self.reached_by.min(self.hosts);
-        let heard = count_of(reached) / count_of(self.hosts.max(1));
+        let leased_by = self.leased_by.min(self.hosts);
+        let heard = count_of(leased_by) / count_of(self.hosts.max(1));
         heard / (count_of(self.zones.max(1)) * count_of(self.pools.max(1)))
     }
 }
 
-/// The pools to which a host brings its part, by name.
+/// The leases by which a host's part counts at pools, by the pools' hosts.
 ///
 /// Guards against a part that counts twice: a pool goes on to count it for a while
 /// after the host has turned to another, as it cannot know. So a host that turns
-/// away from a pool waits until that has forgotten it before it brings its part to
-/// the next.
+/// away from a pool waits until that lease has run out before it takes one at the
+/// next.
 #[derive(Clone, Debug, Default)]
-pub struct PoolVotes {
-    /// When each was last told.
-    told: BTreeMap<String, Instant>,
+pub struct PoolLeases {
+    /// When each was last renewed.
+    renewed: BTreeMap<String, Instant>,
 }
 
-impl PoolVotes {
-    /// Of `wanted`, at most `most`, the pools to be told now.
+impl PoolLeases {
+    /// Renews the leases at `wanted`, `most` at a time; the pools to be told now.
     pub fn renew(&mut self, wanted: &[String], most: usize, now: Instant) -> Vec<String> {
-        self.told.retain(|_, told| now < *told + FORGOTTEN_AFTER);
+        self.renewed.retain(|_, at| now < *at + RUNS_OUT_AFTER);
         let mut due = Vec::new();
         for pool in wanted {
-            let told = self.told.get(pool).copied();
-            let has_room = told.is_some() || self.told.len() < most;
-            if has_room && told.is_none_or(|told| now >= told + TOLD_EVERY) {
-                self.told.insert(pool.clone(), now);
+            let renewed = self.renewed.get(pool).copied();
+            let has_room = renewed.is_some() || self.renewed.len() < most;
+            if has_room && renewed.is_none_or(|at| now >= at + RENEW_EVERY) {
+                self.renewed.insert(pool.clone(), now);
                 due.push(pool.clone());
             }
         }
         due
     }
 
-    /// Whether `pool` counts this host's part.
+    /// Whether this host's part counts at `pool`.
     #[must_use]
     pub fn counts_at(&self, pool: &str, now: Instant) -> bool {
-        let told = self.told.get(pool);
-        told.is_some_and(|told| now < *told + COUNTED_FOR)
+        let renewed = self.renewed.get(pool);
+        renewed.is_some_and(|at| now < *at + COUNTED_FOR)
     }
 }
 
--- a/crates/policy/tests/quota_replay.rs
+++ b/crates/policy/tests/quota_replay.rs
@@ -6,7 +6,7 @@
 use filbert_policy::numbers::count_of;
 use filbert_policy::organisations::keys::RateLimit;
 use filbert_policy::organisations::quota::{
-    PoolPart, PoolVotes, QuotaTerms, TokenGrant, TokenPool, COUNTED_FOR,
+    PoolPart, PoolLeases, QuotaTerms, TokenGrant, TokenPool, COUNTED_FOR,
 };
 use filbert_policy::organisations::stash::{StashVerdict, TokenStash};
 use proptest::prelude::*;
@@ -139,7 +139,7 @@
             zones: ZONES,
             pools: READERS,
             hosts: HOSTS,
-            reached_by: if is_alone { 1 } else { HOSTS },
+            leased_by: if is_alone { 1 } else { HOSTS },
         };
         let pool = self.hosts[reader]
             .pool
@@ -258,14 +258,14 @@
     ) {
         let start = Instant::now();
         let mut now = start;
-        let mut votes = PoolVotes::default();
+        let mut leases = PoolLeases::default();
         // When each pool was last told, as the pools know it.
         let mut told: Vec<Option<Instant>> = vec![None; 5];
         for (one, other, looks) in turns {
             let wanted = [format!("{one}"), format!("{other}")];
             for _ in 0..looks {
                 now += Duration::from_millis(100);
-                for pool in votes.renew(&wanted, 2, now) {
+                for pool in leases.renew(&wanted, 2, now) {
                     told[pool.parse::<usize>().expect("a number")] = Some(now);
                 }
                 let counting = told.iter().flatten().filter(|at| now < **at + COUNTED_FOR);
