--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -8,7 +8,6 @@
 
 use error_stack::Report;
 use filbert_platform::store::{FeedAnswer, StoreError, StoreMoment, OPERATOR_TABLE};
-use filbert_policy::host_book::StorePlace;
 use filbert_policy::store_asking::{
     first_look_after, first_version, pause_after, FirstVersion, VersionlessView,
 };
@@ -375,10 +374,6 @@
                 }
             }
             confirm(shared, subject, batch.moment);
-            if subject == FeedSubject::Membership {
-                let era = shared.store.era();
-                shared.note_rows_known(StorePlace { era, version });
-            }
             Ok((Some(version), has_changed))
         }
     }
--- a/crates/mesh/src/feeds/take.rs
+++ b/crates/mesh/src/feeds/take.rs
@@ -4,11 +4,10 @@
 
 use bytes::Bytes;
 use filbert_platform::store::{RowBatch, StoreRow, CONFIG_KEY};
-use filbert_policy::host_book::StorePlace;
 
 use super::FeedSubject;
 use crate::held_rows::is_held_key;
-use crate::messages::{PlacedHost, RowChange};
+use crate::messages::{PeerAddress, RowChange};
 use crate::rollouts::row::is_rollout_key;
 use crate::rows::decode_member;
 use crate::state::MeshShared;
@@ -27,31 +26,19 @@
                 shared.take_rollout_row(row);
             }
             shared.rollouts.rows_were_read();
-            let era = shared.store.era();
-            let placed = |row| placed_host(row, era);
-            let mut listed: Vec<PlacedHost> = batch.rows.iter().filter_map(placed).collect();
-            listed.retain(|host| !is_back_wrongly(shared, &host.address.id));
-            let own = shared.own_address();
-            let complete = StorePlace {
-                era,
-                version: batch.version,
-            };
-            if !listed.iter().any(|host| host.address == own) {
-                shared.members.rows.lose_own(complete);
+            let mut listed: Vec<PeerAddress> =
+                batch.rows.iter().filter_map(decode_member).collect();
+            listed.retain(|host| !is_back_wrongly(shared, &host.id));
+            if listed.contains(&shared.own_address()) {
+                shared.see_own_row();
+            } else {
+                shared.members.rows.miss_own();
             }
-            shared.take_members(listed, complete, "store");
+            shared.take_members(listed, "store");
         }
     }
 }
 
-fn placed_host(row: &StoreRow, era: u64) -> Option<PlacedHost> {
-    let place = StorePlace {
-        era,
-        version: row.version,
-    };
-    decode_member(row).map(|address| PlacedHost { address, place })
-}
-
 /// Whether `id` is a host that was taken away, listed again by an older copy of
 /// the store; its row is removed again.
 fn is_back_wrongly(shared: &MeshShared, id: &str) -> bool {
@@ -74,14 +61,10 @@
         shared.take_rollout_row(row);
         return;
     }
-    let place = StorePlace {
-        era: shared.store.era(),
-        version: row.version,
-    };
-    match placed_host(row, place.era) {
-        Some(host) if host.address == shared.own_address() => shared.see_own_row(place),
-        Some(host) => shared.take_row(host, "store"),
-        None => shared.row_is_gone(&row.key, place, "store"),
+    match decode_member(row) {
+        Some(address) if address == shared.own_address() => shared.see_own_row(),
+        Some(address) => shared.learn_host(address, "store"),
+        None => shared.row_is_gone(&row.key, "store"),
     }
 }
 
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -7,12 +7,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use filbert_policy::host_book::{HostBook, HostChange, StorePlace};
 use filbert_policy::membership::LinkPlan;
 use tokio::sync::{watch, Notify};
 
 use crate::held_rows::is_held_key;
-use crate::messages::{HostChanges, HostWord, PeerAddress, PlacedHost, RowChange, StoreState};
+use crate::messages::{HostChanges, PeerAddress, RowChange, StoreState};
 use crate::rows::RowBook;
 use crate::state::MeshShared;
 
@@ -38,18 +37,18 @@
 
 /// What became of a host.
 enum HostNews {
-    /// It came, changed its address, or has a row now.
-    Came(HostWord),
-    /// Its row was gone at this place.
-    Gone(StorePlace),
+    /// It came, or changed its address.
+    Came(PeerAddress),
+    /// Its row is gone.
+    Gone,
     /// Its row was written for it.
-    Listed(HostWord),
+    Listed(PeerAddress),
 }
 
 /// The hosts known, and the plan made of them.
 pub struct MemberBook {
     /// The other hosts.
-    hosts: RefCell<HostBook<PeerAddress>>,
+    hosts: RefCell<BTreeMap<String, PeerAddress>>,
     /// Hosts whose row is gone and whose daemon still answers.
     rowless: RefCell<BTreeSet<String>>,
     /// Whom this daemon links to and is told by.
@@ -103,22 +102,26 @@
     /// Whether there is another host of this name.
     #[must_use]
     pub fn has_host(&self, id: &str) -> bool {
-        self.hosts.borrow().get(id).is_some()
+        self.hosts.borrow().contains_key(id)
     }
 
     /// The other hosts, by name.
     #[must_use]
     pub fn hosts_by_name(&self) -> BTreeMap<String, PeerAddress> {
-        let hosts = self.hosts.borrow();
-        let owned = |(id, address): (&str, &PeerAddress)| (id.to_owned(), address.clone());
-        hosts.hosts().map(owned).collect()
+        self.hosts.borrow().clone()
+    }
+
+    /// The other hosts.
+    #[must_use]
+    pub fn hosts(&self) -> Vec<PeerAddress> {
+        self.hosts.borrow().values().cloned().collect()
     }
 
     /// Number of availability zones that the other hosts are in.
     #[must_use]
     pub fn zones_known(&self) -> usize {
         let hosts = self.hosts.borrow();
-        let zones: BTreeSet<&str> = hosts.hosts().map(|(_, host)| host.zone.as_str()).collect();
+        let zones: BTreeSet<&str> = hosts.values().map(|host| host.zone.as_str()).collect();
         zones.len()
     }
 
@@ -180,79 +183,61 @@
 }
 
 impl MeshShared {
-    /// Takes word of a host by itself, or by one that heard from it.
+    /// Adds a host or takes over its new address.
     pub fn learn_host(&self, address: PeerAddress, from: &str) {
-        self.take_word(
-            HostWord {
-                address,
-                place: None,
-            },
-            from,
-        );
-    }
-
-    /// Takes word of a host's row.
-    pub fn take_row(&self, host: PlacedHost, from: &str) {
-        self.take_word(host.into(), from);
-    }
-
-    fn take_word(&self, word: HostWord, from: &str) {
         let own = self.own_address();
-        if word.address.id == own.id {
-            if word.address != own {
+        if address.id == own.id {
+            if address != own {
                 self.members.rows.miss_own();
             }
             return;
         }
-        let id = word.address.id.clone();
-        let address = word.address.clone();
-        let now = self.clock.now();
-        let change = {
-            let mut hosts = self.members.hosts.borrow_mut();
-            match word.place {
-                Some(place) => hosts.take_row(&id, address, place, now),
-                None => hosts.hear(&id, address, now),
-            }
-        };
-        match change {
-            HostChange::None | HostChange::Gone => return,
-            HostChange::Listed => {}
-            HostChange::Came => log::info!(
-                "event=host_learnt host={id} address={} zone={} service={} from={from}",
-                word.address.address,
-                word.address.zone,
-                word.address.service
-            ),
+        self.members.rowless.borrow_mut().remove(&address.id);
+        let mut hosts = self.members.hosts.borrow_mut();
+        if hosts.get(&address.id) == Some(&address) {
+            return;
         }
-        self.members.rowless.borrow_mut().remove(&id);
-        self.members.note_news(&id, HostNews::Came(word));
+        log::info!(
+            "event=host_learnt host={} address={} zone={} service={} from={from}",
+            address.id,
+            address.address,
+            address.zone,
+            address.service
+        );
+        let id = address.id.clone();
+        hosts.insert(id.clone(), address.clone());
+        drop(hosts);
+        // Told however it was learnt: the row of a host that said hello first
+        // is no news any more when it is read.
+        self.members.note_news(&id, HostNews::Came(address));
     }
 
-    /// Notes that this host's row was in the store, and right, at `place`.
-    pub fn see_own_row(&self, place: StorePlace) {
-        if self.members.rows.see_own(place) {
+    /// Notes that this host's row is in the store, and right.
+    pub fn see_own_row(&self) {
+        if self.members.rows.see_own() {
             self.members.changed.notify_one();
         }
     }
 
     /// Takes over changes of hosts told by `from`.
     pub fn take_changes(&self, changes: HostChanges, from: &str) {
-        let own = self.own_address();
-        for word in changes.came {
-            let place = word.place;
-            let is_listed = changes.listed.contains(&word.address.id);
-            match place {
-                Some(place) if word.address == own => self.see_own_row(place),
-                _ if is_listed && self.passes_on(from) => {
-                    let id = word.address.id.clone();
-                    self.take_word(word.clone(), from);
-                    self.members.note_news(&id, HostNews::Listed(word));
-                }
-                _ => self.take_word(word, from),
+        let passes_on = self.passes_on(from);
+        for address in changes.came {
+            self.learn_host(address, from);
+        }
+        for id in &changes.gone {
+            if passes_on {
+                self.members.note_news(id, HostNews::Gone);
             }
+            self.forget_host(id, from);
         }
-        for (id, place) in changes.gone {
-            self.row_is_gone(&id, place, from);
+        let own = self.settings.borrow().id.clone();
+        for id in &changes.listed {
+            if *id == own {
+                self.see_own_row();
+            } else if passes_on {
+                self.pass_listed(id);
+            }
         }
     }
 
@@ -264,51 +249,49 @@
         !plan.is_source && plan.sources.contains(from)
     }
 
-    /// Takes word that this daemon changed rows, in the store's version `place`.
-    pub fn rows_have_changed(&self, changes: &[RowChange], place: StorePlace) {
+    fn pass_listed(&self, id: &str) {
+        let address = self.members.hosts.borrow().get(id).cloned();
+        if let Some(address) = address {
+            self.members.note_news(id, HostNews::Listed(address));
+        }
+    }
+
+    /// Takes word that this daemon changed rows.
+    pub fn rows_have_changed(&self, changes: &[RowChange]) {
         for change in changes {
             match change {
-                RowChange::Write(address) if *address == self.own_address() => {
-                    self.see_own_row(place);
-                }
+                RowChange::Write(address) if *address == self.own_address() => self.see_own_row(),
                 RowChange::Write(address) => {
-                    let word = HostWord {
-                        address: address.clone(),
-                        place: Some(place),
-                    };
-                    self.take_word(word.clone(), "store");
-                    self.members.note_news(&address.id, HostNews::Listed(word));
+                    self.learn_host(address.clone(), "store");
+                    self.pass_listed(&address.id);
                 }
                 RowChange::Remove(key) if is_held_key(key) => {}
-                RowChange::Remove(id) => self.row_is_gone(id, place, "store"),
+                RowChange::Remove(id) => self.row_is_gone(id, "store"),
                 RowChange::Hold(_) => {}
             }
         }
     }
 
-    /// Takes word that a host's row was gone at `place`, and passes it on: a live
-    /// host hears of it so, and has it written again.
-    ///
-    /// The host is forgotten as soon as its daemon does not answer: rows vanish
-    /// while the store is away, and their hosts write them back; a host that is
-    /// taken away removes its row just before its daemon ends.
-    pub fn row_is_gone(&self, id: &str, place: StorePlace, from: &str) {
+    /// Takes word that a host's row is gone from the store, and passes it on: a
+    /// live host hears of it so, and has it written again.
+    pub fn row_is_gone(&self, id: &str, from: &str) {
+        self.members.note_news(id, HostNews::Gone);
+        self.forget_host(id, from);
+    }
+
+    /// Removes a host whose row is gone, as soon as its daemon does not answer:
+    /// rows vanish while the store is away, and their hosts write them back;
+    /// a host that is taken away removes its row just before its daemon ends.
+    pub fn forget_host(&self, id: &str, from: &str) {
         if id == self.settings.borrow().id {
-            if self.members.rows.lose_own(place) {
-                self.members.note_news(id, HostNews::Gone(place));
-            }
+            self.members.rows.miss_own();
             return;
         }
-        let change = self.members.hosts.borrow_mut().lose_row(id, place);
-        if change != HostChange::Gone {
-            return;
-        }
-        self.members.note_news(id, HostNews::Gone(place));
         if self.peers.get(id).is_some_and(|peer| peer.is_linked()) {
             self.members.rowless.borrow_mut().insert(id.to_owned());
-        } else {
-            self.drop_host(id, from);
+            return;
         }
+        self.drop_host(id, from);
     }
 
     /// Takes word of `other` that it is at the address of `lost`, which is gone for
@@ -336,54 +319,37 @@
         self.members.changed.notify_one();
     }
 
-    /// Forgets hosts that were heard of, never got a row and do not answer.
-    pub fn forget_unlisted(&self) {
-        let never = self.members.hosts.borrow().never_listed(self.clock.now());
-        for id in never {
-            if !self.peers.get(&id).is_some_and(|peer| peer.is_linked()) {
-                self.drop_host(&id, "never_listed");
-            }
-        }
-    }
-
     fn drop_host(&self, id: &str, from: &str) {
-        if self.members.hosts.borrow_mut().forget(id) {
+        if self.members.hosts.borrow_mut().remove(id).is_some() {
             log::info!("event=host_forgotten host={id} from={from}");
             self.members.changed.notify_one();
         }
     }
 
-    /// Takes over a list of hosts that is complete up to `complete`, and tells
-    /// those told by this daemon what is new.
-    pub fn take_members(&self, listed: Vec<PlacedHost>, complete: StorePlace, from: &str) {
+    /// Takes over a whole list of hosts, and tells those told by this daemon
+    /// who is not on it.
+    pub fn take_members(&self, listed: Vec<PeerAddress>, from: &str) {
         log::info!("event=members_taken hosts={} from={from}", listed.len());
         let own = self.own_address();
-        let gone: Vec<String> = {
-            let names: BTreeSet<&str> =
-                listed.iter().map(|host| host.address.id.as_str()).collect();
-            let hosts = self.members.hosts.borrow();
-            let missing = hosts.missing_from(|id| names.contains(id), complete);
-            missing.map(str::to_owned).collect()
-        };
+        let gone: Vec<String> = self
+            .members
+            .hosts
+            .borrow()
+            .keys()
+            .filter(|id| !listed.iter().any(|address| address.id == **id))
+            .cloned()
+            .collect();
         for id in gone {
-            self.row_is_gone(&id, complete, from);
+            self.row_is_gone(&id, from);
         }
-        for host in listed {
-            if host.address == own {
-                self.see_own_row(host.place);
-            } else if host.address.id != own.id {
-                self.take_row(host, from);
+        for address in listed {
+            if address.id != own.id {
+                self.learn_host(address, from);
             }
         }
-        self.members.hosts.borrow_mut().note_complete(complete);
         if !self.members.is_known.replace(true) {
             self.members.became_known.notify_waiters();
             self.members.changed.notify_one();
         }
     }
-
-    /// Notes that the rows up to `place` are known here.
-    pub fn note_rows_known(&self, place: StorePlace) {
-        self.members.hosts.borrow_mut().note_complete(place);
-    }
 }
--- a/crates/mesh/src/members/tell.rs
+++ b/crates/mesh/src/members/tell.rs
@@ -3,30 +3,16 @@
 use twox_hash::XxHash64;
 
 use super::{HostNews, MOST_CAME};
-use crate::messages::{
-    encode, HostChanges, HostList, LinkMessage, PeerAddress, PlacedHost, StoreState,
-};
+use crate::messages::{encode, HostChanges, HostList, LinkMessage, PeerAddress, StoreState};
 use crate::state::MeshShared;
 
 impl MeshShared {
-    /// The hosts with a row, this one included, as told to another daemon.
+    /// Every host known, this one included, as told to another daemon.
     #[must_use]
     pub fn member_list(&self) -> LinkMessage {
-        let hosts = self.members.hosts.borrow();
-        let rows = hosts.rows().map(|(_, address, place)| PlacedHost {
-            address: address.clone(),
-            place,
-        });
-        let listed: Vec<PlacedHost> = rows.chain(self.own_row()).collect();
-        LinkMessage::Members(HostList::pack(&listed, hosts.complete()))
-    }
-
-    fn own_row(&self) -> Option<PlacedHost> {
-        let place = self.members.rows.own_place()?;
-        Some(PlacedHost {
-            address: self.own_address(),
-            place,
-        })
+        let mut hosts = self.members.hosts();
+        hosts.push(self.own_address());
+        LinkMessage::Members(HostList::pack(&hosts))
     }
 
     /// A checksum of that list.
@@ -34,9 +20,8 @@
     pub fn members_sum(&self) -> u64 {
         let sum_of = |address: &PeerAddress| XxHash64::oneshot(0, &encode(address));
         let hosts = self.members.hosts.borrow();
-        let others = hosts.rows().map(|(_, address, _)| sum_of(address));
-        let own = self.own_row().map(|own| sum_of(&own.address));
-        others.chain(own).fold(0, |sum, one| sum ^ one)
+        let others = hosts.values().map(sum_of);
+        others.fold(sum_of(&self.own_address()), |sum, one| sum ^ one)
     }
 
     /// Tells the daemons that follow this one.
@@ -55,10 +40,10 @@
         let mut changes = HostChanges::default();
         for (id, news) in untold {
             match news {
-                HostNews::Came(word) => changes.came.push(word),
-                HostNews::Gone(place) => changes.gone.push((id, place)),
-                HostNews::Listed(word) => {
-                    changes.came.push(word);
+                HostNews::Came(address) => changes.came.push(address),
+                HostNews::Gone => changes.gone.push(id),
+                HostNews::Listed(address) => {
+                    changes.came.push(address);
                     changes.listed.push(id);
                 }
             }
@@ -66,17 +51,11 @@
         if !self.members.is_reader() {
             // Others tell of hosts; of the rows that it wrote it tells itself,
             // also where it has handed that over to another by now.
-            let listed = &changes.listed;
-            changes
-                .came
-                .retain(|word| listed.contains(&word.address.id));
+            changes.came.clear();
             changes.gone.clear();
         }
         if changes.came.len() > MOST_CAME {
-            let listed = &changes.listed;
-            changes
-                .came
-                .retain(|word| listed.contains(&word.address.id));
+            changes.came.clear();
             self.tell_followers(&LinkMessage::MembersSum(self.members_sum()));
         }
         if changes != HostChanges::default() {
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -17,7 +17,7 @@
 use crate::text_delta::TextDelta;
 
 pub use calls::{AnswerHead, CallHead, ReplyHead, UsualRun};
-pub use hosts::{HostChanges, HostList, HostWord, PlacedHost, RowChange};
+pub use hosts::{HostChanges, HostList, RowChange};
 pub use organisations::VersionAge;
 
 /// Longest message, in bytes: a version of a few thousand routes fits.
--- a/crates/mesh/src/messages/hosts.rs
+++ b/crates/mesh/src/messages/hosts.rs
@@ -1,70 +1,39 @@
 //! What daemons say of hosts and of the rows in the table of hosts.
 
-use filbert_policy::host_book::StorePlace;
 use serde::{Deserialize, Serialize};
 
 use super::{BadMessage, PeerAddress};
 use crate::deflate;
 use crate::held_rows::{self, HeldRow};
 
-/// A host whose row was written at a place in the store's history.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlacedHost {
-    /// Where it is.
-    pub address: PeerAddress,
-    /// The place.
-    pub place: StorePlace,
-}
-
-/// Word of a host, with its row's place where it has one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostWord {
-    /// Where it is.
-    pub address: PeerAddress,
-    /// Where its row was written.
-    pub place: Option<StorePlace>,
-}
-
-impl From<PlacedHost> for HostWord {
-    fn from(host: PlacedHost) -> HostWord {
-        HostWord {
-            address: host.address,
-            place: Some(host.place),
-        }
-    }
-}
-
 /// A list of hosts, deflated: their names and addresses are much alike.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostList {
     deflated: Vec<u8>,
-    /// The place up to which it holds all rows.
-    complete: StorePlace,
 }
 
 impl HostList {
-    /// Packs `hosts`, all whose rows were there at `complete`.
+    /// Packs `hosts`.
     ///
     /// # Panics
     /// Never: addresses hold only plain data that bincode always encodes.
     #[must_use]
-    pub fn pack(hosts: &[PlacedHost], complete: StorePlace) -> HostList {
+    pub fn pack(hosts: &[PeerAddress]) -> HostList {
         let plain = bincode::serde::encode_to_vec(hosts, bincode::config::standard())
             .expect("addresses always encode");
         HostList {
             deflated: deflate::pack(&plain),
-            complete,
         }
     }
 
-    /// The hosts, and the place up to which they are all.
+    /// The hosts.
     ///
     /// # Errors
     /// [`BadMessage`] when the bytes are not such a list.
-    pub fn unpack(&self) -> Result<(Vec<PlacedHost>, StorePlace), BadMessage> {
+    pub fn unpack(&self) -> Result<Vec<PeerAddress>, BadMessage> {
         let plain = deflate::unpack(&self.deflated).map_err(|_| BadMessage)?;
         bincode::serde::decode_from_slice(&plain, bincode::config::standard())
-            .map(|(hosts, _)| (hosts, self.complete))
+            .map(|(hosts, _)| hosts)
             .map_err(|_| BadMessage)
     }
 }
@@ -72,11 +41,11 @@
 /// What became of hosts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostChanges {
-    /// Those that came, changed their address or got a row.
-    pub came: Vec<HostWord>,
-    /// Names of those whose row was gone, and where.
-    pub gone: Vec<(String, StorePlace)>,
-    /// Names of those that came and whose row was written for them.
+    /// Those that came, or changed their address.
+    pub came: Vec<PeerAddress>,
+    /// Names of those whose row is gone.
+    pub gone: Vec<String>,
+    /// Names of those whose row was written for them.
     pub listed: Vec<String>,
 }
 
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -256,11 +256,20 @@
             }
         }
         LinkMessage::Members(list) => {
-            let Ok((hosts, complete)) = list.unpack() else {
+            let Ok(hosts) = list.unpack() else {
                 log::error!("event=members_unreadable from={from}");
                 return;
             };
-            shared.take_members(hosts, complete, from);
+            let reads = !shared.follows();
+            if reads && shared.members.is_known.get() {
+                // What this daemon read itself tells who is gone; the list may
+                // still hold hosts that came since, when it is about to follow.
+                for host in hosts {
+                    shared.learn_host(host, from);
+                }
+            } else {
+                shared.take_members(hosts, from);
+            }
         }
         LinkMessage::HeavyVersion => {
             if shared.follows() {
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -106,7 +106,6 @@
 
     /// Plans the links anew and opens and releases links accordingly.
     fn plan_anew(self: &Rc<Self>) {
-        self.forget_unlisted();
         let own = self.own_address();
         let hosts = self.members.hosts_by_name();
         let others: Vec<HostView<'_>> = hosts
--- a/crates/mesh/src/rows.rs
+++ b/crates/mesh/src/rows.rs
@@ -8,8 +8,7 @@
 use std::time::Duration;
 
 use filbert_platform::store::{RowEdit, StoreRow, MOST_EDITS};
-use filbert_policy::host_book::StorePlace;
-use filbert_policy::store_asking::{own_row_after, pause_after};
+use filbert_policy::store_asking::pause_after;
 use rand::Rng;
 use tokio::sync::Notify;
 
@@ -29,6 +28,12 @@
 /// The same before a first version is in force: the fleet has just begun, and its
 /// hosts come over seconds.
 const GATHER_FIRST: Duration = Duration::from_millis(800);
+/// Time for another daemon to see to this host's row: the gathering, a call to
+/// the store and the way back, twice over.
+const SEEN_TO_WITHIN: Duration = Duration::from_millis(1_500);
+/// Times that other daemons are asked to see to this host's row before it
+/// writes it itself.
+const TELLER_TRIES: u32 = 4;
 /// Removed rows remembered.
 const MOST_REMOVED: usize = 512;
 /// Longest time that a planned stop waits for its row to be removed.
@@ -43,10 +48,6 @@
     has_wanted: Notify,
     /// Whether this host's row is in the store, as far as is known.
     is_own_seen: Cell<bool>,
-    /// Where it was last written, as far as is known.
-    own_place: Cell<Option<StorePlace>>,
-    /// Where it was last gone.
-    own_lost: Cell<Option<StorePlace>>,
     /// Whether it ever was since this daemon started.
     was_own_seen: Cell<bool>,
     /// Whether the next changes are made without waiting for others.
@@ -69,30 +70,8 @@
         self.own_changed.notify_waiters();
     }
 
-    /// Notes that this host's row was gone at `place`; whether that is news.
-    pub fn lose_own(&self, place: StorePlace) -> bool {
-        if self.own_place.get() > Some(place) {
-            return false;
-        }
-        let is_news = self.is_own_seen.get();
-        self.own_lost.set(self.own_lost.get().max(Some(place)));
-        self.own_place.set(None);
-        self.miss_own();
-        is_news
-    }
-
-    /// Where this host's row was last written; `None` when it is not there.
-    #[must_use]
-    pub fn own_place(&self) -> Option<StorePlace> {
-        self.own_place.get()
-    }
-
-    /// Notes that this host's row was there at `place`; whether that is news.
-    pub fn see_own(&self, place: StorePlace) -> bool {
-        if self.own_lost.get() >= Some(place) {
-            return false;
-        }
-        self.own_place.set(self.own_place.get().max(Some(place)));
+    /// Notes that this host's row is there; whether that is news.
+    pub fn see_own(&self) -> bool {
         self.was_own_seen.set(true);
         let is_news = !self.is_own_seen.replace(true);
         if is_news {
@@ -101,11 +80,6 @@
         is_news
     }
 
-    /// Waits for word that this host's row is gone.
-    fn expect_gone(&self) {
-        self.is_own_seen.set(true);
-    }
-
     /// Whether this host's row is there, as far as is known.
     #[must_use]
     pub fn is_own_seen(&self) -> bool {
@@ -192,16 +166,6 @@
     }
 }
 
-impl MeshShared {
-    /// Sees anew to changes that could not be made: by now another daemon may make
-    /// them for this one.
-    fn hand_up(&self, changes: Vec<RowChange>) {
-        for change in changes {
-            self.see_to_row(change, false);
-        }
-    }
-}
-
 /// Makes the changes of rows that this daemon sees to. Runs for ever.
 pub async fn keep_written(shared: Rc<MeshShared>) {
     let rows = &shared.members.rows;
@@ -226,7 +190,6 @@
         rows.put_back(changes);
         let spread = rand::rng().random();
         tokio::time::sleep(pause_after(failures, shared.ask_purpose(), spread)).await;
-        shared.hand_up(rows.take());
     }
 }
 
@@ -247,7 +210,7 @@
         })
         .collect();
     match shared.store.edit_rows(&edits).await {
-        Ok(version) => {
+        Ok(()) => {
             shared.metrics.store_call("rows", "answered");
             for (change, key) in changes.iter().zip(&keys) {
                 shared.members.rows.note_made(change);
@@ -263,8 +226,7 @@
                     }
                 }
             }
-            let era = shared.store.era();
-            shared.rows_have_changed(changes, StorePlace { era, version });
+            shared.rows_have_changed(changes);
             true
         }
         Err(report) => {
@@ -294,11 +256,16 @@
         }
         let mut tries = 0;
         while !rows.is_parting.get() && !rows.is_own_seen() {
-            shared.see_to_row(RowChange::Write(shared.own_address()), false);
+            let change = RowChange::Write(shared.own_address());
+            // Guards against tellers that take the change and do not make it.
+            if tries >= TELLER_TRIES {
+                rows.want(change);
+            } else {
+                shared.see_to_row(change, false);
+            }
             tries += 1;
             let seen = rows.own_changed.notified();
-            let spread = rand::rng().random();
-            let _ = tokio::time::timeout(own_row_after(tries, spread), seen).await;
+            let _ = tokio::time::timeout(SEEN_TO_WITHIN, seen).await;
         }
     }
 }
@@ -308,7 +275,7 @@
     let rows = &shared.members.rows;
     rows.is_parting.set(true);
     let id = shared.settings.borrow().id.clone();
-    rows.expect_gone();
+    rows.see_own();
     let gone = async {
         while rows.is_own_seen() {
             rows.own_changed.notified().await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,8 +8,7 @@
 //! to come back ([`refusal`]). A call that ends the targets that run it is held
 //! back by its [`identity`] ([`quarantine`]). [`instance`] follows the life of the target
 //! beside the daemon, [`health`] and [`run_times`] what its calls say about
-//! it, [`egress`] paces answers on a slow link. [`host_book`] puts together which hosts
-//! there are, [`membership`] plans which other
+//! it, [`egress`] paces answers on a slow link. [`membership`] plans which other
 //! hosts a daemon links to, and [`store_asking`] who asks the store when.
 //! [`organisations`] tells whose call it is, and whether it may run.
 //! [`rollout`] moves a service to another software version, or takes it back.
@@ -20,7 +19,6 @@
 pub mod clock;
 pub mod egress;
 pub mod health;
-pub mod host_book;
 pub mod identity;
 pub mod instance;
 pub mod membership;
--- a/crates/policy/src/store_asking.rs
+++ b/crates/policy/src/store_asking.rs
@@ -57,24 +57,6 @@
     pause.mul_f64(0.6 + 0.4 * spread.clamp(0.0, 1.0))
 }
 
-/// Time for another daemon to see to a host's row: the gathering, a call to the
-/// store and the way back, twice over.
-const ROW_WITHIN: Duration = Duration::from_millis(1_500);
-/// Doublings of that time while a row does not come to be there.
-const ROW_DOUBLINGS: u32 = 5;
-
-/// How long a daemon waits for its host's row to be there before it asks for it
-/// again, the `tries`th time; `spread` is a random number in 0..1.
-///
-/// Load pattern: a store that takes 150 writes a second while 985 hosts miss their
-/// rows. Asked for every two seconds by each, the store turned most away, and that
-/// kept the rows missing. In the end each asks every 48 s, 20 a second.
-#[must_use]
-pub fn own_row_after(tries: u32, spread: f64) -> Duration {
-    let doublings = tries.saturating_sub(1).min(ROW_DOUBLINGS);
-    (ROW_WITHIN * 2_u32.pow(doublings)).mul_f64(1.0 + spread.clamp(0.0, 1.0) * 0.5)
-}
-
 /// How long a daemon that starts waits before it looks for the hosts.
 ///
 /// Load pattern: a whole fleet starts within 0.3 s on an empty table. Were all
