--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -117,14 +117,6 @@
         self.hosts.borrow().values().cloned().collect()
     }
 
-    /// Number of availability zones that the other hosts are in.
-    #[must_use]
-    pub fn zones_known(&self) -> usize {
-        let hosts = self.hosts.borrow();
-        let zones: BTreeSet<&str> = hosts.values().map(|host| host.zone.as_str()).collect();
-        zones.len()
-    }
-
     /// Notes a call to `service`; true when it is not linked to yet, which is
     /// asked for.
     pub fn note_call(&self, service: &str, now: Instant) -> bool {
--- a/crates/mesh/src/organisations/mod.rs
+++ b/crates/mesh/src/organisations/mod.rs
@@ -40,6 +40,8 @@
     leases: RefCell<PoolLeases>,
     /// Hosts of the own availability zone, this one included.
     zone_hosts: Cell<usize>,
+    /// Availability zones that hosts are known in.
+    zones: Cell<usize>,
     /// Whether any organisation has a limit.
     has_limits: Cell<bool>,
     /// Wakes whoever waits for that.
@@ -89,6 +91,7 @@
             pool: RefCell::new(TokenPool::new(settings.quota_terms())),
             leases: RefCell::default(),
             zone_hosts: Cell::new(1),
+            zones: Cell::new(1),
             has_limits: Cell::new(false),
             limits_came: Notify::new(),
             stashes: RefCell::default(),
@@ -163,9 +166,11 @@
         stashes.retain(|name, entry| entry.waiting > 0 || index.organisations().has(name));
     }
 
-    /// Takes note of how many hosts there are in the own availability zone.
-    pub fn note_zone(&self, hosts: usize) {
+    /// Takes note of how many hosts there are in the own availability zone, and in
+    /// how many `zones` there are any.
+    pub fn note_hosts(&self, hosts: usize, zones: usize) {
         self.zone_hosts.set(hosts);
+        self.zones.set(zones);
     }
 
     /// Takes note that this daemon grants tokens to others from now on.
--- a/crates/mesh/src/organisations/tokens.rs
+++ b/crates/mesh/src/organisations/tokens.rs
@@ -23,6 +23,11 @@
 /// at all.
 const NO_POOL: Duration = Duration::from_millis(150);
 
+/// What a daemon without a pool grants.
+const NOTHING: TokenGrant = TokenGrant {
+    tokens: 0,
+    dry_for: NO_POOL,
+};
 /// Pools that a host asks: those of the two readers that a zone has.
 const POOLS: usize = 2;
 /// How often it is looked at whether a pool is to be told.
@@ -43,7 +48,7 @@
 
 /// The right to run one call.
 pub struct TokenHold {
-    /// The organisation that it is counted for; empty where nothing is counted.
+    /// The organisation that it is counted for.
     organisation: String,
     desk: Rc<OrganisationDesk>,
 }
@@ -265,12 +270,8 @@
     /// Takes tokens out of this daemon's pool.
     #[must_use]
     pub fn grant_tokens(&self, organisation: &str, wanted: u32) -> TokenGrant {
-        let none = TokenGrant {
-            tokens: 0,
-            dry_for: NO_POOL,
-        };
         let Some(limit) = self.limit_of(organisation) else {
-            return none;
+            return NOTHING;
         };
         let share = self.pool_part().share();
         let now = self.clock.now();
@@ -294,7 +295,7 @@
             .borrow()
             .counts_at(&settings.id, now);
         PoolPart {
-            zones: settings.zones.len().max(self.members.zones_known()),
+            zones: settings.zones.len().max(self.organisations.zones.get()),
             pools: POOLS.min(hosts),
             hosts,
             leased_by: self.peers.leased_by(&settings.zone, since) + usize::from(is_own),
@@ -339,10 +340,7 @@
     let grant = if shared.members.is_reader() {
         shared.grant_tokens(organisation, wanted)
     } else {
-        TokenGrant {
-            tokens: 0,
-            dry_for: NO_POOL,
-        }
+        NOTHING
     };
     LinkMessage::Tokens {
         ask,
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -1,6 +1,7 @@
 //! Plans which hosts this daemon links to, and settles who tells it what lies
 //! in the store.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -154,7 +155,8 @@
             }
         }
         let in_zone = others.iter().filter(|host| host.zone == own.zone).count();
-        self.organisations.note_zone(in_zone + 1);
+        let zones: BTreeSet<&str> = others.iter().map(|host| host.zone).collect();
+        self.organisations.note_hosts(in_zone + 1, zones.len());
         if plan.is_reader && !self.members.is_reader() {
             self.organisations.begin_granting();
         }
--- a/crates/policy/src/organisations/quota.rs
+++ b/crates/policy/src/organisations/quota.rs
@@ -130,6 +130,15 @@
     filled: Instant,
 }
 
+impl TokenBucket {
+    fn empty(now: Instant) -> TokenBucket {
+        TokenBucket {
+            tokens: 0.0,
+            filled: now,
+        }
+    }
+}
+
 /// The tokens that a daemon gives to others and to itself.
 #[derive(Debug)]
 pub struct TokenPool {
@@ -168,10 +177,7 @@
             None => self
                 .buckets
                 .entry(organisation.to_owned())
-                .or_insert(TokenBucket {
-                    tokens: 0.0,
-                    filled: now,
-                }),
+                .or_insert(TokenBucket::empty(now)),
         };
         let passed = now.saturating_duration_since(bucket.filled);
         bucket.filled = now;
@@ -191,10 +197,7 @@
         let mut kept = HashMap::new();
         for organisation in organisations {
             let bucket = self.buckets.get(organisation).copied();
-            let bucket = bucket.unwrap_or(TokenBucket {
-                tokens: 0.0,
-                filled: now,
-            });
+            let bucket = bucket.unwrap_or_else(|| TokenBucket::empty(now));
             kept.insert(organisation.to_owned(), bucket);
         }
         self.buckets = kept;
@@ -203,8 +206,7 @@
     /// Empties all buckets: the daemon has only now become one that grants.
     pub fn begin(&mut self, now: Instant) {
         for bucket in self.buckets.values_mut() {
-            bucket.tokens = 0.0;
-            bucket.filled = now;
+            *bucket = TokenBucket::empty(now);
         }
     }
 }
