Log and measure what targets state of the calls that they accept

Cause of the change: no log line and no metric of a daemon held the limit that a target names, so the three hypotheses on the incident could not be told apart.

Change: the headers for the limit and for leaving are decoded in platform/ into our types; the target's daemon logs the first limit, each change and its end (target_limit before= after=), a limit that cannot be read, once, and that the target says it leaves. Gauges filbert.target.call_limit and filbert.target.leaving. A change that an older answer states is not taken for a newer one. No decision depends on it yet.

--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -6,6 +6,7 @@
 
 mod crash;
 mod run;
+mod statements;
 mod wait;
 
 use std::cell::{Cell, RefCell};
@@ -21,6 +22,7 @@
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::instance::{InstanceChange, InstanceKey, InstanceReport, InstanceTracker};
 use filbert_policy::numbers::count_to_f64;
+use filbert_policy::rate_limit::CallRate;
 use filbert_policy::run_times::{RunTime, RunTimeEstimator};
 use tokio::sync::{oneshot, Notify, Semaphore};
 
@@ -33,6 +35,7 @@
 use crate::rollouts::RolloutTable;
 use crate::settings::{MeshSettings, TimeSettings};
 use crate::target::TargetConnectionPool;
+use statements::InstanceStatements;
 pub use wait::RunPermit;
 
 /// Fraction of the drain time during which a leaving target still accepts calls.
@@ -53,6 +56,8 @@
     /// Runs in progress by run number.
     active_runs: HashMap<u64, ActiveRun>,
     next_run: u64,
+    /// What the current instance has stated.
+    statements: InstanceStatements,
 }
 
 /// A run in progress.
@@ -112,6 +117,7 @@
                 down_until: None,
                 active_runs: HashMap::new(),
                 next_run: 0,
+                statements: InstanceStatements::default(),
             }),
             connections: Rc::new(TargetConnectionPool::default()),
             quarantine,
@@ -158,6 +164,12 @@
         self.state.borrow().tracker.leaving_since().is_some()
     }
 
+    /// The limit that the target states on the rate of calls; `None` if it states none.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<CallRate> {
+        self.state.borrow().statements.rate_limit.rate()
+    }
+
     /// Handles a report of the target. A report of a new instance resets the
     /// health and the run times, and drops the connections to the old one. Any
     /// report that is not stale sets the slots and ends the down time.
@@ -172,6 +184,7 @@
                 InstanceChange::Replaced => {
                     state.health = TargetHealth::default();
                     state.run_times = RunTimeEstimator::default();
+                    state.statements = InstanceStatements::default();
                     state.queue.set_slots(slots);
                     state.down_until = None;
                 }
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use filbert_http1::ResponseHead;
+use filbert_platform::headers;
 use filbert_policy::admission::{AdmissionRequest, DeclineReason, LinkTime};
 use filbert_policy::egress::MAX_UNPACED_BYTES;
 use filbert_policy::health::RunOutcome;
+use filbert_policy::instance::InstanceKey;
 use filbert_policy::run_times::RunTime;
 
 use super::wait::Declined;
@@ -58,15 +60,12 @@
         {
             return (reply, empty_body);
         }
-        let instance_id = match self.state.borrow().tracker.current() {
-            Some(report) => report.key.id.clone(),
-            None => String::new(),
-        };
+        let instance = self.current_instance();
         let started_at = self.clock.now();
         let observation = self.observe_run(call);
         let params = ExchangeParams {
             address: self.address.get(),
-            instance_id: &instance_id,
+            instance_id: &instance.id,
             time_to_deadline: request.deadline.saturating_duration_since(started_at),
             permit,
         };
@@ -76,7 +75,7 @@
             .await;
         let run = CallRun {
             call,
-            instance_id: &instance_id,
+            instance: &instance,
             received,
             started_at,
         };
@@ -109,6 +108,7 @@
         match outcome {
             ExchangeOutcome::Answer(head, body) => {
                 let time_to_head = self.clock.now().saturating_duration_since(run.started_at);
+                self.record_statement(run, headers::read_target_statement(&head));
                 self.record_answer(run, &head, time_to_head);
                 let counted_outcome = if head.status < MIN_SERVER_ERROR_STATUS {
                     CountedOutcome::Success
@@ -135,8 +135,10 @@
                 let reply = self.record_unreachable(run, &error);
                 (reply, empty_body, CountedOutcome::NotCounted)
             }
-            ExchangeOutcome::Rejected(load) => {
-                self.record_failure(run, "rejected", &format!("stated load {load:?}"));
+            ExchangeOutcome::Rejected(rejection) => {
+                self.record_statement(run, rejection.statement);
+                let reason = format!("stated load {:?}", rejection.load);
+                self.record_failure(run, "rejected", &reason);
                 let reply = ReplyHead::Rejected { load: self.load() };
                 (reply, empty_body, CountedOutcome::NotCounted)
             }
@@ -205,7 +207,7 @@
                 "event=gate_ran request={} call={} instance={} verdict={verdict} reason=\"{reason}\" waited_ms={} ran_ms={}",
                 run.call.id,
                 run.call.identity,
-                run.instance_id,
+                run.instance.id,
                 run.waited().as_millis(),
                 now.saturating_duration_since(run.started_at).as_millis()
             );
@@ -303,11 +305,12 @@
 }
 
 /// A call that was admitted and sent to the target.
-struct CallRun<'a> {
+pub(super) struct CallRun<'a> {
     call: &'a CallHead,
-    instance_id: &'a str,
+    /// Instance to which the call was addressed.
+    pub(super) instance: &'a InstanceKey,
     received: Instant,
-    started_at: Instant,
+    pub(super) started_at: Instant,
 }
 
 impl CallRun<'_> {
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of the daemon: counters, gauges and latency histograms of `opentelemetry`,
 //! served in the Prometheus text format.
 
+mod target;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +14,7 @@
 
 use crate::small_server::{accept_loop, serve_requests, SimpleResponse};
 use crate::state::MeshShared;
+use target::TargetGauges;
 
 /// Upper bounds of the buckets of the latency histograms, in seconds. The soft
 /// deadlines of calls are between 0.1 and 1 s.
@@ -74,9 +77,7 @@
     rollout_stages: Counter<u64>,
     key_checks: Counter<u64>,
     version: Gauge<u64>,
-    running: Gauge<u64>,
-    waiting: Gauge<u64>,
-    failure_rate: Gauge<f64>,
+    target: TargetGauges,
     links: Gauge<u64>,
     peers: Gauge<u64>,
     memory_bytes: Gauge<u64>,
@@ -145,12 +146,7 @@
             ),
             held_calls: gauge("filbert.quarantine.held", "Calls held back now"),
             version: gauge("filbert.version", "The version in force"),
-            running: gauge("filbert.gate.running", "Calls at the target"),
-            waiting: gauge("filbert.gate.waiting", "Calls that wait for the target"),
-            failure_rate: meter
-                .f64_gauge("filbert.target.ill_share")
-                .with_description("Share of the target's recent runs that ended ill")
-                .build(),
+            target: TargetGauges::new(&meter),
             links: gauge("filbert.links", "Links to other daemons that are up"),
             peers: gauge("filbert.peers", "Other daemons known"),
             memory_bytes: meter
@@ -241,11 +237,7 @@
         self.links.record(shared.peers.linked_count() as u64, &[]);
         self.peers.record((shared.members.count() - 1) as u64, &[]);
         self.held_calls.record(shared.quarantine.held() as u64, &[]);
-        if let Some(status) = shared.gate.status() {
-            self.running.record(u64::from(status.load.running), &[]);
-            self.waiting.record(u64::from(status.load.waiting), &[]);
-            self.failure_rate.record(status.load.failure_rate, &[]);
-        }
+        self.target.record(&shared.gate);
         if let Some(bytes) = resident_memory_bytes() {
             self.memory_bytes.record(bytes, &[]);
         }
--- /dev/null
+++ b/crates/mesh/src/metrics/target.rs
@@ -0,0 +1,58 @@
+//! Gauges of the target on this host.
+
+use filbert_policy::rate_limit::CallRate;
+use opentelemetry::metrics::{Gauge, Meter};
+
+use crate::gate::Gate;
+
+/// Gauges of the target on this host. They keep their last values once the target has
+/// gone.
+pub(super) struct TargetGauges {
+    running: Gauge<u64>,
+    waiting: Gauge<u64>,
+    failure_rate: Gauge<f64>,
+    call_limit: Gauge<f64>,
+    leaving: Gauge<u64>,
+}
+
+impl TargetGauges {
+    pub(super) fn new(meter: &Meter) -> TargetGauges {
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
+        let ratio = |name: &'static str, description: &'static str| {
+            meter.f64_gauge(name).with_description(description).build()
+        };
+        TargetGauges {
+            running: gauge("filbert.gate.running", "Calls at the target"),
+            waiting: gauge("filbert.gate.waiting", "Calls that wait for the target"),
+            failure_rate: ratio(
+                "filbert.target.ill_share",
+                "Share of the target's recent runs that ended ill",
+            ),
+            call_limit: ratio(
+                "filbert.target.call_limit",
+                "Calls per second that the target accepts, +Inf without a limit",
+            ),
+            leaving: gauge(
+                "filbert.target.leaving",
+                "Whether the target is shutting down, 0 or 1",
+            ),
+        }
+    }
+
+    /// Updates the gauges from the state of `gate`.
+    pub(super) fn record(&self, gate: &Gate) {
+        let Some(status) = gate.status() else {
+            return;
+        };
+        self.running.record(u64::from(status.load.running), &[]);
+        self.waiting.record(u64::from(status.load.waiting), &[]);
+        self.failure_rate.record(status.load.failure_rate, &[]);
+        let call_limit = gate
+            .rate_limit()
+            .map_or(f64::INFINITY, CallRate::per_second);
+        self.call_limit.record(call_limit, &[]);
+        self.leaving.record(u64::from(gate.is_leaving()), &[]);
+    }
+}
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use filbert_http1::{BodyDecoder, BodyFraming, MessageReader, ResponseHead};
-use filbert_platform::headers::{self, ResponseKind, StatedLoad};
+use filbert_platform::headers::{self, ResponseKind, StatedLoad, TargetStatement};
 use filbert_policy::clock::Clock;
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
@@ -76,8 +76,8 @@
 pub enum ExchangeOutcome {
     /// The connection could not be opened: the target did not see the call.
     NotConnected(io::Error),
-    /// The target stated that it did not run the call; with its load, if stated.
-    Rejected(Option<StatedLoad>),
+    /// The target stated that it did not run the call.
+    Rejected(TargetRejection),
     /// The call may have been sent, and has no usable answer; with the reason.
     Lost(&'static str),
     /// The connection was lost after it was opened and before an answer to the call
@@ -87,6 +87,15 @@
     Answer(ResponseHead, Box<RunBody>),
 }
 
+/// What a target states in an answer that rejects a call.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetRejection {
+    /// The target's load, if stated.
+    pub load: Option<StatedLoad>,
+    /// The calls that the target still accepts.
+    pub statement: TargetStatement,
+}
+
 /// Parameters of an exchange, besides the call.
 pub struct ExchangeParams<'a> {
     /// Address at which the target listens.
@@ -225,9 +234,12 @@
         match headers::classify_response(&head, &call.id) {
             ResponseKind::Valid => ExchangeOutcome::Answer(head, run),
             ResponseKind::NotRun => {
-                let load = headers::read_load(&head.fields);
+                let rejection = TargetRejection {
+                    load: headers::read_load(&head.fields),
+                    statement: headers::read_target_statement(&head),
+                };
                 run.drain_in_background();
-                ExchangeOutcome::Rejected(load)
+                ExchangeOutcome::Rejected(rejection)
             }
             ResponseKind::Invalid | ResponseKind::Mismatched => ExchangeOutcome::Lost("spoiled"),
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 //!   their [`identity`].
 //! - [`instance`] tracks the lifecycle of the target on the daemon's host, and
 //!   [`health`] and [`run_times`] its failures and run times.
+//! - [`rate_limit`] keeps the limit on calls that a target states.
 //! - [`egress`] paces answers on a slow network link.
 //! - [`membership`] plans the links to other hosts.
 //! - [`store_access`] decides which daemon queries the store, and when.
@@ -32,6 +33,7 @@
 pub mod organisations;
 pub mod placement;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod refusal;
 pub mod rollout;
 pub mod routing;
