Keep the limit on calls that a target states, in the admission at its host

Cause: the header was forwarded to the client and read by no daemon; nothing that places or admits a call depended on it. Class: what a target says of its own need in an answer is passed on and obeyed by nobody. Evidence: in the reproduction the target's daemon logs the limit within the first calls and arrivals stay at 247 or 248 in 4 s for any limit.

Change: all calls to a target pass the daemon on its host, so the limit is kept there and only there, whatever the number of callers' hosts. AdmissionQueue holds a token bucket (burst: one call and half a second's worth) beside the slots: a call starts when it has both, in the order that stood before; the wait for the limit is part of the expected wait, so that a call which cannot be answered in time is declined on arrival (reason=Limited, with the time until there is room). A limit below one call in 2 s is probed at that rate, or its end would never be heard. The load that daemons send each other anyway carries the limit and what is left of it; placement counts the wait for it, and no call leaves its zone for a target whose limit is used up.

Why it works: 4 s bring at most 4.5 times the limit + 1 calls, below 6 times + 5.

Two new cases of placement.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -136,6 +136,7 @@
                 is_leaving: false,
                 link_ms: 0.0,
                 link_ms_per_kib: 0.0,
+                limit_wait_ms: 0.0,
             })
             .collect();
         let mut rng = rand::rng();
--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use filbert_policy::admission::LinkTime;
@@ -114,7 +114,7 @@
         Destination::Local => shared.gate.run(&head, body, LinkTime::default()).await,
         Destination::Peer(peer) => match run_on_peer(&shared, peer, &head, body).await {
             Ok((reply, body)) => {
-                update_target_state(peer, &reply);
+                update_target_state(peer, &reply, shared.clock.now());
                 (reply, body)
             }
             Err(outcome) => return outcome,
@@ -159,14 +159,14 @@
     }
 }
 
-fn update_target_state(peer: &Peer, reply: &ReplyHead) {
+fn update_target_state(peer: &Peer, reply: &ReplyHead, now: Instant) {
     match reply {
         ReplyHead::Declined { closed: true, .. } => peer.mark_closed(),
         ReplyHead::Declined { load, .. }
         | ReplyHead::Rejected { load }
         | ReplyHead::HeldBack { load, .. }
         | ReplyHead::Lost { load, .. }
-        | ReplyHead::Answer { load, .. } => peer.set_target_load(*load),
+        | ReplyHead::Answer { load, .. } => peer.set_target_load(*load, now),
     }
 }
 
--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -74,8 +74,9 @@
             });
         }
     }
+    let now = shared.clock.now();
     for peer in shared.peers.all() {
-        let Some((status, sent_since_report)) = peer.target() else {
+        let Some((status, sent_since_report)) = peer.target(now) else {
             continue;
         };
         let in_zone = peer.address.zone == settings.zone;
@@ -223,6 +224,10 @@
         is_leaving: status.state == TargetState::Leaving,
         link_ms: load.link_ms,
         link_ms_per_kib: load.link_ms_per_kib,
+        limit_wait_ms: load.allowance.map_or(0.0, |allowance| {
+            let unreported = occupancy - f64::from(load.running + load.waiting);
+            allowance.wait_behind(unreported).as_secs_f64() * 1_000.0
+        }),
     })
 }
 
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -36,6 +36,7 @@
 use crate::settings::{MeshSettings, TimeSettings};
 use crate::target::TargetConnectionPool;
 use statements::InstanceStatements;
+use wait::Declined;
 pub use wait::RunPermit;
 
 /// Fraction of the drain time during which a leaving target still accepts calls.
@@ -48,8 +49,8 @@
     run_times: RunTimeEstimator,
     tracker: InstanceTracker,
     /// Senders of the gate's decision to each waiting call: `Ok` if the call runs,
-    /// otherwise the time until capacity is expected.
-    waiters: HashMap<WaitTicket, oneshot::Sender<Result<(), Duration>>>,
+    /// otherwise why it is declined.
+    waiters: HashMap<WaitTicket, oneshot::Sender<Result<(), Declined>>>,
     /// End of the time in which no call is sent to a target that accepted no
     /// connection; a report of the target ends it early.
     down_until: Option<Instant>,
@@ -167,7 +168,8 @@
     /// The limit that the target states on the rate of calls; `None` if it states none.
     #[must_use]
     pub fn rate_limit(&self) -> Option<CallRate> {
-        self.state.borrow().statements.rate_limit.rate()
+        let allowance = self.state.borrow().queue.allowance(self.clock.now());
+        allowance.map(|allowance| allowance.rate)
     }
 
     /// Handles a report of the target. A report of a new instance resets the
@@ -185,6 +187,7 @@
                     state.health = TargetHealth::default();
                     state.run_times = RunTimeEstimator::default();
                     state.statements = InstanceStatements::default();
+                    state.queue.reset_limit();
                     state.queue.set_slots(slots);
                     state.down_until = None;
                 }
@@ -303,6 +306,7 @@
             failure_rate: state.health.failure_rate(),
             link_ms: millis(self.egress.backlog()),
             link_ms_per_kib: millis(self.egress.transmission_time(KIB)),
+            allowance: state.queue.allowance(now),
         }
     }
 
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -11,6 +11,7 @@
 use filbert_policy::instance::InstanceKey;
 use filbert_policy::run_times::RunTime;
 
+use super::statements::rate_text;
 use super::wait::Declined;
 use super::{mean_run_time, ActiveRun, Gate};
 use crate::body::{AnswerBody, BufferedBody, CallBody};
@@ -221,6 +222,7 @@
         let now = self.clock.now();
         self.metrics.record_gate_verdict(match declined.reason {
             DeclineReason::Crowded => "crowded",
+            DeclineReason::Limited => "limited",
             DeclineReason::Closed => "closed",
         });
         if !self.log_limiter.allows(LinePriority::Notable, now) {
@@ -228,7 +230,7 @@
         }
         let load = self.load();
         log::info!(
-            "event=gate_declined request={} service={} reason={:?} waited_ms={} room_in_ms={} running={} waiting={} slots={} run_ms={:.0} link_ms={:.0} aim_ms={} left_ms={} route={} priority={} own_run_ms={}",
+            "event=gate_declined request={} service={} reason={:?} waited_ms={} room_in_ms={} running={} waiting={} slots={} run_ms={:.0} link_ms={:.0} aim_ms={} left_ms={} route={} priority={} own_run_ms={} limit={}",
             call.id,
             call.service,
             declined.reason,
@@ -243,7 +245,8 @@
             call.deadline_us / 1_000,
             call.kind,
             call.priority,
-            self.estimate_run_time(call).mean.as_millis()
+            self.estimate_run_time(call).mean.as_millis(),
+            rate_text(load.allowance.map(|allowance| allowance.rate))
         );
     }
 
--- a/crates/mesh/src/gate/statements.rs
+++ b/crates/mesh/src/gate/statements.rs
@@ -2,7 +2,7 @@
 
 use filbert_platform::headers::TargetStatement;
 use filbert_policy::instance::InstanceKey;
-use filbert_policy::rate_limit::{CallRate, RateLimit, RateStatement};
+use filbert_policy::rate_limit::{CallRate, RateStatement};
 
 use super::run::CallRun;
 use super::{Gate, GateState};
@@ -10,7 +10,6 @@
 /// What one instance of the target has stated in its answers so far.
 #[derive(Default)]
 pub(super) struct InstanceStatements {
-    pub(super) rate_limit: RateLimit,
     /// Whether the instance is about to shut down.
     says_leaving: bool,
     /// Whether the log names a limit that could not be read.
@@ -43,9 +42,9 @@
             statements.has_logged_unreadable_rate = true;
             log::warn!("event=target_limit_unreadable instance={}", run.instance);
         }
-        let change = statements
-            .rate_limit
-            .record(statement.rate, run.started_at, now);
+        let change = state
+            .queue
+            .record_statement(statement.rate, run.started_at, now);
         if let Some(change) = change {
             log::info!(
                 "event=target_limit instance={} before={} after={}",
@@ -54,8 +53,11 @@
                 rate_text(change.after)
             );
         }
-        if statement.is_leaving && !statements.says_leaving {
-            statements.says_leaving = true;
+        if change.is_some() {
+            self.status_changed.notify_waiters();
+        }
+        if statement.is_leaving && !state.statements.says_leaving {
+            state.statements.says_leaving = true;
             log::info!("event=target_says_leaving instance={}", run.instance);
         }
     }
@@ -70,6 +72,6 @@
 }
 
 /// A limit in calls per second, or `none`.
-fn rate_text(rate: Option<CallRate>) -> String {
+pub(super) fn rate_text(rate: Option<CallRate>) -> String {
     rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
 }
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -73,18 +73,21 @@
     gate: &'a Gate,
     ticket: WaitTicket,
     /// Receives the gate's decision, as described at [`GateState::waiters`].
-    decision: oneshot::Receiver<Result<(), Duration>>,
+    decision: oneshot::Receiver<Result<(), Declined>>,
     is_received: bool,
 }
 
 impl WaitGuard<'_> {
     /// Waits for the gate's decision.
-    async fn decision(mut self) -> Result<(), Duration> {
+    async fn decision(mut self) -> Result<(), Declined> {
         let decision = (&mut self.decision).await;
         self.is_received = true;
         // The gate keeps the sender in `waiters` until it sends a decision. If the
         // sender is dropped without one, none will come: the call is declined.
-        decision.unwrap_or(Err(Duration::ZERO))
+        decision.unwrap_or(Err(Declined {
+            reason: DeclineReason::Crowded,
+            room_in: Duration::ZERO,
+        }))
     }
 }
 
@@ -99,7 +102,7 @@
             state.waiters.remove(&self.ticket);
             state.queue.cancel(self.ticket);
             if was_started {
-                state.queue.finish_run();
+                state.queue.abort_run(self.gate.clock.now());
             }
         }
         if was_started {
@@ -159,10 +162,7 @@
                 decision,
                 is_received: false,
             };
-            guard.decision().await.map_err(|room_in| Declined {
-                reason: DeclineReason::Crowded,
-                room_in,
-            })?;
+            guard.decision().await?;
         }
         Ok(self.start_run(call.identity, request.run.mean))
     }
@@ -206,7 +206,11 @@
             for outcome in outcomes {
                 let (ticket, decision) = match outcome {
                     WaitOutcome::Run(ticket) => (ticket, Ok(())),
-                    WaitOutcome::Decline { ticket, room_in } => (ticket, Err(room_in)),
+                    WaitOutcome::Decline {
+                        ticket,
+                        reason,
+                        room_in,
+                    } => (ticket, Err(Declined { reason, room_in })),
                 };
                 let may_run = decision.is_ok();
                 let was_received = state
@@ -215,7 +219,7 @@
                     .is_some_and(|waiter| waiter.send(decision).is_ok());
                 // The call's future was dropped, so its slot is free for another call.
                 if may_run && !was_received {
-                    state.queue.finish_run();
+                    state.queue.abort_run(now);
                     freed_slots += 1;
                 }
             }
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -9,6 +9,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use filbert_policy::admission::DeclineReason;
 use filbert_policy::instance::InstanceKey;
+use filbert_policy::rate_limit::CallAllowance;
 use filbert_policy::run_times::RunTime;
 use serde::{Deserialize, Serialize};
 
@@ -88,6 +89,8 @@
     pub link_ms: f64,
     /// Transmission time of one KiB on the host's network link, in milliseconds.
     pub link_ms_per_kib: f64,
+    /// What is left of the target's limit on the rate of calls; `None` without a limit.
+    pub allowance: Option<CallAllowance>,
 }
 
 impl TargetLoad {
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -256,7 +256,7 @@
     let from = peer.address.id.as_str();
     match message {
         LinkMessage::Target(target) => {
-            update_target(peer, target);
+            update_target(peer, target, shared.clock.now());
             shared.peers.target_updated.notify_waiters();
         }
         LinkMessage::Store(state) => {
@@ -331,15 +331,15 @@
     }
 }
 
-fn update_target(peer: &Peer, target: Option<TargetStatus>) {
+fn update_target(peer: &Peer, target: Option<TargetStatus>, now: Instant) {
     let summary = |target: &Option<(TargetStatus, u32)>| {
         target
             .as_ref()
             .map(|(target, _)| (target.instance.clone(), target.state))
     };
-    let before = summary(&peer.target());
-    peer.set_target(target);
-    let after = summary(&peer.target());
+    let before = summary(&peer.target(now));
+    peer.set_target(target, now);
+    let after = summary(&peer.target(now));
     if before != after {
         let (instance, state) = match after {
             Some((key, state)) => (key.to_string(), state),
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -28,6 +28,14 @@
 /// Minimum time between two requests for the store's clock to the same peer.
 const CLOCK_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Status of a peer's target, as last received.
+#[derive(Clone)]
+struct HeardTarget {
+    status: TargetStatus,
+    /// Time at which the load in `status` was received.
+    load_heard_at: Instant,
+}
+
 /// A daemon to which this daemon links.
 pub struct Peer {
     /// Identity and address of the peer.
@@ -35,7 +43,7 @@
     /// The open link; `None` while there is none.
     pub link: RefCell<Option<SendRequest<Bytes>>>,
     /// Status of the target on the peer's host, as last received.
-    target: RefCell<Option<TargetStatus>>,
+    target: RefCell<Option<HeardTarget>>,
     /// Instances of that target that were reported as leaving, newest last.
     leaving_instances: RefCell<Vec<InstanceKey>>,
     /// Number of calls sent to the target since its last status or load.
@@ -113,7 +121,8 @@
     /// Clears the state that belongs to a link, after the link has ended.
     pub fn reset(&self) {
         self.link.replace(None);
-        self.set_target(None);
+        self.sent_since.set(0);
+        self.target.replace(None);
         self.store.set(StoreState::Unused);
         self.version.set(None);
         self.has_requested_updates.set(false);
@@ -225,8 +234,9 @@
         self.leaving_instances.borrow().clone()
     }
 
-    /// Sets the status of the peer's target; `None` if there is no target.
-    pub fn set_target(&self, target: Option<TargetStatus>) {
+    /// Sets the status of the peer's target, received at `now`; `None` if there is no
+    /// target.
+    pub fn set_target(&self, target: Option<TargetStatus>, now: Instant) {
         if let Some(target) = &target {
             let mut leaving = self.leaving_instances.borrow_mut();
             if target.state == TargetState::Leaving && !leaving.contains(&target.instance) {
@@ -237,21 +247,25 @@
             }
         }
         self.sent_since.set(0);
-        *self.target.borrow_mut() = target;
+        *self.target.borrow_mut() = target.map(|status| HeardTarget {
+            status,
+            load_heard_at: now,
+        });
     }
 
-    /// Sets the load of the peer's target, as carried by a reply.
-    pub fn set_target_load(&self, load: TargetLoad) {
+    /// Sets the load of the peer's target, as carried by a reply received at `now`.
+    pub fn set_target_load(&self, load: TargetLoad, now: Instant) {
         if let Some(target) = self.target.borrow_mut().as_mut() {
             self.sent_since.set(0);
-            target.load = load;
+            target.status.load = load;
+            target.load_heard_at = now;
         }
     }
 
     /// Marks the target as closed until its next status arrives.
     pub fn mark_closed(&self) {
         if let Some(target) = self.target.borrow_mut().as_mut() {
-            target.state = TargetState::Closed;
+            target.status.state = TargetState::Closed;
         }
     }
 
@@ -260,17 +274,25 @@
         self.sent_since.set(self.sent_since.get() + 1);
     }
 
-    /// Status of the peer's target, and the number of calls sent to it since its last
-    /// status or load; `None` if it is not known, the link is down or the peer is
+    /// Status of the peer's target at `now`, and the number of calls sent to it since its
+    /// last status or load; `None` if it is not known, the link is down or the peer is
     /// unresponsive.
     #[must_use]
-    pub fn target(&self) -> Option<(TargetStatus, u32)> {
+    pub fn target(&self, now: Instant) -> Option<(TargetStatus, u32)> {
         self.link.borrow().as_ref()?;
         if self.is_unresponsive.get() {
             return None;
         }
-        let target = self.target.borrow().clone()?;
-        Some((target, self.sent_since.get()))
+        let HeardTarget {
+            mut status,
+            load_heard_at,
+        } = self.target.borrow().clone()?;
+        let elapsed = now.saturating_duration_since(load_heard_at);
+        status.load.allowance = status
+            .load
+            .allowance
+            .map(|allowance| allowance.after(elapsed));
+        Some((status, self.sent_since.get()))
     }
 }
 
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use filbert_policy::numbers::count_to_f64;
+use filbert_policy::rate_limit::CallRate;
 
 use crate::messages::{encode, LinkMessage, TargetLoad, TargetStatus};
 use crate::state::MeshShared;
@@ -61,14 +62,18 @@
     Ample,
     /// Fewer slots are free, but at least one.
     Few,
-    /// No slot is free: calls wait, or the next call would.
+    /// No slot is free, or the target's limit is used up: calls wait, or the next call
+    /// would.
     None,
 }
 
 impl Headroom {
     fn of(load: &TargetLoad) -> Headroom {
         let in_use = load.running + load.waiting;
-        if in_use >= load.slots {
+        let is_limit_used_up = load
+            .allowance
+            .is_some_and(|allowance| allowance.ready < 1.0);
+        if in_use >= load.slots || is_limit_used_up {
             Headroom::None
         } else if (load.slots - in_use) * 3 >= load.slots {
             Headroom::Ample
@@ -105,6 +110,11 @@
         || sent.state != status.state
         || sent.is_cold != status.is_cold
         || sent.load.slots != status.load.slots
+        || limit_of(&sent.load) != limit_of(&status.load)
+}
+
+fn limit_of(load: &TargetLoad) -> Option<CallRate> {
+    load.allowance.map(|allowance| allowance.rate)
 }
 
 /// Returns the interval between updates of the load for this number of subscribers.
--- a/crates/policy/src/admission/order.rs
+++ b/crates/policy/src/admission/order.rs
@@ -66,7 +66,7 @@
 /// the load distinguishes a lasting overload from a short burst.
 const LOAD_TIME_CONSTANT: Duration = Duration::from_secs(1);
 
-/// Recent load offered to the target, as a share of its slots, by
+/// Recent load offered to the target, as a share of its capacity, by
 /// [`CallOrder::cost`].
 ///
 /// Load pattern: for seconds, more calls arrive than there are slots. A late
@@ -90,20 +90,25 @@
         (-elapsed.as_secs_f64() / LOAD_TIME_CONSTANT.as_secs_f64()).exp()
     }
 
-    /// Adds the load of a new call for a target with `slots` slots.
-    pub(super) fn record(&mut self, request: &AdmissionRequest, slots: u32, now: Instant) {
+    /// Adds the load of a new call that takes `capacity_time` of the target's whole
+    /// capacity.
+    pub(super) fn record(
+        &mut self,
+        request: &AdmissionRequest,
+        capacity_time: Duration,
+        now: Instant,
+    ) {
         let decay = self.decay(now);
         for share in &mut self.buckets {
             *share *= decay;
         }
         self.updated_at = Some(now);
-        let share =
-            request.run.mean.as_secs_f64() / LOAD_TIME_CONSTANT.as_secs_f64() / f64::from(slots);
+        let share = capacity_time.as_secs_f64() / LOAD_TIME_CONSTANT.as_secs_f64();
         let bucket = CallOrder::of(request, false, now).bucket();
         self.buckets[bucket.min(BUCKETS - 1)] += share;
     }
 
-    /// Share of the slots requested by calls that start ahead of `order`. A late
+    /// Share of the capacity requested by calls that start ahead of `order`. A late
     /// call also starts behind the calls of its own bucket that are not late, so
     /// that bucket counts as well.
     pub(super) fn ahead_of(&self, order: CallOrder, now: Instant) -> f64 {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -35,6 +35,16 @@
     /// Transmission time of 1 KiB on that link, in milliseconds; 0 for the target
     /// on the caller's own host.
     pub link_ms_per_kib: f64,
+    /// Time until the target's limit on the rate of calls leaves room for the call, in
+    /// milliseconds; 0 without a limit.
+    pub limit_wait_ms: f64,
+}
+
+impl TargetView {
+    /// Whether the call would start at once.
+    fn has_room(&self) -> bool {
+        self.occupancy + 1.0 <= f64::from(self.slots) && self.limit_wait_ms <= 0.0
+    }
 }
 
 /// Properties of a call that placement depends on.
@@ -180,7 +190,8 @@
     let run_ms = (view.run_ms * factor).max(1.0);
     let slots = f64::from(view.slots.max(1));
     let ahead = calls_ahead(view.occupancy + 1.0 - slots).min(max_calls_ahead(view));
-    let wait_ms = ahead * view.queue_run_ms * factor / slots;
+    let slot_wait_ms = ahead * view.queue_run_ms * factor / slots;
+    let wait_ms = slot_wait_ms.max(view.limit_wait_ms);
     // A paced answer is sent when its run has ended and the host's link is free.
     let link_wait_ms = if call.transfer_kib * 1024.0 > bytes_to_f64(MAX_UNPACED_BYTES) {
         (view.link_ms - wait_ms - run_ms).max(0.0)
@@ -206,17 +217,16 @@
 
 /// Whether a call may be sent to the target at all.
 ///
-/// A target in another zone is eligible only if it has a free slot, if the call
+/// A target in another zone is eligible only if it has room, if the call
 /// overtakes others in the queue there and the transfer costs less than its
 /// upper limit, or if the caller's zone has no target. Otherwise, when all zones
 /// have more calls than slots, calls declined in one zone are sent to the next,
 /// which declines them as well or declines a call of its own instead: of 27,000
 /// calls between zones 15,000 were refused.
 fn is_eligible(view: &TargetView, call: &PlacementRequest, crossing: &CrossZoneCost) -> bool {
-    let has_free_slot = view.occupancy + 1.0 <= f64::from(view.slots);
     let may_queue =
         call.is_above_lowest_priority && crossing.uncapped(call.transfer_kib) < crossing.most;
-    view.in_zone || has_free_slot || may_queue || !call.zone_has_target
+    view.in_zone || view.has_room() || may_queue || !call.zone_has_target
 }
 
 /// Returns the index in `views` of the eligible target with the least expected
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -1,10 +1,13 @@
-//! Limit on the rate of calls that a target states in its answers.
+//! Limit on the rate of calls that a target states in its answers, kept with a token
+//! bucket by the daemon beside the target.
 
 use std::fmt;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use crate::numbers::truncate_to_u64;
+
 /// Highest rate that counts as a limit, in calls per second. No target runs more.
 const MAX_RATE: f64 = 1e6;
 
@@ -56,12 +59,80 @@
     pub after: Option<CallRate>,
 }
 
-/// The limit of one instance of a target.
+/// Rate at which calls are sent to a target with a lower limit. Without any call no
+/// answer would ever state that the limit has ended.
+const MIN_PROBE_RATE: f64 = 0.5;
+/// Time whose calls a target may get at once after it was idle.
+const BURST_TIME: Duration = Duration::from_millis(500);
+/// Time until the next call if the bucket cannot tell, such as for an absurd number
+/// of calls ahead.
+const MAX_WAIT: Duration = Duration::from_secs(1_000);
+
+impl CallRate {
+    /// Rate at which calls are sent, in calls per second.
+    fn sending_rate(self) -> f64 {
+        self.0.max(MIN_PROBE_RATE)
+    }
+
+    /// Highest number of calls that may be sent at once.
+    fn burst(self) -> f64 {
+        1.0 + self.0 * BURST_TIME.as_secs_f64()
+    }
+
+    /// Number of calls that may be sent after `elapsed`, if `ready` could be sent
+    /// before.
+    fn refill(self, ready: f64, elapsed: Duration) -> f64 {
+        (ready + self.sending_rate() * elapsed.as_secs_f64()).min(self.burst())
+    }
+
+    /// Time until `count` calls can be sent, if `ready` can be sent now.
+    fn wait(self, ready: f64, count: f64) -> Duration {
+        let missing = (count - ready).max(0.0);
+        Duration::try_from_secs_f64(missing / self.sending_rate())
+            .map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT))
+    }
+}
+
+/// What is left of a target's limit, as other daemons learn it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CallAllowance {
+    /// The limit.
+    pub rate: CallRate,
+    /// Number of calls that can be sent at once; negative while calls wait for the
+    /// limit.
+    pub ready: f64,
+}
+
+impl CallAllowance {
+    /// The allowance after `elapsed` without further calls.
+    #[must_use]
+    pub fn after(self, elapsed: Duration) -> CallAllowance {
+        CallAllowance {
+            ready: self.rate.refill(self.ready, elapsed),
+            ..self
+        }
+    }
+
+    /// Time until one more call can be sent behind `ahead` calls that the allowance
+    /// does not include.
+    #[must_use]
+    pub fn wait_behind(self, ahead: f64) -> Duration {
+        self.rate.wait(self.ready, ahead + 1.0)
+    }
+}
+
+/// The limit of one instance of a target, and the calls that it leaves room for.
+///
+/// All calls to a target pass the daemon on its host, so this daemon alone keeps the
+/// limit for all callers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RateLimit {
     rate: Option<CallRate>,
-    /// Time of the latest answer that stated `rate`.
+    /// Time of the latest answer that stated `rate`; `None` if no answer did.
     stated_at: Option<Instant>,
+    /// Number of calls that could be sent at `refilled_at`.
+    ready: f64,
+    refilled_at: Option<Instant>,
 }
 
 impl RateLimit {
@@ -98,8 +169,86 @@
         if !is_lower && !is_newer {
             return None;
         }
-        self.rate = after;
         self.stated_at = Some(now);
+        self.set_rate(after, now);
         Some(RateChange { before, after })
     }
+
+    /// Restores the limit after a restart of the daemon, as other daemons report it.
+    /// Returns the change, if any. The lowest limit counts until the target itself has
+    /// stated one.
+    pub fn restore(&mut self, rate: CallRate, now: Instant) -> Option<RateChange> {
+        let before = self.rate;
+        if self.stated_at.is_some() || before.is_some_and(|before| before <= rate) {
+            return None;
+        }
+        self.set_rate(Some(rate), now);
+        Some(RateChange {
+            before,
+            after: Some(rate),
+        })
+    }
+
+    /// Calls that were sent before a limit are not known, so a new limit starts with
+    /// none ready.
+    fn set_rate(&mut self, rate: Option<CallRate>, now: Instant) {
+        self.ready = match (self.allowance(now), rate) {
+            (Some(allowance), Some(rate)) => allowance.ready.min(rate.burst()),
+            _ => 0.0,
+        };
+        self.refilled_at = Some(now);
+        self.rate = rate;
+    }
+
+    /// What is left of the limit; `None` without a limit.
+    #[must_use]
+    pub fn allowance(&self, now: Instant) -> Option<CallAllowance> {
+        let rate = self.rate?;
+        let elapsed = self.refilled_at.map_or(Duration::ZERO, |refilled_at| {
+            now.saturating_duration_since(refilled_at)
+        });
+        Some(CallAllowance {
+            rate,
+            ready: rate.refill(self.ready, elapsed),
+        })
+    }
+
+    /// Number of calls that can be sent now, at most `wanted`.
+    #[must_use]
+    pub fn ready_calls(&self, wanted: usize, now: Instant) -> usize {
+        self.allowance(now).map_or(wanted, |allowance| {
+            let ready = truncate_to_u64(allowance.ready);
+            usize::try_from(ready).map_or(wanted, |ready| ready.min(wanted))
+        })
+    }
+
+    /// Time until one more call can be sent behind `ahead` calls that wait.
+    #[must_use]
+    pub fn wait_behind(&self, ahead: f64, now: Instant) -> Duration {
+        self.allowance(now)
+            .map_or(Duration::ZERO, |allowance| allowance.wait_behind(ahead))
+    }
+
+    /// Time of the target's capacity that each call takes.
+    #[must_use]
+    pub fn time_per_call(&self) -> Duration {
+        self.rate.map_or(Duration::ZERO, |rate| rate.wait(0.0, 1.0))
+    }
+
+    /// Counts a call that is sent.
+    pub fn take(&mut self, now: Instant) {
+        self.add(-1.0, now);
+    }
+
+    /// Gives back a call that was counted but not sent.
+    pub fn give_back(&mut self, now: Instant) {
+        self.add(1.0, now);
+    }
+
+    fn add(&mut self, calls: f64, now: Instant) {
+        if let Some(allowance) = self.allowance(now) {
+            self.ready = (allowance.ready + calls).min(allowance.rate.burst());
+            self.refilled_at = Some(now);
+        }
+    }
 }
--- a/crates/policy/tests/placement_replay.rs
+++ b/crates/policy/tests/placement_replay.rs
@@ -36,6 +36,7 @@
         is_leaving: false,
         link_ms: 0.0,
         link_ms_per_kib: 0.0,
+        limit_wait_ms: 0.0,
     }
 }
 
@@ -97,6 +98,18 @@
     second: TargetView { is_cold: true, ..view(200.0) },
     answer_kib: 1.0, min_first_share: 0.95,
 })]
+#[case(ChoiceCase {
+    description: "an idle target is avoided while its limit leaves no room",
+    first: TargetView { occupancy: 8.0, ..view(200.0) },
+    second: TargetView { limit_wait_ms: 800.0, ..view(200.0) },
+    answer_kib: 1.0, min_first_share: 1.0,
+})]
+#[case(ChoiceCase {
+    description: "a call does not leave its zone for a target whose limit is used up",
+    first: TargetView { occupancy: 12.0, ..view(200.0) },
+    second: TargetView { in_zone: false, limit_wait_ms: 10.0, ..view(200.0) },
+    answer_kib: 1.0, min_first_share: 1.0,
+})]
 #[case(ChoiceCase {
     description: "a target that is shutting down is chosen only when there is no other",
     first: TargetView { occupancy: 20.0, ..view(400.0) },
--- a/crates/policy/tests/support/gate.rs
+++ b/crates/policy/tests/support/gate.rs
@@ -1,5 +1,7 @@
 //! Simulates a load of calls on the admission queue of one target.
 
+#![allow(dead_code)] // Each test binary uses only some of the helpers.
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -7,6 +9,7 @@
     AdmissionDecision, AdmissionQueue, AdmissionRequest, LinkTime, QueueLimits, WaitOutcome,
     WaitTicket,
 };
+use filbert_policy::rate_limit::RateStatement;
 use filbert_policy::run_times::RunTime;
 
 /// Slots of the target.
@@ -43,6 +46,16 @@
 
 /// Simulates `calls`, sorted by arrival, and returns the outcome of each call.
 pub fn replay(calls: &[SimulatedCall]) -> Vec<CallOutcome> {
+    replay_stated(calls, &[])
+}
+
+/// Simulates `calls` like [`replay`], at a target that makes each of `statements` on its
+/// limit at the time given with it.
+pub fn replay_stated(
+    calls: &[SimulatedCall],
+    statements: &[(Duration, RateStatement)],
+) -> Vec<CallOutcome> {
+    let mut statements = statements.iter().peekable();
     let start = Instant::now();
     let mut queue = open_queue();
     let mut outcomes = vec![
@@ -57,6 +70,9 @@
     let mut now = Duration::ZERO;
     while next < calls.len() || !running.is_empty() || !waiting.is_empty() {
         now += Duration::from_millis(1);
+        while let Some((_, statement)) = statements.next_if(|(at, _)| *at <= now) {
+            queue.record_statement(*statement, start + now, start + now);
+        }
         let mut finished_calls = Vec::new();
         running.retain(|&(until, call)| {
             if until <= now {
