Obey a target that says in its answers that it leaves

What callers saw: nothing yet; the new rule binds each host that has forwarded an answer with the header to send no later call (by the drain time) to that target, in touch or not. The header was forwarded and read by nobody, as with the limit; a target that is slow to report, or never reports, was sent calls until it ended, and a daemon that was restarted beside it sent on as if nothing had been said.

Change: the daemon beside the target takes the statement as the target's shutdown notice: the target is used only if there is no other, then closed after half of the drain time, and other daemons hear of it at once. The reply carries the instance that said so, so each caller's daemon remembers it for itself, whatever happens to the daemon beside the target, tells that daemon when it links to it again, and closes the instance on its own clock. A new instance is not bound.

--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -160,6 +160,13 @@
 }
 
 fn update_target_state(peer: &Peer, reply: &ReplyHead, now: Instant) {
+    if let ReplyHead::Answer {
+        leaving: Some(instance),
+        ..
+    } = reply
+    {
+        peer.record_leaving(instance, now);
+    }
     match reply {
         ReplyHead::Declined { closed: true, .. } => peer.mark_closed(),
         ReplyHead::Declined { load, .. }
--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -76,9 +76,10 @@
     }
     let now = shared.clock.now();
     for peer in shared.peers.all() {
-        let Some((status, sent_since_report)) = peer.target(now) else {
+        let Some((mut status, sent_since_report)) = peer.target(now) else {
             continue;
         };
+        status.state = peer.restrict_state(&status, settings.times.drain, now);
         let in_zone = peer.address.zone == settings.zone;
         let reported = status.load.running + status.load.waiting;
         let occupancy = estimated_occupancy(
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -18,6 +18,7 @@
 
 use filbert_policy::admission::{AdmissionQueue, LinkTime, QueueLimits, WaitTicket};
 use filbert_policy::clock::Clock;
+use filbert_policy::departure::accepts_while_leaving;
 use filbert_policy::health::{RunOutcome, TargetHealth};
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::instance::{InstanceChange, InstanceKey, InstanceReport, InstanceTracker};
@@ -39,10 +40,6 @@
 use wait::Declined;
 pub use wait::RunPermit;
 
-/// Fraction of the drain time during which a leaving target still accepts calls.
-/// In the rest the accepted calls finish; calls that still wait are declined.
-const DRAIN_ACCEPT_FRACTION: f64 = 0.5;
-
 struct GateState {
     queue: AdmissionQueue,
     health: TargetHealth,
@@ -257,7 +254,7 @@
     }
 
     /// Returns the target's state apart from roll-outs. A leaving target is closed
-    /// after [`DRAIN_ACCEPT_FRACTION`] of its drain time.
+    /// before its drain time is over.
     fn state_without_rollouts(&self, state: &GateState, now: Instant) -> TargetState {
         let is_down = state.down_until.is_some_and(|until| now < until);
         if self.is_stopping.get() || is_down || state.tracker.current().is_none() {
@@ -266,7 +263,7 @@
         match state.tracker.leaving_since() {
             None => TargetState::Open,
             Some(_) if state.tracker.is_gone() => TargetState::Closed,
-            Some(since) if now < since + self.drain_time.get().mul_f64(DRAIN_ACCEPT_FRACTION) => {
+            Some(since) if accepts_while_leaving(since, self.drain_time.get(), now) => {
                 TargetState::Leaving
             }
             Some(_) => TargetState::Closed,
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -109,7 +109,8 @@
         match outcome {
             ExchangeOutcome::Answer(head, body) => {
                 let time_to_head = self.clock.now().saturating_duration_since(run.started_at);
-                self.record_statement(run, headers::read_target_statement(&head));
+                let statement = headers::read_target_statement(&head);
+                self.record_statement(run, statement);
                 self.record_answer(run, &head, time_to_head);
                 let counted_outcome = if head.status < MIN_SERVER_ERROR_STATUS {
                     CountedOutcome::Success
@@ -119,6 +120,7 @@
                 let reply = ReplyHead::Answer {
                     head: answer_head(&head),
                     time_to_head_us: to_micros(time_to_head),
+                    leaving: statement.is_leaving.then(|| run.instance.clone()),
                     load: self.load(),
                 };
                 let is_short = head
--- a/crates/mesh/src/gate/statements.rs
+++ b/crates/mesh/src/gate/statements.rs
@@ -1,7 +1,7 @@
 //! What the local target states in its answers about the calls that it still accepts.
 
 use filbert_platform::headers::TargetStatement;
-use filbert_policy::instance::InstanceKey;
+use filbert_policy::instance::{InstanceChange, InstanceKey};
 use filbert_policy::rate_limit::{CallRate, RateStatement};
 
 use super::run::CallRun;
@@ -10,8 +10,6 @@
 /// What one instance of the target has stated in its answers so far.
 #[derive(Default)]
 pub(super) struct InstanceStatements {
-    /// Whether the instance is about to shut down.
-    says_leaving: bool,
     /// Whether the log names a limit that could not be read.
     has_logged_unreadable_rate: bool,
 }
@@ -56,9 +54,11 @@
         if change.is_some() {
             self.status_changed.notify_waiters();
         }
-        if statement.is_leaving && !state.statements.says_leaving {
-            state.statements.says_leaving = true;
+        if statement.is_leaving
+            && state.tracker.leave(run.instance, now) == InstanceChange::Draining
+        {
             log::info!("event=target_says_leaving instance={}", run.instance);
+            self.status_changed.notify_waiters();
         }
     }
 }
--- a/crates/mesh/src/messages/calls.rs
+++ b/crates/mesh/src/messages/calls.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use filbert_policy::identity::CallIdentity;
+use filbert_policy::instance::InstanceKey;
 use filbert_policy::run_times::RunTime;
 use serde::{Deserialize, Serialize};
 
@@ -109,6 +110,8 @@
         head: AnswerHead,
         /// Time from the start of the run until the head arrived, in microseconds.
         time_to_head_us: u64,
+        /// Instance that answered, if it states that it is leaving.
+        leaving: Option<InstanceKey>,
         /// Load of the target.
         load: TargetLoad,
     },
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use filbert_policy::clock::Clock;
+use filbert_policy::departure::{accepts_while_leaving, LeavingInstances};
 use filbert_policy::instance::InstanceKey;
 use filbert_policy::membership::Reachability;
 use h2::client::SendRequest;
@@ -22,12 +23,13 @@
 
 pub use table::{NewsSubscription, PeerTable};
 
-/// Maximum number of leaving instances remembered for a host, whose instances are
-/// seldom replaced.
-const MAX_LEAVING_INSTANCES: usize = 8;
 /// Minimum time between two requests for the store's clock to the same peer.
 const CLOCK_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The leaving instances of a host, shared by its successive entries in the table of
+/// peers.
+pub type SharedLeavingInstances = Rc<RefCell<LeavingInstances>>;
+
 /// Status of a peer's target, as last received.
 #[derive(Clone)]
 struct HeardTarget {
@@ -44,8 +46,9 @@
     pub link: RefCell<Option<SendRequest<Bytes>>>,
     /// Status of the target on the peer's host, as last received.
     target: RefCell<Option<HeardTarget>>,
-    /// Instances of that target that were reported as leaving, newest last.
-    leaving_instances: RefCell<Vec<InstanceKey>>,
+    /// Instances on the peer's host that are leaving. They outlast the peer's entry in the
+    /// table of peers.
+    leaving: SharedLeavingInstances,
     /// Number of calls sent to the target since its last status or load.
     sent_since: Cell<u32>,
     /// Whether the peer was replaced or removed in the table of peers. Its link is
@@ -87,12 +90,12 @@
 impl Peer {
     /// Creates a peer without a link.
     #[must_use]
-    pub fn new(address: PeerAddress) -> Rc<Peer> {
+    pub fn new(address: PeerAddress, leaving: SharedLeavingInstances) -> Rc<Peer> {
         Rc::new(Peer {
             address,
             link: RefCell::new(None),
             target: RefCell::new(None),
-            leaving_instances: RefCell::new(Vec::new()),
+            leaving,
             sent_since: Cell::new(0),
             is_removed: Cell::new(false),
             calls_in_flight: Cell::new(0),
@@ -228,22 +231,42 @@
         }
     }
 
-    /// Instances on the peer's host that were reported as leaving, newest last.
+    /// Instances on the peer's host that are leaving, newest last.
     #[must_use]
     pub fn leaving_instances(&self) -> Vec<InstanceKey> {
-        self.leaving_instances.borrow().clone()
+        self.leaving.borrow().keys()
+    }
+
+    /// Records that `instance` on the peer's host is leaving.
+    pub fn record_leaving(&self, instance: &InstanceKey, now: Instant) {
+        self.leaving.borrow_mut().record(instance, now);
+    }
+
+    /// Returns the state in `status`, restricted by what this daemon itself has heard of
+    /// the target's leaving.
+    #[must_use]
+    pub fn restrict_state(
+        &self,
+        status: &TargetStatus,
+        drain_time: Duration,
+        now: Instant,
+    ) -> TargetState {
+        match (self.leaving.borrow().since(&status.instance), status.state) {
+            (None, state) => state,
+            (Some(_), TargetState::Closed) => TargetState::Closed,
+            (Some(since), _) if accepts_while_leaving(since, drain_time, now) => {
+                TargetState::Leaving
+            }
+            (Some(_), _) => TargetState::Closed,
+        }
     }
 
     /// Sets the status of the peer's target, received at `now`; `None` if there is no
     /// target.
     pub fn set_target(&self, target: Option<TargetStatus>, now: Instant) {
         if let Some(target) = &target {
-            let mut leaving = self.leaving_instances.borrow_mut();
-            if target.state == TargetState::Leaving && !leaving.contains(&target.instance) {
-                if leaving.len() >= MAX_LEAVING_INSTANCES {
-                    leaving.remove(0);
-                }
-                leaving.push(target.instance.clone());
+            if target.state == TargetState::Leaving {
+                self.record_leaving(&target.instance, now);
             }
         }
         self.sent_since.set(0);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,7 +11,8 @@
 //!   [`refusal`] when a refused caller should retry.
 //! - [`quarantine`] holds back calls that crash their targets, recognised by
 //!   their [`identity`].
-//! - [`instance`] tracks the lifecycle of the target on the daemon's host, and
+//! - [`instance`] tracks the lifecycle of the target on the daemon's host,
+//!   [`departure`] says how long a leaving target still accepts calls, and
 //!   [`health`] and [`run_times`] its failures and run times.
 //! - [`rate_limit`] keeps the limit on calls that a target states.
 //! - [`egress`] paces answers on a slow network link.
@@ -24,6 +25,7 @@
 pub mod budget;
 pub mod client_timeouts;
 pub mod clock;
+pub mod departure;
 pub mod egress;
 pub mod health;
 pub mod identity;
--- a/tests/mesh_limits.rs
+++ b/tests/mesh_limits.rs
@@ -1,5 +1,5 @@
 //! End-to-end tests of what targets state in their answers about the calls that they
-//! still accept: a limit on the rate of calls.
+//! still accept: a limit on the rate of calls, and that they are leaving.
 
 #[path = "support/users.rs"]
 mod users;
@@ -11,10 +11,12 @@
 use filbert_policy::numbers::count_to_f64;
 use rstest::rstest;
 use tokio::task::JoinSet;
-use users::{fleet, Fleet};
+use users::{eventually, fleet, Fleet, WAIT_TIMEOUT};
 
 /// Time that the daemons have to keep to a limit.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Time after which a target that said that it leaves gets no call any more.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Length of the windows in which calls at a target are counted.
 const COUNT_WINDOW: Duration = Duration::from_secs(4);
 /// Time for which calls are sent after `STABLE_WINDOW`.
@@ -105,3 +107,66 @@
     let least = 0.9 * per_second * COUNT_WINDOW.as_secs_f64();
     assert!(most >= least, "{most} calls in 4 s, {least} taken");
 }
+
+/// Number of calls that `target` got from `since` on.
+fn arrivals_since(target: &TargetServer, since: Instant) -> usize {
+    let arrivals = target.arrivals();
+    arrivals.iter().filter(|at| **at >= since).count()
+}
+
+/// Guards against calls to a target that says in its answers that it leaves, while its
+/// reports still say that it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_says_it_leaves_gets_no_call_after_the_drain_time() {
+    let fleet = start_fleet(&["quoter-1", "quoter-2"]).await;
+    let leaving = &fleet.hosts[3].target;
+    leaving.set_statements(&["Server-Leaving: 1"]);
+    let drained_at = Instant::now() + DRAIN_TIME;
+    let statuses = fleet.call_until(drained_at + COUNTED_TIME).await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    let late = arrivals_since(leaving, drained_at);
+    assert_eq!(late, 0, "{}", fleet.hosts[3].log());
+}
+
+/// Guards against a daemon that forgets at a restart that the target beside it leaves:
+/// the callers' hosts that passed the target's answer on are bound all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_target_gets_no_call_after_its_daemon_restarts() {
+    let mut fleet = start_fleet(&["quoter-1"]).await;
+    fleet.hosts[3].target.set_statements(&["Server-Leaving: 1"]);
+    let answer = fleet.hosts[0].call("GET /read/a HTTP/1.1", "a", b"").await;
+    assert_eq!(answer.map(|answer| answer.status), Some(200));
+    let drained_at = Instant::now() + DRAIN_TIME;
+    fleet.hosts[3].kill();
+    fleet.hosts[3].start_daemon();
+    assert!(eventually(WAIT_TIMEOUT, || fleet.hosts[3].is_ready()).await);
+    tokio::time::sleep_until(drained_at.into()).await;
+    // Only the first host has passed an answer on.
+    for number in 0..50 {
+        let line = format!("GET /read/{number} HTTP/1.1");
+        let id = format!("late-{number}");
+        fleet.hosts[0].call(&line, &id, b"").await;
+        assert_eq!(fleet.run_count(&id), 0, "{}", fleet.hosts[3].log());
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+}
+
+/// Guards against a new instance that gets no calls since the one before it at its
+/// address was leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_instance_is_not_bound_by_what_the_old_one_said() {
+    let mut fleet = start_fleet(&["quoter-1"]).await;
+    let statements = ["Server-Leaving: 1", "Server-Limit: 0"];
+    fleet.hosts[3].target.set_statements(&statements);
+    fleet.call_until(Instant::now() + DRAIN_TIME).await;
+    fleet.hosts[3].replace_target(2).await;
+    let is_served = || async {
+        let answer = fleet.hosts[0].call("GET /read/a HTTP/1.1", "a", b"").await;
+        answer.is_some_and(|answer| answer.status == 200)
+    };
+    assert!(eventually(Duration::from_secs(3), is_served).await);
+    let from = Instant::now();
+    let statuses = fleet.call_until(from + Duration::from_secs(1)).await;
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert_eq!(served, statuses.len(), "{}", fleet.hosts[3].log());
+}
