Restore a target's limit after a restart of the daemon beside it

What callers' targets saw: a daemon that is restarted on its own, while the target beside it goes on, had forgotten the limit and filled the slots before the first answer named it again. In the new test (limit 0, runs of 400 ms, three restarts 1.5 s apart) the target got 12 calls in 4 s where 5 are allowed; the calling hosts were not restarted, so nothing excuses that.

Cause: the limit was known to one process only. Class: state that binds the whole fleet held by a single daemon.

Change: a daemon remembers the limit of the instance that it last heard of on each host (it gets it with the load), and says so in the first message when it links, before it sends calls over that link; the daemon beside the target takes the lowest that its peers name for the current instance, starting with no call ready, until the target itself answers. What is remembered of leaving instances and of limits is one small record a host (target_memory.rs); nothing is sent more often.

--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -18,10 +18,11 @@
 
 use filbert_policy::admission::{AdmissionQueue, LinkTime, QueueLimits, WaitTicket};
 use filbert_policy::clock::Clock;
-use filbert_policy::departure::accepts_while_leaving;
 use filbert_policy::health::{RunOutcome, TargetHealth};
 use filbert_policy::identity::CallIdentity;
-use filbert_policy::instance::{InstanceChange, InstanceKey, InstanceReport, InstanceTracker};
+use filbert_policy::instance::{
+    accepts_while_leaving, InstanceChange, InstanceKey, InstanceReport, InstanceTracker,
+};
 use filbert_policy::numbers::count_to_f64;
 use filbert_policy::rate_limit::CallRate;
 use filbert_policy::run_times::{RunTime, RunTimeEstimator};
@@ -36,7 +37,6 @@
 use crate::rollouts::RolloutTable;
 use crate::settings::{MeshSettings, TimeSettings};
 use crate::target::TargetConnectionPool;
-use statements::InstanceStatements;
 use wait::Declined;
 pub use wait::RunPermit;
 
@@ -54,8 +54,11 @@
     /// Runs in progress by run number.
     active_runs: HashMap<u64, ActiveRun>,
     next_run: u64,
-    /// What the current instance has stated.
-    statements: InstanceStatements,
+    /// Whether the log says that the current instance has a limit that cannot be read.
+    has_logged_unreadable_rate: bool,
+    /// Limit that other daemons have reported since this daemon started, and the
+    /// instance that has it.
+    reported_limit: Option<(InstanceKey, CallRate)>,
 }
 
 /// A run in progress.
@@ -115,7 +118,8 @@
                 down_until: None,
                 active_runs: HashMap::new(),
                 next_run: 0,
-                statements: InstanceStatements::default(),
+                has_logged_unreadable_rate: false,
+                reported_limit: None,
             }),
             connections: Rc::new(TargetConnectionPool::default()),
             quarantine,
@@ -183,8 +187,9 @@
                 InstanceChange::Replaced => {
                     state.health = TargetHealth::default();
                     state.run_times = RunTimeEstimator::default();
-                    state.statements = InstanceStatements::default();
+                    state.has_logged_unreadable_rate = false;
                     state.queue.reset_limit();
+                    state.restore_reported_limit(now);
                     state.queue.set_slots(slots);
                     state.down_until = None;
                 }
--- a/crates/mesh/src/gate/statements.rs
+++ b/crates/mesh/src/gate/statements.rs
@@ -1,19 +1,14 @@
 //! What the local target states in its answers about the calls that it still accepts.
 
+use std::time::Instant;
+
 use filbert_platform::headers::TargetStatement;
 use filbert_policy::instance::{InstanceChange, InstanceKey};
-use filbert_policy::rate_limit::{CallRate, RateStatement};
+use filbert_policy::rate_limit::{CallRate, RateChange, RateStatement};
 
 use super::run::CallRun;
 use super::{Gate, GateState};
 
-/// What one instance of the target has stated in its answers so far.
-#[derive(Default)]
-pub(super) struct InstanceStatements {
-    /// Whether the log names a limit that could not be read.
-    has_logged_unreadable_rate: bool,
-}
-
 impl Gate {
     /// The current instance of the target; an empty key before its first report.
     pub(super) fn current_instance(&self) -> InstanceKey {
@@ -35,21 +30,15 @@
         if !state.is_current(run.instance) {
             return;
         }
-        let statements = &mut state.statements;
-        if statement.rate == RateStatement::Unreadable && !statements.has_logged_unreadable_rate {
-            statements.has_logged_unreadable_rate = true;
+        if statement.rate == RateStatement::Unreadable && !state.has_logged_unreadable_rate {
+            state.has_logged_unreadable_rate = true;
             log::warn!("event=target_limit_unreadable instance={}", run.instance);
         }
         let change = state
             .queue
             .record_statement(statement.rate, run.started_at, now);
         if let Some(change) = change {
-            log::info!(
-                "event=target_limit instance={} before={} after={}",
-                run.instance,
-                rate_text(change.before),
-                rate_text(change.after)
-            );
+            log_limit(run.instance, change, "answer");
         }
         if change.is_some() {
             self.status_changed.notify_waiters();
@@ -63,7 +52,35 @@
     }
 }
 
+impl Gate {
+    /// Restores the limit of `instance` after a restart of this daemon, as a peer
+    /// remembers it.
+    pub fn restore_limit(&self, instance: &InstanceKey, rate: CallRate) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.reported_limit = match state.reported_limit.take() {
+            Some((known, lowest)) if known == *instance && lowest < rate => Some((known, lowest)),
+            _ => Some((instance.clone(), rate)),
+        };
+        state.restore_reported_limit(now);
+    }
+}
+
 impl GateState {
+    /// Applies the limit that peers have reported, if it is one of the current instance
+    /// and the instance itself has not stated any.
+    pub(super) fn restore_reported_limit(&mut self, now: Instant) {
+        let Some((instance, rate)) = &self.reported_limit else {
+            return;
+        };
+        if !self.is_current(instance) {
+            return;
+        }
+        if let Some(change) = self.queue.restore_limit(*rate, now) {
+            log_limit(instance, change, "peer");
+        }
+    }
+
     fn is_current(&self, instance: &InstanceKey) -> bool {
         self.tracker
             .current()
@@ -71,6 +88,15 @@
     }
 }
 
+/// Logs a change of the limit of `instance`, and `from` whom it is known.
+fn log_limit(instance: &InstanceKey, change: RateChange, from: &str) {
+    log::info!(
+        "event=target_limit instance={instance} before={} after={} from={from}",
+        rate_text(change.before),
+        rate_text(change.after)
+    );
+}
+
 /// A limit in calls per second, or `none`.
 pub(super) fn rate_text(rate: Option<CallRate>) -> String {
     rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -9,7 +9,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use filbert_policy::admission::DeclineReason;
 use filbert_policy::instance::InstanceKey;
-use filbert_policy::rate_limit::CallAllowance;
+use filbert_policy::rate_limit::{CallAllowance, CallRate};
 use filbert_policy::run_times::RunTime;
 use serde::{Deserialize, Serialize};
 
@@ -117,6 +117,9 @@
         /// Instances on the receiver's host that the dialing daemon has seen in
         /// state `Leaving`.
         leaving_instances: Vec<InstanceKey>,
+        /// Instance on the receiver's host and its limit on the rate of calls, as the
+        /// dialing daemon remembers it.
+        limit: Option<(InstanceKey, CallRate)>,
     },
     /// The expected host is not at this address. Carries the daemon that uses the
     /// address now.
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -49,7 +49,8 @@
     let hello = LinkMessage::Hello {
         from: shared.own_address(),
         to: peer.address.id.clone(),
-        leaving_instances: peer.leaving_instances(),
+        leaving_instances: peer.memory.borrow().leaving_instances(),
+        limit: peer.memory.borrow().limit(),
     };
     if let Err(error) = stream.send_message(&hello) {
         return error;
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -11,9 +11,9 @@
 
 use bytes::Bytes;
 use filbert_policy::clock::Clock;
-use filbert_policy::departure::{accepts_while_leaving, LeavingInstances};
-use filbert_policy::instance::InstanceKey;
+use filbert_policy::instance::{accepts_while_leaving, InstanceKey};
 use filbert_policy::membership::Reachability;
+use filbert_policy::target_memory::TargetMemory;
 use h2::client::SendRequest;
 use tokio::sync::Notify;
 
@@ -26,9 +26,9 @@
 /// Minimum time between two requests for the store's clock to the same peer.
 const CLOCK_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The leaving instances of a host, shared by its successive entries in the table of
-/// peers.
-pub type SharedLeavingInstances = Rc<RefCell<LeavingInstances>>;
+/// What this daemon remembers of the target on a host, shared by the host's successive
+/// entries in the table of peers.
+pub type SharedTargetMemory = Rc<RefCell<TargetMemory>>;
 
 /// Status of a peer's target, as last received.
 #[derive(Clone)]
@@ -46,9 +46,8 @@
     pub link: RefCell<Option<SendRequest<Bytes>>>,
     /// Status of the target on the peer's host, as last received.
     target: RefCell<Option<HeardTarget>>,
-    /// Instances on the peer's host that are leaving. They outlast the peer's entry in the
-    /// table of peers.
-    leaving: SharedLeavingInstances,
+    /// What this daemon remembers of the targets on the peer's host.
+    pub memory: SharedTargetMemory,
     /// Number of calls sent to the target since its last status or load.
     sent_since: Cell<u32>,
     /// Whether the peer was replaced or removed in the table of peers. Its link is
@@ -90,12 +89,12 @@
 impl Peer {
     /// Creates a peer without a link.
     #[must_use]
-    pub fn new(address: PeerAddress, leaving: SharedLeavingInstances) -> Rc<Peer> {
+    pub fn new(address: PeerAddress, memory: SharedTargetMemory) -> Rc<Peer> {
         Rc::new(Peer {
             address,
             link: RefCell::new(None),
             target: RefCell::new(None),
-            leaving,
+            memory,
             sent_since: Cell::new(0),
             is_removed: Cell::new(false),
             calls_in_flight: Cell::new(0),
@@ -231,15 +230,9 @@
         }
     }
 
-    /// Instances on the peer's host that are leaving, newest last.
-    #[must_use]
-    pub fn leaving_instances(&self) -> Vec<InstanceKey> {
-        self.leaving.borrow().keys()
-    }
-
     /// Records that `instance` on the peer's host is leaving.
     pub fn record_leaving(&self, instance: &InstanceKey, now: Instant) {
-        self.leaving.borrow_mut().record(instance, now);
+        self.memory.borrow_mut().record_leaving(instance, now);
     }
 
     /// Returns the state in `status`, restricted by what this daemon itself has heard of
@@ -251,7 +244,8 @@
         drain_time: Duration,
         now: Instant,
     ) -> TargetState {
-        match (self.leaving.borrow().since(&status.instance), status.state) {
+        let leaving_since = self.memory.borrow().leaving_since(&status.instance);
+        match (leaving_since, status.state) {
             (None, state) => state,
             (Some(_), TargetState::Closed) => TargetState::Closed,
             (Some(since), _) if accepts_while_leaving(since, drain_time, now) => {
@@ -268,6 +262,7 @@
             if target.state == TargetState::Leaving {
                 self.record_leaving(&target.instance, now);
             }
+            self.remember_limit(&target.instance, &target.load);
         }
         self.sent_since.set(0);
         *self.target.borrow_mut() = target.map(|status| HeardTarget {
@@ -280,11 +275,17 @@
     pub fn set_target_load(&self, load: TargetLoad, now: Instant) {
         if let Some(target) = self.target.borrow_mut().as_mut() {
             self.sent_since.set(0);
+            self.remember_limit(&target.status.instance, &load);
             target.status.load = load;
             target.load_heard_at = now;
         }
     }
 
+    fn remember_limit(&self, instance: &InstanceKey, load: &TargetLoad) {
+        let rate = load.allowance.map(|allowance| allowance.rate);
+        self.memory.borrow_mut().record_limit(instance, rate);
+    }
+
     /// Marks the target as closed until its next status arrives.
     pub fn mark_closed(&self) {
         if let Some(target) = self.target.borrow_mut().as_mut() {
--- a/crates/mesh/src/peers/table.rs
+++ b/crates/mesh/src/peers/table.rs
@@ -9,7 +9,7 @@
 use rand::seq::SliceRandom;
 use tokio::sync::{mpsc, Notify};
 
-use super::{Peer, SharedLeavingInstances};
+use super::{Peer, SharedTargetMemory};
 use crate::messages::PeerAddress;
 
 /// A daemon that linked to this one and subscribed to its news.
@@ -40,15 +40,16 @@
 #[derive(Default)]
 pub struct PeerTable {
     peers: RefCell<BTreeMap<String, Rc<Peer>>>,
-    /// Leaving instances by host name, also of hosts that are no peers at present.
-    leaving: RefCell<BTreeMap<String, SharedLeavingInstances>>,
+    /// What is remembered of targets, by host name, also of hosts that are no peers at
+    /// present.
+    memory: RefCell<BTreeMap<String, SharedTargetMemory>>,
     subscribers: RefCell<Vec<NewsSubscriber>>,
     /// Notified when the status of a peer's target has arrived; wakes calls that wait
     /// for the first target of their service.
     pub target_updated: Notify,
 }
 
-/// Number of hosts from which leaving instances of hosts without a peer are dropped.
+/// Number of hosts from which what is remembered of hosts without a peer is dropped.
 const MAX_REMEMBERED_HOSTS: usize = 1_000;
 /// Maximum number of messages queued for a subscriber. A subscriber that falls
 /// further behind is dropped together with its link.
@@ -65,20 +66,19 @@
             }
             mark_removed(known);
         }
-        let leaving = self.leaving_on(&address.id);
-        let peer = Peer::new(address.clone(), leaving);
+        let peer = Peer::new(address.clone(), self.memory_of(&address.id));
         peers.insert(peer.address.id.clone(), Rc::clone(&peer));
         Some(peer)
     }
 
-    /// The leaving instances of host `id`. Those of hosts without a peer are dropped once
-    /// there are many.
-    fn leaving_on(&self, id: &str) -> SharedLeavingInstances {
-        let mut leaving = self.leaving.borrow_mut();
-        if leaving.len() >= MAX_REMEMBERED_HOSTS {
-            leaving.retain(|_, instances| Rc::strong_count(instances) > 1);
+    /// What this daemon remembers of the target on host `id`. What it remembers of hosts
+    /// without a peer is dropped once they are many.
+    fn memory_of(&self, id: &str) -> SharedTargetMemory {
+        let mut memory = self.memory.borrow_mut();
+        if memory.len() >= MAX_REMEMBERED_HOSTS {
+            memory.retain(|_, of_host| Rc::strong_count(of_host) > 1);
         }
-        Rc::clone(leaving.entry(id.to_owned()).or_default())
+        Rc::clone(memory.entry(id.to_owned()).or_default())
     }
 
     /// Removes the peer on host `id`. Its link is closed as soon as no call uses it.
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -33,6 +33,7 @@
         from,
         to,
         leaving_instances,
+        limit,
     }) = next_message(&mut incoming, &mut buffer).await?
     else {
         return Err(LinkError::InvalidMessage);
@@ -47,6 +48,9 @@
     for key in &leaving_instances {
         shared.gate.mark_left_before_restart(key);
     }
+    if let Some((instance, rate)) = &limit {
+        shared.gate.restore_limit(instance, *rate);
+    }
     for message in initial_news(&shared, &from.zone) {
         outgoing.send_data(encode(&message), false)?;
     }
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -5,6 +5,16 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Fraction of the drain time during which a leaving target still accepts calls.
+/// In the rest the accepted calls finish; calls that still wait are declined.
+const DRAIN_ACCEPT_FRACTION: f64 = 0.5;
+
+/// Returns whether a target that has been leaving since `since` still accepts calls.
+#[must_use]
+pub fn accepts_while_leaving(since: Instant, drain_time: Duration, now: Instant) -> bool {
+    now < since + drain_time.mul_f64(DRAIN_ACCEPT_FRACTION)
+}
+
 /// Identifies an instance, that is one start of a target. A target may restart
 /// with the same id.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`quarantine`] holds back calls that crash their targets, recognised by
 //!   their [`identity`].
 //! - [`instance`] tracks the lifecycle of the target on the daemon's host,
-//!   [`departure`] says how long a leaving target still accepts calls, and
+//!   [`target_memory`] what was heard of other targets, and
 //!   [`health`] and [`run_times`] its failures and run times.
 //! - [`rate_limit`] keeps the limit on calls that a target states.
 //! - [`egress`] paces answers on a slow network link.
@@ -25,7 +25,6 @@
 pub mod budget;
 pub mod client_timeouts;
 pub mod clock;
-pub mod departure;
 pub mod egress;
 pub mod health;
 pub mod identity;
@@ -41,4 +40,5 @@
 pub mod routing;
 pub mod run_times;
 pub mod store_access;
+pub mod target_memory;
 pub mod weights;
--- a/tests/mesh_limits.rs
+++ b/tests/mesh_limits.rs
@@ -108,6 +108,44 @@
     assert!(most >= least, "{most} calls in 4 s, {least} taken");
 }
 
+/// Guards against a limited target that slows a service whose other targets have room.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_beyond_a_limit_run_at_other_targets() {
+    let fleet = start_fleet(&["quoter-1", "quoter-2"]).await;
+    let limited = &fleet.hosts[3].target;
+    limited.set_statements(&["Server-Limit: 4.4"]);
+    let judged_from = Instant::now() + STABLE_WINDOW;
+    let statuses = fleet.call_until(judged_from + COUNTED_TIME).await;
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert_eq!(served, statuses.len(), "{}", fleet.hosts[0].log());
+    let most = most_arrivals(limited, judged_from);
+    assert!(most <= allowance(4.4), "{most} calls in 4 s");
+}
+
+/// Guards against a daemon that forgets the limit at a restart and fills the target's
+/// slots before it hears of the limit again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_outlasts_restarts_of_the_daemon_beside_the_target() {
+    let mut fleet = start_fleet(&["quoter-1"]).await;
+    let mut quoter = fleet.hosts.pop().expect("the quoter");
+    let run_time = Duration::from_millis(400);
+    let behaviour = TargetBehaviour::RespondsAfter(run_time);
+    quoter.target.set_behaviour(behaviour);
+    quoter.target.set_statements(&["Server-Limit: 0"]);
+    let judged_from = Instant::now() + STABLE_WINDOW;
+    let restarts = async {
+        tokio::time::sleep_until(judged_from.into()).await;
+        for _ in 0..3 {
+            quoter.kill();
+            quoter.start_daemon();
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+        }
+    };
+    tokio::join!(fleet.call_until(judged_from + COUNTED_TIME), restarts);
+    let most = most_arrivals(&quoter.target, judged_from);
+    assert!(most <= allowance(0.0), "{most} calls:\n{}", quoter.log());
+}
+
 /// Number of calls that `target` got from `since` on.
 fn arrivals_since(target: &TargetServer, since: Instant) -> usize {
     let arrivals = target.arrivals();
