Send no call to wait for a limit while another target has room

What callers saw: with one limited target of two, some calls waited 250 to 390 ms for the limit though the other target was idle (call_ended lines of the test on two targets).

Cause: placement counts a wait as free as long as it ends well before the soft deadline, so a wait for the limit weighed less than the random part of the loss.

Change: a target whose limit is used up has an additional loss of 0.1, above the random part and below that of a full zone's alternatives, so that only calls that find no room elsewhere wait for it.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -113,6 +113,9 @@
 /// Additional loss at a target whose slots are all in use, compared with an idle
 /// target. It balances the load among otherwise equal targets.
 const FULL_TARGET_LOSS: f64 = 0.05;
+/// Additional loss at a target whose limit on the rate of calls is used up. A call waits
+/// for it only if the other targets have no room.
+const LIMIT_WAIT_LOSS: f64 = 0.1;
 
 /// Estimated number of calls at a target: the `reported` number, the
 /// `sent_since` calls that this daemon has sent there after the report, and as
@@ -209,6 +212,9 @@
     if !view.in_zone {
         loss += crossing.uncapped(call.transfer_kib).min(crossing.most);
     }
+    if view.limit_wait_ms > 0.0 {
+        loss += LIMIT_WAIT_LOSS;
+    }
     if view.is_leaving {
         loss += LEAVING_TARGET_LOSS;
     }
--- a/crates/policy/tests/placement_replay.rs
+++ b/crates/policy/tests/placement_replay.rs
@@ -104,6 +104,12 @@
     second: TargetView { limit_wait_ms: 800.0, ..view(200.0) },
     answer_kib: 1.0, min_first_share: 1.0,
 })]
+#[case(ChoiceCase {
+    description: "a call does not wait for a limit while another target has a free slot",
+    first: TargetView { occupancy: 7.0, ..view(200.0) },
+    second: TargetView { limit_wait_ms: 100.0, ..view(200.0) },
+    answer_kib: 1.0, min_first_share: 1.0,
+})]
 #[case(ChoiceCase {
     description: "a call does not leave its zone for a target whose limit is used up",
     first: TargetView { occupancy: 12.0, ..view(200.0) },
