--- a/tests/mesh_limits.rs
+++ b/tests/mesh_limits.rs
@@ -71,7 +71,7 @@
 
 /// Highest number of calls that `target` got in any `COUNT_WINDOW` from `since` on.
 fn most_arrivals(target: &TargetServer, since: Instant) -> f64 {
-    let mut arrivals = target.arrivals();
+    let mut arrivals: Vec<Instant> = target.arrivals().iter().map(|call| call.at).collect();
     arrivals.retain(|at| *at >= since);
     arrivals.sort();
     let count_from = |first: usize| {
@@ -149,7 +149,7 @@
 /// Number of calls that `target` got from `since` on.
 fn arrivals_since(target: &TargetServer, since: Instant) -> usize {
     let arrivals = target.arrivals();
-    arrivals.iter().filter(|at| **at >= since).count()
+    arrivals.iter().filter(|call| call.at >= since).count()
 }
 
 /// Guards against calls to a target that says in its answers that it leaves, while its
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,8 @@
     HarmfulCall,
     /// A roll-out, and a store that is restored from an older copy.
     Rollout,
+    /// Targets that state limits on the rate of calls and that they are leaving.
+    Statements,
 }
 
 /// Daemons are killed, paused, stopped, cut off and reloaded while targets, the
@@ -31,6 +33,8 @@
 #[case::short_with_a_harmful_call(2, 6, ExtraEvent::HarmfulCall)]
 // A roll-out is ordered, and the store is restored from an older copy.
 #[case::short_with_a_roll_out(3, 6, ExtraEvent::Rollout)]
+// Targets state limits and that they leave while daemons and links fail too.
+#[case::short_with_statements(4, 6, ExtraEvent::Statements)]
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_during_a_soak(
     #[case] seed: u64,
@@ -45,6 +49,7 @@
         callers: 3,
         has_harmful_call: extra_event == ExtraEvent::HarmfulCall,
         has_rollout: extra_event == ExtraEvent::Rollout,
+        has_statements: extra_event == ExtraEvent::Statements,
     })
     .await;
     println!("{}", report.text());
