Show operators which targets are limited or leaving

Why: an on-call engineer must tell a call that a target's limit refused from one that found no slot; both read as want of room before.

--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -136,8 +136,18 @@
         return Ok(());
     }
     println!(
-        "{:<32} {:<16} {:<16} {:>8} {:>6} {:>8} {:>8} {:>5} {:>8}",
-        "host", "zone", "service", "version", "links", "running", "waiting", "ill", "memory"
+        "{:<32} {:<16} {:<16} {:>8} {:>6} {:>8} {:>8} {:>5} {:>8} {:>7} {:>7}",
+        "host",
+        "zone",
+        "service",
+        "version",
+        "links",
+        "running",
+        "waiting",
+        "ill",
+        "memory",
+        "limit",
+        "leaving"
     );
     for HostStatus {
         host,
@@ -150,13 +160,17 @@
             || "does not answer".to_owned(),
             |daemon| {
                 format!(
-                    "{:08x} {:>6} {:>8} {:>8} {:>5.2} {:>5} MB",
+                    "{:08x} {:>6} {:>8} {:>8} {:>5.2} {:>5} MB {:>7} {:>7}",
                     daemon.version,
                     daemon.links,
                     daemon.running,
                     daemon.waiting,
                     daemon.ill_share,
-                    daemon.memory_bytes / 1_000_000
+                    daemon.memory_bytes / 1_000_000,
+                    daemon
+                        .call_limit
+                        .map_or_else(|| "-".to_owned(), |limit| limit.to_string()),
+                    if daemon.is_leaving { "yes" } else { "-" }
                 )
             },
         );
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -59,7 +59,7 @@
                 get("candidates"),
             ),
             "gate_declined" => format!(
-                "declined in front of the target ({}) after {} ms: {} running and {} waiting for {} slots, average run time {} ms, soft deadline in {} ms; room expected in {} ms",
+                "declined in front of the target ({}) after {} ms: {} running and {} waiting for {} slots, average run time {} ms, soft deadline in {} ms; room expected in {} ms{}",
                 get("reason"),
                 get("waited_ms"),
                 get("running"),
@@ -68,6 +68,7 @@
                 get("run_ms"),
                 get("aim_ms"),
                 get("room_in_ms"),
+                describe_limit(get("limit")),
             ),
             "gate_ran" => format!(
                 "dispatched to instance {} after waiting {} ms: {} after {} ms ({})",
@@ -150,6 +151,15 @@
     }
 }
 
+/// Describes a target's limit on the rate of calls; empty if it has none, or if the line
+/// does not tell.
+fn describe_limit(limit: &str) -> String {
+    match limit {
+        "" | "-" | "none" => String::new(),
+        limit => format!("; the target accepts {limit} calls per second"),
+    }
+}
+
 /// Describes the end of an attempt: an `AttemptEnd`, as `end=` names it.
 fn describe_attempt_end(end: &str) -> &str {
     match end {
--- a/crates/ctl/src/mesh.rs
+++ b/crates/ctl/src/mesh.rs
@@ -181,6 +181,10 @@
     pub waiting: u64,
     /// Fraction of the target's recent runs that failed, 0 to 1.
     pub ill_share: f64,
+    /// Calls per second that the target accepts; `None` if it states no limit.
+    pub call_limit: Option<f64>,
+    /// Whether the target is shutting down.
+    pub is_leaving: bool,
     /// Resident memory of the daemon in bytes.
     pub memory_bytes: u64,
 }
@@ -196,6 +200,9 @@
             running: metric_value(text, "filbert_gate_running").unwrap_or_default(),
             waiting: metric_value(text, "filbert_gate_waiting").unwrap_or_default(),
             ill_share: metric_value(text, "filbert_target_ill_share").unwrap_or_default(),
+            call_limit: metric_value(text, "filbert_target_call_limit")
+                .filter(|limit: &f64| limit.is_finite()),
+            is_leaving: metric_value(text, "filbert_target_leaving") == Some(1),
             memory_bytes: metric_value(text, "process_resident_memory_bytes").unwrap_or_default(),
         })
     }
--- a/crates/ctl/tests/explain_cases.rs
+++ b/crates/ctl/tests/explain_cases.rs
@@ -42,6 +42,18 @@
     );
 }
 
+/// Guards against a refusal by a target's limit that looks like one for want of slots.
+#[test]
+fn a_refusal_by_a_limit_names_the_limit() {
+    let line = "ts=2026-01-01T00:00:21.201+00:00 level=info event=gate_declined request=r reason=Limited limit=3.3";
+    let line = LogLine::parse(line, "file").expect("a line");
+    let description = line.describe();
+    assert!(
+        description.contains("(Limited)") && description.contains("accepts 3.3 calls per second"),
+        "{description}"
+    );
+}
+
 #[rstest]
 #[case("declined in front of the target (Crowded)")]
 #[case("9 running and 5 waiting for 9 slots")]
