Name the limit of a target apart from the limit of an organisation

Cause: organisations::keys has a RateLimit already, of another kind (a quota shared by pools of tokens); two types of one name would mislead a reader.

Change: TargetLimit, LimitStatement and LimitChange in target_limit.rs; the gate's method is call_limit. The benchmark of decisions takes words on its command line and measures only the figures that have them, and has one more: admission at a limited target.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -23,14 +23,21 @@
     ClientLimits, ConfigVersion, RouteIndex, RouteKind, RoutePart, RouteRule,
 };
 use filbert_policy::run_times::{RunTime, RunTimeEstimator};
+use filbert_policy::target_limit::{CallRate, LimitStatement};
 use filbert_policy::weights::WeightedRoundRobin;
 
 /// Measured decisions per figure.
 const ROUNDS: u32 = 100_000;
 
 /// Prints the average time of `decide` under `name`, after a warm-up of a tenth of
-/// the rounds.
+/// the rounds. Skips the figure if the command line has a word that `name` lacks.
 fn measure(name: &str, mut decide: impl FnMut(u32)) {
+    let words = std::env::args()
+        .skip(1)
+        .filter(|word| !word.starts_with('-'));
+    if words.into_iter().any(|word| !name.contains(&word)) {
+        return;
+    }
     for round in 0..ROUNDS / 10 {
         decide(round);
     }
@@ -309,28 +316,8 @@
     });
     measure_placement();
     measure_run_times();
+    measure_admission();
     let now = Instant::now();
-    let run = Duration::from_millis(200);
-    let mut queue = AdmissionQueue::new(QueueLimits::default());
-    queue.set_slots(9);
-    queue.set_open(true);
-    let request = |round: u32| AdmissionRequest {
-        priority: u8::from(round.is_multiple_of(2)),
-        soft_deadline: now + Duration::from_secs(2),
-        deadline: now + Duration::from_secs(4),
-        run: RunTime::exponential(run),
-        link: LinkTime::default(),
-    };
-    for round in 0..40 {
-        queue.offer(request(round), run, now);
-    }
-    measure("offer, settle and finish, some 30 waiting", |round| {
-        let decision = queue.offer(request(round), run, now);
-        if !matches!(decision, AdmissionDecision::Decline { .. }) {
-            queue.finish_run();
-            black_box(queue.dispatch(run, now));
-        }
-    });
     let limits = RetryBudgetLimits {
         ratio: 0.2,
         slack: 56.0,
@@ -342,3 +329,37 @@
         black_box(budget.try_spend("one", RetryCause::NoAnswer, 10, now));
     });
 }
+
+/// Cost of admitting a call at a target, without and with a limit on the rate of calls.
+fn measure_admission() {
+    let now = Instant::now();
+    let run = Duration::from_millis(200);
+    let request = |round: u32| AdmissionRequest {
+        priority: u8::from(round.is_multiple_of(2)),
+        soft_deadline: now + Duration::from_secs(2),
+        deadline: now + Duration::from_secs(4),
+        run: RunTime::exponential(run),
+        link: LinkTime::default(),
+    };
+    for (name, limit) in [
+        ("offer, settle and finish, some 30 waiting", None),
+        ("the same at a limited target", CallRate::new(100.0)),
+    ] {
+        let mut queue = AdmissionQueue::new(QueueLimits::default());
+        queue.set_slots(9);
+        queue.set_open(true);
+        if let Some(rate) = limit {
+            queue.record_statement(LimitStatement::Limited(rate), now, now);
+        }
+        for round in 0..40 {
+            queue.offer(request(round), run, now);
+        }
+        measure(name, |round| {
+            let decision = queue.offer(request(round), run, now);
+            if !matches!(decision, AdmissionDecision::Decline { .. }) {
+                queue.finish_run();
+                black_box(queue.dispatch(run, now));
+            }
+        });
+    }
+}
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -24,8 +24,8 @@
     accepts_while_leaving, InstanceChange, InstanceKey, InstanceReport, InstanceTracker,
 };
 use filbert_policy::numbers::count_to_f64;
-use filbert_policy::rate_limit::CallRate;
 use filbert_policy::run_times::{RunTime, RunTimeEstimator};
+use filbert_policy::target_limit::CallRate;
 use tokio::sync::{oneshot, Notify, Semaphore};
 
 use crate::body::MAX_BUFFERED_ANSWER_KIB;
@@ -55,7 +55,7 @@
     active_runs: HashMap<u64, ActiveRun>,
     next_run: u64,
     /// Whether the log says that the current instance has a limit that cannot be read.
-    has_logged_unreadable_rate: bool,
+    has_logged_unreadable_limit: bool,
     /// Limit that other daemons have reported since this daemon started, and the
     /// instance that has it.
     reported_limit: Option<(InstanceKey, CallRate)>,
@@ -118,7 +118,7 @@
                 down_until: None,
                 active_runs: HashMap::new(),
                 next_run: 0,
-                has_logged_unreadable_rate: false,
+                has_logged_unreadable_limit: false,
                 reported_limit: None,
             }),
             connections: Rc::new(TargetConnectionPool::default()),
@@ -168,7 +168,7 @@
 
     /// The limit that the target states on the rate of calls; `None` if it states none.
     #[must_use]
-    pub fn rate_limit(&self) -> Option<CallRate> {
+    pub fn call_limit(&self) -> Option<CallRate> {
         let allowance = self.state.borrow().queue.allowance(self.clock.now());
         allowance.map(|allowance| allowance.rate)
     }
@@ -187,7 +187,7 @@
                 InstanceChange::Replaced => {
                     state.health = TargetHealth::default();
                     state.run_times = RunTimeEstimator::default();
-                    state.has_logged_unreadable_rate = false;
+                    state.has_logged_unreadable_limit = false;
                     state.queue.reset_limit();
                     state.restore_reported_limit(now);
                     state.queue.set_slots(slots);
--- a/crates/mesh/src/gate/statements.rs
+++ b/crates/mesh/src/gate/statements.rs
@@ -4,7 +4,7 @@
 
 use filbert_platform::headers::TargetStatement;
 use filbert_policy::instance::{InstanceChange, InstanceKey};
-use filbert_policy::rate_limit::{CallRate, RateChange, RateStatement};
+use filbert_policy::target_limit::{CallRate, LimitChange, LimitStatement};
 
 use super::run::CallRun;
 use super::{Gate, GateState};
@@ -30,13 +30,13 @@
         if !state.is_current(run.instance) {
             return;
         }
-        if statement.rate == RateStatement::Unreadable && !state.has_logged_unreadable_rate {
-            state.has_logged_unreadable_rate = true;
+        if statement.limit == LimitStatement::Unreadable && !state.has_logged_unreadable_limit {
+            state.has_logged_unreadable_limit = true;
             log::warn!("event=target_limit_unreadable instance={}", run.instance);
         }
         let change = state
             .queue
-            .record_statement(statement.rate, run.started_at, now);
+            .record_statement(statement.limit, run.started_at, now);
         if let Some(change) = change {
             log_limit(run.instance, change, "answer");
         }
@@ -89,7 +89,7 @@
 }
 
 /// Logs a change of the limit of `instance`, and `from` whom it is known.
-fn log_limit(instance: &InstanceKey, change: RateChange, from: &str) {
+fn log_limit(instance: &InstanceKey, change: LimitChange, from: &str) {
     log::info!(
         "event=target_limit instance={instance} before={} after={} from={from}",
         rate_text(change.before),
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -9,8 +9,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 use filbert_policy::admission::DeclineReason;
 use filbert_policy::instance::InstanceKey;
-use filbert_policy::rate_limit::{CallAllowance, CallRate};
 use filbert_policy::run_times::RunTime;
+use filbert_policy::target_limit::{CallAllowance, CallRate};
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine::SuspectCall;
--- a/crates/mesh/src/metrics/target.rs
+++ b/crates/mesh/src/metrics/target.rs
@@ -1,6 +1,6 @@
 //! Gauges of the target on this host.
 
-use filbert_policy::rate_limit::CallRate;
+use filbert_policy::target_limit::CallRate;
 use opentelemetry::metrics::{Gauge, Meter};
 
 use crate::gate::Gate;
@@ -50,7 +50,7 @@
         self.waiting.record(u64::from(status.load.waiting), &[]);
         self.failure_rate.record(status.load.failure_rate, &[]);
         let call_limit = gate
-            .rate_limit()
+            .call_limit()
             .map_or(f64::INFINITY, CallRate::per_second);
         self.call_limit.record(call_limit, &[]);
         self.leaving.record(u64::from(gate.is_leaving()), &[]);
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use filbert_policy::numbers::count_to_f64;
-use filbert_policy::rate_limit::CallRate;
+use filbert_policy::target_limit::CallRate;
 
 use crate::messages::{encode, LinkMessage, TargetLoad, TargetStatus};
 use crate::state::MeshShared;
--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -8,7 +8,7 @@
     AdmissionDecision, AdmissionRequest, DeclineReason, QueueLimits, WaitOutcome, WaitTicket,
 };
 use crate::numbers::count_to_f64;
-use crate::rate_limit::{CallAllowance, CallRate, RateChange, RateLimit, RateStatement};
+use crate::target_limit::{CallAllowance, CallRate, LimitChange, LimitStatement, TargetLimit};
 
 #[derive(Clone, Copy, Debug)]
 struct WaitingCall {
@@ -68,7 +68,7 @@
     next_ticket: u64,
     is_open: bool,
     offered_load: OfferedLoad,
-    rate_limit: RateLimit,
+    limit: TargetLimit,
 }
 
 impl AdmissionQueue {
@@ -83,7 +83,7 @@
             next_ticket: 0,
             is_open: false,
             offered_load: OfferedLoad::default(),
-            rate_limit: RateLimit::default(),
+            limit: TargetLimit::default(),
         }
     }
 
@@ -123,30 +123,30 @@
 
     /// Removes the limit on the rate of calls, as the target was replaced.
     pub fn reset_limit(&mut self) {
-        self.rate_limit = RateLimit::default();
+        self.limit = TargetLimit::default();
     }
 
     /// Records what the answer to a call that was sent at `sent_at` states about the
     /// target's limit. Returns the change of the limit, if any.
     pub fn record_statement(
         &mut self,
-        statement: RateStatement,
+        statement: LimitStatement,
         sent_at: Instant,
         now: Instant,
-    ) -> Option<RateChange> {
-        self.rate_limit.record(statement, sent_at, now)
+    ) -> Option<LimitChange> {
+        self.limit.record(statement, sent_at, now)
     }
 
-    /// Restores the limit after a restart of the daemon, as [`RateLimit::restore`].
-    pub fn restore_limit(&mut self, rate: CallRate, now: Instant) -> Option<RateChange> {
-        self.rate_limit.restore(rate, now)
+    /// Restores the limit after a restart of the daemon, as [`TargetLimit::restore`].
+    pub fn restore_limit(&mut self, rate: CallRate, now: Instant) -> Option<LimitChange> {
+        self.limit.restore(rate, now)
     }
 
     /// What the target's limit leaves for calls besides those that wait; `None`
     /// without a limit.
     #[must_use]
     pub fn allowance(&self, now: Instant) -> Option<CallAllowance> {
-        let allowance = self.rate_limit.allowance(now)?;
+        let allowance = self.limit.allowance(now)?;
         Some(CallAllowance {
             ready: allowance.ready - count_to_f64(self.waiting.len()),
             ..allowance
@@ -165,7 +165,7 @@
     /// Expected time until a call starts behind the waiting calls `ahead`: it needs a
     /// slot, and room within the target's limit.
     fn wait_behind(&self, ahead: CallsAhead, mean_run: Duration, now: Instant) -> Duration {
-        let limit_wait = self.rate_limit.wait_behind(count_to_f64(ahead.count), now);
+        let limit_wait = self.limit.wait_behind(count_to_f64(ahead.count), now);
         self.slot_wait(ahead, mean_run).max(limit_wait)
     }
 
@@ -203,7 +203,7 @@
         }
         self.offered_load
             .record(&request, self.capacity_time(&request), now);
-        let is_within_limit = self.rate_limit.ready_calls(1, now) == 1;
+        let is_within_limit = self.limit.ready_calls(1, now) == 1;
         if self.running < self.slots && self.waiting.is_empty() && is_within_limit {
             // Declines a call whose answer the host's link cannot transmit in
             // time, even if a slot is free. Otherwise answers of 90 KB queue
@@ -248,12 +248,12 @@
     /// Time of the target's whole capacity that the call takes: its share of the slots,
     /// or of the limit if that is scarcer.
     fn capacity_time(&self, request: &AdmissionRequest) -> Duration {
-        (request.run.mean / self.slots).max(self.rate_limit.time_per_call())
+        (request.run.mean / self.slots).max(self.limit.time_per_call())
     }
 
     fn start_run(&mut self, now: Instant) {
         self.running += 1;
-        self.rate_limit.take(now);
+        self.limit.take(now);
     }
 
     /// Expected wait of a new call if the queue orders the call by `is_likely_late`.
@@ -304,7 +304,7 @@
     /// Frees the slot of a call that was started but not sent to the target.
     pub fn abort_run(&mut self, now: Instant) {
         self.finish_run();
-        self.rate_limit.give_back(now);
+        self.limit.give_back(now);
     }
 
     /// Starts waiting calls in free slots and declines calls that are no longer
@@ -316,7 +316,7 @@
         // `decline_late` left the waiting calls in the order in which they start.
         let free_slots = self.slots.saturating_sub(self.running) as usize;
         let wanted = free_slots.min(self.waiting.len());
-        let starting = self.rate_limit.ready_calls(wanted, now);
+        let starting = self.limit.ready_calls(wanted, now);
         let started: Vec<WaitingCall> = self.waiting.drain(..starting).collect();
         for call in started {
             self.start_run(now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,7 +14,7 @@
 //! - [`instance`] tracks the lifecycle of the target on the daemon's host,
 //!   [`target_memory`] what was heard of other targets, and
 //!   [`health`] and [`run_times`] its failures and run times.
-//! - [`rate_limit`] keeps the limit on calls that a target states.
+//! - [`target_limit`] keeps the limit on calls that a target states.
 //! - [`egress`] paces answers on a slow network link.
 //! - [`membership`] plans the links to other hosts.
 //! - [`store_access`] decides which daemon queries the store, and when.
@@ -34,11 +34,11 @@
 pub mod organisations;
 pub mod placement;
 pub mod quarantine;
-pub mod rate_limit;
 pub mod refusal;
 pub mod rollout;
 pub mod routing;
 pub mod run_times;
 pub mod store_access;
+pub mod target_limit;
 pub mod target_memory;
 pub mod weights;
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/target_limit.rs
@@ -40,7 +40,7 @@
 
 /// What an answer states about the target's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum RateStatement {
+pub enum LimitStatement {
     /// The target has no limit.
     #[default]
     Unlimited,
@@ -52,7 +52,7 @@
 
 /// A change of a target's limit; `None` stands for no limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RateChange {
+pub struct LimitChange {
     /// The limit so far.
     pub before: Option<CallRate>,
     /// The limit from now on.
@@ -126,7 +126,7 @@
 /// All calls to a target pass the daemon on its host, so this daemon alone keeps the
 /// limit for all callers.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct RateLimit {
+pub struct TargetLimit {
     rate: Option<CallRate>,
     /// Time of the latest answer that stated `rate`; `None` if no answer did.
     stated_at: Option<Instant>,
@@ -135,7 +135,7 @@
     refilled_at: Option<Instant>,
 }
 
-impl RateLimit {
+impl TargetLimit {
     /// The limit in force; `None` if there is none.
     #[must_use]
     pub fn rate(&self) -> Option<CallRate> {
@@ -150,14 +150,14 @@
     /// sent after that. Other answers can lower the limit but not raise it.
     pub fn record(
         &mut self,
-        statement: RateStatement,
+        statement: LimitStatement,
         sent_at: Instant,
         now: Instant,
-    ) -> Option<RateChange> {
+    ) -> Option<LimitChange> {
         let after = match statement {
-            RateStatement::Unlimited => None,
-            RateStatement::Limited(rate) => Some(rate),
-            RateStatement::Unreadable => return None,
+            LimitStatement::Unlimited => None,
+            LimitStatement::Limited(rate) => Some(rate),
+            LimitStatement::Unreadable => return None,
         };
         let before = self.rate;
         if after == before {
@@ -171,19 +171,19 @@
         }
         self.stated_at = Some(now);
         self.set_rate(after, now);
-        Some(RateChange { before, after })
+        Some(LimitChange { before, after })
     }
 
     /// Restores the limit after a restart of the daemon, as other daemons report it.
     /// Returns the change, if any. The lowest limit counts until the target itself has
     /// stated one.
-    pub fn restore(&mut self, rate: CallRate, now: Instant) -> Option<RateChange> {
+    pub fn restore(&mut self, rate: CallRate, now: Instant) -> Option<LimitChange> {
         let before = self.rate;
         if self.stated_at.is_some() || before.is_some_and(|before| before <= rate) {
             return None;
         }
         self.set_rate(Some(rate), now);
-        Some(RateChange {
+        Some(LimitChange {
             before,
             after: Some(rate),
         })
--- a/crates/policy/src/target_memory.rs
+++ b/crates/policy/src/target_memory.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use crate::instance::InstanceKey;
-use crate::rate_limit::CallRate;
+use crate::target_limit::CallRate;
 
 /// Maximum number of leaving instances remembered for a host, whose instances are
 /// seldom replaced.
--- a/crates/policy/tests/support/gate.rs
+++ b/crates/policy/tests/support/gate.rs
@@ -9,8 +9,8 @@
     AdmissionDecision, AdmissionQueue, AdmissionRequest, LinkTime, QueueLimits, WaitOutcome,
     WaitTicket,
 };
-use filbert_policy::rate_limit::RateStatement;
 use filbert_policy::run_times::RunTime;
+use filbert_policy::target_limit::LimitStatement;
 
 /// Slots of the target.
 pub const SLOTS: u32 = 9;
@@ -53,7 +53,7 @@
 /// limit at the time given with it.
 pub fn replay_stated(
     calls: &[SimulatedCall],
-    statements: &[(Duration, RateStatement)],
+    statements: &[(Duration, LimitStatement)],
 ) -> Vec<CallOutcome> {
     let mut statements = statements.iter().peekable();
     let start = Instant::now();
--- a/crates/policy/tests/rate_limit_replay.rs
+++ b/crates/policy/tests/target_limit_replay.rs
@@ -10,8 +10,8 @@
 
 use filbert_policy::admission::{AdmissionDecision, AdmissionRequest, DeclineReason, LinkTime};
 use filbert_policy::numbers::count_to_f64;
-use filbert_policy::rate_limit::{CallRate, RateLimit, RateStatement};
 use filbert_policy::run_times::RunTime;
+use filbert_policy::target_limit::{CallRate, LimitStatement, TargetLimit};
 use gate::{open_queue, replay_stated, CallOutcome, SimulatedCall};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -26,8 +26,8 @@
     CallRate::new(per_second).expect("a rate")
 }
 
-fn limited(per_second: f64) -> RateStatement {
-    RateStatement::Limited(rate(per_second))
+fn limited(per_second: f64) -> LimitStatement {
+    LimitStatement::Limited(rate(per_second))
 }
 
 /// Calls at a constant rate for `seconds`; every third has the highest priority.
@@ -132,8 +132,8 @@
 
 /// What an answer states about the limit, and how the limit has changed before it.
 struct StatementCase {
-    before: RateStatement,
-    stated: RateStatement,
+    before: LimitStatement,
+    stated: LimitStatement,
     /// Whether the call of the answer was sent after the limit was last stated.
     is_newer: bool,
     after: Option<f64>,
@@ -142,17 +142,17 @@
 /// Guards against a limit that ends, rises or is forgotten because of an older answer or
 /// one that cannot be read.
 #[rstest]
-#[case::first(StatementCase { before: RateStatement::Unlimited, stated: limited(9.0), is_newer: false, after: Some(9.0) })]
+#[case::first(StatementCase { before: LimitStatement::Unlimited, stated: limited(9.0), is_newer: false, after: Some(9.0) })]
 #[case::lower(StatementCase { before: limited(9.0), stated: limited(3.0), is_newer: false, after: Some(3.0) })]
 #[case::higher(StatementCase { before: limited(3.0), stated: limited(9.0), is_newer: true, after: Some(9.0) })]
 #[case::older_higher(StatementCase { before: limited(3.0), stated: limited(9.0), is_newer: false, after: Some(3.0) })]
-#[case::ended(StatementCase { before: limited(3.0), stated: RateStatement::Unlimited, is_newer: true, after: None })]
-#[case::older_without(StatementCase { before: limited(3.0), stated: RateStatement::Unlimited, is_newer: false, after: Some(3.0) })]
-#[case::unreadable(StatementCase { before: limited(3.0), stated: RateStatement::Unreadable, is_newer: true, after: Some(3.0) })]
+#[case::ended(StatementCase { before: limited(3.0), stated: LimitStatement::Unlimited, is_newer: true, after: None })]
+#[case::older_without(StatementCase { before: limited(3.0), stated: LimitStatement::Unlimited, is_newer: false, after: Some(3.0) })]
+#[case::unreadable(StatementCase { before: limited(3.0), stated: LimitStatement::Unreadable, is_newer: true, after: Some(3.0) })]
 fn an_older_answer_only_lowers_the_limit(#[case] case: StatementCase) {
     let start = Instant::now();
     let stated_at = start + Duration::from_secs(1);
-    let mut limit = RateLimit::default();
+    let mut limit = TargetLimit::default();
     limit.record(case.before, start, stated_at);
     let sent_at = if case.is_newer { stated_at } else { start };
     limit.record(case.stated, sent_at, stated_at + Duration::from_secs(1));
@@ -179,18 +179,18 @@
     fn no_history_exceeds_the_limit(history in statements(), per_second in 5.0..90.0_f64) {
         let calls = load(per_second, 25.0);
         let mut at = Duration::ZERO;
-        let stated: Vec<(Duration, RateStatement)> = history
+        let stated: Vec<(Duration, LimitStatement)> = history
             .iter()
             .map(|(pause, limit)| {
                 at += Duration::from_millis(*pause);
-                (at, limit.map_or(RateStatement::Unlimited, limited))
+                (at, limit.map_or(LimitStatement::Unlimited, limited))
             })
             .collect();
         let outcomes = replay_stated(&calls, &stated);
         let starts = starts(&calls, &outcomes);
         let in_force_at = |time: Duration| {
             let stated_before = stated.iter().rfind(|(at, _)| *at <= time);
-            stated_before.map_or(RateStatement::Unlimited, |(_, statement)| *statement)
+            stated_before.map_or(LimitStatement::Unlimited, |(_, statement)| *statement)
         };
         for start in &starts {
             // Every limit that was in force in the window or while the target was told.
@@ -201,7 +201,7 @@
                 .chain([in_force_at(reach.start)]);
             let limits: Option<Vec<f64>> = all
                 .map(|statement| match statement {
-                    RateStatement::Limited(rate) => Some(rate.per_second()),
+                    LimitStatement::Limited(rate) => Some(rate.per_second()),
                     _ => None,
                 })
                 .collect();
