Choose no upstream among hosts that have only said hello

Cause: each daemon chooses readers and sources by rank among all hosts that it knows. The only reader of a starting fleet counted hosts that had just said hello as registered and gave its place to them, while they and all others knew only that reader. Nobody read the store for the others until each had given up. plan.rs said is_registered: true of every other host.

Change: a host known by its hello only is no upstream until its row is seen in the store, written, or said to be there by a peer, for 10 s at most; lists and changes of hosts carry the names of those. One name more a host in these messages while it is unregistered.

--- a/crates/mesh/src/feeds/apply.rs
+++ b/crates/mesh/src/feeds/apply.rs
@@ -1,5 +1,6 @@
 //! Applies what was read from the store.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -7,7 +8,7 @@
 
 use super::FeedSubject;
 use crate::held_rows::is_held_key;
-use crate::messages::{PeerAddress, RowChange};
+use crate::messages::{KnownHosts, PeerAddress, RowChange};
 use crate::rollouts::row::is_rollout_key;
 use crate::rows::decode_member;
 use crate::state::MeshShared;
@@ -34,7 +35,11 @@
             } else {
                 shared.members.rows.mark_own_unregistered();
             }
-            shared.apply_member_list(listed, "store");
+            let list = KnownHosts {
+                hosts: listed,
+                unregistered: BTreeSet::new(),
+            };
+            shared.apply_member_list(list, "store");
         }
     }
 }
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -2,6 +2,7 @@
 //! that it relays.
 
 mod broadcast;
+mod registration;
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -12,7 +13,7 @@
 use tokio::sync::{watch, Notify};
 
 use crate::held_rows::is_held_key;
-use crate::messages::{HostChanges, PeerAddress, RowChange, StoreState};
+use crate::messages::{HostChanges, KnownHosts, PeerAddress, RowChange, StoreState};
 use crate::rows::RowWriter;
 use crate::state::MeshShared;
 
@@ -52,6 +53,9 @@
     hosts: RefCell<BTreeMap<String, PeerAddress>>,
     /// Hosts whose row was removed while their daemon still has a link here.
     unregistered: RefCell<BTreeSet<String>>,
+    /// Hosts that said hello and whose row has not been seen in the store since, with
+    /// the time of the hello.
+    hellos: RefCell<BTreeMap<String, Instant>>,
     /// The hosts to link to, and the upstreams.
     pub plan: RefCell<LinkPlan>,
     /// Services that have been called, with the time of the last call.
@@ -80,6 +84,7 @@
         MemberTable {
             hosts: RefCell::default(),
             unregistered: RefCell::default(),
+            hellos: RefCell::default(),
             plan: RefCell::default(),
             last_calls: RefCell::default(),
             is_known: Cell::new(false),
@@ -182,7 +187,7 @@
 
 impl MeshShared {
     /// Adds a host or updates its address.
-    pub fn upsert_host(&self, address: PeerAddress, from: &str) {
+    fn insert_host(&self, address: PeerAddress, from: &str) {
         let own = self.own_address();
         if address.id == own.id {
             if address != own {
@@ -220,9 +225,11 @@
     /// Applies changes to hosts that daemon `from` has sent.
     pub fn apply_host_changes(&self, changes: HostChanges, from: &str) {
         let relays_from = self.relays_from(from);
-        for address in changes.added {
-            self.upsert_host(address, from);
-        }
+        let known = KnownHosts {
+            hosts: changes.added,
+            unregistered: changes.unregistered,
+        };
+        self.upsert_known_hosts(known, from);
         for id in &changes.removed {
             if relays_from {
                 self.members.queue_change(id, HostChange::Removed);
@@ -231,6 +238,7 @@
         }
         let own = self.settings.borrow().id.clone();
         for id in &changes.registered {
+            self.members.mark_registered(id);
             if *id == own {
                 self.own_row_found();
             } else if relays_from {
@@ -322,6 +330,7 @@
     }
 
     fn remove_host(&self, id: &str, from: &str) {
+        self.members.hellos.borrow_mut().remove(id);
         if self.members.hosts.borrow_mut().remove(id).is_some() {
             log::info!("event=host_forgotten host={id} from={from}");
             self.members.changed.notify_one();
@@ -330,25 +339,22 @@
 
     /// Replaces the known hosts with a complete list, and queues the hosts that
     /// are not on it as removed for the followers.
-    pub fn apply_member_list(&self, registered: Vec<PeerAddress>, from: &str) {
-        log::info!("event=members_taken hosts={} from={from}", registered.len());
+    pub fn apply_member_list(&self, mut list: KnownHosts, from: &str) {
+        log::info!("event=members_taken hosts={} from={from}", list.hosts.len());
         let own = self.own_address();
         let removed: Vec<String> = self
             .members
             .hosts
             .borrow()
             .keys()
-            .filter(|id| !registered.iter().any(|address| address.id == **id))
+            .filter(|id| !list.hosts.iter().any(|address| address.id == **id))
             .cloned()
             .collect();
         for id in removed {
             self.handle_row_removed(&id, from);
         }
-        for address in registered {
-            if address.id != own.id {
-                self.upsert_host(address, from);
-            }
-        }
+        list.hosts.retain(|address| address.id != own.id);
+        self.upsert_known_hosts(list, from);
         if !self.members.is_known.replace(true) {
             self.members.became_known.notify_waiters();
             self.members.changed.notify_one();
--- a/crates/mesh/src/members/broadcast.rs
+++ b/crates/mesh/src/members/broadcast.rs
@@ -1,9 +1,13 @@
 //! Messages to other daemons about hosts and about access to the store.
 
+use std::collections::BTreeSet;
+
 use twox_hash::XxHash64;
 
 use super::{HostChange, MAX_ADDED_HOSTS_SENT};
-use crate::messages::{encode, HostChanges, HostList, LinkMessage, PeerAddress, StoreState};
+use crate::messages::{
+    encode, HostChanges, HostList, KnownHosts, LinkMessage, PeerAddress, StoreState,
+};
 use crate::state::MeshShared;
 
 impl MeshShared {
@@ -11,8 +15,23 @@
     #[must_use]
     pub fn member_list(&self) -> LinkMessage {
         let mut hosts = self.members.hosts();
-        hosts.push(self.own_address());
-        LinkMessage::Members(HostList::compress(&hosts))
+        let now = self.clock.now();
+        let is_unregistered =
+            |address: &&PeerAddress| !self.members.is_registered(&address.id, now);
+        let mut unregistered: BTreeSet<String> = hosts
+            .iter()
+            .filter(is_unregistered)
+            .map(|address| address.id.clone())
+            .collect();
+        let own = self.own_address();
+        if !self.members.rows.was_own_registered() {
+            unregistered.insert(own.id.clone());
+        }
+        hosts.push(own);
+        LinkMessage::Members(HostList::compress(&KnownHosts {
+            hosts,
+            unregistered,
+        }))
     }
 
     /// Checksum of the hosts in [`Self::member_list`], independent of their
@@ -40,10 +59,16 @@
         if pending_changes.is_empty() {
             return;
         }
+        let now = self.clock.now();
         let mut changes = HostChanges::default();
         for (id, change) in pending_changes {
             match change {
-                HostChange::Added(address) => changes.added.push(address),
+                HostChange::Added(address) => {
+                    if !self.members.is_registered(&address.id, now) {
+                        changes.unregistered.insert(address.id.clone());
+                    }
+                    changes.added.push(address);
+                }
                 HostChange::Removed => changes.removed.push(id),
                 HostChange::Registered(address) => {
                     changes.added.push(address);
@@ -56,10 +81,12 @@
             // that it has written itself, even if it is no longer a reader by
             // now.
             changes.added.clear();
+            changes.unregistered.clear();
             changes.removed.clear();
         }
         if changes.added.len() > MAX_ADDED_HOSTS_SENT {
             changes.added.clear();
+            changes.unregistered.clear();
             self.send_to_followers(&LinkMessage::MembersChecksum(self.members_checksum()));
         }
         if changes != HostChanges::default() {
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -18,7 +18,7 @@
 use crate::text_delta::TextDelta;
 
 pub use calls::{AnswerHead, CallHead, ExpectedRunTime, ReplyHead};
-pub use hosts::{HostChanges, HostList, RowChange};
+pub use hosts::{HostChanges, HostList, KnownHosts, RowChange};
 pub use organisations::VersionConfirmation;
 
 /// Maximum size of a message body, in bytes. A version of a few thousand routes
--- a/crates/mesh/src/messages/hosts.rs
+++ b/crates/mesh/src/messages/hosts.rs
@@ -1,11 +1,22 @@
 //! Parts of messages on hosts and on the rows in the table of hosts.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use super::{DecodeError, PeerAddress};
 use crate::deflate;
 use crate::held_rows::{self, HeldRow};
 
+/// Hosts that a daemon knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownHosts {
+    /// The hosts.
+    pub hosts: Vec<PeerAddress>,
+    /// Names of those whose row is not known to be in the store.
+    pub unregistered: BTreeSet<String>,
+}
+
 /// A list of hosts, compressed with DEFLATE: names and addresses are similar to
 /// each other and compress well.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,13 +25,13 @@
 }
 
 impl HostList {
-    /// Compresses `hosts`.
+    /// Compresses `known`.
     ///
     /// # Panics
     /// Never: encoding does not fail, as addresses hold only plain data.
     #[must_use]
-    pub fn compress(hosts: &[PeerAddress]) -> HostList {
-        let plain = bincode::serde::encode_to_vec(hosts, bincode::config::standard())
+    pub fn compress(known: &KnownHosts) -> HostList {
+        let plain = bincode::serde::encode_to_vec(known, bincode::config::standard())
             .expect("addresses always encode");
         HostList {
             deflated: deflate::compress(&plain),
@@ -31,10 +42,10 @@
     ///
     /// # Errors
     /// [`DecodeError`] if the bytes are not a valid list of hosts.
-    pub fn decompress(&self) -> Result<Vec<PeerAddress>, DecodeError> {
+    pub fn decompress(&self) -> Result<KnownHosts, DecodeError> {
         let plain = deflate::decompress(&self.deflated).map_err(|_| DecodeError)?;
         bincode::serde::decode_from_slice(&plain, bincode::config::standard())
-            .map(|(hosts, _)| hosts)
+            .map(|(known, _)| known)
             .map_err(|_| DecodeError)
     }
 }
@@ -44,6 +55,8 @@
 pub struct HostChanges {
     /// Hosts that were added, or whose address changed.
     pub added: Vec<PeerAddress>,
+    /// Names of the added hosts whose row is not known to be in the store.
+    pub unregistered: BTreeSet<String>,
     /// Names of the hosts whose row was deleted.
     pub removed: Vec<String>,
     /// Names of the hosts whose row was written on their behalf.
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -276,9 +276,7 @@
                 // only adds hosts from the list. The list may have hosts that were added
                 // since the daemon last read the store, if it is about to follow an
                 // upstream.
-                for host in hosts {
-                    shared.upsert_host(host, from);
-                }
+                shared.upsert_known_hosts(hosts, from);
             } else {
                 shared.apply_member_list(hosts, from);
             }
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -115,6 +115,7 @@
     fn replan_links(self: &Rc<Self>) {
         let own = self.own_address();
         let hosts = self.members.hosts_by_name();
+        let now = self.clock.now();
         let others: Vec<HostView<'_>> = hosts
             .values()
             .map(|address| {
@@ -128,7 +129,7 @@
                         .map_or(Reachability::Reachable, |peer| peer.reachability()),
                     lost_store: peer
                         .is_some_and(|peer| peer.store.get() == StoreState::Disconnected),
-                    is_registered: true,
+                    is_registered: self.members.is_registered(&address.id, now),
                 }
             })
             .collect();
@@ -140,7 +141,7 @@
             lost_store: false,
             is_registered: self.members.rows.was_own_registered(),
         };
-        let recently_called = self.members.recently_called_services(self.clock.now());
+        let recently_called = self.members.recently_called_services(now);
         let recently_called: Vec<&str> = recently_called.iter().map(String::as_str).collect();
         let limits = LinkLimits {
             services: self.settings.borrow().link.services,
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -126,7 +126,7 @@
 
 fn handle_hello(shared: &Rc<MeshShared>, from: PeerAddress) {
     let id = from.id.clone();
-    shared.upsert_host(from, "hello");
+    shared.upsert_unregistered_host(from, "hello");
     // A peer that links to this daemon is up: it can be dialed at once, without waiting
     // for the redial delay.
     if let Some(peer) = shared.peers.get(&id) {
@@ -165,7 +165,7 @@
             is_forwarded,
         } => {
             if let RowChange::Write(address) = &change {
-                shared.upsert_host(address.clone(), "hello");
+                shared.upsert_unregistered_host(address.clone(), "hello");
             }
             if is_forwarded {
                 shared.members.rows.enqueue_change(change);
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -4,6 +4,7 @@
 //! daemons of the zone.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 use twox_hash::XxHash64;
 
@@ -39,6 +40,18 @@
     Unreachable,
 }
 
+/// Time after which a host that said hello counts as registered, although its row has
+/// not been seen in the store. A row is written within two seconds, unless the store
+/// is away.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Returns whether a host counts as registered at `now`. `hello_at` is the time at which
+/// it said hello, if its row has not been seen in the store since.
+#[must_use]
+pub fn counts_as_registered(hello_at: Option<Instant>, now: Instant) -> bool {
+    hello_at.is_none_or(|hello_at| now >= hello_at + REGISTRATION_TIMEOUT)
+}
+
 /// Limits on the number of links that a daemon keeps, and on the number of
 /// readers and sources.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/policy/tests/membership_cases.rs
+++ b/crates/policy/tests/membership_cases.rs
@@ -1,8 +1,11 @@
 //! Link planning, and the choice of the readers and sources of the store.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
-use filbert_policy::membership::{plan_links, HostView, LinkLimits, LinkPlan, Reachability};
+use filbert_policy::membership::{
+    counts_as_registered, plan_links, HostView, LinkLimits, LinkPlan, Reachability,
+};
 use rstest::rstest;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -366,6 +369,28 @@
     assert_eq!(sources, LinkLimits::default().max_sources);
 }
 
+/// Guards against a reader that gives its place to hosts that have just said hello and
+/// know no other host, and against hosts that never count as registered since the store
+/// is away.
+#[test]
+fn a_host_that_said_hello_is_no_upstream_before_it_is_registered() {
+    let hello_at = Instant::now();
+    let in_time = hello_at + Duration::from_secs(2);
+    let late = hello_at + Duration::from_secs(11);
+    assert!(!counts_as_registered(Some(hello_at), in_time));
+    assert!(counts_as_registered(Some(hello_at), late));
+    assert!(counts_as_registered(None, hello_at));
+    let mut hosts = fleet(40);
+    for host in &mut hosts {
+        host.zone = "a";
+        host.is_registered = false;
+    }
+    let first = hosts.len() - 1;
+    hosts[first].is_registered = true;
+    let plan = plan_of(&hosts, first);
+    assert!(plan.is_reader && plan.is_source && plan.readers.is_empty());
+}
+
 /// Guards against a starting fleet in which each host makes itself a source. A new
 /// host that knows one other host and is not registered yet must leave the queries
 /// to that host, unless it is unreachable.
