Keep reported limits of several instances apart

What could happen: a daemon that is restarted beside a limited target kept the last limit that a peer reported. A peer that still remembers the instance before, since its link was down meanwhile, displaced the limit of the present one, which then was unlimited until its first answer.

Change: the lowest limit of each reported instance is kept, eight instances at most (ReportedLimits, a pure type beside what daemons remember).

--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -26,6 +26,7 @@
 use filbert_policy::numbers::count_to_f64;
 use filbert_policy::run_times::{RunTime, RunTimeEstimator};
 use filbert_policy::target_limit::CallRate;
+use filbert_policy::target_memory::ReportedLimits;
 use tokio::sync::{oneshot, Notify, Semaphore};
 
 use crate::body::MAX_BUFFERED_ANSWER_KIB;
@@ -56,9 +57,7 @@
     next_run: u64,
     /// Whether the log says that the current instance has a limit that cannot be read.
     has_logged_unreadable_limit: bool,
-    /// Limit that other daemons have reported since this daemon started, and the
-    /// instance that has it.
-    reported_limit: Option<(InstanceKey, CallRate)>,
+    reported_limits: ReportedLimits,
 }
 
 /// A run in progress.
@@ -119,7 +118,7 @@
                 active_runs: HashMap::new(),
                 next_run: 0,
                 has_logged_unreadable_limit: false,
-                reported_limit: None,
+                reported_limits: ReportedLimits::default(),
             }),
             connections: Rc::new(TargetConnectionPool::default()),
             quarantine,
--- a/crates/mesh/src/gate/statements.rs
+++ b/crates/mesh/src/gate/statements.rs
@@ -58,10 +58,7 @@
     pub fn restore_limit(&self, instance: &InstanceKey, rate: CallRate) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        state.reported_limit = match state.reported_limit.take() {
-            Some((known, lowest)) if known == *instance && lowest < rate => Some((known, lowest)),
-            _ => Some((instance.clone(), rate)),
-        };
+        state.reported_limits.record(instance, rate);
         state.restore_reported_limit(now);
     }
 }
@@ -70,14 +67,12 @@
     /// Applies the limit that peers have reported, if it is one of the current instance
     /// and the instance itself has not stated any.
     pub(super) fn restore_reported_limit(&mut self, now: Instant) {
-        let Some((instance, rate)) = &self.reported_limit else {
+        let Some(instance) = self.tracker.current().map(|report| report.key.clone()) else {
             return;
         };
-        if !self.is_current(instance) {
-            return;
-        }
-        if let Some(change) = self.queue.restore_limit(*rate, now) {
-            log_limit(instance, change, "peer");
+        let reported = self.reported_limits.of(&instance);
+        if let Some(change) = reported.and_then(|rate| self.queue.restore_limit(rate, now)) {
+            log_limit(&instance, change, "peer");
         }
     }
 
--- a/crates/policy/src/target_memory.rs
+++ b/crates/policy/src/target_memory.rs
@@ -12,6 +12,8 @@
 /// Maximum number of leaving instances remembered for a host, whose instances are
 /// seldom replaced.
 const MAX_LEAVING_INSTANCES: usize = 8;
+/// Maximum number of instances for which reported limits are kept.
+const MAX_REPORTED_LIMITS: usize = 8;
 
 /// What one daemon has heard of the instances of the target on another host.
 #[derive(Clone, Debug, Default)]
@@ -64,3 +66,37 @@
         self.limit.clone()
     }
 }
+
+/// Limits of the local target's instances, as other daemons have reported them since this
+/// daemon started.
+#[derive(Clone, Debug, Default)]
+pub struct ReportedLimits {
+    /// The lowest limit reported of each instance, newest instance last.
+    limits: Vec<(InstanceKey, CallRate)>,
+}
+
+impl ReportedLimits {
+    /// Records that a daemon remembers `rate` as the limit of `instance`. Some daemons may
+    /// remember an instance that was replaced.
+    pub fn record(&mut self, instance: &InstanceKey, rate: CallRate) {
+        if let Some((_, lowest)) = self.limits.iter_mut().find(|(key, _)| key == instance) {
+            if rate < *lowest {
+                *lowest = rate;
+            }
+            return;
+        }
+        if self.limits.len() >= MAX_REPORTED_LIMITS {
+            self.limits.remove(0);
+        }
+        self.limits.push((instance.clone(), rate));
+    }
+
+    /// The lowest limit reported of `instance`; `None` if there was none.
+    #[must_use]
+    pub fn of(&self, instance: &InstanceKey) -> Option<CallRate> {
+        let mut limits = self.limits.iter();
+        limits
+            .find(|(key, _)| key == instance)
+            .map(|(_, rate)| *rate)
+    }
+}
