--- a/crates/mesh/src/feeds/apply.rs
+++ b/crates/mesh/src/feeds/apply.rs
@@ -1,6 +1,5 @@
 //! Applies what was read from the store.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -37,7 +36,7 @@
             }
             let list = KnownHosts {
                 hosts: listed,
-                unregistered: BTreeSet::new(),
+                ..KnownHosts::default()
             };
             shared.apply_member_list(list, "store");
         }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -57,6 +57,7 @@
     next_run: u64,
     /// Whether the log says that the current instance has a limit that cannot be read.
     has_logged_unreadable_limit: bool,
+    /// Limits of the target that peers remember from before a restart of this daemon.
     reported_limits: ReportedLimits,
 }
 
--- a/crates/mesh/src/gate/statements.rs
+++ b/crates/mesh/src/gate/statements.rs
@@ -39,8 +39,6 @@
             .record_statement(statement.limit, run.started_at, now);
         if let Some(change) = change {
             log_limit(run.instance, change, "answer");
-        }
-        if change.is_some() {
             self.status_changed.notify_waiters();
         }
         if statement.is_leaving
@@ -50,9 +48,7 @@
             self.status_changed.notify_waiters();
         }
     }
-}
 
-impl Gate {
     /// Restores the limit of `instance` after a restart of this daemon, as a peer
     /// remembers it.
     pub fn restore_limit(&self, instance: &InstanceKey, rate: CallRate) {
