--- a/tests/mesh_limits.rs
+++ b/tests/mesh_limits.rs
@@ -122,6 +122,22 @@
     assert!(most <= allowance(4.4), "{most} calls in 4 s");
 }
 
+/// Guards against a target that gets no calls for ever since it once named a limit of 0:
+/// only an answer can say that the limit has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_gets_calls_again_when_its_limit_ends() {
+    let fleet = start_fleet(&["quoter-1"]).await;
+    let target = &fleet.hosts[3].target;
+    target.set_statements(&["Server-Limit: 0"]);
+    fleet.call_until(Instant::now() + COUNT_WINDOW).await;
+    target.set_statements(&[]);
+    let noticed_by = Instant::now() + COUNT_WINDOW;
+    fleet.call_until(noticed_by).await;
+    let statuses = fleet.call_until(noticed_by + STABLE_WINDOW).await;
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert_eq!(served, statuses.len(), "{}", fleet.hosts[3].log());
+}
+
 /// Guards against a daemon that forgets the limit at a restart and fills the target's
 /// slots before it hears of the limit again.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/mesh_rollout.rs
+++ b/tests/mesh_rollout.rs
@@ -41,6 +41,23 @@
     assert_eq!(duplicate_order_runs(&all), 0);
 }
 
+/// Guards against a good version that is rolled back for the calls that the limit of its
+/// targets turned away: these calls did not run.
+#[tokio::test]
+async fn a_version_is_not_judged_by_calls_beyond_its_limit() {
+    let fleet = start_old_fleet().await;
+    let traffic = Traffic::start(&fleet.hosts[0]);
+    order_rollout(&fleet.store, "v2", ROLLOUT_TIME);
+    let new = start_new_targets(&fleet.store, TargetBehaviour::RespondsAfter(RUN_TIME)).await;
+    for host in &new {
+        host.target.set_statements(&["Server-Limit: 10"]);
+    }
+    assert!(reaches_state(&fleet.store, "completed", ROLLOUT_TIME).await);
+    traffic.stop().await;
+    let is_limited = |host: &Host| host.log().contains("event=target_limit ");
+    assert!(new.iter().any(is_limited), "no target was limited");
+}
+
 /// How version 2 is faulty.
 #[derive(Clone, Copy, Debug)]
 enum BadVersion {
