Let all daemons agree soon on which hosts are registered

A link to a reader was kept for good, as the caller's daemon had other readers than the rest of its zone.

Cause: since only registered hosts are chosen as upstreams, a daemon that had heard a host's hello and missed the news of its row kept to its own choice: nothing told it again, as the checksum of the lists of hosts did not count who is registered, and after 10 s no new plan was made. Evidence: in the failing plays the caller's plan has readers drawer and quoter to the end, that of the three others drawer and signer after 0.4 s.

Change: the checksum counts it, so that a differing list is asked for; a reader that sees the row of such a host in the store tells its followers its name; links are planned again when the time is over after which the host counts anyway.

Tests: that test now waits for the readers to be settled, since links to readers are kept whatever their service; what it asks of links is as before.

--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -45,6 +45,8 @@
     Removed,
     /// Another daemon wrote the host's row for it.
     Registered(PeerAddress),
+    /// The row of a host that had said hello before was seen in the store.
+    Listed,
 }
 
 /// The known hosts, and the link plan based on them.
--- a/crates/mesh/src/members/broadcast.rs
+++ b/crates/mesh/src/members/broadcast.rs
@@ -14,8 +14,8 @@
     /// The message that lists every known host, this one included.
     #[must_use]
     pub fn member_list(&self) -> LinkMessage {
-        let mut hosts = self.members.hosts();
         let now = self.clock.now();
+        let mut hosts = self.members.hosts();
         let is_unregistered =
             |address: &&PeerAddress| !self.members.is_registered(&address.id, now);
         let mut unregistered: BTreeSet<String> = hosts
@@ -34,16 +34,23 @@
         }))
     }
 
-    /// Checksum of the hosts in [`Self::member_list`], independent of their
-    /// order.
+    /// Checksum of [`Self::member_list`], independent of the order of the hosts. Lists
+    /// differ that disagree on which hosts are registered.
     #[must_use]
     pub fn members_checksum(&self) -> u64 {
-        let checksum_of = |address: &PeerAddress| XxHash64::oneshot(0, &encode(address));
+        let now = self.clock.now();
+        let checksum_of = |address: &PeerAddress, is_registered: bool| {
+            XxHash64::oneshot(0, &encode(&(address, is_registered)))
+        };
+        let is_own_registered = self.members.rows.was_own_registered();
         let hosts = self.members.hosts.borrow();
-        let others = hosts.values().map(checksum_of);
-        others.fold(checksum_of(&self.own_address()), |total, checksum| {
-            total ^ checksum
-        })
+        hosts
+            .values()
+            .map(|host| checksum_of(host, self.members.is_registered(&host.id, now)))
+            .fold(
+                checksum_of(&self.own_address(), is_own_registered),
+                |total, checksum| total ^ checksum,
+            )
     }
 
     /// Sends `message` to the daemons that follow this one.
@@ -70,6 +77,8 @@
                     changes.added.push(address);
                 }
                 HostChange::Removed => changes.removed.push(id),
+                HostChange::Listed if self.members.is_reader() => changes.registered.push(id),
+                HostChange::Listed => {}
                 HostChange::Registered(address) => {
                     changes.added.push(address);
                     changes.registered.push(id);
--- a/crates/mesh/src/members/registration.rs
+++ b/crates/mesh/src/members/registration.rs
@@ -1,11 +1,11 @@
 //! Which hosts are known to have a row in the store. Only those are chosen as upstreams:
 //! a host that has just said hello may know no other host yet.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use filbert_policy::membership::counts_as_registered;
+use filbert_policy::membership::registered_from;
 
-use super::MemberTable;
+use super::{HostChange, MemberTable};
 use crate::messages::{KnownHosts, PeerAddress};
 use crate::state::MeshShared;
 
@@ -13,16 +13,37 @@
     /// Whether the row of host `id` counts as being in the store.
     #[must_use]
     pub fn is_registered(&self, id: &str, now: Instant) -> bool {
-        counts_as_registered(self.hellos.borrow().get(id).copied(), now)
+        let hellos = self.hellos.borrow();
+        hellos
+            .get(id)
+            .is_none_or(|hello_at| now >= registered_from(*hello_at))
     }
 
-    /// Records that the row of host `id` is in the store, and requests a new link plan if
-    /// that is news.
+    /// Records that the row of host `id` is in the store. If that is news, requests a new
+    /// link plan and queues the news for the followers.
     pub(super) fn mark_registered(&self, id: &str) {
         if self.hellos.borrow_mut().remove(id).is_some() {
+            let mut pending_changes = self.pending_changes.borrow_mut();
+            // A change that is queued already says that the host is registered.
+            pending_changes
+                .entry(id.to_owned())
+                .or_insert(HostChange::Listed);
             self.changed.notify_one();
         }
     }
+
+    /// Time until the next host counts as registered whose row has not been seen in the
+    /// store; `None` if there is no such host.
+    #[must_use]
+    pub fn next_registration_in(&self, now: Instant) -> Option<Duration> {
+        let mut hellos = self.hellos.borrow_mut();
+        hellos.retain(|_, hello_at| now < registered_from(*hello_at));
+        let next = hellos
+            .values()
+            .map(|hello_at| registered_from(*hello_at))
+            .min()?;
+        Some(next.saturating_duration_since(now))
+    }
 }
 
 impl MeshShared {
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -194,6 +194,9 @@
     loop {
         shared.replan_links();
         let check_again_in = shared.update_role().unwrap_or(REPLAN_INTERVAL);
+        let now = shared.clock.now();
+        let next_registration_in = shared.members.next_registration_in(now);
+        let check_again_in = check_again_in.min(next_registration_in.unwrap_or(REPLAN_INTERVAL));
         shared.send_host_changes();
         // A timeout is no error: the links are planned again even without a
         // change.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -45,11 +45,11 @@
 /// is away.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Returns whether a host counts as registered at `now`. `hello_at` is the time at which
-/// it said hello, if its row has not been seen in the store since.
+/// Returns the time from which a host counts as registered that said hello at `hello_at`
+/// and whose row has not been seen in the store since.
 #[must_use]
-pub fn counts_as_registered(hello_at: Option<Instant>, now: Instant) -> bool {
-    hello_at.is_none_or(|hello_at| now >= hello_at + REGISTRATION_TIMEOUT)
+pub fn registered_from(hello_at: Instant) -> Instant {
+    hello_at + REGISTRATION_TIMEOUT
 }
 
 /// Limits on the number of links that a daemon keeps, and on the number of
--- a/crates/policy/tests/membership_cases.rs
+++ b/crates/policy/tests/membership_cases.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_policy::membership::{
-    counts_as_registered, plan_links, HostView, LinkLimits, LinkPlan, Reachability,
+    plan_links, registered_from, HostView, LinkLimits, LinkPlan, Reachability,
 };
 use rstest::rstest;
 
@@ -375,11 +375,9 @@
 #[test]
 fn a_host_that_said_hello_is_no_upstream_before_it_is_registered() {
     let hello_at = Instant::now();
-    let in_time = hello_at + Duration::from_secs(2);
-    let late = hello_at + Duration::from_secs(11);
-    assert!(!counts_as_registered(Some(hello_at), in_time));
-    assert!(counts_as_registered(Some(hello_at), late));
-    assert!(counts_as_registered(None, hello_at));
+    let row_written = hello_at + Duration::from_secs(2);
+    assert!(registered_from(hello_at) > row_written);
+    assert!(registered_from(hello_at) <= hello_at + Duration::from_secs(10));
     let mut hosts = fleet(40);
     for host in &mut hosts {
         host.zone = "a";
--- a/tests/mesh_members.rs
+++ b/tests/mesh_members.rs
@@ -359,6 +359,8 @@
     ];
     let fleet = fleet(&routes, &hosts).await;
     let caller = &fleet.hosts[0];
+    // Links to readers are kept whatever their service, and the quoter is none in the end.
+    assert!(eventually_logs(caller, "readers={\"drawer\", \"signer\"}").await);
     reload_with(caller, "[link]\nservices = 1\n").await;
     assert!(
         eventually_logs(caller, "services_left_out=3").await,
@@ -524,7 +526,7 @@
 /// host then waits in vain and writes its own row.
 #[tokio::test]
 async fn joining_hosts_do_not_unseat_the_only_reader() {
-    const HOSTS: usize = 12;
+    const HOSTS: usize = 24;
     let store = StandinStore::start().await;
     let mut names: Vec<String> = (0..HOSTS).map(|number| format!("j{number}")).collect();
     let preferred = preferred_readers(&names);
