Separate the daemon's token pools from its token caches

One file held both sides of the quota protocol: the cache from which calls take tokens, and the pools that generate them. The two change for different reasons, the order of waiting calls and the shares of pools. Pools move to a module and a state type of their own; no behaviour changes.

--- a/crates/mesh/src/organisations/mod.rs
+++ b/crates/mesh/src/organisations/mod.rs
@@ -1,9 +1,10 @@
 //! Organisations at one daemon: which organisation holds the key of a call, how
 //! recent the version of the configuration is that says so ([`freshness`]), and
-//! whether the organisation may run another call ([`tokens`]).
+//! whether the organisation may run another call ([`tokens`], [`pools`]).
 
 pub mod counts;
 pub mod freshness;
+pub mod pools;
 pub mod tokens;
 
 use std::cell::{Cell, RefCell};
@@ -15,13 +16,13 @@
 use filbert_policy::clock::Clock;
 use filbert_policy::organisations::freshness::VersionFreshness;
 use filbert_policy::organisations::keys::OrganisationRule;
-use filbert_policy::organisations::quota::{PoolLeases, TokenGrant, TokenPool};
 use filbert_policy::organisations::token_cache::TokenCache;
 use filbert_policy::routing::{RouteIndex, RouteRule};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::Notify;
 
 use crate::settings::MeshSettings;
 use counts::OrganisationCounts;
+use pools::PoolState;
 
 /// Age of the version in force below which a key that it does not contain is
 /// rejected as unknown; a key may have been added since an older version. Sources
@@ -37,21 +38,8 @@
     freshness: RefCell<VersionFreshness>,
     /// Whether the version in force was too old at the last check of a key.
     is_stale: Cell<bool>,
-    pool: RefCell<TokenPool>,
-    /// Leases at the pools that count this host's share of the tokens.
-    leases: RefCell<PoolLeases>,
-    /// Number of hosts in this host's availability zone, including this one.
-    zone_hosts: Cell<usize>,
-    /// Number of availability zones with known hosts.
-    zone_count: Cell<usize>,
-    /// Whether any organisation has a rate limit.
-    has_limits: Cell<bool>,
-    /// Wakes the task that waits until an organisation has a rate limit.
-    limits_added: Notify,
+    pools: PoolState,
     token_caches: RefCell<HashMap<String, TokenCacheEntry>>,
-    /// Requests to pools of other daemons that await a response, by request id.
-    pending_requests: RefCell<HashMap<u64, oneshot::Sender<TokenGrant>>>,
-    next_request_id: Cell<u64>,
     /// Counters of calls by organisation.
     pub counts: OrganisationCounts,
 }
@@ -90,15 +78,8 @@
             max_version_age: Cell::new(None),
             freshness: RefCell::default(),
             is_stale: Cell::new(false),
-            pool: RefCell::new(TokenPool::new(settings.quota_policy())),
-            leases: RefCell::default(),
-            zone_hosts: Cell::new(1),
-            zone_count: Cell::new(1),
-            has_limits: Cell::new(false),
-            limits_added: Notify::new(),
+            pools: PoolState::new(settings.quota_policy()),
             token_caches: RefCell::default(),
-            pending_requests: RefCell::default(),
-            next_request_id: Cell::new(0),
             counts: OrganisationCounts::default(),
         };
         state.apply_settings(settings);
@@ -160,26 +141,9 @@
             .update_for_version(index.number());
         let limited = index.organisations().limited();
         let names: Vec<&str> = limited.map(|rule| rule.name.as_str()).collect();
-        self.has_limits.set(!names.is_empty());
-        if self.has_limits.get() {
-            self.limits_added.notify_one();
-        }
-        let now = self.clock.now();
-        self.pool.borrow_mut().keep(names.iter().copied(), now);
+        self.pools.apply_limited(&names, self.clock.now());
         self.counts.keep(|name| index.organisations().has(name));
         let mut token_caches = self.token_caches.borrow_mut();
         token_caches.retain(|name, entry| entry.waiting > 0 || index.organisations().has(name));
     }
-
-    /// Sets the number of hosts in this host's availability zone and the number of
-    /// zones with known hosts.
-    pub fn set_host_counts(&self, hosts: usize, zone_count: usize) {
-        self.zone_hosts.set(hosts);
-        self.zone_count.set(zone_count);
-    }
-
-    /// Empties the token pool, as this daemon starts to grant tokens to others.
-    pub fn begin_granting(&self) {
-        self.pool.borrow_mut().clear_buckets(self.clock.now());
-    }
 }
--- /dev/null
+++ b/crates/mesh/src/organisations/pools.rs
@@ -0,0 +1,312 @@
+//! Token pools of rate-limited organisations: requests to the pools that this host
+//! uses, and grants from this daemon's own pool.
+//!
+//! The pools are on the readers of the availability zone, to which all daemons of
+//! the zone are linked.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use filbert_policy::organisations::keys::RateLimit;
+use filbert_policy::organisations::quota::{
+    PoolLeases, PoolTopology, QuotaPolicy, TokenGrant, TokenPool, POOL_LEASE_DURATION,
+};
+use tokio::sync::{oneshot, Notify};
+use twox_hash::XxHash64;
+
+use super::OrganisationState;
+use crate::messages::{to_micros, LinkMessage};
+use crate::peers::Peer;
+use crate::state::MeshShared;
+
+/// Time after which a pool that has not responded is skipped.
+const POOL_RESPONSE_TIMEOUT: Duration = Duration::from_millis(80);
+/// Time after which tokens are requested again if no pool could be reached, or the
+/// pool's daemon is no reader or knows no limit. Also returned to a call whose wait
+/// for a token timed out.
+pub(super) const POOL_RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// Grant of a daemon that has no pool, or knows no limit of the organisation.
+const EMPTY_GRANT: TokenGrant = TokenGrant {
+    tokens: 0,
+    next_token_in: POOL_RETRY_DELAY,
+};
+/// Number of pools that a host uses: those of the two readers of its zone.
+const POOLS_PER_HOST: usize = 2;
+/// Interval at which the host checks whether a lease has to be renewed.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// This daemon's pool, its leases at the pools that it uses, and its requests to them.
+pub(super) struct PoolState {
+    pool: RefCell<TokenPool>,
+    /// Leases at the pools that count this host's share of the tokens.
+    leases: RefCell<PoolLeases>,
+    /// Number of hosts in this host's availability zone, including this one.
+    zone_hosts: Cell<usize>,
+    /// Number of availability zones with known hosts.
+    zone_count: Cell<usize>,
+    /// Whether any organisation has a rate limit.
+    has_limits: Cell<bool>,
+    /// Wakes the task that waits until an organisation has a rate limit.
+    limits_added: Notify,
+    /// Requests to pools of other daemons that await a response, by request id.
+    pending_requests: RefCell<HashMap<u64, oneshot::Sender<TokenGrant>>>,
+    next_request_id: Cell<u64>,
+}
+
+impl PoolState {
+    pub(super) fn new(policy: QuotaPolicy) -> PoolState {
+        PoolState {
+            pool: RefCell::new(TokenPool::new(policy)),
+            leases: RefCell::default(),
+            zone_hosts: Cell::new(1),
+            zone_count: Cell::new(1),
+            has_limits: Cell::new(false),
+            limits_added: Notify::new(),
+            pending_requests: RefCell::default(),
+            next_request_id: Cell::new(0),
+        }
+    }
+}
+
+/// Keeps this host's leases at its pools while any organisation has a rate limit, so
+/// that the pools generate the host's share of the tokens. Never returns.
+pub async fn maintain_pool_leases(shared: Rc<MeshShared>) {
+    let pools = &shared.organisations.pools;
+    loop {
+        if !pools.has_limits.get() {
+            pools.limits_added.notified().await;
+        }
+        shared.renew_pool_leases();
+        tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
+    }
+}
+
+/// Location of a pool from which this daemon may request tokens.
+enum PoolLocation {
+    Local,
+    Remote(Rc<Peer>),
+}
+
+impl PoolLocation {
+    /// Returns the name of the pool's host; `own` is the name of this host.
+    fn host<'a>(&'a self, own: &'a str) -> &'a str {
+        match self {
+            PoolLocation::Local => own,
+            PoolLocation::Remote(peer) => &peer.address.id,
+        }
+    }
+}
+
+impl MeshShared {
+    /// Requests tokens for `organisation` from one pool after the other, until one
+    /// grants some. Otherwise returns the shortest time until the next token.
+    pub(super) async fn request_tokens(&self, organisation: &str) -> TokenGrant {
+        let mut next_token_in: Option<Duration> = None;
+        for pool in self.pools_in_request_order(organisation) {
+            let wanted = self.organisations.wanted(organisation);
+            let grant = match pool {
+                PoolLocation::Local => Some(self.grant_tokens(organisation, wanted)),
+                PoolLocation::Remote(peer) => {
+                    self.request_from_peer(&peer, organisation, wanted).await
+                }
+            };
+            match grant {
+                Some(grant) if grant.tokens > 0 => return grant,
+                Some(grant) => {
+                    next_token_in = Some(next_token_in.map_or(grant.next_token_in, |earliest| {
+                        earliest.min(grant.next_token_in)
+                    }));
+                }
+                None => {}
+            }
+        }
+        TokenGrant {
+            tokens: 0,
+            next_token_in: next_token_in.unwrap_or(POOL_RETRY_DELAY),
+        }
+    }
+
+    /// Returns the pools for `organisation` in the order of requests. The order is the
+    /// same on all daemons, so that an organisation's few tokens are requested from
+    /// one pool first and do not remain in several.
+    fn pools_in_request_order(&self, organisation: &str) -> Vec<PoolLocation> {
+        let own = self.settings.borrow().id.clone();
+        let rank = |pool: &PoolLocation| {
+            XxHash64::oneshot(0, format!("{organisation} {}", pool.host(&own)).as_bytes())
+        };
+        let mut pools = self.host_pools();
+        pools.sort_unstable_by_key(rank);
+        pools
+    }
+
+    fn renew_pool_leases(&self) {
+        let own = self.settings.borrow().id.clone();
+        let wanted: Vec<String> = self
+            .host_pools()
+            .iter()
+            .map(|pool| pool.host(&own).to_owned())
+            .collect();
+        let now = self.clock.now();
+        let due = self
+            .organisations
+            .pools
+            .leases
+            .borrow_mut()
+            .renew(&wanted, POOLS_PER_HOST, now);
+        for peer in due.iter().filter_map(|id| self.peers.get(id)) {
+            peer.send_message(LinkMessage::RenewPoolLease);
+        }
+    }
+
+    /// Returns the pools that generate this host's share of the tokens. Their number
+    /// is limited to [`POOLS_PER_HOST`] for each host, however many daemons take
+    /// themselves for readers.
+    fn host_pools(&self) -> Vec<PoolLocation> {
+        let own = self.settings.borrow().id.clone();
+        let plan = self.members.plan.borrow();
+        let rank = |id: &str| XxHash64::oneshot(0, id.as_bytes());
+        let peers = plan.readers.iter().filter_map(|id| self.peers.get(id));
+        let mut pools: Vec<(u64, PoolLocation)> = peers
+            .filter(|peer| peer.is_linked())
+            .map(|peer| (rank(&peer.address.id), PoolLocation::Remote(peer)))
+            .collect();
+        if plan.is_reader {
+            pools.push((rank(&own), PoolLocation::Local));
+        }
+        pools.sort_unstable_by_key(|(rank, _)| *rank);
+        pools.truncate(POOLS_PER_HOST);
+        pools.into_iter().map(|(_, pool)| pool).collect()
+    }
+
+    async fn request_from_peer(
+        &self,
+        peer: &Peer,
+        organisation: &str,
+        wanted: u32,
+    ) -> Option<TokenGrant> {
+        let (request_id, answer) = self.organisations.pools.begin_request();
+        let message = LinkMessage::RequestTokens {
+            request_id,
+            organisation: organisation.to_owned(),
+            wanted,
+        };
+        if !peer.send_message(message) {
+            self.organisations.pools.end_request(request_id);
+            return None;
+        }
+        let answer = tokio::time::timeout(POOL_RESPONSE_TIMEOUT, answer).await;
+        self.organisations.pools.end_request(request_id);
+        answer.ok()?.ok()
+    }
+
+    /// Grants up to `wanted` tokens for `organisation` from this daemon's pool.
+    #[must_use]
+    pub fn grant_tokens(&self, organisation: &str, wanted: u32) -> TokenGrant {
+        let Some(limit) = self.rate_limit(organisation) else {
+            return EMPTY_GRANT;
+        };
+        let share = self.pool_topology().share();
+        let now = self.clock.now();
+        let mut pool = self.organisations.pools.pool.borrow_mut();
+        pool.grant(organisation, limit, share, wanted, now)
+    }
+
+    fn rate_limit(&self, organisation: &str) -> Option<RateLimit> {
+        let index = self.current_index();
+        index.organisations().organisation(organisation)?.limit
+    }
+
+    fn pool_topology(&self) -> PoolTopology {
+        let settings = self.settings.borrow();
+        let now = self.clock.now();
+        let since = now.checked_sub(POOL_LEASE_DURATION).unwrap_or(now);
+        let hosts = self.organisations.pools.zone_hosts.get();
+        let holds_own_lease = self
+            .organisations
+            .pools
+            .leases
+            .borrow()
+            .is_counted_at(&settings.id, now);
+        PoolTopology {
+            zones: settings
+                .zones
+                .len()
+                .max(self.organisations.pools.zone_count.get()),
+            pools: POOLS_PER_HOST.min(hosts),
+            hosts,
+            leased_by: self.peers.leased_by(&settings.zone, since) + usize::from(holds_own_lease),
+        }
+    }
+}
+
+impl PoolState {
+    /// Applies the names of the organisations that have a rate limit.
+    pub(super) fn apply_limited(&self, names: &[&str], now: Instant) {
+        self.has_limits.set(!names.is_empty());
+        if self.has_limits.get() {
+            self.limits_added.notify_one();
+        }
+        self.pool.borrow_mut().keep(names.iter().copied(), now);
+    }
+
+    fn begin_request(&self) -> (u64, oneshot::Receiver<TokenGrant>) {
+        let request_id = self.next_request_id.get();
+        self.next_request_id.set(request_id + 1);
+        let (sender, answer) = oneshot::channel();
+        self.pending_requests
+            .borrow_mut()
+            .insert(request_id, sender);
+        (request_id, answer)
+    }
+
+    fn end_request(&self, request_id: u64) {
+        self.pending_requests.borrow_mut().remove(&request_id);
+    }
+}
+
+impl OrganisationState {
+    /// Sets the number of hosts in this host's availability zone and the number of
+    /// zones with known hosts.
+    pub fn set_host_counts(&self, hosts: usize, zone_count: usize) {
+        self.pools.zone_hosts.set(hosts);
+        self.pools.zone_count.set(zone_count);
+    }
+
+    /// Empties the token pool, as this daemon starts to grant tokens to others.
+    pub fn begin_granting(&self) {
+        self.pools.pool.borrow_mut().clear_buckets(self.clock.now());
+    }
+
+    /// Delivers a pool's response to the request with this id. A response that arrives
+    /// too late is dropped, and its tokens are lost.
+    pub fn deliver_grant(&self, request_id: u64, grant: TokenGrant) {
+        let waiting = self.pools.pending_requests.borrow_mut().remove(&request_id);
+        if let Some(waiting) = waiting {
+            // The requester may have timed out at this moment.
+            let _ = waiting.send(grant);
+        }
+    }
+}
+
+/// Returns the response of this daemon's pool to a request of another daemon.
+#[must_use]
+pub fn answer(
+    shared: &MeshShared,
+    request_id: u64,
+    organisation: &str,
+    wanted: u32,
+) -> LinkMessage {
+    let grant = if shared.members.is_reader() {
+        shared.grant_tokens(organisation, wanted)
+    } else {
+        EMPTY_GRANT
+    };
+    LinkMessage::GrantTokens {
+        request_id,
+        granted: grant.tokens,
+        next_token_in_us: to_micros(grant.next_token_in),
+    }
+}
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -11,7 +11,7 @@
 use crate::body::next_data;
 use crate::links::{LinkError, NEWS_URL};
 use crate::messages::{decode_next, encode, DecodeError, LinkMessage, PeerAddress, RowChange};
-use crate::organisations::tokens;
+use crate::organisations::pools;
 use crate::state::MeshShared;
 use crate::versions::StepsUnavailable;
 
@@ -192,7 +192,7 @@
             request_id,
             organisation,
             wanted,
-        } => Some(tokens::answer(shared, request_id, &organisation, wanted)),
+        } => Some(pools::answer(shared, request_id, &organisation, wanted)),
         LinkMessage::RequestClock { asked_us } => shared.store_clock(asked_us),
         LinkMessage::Hello { .. }
         | LinkMessage::WrongHost(_)
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -184,7 +184,7 @@
     spawn(Box::pin(rollouts::row_writer::run_rollout_writer(
         Rc::clone(shared),
     )));
-    spawn(Box::pin(organisations::tokens::maintain_pool_leases(
+    spawn(Box::pin(organisations::pools::maintain_pool_leases(
         Rc::clone(shared),
     )));
     spawn(Box::pin(plan::maintain_link_plan(Rc::clone(shared))));
