Judge a version's run times by the other version's at the same time

Beside heavy load on the hosts a version eight times slower was rolled out: its gates counted a run as bad from four times the usual run time on, the overload stretches the old version's runs, too, and the callers' usual run time included the runs of the version on trial. None of 20 to 50 runs counted as bad.

Targets now report how many runs took how long, and the deciding daemons compare a version's runs with those of the other version at the same time (2.5 times their mean; four times the last known mean once the old version has no runs). Runs of a version on trial no longer enter the usual run time.

Tests of policy and mesh_rollout pass.

--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -177,8 +177,14 @@
                 ) => {
                     if head.status < MIN_SERVER_ERROR_STATUS {
                         let body_length = head.body_length.unwrap_or(0);
+                        // The usual run time must not adapt to a version that is slow.
+                        let is_on_trial = self
+                            .shared
+                            .rollouts
+                            .is_on_trial(&self.head.service, &target.software);
+                        let run_time = (!is_on_trial).then_some(time_to_head);
                         self.shared
-                            .record_answer(&self.route.name, body_length, time_to_head);
+                            .record_answer(&self.route.name, body_length, run_time);
                         if matches!(body, AnswerBody::Whole(_)) {
                             self.shared.quarantine.record_success(self.head.identity);
                         }
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -90,12 +90,9 @@
     /// Starts observing a run of `call` for the roll-out of its service; `None` if
     /// there is no roll-out.
     fn observe_run(&self, call: &CallHead) -> Option<RunObservation> {
-        self.rollouts.has_live_rollout(&call.service).then(|| {
-            let mean_run_time = call
-                .expected_run_time
-                .map(|expected_run_time| RunTime::from(expected_run_time).mean);
-            RunObservation::new(&self.rollouts, &self.clock, &call.kind, mean_run_time)
-        })
+        self.rollouts
+            .has_live_rollout(&call.service)
+            .then(|| RunObservation::new(&self.rollouts, &self.clock, &call.kind))
     }
 
     /// Records how the run ended. Returns the reply for the client's daemon, the
--- a/crates/mesh/src/rollouts/counters.rs
+++ b/crates/mesh/src/rollouts/counters.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_policy::clock::Clock;
-use filbert_policy::rollout::judge::CallCounts;
+use filbert_policy::rollout::slow_runs::RunCounts;
 
 use super::messages::{KindCounts, TargetReport};
 use super::RolloutTable;
@@ -17,11 +17,8 @@
 const MAX_KINDS: usize = 32;
 /// Name under which the kinds beyond [`MAX_KINDS`] are counted.
 const OTHER_KINDS: &str = "(other)";
-/// Factor over the usual run time of its kind from which a run counts as bad. Run
-/// times vary widely, and targets differ in speed by a factor of two.
-const SLOW_RUN_FACTOR: u32 = 4;
-/// Time after a target's first report in which slow runs do not count as bad, as
-/// the target may still be warming up.
+/// Time after a target's first report in which run times do not count, as the
+/// target may still be warming up.
 const WARM_UP_TIME: Duration = Duration::from_secs(4);
 /// Maximum number of reports kept, for all services together.
 const MAX_REPORTS: usize = 4_096;
@@ -29,7 +26,7 @@
 /// Counters of the runs at this daemon's target, by kind of call.
 #[derive(Default)]
 pub struct RunCounters {
-    kinds: RefCell<BTreeMap<String, CallCounts>>,
+    kinds: RefCell<BTreeMap<String, RunCounts>>,
     sequence: Cell<u64>,
     warm_from: Cell<Option<Instant>>,
 }
@@ -41,16 +38,15 @@
         self.warm_from.set(Some(now + WARM_UP_TIME));
     }
 
-    fn record_run(&self, kind: &str, is_bad: bool) {
+    fn update(&self, kind: &str, update: impl FnOnce(&mut RunCounts)) {
         let mut kinds = self.kinds.borrow_mut();
         let is_full = kinds.len() >= MAX_KINDS && !kinds.contains_key(kind);
         let kind = if is_full { OTHER_KINDS } else { kind };
         if !kinds.contains_key(kind) {
-            kinds.insert(kind.to_owned(), CallCounts::default());
+            kinds.insert(kind.to_owned(), RunCounts::default());
         }
         if let Some(counts) = kinds.get_mut(kind) {
-            counts.ended += 1;
-            counts.bad += u64::from(is_bad);
+            update(counts);
         }
     }
 
@@ -65,8 +61,7 @@
         let kinds = self.kinds.borrow();
         let kind_counts = kinds.iter().map(|(kind, counts)| KindCounts {
             kind: kind.clone(),
-            ended: counts.ended,
-            bad: counts.bad,
+            runs: counts.clone(),
         });
         (self.sequence.get(), kind_counts.collect())
     }
@@ -86,62 +81,61 @@
 
 /// Counts one run when it ends, or when it is dropped because its caller left.
 ///
-/// A dropped run that is already slow counts as bad. Otherwise a slow version
-/// would look good: callers abandon its slowest runs, and none of these would
-/// count.
+/// The time until a run was dropped is kept as well. Otherwise a slow version would
+/// look good: callers abandon its slowest runs, and none of these would count.
 pub struct RunObservation {
     rollouts: Rc<RolloutTable>,
     clock: Rc<dyn Clock>,
     kind: String,
     started_at: Instant,
-    /// Run time above which the run is slow; `None` if the usual run time is unknown.
-    slow_after: Option<Duration>,
     is_ended: bool,
 }
 
 impl RunObservation {
-    /// Observes a run of `kind` that begins now; `expected` is the usual run time of
-    /// its kind, if known.
+    /// Observes a run of `kind` that begins now.
     #[must_use]
-    pub fn new(
-        rollouts: &Rc<RolloutTable>,
-        clock: &Rc<dyn Clock>,
-        kind: &str,
-        expected: Option<Duration>,
-    ) -> RunObservation {
+    pub fn new(rollouts: &Rc<RolloutTable>, clock: &Rc<dyn Clock>, kind: &str) -> RunObservation {
         RunObservation {
             rollouts: Rc::clone(rollouts),
             clock: Rc::clone(clock),
             kind: kind.to_owned(),
             started_at: clock.now(),
-            slow_after: expected.map(|expected| expected * SLOW_RUN_FACTOR),
             is_ended: false,
         }
     }
 
-    fn is_slow(&self) -> bool {
+    /// Time since the start of the run; `None` while the target may be warming up.
+    fn run_time(&self) -> Option<Duration> {
         let now = self.clock.now();
-        let took = now.saturating_duration_since(self.started_at);
-        self.rollouts.run_counters.is_warm(now) && self.slow_after.is_some_and(|bound| took > bound)
+        let is_warm = self.rollouts.run_counters.is_warm(now);
+        is_warm.then(|| now.saturating_duration_since(self.started_at))
     }
 
     /// Counts the run by its `outcome`.
     pub fn end(mut self, outcome: CountedOutcome) {
         self.is_ended = true;
-        let is_bad = match outcome {
-            CountedOutcome::NotCounted => return,
-            CountedOutcome::Failure => true,
-            CountedOutcome::Success => self.is_slow(),
-        };
-        self.rollouts.run_counters.record_run(&self.kind, is_bad);
+        if outcome == CountedOutcome::NotCounted {
+            return;
+        }
+        let run_time = self.run_time();
+        self.rollouts.run_counters.update(&self.kind, |counts| {
+            counts.ended += 1;
+            match (outcome, run_time) {
+                (CountedOutcome::Failure, _) => counts.failed += 1,
+                (_, Some(took)) => counts.completed.record(took),
+                (_, None) => {}
+            }
+        });
     }
 }
 
 impl Drop for RunObservation {
     fn drop(&mut self) {
-        if !self.is_ended && self.is_slow() {
-            self.rollouts.run_counters.record_run(&self.kind, true);
-        }
+        let (false, Some(took)) = (self.is_ended, self.run_time()) else {
+            return;
+        };
+        let counters = &self.rollouts.run_counters;
+        counters.update(&self.kind, |counts| counts.abandoned.record(took));
     }
 }
 
--- a/crates/mesh/src/rollouts/decide.rs
+++ b/crates/mesh/src/rollouts/decide.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use filbert_policy::rollout::judge::{CallCounts, CanaryJudge, TargetCounts, Verdict, VersionSide};
+use filbert_policy::rollout::judge::{CanaryJudge, Verdict, VersionSide};
 use filbert_policy::rollout::record::{RolloutStage, StageReason};
 use filbert_policy::rollout::schedule::{ExposureBudget, RolloutView, TrialPlacement};
+use filbert_policy::rollout::slow_runs::{SlowRunCounter, TargetRuns};
 use twox_hash::XxHash64;
 
 use super::counters::ReceivedReport;
@@ -27,6 +28,7 @@
 
 /// What a deciding daemon remembers of one roll-out between evaluations.
 struct RolloutEvaluator {
+    slow_runs: SlowRunCounter,
     judge: CanaryJudge,
     /// Time at which this daemon last confirmed or entered a stage.
     confirmed_at: Option<Instant>,
@@ -38,6 +40,7 @@
 impl RolloutEvaluator {
     fn new() -> RolloutEvaluator {
         RolloutEvaluator {
+            slow_runs: SlowRunCounter::default(),
             judge: CanaryJudge::default(),
             confirmed_at: None,
             new_targets: None,
@@ -97,9 +100,10 @@
     }
     let now = shared.clock.now();
     let reports = shared.rollouts.reports.for_service(service);
-    let verdict = evaluator
-        .judge
-        .evaluate(&target_counts(&reports, &entry.record.to), now);
+    let counts = evaluator
+        .slow_runs
+        .count(&target_runs(&reports, &entry.record.to), now);
+    let verdict = evaluator.judge.evaluate(&counts, now);
     shared
         .rollouts
         .set_evidence(service, evidence_line(&verdict));
@@ -166,21 +170,15 @@
     )
 }
 
-fn target_counts<'a>(reports: &'a [ReceivedReport], to: &str) -> Vec<TargetCounts<'a>> {
+fn target_runs<'a>(reports: &'a [ReceivedReport], to: &str) -> Vec<TargetRuns<'a>> {
     let one_target = |received: &'a ReceivedReport| {
         let report = &received.report;
-        let counts = report.kinds.iter().map(|kind| {
-            let counts = CallCounts {
-                ended: kind.ended,
-                bad: kind.bad,
-            };
-            (kind.kind.as_str(), counts)
-        });
-        TargetCounts {
+        let kinds = report.kinds.iter();
+        TargetRuns {
             target_id: &report.host,
             zone: &report.zone,
             side: version_side(received, to),
-            kinds: counts.collect(),
+            kinds: kinds.map(|kind| (kind.kind.as_str(), &kind.runs)).collect(),
         }
     };
     reports.iter().map(one_target).collect()
--- a/crates/mesh/src/rollouts/messages.rs
+++ b/crates/mesh/src/rollouts/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use filbert_policy::rollout::record::{OrderId, RolloutRecord};
+use filbert_policy::rollout::slow_runs::RunCounts;
 use serde::{Deserialize, Serialize};
 
 /// Record of a roll-out, sent to another daemon. Times are relative to the order,
@@ -50,8 +51,6 @@
 pub struct KindCounts {
     /// Name of the route.
     pub kind: String,
-    /// Runs that ended.
-    pub ended: u64,
-    /// Runs that failed or took far longer than usual.
-    pub bad: u64,
+    /// The counters.
+    pub runs: RunCounts,
 }
--- a/crates/mesh/src/rollouts/mod.rs
+++ b/crates/mesh/src/rollouts/mod.rs
@@ -13,6 +13,7 @@
 pub mod replication;
 pub mod row;
 pub mod row_writer;
+mod selection;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -20,9 +21,7 @@
 use std::time::Duration;
 
 use filbert_policy::clock::Clock;
-use filbert_policy::rollout::record::{
-    OrderId, RolloutRecord, RolloutStage, StageReason, VersionPreference,
-};
+use filbert_policy::rollout::record::{OrderId, RolloutRecord, RolloutStage, StageReason};
 use tokio::sync::Notify;
 
 use crate::metrics::MeshMetrics;
@@ -96,54 +95,6 @@
         self.entries.borrow().get(service).cloned()
     }
 
-    /// Returns the versions that the call `id` to `service` may go to; `None` if no
-    /// roll-out of the service is known.
-    #[must_use]
-    pub fn version_preference(&self, service: &str, id: &str) -> Option<CallPreference> {
-        if !self.has_any.get() {
-            return None;
-        }
-        let entries = self.entries.borrow();
-        let entry = entries.get(service)?;
-        Some(CallPreference {
-            version_preference: entry
-                .record
-                .version_preference(id, entry.is_fresh(self.clock.now())),
-            to: entry.record.to.clone(),
-        })
-    }
-
-    /// Whether the roll-out of `service`, if any, lets a target on `host` that runs
-    /// version `software` take calls.
-    #[must_use]
-    pub fn admits(&self, service: &str, software: &str, host: &str) -> bool {
-        if !self.has_any.get() {
-            return true;
-        }
-        let entries = self.entries.borrow();
-        let Some(entry) = entries.get(service) else {
-            return true;
-        };
-        let record = &entry.record;
-        let is_on_trial =
-            software == record.to && matches!(record.stage, RolloutStage::Trial { .. });
-        let is_excluded = is_on_trial
-            && !record.canaries.is_empty()
-            && !record.canaries.iter().any(|canary| canary == host);
-        !is_excluded && record.admits(software, entry.is_fresh(self.clock.now()))
-    }
-
-    /// Whether `service` has a live roll-out, during which its runs are counted.
-    #[must_use]
-    pub fn has_live_rollout(&self, service: &str) -> bool {
-        self.has_any.get()
-            && self
-                .entries
-                .borrow()
-                .get(service)
-                .is_some_and(RolloutEntry::is_live)
-    }
-
     /// Whether any roll-out has not reached a final stage.
     #[must_use]
     pub fn has_any_live(&self) -> bool {
@@ -396,15 +347,6 @@
     pub canaries: Option<Vec<String>>,
 }
 
-/// The versions that one call may go to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CallPreference {
-    /// Preference between the new version and the others.
-    pub version_preference: VersionPreference,
-    /// The new version.
-    pub to: String,
-}
-
 /// Returns the name of `stage` in metrics and in the output of `filbertctl`.
 #[must_use]
 pub fn stage_label(stage: RolloutStage) -> &'static str {
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -160,8 +160,9 @@
         update(route_stats.entry(route.to_owned()).or_default())
     }
 
-    /// Records the size of an answer on `route`, and the time of the run that gave it.
-    pub fn record_answer(&self, route: &str, bytes: u64, run_time: Duration) {
+    /// Records the size of an answer on `route`, and the time of the run that gave it if
+    /// that counts for the usual run time.
+    pub fn record_answer(&self, route: &str, bytes: u64, run_time: Option<Duration>) {
         let kib = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1024.0;
         self.with_route_stats(route, |stats| {
             if stats.answer_kib == 0.0 {
@@ -169,7 +170,9 @@
             } else {
                 stats.answer_kib += (kib - stats.answer_kib) * ANSWER_SIZE_EWMA_WEIGHT;
             }
-            stats.run_time.record(run_time);
+            if let Some(run_time) = run_time {
+                stats.run_time.record(run_time);
+            }
         });
     }
 
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -27,7 +27,7 @@
 pub struct CallCounts {
     /// Calls that ended.
     pub ended: u64,
-    /// Calls that failed, or took far longer than usual for their kind.
+    /// Calls that failed, or took far longer than at targets of the old version.
     pub bad: u64,
 }
 
