Add the pace of a target, read from its stated load

Run times averaged over thirty runs show a slow period of 600 ms only once it is over. The fourth figure of Server-Load tells it with each answer, and was discarded.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,7 +14,8 @@
 //! - [`instance`] tracks the lifecycle of the target on the daemon's host,
 //!   [`target_memory`] what was heard of other targets, and
 //!   [`health`] and [`run_times`] its failures and run times.
-//! - [`target_limit`] keeps the limit on calls that a target states.
+//! - [`target_limit`] keeps the limit on calls that a target states, and [`pace`]
+//!   its momentary pace.
 //! - [`egress`] paces answers on a slow network link.
 //! - [`membership`] plans the links to other hosts.
 //! - [`store_access`] decides which daemon queries the store, and when.
@@ -32,6 +33,7 @@
 pub mod membership;
 pub mod numbers;
 pub mod organisations;
+pub mod pace;
 pub mod placement;
 pub mod quarantine;
 pub mod refusal;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -86,7 +86,7 @@
 }
 
 /// Factor by which the run time of a cold target is multiplied.
-const COLD_RUN_TIME_FACTOR: f64 = 2.0;
+pub const COLD_RUN_TIME_FACTOR: f64 = 2.0;
 /// Loss at a target that is shutting down: larger than all other losses
 /// together, so that such a target is chosen only when there is no other.
 const LEAVING_TARGET_LOSS: f64 = 10.0;
