Estimate run times by the pace of the target now

Placement, the wait in admission, the mean run time of the calls in progress and the queue used averages of whole runs. They now use the long-term run time (each run divided by the pace during it) x the pace now x the cold factor, and waiting calls follow a change of the pace. TargetLoad carries the pace while it is not usual; a receiver ages it. At a target that states no pace, the estimates are as before: no field is set, and a replay compares the counts of calls by target with those without a tracker.

--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -211,7 +211,11 @@
     let load = &status.load;
     let run_time = expected_run_time.map_or_else(
         || load.mean_run(),
-        |expected_run_time| expected_run_time.slowed_by(load.slowdown),
+        |expected_run_time| {
+            let long_term = expected_run_time.slowed_by(load.slowdown);
+            load.pace
+                .map_or(long_term, |pace| long_term.slowed_by(pace.factor()))
+        },
     );
     Some(TargetView {
         in_zone,
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -5,6 +5,7 @@
 //! instance, health and run times.
 
 mod crash;
+mod estimate;
 mod run;
 mod statements;
 mod wait;
@@ -16,15 +17,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbert_policy::admission::{AdmissionQueue, LinkTime, QueueLimits, WaitTicket};
+use filbert_policy::admission::{AdmissionQueue, QueueLimits, WaitTicket};
 use filbert_policy::clock::Clock;
 use filbert_policy::health::{RunOutcome, TargetHealth};
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::instance::{
     accepts_while_leaving, InstanceChange, InstanceKey, InstanceReport, InstanceTracker,
 };
-use filbert_policy::numbers::count_to_f64;
-use filbert_policy::run_times::{RunTime, RunTimeEstimator};
+use filbert_policy::pace::PaceTracker;
+use filbert_policy::run_times::RunTimeEstimator;
 use filbert_policy::target_limit::CallRate;
 use filbert_policy::target_memory::ReportedLimits;
 use tokio::sync::{oneshot, Notify, Semaphore};
@@ -32,7 +33,7 @@
 use crate::body::MAX_BUFFERED_ANSWER_KIB;
 use crate::egress::EgressPacer;
 use crate::logging::LogRateLimiter;
-use crate::messages::{CallHead, TargetLoad, TargetState, TargetStatus};
+use crate::messages::{TargetLoad, TargetState, TargetStatus};
 use crate::metrics::MeshMetrics;
 use crate::quarantine::SharedQuarantine;
 use crate::rollouts::RolloutTable;
@@ -44,7 +45,9 @@
 struct GateState {
     queue: AdmissionQueue,
     health: TargetHealth,
+    /// Long-term run times, without the target's momentary pace.
     run_times: RunTimeEstimator,
+    pace: PaceTracker,
     tracker: InstanceTracker,
     /// Senders of the gate's decision to each waiting call: `Ok` if the call runs,
     /// otherwise why it is declined.
@@ -57,6 +60,8 @@
     next_run: u64,
     /// Whether the log says that the current instance has a limit that cannot be read.
     has_logged_unreadable_limit: bool,
+    /// Whether the log says that the current instance has a pace that cannot be read.
+    has_logged_unreadable_pace: bool,
     /// Limits of the target that peers remember from before a restart of this daemon.
     reported_limits: ReportedLimits,
 }
@@ -66,7 +71,7 @@
 struct ActiveRun {
     call: CallIdentity,
     started_at: Instant,
-    /// Expected run time of the call.
+    /// Long-term run time of the call, without pace and cold factor.
     expected: Duration,
 }
 
@@ -113,12 +118,14 @@
                 queue: AdmissionQueue::new(QueueLimits::default()),
                 health: TargetHealth::default(),
                 run_times: RunTimeEstimator::default(),
+                pace: PaceTracker::default(),
                 tracker: InstanceTracker::default(),
                 waiters: HashMap::new(),
                 down_until: None,
                 active_runs: HashMap::new(),
                 next_run: 0,
                 has_logged_unreadable_limit: false,
+                has_logged_unreadable_pace: false,
                 reported_limits: ReportedLimits::default(),
             }),
             connections: Rc::new(TargetConnectionPool::default()),
@@ -187,6 +194,8 @@
                 InstanceChange::Replaced => {
                     state.health = TargetHealth::default();
                     state.run_times = RunTimeEstimator::default();
+                    state.pace = PaceTracker::default();
+                    state.has_logged_unreadable_pace = false;
                     state.has_logged_unreadable_limit = false;
                     state.queue.reset_limit();
                     state.restore_reported_limit(now);
@@ -303,66 +312,18 @@
             slots: state.queue.slots(),
             running: state.queue.running(),
             waiting: state.queue.waiting(),
-            run_ms: millis(mean_run_time(state, now)),
+            // Placement applies the cold factor itself.
+            run_ms: millis(state.mean_run_time(now)) / state.cold_factor(now),
             slowdown: state.run_times.slowdown(),
             failure_rate: state.health.failure_rate(),
             link_ms: millis(self.egress.backlog()),
             link_ms_per_kib: millis(self.egress.transmission_time(KIB)),
             allowance: state.queue.allowance(now),
+            pace: state.pace.current(now),
         }
     }
 
     fn record_outcome(&self, outcome: RunOutcome) {
         self.state.borrow_mut().health.record(outcome);
     }
-
-    /// Estimates the run time of `call` at the local target.
-    #[must_use]
-    pub fn estimate_run_time(&self, call: &CallHead) -> RunTime {
-        let expected_run_time = call.expected_run_time.map(RunTime::from);
-        self.state
-            .borrow()
-            .run_times
-            .expect(&call.kind, expected_run_time)
-    }
-
-    /// Returns the time that the answer to `call` would need on this host's link:
-    /// its queueing delay, less the part that passes during the run, and its
-    /// transmission time.
-    #[must_use]
-    pub fn link_time(&self, call: &CallHead) -> LinkTime {
-        let bytes = call.answer_bytes;
-        LinkTime {
-            wait: self
-                .egress
-                .queueing_delay(bytes)
-                .saturating_sub(self.estimate_run_time(call).mean),
-            send: self.egress.transmission_time(bytes),
-        }
-    }
-}
-
-/// Mean run time of the runs in progress, or of past runs if there are none.
-///
-/// A run counts with its expected time, and with its age so far once it is
-/// overdue. So a target that has become slow shows it before its slow runs end.
-fn mean_run_time(state: &GateState, now: Instant) -> Duration {
-    /// Multiple of a run's expected time from which the run is overdue.
-    const OVERDUE_FACTOR: f64 = 2.0;
-    if state.active_runs.is_empty() {
-        return state.run_times.mean();
-    }
-    let total: Duration = state
-        .active_runs
-        .values()
-        .map(|run| {
-            let age = now.saturating_duration_since(run.started_at);
-            if age > run.expected.mul_f64(OVERDUE_FACTOR) {
-                age
-            } else {
-                run.expected
-            }
-        })
-        .sum();
-    total.div_f64(count_to_f64(state.active_runs.len()))
 }
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -9,11 +9,12 @@
 use filbert_policy::egress::MAX_UNPACED_BYTES;
 use filbert_policy::health::RunOutcome;
 use filbert_policy::instance::InstanceKey;
+use filbert_policy::pace::PaceMark;
 use filbert_policy::run_times::RunTime;
 
 use super::statements::rate_text;
 use super::wait::Declined;
-use super::{mean_run_time, ActiveRun, Gate};
+use super::{ActiveRun, Gate};
 use crate::body::{AnswerBody, BufferedBody, CallBody};
 use crate::logging::LinePriority;
 use crate::messages::{to_micros, AnswerHead, CallHead, ReplyHead};
@@ -36,18 +37,19 @@
         link: LinkTime,
     ) -> (ReplyHead, AnswerBody) {
         let received = self.clock.now();
+        let estimate = self.run_estimate(call);
         let request = AdmissionRequest {
             priority: call.priority,
             soft_deadline: received + Duration::from_micros(call.soft_deadline_us),
             deadline: received + Duration::from_micros(call.deadline_us),
-            run: self.estimate_run_time(call),
+            run: estimate.now,
             link,
         };
         let empty_body = AnswerBody::Whole(bytes::Bytes::new());
         if let Some(reply) = self.refuse_held(call) {
             return (reply, empty_body);
         }
-        let permit = match self.wait_for_slot(call, request).await {
+        let permit = match self.wait_for_slot(call, request, estimate.long_term).await {
             Ok(permit) => permit,
             Err(declined) => {
                 self.record_decline(call, received, declined);
@@ -63,6 +65,7 @@
         }
         let instance = self.current_instance();
         let started_at = self.clock.now();
+        let pace_mark = self.state.borrow_mut().pace.mark(started_at);
         let observation = self.observe_run(call);
         let params = ExchangeParams {
             address: self.address.get(),
@@ -79,6 +82,7 @@
             instance: &instance,
             received,
             started_at,
+            pace_mark,
         };
         let (reply, body, counted_outcome) = self.evaluate(&run, outcome).await;
         if let Some(observation) = observation {
@@ -172,9 +176,11 @@
             let mut state = self.state.borrow_mut();
             if head.status < MIN_SERVER_ERROR_STATUS {
                 let expected_run_time = run.call.expected_run_time.map(RunTime::from);
+                let long_term_run =
+                    state.long_term_run(run.pace_mark, time_to_head, self.clock.now());
                 state
                     .run_times
-                    .record(&run.call.kind, expected_run_time, time_to_head);
+                    .record(&run.call.kind, expected_run_time, long_term_run);
                 state.health.record(RunOutcome::Success);
             } else {
                 state.health.record(RunOutcome::Failure);
@@ -292,7 +298,7 @@
         if !is_suspect(call.identity) || !state.active_runs.values().any(is_other_suspect) {
             return None;
         }
-        let room_in = mean_run_time(&state, self.clock.now());
+        let room_in = state.mean_run_time(self.clock.now());
         drop(state);
         Some(self.decline_reply(Declined {
             reason: DeclineReason::Crowded,
@@ -316,6 +322,7 @@
     pub(super) instance: &'a InstanceKey,
     received: Instant,
     pub(super) started_at: Instant,
+    pace_mark: PaceMark,
 }
 
 impl CallRun<'_> {
--- a/crates/mesh/src/gate/statements.rs
+++ b/crates/mesh/src/gate/statements.rs
@@ -1,13 +1,16 @@
-//! What the local target states in its answers about the calls that it still accepts.
+//! What the local target states in its answers about the calls that it still accepts
+//! and about its pace.
 
 use std::time::Instant;
 
 use filbert_platform::headers::TargetStatement;
 use filbert_policy::instance::{InstanceChange, InstanceKey};
+use filbert_policy::pace::PaceStatement;
 use filbert_policy::target_limit::{CallRate, LimitChange, LimitStatement};
 
 use super::run::CallRun;
 use super::{Gate, GateState};
+use crate::logging::LinePriority;
 
 impl Gate {
     /// The current instance of the target; an empty key before its first report.
@@ -34,6 +37,7 @@
             state.has_logged_unreadable_limit = true;
             log::warn!("event=target_limit_unreadable instance={}", run.instance);
         }
+        self.record_pace(&mut state, run.instance, statement.pace, now);
         let change = state
             .queue
             .record_statement(statement.limit, run.started_at, now);
@@ -49,6 +53,32 @@
         }
     }
 
+    /// Records the pace that `instance` states. A change by a level is logged and sent to
+    /// other daemons.
+    fn record_pace(
+        &self,
+        state: &mut GateState,
+        instance: &InstanceKey,
+        statement: PaceStatement,
+        now: Instant,
+    ) {
+        if statement == PaceStatement::Unreadable && !state.has_logged_unreadable_pace {
+            state.has_logged_unreadable_pace = true;
+            log::warn!("event=target_pace_unreadable instance={instance}");
+        }
+        let Some(change) = state.pace.record(statement, now) else {
+            return;
+        };
+        self.status_changed.notify_waiters();
+        if self.log_limiter.allows(LinePriority::Notable, now) {
+            log::info!(
+                "event=target_pace instance={instance} before={:.2} after={:.2}",
+                change.before,
+                change.after
+            );
+        }
+    }
+
     /// Restores the limit of `instance` after a restart of this daemon, as a peer
     /// remembers it.
     pub fn restore_limit(&self, instance: &InstanceKey, rate: CallRate) {
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -8,9 +8,10 @@
 };
 use filbert_policy::health::RunOutcome;
 use filbert_policy::identity::CallIdentity;
+use filbert_policy::run_times::RunTime;
 use tokio::sync::oneshot;
 
-use super::{mean_run_time, ActiveRun, Gate};
+use super::{ActiveRun, Gate};
 use crate::messages::{CallHead, TargetState};
 
 /// Interval at which waiting calls that have become too late are declined.
@@ -121,7 +122,8 @@
 }
 
 impl Gate {
-    /// Waits for a slot at the target.
+    /// Waits for a slot at the target. `long_term_run` is the call's run time without
+    /// pace and cold factor.
     ///
     /// # Errors
     /// [`Declined`] if the target is closed or belongs to another service, if the
@@ -130,6 +132,7 @@
         self: &Rc<Self>,
         call: &CallHead,
         request: AdmissionRequest,
+        long_term_run: RunTime,
     ) -> Result<RunPermit, Declined> {
         let now = self.clock.now();
         let waiting = {
@@ -141,7 +144,8 @@
                 .is_some_and(|report| report.service == call.service);
             let is_open = has_service && self.target_state(state, now) != TargetState::Closed;
             state.queue.set_open(is_open);
-            let mean_run = mean_run_time(state, now);
+            state.update_queue_pace(now);
+            let mean_run = state.mean_run_time(now);
             match state.queue.offer(request, mean_run, now) {
                 AdmissionDecision::Run => None,
                 AdmissionDecision::Decline { reason, room_in } => {
@@ -164,7 +168,7 @@
             };
             guard.decision().await?;
         }
-        Ok(self.start_run(call.identity, request.run.mean))
+        Ok(self.start_run(call.identity, long_term_run.mean))
     }
 
     fn start_run(self: &Rc<Self>, call: CallIdentity, expected: Duration) -> RunPermit {
@@ -197,7 +201,8 @@
             if state.queue.waiting() == 0 {
                 return;
             }
-            let mean_run = mean_run_time(state, now);
+            state.update_queue_pace(now);
+            let mean_run = state.mean_run_time(now);
             let outcomes = if self.target_state(state, now) == TargetState::Closed {
                 state.queue.decline_all(mean_run)
             } else {
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -9,6 +9,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use filbert_policy::admission::DeclineReason;
 use filbert_policy::instance::InstanceKey;
+use filbert_policy::pace::TargetPace;
 use filbert_policy::run_times::RunTime;
 use filbert_policy::target_limit::{CallAllowance, CallRate};
 use serde::{Deserialize, Serialize};
@@ -91,9 +92,29 @@
     pub link_ms_per_kib: f64,
     /// What is left of the target's limit on the rate of calls; `None` without a limit.
     pub allowance: Option<CallAllowance>,
+    /// The target's momentary pace; `None` if it is the usual one or the target states
+    /// none.
+    pub pace: Option<TargetPace>,
 }
 
 impl TargetLoad {
+    /// The load after `elapsed` without news: the allowance is refilled, and the pace and
+    /// the mean run time approach their usual values.
+    #[must_use]
+    pub fn after(self, elapsed: Duration) -> TargetLoad {
+        let pace = self.pace.map(|pace| pace.after(elapsed));
+        let pace_ratio = match (self.pace, pace) {
+            (Some(before), Some(after)) => after.factor() / before.factor(),
+            _ => 1.0,
+        };
+        TargetLoad {
+            run_ms: self.run_ms * pace_ratio,
+            allowance: self.allowance.map(|allowance| allowance.after(elapsed)),
+            pace,
+            ..self
+        }
+    }
+
     /// Run time to expect of a call whose route is not known.
     #[must_use]
     pub fn mean_run(&self) -> RunTime {
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -312,10 +312,7 @@
             load_heard_at,
         } = self.target.borrow().clone()?;
         let elapsed = now.saturating_duration_since(load_heard_at);
-        status.load.allowance = status
-            .load
-            .allowance
-            .map(|allowance| allowance.after(elapsed));
+        status.load = status.load.after(elapsed);
         Some((status, self.sent_since.get()))
     }
 }
--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -67,6 +67,8 @@
     waiting: Vec<WaitingCall>,
     next_ticket: u64,
     is_open: bool,
+    /// Ratio of the run times now to the long-term ones.
+    run_factor: f64,
     offered_load: OfferedLoad,
     limit: TargetLimit,
 }
@@ -82,6 +84,7 @@
             waiting: Vec::new(),
             next_ticket: 0,
             is_open: false,
+            run_factor: 1.0,
             offered_load: OfferedLoad::default(),
             limit: TargetLimit::default(),
         }
@@ -187,6 +190,18 @@
         }
     }
 
+    /// Sets the ratio of the target's run times now to its long-term ones. The run times
+    /// of the calls that wait change with it; new calls are expected to contain it.
+    pub fn set_run_factor(&mut self, factor: f64) {
+        let change = factor / self.run_factor;
+        if (change - 1.0).abs() > f64::EPSILON {
+            for call in &mut self.waiting {
+                call.request.run = call.request.run.slowed_by(change);
+            }
+        }
+        self.run_factor = factor;
+    }
+
     /// Decides whether a new call runs, waits or is declined, where `mean_run`
     /// is the mean run time of the calls at the target.
     pub fn offer(
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -20,10 +20,10 @@
 const SLOW_PERIOD: Duration = Duration::from_millis(600);
 /// Pace of a target at its usual speed, in percent.
 const USUAL_PERCENT: u16 = 100;
-/// Bounds of the pace, in percent. They include slow periods of 2.5 times the usual run
-/// time; a false statement beyond them has no more effect than one at the bound.
-const MIN_PERCENT: u16 = 50;
-const MAX_PERCENT: u16 = 400;
+/// Bounds of the factor. They include slow periods of 2.5 times the usual run time; a
+/// false statement beyond them has no more effect than one at the bound.
+const MIN_FACTOR: f64 = 0.5;
+const MAX_FACTOR: f64 = 4.0;
 /// Factor between two levels of the pace.
 const LEVEL_FACTOR: f64 = 1.5;
 /// Minimum time between two reported changes of the pace.
@@ -47,7 +47,8 @@
         if !percent.is_finite() || percent <= 0.0 {
             return None;
         }
-        let bounded = percent.clamp(f64::from(MIN_PERCENT), f64::from(MAX_PERCENT));
+        let usual = f64::from(USUAL_PERCENT);
+        let bounded = percent.clamp(MIN_FACTOR * usual, MAX_FACTOR * usual);
         let percent = u16::try_from(truncate_to_u64(bounded.round())).unwrap_or(USUAL_PERCENT);
         Some(TargetPace { percent, age_ms: 0 })
     }
@@ -66,8 +67,8 @@
     /// was received from another daemon.
     #[must_use]
     pub fn factor(self) -> f64 {
-        let stated = f64::from(self.percent.clamp(MIN_PERCENT, MAX_PERCENT));
-        let stated = stated / f64::from(USUAL_PERCENT);
+        let stated = f64::from(self.percent) / f64::from(USUAL_PERCENT);
+        let stated = stated.clamp(MIN_FACTOR, MAX_FACTOR);
         let age = Duration::from_millis(u64::from(self.age_ms));
         let passed = age.as_secs_f64() / SLOW_PERIOD.as_secs_f64();
         1.0 + (stated - 1.0) * (1.0 - passed).max(0.0)
@@ -189,7 +190,11 @@
         if self.stated.is_none() || elapsed.is_zero() {
             return took;
         }
-        let usual = self.usual.saturating_sub(mark.usual);
+        // The bounds matter for a run of an instance that was replaced meanwhile.
+        let usual = self
+            .usual
+            .saturating_sub(mark.usual)
+            .clamp(elapsed.div_f64(MAX_FACTOR), elapsed.div_f64(MIN_FACTOR));
         took.mul_f64(usual.as_secs_f64() / elapsed.as_secs_f64())
     }
 
--- a/crates/policy/tests/pace_cases.rs
+++ b/crates/policy/tests/pace_cases.rs
@@ -63,6 +63,9 @@
     }
     let took = millis(case.run_ms);
     let usual = tracker.usual_run(mark, took, start + took);
+    if case.statements.is_empty() {
+        assert_eq!(usual, took);
+    }
     let difference = usual.abs_diff(millis(case.usual_ms));
     assert!(difference <= millis(1), "{usual:?}");
 }
--- a/crates/policy/tests/pace_replay.rs
+++ b/crates/policy/tests/pace_replay.rs
@@ -24,6 +24,13 @@
     assert!(with >= without + 0.01, "{without} without, {with} with");
 }
 
+/// Guards against decisions that change where no target states a pace.
+#[test]
+fn targets_without_a_pace_get_the_same_calls_as_before() {
+    let counts = |claim| simulate(claim, claim, 5, 1);
+    assert_eq!(counts(PaceClaim::Nothing), counts(PaceClaim::Untracked));
+}
+
 /// Guards against a target whose false pace harms calls to other targets.
 #[rstest]
 fn a_false_pace_harms_at_most_its_own_share(
--- a/crates/policy/tests/support/pace.rs
+++ b/crates/policy/tests/support/pace.rs
@@ -34,6 +34,8 @@
 /// What a target states as its pace, in percent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PaceClaim {
+    /// The daemons have no tracker of the pace.
+    Untracked,
     Nothing,
     Truth,
     Always(f64),
@@ -119,7 +121,7 @@
 
     fn statement(&self, pace: f64, rng: &mut StdRng) -> PaceStatement {
         let percent = match self.claim {
-            PaceClaim::Nothing => return PaceStatement::Absent,
+            PaceClaim::Untracked | PaceClaim::Nothing => return PaceStatement::Absent,
             PaceClaim::Truth => pace * 100.0,
             PaceClaim::Always(percent) => percent,
             PaceClaim::Jumping if rng.random() => 1.0,
@@ -133,8 +135,18 @@
         pace.map_or(run, |pace| run.slowed_by(pace.factor()))
     }
 
+    fn factor(&self, now: Instant) -> f64 {
+        self.tracker.current(now).map_or(1.0, TargetPace::factor)
+    }
+
+    fn update_queue(&mut self, now: Instant) {
+        if self.claim != PaceClaim::Untracked {
+            self.queue.set_run_factor(self.factor(now));
+        }
+    }
+
     fn mean_run(&self, now: Instant) -> Duration {
-        let factor = self.tracker.current(now).map_or(1.0, TargetPace::factor);
+        let factor = self.factor(now);
         if self.runs.is_empty() {
             return self.run_times.mean().mul_f64(factor);
         }
@@ -183,6 +195,7 @@
             run: self.scaled(long_term, now),
             link: LinkTime::default(),
         };
+        self.update_queue(now);
         let mean_run = self.mean_run(now);
         match self.queue.offer(request, mean_run, now) {
             AdmissionDecision::Run => self.start(call, long_term.mean, now),
@@ -209,11 +222,15 @@
             let statement = self.statement(pace, rng);
             self.has_news |= self.tracker.record(statement, now).is_some();
             let took = now.saturating_duration_since(run.started);
-            let usual = self.tracker.usual_run(run.mark, took, now);
+            let usual = match self.claim {
+                PaceClaim::Untracked => took,
+                _ => self.tracker.usual_run(run.mark, took, now),
+            };
             self.run_times.record("read", run.call.usual, usual);
             self.queue.finish_run();
         }
         let mut declined = Vec::new();
+        self.update_queue(now);
         let mean_run = self.mean_run(now);
         for outcome in self.queue.dispatch(mean_run, now) {
             let (WaitOutcome::Run(ticket) | WaitOutcome::Decline { ticket, .. }) = outcome;
@@ -228,7 +245,7 @@
 }
 
 /// Ends of the calls of a simulation.
-#[derive(Default)]
+#[derive(Debug, Default, PartialEq)]
 pub struct CallCounts {
     in_time: [f64; TARGETS],
     late: [f64; TARGETS],
