Tell other daemons when the pace of a target changes by a level

Changes of the pace reached other daemons only with the next change of the load or an answer. A pace that differs by a factor of 1.5 from the one that the receivers assume by now is sent in the zone at least 100 ms after the last update, outside at least 500 ms after it. The comparison of run times leaves the pace out, so that it has no other way to cause updates.

--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -2,9 +2,10 @@
 //! reports a change, otherwise a few times per second while the load changes.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbert_policy::numbers::count_to_f64;
+use filbert_policy::pace::{differs_by_level, TargetPace, MIN_CHANGE_INTERVAL};
 use filbert_policy::target_limit::CallRate;
 
 use crate::messages::{encode, LinkMessage, TargetLoad, TargetStatus};
@@ -26,35 +27,76 @@
 /// Relative change of the slowdown from which daemons in other zones are updated.
 const OUTSIDE_SLOWDOWN_CHANGE: f64 = 0.3;
 
+/// Minimum time between two updates of daemons in other zones because of the target's
+/// pace. About one is sent per slow period; calls seldom leave their zone.
+const OUTSIDE_PACE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Sends the status of the target on this host to other daemons when it has changed
 /// enough. Runs until the process ends.
 pub async fn send_updates(shared: Rc<MeshShared>) {
-    let mut sent_in_zone: Option<TargetStatus> = None;
-    let mut sent_outside: Option<TargetStatus> = None;
+    let mut sent_in_zone = SentStatus::none(shared.clock.now());
+    let mut sent_outside = SentStatus::none(shared.clock.now());
     loop {
         tokio::select! {
             () = tokio::time::sleep(load_update_interval(shared.peers.subscriber_count())) => {}
             () = shared.gate.status_changed.notified() => {}
         }
         let status = shared.gate.status();
+        let now = shared.clock.now();
         let zone = shared.settings.borrow().zone.clone();
-        let updates_zone = needs_update_in_zone(sent_in_zone.as_ref(), status.as_ref());
-        let updates_outside = needs_update_outside(sent_outside.as_ref(), status.as_ref());
+        let updates_zone = needs_update_in_zone(&sent_in_zone, status.as_ref(), now);
+        let updates_outside = needs_update_outside(&sent_outside, status.as_ref(), now);
         if !updates_zone && !updates_outside {
             continue;
         }
         let frame = encode(&LinkMessage::Target(status.clone()));
         if updates_zone {
             shared.peers.broadcast_in(&zone, &frame);
-            sent_in_zone.clone_from(&status);
+            sent_in_zone = SentStatus {
+                status: status.clone(),
+                at: now,
+            };
         }
         if updates_outside {
             shared.peers.broadcast_outside(&zone, &frame);
-            sent_outside = status;
+            sent_outside = SentStatus { status, at: now };
         }
     }
 }
 
+/// Status of the target as last sent to other daemons.
+#[derive(Clone, Debug)]
+pub struct SentStatus {
+    /// The status; `None` if there was no target, or nothing was sent.
+    pub status: Option<TargetStatus>,
+    /// Time at which it was sent.
+    pub at: Instant,
+}
+
+impl SentStatus {
+    /// Nothing was sent until `now`.
+    #[must_use]
+    pub fn none(now: Instant) -> SentStatus {
+        SentStatus {
+            status: None,
+            at: now,
+        }
+    }
+
+    /// Whether the pace differs by a level from the one that the receivers assume at
+    /// `now`, and was not sent within `min_interval`.
+    fn needs_pace(
+        &self,
+        sent: Option<TargetPace>,
+        pace: Option<TargetPace>,
+        min_interval: Duration,
+        now: Instant,
+    ) -> bool {
+        let elapsed = now.saturating_duration_since(self.at);
+        elapsed >= min_interval && differs_by_level(sent.map(|sent| sent.after(elapsed)), pace)
+    }
+}
+
 /// Free capacity of a target, in the steps that daemons in other zones distinguish.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Headroom {
@@ -89,8 +131,13 @@
 /// Calls seldom leave their zone, and traffic between zones is billed. When every change
 /// of the load was sent, fifteen hosts with little traffic sent 1.2 MB of updates to
 /// other zones in half a minute, more than the 0.8 MB of the calls between the zones.
-fn needs_update_outside(sent: Option<&TargetStatus>, status: Option<&TargetStatus>) -> bool {
-    match (sent, status) {
+#[must_use]
+pub fn needs_update_outside(
+    last: &SentStatus,
+    status: Option<&TargetStatus>,
+    now: Instant,
+) -> bool {
+    match (last.status.as_ref(), status) {
         (Some(sent), Some(status)) => {
             let (before, after) = (&sent.load, &status.load);
             has_target_changed(sent, status)
@@ -98,6 +145,7 @@
                 || (before.slowdown - after.slowdown).abs()
                     > OUTSIDE_SLOWDOWN_CHANGE * before.slowdown
                 || (before.failure_rate - after.failure_rate).abs() > OUTSIDE_FAILURE_RATE_CHANGE
+                || last.needs_pace(before.pace, after.pace, OUTSIDE_PACE_INTERVAL, now)
         }
         (sent, status) => sent.is_some() != status.is_some(),
     }
@@ -117,6 +165,12 @@
     load.allowance.map(|allowance| allowance.rate)
 }
 
+/// Mean run time at the usual pace, in milliseconds.
+fn usual_run_ms(load: &TargetLoad) -> f64 {
+    load.pace
+        .map_or(load.run_ms, |pace| load.run_ms / pace.factor())
+}
+
 /// Returns the interval between updates of the load for this number of subscribers.
 fn load_update_interval(subscriber_count: usize) -> Duration {
     LOAD_UPDATE_INTERVAL.mul_f64(
@@ -127,15 +181,22 @@
 
 /// Returns whether `status` differs enough from what was sent last for an update of the
 /// daemons in the zone.
-fn needs_update_in_zone(sent: Option<&TargetStatus>, status: Option<&TargetStatus>) -> bool {
-    match (sent, status) {
+#[must_use]
+pub fn needs_update_in_zone(
+    last: &SentStatus,
+    status: Option<&TargetStatus>,
+    now: Instant,
+) -> bool {
+    match (last.status.as_ref(), status) {
         (None, None) => false,
         (Some(sent), Some(status)) => {
             let before = &sent.load;
             let after = &status.load;
             has_target_changed(sent, status)
                 || (before.running + before.waiting) != (after.running + after.waiting)
-                || (before.run_ms - after.run_ms).abs() > RUN_TIME_CHANGE * before.run_ms
+                || (usual_run_ms(before) - usual_run_ms(after)).abs()
+                    > RUN_TIME_CHANGE * usual_run_ms(before)
+                || last.needs_pace(before.pace, after.pace, MIN_CHANGE_INTERVAL, now)
                 || (before.failure_rate - after.failure_rate).abs() > FAILURE_RATE_CHANGE
         }
         _ => true,
