Show the pace of a target in metrics, status and logs

An operator could not see whether a call was late behind a slow period. The gauge filbert_target_pace, a column of filbertctl mesh status (pace in JSON), and gate_ran verdict=answered_late with the pace tell it; explain lists target_pace lines before the call.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -15,6 +15,7 @@
 use filbert_policy::organisations::keys::{KeyHash, KeyIndex, OrganisationRule, RateLimit};
 use filbert_policy::organisations::quota::{PoolTopology, QuotaPolicy, TokenPool};
 use filbert_policy::organisations::token_cache::TokenCache;
+use filbert_policy::pace::{slowdown_at_pace, TargetPace};
 use filbert_policy::placement::{choose_target, CrossZoneCost, PlacementRequest, TargetView};
 use filbert_policy::quarantine::{CallRecord, QuarantineTable, TargetCrash};
 use filbert_policy::rollout::judge::{CallCounts, CanaryJudge, TargetCounts, VersionSide};
@@ -115,40 +116,78 @@
     });
 }
 
+const PLACEMENT_REQUEST: PlacementRequest = PlacementRequest {
+    transfer_kib: 5.0,
+    soft_deadline_ms: 600.0,
+    deadline_ms: 2_000.0,
+    zone_has_target: true,
+    is_above_lowest_priority: false,
+};
+const CROSS_ZONE_COST: CrossZoneCost = CrossZoneCost {
+    base: 0.01,
+    per_kib: 0.006,
+    most: 0.9,
+};
+
+/// State of the target with this number.
+fn placement_view(target: u32) -> TargetView {
+    TargetView {
+        in_zone: target.is_multiple_of(3),
+        slots: 9,
+        occupancy: f64::from(target % 9),
+        run_ms: 150.0 + f64::from(target),
+        mean_deviation_ms: 60.0,
+        queue_run_ms: 150.0,
+        failure_rate: 0.0,
+        is_cold: false,
+        is_leaving: false,
+        link_ms: 0.0,
+        link_ms_per_kib: 0.0,
+        limit_wait_ms: 0.0,
+    }
+}
+
 /// Cost of choosing the target of a call.
 fn measure_placement() {
-    let request = PlacementRequest {
-        transfer_kib: 5.0,
-        soft_deadline_ms: 600.0,
-        deadline_ms: 2_000.0,
-        zone_has_target: true,
-        is_above_lowest_priority: false,
-    };
-    let cross_zone_cost = CrossZoneCost {
-        base: 0.01,
-        per_kib: 0.006,
-        most: 0.9,
-    };
     for count in [9, 70] {
-        let views: Vec<TargetView> = (0..count)
-            .map(|target| TargetView {
-                in_zone: target % 3 == 0,
-                slots: 9,
-                occupancy: f64::from(target % 9),
-                run_ms: 150.0 + f64::from(target),
-                mean_deviation_ms: 60.0,
-                queue_run_ms: 150.0,
-                failure_rate: 0.0,
-                is_cold: false,
-                is_leaving: false,
-                link_ms: 0.0,
-                link_ms_per_kib: 0.0,
-                limit_wait_ms: 0.0,
-            })
-            .collect();
+        let views: Vec<TargetView> = (0..count).map(placement_view).collect();
         let mut rng = rand::rng();
         measure(&format!("placement among {count} targets"), |_| {
-            black_box(choose_target(&views, &request, &cross_zone_cost, &mut rng));
+            black_box(choose_target(
+                &views,
+                &PLACEMENT_REQUEST,
+                &CROSS_ZONE_COST,
+                &mut rng,
+            ));
+        });
+    }
+}
+
+/// Cost of estimating the run time of a call at 50 targets and of choosing one of them,
+/// without and with a pace at each.
+fn measure_placement_by_pace() {
+    let pace = TargetPace::from_percent(250.0).map(|pace| pace.after(Duration::from_millis(80)));
+    let usual = RunTime::exponential(Duration::from_millis(150));
+    for (name, pace) in [("without a pace", None), ("with a pace", pace)] {
+        let mut rng = rand::rng();
+        measure(&format!("placement among 50 targets {name}"), |_| {
+            let views: Vec<TargetView> = (0..50)
+                .map(|target| {
+                    let slowdown = 0.7 + f64::from(target) / 50.0;
+                    let run = usual.slowed_by(slowdown_at_pace(slowdown, black_box(pace)));
+                    TargetView {
+                        run_ms: run.mean.as_secs_f64() * 1_000.0,
+                        mean_deviation_ms: run.mean_deviation.as_secs_f64() * 1_000.0,
+                        ..placement_view(target)
+                    }
+                })
+                .collect();
+            black_box(choose_target(
+                &views,
+                &PLACEMENT_REQUEST,
+                &CROSS_ZONE_COST,
+                &mut rng,
+            ));
         });
     }
 }
@@ -315,6 +354,7 @@
         black_box(round_robin.next_service(&split_route, 7));
     });
     measure_placement();
+    measure_placement_by_pace();
     measure_run_times();
     measure_admission();
     let now = Instant::now();
--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -136,7 +136,7 @@
         return Ok(());
     }
     println!(
-        "{:<32} {:<16} {:<16} {:>8} {:>6} {:>8} {:>8} {:>5} {:>8} {:>7} {:>7}",
+        "{:<32} {:<16} {:<16} {:>8} {:>6} {:>8} {:>8} {:>5} {:>8} {:>7} {:>5} {:>7}",
         "host",
         "zone",
         "service",
@@ -147,6 +147,7 @@
         "ill",
         "memory",
         "limit",
+        "pace",
         "leaving"
     );
     for HostStatus {
@@ -160,7 +161,7 @@
             || "does not answer".to_owned(),
             |daemon| {
                 format!(
-                    "{:08x} {:>6} {:>8} {:>8} {:>5.2} {:>5} MB {:>7} {:>7}",
+                    "{:08x} {:>6} {:>8} {:>8} {:>5.2} {:>5} MB {:>7} {:>5} {:>7}",
                     daemon.version,
                     daemon.links,
                     daemon.running,
@@ -170,6 +171,9 @@
                     daemon
                         .call_limit
                         .map_or_else(|| "-".to_owned(), |limit| limit.to_string()),
+                    daemon
+                        .pace
+                        .map_or_else(|| "-".to_owned(), |pace| format!("{pace:.2}")),
                     if daemon.is_leaving { "yes" } else { "-" }
                 )
             },
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -226,7 +226,8 @@
 
 /// Events that change the state from which a daemon decides, and so may explain what
 /// happened to a call.
-const STATE_CHANGE_EVENTS: [&str; 12] = [
+const STATE_CHANGE_EVENTS: [&str; 13] = [
+    "target_pace",
     "version_in_force",
     "target_report",
     "target_leaves",
--- a/crates/ctl/src/mesh.rs
+++ b/crates/ctl/src/mesh.rs
@@ -183,6 +183,9 @@
     pub ill_share: f64,
     /// Calls per second that the target accepts; `None` if it states no limit.
     pub call_limit: Option<f64>,
+    /// Run times of the target now, as a ratio of the usual ones; `None` if the daemon
+    /// does not measure it.
+    pub pace: Option<f64>,
     /// Whether the target is shutting down.
     pub is_leaving: bool,
     /// Resident memory of the daemon in bytes.
@@ -202,6 +205,7 @@
             ill_share: metric_value(text, "filbert_target_ill_share").unwrap_or_default(),
             call_limit: metric_value(text, "filbert_target_call_limit")
                 .filter(|limit: &f64| limit.is_finite()),
+            pace: metric_value(text, "filbert_target_pace"),
             is_leaving: metric_value(text, "filbert_target_leaving") == Some(1),
             memory_bytes: metric_value(text, "process_resident_memory_bytes").unwrap_or_default(),
         })
--- a/crates/ctl/tests/mesh_status_cases.rs
+++ b/crates/ctl/tests/mesh_status_cases.rs
@@ -3,6 +3,16 @@
 use filbert_ctl::mesh::DaemonMetrics;
 use rstest::rstest;
 
+/// Guards against a status that hides that a target is slow.
+#[rstest]
+#[case("filbert_target_pace{otel_scope_name=\"filbertd\"} 2.5\n", Some(2.5))]
+#[case("", None)]
+fn the_pace_of_a_target_is_shown(#[case] line: &str, #[case] pace: Option<f64>) {
+    let text = format!("filbert_version{{}} 4\n{line}");
+    let metrics = DaemonMetrics::parse(&text).expect("metrics");
+    assert_eq!(metrics.pace, pace);
+}
+
 /// Guards against a status that hides that a target is limited or leaving.
 #[rstest]
 #[case("3.3", Some(3.3), "0", false)]
--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use filbert_policy::pace::slowdown_at_pace;
 use filbert_policy::placement::{
     choose_target, estimated_occupancy, CrossZoneCost, PlacementRequest, TargetView,
 };
@@ -211,11 +212,7 @@
     let load = &status.load;
     let run_time = expected_run_time.map_or_else(
         || load.mean_run(),
-        |expected_run_time| {
-            let long_term = expected_run_time.slowed_by(load.slowdown);
-            load.pace
-                .map_or(long_term, |pace| long_term.slowed_by(pace.factor()))
-        },
+        |expected_run_time| expected_run_time.slowed_by(slowdown_at_pace(load.slowdown, load.pace)),
     );
     Some(TargetView {
         in_zone,
--- a/crates/mesh/src/gate/estimate.rs
+++ b/crates/mesh/src/gate/estimate.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Ratio of the target's run times now to the usual ones; 1 if it states no pace.
+    #[must_use]
+    pub fn pace_factor(&self) -> f64 {
+        let pace = self.state.borrow().pace.current(self.clock.now());
+        pace.map_or(1.0, TargetPace::factor)
+    }
+
     /// Returns the time that the answer to `call` would need on this host's link:
     /// its queueing delay, less the part that passes during the run, and its
     /// transmission time.
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -188,6 +188,13 @@
         }
         if head.status >= MIN_SERVER_ERROR_STATUS {
             self.log_run(run, "answered_failure", &format!("status {}", head.status));
+            return;
+        }
+        let soft_deadline = run.received + Duration::from_micros(run.call.soft_deadline_us);
+        let now = self.clock.now();
+        let pace = self.state.borrow().pace.current(now);
+        if let Some(pace) = pace.filter(|_| now > soft_deadline) {
+            self.log_run(run, "answered_late", &format!("pace {:.2}", pace.factor()));
         }
     }
 
--- a/crates/mesh/src/metrics/target.rs
+++ b/crates/mesh/src/metrics/target.rs
@@ -13,6 +13,7 @@
     failure_rate: Gauge<f64>,
     call_limit: Gauge<f64>,
     leaving: Gauge<u64>,
+    pace: Gauge<f64>,
 }
 
 impl TargetGauges {
@@ -34,6 +35,10 @@
                 "filbert.target.call_limit",
                 "Calls per second that the target accepts, +Inf without a limit",
             ),
+            pace: ratio(
+                "filbert.target.pace",
+                "Run times of the target now, as a ratio of the usual ones; 1 if not stated",
+            ),
             leaving: gauge(
                 "filbert.target.leaving",
                 "Whether the target is shutting down, 0 or 1",
@@ -53,6 +58,7 @@
             .call_limit()
             .map_or(f64::INFINITY, CallRate::per_second);
         self.call_limit.record(call_limit, &[]);
+        self.pace.record(gate.pace_factor(), &[]);
         self.leaving.record(u64::from(gate.is_leaving()), &[]);
     }
 }
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -16,8 +16,9 @@
 
 use crate::numbers::truncate_to_u64;
 
-/// Usual length of a slow period, after which a stated pace says nothing any more.
-const SLOW_PERIOD: Duration = Duration::from_millis(600);
+/// Usual length of a slow period, in milliseconds, after which a stated pace says nothing
+/// any more.
+const SLOW_PERIOD_MS: u16 = 600;
 /// Pace of a target at its usual speed, in percent.
 const USUAL_PERCENT: u16 = 100;
 /// Bounds of the factor. They include slow periods of 2.5 times the usual run time; a
@@ -69,19 +70,24 @@
     pub fn factor(self) -> f64 {
         let stated = f64::from(self.percent) / f64::from(USUAL_PERCENT);
         let stated = stated.clamp(MIN_FACTOR, MAX_FACTOR);
-        let age = Duration::from_millis(u64::from(self.age_ms));
-        let passed = age.as_secs_f64() / SLOW_PERIOD.as_secs_f64();
+        let passed = f64::from(self.age_ms) / f64::from(SLOW_PERIOD_MS);
         1.0 + (stated - 1.0) * (1.0 - passed).max(0.0)
     }
 
     /// Whether the target works at its usual speed, as far as is known.
     #[must_use]
     pub fn is_usual(self) -> bool {
-        self.percent == USUAL_PERCENT
-            || Duration::from_millis(u64::from(self.age_ms)) >= SLOW_PERIOD
+        self.percent == USUAL_PERCENT || self.age_ms >= SLOW_PERIOD_MS
     }
 }
 
+/// Ratio of a target's run times now to the usual ones of all targets. `slowdown` is the
+/// ratio of its long-term run times; no pace stands for the usual one.
+#[must_use]
+pub fn slowdown_at_pace(slowdown: f64, pace: Option<TargetPace>) -> f64 {
+    pace.map_or(slowdown, |pace| slowdown * pace.factor())
+}
+
 /// Whether two paces differ by a level or more; `None` stands for the usual pace.
 #[must_use]
 pub fn differs_by_level(first: Option<TargetPace>, second: Option<TargetPace>) -> bool {
@@ -213,7 +219,7 @@
     fn advance_to_statement(&mut self, stated: TargetPace, now: Instant) {
         let since = self.advanced_at.unwrap_or(now);
         let elapsed = now.saturating_duration_since(since);
-        let recent = elapsed.min(SLOW_PERIOD);
+        let recent = elapsed.min(Duration::from_millis(u64::from(SLOW_PERIOD_MS)));
         self.usual += elapsed.saturating_sub(recent) + recent.div_f64(stated.factor());
         self.advanced_at = Some(since + elapsed);
     }
