Bound the updates of a pace by the number of subscribers

A change of the pace woke the sender of the status, which then also sent every change of the load, and to any number of subscribers. It now causes an update by the rule of the pace alone. With more than 12 subscribers the interval is that of the load in the zone, and two and a half times that outside, and an update of the pace replaces the next one of the load.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -15,7 +15,7 @@
 use filbert_policy::organisations::keys::{KeyHash, KeyIndex, OrganisationRule, RateLimit};
 use filbert_policy::organisations::quota::{PoolTopology, QuotaPolicy, TokenPool};
 use filbert_policy::organisations::token_cache::TokenCache;
-use filbert_policy::pace::{slowdown_at_pace, TargetPace};
+use filbert_policy::pace::{slowdown_at_pace, PaceStatement, PaceTracker, TargetPace};
 use filbert_policy::placement::{choose_target, CrossZoneCost, PlacementRequest, TargetView};
 use filbert_policy::quarantine::{CallRecord, QuarantineTable, TargetCrash};
 use filbert_policy::rollout::judge::{CallCounts, CanaryJudge, TargetCounts, VersionSide};
@@ -194,6 +194,15 @@
 
 /// Cost of recording a run time and of estimating the next one of its kind.
 fn measure_run_times() {
+    let mut tracker = PaceTracker::default();
+    let pace = TargetPace::from_percent(250.0).expect("a pace");
+    let start = Instant::now();
+    measure("the pace of a run", |round| {
+        let now = start + Duration::from_millis(u64::from(round));
+        let mark = tracker.mark(now);
+        tracker.record(PaceStatement::Stated(pace), now);
+        black_box(tracker.usual_run(mark, Duration::from_millis(30), now));
+    });
     let mut estimator = RunTimeEstimator::default();
     let expected = RunTime::exponential(Duration::from_millis(30));
     let kinds = ["lookup", "order", "report"];
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -99,6 +99,8 @@
     call_queued: Notify,
     /// Signals a change of [`Gate::status`] that other daemons must learn at once.
     pub status_changed: Notify,
+    /// Signals a change of the target's pace.
+    pub pace_changed: Notify,
 }
 
 impl Gate {
@@ -143,6 +145,7 @@
             is_stopping: Cell::new(false),
             call_queued: Notify::new(),
             status_changed: Notify::new(),
+            pace_changed: Notify::new(),
         })
     }
 
--- a/crates/mesh/src/gate/statements.rs
+++ b/crates/mesh/src/gate/statements.rs
@@ -69,7 +69,7 @@
         let Some(change) = state.pace.record(statement, now) else {
             return;
         };
-        self.status_changed.notify_waiters();
+        self.pace_changed.notify_waiters();
         if self.log_limiter.allows(LinePriority::Notable, now) {
             log::info!(
                 "event=target_pace instance={instance} before={:.2} after={:.2}",
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_policy::numbers::count_to_f64;
-use filbert_policy::pace::{differs_by_level, TargetPace, MIN_CHANGE_INTERVAL};
+use filbert_policy::pace::{differs_by_level, MIN_CHANGE_INTERVAL};
 use filbert_policy::target_limit::CallRate;
 
 use crate::messages::{encode, LinkMessage, TargetLoad, TargetStatus};
@@ -36,30 +36,50 @@
 pub async fn send_updates(shared: Rc<MeshShared>) {
     let mut sent_in_zone = SentStatus::none(shared.clock.now());
     let mut sent_outside = SentStatus::none(shared.clock.now());
+    let mut last_check = tokio::time::Instant::now();
     loop {
-        tokio::select! {
-            () = tokio::time::sleep(load_update_interval(shared.peers.subscriber_count())) => {}
-            () = shared.gate.status_changed.notified() => {}
-        }
+        let subscribers = shared.peers.subscriber_count();
+        let next_check = last_check + load_update_interval(subscribers);
+        let is_pace_only = tokio::select! {
+            () = tokio::time::sleep_until(next_check) => false,
+            () = shared.gate.status_changed.notified() => false,
+            () = shared.gate.pace_changed.notified() => true,
+        };
+        let (zone_rule, outside_rule): (UpdateRule, UpdateRule) = if is_pace_only {
+            (needs_pace_in_zone, needs_pace_outside)
+        } else {
+            last_check = tokio::time::Instant::now();
+            (needs_update_in_zone, needs_update_outside)
+        };
         let status = shared.gate.status();
-        let now = shared.clock.now();
-        let zone = shared.settings.borrow().zone.clone();
-        let updates_zone = needs_update_in_zone(&sent_in_zone, status.as_ref(), now);
-        let updates_outside = needs_update_outside(&sent_outside, status.as_ref(), now);
+        let check = UpdateCheck {
+            now: shared.clock.now(),
+            subscribers,
+        };
+        let updates_zone = zone_rule(&sent_in_zone, status.as_ref(), check);
+        let updates_outside = outside_rule(&sent_outside, status.as_ref(), check);
         if !updates_zone && !updates_outside {
             continue;
         }
+        let zone = shared.settings.borrow().zone.clone();
         let frame = encode(&LinkMessage::Target(status.clone()));
         if updates_zone {
             shared.peers.broadcast_in(&zone, &frame);
             sent_in_zone = SentStatus {
                 status: status.clone(),
-                at: now,
+                at: check.now,
             };
+            // The update contains the load, too.
+            if subscribers > MAX_FULL_RATE_SUBSCRIBERS {
+                last_check = tokio::time::Instant::now();
+            }
         }
         if updates_outside {
             shared.peers.broadcast_outside(&zone, &frame);
-            sent_outside = SentStatus { status, at: now };
+            sent_outside = SentStatus {
+                status,
+                at: check.now,
+            };
         }
     }
 }
@@ -83,20 +103,68 @@
         }
     }
 
-    /// Whether the pace differs by a level from the one that the receivers assume at
-    /// `now`, and was not sent within `min_interval`.
+    /// Whether the pace differs by a level from the one that the receivers assume by now,
+    /// and no update was sent within `min_interval`.
     fn needs_pace(
         &self,
-        sent: Option<TargetPace>,
-        pace: Option<TargetPace>,
+        status: Option<&TargetStatus>,
         min_interval: Duration,
-        now: Instant,
+        check: UpdateCheck,
     ) -> bool {
-        let elapsed = now.saturating_duration_since(self.at);
-        elapsed >= min_interval && differs_by_level(sent.map(|sent| sent.after(elapsed)), pace)
+        let (Some(sent), Some(status)) = (&self.status, status) else {
+            return false;
+        };
+        let elapsed = check.now.saturating_duration_since(self.at);
+        let assumed = sent.load.pace.map(|pace| pace.after(elapsed));
+        elapsed >= min_interval && differs_by_level(assumed, status.load.pace)
+    }
+}
+
+/// When it is checked whether an update is needed.
+#[derive(Clone, Copy, Debug)]
+pub struct UpdateCheck {
+    /// Time of the check.
+    pub now: Instant,
+    /// Number of daemons that get the updates.
+    pub subscribers: usize,
+}
+
+impl UpdateCheck {
+    /// Minimum time between two updates of the zone because of the pace. With many subscribers it is
+    /// the interval of the load, so that a pace does not multiply the updates.
+    fn pace_interval_in_zone(self) -> Duration {
+        if self.subscribers > MAX_FULL_RATE_SUBSCRIBERS {
+            load_update_interval(self.subscribers)
+        } else {
+            MIN_CHANGE_INTERVAL
+        }
     }
 }
 
+/// Whether a status differs enough from what was sent last for an update.
+type UpdateRule = fn(&SentStatus, Option<&TargetStatus>, UpdateCheck) -> bool;
+
+/// Returns whether daemons in the zone need an update because of the target's pace.
+#[must_use]
+pub fn needs_pace_in_zone(
+    last: &SentStatus,
+    status: Option<&TargetStatus>,
+    check: UpdateCheck,
+) -> bool {
+    last.needs_pace(status, check.pace_interval_in_zone(), check)
+}
+
+/// Returns whether daemons in other zones need an update because of the target's pace.
+#[must_use]
+pub fn needs_pace_outside(
+    last: &SentStatus,
+    status: Option<&TargetStatus>,
+    check: UpdateCheck,
+) -> bool {
+    let min_interval = for_subscribers(OUTSIDE_PACE_INTERVAL, check.subscribers);
+    last.needs_pace(status, min_interval, check)
+}
+
 /// Free capacity of a target, in the steps that daemons in other zones distinguish.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Headroom {
@@ -135,7 +203,7 @@
 pub fn needs_update_outside(
     last: &SentStatus,
     status: Option<&TargetStatus>,
-    now: Instant,
+    check: UpdateCheck,
 ) -> bool {
     match (last.status.as_ref(), status) {
         (Some(sent), Some(status)) => {
@@ -145,7 +213,7 @@
                 || (before.slowdown - after.slowdown).abs()
                     > OUTSIDE_SLOWDOWN_CHANGE * before.slowdown
                 || (before.failure_rate - after.failure_rate).abs() > OUTSIDE_FAILURE_RATE_CHANGE
-                || last.needs_pace(before.pace, after.pace, OUTSIDE_PACE_INTERVAL, now)
+                || needs_pace_outside(last, Some(status), check)
         }
         (sent, status) => sent.is_some() != status.is_some(),
     }
@@ -173,7 +241,12 @@
 
 /// Returns the interval between updates of the load for this number of subscribers.
 fn load_update_interval(subscriber_count: usize) -> Duration {
-    LOAD_UPDATE_INTERVAL.mul_f64(
+    for_subscribers(LOAD_UPDATE_INTERVAL, subscriber_count)
+}
+
+/// Lengthens `interval`, which is meant for few subscribers, in proportion to their number.
+fn for_subscribers(interval: Duration, subscriber_count: usize) -> Duration {
+    interval.mul_f64(
         count_to_f64(subscriber_count.max(MAX_FULL_RATE_SUBSCRIBERS))
             / count_to_f64(MAX_FULL_RATE_SUBSCRIBERS),
     )
@@ -185,7 +258,7 @@
 pub fn needs_update_in_zone(
     last: &SentStatus,
     status: Option<&TargetStatus>,
-    now: Instant,
+    check: UpdateCheck,
 ) -> bool {
     match (last.status.as_ref(), status) {
         (None, None) => false,
@@ -196,7 +269,7 @@
                 || (before.running + before.waiting) != (after.running + after.waiting)
                 || (usual_run_ms(before) - usual_run_ms(after)).abs()
                     > RUN_TIME_CHANGE * usual_run_ms(before)
-                || last.needs_pace(before.pace, after.pace, MIN_CHANGE_INTERVAL, now)
+                || needs_pace_in_zone(last, Some(status), check)
                 || (before.failure_rate - after.failure_rate).abs() > FAILURE_RATE_CHANGE
         }
         _ => true,
