Test that waiting calls follow a change of the pace

Without the rescaling of waiting calls in the queue the test fails: a call that arrived in a slow period starts behind a later one of its kind.

--- a/crates/policy/tests/pace_cases.rs
+++ b/crates/policy/tests/pace_cases.rs
@@ -2,7 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use filbert_policy::admission::{
+    AdmissionDecision, AdmissionQueue, AdmissionRequest, LinkTime, QueueLimits, WaitOutcome,
+};
 use filbert_policy::pace::{PaceStatement, PaceTracker, TargetPace, MIN_CHANGE_INTERVAL};
+use filbert_policy::run_times::RunTime;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -83,6 +87,31 @@
     assert_eq!(tracker.current(start), before);
 }
 
+/// Guards against calls that arrived in a slow period and start behind later ones of their
+/// kind, as the queue starts short runs first.
+#[test]
+fn waiting_calls_follow_the_pace() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::new(QueueLimits::default());
+    queue.set_open(true);
+    let request = |run_ms, soft_ms| AdmissionRequest {
+        priority: 0,
+        soft_deadline: now + millis(soft_ms),
+        deadline: now + millis(9_000),
+        run: RunTime::exponential(millis(run_ms)),
+        link: LinkTime::default(),
+    };
+    queue.offer(request(180, 4_000), millis(180), now);
+    queue.set_run_factor(2.5);
+    let AdmissionDecision::Wait(first) = queue.offer(request(450, 4_000), millis(450), now) else {
+        panic!("the call does not wait");
+    };
+    queue.set_run_factor(1.0);
+    queue.offer(request(180, 4_100), millis(180), now);
+    queue.finish_run();
+    assert_eq!(queue.dispatch(millis(180), now), [WaitOutcome::Run(first)]);
+}
+
 proptest! {
     /// Guards against a target whose statements cause log lines and messages without a
     /// limit, or an estimate that is not finite.
