--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`placement`] chooses a target of the service.
 //! - [`admission`] runs, queues or declines the call at the target.
 //! - [`attempt`] and [`budget`] decide whether the call is retried, and
-//!   [`refusal`] and [`return_schedule`] when a refused caller should retry.
+//!   [`refusal`] and [`return_schedule`] when a refused caller should retry; [`told_times`]
+//!   remembers what it was told.
 //! - [`quarantine`] holds back calls that crash their targets, recognised by
 //!   their [`identity`].
 //! - [`instance`] tracks the lifecycle of the target on the daemon's host,
@@ -25,6 +26,7 @@
 pub mod budget;
 pub mod client_timeouts;
 pub mod clock;
+pub mod decaying_rate;
 pub mod egress;
 pub mod health;
 pub mod identity;
@@ -42,4 +44,5 @@
 pub mod store_access;
 pub mod target_limit;
 pub mod target_memory;
+pub mod told_times;
 pub mod weights;
--- a/crates/policy/src/organisations/token_cache.rs
+++ b/crates/policy/src/organisations/token_cache.rs
@@ -51,6 +51,14 @@
         }
     }
 
+    /// Returns the time until the pools may have tokens again; zero if they may have
+    /// some now.
+    #[must_use]
+    pub fn exhausted_for(&self, now: Instant) -> Duration {
+        self.exhausted_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Whether tokens should be requested now, before the next call needs one.
     #[must_use]
     pub fn needs_refill(&self, now: Instant) -> bool {
