Let calls wait for tokens in order, and schedule the retries of refused ones

Cause: calls took tokens in the order of arrival and were told jittered times around the pool's next token. Change: take_token offers each call to the organisation's TokenQueue and waits in it; a dropped call leaves the queue, a token that no call used goes to the next one. While calls wait, tokens are requested again when the pools expect some. The soft deadline is estimated before admission, and the client's timeout is still recorded after it. 429, and 503 no_room for calls of organisations, get their retry times from a ReturnSchedule; calls without an organisation draw them as before. The access log says why (`quota=`).

--- a/crates/mesh/src/calls/access_log.rs
+++ b/crates/mesh/src/calls/access_log.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use filbert_policy::identity::CallIdentity;
+use filbert_policy::organisations::token_request::QuotaRefusal;
 
 use super::{
     ClientAnswer, ClientCall, GATEWAY_TIMEOUT, MIN_SERVER_ERROR_STATUS, NOT_FOUND,
@@ -30,6 +31,8 @@
     /// dispatched.
     pub(super) soft_deadline_ms: u128,
     pub(super) reason: &'static str,
+    /// Why the call got no token, if it was refused for that.
+    pub(super) quota_refusal: Option<QuotaRefusal>,
 }
 
 impl AccessLogEntry {
@@ -48,6 +51,7 @@
             declines: 0,
             soft_deadline_ms: 0,
             reason: "-",
+            quota_refusal: None,
         }
     }
 
@@ -86,8 +90,11 @@
         if !shared.log_limiter.allows(priority, now) {
             return;
         }
+        let quota = self.quota_refusal.map_or(String::new(), |refusal| {
+            format!(" quota={}", refusal.label())
+        });
         log::info!(
-            "event=call_ended request={} call={} outcome={outcome} status={status} reason={} route={} service={} version={:08x} host={} attempts={} declines={} software={} organisation={} took_ms={} aim_ms={} come_back_ms={}",
+            "event=call_ended request={} call={} outcome={outcome} status={status} reason={} route={} service={} version={:08x} host={} attempts={} declines={} software={} organisation={} took_ms={} aim_ms={} come_back_ms={}{quota}",
             self.id,
             self.identity,
             self.reason,
--- a/crates/mesh/src/calls/admit.rs
+++ b/crates/mesh/src/calls/admit.rs
@@ -4,10 +4,13 @@
 use std::time::{Duration, Instant};
 
 use filbert_platform::headers;
+use filbert_policy::organisations::keys::OrganisationRule;
+use filbert_policy::organisations::token_request::TokenRequest;
 use filbert_policy::routing::{RouteIndex, RouteRule};
-use rand::Rng;
+use filbert_policy::told_times::ToldTime;
 
 use super::access_log::AccessLogEntry;
+use super::outgoing::client_deadline;
 use super::{service_unavailable, ClientAnswer, ClientCall, TOO_MANY_REQUESTS, UNAUTHORIZED};
 use crate::organisations::tokens::CallToken;
 use crate::organisations::KeyHolder;
@@ -16,13 +19,18 @@
 /// Time after which a client should retry if this daemon's configuration is too
 /// old to tell whether a key is still valid.
 const STALE_KEYS_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Maximum jitter on the retry time of calls over quota, as a fraction of the time
-/// until the next token. It spreads the retries, which would otherwise arrive at
-/// the same moment.
-const QUOTA_RETRY_JITTER: f64 = 0.5;
+
+/// Times by which a call should and must be answered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallDeadlines {
+    /// Time after which an answer is worth less.
+    pub(super) soft: Instant,
+    /// Time after which an answer is worth nothing.
+    pub(super) hard: Instant,
+}
 
 /// Sets the organisation of `call` and takes a quota token for it, for which it may
-/// wait until `deadline`. Returns `None` if the call needs no token: its route is
+/// wait. Returns `None` if the call needs no token: its route is
 /// public, it belongs to no organisation, or its organisation has no quota.
 ///
 /// # Errors
@@ -32,7 +40,7 @@
     index: &RouteIndex,
     route: &RouteRule,
     call: &mut ClientCall,
-    deadline: Instant,
+    deadlines: CallDeadlines,
     log_entry: &mut AccessLogEntry,
 ) -> Result<Option<CallToken>, ClientAnswer> {
     let api_key = headers::read_api_key(&call.head);
@@ -55,13 +63,16 @@
     let token = if route.is_public {
         None
     } else {
-        match shared.take_token(&organisation, deadline).await {
+        let request = token_request(shared, route, call, &organisation, deadlines);
+        match shared.take_token(&organisation, &request).await {
             Ok(token) => token,
-            Err(next_token_in) => {
+            Err(refusal) => {
                 shared.metrics.record_key_check("over_quota");
                 organisations.counts.over_quota(&organisation.name);
                 log_entry.reason = "over_quota";
-                return Err(over_quota_answer(next_token_in));
+                log_entry.quota_refusal = Some(refusal);
+                let name = &organisation.name;
+                return Err(over_quota_answer(shared, route, call, name, &request));
             }
         }
     };
@@ -71,11 +82,44 @@
     Ok(token)
 }
 
-/// Creates the answer to a call over quota, with jitter on its retry time.
-fn over_quota_answer(next_token_in: Duration) -> ClientAnswer {
-    let jitter_factor = 1.0 + QUOTA_RETRY_JITTER * rand::rng().random::<f64>();
+fn token_request(
+    shared: &MeshShared,
+    route: &RouteRule,
+    call: &ClientCall,
+    organisation: &OrganisationRule,
+    deadlines: CallDeadlines,
+) -> TokenRequest {
+    let now = shared.clock.now();
+    TokenRequest {
+        priority: organisation.priority.unwrap_or(route.priority),
+        soft_deadline: deadlines.soft,
+        deadline: deadlines.hard,
+        run: shared.expected_run_time(&route.name).unwrap_or_default(),
+        timing: shared.return_times.timing(call.identity, now),
+    }
+}
+
+/// Creates the answer to a call over quota. A call that came before the time that it was
+/// told keeps that time.
+fn over_quota_answer(
+    shared: &MeshShared,
+    route: &RouteRule,
+    call: &ClientCall,
+    organisation: &str,
+    request: &TokenRequest,
+) -> ClientAnswer {
+    let now = shared.clock.now();
+    let remaining = shared.return_times.remaining(call.identity, now);
+    let reserve = || shared.organisations.reserve_retry(organisation, request);
+    let retry_after = remaining.unwrap_or_else(reserve);
+    let told = ToldTime {
+        retry_at: now + retry_after,
+        soft_deadline: request.soft_deadline,
+        deadline: client_deadline(route, call),
+    };
+    shared.return_times.record_told(call.identity, told, now);
     ClientAnswer::Local {
         status: TOO_MANY_REQUESTS,
-        retry_after: Some(next_token_in.mul_f64(jitter_factor)),
+        retry_after: Some(retry_after),
     }
 }
--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -13,8 +13,9 @@
 use filbert_policy::run_times::RunTime;
 
 use super::access_log::AccessLogEntry;
+use super::admit::CallDeadlines;
 use super::attempt::{first_outcome, start_attempt, AttemptOutcome, RunningAttempt};
-use super::outgoing::{estimate_soft_deadline, into_call_parts, ReplayBody};
+use super::outgoing::{client_deadline, into_call_parts, ReplayBody};
 use super::pick::{pick_target, Destination, PickedTarget};
 use super::{ClientAnswer, ClientCall, MIN_SERVER_ERROR_STATUS};
 use crate::body::AnswerBody;
@@ -60,6 +61,9 @@
     replay_body: ReplayBody,
     deadline: Instant,
     soft_deadline: Instant,
+    /// Time at which the client of an organisation's call gives up; `None` for calls that
+    /// belong to no organisation.
+    organisation_deadline: Option<Instant>,
     tried_hosts: Vec<String>,
     /// Number of attempts that may have reached a target.
     delivered_attempts: u32,
@@ -85,7 +89,7 @@
         shared: &'a Rc<MeshShared>,
         route: &'a RouteRule,
         call: ClientCall,
-        deadline: Instant,
+        deadlines: CallDeadlines,
         progress: &'a CallProgress,
         log_entry: &'a mut AccessLogEntry,
     ) -> CallDispatch<'a> {
@@ -96,9 +100,14 @@
             .to_owned();
         let now = shared.clock.now();
         shared.retry_budget.borrow_mut().record_call(&service, now);
-        let soft_deadline = estimate_soft_deadline(shared, route, &call);
+        if let Some(client_timeout) = call.headers.time_left {
+            shared.record_client_timeout(&route.name, client_timeout);
+        }
+        let organisation = call.organisation.as_ref();
+        let organisation_deadline = organisation.map(|_| client_deadline(route, &call));
         log_entry.service.clone_from(&service);
-        log_entry.soft_deadline_ms = soft_deadline
+        log_entry.soft_deadline_ms = deadlines
+            .soft
             .saturating_duration_since(call.received)
             .as_millis();
         let (head, body) = into_call_parts(shared, route, &service, call);
@@ -109,8 +118,9 @@
             log_entry,
             head,
             replay_body: ReplayBody::new(body),
-            deadline,
-            soft_deadline,
+            deadline: deadlines.hard,
+            soft_deadline: deadlines.soft,
+            organisation_deadline,
             tried_hosts: Vec::new(),
             delivered_attempts: 0,
             declines: 0,
@@ -317,6 +327,13 @@
         if !matches!(end, AttemptEnd::Declined | AttemptEnd::HeldBack) {
             self.delivered_attempts += 1;
         }
+        if self.organisation_deadline.is_some()
+            && matches!(end, AttemptEnd::Answered | AttemptEnd::AnsweredFailure)
+        {
+            let now = self.shared.clock.now();
+            let return_times = &self.shared.return_times;
+            return_times.record_accepted(&self.head.service, now);
+        }
         self.log_entry.declines = self.declines;
         self.shared
             .metrics
--- a/crates/mesh/src/calls/dispatch/ending.rs
+++ b/crates/mesh/src/calls/dispatch/ending.rs
@@ -1,11 +1,12 @@
 //! Log lines on attempts, and the answer to a call for which no further attempt is
 //! made.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbert_policy::attempt::{AttemptEnd, NextStep};
 use filbert_policy::refusal::{retry_after, retry_after_shedding};
 use filbert_policy::run_times::RunTime;
+use filbert_policy::told_times::ToldTime;
 use rand::Rng;
 
 use super::{CallDispatch, NO_TARGET_RETRY_AFTER};
@@ -69,6 +70,11 @@
         };
         let now = self.shared.clock.now();
         let time_left = self.deadline.saturating_duration_since(now);
+        if let ("no_room", Some(client_deadline)) =
+            (self.log_entry.reason, self.organisation_deadline)
+        {
+            return service_unavailable(self.reserve_retry(client_deadline, time_left, now));
+        }
         let jitter = rand::rng().random::<f64>();
         let delay = if self.last_end == Some(AttemptEnd::Rejected) {
             let run_time = self
@@ -89,6 +95,31 @@
     }
 }
 
+impl CallDispatch<'_> {
+    /// Reserves the time of the retry of an organisation's call for which the service has
+    /// no capacity.
+    fn reserve_retry(
+        &self,
+        client_deadline: Instant,
+        time_left: Duration,
+        now: Instant,
+    ) -> Duration {
+        let return_times = &self.shared.return_times;
+        let call = self.head.identity;
+        let retry_after = return_times.remaining(call, now).unwrap_or_else(|| {
+            let room_in = self.min_room_in.unwrap_or(NO_TARGET_RETRY_AFTER);
+            return_times.retry_after_no_room(&self.head.service, room_in, time_left, now)
+        });
+        let told = ToldTime {
+            retry_at: now + retry_after,
+            soft_deadline: self.soft_deadline,
+            deadline: client_deadline,
+        };
+        return_times.record_told(call, told, now);
+        retry_after
+    }
+}
+
 /// Metric label of an attempt's end.
 pub(super) fn attempt_end_label(end: AttemptEnd) -> &'static str {
     match end {
--- a/crates/mesh/src/calls/mod.rs
+++ b/crates/mesh/src/calls/mod.rs
@@ -22,8 +22,9 @@
 use crate::messages::AnswerHead;
 use crate::state::MeshShared;
 use access_log::AccessLogEntry;
-use admit::admit;
+use admit::{admit, CallDeadlines};
 use dispatch::{CallDispatch, CallProgress};
+use outgoing::estimate_soft_deadline;
 
 /// Time subtracted from a client's timeout for the network between the client
 /// and this daemon. The client starts its timeout before this daemon reads the
@@ -131,15 +132,18 @@
             .saturating_sub(CLIENT_NETWORK_MARGIN)
             .min(route.timeout)
     });
-    let deadline = call.received + time_left;
+    let deadlines = CallDeadlines {
+        soft: estimate_soft_deadline(shared, route, &call),
+        hard: call.received + time_left,
+    };
     log_entry.route.clone_from(&route.name);
-    let token = match admit(shared, index, route, &mut call, deadline, log_entry).await {
+    let token = match admit(shared, index, route, &mut call, deadlines, log_entry).await {
         Ok(token) => token,
         Err(answer) => return answer,
     };
     let progress = CallProgress::default();
-    let dispatch = CallDispatch::new(shared, route, call, deadline, &progress, log_entry);
-    let answer = match tokio::time::timeout_at(deadline.into(), dispatch.run()).await {
+    let dispatch = CallDispatch::new(shared, route, call, deadlines, &progress, log_entry);
+    let answer = match tokio::time::timeout_at(deadlines.hard.into(), dispatch.run()).await {
         Ok(answer) => answer,
         Err(_) if progress.may_have_run.get() || progress.in_attempt.get() => {
             log_entry.reason = "time_up";
--- a/crates/mesh/src/calls/outgoing.rs
+++ b/crates/mesh/src/calls/outgoing.rs
@@ -14,7 +14,9 @@
 
 /// Estimates the soft deadline of a call. It counts from the client's first request,
 /// of which `call` may be a retry: the time that has passed since is estimated from
-/// the client's timeout. A call without a timeout is assumed not to be a retry.
+/// the client's timeout. A call without a timeout is assumed not to be a retry. The
+/// timeout is recorded once the call is admitted: refused calls come several times, and
+/// would be taken for first tries.
 pub(super) fn estimate_soft_deadline(
     shared: &MeshShared,
     route: &RouteRule,
@@ -24,9 +26,19 @@
         .headers
         .time_left
         .map_or(Duration::ZERO, |client_timeout| {
-            shared.record_client_timeout(&route.name, client_timeout)
+            shared.time_since_first_try(&route.name, client_timeout)
         });
-    call.received + route.soft_deadline.saturating_sub(elapsed)
+    let estimate = call.received + route.soft_deadline.saturating_sub(elapsed);
+    let deadline = client_deadline(route, call);
+    let known = shared
+        .return_times
+        .soft_deadline(call.identity, deadline, call.received);
+    known.map_or(estimate, |known| known.min(estimate))
+}
+
+/// Returns the time at which the client of a call gives up.
+pub(super) fn client_deadline(route: &RouteRule, call: &ClientCall) -> Instant {
+    call.received + call.headers.time_left.unwrap_or(route.timeout)
 }
 
 /// Converts a call to the head that its attempts send to `service`, and its body.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod quarantine;
 pub mod ready;
 pub mod reload;
+pub mod return_times;
 pub mod rollouts;
 pub mod row_value;
 pub mod rows;
--- a/crates/mesh/src/organisations/mod.rs
+++ b/crates/mesh/src/organisations/mod.rs
@@ -16,13 +16,12 @@
 use filbert_policy::clock::Clock;
 use filbert_policy::organisations::freshness::VersionFreshness;
 use filbert_policy::organisations::keys::OrganisationRule;
-use filbert_policy::organisations::token_cache::TokenCache;
 use filbert_policy::routing::{RouteIndex, RouteRule};
-use tokio::sync::Notify;
 
 use crate::settings::MeshSettings;
 use counts::OrganisationCounts;
 use pools::PoolState;
+use tokens::OrganisationTokens;
 
 /// Age of the version in force below which a key that it does not contain is
 /// rejected as unknown; a key may have been added since an older version. Sources
@@ -39,23 +38,11 @@
     /// Whether the version in force was too old at the last check of a key.
     is_stale: Cell<bool>,
     pools: PoolState,
-    token_caches: RefCell<HashMap<String, TokenCacheEntry>>,
+    token_caches: RefCell<HashMap<String, OrganisationTokens>>,
     /// Counters of calls by organisation.
     pub counts: OrganisationCounts,
 }
 
-/// Tokens of one organisation at this daemon.
-#[derive(Default)]
-struct TokenCacheEntry {
-    token_cache: TokenCache,
-    /// Number of calls that wait for a token.
-    waiting: u32,
-    /// Whether a request for tokens is in progress.
-    is_requesting: bool,
-    /// Wakes the waiting calls after a request.
-    changed: Rc<Notify>,
-}
-
 /// The holder of a call's key, as far as this daemon can tell.
 #[derive(Clone, Debug, PartialEq)]
 pub enum KeyHolder {
@@ -144,6 +131,6 @@
         self.pools.apply_limited(&names, self.clock.now());
         self.counts.keep(|name| index.organisations().has(name));
         let mut token_caches = self.token_caches.borrow_mut();
-        token_caches.retain(|name, entry| entry.waiting > 0 || index.organisations().has(name));
+        token_caches.retain(|name, entry| entry.has_waiting() || index.organisations().has(name));
     }
 }
--- a/crates/mesh/src/organisations/tokens.rs
+++ b/crates/mesh/src/organisations/tokens.rs
@@ -1,18 +1,60 @@
 //! Tokens for the calls of rate-limited organisations: each call takes one from this
-//! daemon's cache, or waits until the [`pools`](super::pools) grant more.
+//! daemon's cache, or waits in order until the [`pools`](super::pools) grant more.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use filbert_policy::organisations::keys::OrganisationRule;
-use filbert_policy::organisations::token_cache::TakeOutcome;
+use filbert_policy::organisations::quota::TokenGrant;
+use filbert_policy::organisations::quota_retries::QuotaRetries;
+use filbert_policy::organisations::token_queue::{TokenDecision, TokenQueue, WaitingId};
+use filbert_policy::organisations::token_request::{QuotaRefusal, TokenRequest};
+use tokio::sync::oneshot;
 
 use super::pools::POOL_RETRY_DELAY;
-use super::{OrganisationState, TokenCacheEntry};
+use super::OrganisationState;
 use crate::state::MeshShared;
 
-/// Maximum time for which a call waits for a token.
-const TOKEN_WAIT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Tokens of one organisation at this daemon, and the calls that wait for one.
+#[derive(Default)]
+pub(super) struct OrganisationTokens {
+    queue: TokenQueue,
+    retries: QuotaRetries,
+    /// Receivers of the outcome of each wait.
+    waiting: HashMap<WaitingId, oneshot::Sender<Result<(), QuotaRefusal>>>,
+    /// Whether a request for tokens is in progress or planned.
+    is_requesting: bool,
+}
+
+impl OrganisationTokens {
+    pub(super) fn has_waiting(&self) -> bool {
+        self.queue.has_waiting()
+    }
+
+    /// Tells the calls whose wait has ended.
+    fn deliver(&mut self) {
+        for settled in self.queue.take_settled() {
+            if let Some(sender) = self.waiting.remove(&settled.id) {
+                // The receiver exists: a cancelled call removes its sender.
+                let _ = sender.send(settled.outcome);
+            }
+        }
+    }
+
+    /// Whether a request for tokens has to be started now.
+    fn begin_request(&mut self, is_needed: bool) -> bool {
+        is_needed && !std::mem::replace(&mut self.is_requesting, true)
+    }
+
+    /// Returns the time to wait before the next request for the calls that wait, or
+    /// `None` and ends the requests if no call waits.
+    fn next_request(&mut self, now: Instant) -> Option<Instant> {
+        self.is_requesting = self.queue.has_waiting();
+        self.is_requesting.then(|| self.queue.next_event(now))
+    }
+}
+
 /// A token taken for one call.
 pub struct CallToken {
     /// Name of the organisation whose token this is.
@@ -21,117 +63,136 @@
 }
 
 impl CallToken {
-    /// Returns the token to the cache, as the call did not run.
+    /// Returns the token for the next call, as this call did not run.
     pub fn refund(self) {
-        let now = self.organisations.clock.now();
-        let mut token_caches = self.organisations.token_caches.borrow_mut();
-        if let Some(entry) = token_caches.get_mut(&self.organisation) {
-            entry.token_cache.refund(now);
-        }
+        self.organisations.refund(&self.organisation);
     }
 }
 
-/// Counts a call as waiting for a token until it is dropped.
+/// A call in the queue for a token. It leaves the queue when it is dropped.
 struct WaitingCall {
+    id: WaitingId,
     organisation: String,
     organisations: Rc<OrganisationState>,
+    outcome: oneshot::Receiver<Result<(), QuotaRefusal>>,
 }
 
 impl WaitingCall {
-    fn new(
-        organisations: &Rc<OrganisationState>,
-        organisation: &str,
-        entry: &mut TokenCacheEntry,
-    ) -> WaitingCall {
-        entry.waiting += 1;
-        WaitingCall {
-            organisation: organisation.to_owned(),
-            organisations: Rc::clone(organisations),
+    /// Waits for a token until `wait_until`.
+    async fn outcome(mut self, wait_until: Instant) -> Result<(), QuotaRefusal> {
+        let outcome = tokio::time::timeout_at(wait_until.into(), &mut self.outcome).await;
+        if let Ok(Ok(outcome)) = outcome {
+            return outcome;
         }
+        let now = self.organisations.clock.now();
+        self.organisations
+            .with_tokens(&self.organisation, |tokens| {
+                tokens.queue.expire(now);
+                tokens.deliver();
+            });
+        self.outcome
+            .try_recv()
+            .unwrap_or(Err(QuotaRefusal::NoToken))
     }
 }
 
 impl Drop for WaitingCall {
     fn drop(&mut self) {
-        let mut token_caches = self.organisations.token_caches.borrow_mut();
-        if let Some(entry) = token_caches.get_mut(&self.organisation) {
-            entry.waiting -= 1;
+        self.outcome.close();
+        // The client may cancel the call at the moment at which it gets a token.
+        if let Ok(Ok(())) = self.outcome.try_recv() {
+            self.organisations.refund(&self.organisation);
         }
+        self.organisations
+            .with_tokens(&self.organisation, |tokens| {
+                tokens.queue.cancel(self.id);
+                tokens.waiting.remove(&self.id);
+            });
     }
 }
 
 impl MeshShared {
-    /// Takes a token for a call of `organisation`, and waits for one until `deadline`
-    /// at most. Returns `None` if the organisation has no rate limit.
+    /// Takes a token for a call of `organisation`, and waits for one while it may come
+    /// in time. Returns `None` if the organisation has no rate limit.
     ///
     /// # Errors
-    /// The time after which a token may be available, if there is none.
+    /// Why there is none.
     pub async fn take_token(
         self: &Rc<Self>,
         organisation: &OrganisationRule,
-        deadline: Instant,
-    ) -> Result<Option<CallToken>, Duration> {
+        request: &TokenRequest,
+    ) -> Result<Option<CallToken>, QuotaRefusal> {
         if organisation.limit.is_none() {
             return Ok(None);
         }
-        let name = organisation.name.as_str();
-        let wait_until = deadline.min(self.clock.now() + TOKEN_WAIT_TIMEOUT);
-        loop {
-            let now = self.clock.now();
-            let (changed, waiting) = {
-                let mut token_caches = self.organisations.token_caches.borrow_mut();
-                let entry = token_caches.entry(name.to_owned()).or_default();
-                match entry.token_cache.take(now) {
-                    TakeOutcome::Taken => {
-                        let starts_request =
-                            entry.token_cache.needs_refill(now) && !entry.is_requesting;
-                        entry.is_requesting |= starts_request;
-                        drop(token_caches);
-                        if starts_request {
-                            self.request_in_background(organisation);
-                        }
-                        return Ok(Some(self.call_token(name)));
-                    }
-                    TakeOutcome::Exhausted(left) => return Err(left),
-                    TakeOutcome::RequestMore => {}
-                }
-                let waiting = WaitingCall::new(&self.organisations, name, entry);
-                let starts_request = !std::mem::replace(&mut entry.is_requesting, true);
-                let changed = Rc::clone(&entry.changed);
-                drop(token_caches);
-                if starts_request {
-                    self.request_in_background(organisation);
-                }
-                (changed, waiting)
-            };
-            let waited = tokio::time::timeout_at(wait_until.into(), changed.notified()).await;
-            drop(waiting);
-            if waited.is_err() {
-                return Err(POOL_RETRY_DELAY);
-            }
-        }
+        let outcome = match self.offer_call(organisation, request) {
+            Ok(None) => Ok(()),
+            Ok(Some((waiting, wait_until))) => waiting.outcome(wait_until).await,
+            Err(refusal) => Err(refusal),
+        };
+        outcome.map(|()| {
+            Some(CallToken {
+                organisation: organisation.name.clone(),
+                organisations: Rc::clone(&self.organisations),
+            })
+        })
     }
 
-    fn call_token(&self, organisation: &str) -> CallToken {
-        CallToken {
-            organisation: organisation.to_owned(),
-            organisations: Rc::clone(&self.organisations),
+    /// Offers a call to the queue. Returns `None` if it has a token, and otherwise the
+    /// waiting call and the time until which it waits.
+    fn offer_call(
+        self: &Rc<Self>,
+        organisation: &OrganisationRule,
+        request: &TokenRequest,
+    ) -> Result<Option<(WaitingCall, Instant)>, QuotaRefusal> {
+        let now = self.clock.now();
+        let name = organisation.name.as_str();
+        let mut token_caches = self.organisations.token_caches.borrow_mut();
+        let tokens = token_caches.entry(name.to_owned()).or_default();
+        let decision = tokens.queue.offer(request, now);
+        let (waiting, starts_request) = match decision {
+            TokenDecision::Taken => {
+                let is_needed = tokens.queue.needs_refill(now);
+                (None, tokens.begin_request(is_needed))
+            }
+            TokenDecision::Wait(id, wait_until) => {
+                let (sender, outcome) = oneshot::channel();
+                tokens.waiting.insert(id, sender);
+                let waiting = WaitingCall {
+                    id,
+                    organisation: name.to_owned(),
+                    organisations: Rc::clone(&self.organisations),
+                    outcome,
+                };
+                (Some((waiting, wait_until)), tokens.begin_request(true))
+            }
+            TokenDecision::Refused(refusal) => return Err(refusal),
+        };
+        tokens.deliver();
+        drop(token_caches);
+        if starts_request {
+            self.request_in_background(organisation);
         }
+        Ok(waiting)
     }
 
+    /// Requests tokens until no call waits for one.
     fn request_in_background(self: &Rc<Self>, organisation: &OrganisationRule) {
         let shared = Rc::clone(self);
         let name = organisation.name.clone();
         tokio::task::spawn_local(async move {
             // Calls that arrive before the next poll of this task share the request.
             tokio::task::yield_now().await;
-            let grant = shared.request_tokens(&name).await;
-            let now = shared.clock.now();
-            let mut token_caches = shared.organisations.token_caches.borrow_mut();
-            if let Some(entry) = token_caches.get_mut(&name) {
-                entry.is_requesting = false;
-                entry.token_cache.granted(grant, now);
-                entry.changed.notify_waiters();
+            loop {
+                let grant = shared.request_tokens(&name).await;
+                let mut next_event = shared.organisations.add_grant(&name, grant);
+                while let Some(at) = next_event.filter(|at| *at > shared.clock.now()) {
+                    tokio::time::sleep_until(at.into()).await;
+                    next_event = shared.organisations.end_waits(&name);
+                }
+                if next_event.is_none() {
+                    return;
+                }
             }
         });
     }
@@ -143,6 +204,63 @@
         let token_caches = self.token_caches.borrow();
         token_caches
             .get(organisation)
-            .map_or(1, |entry| entry.token_cache.wanted(entry.waiting))
+            .map_or(1, |tokens| tokens.queue.wanted())
+    }
+
+    fn refund(&self, organisation: &str) {
+        let now = self.clock.now();
+        self.with_tokens(organisation, |tokens| {
+            tokens.queue.refund(now);
+            tokens.deliver();
+        });
+    }
+
+    /// Adds a grant, and returns the time at which the next request or the end of a wait
+    /// is due; `None` if no call waits.
+    fn add_grant(&self, organisation: &str, grant: TokenGrant) -> Option<Instant> {
+        let now = self.clock.now();
+        self.with_tokens(organisation, |tokens| {
+            tokens.queue.granted(grant, now);
+            tokens.deliver();
+            tokens.next_request(now)
+        })
+        .flatten()
+    }
+
+    /// Ends the wait of calls whose time is up. Returns as [`Self::add_grant`].
+    fn end_waits(&self, organisation: &str) -> Option<Instant> {
+        let now = self.clock.now();
+        self.with_tokens(organisation, |tokens| {
+            tokens.queue.expire(now);
+            tokens.deliver();
+            tokens.next_request(now)
+        })
+        .flatten()
+    }
+
+    /// Reserves the time of the retry of a call that got no token, and returns the time
+    /// until then.
+    #[must_use]
+    pub fn reserve_retry(&self, organisation: &str, request: &TokenRequest) -> Duration {
+        let now = self.clock.now();
+        let retry_after = self.with_tokens(organisation, |tokens| {
+            let earliest = if tokens.queue.is_short(now) {
+                Duration::ZERO
+            } else {
+                POOL_RETRY_DELAY
+            };
+            let OrganisationTokens { queue, retries, .. } = tokens;
+            retries.retry_after(request, queue, earliest, now)
+        });
+        retry_after.unwrap_or(POOL_RETRY_DELAY)
+    }
+
+    fn with_tokens<T>(
+        &self,
+        organisation: &str,
+        update: impl FnOnce(&mut OrganisationTokens) -> T,
+    ) -> Option<T> {
+        let mut token_caches = self.token_caches.borrow_mut();
+        token_caches.get_mut(organisation).map(update)
     }
 }
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -25,6 +25,7 @@
 use crate::organisations::OrganisationState;
 use crate::peers::PeerTable;
 use crate::quarantine::{self, SharedQuarantine};
+use crate::return_times::ReturnTimes;
 use crate::rollouts::{self, RolloutTable};
 use crate::settings::MeshSettings;
 use crate::state::MeshShared;
@@ -141,6 +142,7 @@
         quarantine,
         rollouts,
         organisations,
+        return_times: ReturnTimes::default(),
         weighted_round_robin: RefCell::new(WeightedRoundRobin::default()),
         route_stats: RefCell::new(HashMap::new()),
         metrics,
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -25,6 +25,7 @@
 use crate::organisations::OrganisationState;
 use crate::peers::{Peer, PeerTable};
 use crate::quarantine::SharedQuarantine;
+use crate::return_times::ReturnTimes;
 use crate::rollouts::RolloutTable;
 use crate::settings::MeshSettings;
 use crate::stop::StopState;
@@ -68,6 +69,8 @@
     pub rollouts: Rc<RolloutTable>,
     /// API keys and quotas of organisations.
     pub organisations: Rc<OrganisationState>,
+    /// Retry times told to refused calls of organisations.
+    pub return_times: ReturnTimes,
     /// Limit on the retries of calls.
     pub retry_budget: RefCell<RetryBudget>,
     /// Distributes calls of routes that are split between services.
@@ -145,10 +148,19 @@
         self.members.count()
     }
 
-    /// Records the timeout that a client of `route` sent with a call, and returns the
-    /// estimated time since the call was first tried.
-    pub fn record_client_timeout(&self, route: &str, timeout: Duration) -> Duration {
-        self.with_route_stats(route, |stats| stats.client_timeouts.record(timeout))
+    /// Returns the estimated time since a call of `route` was first tried, from the
+    /// timeout that its client sent.
+    #[must_use]
+    pub fn time_since_first_try(&self, route: &str, timeout: Duration) -> Duration {
+        let route_stats = self.route_stats.borrow();
+        route_stats.get(route).map_or(Duration::ZERO, |stats| {
+            stats.client_timeouts.estimate(timeout)
+        })
+    }
+
+    /// Records the timeout that a client of `route` sent with a call.
+    pub fn record_client_timeout(&self, route: &str, timeout: Duration) {
+        self.with_route_stats(route, |stats| stats.client_timeouts.record(timeout));
     }
 
     /// Applies `update` to the statistics of `route`, which are created if there are none.
--- a/crates/policy/src/client_timeouts.rs
+++ b/crates/policy/src/client_timeouts.rs
@@ -32,10 +32,37 @@
 }
 
 impl ClientTimeouts {
+    /// Returns the estimated time since a call was first tried: that which
+    /// [`ClientTimeouts::record`] would return for it now.
+    #[must_use]
+    pub fn estimate(&self, timeout: Duration) -> Duration {
+        let timeout_ms = to_ms(timeout);
+        let is_full = self.recent.len() == MAX_RECORDED_CALLS;
+        let replaced = self
+            .recent
+            .front()
+            .filter(|_| is_full)
+            .map(|oldest| self.sorted.partition_point(|other| other < oldest));
+        let count = self.sorted.len() - usize::from(replaced.is_some());
+        // The recorded timeouts without the one that this call would replace.
+        let kept = |index: usize| {
+            let is_after = replaced.is_some_and(|replaced| index >= replaced);
+            self.sorted[index + usize::from(is_after)]
+        };
+        // The timeout of rank `index` once this call's timeout has been inserted.
+        let index = (count + 1) / FIRST_TRY_TIMEOUT_DIVISOR;
+        let at_most = |index: usize| if index < count { kept(index) } else { u32::MAX };
+        let first_try_ms = match index.checked_sub(1).map(kept) {
+            Some(before) => timeout_ms.clamp(before, at_most(index)),
+            None => timeout_ms.min(at_most(index)),
+        };
+        Duration::from_millis(u64::from(first_try_ms.saturating_sub(timeout_ms)))
+    }
+
     /// Records the timeout of a call and returns the estimated time since the call
     /// was first tried.
     pub fn record(&mut self, timeout: Duration) -> Duration {
-        let timeout_ms = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+        let timeout_ms = to_ms(timeout);
         if self.recent.len() == MAX_RECORDED_CALLS {
             if let Some(oldest) = self.recent.pop_front() {
                 let index = self.sorted.partition_point(|other| *other < oldest);
@@ -49,3 +76,7 @@
         Duration::from_millis(u64::from(first_try_ms.saturating_sub(timeout_ms)))
     }
 }
+
+fn to_ms(timeout: Duration) -> u32 {
+    u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/policy/src/refusal.rs
+++ b/crates/policy/src/refusal.rs
@@ -1,6 +1,8 @@
 //! The time after which a refused caller should retry.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use crate::return_schedule::ReturnSchedule;
 
 /// Minimum time before a retry. An earlier retry would find the same queue.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(40);
@@ -24,6 +26,25 @@
     jittered.min((time_left / 3).max(MIN_RETRY_AFTER))
 }
 
+/// Returns the time after which the caller of an organisation should retry, given the
+/// time `room_in` until the first target expects capacity and the time left to the
+/// caller. The time is reserved in the `schedule` of the service, of whose targets this
+/// daemon's calls get `accepted_per_s` slots a second.
+///
+/// Load pattern: a service is short of slots for seconds. Random retry times around the
+/// next free slot bring back more calls than there are slots, whatever their number.
+pub fn retry_after_no_room(
+    schedule: &mut ReturnSchedule,
+    accepted_per_s: f64,
+    room_in: Duration,
+    time_left: Duration,
+    now: Instant,
+) -> Duration {
+    let earliest = room_in.max(MIN_RETRY_AFTER).min(MAX_RETRY_AFTER);
+    let longest = (time_left / 3).max(MIN_RETRY_AFTER);
+    schedule.reserve(now, accepted_per_s, earliest, longest)
+}
+
 /// Time before the retry of a call that targets with free slots rejected, in usual
 /// run times of the call.
 const SHEDDING_RETRY_RUNS: f64 = 0.25;
--- a/crates/policy/src/told_times.rs
+++ b/crates/policy/src/told_times.rs
@@ -99,8 +99,11 @@
                 self.calls.remove(&oldest);
             }
         }
-        self.calls.insert(call, told);
-        self.order.push_back((call, told.retry_at));
+        let previous = self.calls.insert(call, told);
+        // A call that keeps its time has its place already, however often it comes.
+        if previous.is_none_or(|previous| previous.retry_at != told.retry_at) {
+            self.order.push_back((call, told.retry_at));
+        }
     }
 
     fn remembered(&self, call: CallIdentity, now: Instant) -> Option<&ToldTime> {
--- a/crates/policy/tests/client_timeouts_replay.rs
+++ b/crates/policy/tests/client_timeouts_replay.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use filbert_policy::client_timeouts::ClientTimeouts;
+use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -90,3 +91,23 @@
     let estimate = timeouts.record(Duration::from_millis(640));
     assert_eq!(estimate, Duration::from_millis(360));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Guards against an estimate before admission that differs from the one that is
+    /// recorded after it.
+    #[test]
+    fn an_estimate_equals_what_is_recorded(
+        recorded in prop::collection::vec(4_250_u64..5_000, 0..600),
+        next in 4_000_u64..5_200,
+    ) {
+        let mut timeouts = ClientTimeouts::default();
+        for timeout in recorded {
+            timeouts.record(Duration::from_millis(timeout));
+        }
+        let next = Duration::from_millis(next);
+        let estimate = timeouts.estimate(next);
+        prop_assert_eq!(estimate, timeouts.record(next));
+    }
+}
