Measure the cost of a call that is offered while tokens are short

Change: a line in benches/decisions.rs for offering a call to the token queue and reserving and remembering its retry time, at 7 times the limit.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -13,8 +13,11 @@
 use filbert_policy::budget::{RetryBudget, RetryBudgetLimits, RetryCause};
 use filbert_policy::identity::{CallIdentity, IdentityParts};
 use filbert_policy::organisations::keys::{KeyHash, KeyIndex, OrganisationRule, RateLimit};
-use filbert_policy::organisations::quota::{PoolTopology, QuotaPolicy, TokenPool};
+use filbert_policy::organisations::quota::{PoolTopology, QuotaPolicy, TokenGrant, TokenPool};
+use filbert_policy::organisations::quota_retries::QuotaRetries;
 use filbert_policy::organisations::token_cache::TokenCache;
+use filbert_policy::organisations::token_queue::{TokenDecision, TokenQueue};
+use filbert_policy::organisations::token_request::TokenRequest;
 use filbert_policy::placement::{choose_target, CrossZoneCost, PlacementRequest, TargetView};
 use filbert_policy::quarantine::{CallRecord, QuarantineTable, TargetCrash};
 use filbert_policy::rollout::judge::{CallCounts, CanaryJudge, TargetCounts, VersionSide};
@@ -24,6 +27,7 @@
 };
 use filbert_policy::run_times::{RunTime, RunTimeEstimator};
 use filbert_policy::target_limit::{CallRate, LimitStatement};
+use filbert_policy::told_times::{ToldTime, ToldTimes};
 use filbert_policy::weights::WeightedRoundRobin;
 
 /// Measured decisions per figure.
@@ -293,9 +297,52 @@
     });
 }
 
+/// Cost of deciding on a call while tokens are short, and of its retry time if it is
+/// refused.
+fn measure_token_queue() {
+    let start = Instant::now();
+    let grant = |tokens| TokenGrant {
+        tokens,
+        next_token_in: Duration::from_millis(20),
+    };
+    let mut told_times = ToldTimes::default();
+    let calls: Vec<CallIdentity> = (0..5_000)
+        .map(|call| identity(&format!("/p/{call}"), b""))
+        .collect();
+    let mut queue = TokenQueue::default();
+    let mut retries = QuotaRetries::default();
+    measure("a call offered while tokens are short", |round| {
+        // 7,000 calls and 1,000 tokens a second.
+        let now = start + Duration::from_micros(u64::from(round) * 1_000 / 7);
+        if round.is_multiple_of(70) {
+            queue.granted(grant(10), now);
+            queue.granted(grant(0), now);
+        }
+        let call = calls[round as usize % calls.len()];
+        let request = TokenRequest {
+            priority: u8::from(round.is_multiple_of(2)),
+            soft_deadline: now + Duration::from_millis(250),
+            deadline: now + Duration::from_millis(1_500),
+            run: RunTime::exponential(Duration::from_millis(60)),
+            timing: told_times.timing(call, now),
+        };
+        if let TokenDecision::Refused(_) = queue.offer(&request, now) {
+            let retry_after = retries.retry_after(&request, &queue, Duration::ZERO, now);
+            let told = ToldTime {
+                retry_at: now + retry_after,
+                soft_deadline: request.soft_deadline,
+                deadline: request.deadline,
+            };
+            told_times.record(call, told, now);
+        }
+        black_box(queue.take_settled());
+    });
+}
+
 fn main() {
     measure_versions();
     measure_organisations();
+    measure_token_queue();
     measure_rollout();
     measure_quarantine();
     let routes: Vec<Arc<RouteRule>> = (0..2_000).map(route).map(Arc::new).collect();
