Tell in logs and metrics why a call got no token

Cause: over_quota does not tell a reached limit from a late call. Change: filbert_quota_refusals_total by reason, tokens_short and tokens_suffice once per change, and the reason in filbertctl explain. Retry times are scheduled at 503 only for organisations with a limit, and a soft deadline remembered from an earlier try only ranks calls for tokens, so that calls of all others are decided as before. A grant that was used up by waiting calls is followed by a refill as before. Test: mesh_organisations asserts the reason and the line.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -83,12 +83,13 @@
                 get("left_ms"),
             ),
             "call_ended" => format!(
-                "{}, status {}, after {} ms (soft deadline {} ms), reason {}; route {} to service {} in version {}, {} attempts, {} of them declined{}{}",
+                "{}, status {}, after {} ms (soft deadline {} ms), reason {}{}; route {} to service {} in version {}, {} attempts, {} of them declined{}{}",
                 describe_outcome(get("outcome")),
                 get("status"),
                 get("took_ms"),
                 get("aim_ms"),
                 get("reason"),
+                describe_quota_refusal(get("quota")),
                 get("route"),
                 get("service"),
                 get("version"),
@@ -160,6 +161,16 @@
     }
 }
 
+/// Describes why a call got no token; empty if it was not refused for that.
+fn describe_quota_refusal(refusal: &str) -> &str {
+    match refusal {
+        "limit_reached" => " (no token was expected in time)",
+        "late" => " (tokens went to calls that could still be in time)",
+        "no_token" => " (it waited, and no token came in time)",
+        _ => "",
+    }
+}
+
 /// Describes the end of an attempt: an `AttemptEnd`, as `end=` names it.
 fn describe_attempt_end(end: &str) -> &str {
     match end {
--- a/crates/ctl/tests/explain_cases.rs
+++ b/crates/ctl/tests/explain_cases.rs
@@ -72,6 +72,18 @@
     );
 }
 
+/// Guards against a refusal over the limit whose reason cannot be read from the trace.
+#[rstest]
+#[case::at_once("limit_reached", "no token was expected in time")]
+#[case::late("late", "tokens went to calls that could still be in time")]
+#[case::waited("no_token", "it waited, and no token came in time")]
+fn the_reason_for_no_token_is_described(#[case] quota: &str, #[case] description: &str) {
+    let line = format!("ts=2026-01-01T00:00:21.400+00:00 level=info event=call_ended request=read-1 call=c3 outcome=over_quota status=429 reason=over_quota organisation=north quota={quota}");
+    let lines: Vec<LogLine> = LogLine::parse(&line, "file").into_iter().collect();
+    let trace = trace_call("read-1", &lines).expect("a trace").to_string();
+    assert!(trace.contains(description), "{trace}");
+}
+
 #[test]
 fn unlogged_call_has_no_trace() {
     assert_eq!(trace_call("unheard", &lines()), None);
--- a/crates/mesh/src/calls/admit.rs
+++ b/crates/mesh/src/calls/admit.rs
@@ -69,6 +69,7 @@
             Err(refusal) => {
                 shared.metrics.record_key_check("over_quota");
                 organisations.counts.over_quota(&organisation.name);
+                shared.metrics.record_quota_refusal(refusal);
                 log_entry.reason = "over_quota";
                 log_entry.quota_refusal = Some(refusal);
                 let name = &organisation.name;
@@ -90,12 +91,15 @@
     deadlines: CallDeadlines,
 ) -> TokenRequest {
     let now = shared.clock.now();
+    let return_times = &shared.return_times;
+    // A soft deadline from an earlier try is more precise than the estimate.
+    let known = return_times.soft_deadline(call.identity, client_deadline(route, call), now);
     TokenRequest {
         priority: organisation.priority.unwrap_or(route.priority),
-        soft_deadline: deadlines.soft,
+        soft_deadline: known.map_or(deadlines.soft, |known| known.min(deadlines.soft)),
         deadline: deadlines.hard,
         run: shared.expected_run_time(&route.name).unwrap_or_default(),
-        timing: shared.return_times.timing(call.identity, now),
+        timing: return_times.timing(call.identity, now),
     }
 }
 
--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -61,9 +61,9 @@
     replay_body: ReplayBody,
     deadline: Instant,
     soft_deadline: Instant,
-    /// Time at which the client of an organisation's call gives up; `None` for calls that
-    /// belong to no organisation.
-    organisation_deadline: Option<Instant>,
+    /// Time at which the client gives up, if the call belongs to an organisation with a
+    /// rate limit.
+    limited_client_deadline: Option<Instant>,
     tried_hosts: Vec<String>,
     /// Number of attempts that may have reached a target.
     delivered_attempts: u32,
@@ -104,7 +104,9 @@
             shared.record_client_timeout(&route.name, client_timeout);
         }
         let organisation = call.organisation.as_ref();
-        let organisation_deadline = organisation.map(|_| client_deadline(route, &call));
+        let limited_client_deadline = organisation
+            .filter(|organisation| organisation.limit.is_some())
+            .map(|_| client_deadline(route, &call));
         log_entry.service.clone_from(&service);
         log_entry.soft_deadline_ms = deadlines
             .soft
@@ -120,7 +122,7 @@
             replay_body: ReplayBody::new(body),
             deadline: deadlines.hard,
             soft_deadline: deadlines.soft,
-            organisation_deadline,
+            limited_client_deadline,
             tried_hosts: Vec::new(),
             delivered_attempts: 0,
             declines: 0,
@@ -327,13 +329,7 @@
         if !matches!(end, AttemptEnd::Declined | AttemptEnd::HeldBack) {
             self.delivered_attempts += 1;
         }
-        if self.organisation_deadline.is_some()
-            && matches!(end, AttemptEnd::Answered | AttemptEnd::AnsweredFailure)
-        {
-            let now = self.shared.clock.now();
-            let return_times = &self.shared.return_times;
-            return_times.record_accepted(&self.head.service, now);
-        }
+        self.record_accepted(end);
         self.log_entry.declines = self.declines;
         self.shared
             .metrics
--- a/crates/mesh/src/calls/dispatch/ending.rs
+++ b/crates/mesh/src/calls/dispatch/ending.rs
@@ -71,7 +71,7 @@
         let now = self.shared.clock.now();
         let time_left = self.deadline.saturating_duration_since(now);
         if let ("no_room", Some(client_deadline)) =
-            (self.log_entry.reason, self.organisation_deadline)
+            (self.log_entry.reason, self.limited_client_deadline)
         {
             return service_unavailable(self.reserve_retry(client_deadline, time_left, now));
         }
@@ -96,8 +96,18 @@
 }
 
 impl CallDispatch<'_> {
-    /// Reserves the time of the retry of an organisation's call for which the service has
-    /// no capacity.
+    /// Counts an accepted call of an organisation with a rate limit. The rate of these
+    /// calls is that of the retries of their refused ones.
+    pub(super) fn record_accepted(&self, end: AttemptEnd) {
+        let is_accepted = matches!(end, AttemptEnd::Answered | AttemptEnd::AnsweredFailure);
+        if is_accepted && self.limited_client_deadline.is_some() {
+            let now = self.shared.clock.now();
+            let return_times = &self.shared.return_times;
+            return_times.record_accepted(&self.head.service, now);
+        }
+    }
+
+    /// Reserves the time of the retry of a call for which the service has no capacity.
     fn reserve_retry(
         &self,
         client_deadline: Instant,
--- a/crates/mesh/src/calls/outgoing.rs
+++ b/crates/mesh/src/calls/outgoing.rs
@@ -28,12 +28,7 @@
         .map_or(Duration::ZERO, |client_timeout| {
             shared.time_since_first_try(&route.name, client_timeout)
         });
-    let estimate = call.received + route.soft_deadline.saturating_sub(elapsed);
-    let deadline = client_deadline(route, call);
-    let known = shared
-        .return_times
-        .soft_deadline(call.identity, deadline, call.received);
-    known.map_or(estimate, |known| known.min(estimate))
+    call.received + route.soft_deadline.saturating_sub(elapsed)
 }
 
 /// Returns the time at which the client of a call gives up.
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use filbert_policy::organisations::token_request::QuotaRefusal;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -76,6 +77,7 @@
     held_calls: Gauge<u64>,
     rollout_stages: Counter<u64>,
     key_checks: Counter<u64>,
+    quota_refusals: Counter<u64>,
     version: Gauge<u64>,
     target: TargetGauges,
     links: Gauge<u64>,
@@ -140,6 +142,10 @@
                 "filbert.keyed.calls",
                 "Calls that need a key, by what became of it",
             ),
+            quota_refusals: counter(
+                "filbert.quota.refusals",
+                "Calls over their organisation's limit, by why they got no token",
+            ),
             quarantine_changes: counter(
                 "filbert.quarantine.changes",
                 "Calls suspected, held back, refused and cleared",
@@ -231,6 +237,12 @@
         self.key_checks.add(1, &[KeyValue::new("verdict", verdict)]);
     }
 
+    /// Counts a call that got no token, by the reason.
+    pub fn record_quota_refusal(&self, refusal: QuotaRefusal) {
+        let reason = KeyValue::new("reason", refusal.label());
+        self.quota_refusals.add(1, &[reason]);
+    }
+
     /// Updates the gauges and returns all metrics in the Prometheus text format.
     fn render(&self, shared: &MeshShared) -> String {
         self.version.record(shared.versions.number(), &[]);
--- a/crates/mesh/src/organisations/tokens.rs
+++ b/crates/mesh/src/organisations/tokens.rs
@@ -14,6 +14,7 @@
 
 use super::pools::POOL_RETRY_DELAY;
 use super::OrganisationState;
+use crate::logging::LinePriority;
 use crate::state::MeshShared;
 
 /// Tokens of one organisation at this daemon, and the calls that wait for one.
@@ -25,6 +26,8 @@
     waiting: HashMap<WaitingId, oneshot::Sender<Result<(), QuotaRefusal>>>,
     /// Whether a request for tokens is in progress or planned.
     is_requesting: bool,
+    /// Whether tokens were short at the last check.
+    was_short: bool,
 }
 
 impl OrganisationTokens {
@@ -32,14 +35,24 @@
         self.queue.has_waiting()
     }
 
-    /// Tells the calls whose wait has ended.
-    fn deliver(&mut self) {
-        for settled in self.queue.take_settled() {
+    /// Tells the calls whose wait has ended. Returns whether any of them got a token.
+    fn deliver(&mut self) -> bool {
+        let settled_calls = self.queue.take_settled();
+        let has_granted = settled_calls.iter().any(|settled| settled.outcome.is_ok());
+        for settled in settled_calls {
             if let Some(sender) = self.waiting.remove(&settled.id) {
                 // The receiver exists: a cancelled call removes its sender.
                 let _ = sender.send(settled.outcome);
             }
         }
+        has_granted
+    }
+
+    /// Returns whether tokens are short now, if that has changed since the last check.
+    fn shortage_change(&mut self, now: Instant) -> Option<bool> {
+        let is_short = self.queue.is_short(now);
+        let was_short = std::mem::replace(&mut self.was_short, is_short);
+        (is_short != was_short).then_some(is_short)
     }
 
     /// Whether a request for tokens has to be started now.
@@ -47,10 +60,12 @@
         is_needed && !std::mem::replace(&mut self.is_requesting, true)
     }
 
-    /// Returns the time to wait before the next request for the calls that wait, or
-    /// `None` and ends the requests if no call waits.
-    fn next_request(&mut self, now: Instant) -> Option<Instant> {
-        self.is_requesting = self.queue.has_waiting();
+    /// Returns the time of the next request or the next end of a wait. Returns `None` and
+    /// ends the requests if no call waits, and the calls that got tokens just now, if
+    /// `has_granted`, have left enough for the next ones.
+    fn next_request(&mut self, has_granted: bool, now: Instant) -> Option<Instant> {
+        let needs_refill = has_granted && self.queue.needs_refill(now);
+        self.is_requesting = self.queue.has_waiting() || needs_refill;
         self.is_requesting.then(|| self.queue.next_event(now))
     }
 }
@@ -149,6 +164,9 @@
         let name = organisation.name.as_str();
         let mut token_caches = self.organisations.token_caches.borrow_mut();
         let tokens = token_caches.entry(name.to_owned()).or_default();
+        if let Some(is_short) = tokens.shortage_change(now) {
+            self.log_shortage(name, is_short, now);
+        }
         let decision = tokens.queue.offer(request, now);
         let (waiting, starts_request) = match decision {
             TokenDecision::Taken => {
@@ -185,7 +203,7 @@
             tokio::task::yield_now().await;
             loop {
                 let grant = shared.request_tokens(&name).await;
-                let mut next_event = shared.organisations.add_grant(&name, grant);
+                let mut next_event = shared.add_grant(&name, grant);
                 while let Some(at) = next_event.filter(|at| *at > shared.clock.now()) {
                     tokio::time::sleep_until(at.into()).await;
                     next_event = shared.organisations.end_waits(&name);
@@ -196,6 +214,33 @@
             }
         });
     }
+
+    /// Adds a grant. Returns as [`OrganisationTokens::next_request`].
+    fn add_grant(&self, organisation: &str, grant: TokenGrant) -> Option<Instant> {
+        let now = self.clock.now();
+        self.organisations
+            .with_tokens(organisation, |tokens| {
+                tokens.queue.granted(grant, now);
+                if let Some(is_short) = tokens.shortage_change(now) {
+                    self.log_shortage(organisation, is_short, now);
+                }
+                let has_granted = tokens.deliver();
+                tokens.next_request(has_granted, now)
+            })
+            .flatten()
+    }
+
+    /// Logs that an organisation's tokens became short, or are short no longer.
+    fn log_shortage(&self, organisation: &str, is_short: bool, now: Instant) {
+        if self.log_limiter.allows(LinePriority::Notable, now) {
+            let event = if is_short {
+                "tokens_short"
+            } else {
+                "tokens_suffice"
+            };
+            log::info!("event={event} organisation={organisation}");
+        }
+    }
 }
 
 impl OrganisationState {
@@ -215,25 +260,14 @@
         });
     }
 
-    /// Adds a grant, and returns the time at which the next request or the end of a wait
-    /// is due; `None` if no call waits.
-    fn add_grant(&self, organisation: &str, grant: TokenGrant) -> Option<Instant> {
-        let now = self.clock.now();
-        self.with_tokens(organisation, |tokens| {
-            tokens.queue.granted(grant, now);
-            tokens.deliver();
-            tokens.next_request(now)
-        })
-        .flatten()
-    }
-
-    /// Ends the wait of calls whose time is up. Returns as [`Self::add_grant`].
+    /// Ends the wait of calls whose time is up. Returns as
+    /// [`OrganisationTokens::next_request`].
     fn end_waits(&self, organisation: &str) -> Option<Instant> {
         let now = self.clock.now();
         self.with_tokens(organisation, |tokens| {
             tokens.queue.expire(now);
-            tokens.deliver();
-            tokens.next_request(now)
+            let has_granted = tokens.deliver();
+            tokens.next_request(has_granted, now)
         })
         .flatten()
     }
--- a/tests/mesh_organisations.rs
+++ b/tests/mesh_organisations.rs
@@ -197,4 +197,8 @@
     assert!(rejected.len() > 200, "{}", rejected.len());
     let log = fleet.hosts[0].log();
     assert!(log.contains(" quota=limit_reached"), "{log}");
+    assert!(
+        log.contains("event=tokens_short organisation=north"),
+        "{log}"
+    );
 }
