Let daemons take turns at an empty pool, by their most valuable calls

Cause: daemons with waiting calls request tokens again at the time that the pool stated, in the same order each time, so that one or two of them get all tokens, also for calls of low value. Change: a request after an empty grant has a random delay of up to 20 ms, and 20 ms more for each class of calls that precedes the daemon's first waiting call. Callers that repeat at once are now compared over eight replays, as one cannot tell a gain from chance.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -315,8 +315,8 @@
         // 7,000 calls and 1,000 tokens a second.
         let now = start + Duration::from_micros(u64::from(round) * 1_000 / 7);
         if round.is_multiple_of(70) {
-            queue.granted(grant(10), now);
-            queue.granted(grant(0), now);
+            queue.granted(grant(10), 0.5, now);
+            queue.granted(grant(0), 0.5, now);
         }
         let call = calls[round as usize % calls.len()];
         let request = TokenRequest {
--- a/crates/mesh/src/organisations/tokens.rs
+++ b/crates/mesh/src/organisations/tokens.rs
@@ -10,6 +10,7 @@
 use filbert_policy::organisations::quota_retries::QuotaRetries;
 use filbert_policy::organisations::token_queue::{TokenDecision, TokenQueue, WaitingId};
 use filbert_policy::organisations::token_request::{QuotaRefusal, TokenRequest};
+use rand::Rng;
 use tokio::sync::oneshot;
 
 use super::pools::POOL_RETRY_DELAY;
@@ -220,7 +221,7 @@
         let now = self.clock.now();
         self.organisations
             .with_tokens(organisation, |tokens| {
-                tokens.queue.granted(grant, now);
+                tokens.queue.granted(grant, rand::rng().random(), now);
                 if let Some(is_short) = tokens.shortage_change(now) {
                     self.log_shortage(organisation, is_short, now);
                 }
--- a/crates/policy/src/organisations/token_queue.rs
+++ b/crates/policy/src/organisations/token_queue.rs
@@ -19,6 +19,13 @@
 const IN_TIME_PREFERENCE: Duration = Duration::from_millis(500);
 /// Maximum number of calls that wait under shortage.
 const MAX_WAITING_CALLS: usize = 512;
+/// Longest random delay of a request after an empty grant, and the delay for each class
+/// of calls that precedes the waiting ones: the shortest time that an empty pool states.
+const REQUEST_DELAY_STEP: Duration = Duration::from_millis(20);
+/// Maximum number of classes for which a request is delayed.
+const MAX_DELAY_STEPS: usize = 2;
+/// Lowest rate at which a class of calls counts as present, per second.
+const MIN_CLASS_RATE_PER_S: f64 = 0.1;
 /// Lowest rate of grants that the expected wait is computed with, per second.
 const MIN_GRANT_RATE_PER_S: f64 = 1.0;
 
@@ -77,9 +84,8 @@
 
 /// The tokens of one organisation at a daemon and the calls that wait for one.
 ///
-/// Load pattern: an organisation sends several times its limit. Its refused calls
-/// return, and first come, first served, 40% of the tokens of its most urgent calls go to
-/// second and third tries that are late already, while first tries get none.
+/// Load pattern: an organisation sends several times its limit. First come, first served,
+/// 40% of the tokens of its most urgent calls go to second and third tries that are late.
 ///
 /// Without shortage, calls take tokens in the order of their arrival. Tokens are short
 /// from an empty grant on. Then calls in time are first, by priority; a call that no
@@ -144,9 +150,14 @@
         decision
     }
 
-    /// Records the response of the pools and gives its tokens to waiting calls.
-    pub fn granted(&mut self, grant: TokenGrant, now: Instant) {
+    /// Records the response of the pools and gives its tokens to waiting calls. `jitter`
+    /// is a random number between 0 and 1.
+    pub fn granted(&mut self, grant: TokenGrant, jitter: f64, now: Instant) {
         let was_short = self.is_short(now);
+        let grant = TokenGrant {
+            next_token_in: grant.next_token_in + self.request_delay(jitter, now),
+            ..grant
+        };
         self.token_cache.granted(grant, now);
         if grant.tokens > 0 {
             self.grants.record(grant.tokens, now);
@@ -222,8 +233,7 @@
             || self.token_cache.exhausted_for(now) > Duration::ZERO
     }
 
-    /// Returns the time at which the next request is due while calls wait, or the wait of
-    /// the first of them ends if that is sooner.
+    /// Returns the time of the next request while calls wait, or of the next end of a wait.
     #[must_use]
     pub fn next_event(&self, now: Instant) -> Instant {
         let next_request = now + self.token_cache.exhausted_for(now);
@@ -231,7 +241,7 @@
         waits.fold(next_request, Instant::min).max(now)
     }
 
-    /// Time until the pools may have tokens again; zero if they may have some now.
+    /// Time until the pools may have tokens; zero if they may have some now.
     #[must_use]
     pub fn exhausted_for(&self, now: Instant) -> Duration {
         self.token_cache.exhausted_for(now)
@@ -250,6 +260,23 @@
         rate.map_or(0.0, |rate| rate.per_s(now))
     }
 
+    /// Returns the time by which the next request after an empty grant is delayed.
+    ///
+    /// Load pattern: all daemons request tokens again at the time that the pool stated,
+    /// in the same order each time, and the first takes all tokens. With random delays
+    /// they take turns. A daemon delays its request for each class of calls that precedes
+    /// its first waiting call, so that daemons with more valuable calls get tokens first.
+    fn request_delay(&self, jitter: f64, now: Instant) -> Duration {
+        let Some(first) = self.waiting.front() else {
+            return Duration::ZERO;
+        };
+        let first_class = first.request.class(now);
+        let classes = self.class_rates.range(..first_class);
+        let preceding = classes.filter(|(_, rate)| rate.per_s(now) >= MIN_CLASS_RATE_PER_S);
+        let steps = count_to_f64(preceding.count().min(MAX_DELAY_STEPS));
+        REQUEST_DELAY_STEP.mul_f64(steps + jitter.clamp(0.0, 1.0))
+    }
+
     /// Whether a call in time waits for a token or was recently refused one.
     fn is_wanted_in_time(&self, now: Instant) -> bool {
         let is_recent = |at: Instant| now < at + IN_TIME_PREFERENCE;
@@ -270,8 +297,8 @@
         rate.record(1, now);
     }
 
-    /// Whether a call may wait at `position` until `wait_until`. While the pools have not
-    /// stated when they have tokens again, their response is awaited.
+    /// Whether a call may wait at `position` until `wait_until`. A response of the pools
+    /// that has not come yet is awaited.
     fn expects_token(
         &self,
         position: usize,
--- a/crates/policy/tests/token_queue_cases.rs
+++ b/crates/policy/tests/token_queue_cases.rs
@@ -48,10 +48,10 @@
 fn short_queue(now: Instant) -> TokenQueue {
     let mut queue = TokenQueue::default();
     for _ in 0..200 {
-        queue.granted(tokens(1), now);
+        queue.granted(tokens(1), 0.0, now);
         queue.offer(&in_time(now), now);
     }
-    queue.granted(EMPTY_GRANT, now);
+    queue.granted(EMPTY_GRANT, 0.0, now);
     queue
 }
 
@@ -100,7 +100,7 @@
     };
     let early = wait(&mut queue, &early, now);
     let new = wait(&mut queue, &in_time(now), now);
-    queue.granted(tokens(2), now + EMPTY_GRANT.next_token_in);
+    queue.granted(tokens(2), 0.0, now + EMPTY_GRANT.next_token_in);
     let settled = queue.take_settled();
     let order: Vec<WaitingId> = settled.iter().map(|call| call.id).collect();
     assert_eq!(order, [new, early]);
@@ -176,8 +176,8 @@
     ];
     let waiting = calls.map(|request| wait(&mut queue, &request, now));
     assert_eq!(queue.wanted(), 3);
-    queue.granted(tokens(2), now);
-    queue.granted(tokens(1), now);
+    queue.granted(tokens(2), 0.0, now);
+    queue.granted(tokens(1), 0.0, now);
     let settled = queue.take_settled();
     let order: Vec<WaitingId> = settled.iter().map(|call| call.id).collect();
     assert_eq!(order, waiting);
--- a/crates/policy/tests/token_queue_replay.rs
+++ b/crates/policy/tests/token_queue_replay.rs
@@ -80,13 +80,14 @@
     callers: Vec<Caller>,
     /// Callers by the time of their next try.
     tries: BTreeSet<(Instant, usize)>,
+    rng: StdRng,
     /// Retry times told, with the host and the call.
     told: Vec<(usize, CallIdentity, Instant)>,
 }
 
 impl Replay {
     /// Runs a load of `factor` times the limit, in which one in ten callers is impatient.
-    fn run(factor: f64) -> Replay {
+    fn run(factor: f64, seed: u64) -> Replay {
         let start = Instant::now();
         let mut replay = Replay {
             start,
@@ -97,9 +98,10 @@
             daemons: (0..HOSTS).map(|_| Daemon::default()).collect(),
             callers: Vec::new(),
             tries: BTreeSet::new(),
+            rng: StdRng::seed_from_u64(7),
             told: Vec::new(),
         };
-        replay.add_callers(factor);
+        replay.add_callers(factor, seed);
         let mut now = start;
         while now < start + QUIET + OVERLOAD + Duration::from_secs(4) {
             now += STEP;
@@ -108,8 +110,8 @@
         replay
     }
 
-    fn add_callers(&mut self, factor: f64) {
-        let mut rng = StdRng::seed_from_u64(5);
+    fn add_callers(&mut self, factor: f64, seed: u64) {
+        let mut rng = StdRng::seed_from_u64(seed);
         let mut at = Duration::ZERO;
         while at < QUIET + OVERLOAD {
             let per_s = LIMIT.per_s * if at < QUIET { 0.6 } else { factor };
@@ -146,13 +148,14 @@
             self.tries.pop_first();
             self.try_call(number, now);
         }
-        for host in 0..HOSTS {
+        let first = self.rng.random_range(0..HOSTS);
+        for host in (0..HOSTS).map(|host| (first + host) % HOSTS) {
             let daemon = &mut self.daemons[host];
             if daemon.response_at.is_some_and(|at| at <= now) {
                 daemon.response_at = None;
                 let wanted = daemon.queue.wanted();
                 let grant = self.pool.grant("one", LIMIT, 1.0, wanted, now);
-                daemon.queue.granted(grant, now);
+                daemon.queue.granted(grant, self.rng.random(), now);
             }
             let needs_tokens = daemon.queue.has_waiting() || daemon.queue.needs_refill(now);
             if needs_tokens
@@ -271,10 +274,10 @@
 }
 
 #[rstest]
-#[case(LoadCase { factor: 4.0, min_telemetry_in_time: 0.7, max_tries_per_served: 10.5 })]
-#[case(LoadCase { factor: 7.0, min_telemetry_in_time: 0.55, max_tries_per_served: 19.5 })]
+#[case(LoadCase { factor: 4.0, min_telemetry_in_time: 0.8, max_tries_per_served: 10.5 })]
+#[case(LoadCase { factor: 7.0, min_telemetry_in_time: 0.6, max_tries_per_served: 19.5 })]
 fn tokens_go_to_calls_in_time(#[case] case: LoadCase) {
-    let replay = Replay::run(case.factor);
+    let replay = Replay::run(case.factor, 5);
     let overload_end = replay.start + QUIET + OVERLOAD;
     let granted = || {
         let callers = replay.overload_callers();
@@ -293,8 +296,17 @@
         tries_per_served <= case.max_tries_per_served,
         "{tries_per_served} tries"
     );
+}
+
+/// Guards against callers that gain by repeating a refused call at once. One in ten
+/// callers does, so that several replays are needed to tell a gain from chance.
+#[rstest]
+#[case(4.0)]
+#[case(7.0)]
+fn early_callers_gain_nothing(#[case] factor: f64) {
+    let replays: Vec<Replay> = (1..=8).map(|seed| Replay::run(factor, seed)).collect();
     let [patient, impatient] = [false, true].map(|is_impatient| {
-        let callers = replay.overload_callers();
+        let callers = replays.iter().flat_map(Replay::overload_callers);
         let callers = callers.filter(|caller| caller.is_impatient == is_impatient);
         share(callers, Caller::is_in_time)
     });
@@ -307,7 +319,7 @@
 /// Guards against refused calls of one daemon that are told the same time.
 #[test]
 fn no_two_calls_are_told_the_same_time() {
-    let replay = Replay::run(7.0);
+    let replay = Replay::run(7.0, 5);
     let mut told = HashMap::new();
     for (host, identity, at) in &replay.told {
         let other = told.insert((host, at), identity);
