Compute the parts of a zone's calls that other zones take

A call leaves its zone only for a target with a free slot. At a peak no target has one, so calls wait in one zone while targets of another have short queues.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,8 @@
 //!   whether the organisation may run it.
 //! - [`routing`] and [`weights`] choose the service of a call.
 //! - [`client_timeouts`] estimates how long ago a call was first tried.
-//! - [`placement`] chooses a target of the service.
+//! - [`zone_load`] shares the load of a service among availability zones, and
+//!   [`placement`] chooses a target of the service.
 //! - [`admission`] runs, queues or declines the call at the target.
 //! - [`attempt`] and [`budget`] decide whether the call is retried, and
 //!   [`refusal`] when a refused caller should retry.
@@ -42,3 +43,4 @@
 pub mod target_limit;
 pub mod target_memory;
 pub mod weights;
+pub mod zone_load;
--- /dev/null
+++ b/crates/policy/src/zone_load/sums.rs
@@ -0,0 +1,180 @@
+//! Adds up the loads of hosts by service, and keeps the sums of the zones with their age.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::demand::SteadyLoad;
+use super::shares::ZoneLoad;
+
+/// Age from which a report or a sum counts as absent.
+pub const MAX_LOAD_AGE: Duration = Duration::from_secs(2);
+/// Maximum number of services in a report or a sum. With four zones and two readers in
+/// each, a daemon gets 16 sums a second of half a KB at most.
+pub const MAX_SERVICES: usize = 16;
+/// Maximum number of zones whose sums are kept, and of readers of each.
+const MAX_SOURCES: usize = 64;
+/// Maximum length of the name of a service, in bytes.
+const MAX_NAME_BYTES: usize = 128;
+
+/// Load of one service, on one host or in one zone.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// Name of the service.
+    pub service: String,
+    /// Whether a daemon there has seen the service use most of its capacity. Otherwise
+    /// it is reported because this is so in another zone.
+    pub is_pressed: bool,
+    /// Demand and capacity.
+    pub load: ZoneLoad,
+}
+
+/// Returns why `loads` cannot be used; `None` if they can.
+#[must_use]
+pub fn find_fault(loads: &[ServiceLoad]) -> Option<&'static str> {
+    if loads.len() > MAX_SERVICES {
+        return Some("too many services");
+    }
+    let has_long_name = |load: &ServiceLoad| load.service.len() > MAX_NAME_BYTES;
+    if loads.iter().any(has_long_name) {
+        return Some("the name of a service is too long");
+    }
+    let is_invalid = |load: &ServiceLoad| !load.load.is_valid();
+    loads
+        .iter()
+        .any(is_invalid)
+        .then_some("a load is negative or not a number")
+}
+
+/// The latest reports of the hosts of a zone, at one reader.
+#[derive(Debug, Default)]
+pub struct HostReports {
+    reports: BTreeMap<String, (Vec<ServiceLoad>, Instant)>,
+    demands: BTreeMap<String, SteadyLoad>,
+}
+
+impl HostReports {
+    /// Replaces the report of `host`.
+    pub fn record(&mut self, host: &str, loads: Vec<ServiceLoad>, now: Instant) {
+        self.reports.insert(host.to_owned(), (loads, now));
+    }
+
+    /// Adds up the reports by service. If there are more services than a sum may have,
+    /// those with the largest demand for their capacity are kept.
+    pub fn sum(&mut self, now: Instant) -> Vec<ServiceLoad> {
+        self.reports
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < MAX_LOAD_AGE);
+        let mut sums: BTreeMap<&str, (bool, ZoneLoad)> = BTreeMap::new();
+        for report in self.reports.values().flat_map(|(loads, _)| loads) {
+            let (is_pressed, sum) = sums.entry(&report.service).or_default();
+            *is_pressed |= report.is_pressed;
+            sum.add(&report.load);
+        }
+        self.demands
+            .retain(|service, _| sums.contains_key(service.as_str()));
+        let mut loads = Vec::new();
+        for (service, (is_pressed, mut load)) in sums {
+            let demand = self
+                .demands
+                .entry(service.to_owned())
+                .or_insert(SteadyLoad::new(load.demand, now));
+            load.demand = demand.follow(load.demand, now);
+            loads.push(ServiceLoad {
+                service: service.to_owned(),
+                is_pressed,
+                load,
+            });
+        }
+        let excess = |entry: &ServiceLoad| entry.load.demand - entry.load.capacity;
+        loads.sort_by(|a, b| {
+            let by_excess = excess(b).total_cmp(&excess(a));
+            b.is_pressed.cmp(&a.is_pressed).then(by_excess)
+        });
+        loads.truncate(MAX_SERVICES);
+        loads
+    }
+}
+
+/// The sum of one zone, as one of its readers has computed it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ZoneSum {
+    /// Name of the zone.
+    pub zone: String,
+    /// Host of the reader.
+    pub reader: String,
+    /// Random number of the reader's process, and the number of the sum in it.
+    pub sequence: (u64, u64),
+    /// Time since the sum was computed.
+    pub age: Duration,
+    /// Loads by service.
+    pub loads: Vec<ServiceLoad>,
+}
+
+/// The latest sums of all zones, by zone and reader.
+#[derive(Debug, Default)]
+pub struct ZoneSums {
+    sums: BTreeMap<(String, String), (ZoneSum, Instant)>,
+}
+
+impl ZoneSums {
+    /// Records a sum that arrived at `now`. Returns whether it was not known yet.
+    pub fn record(&mut self, sum: ZoneSum, now: Instant) -> bool {
+        self.remove_old(now);
+        let Some(computed_at) = now.checked_sub(sum.age) else {
+            return false;
+        };
+        if sum.age >= MAX_LOAD_AGE {
+            return false;
+        }
+        let key = (sum.zone.clone(), sum.reader.clone());
+        let is_known = self.sums.get(&key).is_some_and(|(known, _)| {
+            known.sequence.0 == sum.sequence.0 && known.sequence.1 >= sum.sequence.1
+        });
+        let is_full = self.sums.len() >= MAX_SOURCES && !self.sums.contains_key(&key);
+        if is_known || is_full {
+            return false;
+        }
+        self.sums.insert(key, (sum, computed_at));
+        true
+    }
+
+    /// Removes the sums that count as absent.
+    pub fn remove_old(&mut self, now: Instant) {
+        self.sums
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < MAX_LOAD_AGE);
+    }
+
+    /// The services that use most of their capacity in any zone.
+    #[must_use]
+    pub fn pressed_services(&self) -> Vec<&str> {
+        let all = self.sums.values().flat_map(|(sum, _)| &sum.loads);
+        let pressed = all.filter(|load| load.is_pressed);
+        let mut services: Vec<&str> = pressed.map(|load| load.service.as_str()).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
+    /// The loads of `service`, by zone, from the newest sum of each zone, and the age of
+    /// the oldest of these.
+    #[must_use]
+    pub fn loads_of(&self, service: &str, now: Instant) -> (BTreeMap<String, ZoneLoad>, Duration) {
+        let mut newest: BTreeMap<&str, (Instant, ZoneLoad)> = BTreeMap::new();
+        for (sum, at) in self.sums.values() {
+            let Some(found) = sum.loads.iter().find(|load| load.service == service) else {
+                continue;
+            };
+            let entry = newest.entry(&sum.zone).or_insert((*at, found.load));
+            if entry.0 < *at {
+                *entry = (*at, found.load);
+            }
+        }
+        let oldest = newest.values().map(|(at, _)| *at).min().unwrap_or(now);
+        let loads = newest
+            .into_iter()
+            .map(|(zone, (_, load))| (zone.to_owned(), load))
+            .collect();
+        (loads, now.saturating_duration_since(oldest))
+    }
+}
