Ignore bad loads, and show loads and parts to operators

One figure that is not a number or absurdly large would have spoiled the sum of a zone. A bad load is now removed alone, with a line that names its sender; a table of five cases guards this.

The daemons' metrics state the loads by zone and the parts in use, at most 16 services, and count the calls sent and received. filbertctl mesh services lists them as text or JSON. The run with real processes reads them: one target of zone a, 12 slots in zone b, a part above 0. A fleet with little load states none.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -175,6 +175,15 @@
         #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
         output: OutputFormat,
     },
+    /// List the load of the services that use most of their capacity, by availability zone.
+    Services {
+        /// Port on which the daemons serve their metrics.
+        #[arg(long, default_value_t = DEFAULT_METRICS_PORT)]
+        metrics_port: u16,
+        /// Output format.
+        #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
+        output: OutputFormat,
+    },
     /// Release a call that is held back.
     Release {
         /// Identity of the call, as listed by `held` and logged as `call=`.
--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -12,7 +12,7 @@
 use filbert_platform::store::{StoreClient, CONFIG_KEY, OPERATOR_TABLE};
 use filbert_policy::clock::SystemClock;
 
-use super::{held, organisations, rollout};
+use super::{held, organisations, rollout, services};
 use crate::cli::{ConfigFormat, MeshCommand, OutputFormat};
 use crate::error::CtlError;
 use crate::mesh::{ConfigTree, DaemonMetrics, HostStatus};
@@ -41,6 +41,10 @@
             metrics_port,
             output,
         } => organisations::list(&store, metrics_port, output).await,
+        MeshCommand::Services {
+            metrics_port,
+            output,
+        } => services::list(&store, metrics_port, output).await,
         MeshCommand::Release { call } => held::release(&store, call).await,
         MeshCommand::Watch {
             version,
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 mod remove;
 mod report;
 mod rollout;
+mod services;
 mod set;
 mod show;
 mod status;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod mesh;
 pub mod report;
+pub mod services;
 pub mod store;
 
 pub use cli::Cli;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -278,7 +278,10 @@
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
             log::error!("event=metrics_failed error=\"{error}\"");
         }
-        String::from_utf8_lossy(&out).into_owned() + &shared.organisations.counts.text()
+        let zone = shared.settings.borrow().zone.clone();
+        String::from_utf8_lossy(&out).into_owned()
+            + &shared.organisations.counts.text()
+            + &shared.zone_load.metrics_text(&zone, shared.clock.now())
     }
 }
 
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -3,6 +3,7 @@
 
 mod news;
 
+use std::cell::RefCell;
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -55,8 +56,12 @@
     }
 }
 
+/// Availability zone of the daemon that dialed a link, once it has said so.
+type CallerZone = Rc<RefCell<Option<String>>>;
+
 async fn serve_link(shared: Rc<MeshShared>, stream: TcpStream) -> Result<(), LinkError> {
     sockets::set_socket_options(&stream);
+    let caller_zone = CallerZone::default();
     let mut connection = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
@@ -67,13 +72,17 @@
     while let Some(accepted) = connection.accept().await {
         let (request, respond) = accepted?;
         let shared = Rc::clone(&shared);
+        let caller_zone = Rc::clone(&caller_zone);
         if request.uri().path() == news_path() {
             tokio::task::spawn_local(async move {
-                if let Err(error) = serve_news(shared, request, respond).await {
+                if let Err(error) = serve_news(shared, request, respond, caller_zone).await {
                     log::debug!("event=news_ended reason=\"{error}\"");
                 }
             });
         } else {
+            if let Some(zone) = caller_zone.borrow().as_deref() {
+                shared.count_received_call(zone);
+            }
             tokio::task::spawn_local(async move {
                 if let Err(error) = serve_call(shared, request, respond).await {
                     log::debug!("event=peer_call_ended reason=\"{error}\"");
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -8,6 +8,7 @@
 use h2::RecvStream;
 use http::{Request, Response};
 
+use super::CallerZone;
 use crate::body::next_data;
 use crate::links::{LinkError, NEWS_URL};
 use crate::messages::{decode_next, encode, DecodeError, LinkMessage, PeerAddress, RowChange};
@@ -25,6 +26,7 @@
     shared: Rc<MeshShared>,
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
+    caller_zone: CallerZone,
 ) -> Result<(), LinkError> {
     let mut incoming = request.into_body();
     let mut outgoing = respond.send_response(Response::new(()), false)?;
@@ -45,6 +47,7 @@
         return Ok(());
     }
     let mut subscription = shared.peers.subscribe(&from);
+    caller_zone.replace(Some(from.zone.clone()));
     for key in &leaving_instances {
         shared.gate.mark_left_before_restart(key);
     }
--- a/crates/mesh/src/zone_load/demand.rs
+++ b/crates/mesh/src/zone_load/demand.rs
@@ -22,6 +22,11 @@
 const PRESSED_TIME: Duration = Duration::from_secs(2);
 /// Demand, in slots, below which a service counts as not called.
 const MIN_DEMAND: f64 = 0.001;
+/// Smallest slowdown by which a target's capacity is raised. Targets of one service differ
+/// in speed by three to one.
+const MIN_SLOWDOWN: f64 = 0.25;
+/// Largest slowdown by which a target's capacity is lowered.
+const MAX_SLOWDOWN: f64 = 10.0;
 /// Number of open targets of a service from which its load can be shared.
 const MIN_OPEN_TARGETS: u32 = 2;
 
@@ -192,7 +197,9 @@
     }
     ZoneLoad {
         demand: 0.0,
-        capacity: f64::from(target.load.slots) / target.load.slowdown.max(f64::MIN_POSITIVE),
+        capacity: f64::from(target.load.slots)
+            / target.load.slowdown.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN),
+        slots: target.load.slots,
         open_targets: 1,
     }
 }
--- a/crates/mesh/src/zone_load/mod.rs
+++ b/crates/mesh/src/zone_load/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod demand;
 pub mod messages;
+pub mod metrics;
 pub mod placement;
 pub mod reports;
 
--- a/crates/mesh/src/zone_load/placement.rs
+++ b/crates/mesh/src/zone_load/placement.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use crate::logging::LinePriority;
+use crate::metrics::ZoneCallDirection;
 use crate::state::MeshShared;
 
 /// Change of a part from which it is logged.
@@ -17,7 +18,7 @@
     /// Computes the parts from the sums of the zones that this daemon has links to.
     pub(super) fn update_zone_shares(&self, now: Instant) {
         let state = &self.zone_load;
-        let services = state.sums.borrow().services();
+        let mut services = state.sums.borrow().services();
         let mut shares = state.shares.borrow_mut();
         if services.is_empty() && shares.is_empty() {
             return;
@@ -31,8 +32,8 @@
             .map(|peer| peer.address.zone.clone())
             .collect();
         zones.insert(own.clone());
-        let known: Vec<String> = shares.keys().cloned().collect();
-        for service in services.into_iter().chain(known) {
+        services.extend(shares.keys().cloned());
+        for service in services {
             let (mut loads, _) = state.sums.borrow().loads_of(&service, now);
             loads.retain(|zone, _| zones.contains(zone));
             let before = shares.remove(&service).unwrap_or_default();
@@ -80,6 +81,14 @@
         }
     }
 
+    /// Counts a call that came from `zone`, if that is another zone.
+    pub fn count_received_call(&self, zone: &str) {
+        if self.settings.borrow().zone != zone {
+            self.metrics
+                .record_zone_call(ZoneCallDirection::Received, zone);
+        }
+    }
+
     /// Draws the other zone in which to place a call to `service`; `None` if the call
     /// stays in its own zone. No random number is used while no other zone takes a part.
     #[must_use]
--- a/crates/mesh/src/zone_load/reports.rs
+++ b/crates/mesh/src/zone_load/reports.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use filbert_policy::zone_load::sums::{find_fault, ServiceLoad, ZoneSum};
+use filbert_policy::zone_load::sums::{remove_unusable, ServiceLoad, ZoneSum};
 
 use super::messages::LoadReport;
 use crate::logging::LinePriority;
@@ -56,14 +56,13 @@
     }
 
     /// Records the report of a host of this zone.
-    pub fn record_load_report(&self, report: LoadReport) {
+    pub fn record_load_report(&self, mut report: LoadReport) {
         if report.zone != self.settings.borrow().zone {
             self.log_unusable(&report.host, "the host is in another zone");
             return;
         }
-        if let Some(fault) = find_fault(&report.loads) {
+        if let Some(fault) = remove_unusable(&mut report.loads) {
             self.log_unusable(&report.host, fault);
-            return;
         }
         let now = self.clock.now();
         let mut reports = self.zone_load.reports.borrow_mut();
@@ -101,10 +100,9 @@
 
     /// Records a sum that daemon `from` sent, and relays it if this daemon is a reader and
     /// did not know it.
-    pub fn merge_zone_sum(&self, sum: ZoneSum, from: &str) {
-        if let Some(fault) = find_fault(&sum.loads) {
-            self.log_unusable(from, fault);
-            return;
+    pub fn merge_zone_sum(&self, mut sum: ZoneSum, from: &str) {
+        if let Some(fault) = remove_unusable(&mut sum.loads) {
+            self.log_unusable(&format!("{from} zone={}", sum.zone), fault);
         }
         let now = self.clock.now();
         if !self.zone_load.sums.borrow_mut().record(sum.clone(), now) {
--- a/crates/policy/src/zone_load/shares.rs
+++ b/crates/policy/src/zone_load/shares.rs
@@ -17,6 +17,9 @@
 /// Number of open targets of a service, in all zones, from which its load is shared.
 const MIN_OPEN_TARGETS: u32 = 2;
 
+/// Largest demand or capacity that is accepted, in slots: far above that of any zone.
+const MAX_SLOTS: f64 = 1_000_000.0;
+
 /// Load of a service in one availability zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ZoneLoad {
@@ -24,23 +27,26 @@
     pub demand: f64,
     /// Number of slots of the zone's open targets, of usual speed.
     pub capacity: f64,
+    /// Number of slots of the zone's open targets, whatever their speed.
+    pub slots: u32,
     /// Number of the zone's open targets.
     pub open_targets: u32,
 }
 
 impl ZoneLoad {
-    /// Whether all figures are finite and none is negative.
+    /// Whether all figures are numbers from 0 to [`MAX_SLOTS`].
     #[must_use]
     pub fn is_valid(&self) -> bool {
         [self.demand, self.capacity]
             .iter()
-            .all(|figure| figure.is_finite() && *figure >= 0.0)
+            .all(|figure| (0.0..=MAX_SLOTS).contains(figure))
     }
 
     /// Adds the load of another host or zone.
     pub fn add(&mut self, other: &ZoneLoad) {
         self.demand += other.demand;
         self.capacity += other.capacity;
+        self.slots = self.slots.saturating_add(other.slots);
         self.open_targets = self.open_targets.saturating_add(other.open_targets);
     }
 }
--- a/crates/policy/src/zone_load/sums.rs
+++ b/crates/policy/src/zone_load/sums.rs
@@ -15,7 +15,9 @@
 pub const MAX_SERVICES: usize = 16;
 /// Maximum number of zones whose sums are kept, and of readers of each.
 const MAX_SOURCES: usize = 64;
-/// Maximum length of the name of a service, in bytes.
+/// Maximum number of hosts whose reports a reader keeps; a zone has some 600.
+const MAX_HOSTS: usize = 4_096;
+/// Maximum length of the name of a service, zone or host, in bytes.
 const MAX_NAME_BYTES: usize = 128;
 
 /// Time from the first report on a service in which the other hosts of the zone report on
@@ -37,21 +39,30 @@
     pub load: ZoneLoad,
 }
 
-/// Returns why `loads` cannot be used; `None` if they can.
-#[must_use]
-pub fn find_fault(loads: &[ServiceLoad]) -> Option<&'static str> {
+/// Removes the loads that cannot be used. Returns why the first of them cannot; `None` if
+/// all can.
+pub fn remove_unusable(loads: &mut Vec<ServiceLoad>) -> Option<&'static str> {
+    let mut fault = None;
+    loads.retain(|load| {
+        let found = find_fault(load);
+        fault = fault.or(found);
+        found.is_none()
+    });
     if loads.len() > MAX_SERVICES {
-        return Some("too many services");
+        loads.truncate(MAX_SERVICES);
+        fault = fault.or(Some("too many services"));
     }
-    let has_long_name = |load: &ServiceLoad| load.service.len() > MAX_NAME_BYTES;
-    if loads.iter().any(has_long_name) {
-        return Some("the name of a service is too long");
+    fault
+}
+
+fn find_fault(load: &ServiceLoad) -> Option<&'static str> {
+    if load.service.len() > MAX_NAME_BYTES {
+        Some("the name of a service is too long")
+    } else if load.load.is_valid() {
+        None
+    } else {
+        Some("a load is negative, too large or not a number")
     }
-    let is_invalid = |load: &ServiceLoad| !load.load.is_valid();
-    loads
-        .iter()
-        .any(is_invalid)
-        .then_some("a load is negative or not a number")
 }
 
 /// The latest reports of the hosts of a zone, at one reader.
@@ -75,8 +86,11 @@
         self.reports.is_empty()
     }
 
-    /// Replaces the report of `host`.
+    /// Replaces the report of `host`. It is ignored if there are too many hosts.
     pub fn record(&mut self, host: &str, loads: Vec<ServiceLoad>, now: Instant) {
+        if self.reports.len() >= MAX_HOSTS && !self.reports.contains_key(host) {
+            return;
+        }
         self.reports.insert(host.to_owned(), (loads, now));
     }
 
@@ -149,7 +163,8 @@
         let Some(computed_at) = now.checked_sub(sum.age) else {
             return false;
         };
-        if sum.age >= MAX_LOAD_AGE {
+        let is_named = sum.zone.len().max(sum.reader.len()) <= MAX_NAME_BYTES;
+        if sum.age >= MAX_LOAD_AGE || !is_named {
             return false;
         }
         let key = (sum.zone.clone(), sum.reader.clone());
--- a/crates/policy/tests/support/zones.rs
+++ b/crates/policy/tests/support/zones.rs
@@ -238,6 +238,7 @@
                 demand: self.demand.slots(now),
                 capacity,
                 open_targets: u32::from(capacity > 0.0) * 8,
+                ..ZoneLoad::default()
             },
         };
         self.reports.record("host", vec![load], now);
--- a/crates/policy/tests/zone_load_replay.rs
+++ b/crates/policy/tests/zone_load_replay.rs
@@ -11,6 +11,7 @@
 
 use filbert_policy::numbers::count_to_f64;
 use filbert_policy::zone_load::shares::{ZoneLoad, ZoneShares};
+use filbert_policy::zone_load::sums::{remove_unusable, ServiceLoad};
 use rstest::rstest;
 use zones::{play, Pattern, Replay, TICK_S, ZONES};
 
@@ -148,6 +149,7 @@
                 demand: (pattern.demand)(zone, at),
                 capacity: (pattern.capacity)(zone, at),
                 open_targets: 8,
+                ..ZoneLoad::default()
             };
             (0..ZONES)
                 .map(|zone| (zones::name(zone), load(zone)))
@@ -211,3 +213,27 @@
         }
     }
 }
+
+/// Guards against one bad figure that spoils the sum of a zone, or takes other services
+/// with it.
+#[rstest]
+#[case::not_a_number("quotes", f64::NAN)]
+#[case::infinite("quotes", f64::INFINITY)]
+#[case::negative("quotes", -1.0)]
+#[case::absurd("quotes", 1e300)]
+#[case::long_name(&"q".repeat(1_000), 1.0)]
+fn a_bad_load_is_removed_alone(#[case] service: &str, #[case] capacity: f64) {
+    let load = |service: &str, capacity: f64| ServiceLoad {
+        service: service.to_owned(),
+        is_pressed: true,
+        is_complete: true,
+        load: ZoneLoad {
+            capacity,
+            ..ZoneLoad::default()
+        },
+    };
+    let mut loads = vec![load(service, capacity), load("art", 4.0)];
+    assert!(remove_unusable(&mut loads).is_some());
+    assert_eq!(loads, [load("art", 4.0)]);
+    assert_eq!(remove_unusable(&mut loads), None);
+}
--- a/tests/mesh_zone_load.rs
+++ b/tests/mesh_zone_load.rs
@@ -87,6 +87,7 @@
     assert!(eventually_logs(caller, begun).await, "{}", caller.log());
     let has_sent = || async { sent_calls(caller).await > 20 };
     assert!(eventually(WAIT_TIMEOUT, has_sent).await, "{}", caller.log());
+    assert_services_are_listed(&fleet).await;
     for far in &fleet.hosts[2..] {
         far.signal(Signal::SIGSTOP);
     }
@@ -102,6 +103,24 @@
     }
 }
 
+/// Asserts that `filbertctl mesh services` shows the loads that the caller uses.
+async fn assert_services_are_listed(fleet: &Fleet) {
+    let store = fleet.store.address.to_string();
+    let port = fleet.hosts[0].metrics.port().to_string();
+    let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_filbertctl"))
+        .args(["mesh", "--store", &store, "services", "--output", "json"])
+        .args(["--metrics-port", &port])
+        .output();
+    let output = output.await.expect("filbertctl runs");
+    // Each daemon of the test has a port of its own, so only the caller answers.
+    let loads: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let quotes = &loads["quotes"];
+    assert_eq!(quotes["a"]["targets"], 1.0, "{loads}");
+    assert_eq!(quotes["b"]["slots"], 12.0, "{loads}");
+    assert!(quotes["a"]["sent_to"]["b"].as_f64() > Some(0.0), "{loads}");
+    assert!(quotes["a"]["demand"].as_f64() > Some(2.0), "{loads}");
+}
+
 /// Guards against messages, lines and decisions where no service uses most of its
 /// capacity.
 #[tokio::test]
