Use the sums of one reader of each zone

The two readers of a zone differ in what they have received. Daemons used the newer sum, so that a part changed with each sum: from 0.09 to 0.03 within 2 ms in a run with real processes.

Daemons now use the first reader by name, and another one once the latest sum of the first is 1.2 s old. Readers relay only the sums that are used. The new test failed before.

--- a/crates/mesh/src/zone_load/reports.rs
+++ b/crates/mesh/src/zone_load/reports.rs
@@ -16,7 +16,7 @@
 /// count as absent.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 /// Minimum time between two sums of a zone that a reader relays. Somewhat less than
-/// [`MIN_SEND_INTERVAL`], so that all sums of one of the zone's readers are relayed.
+/// [`MIN_SEND_INTERVAL`], so that all sums of the reader that is used are relayed.
 const MIN_RELAY_INTERVAL: Duration = Duration::from_millis(400);
 /// Relative change of a load from which it is reported.
 const REPORTED_CHANGE: f64 = 0.1;
@@ -98,8 +98,8 @@
         self.send_to_sources(&message);
     }
 
-    /// Records a sum that daemon `from` sent, and relays it if this daemon is a reader and
-    /// did not know it.
+    /// Records a sum that daemon `from` sent. A reader relays it if it is new, and of the
+    /// reader whose sums are used.
     pub fn merge_zone_sum(&self, mut sum: ZoneSum, from: &str) {
         if let Some(fault) = remove_unusable(&mut sum.loads) {
             self.log_unusable(&format!("{from} zone={}", sum.zone), fault);
@@ -109,8 +109,8 @@
             return;
         }
         self.update_zone_shares(now);
-        let is_relayed = self.members.is_reader() && self.may_relay(&sum.zone, now);
-        if !is_relayed {
+        let is_used = self.zone_load.sums.borrow().used_reader(&sum.zone, now) == Some(&sum.reader);
+        if !(is_used && self.members.is_reader() && self.may_relay(&sum.zone, now)) {
             return;
         }
         let message = LinkMessage::ZoneLoads(sum);
--- a/crates/policy/src/zone_load/sums.rs
+++ b/crates/policy/src/zone_load/sums.rs
@@ -10,6 +10,9 @@
 
 /// Age from which a report or a sum counts as absent.
 pub const MAX_LOAD_AGE: Duration = Duration::from_secs(2);
+/// Age of the latest sum of a reader from which the sums of another reader of its zone are
+/// used. Two sums may be late.
+const MAX_READER_AGE: Duration = Duration::from_millis(1_200);
 /// Maximum number of services in a report or a sum. With four zones and two readers in
 /// each, a daemon gets 16 sums a second of half a KB at most.
 pub const MAX_SERVICES: usize = 16;
@@ -200,26 +203,33 @@
         pressed.map(|load| load.service.clone()).collect()
     }
 
-    /// The loads of `service`, by zone, from the newest sum of each zone, and the age of
-    /// the oldest of these.
+    /// The reader whose sums of `zone` are used: the first by name, unless its latest sum
+    /// is older than [`MAX_READER_AGE`]. All daemons thereby use the same sums, as two
+    /// readers differ.
+    #[must_use]
+    pub fn used_reader(&self, zone: &str, now: Instant) -> Option<&str> {
+        let of_zone = || self.sums.iter().filter(|((of, _), _)| of == zone);
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < MAX_READER_AGE;
+        let recent = of_zone().find(|(_, (_, at))| is_recent(at));
+        let used = recent.or_else(|| of_zone().max_by_key(|(_, (_, at))| *at));
+        used.map(|((_, reader), _)| reader.as_str())
+    }
+
+    /// The loads of `service`, by zone, and the age of the oldest of these.
     #[must_use]
     pub fn loads_of(&self, service: &str, now: Instant) -> (BTreeMap<String, ZoneLoad>, Duration) {
-        let mut newest: BTreeMap<&str, (Instant, ZoneLoad)> = BTreeMap::new();
-        for (sum, at) in self.sums.values() {
+        let mut loads = BTreeMap::new();
+        let mut oldest = now;
+        for ((zone, reader), (sum, at)) in &self.sums {
             let is_wanted = |load: &&ServiceLoad| load.is_complete && load.service == service;
             let Some(found) = sum.loads.iter().find(is_wanted) else {
                 continue;
             };
-            let entry = newest.entry(&sum.zone).or_insert((*at, found.load));
-            if entry.0 < *at {
-                *entry = (*at, found.load);
+            if self.used_reader(zone, now) == Some(reader) {
+                loads.insert(zone.clone(), found.load);
+                oldest = oldest.min(*at);
             }
         }
-        let oldest = newest.values().map(|(at, _)| *at).min().unwrap_or(now);
-        let loads = newest
-            .into_iter()
-            .map(|(zone, (_, load))| (zone.to_owned(), load))
-            .collect();
         (loads, now.saturating_duration_since(oldest))
     }
 }
--- a/crates/policy/tests/zone_load_replay.rs
+++ b/crates/policy/tests/zone_load_replay.rs
@@ -8,10 +8,11 @@
 mod zones;
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use filbert_policy::numbers::count_to_f64;
 use filbert_policy::zone_load::shares::{ZoneLoad, ZoneShares};
-use filbert_policy::zone_load::sums::{remove_unusable, ServiceLoad};
+use filbert_policy::zone_load::sums::{remove_unusable, ServiceLoad, ZoneSum, ZoneSums};
 use rstest::rstest;
 use zones::{play, Pattern, Replay, TICK_S, ZONES};
 
@@ -237,3 +238,40 @@
     assert_eq!(loads, [load("art", 4.0)]);
     assert_eq!(remove_unusable(&mut loads), None);
 }
+
+/// Guards against parts that change with each sum, as two readers of a zone differ, and
+/// against a zone that counts as absent when one of them dies.
+#[test]
+fn one_reader_is_used_until_it_dies() {
+    let start = Instant::now() + Duration::from_secs(10);
+    let mut sums = ZoneSums::default();
+    for half_second in 0..8_u32 {
+        let now = start + Duration::from_millis(500) * half_second;
+        for (reader, demand) in [("first", 10.0), ("second", 20.0)] {
+            if reader == "first" && half_second >= 4 {
+                continue;
+            }
+            let load = ZoneLoad {
+                demand,
+                ..ZoneLoad::default()
+            };
+            let sum = ZoneSum {
+                zone: zones::name(0),
+                reader: reader.to_owned(),
+                sequence: (1, u64::from(half_second)),
+                age: Duration::ZERO,
+                loads: vec![ServiceLoad {
+                    service: "quotes".to_owned(),
+                    is_pressed: true,
+                    is_complete: true,
+                    load,
+                }],
+            };
+            assert!(sums.record(sum, now));
+            let (loads, _) = sums.loads_of("quotes", now);
+            let used = loads[&zones::name(0)].demand;
+            let expected = if half_second < 6 { 10.0 } else { 20.0 };
+            assert!((used - expected).abs() < 0.1, "{used} at {half_second}");
+        }
+    }
+}
