--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -8,6 +8,7 @@
 use h2::RecvStream;
 use http::{Request, Response};
 
+use super::CallerZone;
 use crate::body::next_data;
 use crate::links::{LinkError, NEWS_URL};
 use crate::messages::{decode_next, encode, DecodeError, LinkMessage, PeerAddress, RowChange};
@@ -25,6 +26,7 @@
     shared: Rc<MeshShared>,
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
+    caller_zone: CallerZone,
 ) -> Result<(), LinkError> {
     let mut incoming = request.into_body();
     let mut outgoing = respond.send_response(Response::new(()), false)?;
@@ -45,6 +47,7 @@
         return Ok(());
     }
     let mut subscription = shared.peers.subscribe(&from);
+    caller_zone.replace(Some(from.zone.clone()));
     for key in &leaving_instances {
         shared.gate.mark_left_before_restart(key);
     }
@@ -174,29 +177,37 @@
             }
             None
         }
-        LinkMessage::Suspects(calls) => {
-            shared
-                .quarantine
-                .merge_suspects(&calls, "a daemon linked here");
-            None
-        }
-        LinkMessage::Rollouts(news) => {
-            shared.merge_rollouts(&news, "a daemon linked here");
-            None
-        }
-        LinkMessage::TargetReports(tallies) => {
-            shared.record_reports(tallies);
-            None
-        }
         LinkMessage::RequestTokens {
             request_id,
             organisation,
             wanted,
         } => Some(pools::answer(shared, request_id, &organisation, wanted)),
         LinkMessage::RequestClock { asked_us } => shared.store_clock(asked_us),
+        other => {
+            handle_update(shared, other);
+            None
+        }
+    }
+}
+
+/// Handles an update of the dialing daemon, which needs no response.
+fn handle_update(shared: &Rc<MeshShared>, message: LinkMessage) {
+    /// Name of the sender in the log.
+    const FROM: &str = "a daemon linked here";
+    match message {
+        LinkMessage::Suspects(calls) => shared.quarantine.merge_suspects(&calls, FROM),
+        LinkMessage::Rollouts(news) => shared.merge_rollouts(&news, FROM),
+        LinkMessage::TargetReports(tallies) => shared.record_reports(tallies),
+        LinkMessage::ReportLoad(report) => shared.record_load_report(report),
+        LinkMessage::ZoneLoads(sum) => shared.merge_zone_sum(sum, FROM),
         LinkMessage::Hello { .. }
         | LinkMessage::WrongHost(_)
         | LinkMessage::RequestHostUpdates
+        | LinkMessage::RequestVersion { .. }
+        | LinkMessage::RequestMembers
+        | LinkMessage::RequestRowChange { .. }
+        | LinkMessage::RequestTokens { .. }
+        | LinkMessage::RequestClock { .. }
         | LinkMessage::RenewPoolLease
         | LinkMessage::VersionConfirmation(_)
         | LinkMessage::StoreClock { .. }
@@ -210,6 +221,6 @@
         | LinkMessage::InForce { .. }
         | LinkMessage::Steps { .. }
         | LinkMessage::NoSteps { .. }
-        | LinkMessage::Version { .. } => None,
+        | LinkMessage::Version { .. } => {}
     }
 }
