Share a target's slots fairly between organisations

Cause: all calls to a target wait in one order, so an organisation at seven times its usual load costs the others calls in proportion to its number of calls, although their own load fits.

Change: start-time fair queueing in virtual time (policy/fair_share.rs). The admission queue orders waiting calls by run time weighted by priority, then late or not, then beyond the share or not, then by deadline. Run time and priority yield where a call in time and within its share is likely to miss its soft deadline. The expected wait of a new call uses the same order. A full queue gives up the call furthest beyond its share first. A target with one organisation, or none, decides as before.

No slot is idle while a call waits in any replay without a target limit.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -340,6 +340,7 @@
         deadline: now + Duration::from_secs(4),
         run: RunTime::exponential(run),
         link: LinkTime::default(),
+        organisation: None,
     };
     for (name, limit) in [
         ("offer, settle and finish, some 30 waiting", None),
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -42,6 +42,7 @@
             deadline: received + Duration::from_micros(call.deadline_us),
             run: self.estimate_run_time(call),
             link,
+            organisation: None,
         };
         let empty_body = AnswerBody::Whole(bytes::Bytes::new());
         if let Some(reply) = self.refuse_held(call) {
@@ -225,6 +226,7 @@
         self.metrics.record_gate_verdict(match declined.reason {
             DeclineReason::Crowded => "crowded",
             DeclineReason::Limited => "limited",
+            DeclineReason::BeyondShare => "beyond_share",
             DeclineReason::Closed => "closed",
         });
         if !self.log_limiter.allows(LinePriority::Notable, now) {
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -7,19 +7,23 @@
 //! that the target states. The other calls wait in the daemon, where they can be
 //! reordered, cancelled and timed out.
 
+mod offer;
 mod order;
 mod queue;
+mod start_order;
 mod wait;
+mod waiting;
 
 use std::time::{Duration, Instant};
 
 pub use queue::AdmissionQueue;
 pub use wait::SHORT_RUN_RATIO;
 
+use crate::fair_share::OrganisationShare;
 use crate::run_times::RunTime;
 
 /// What admission control needs to know of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmissionRequest {
     /// Priority of the call; 0 is the most urgent.
     pub priority: u8,
@@ -31,6 +35,8 @@
     pub run: RunTime,
     /// Time that the call's answer needs on the host's network link.
     pub link: LinkTime,
+    /// The organisation that the call belongs to; `None` without organisations.
+    pub organisation: Option<OrganisationShare>,
 }
 
 /// Time that an answer needs on the host's network link.
@@ -61,6 +67,9 @@
     Crowded,
     /// The target's limit on the rate of calls leaves no time for the call's answer.
     Limited,
+    /// The call's organisation is beyond its share, and calls of other organisations
+    /// start first. The call would have been accepted if it was within the share.
+    BeyondShare,
     /// The target takes no calls, for example because it is shutting down.
     Closed,
 }
--- a/crates/policy/src/admission/order.rs
+++ b/crates/policy/src/admission/order.rs
@@ -15,6 +15,8 @@
     /// Whether the call was likely late on arrival, or has less than half of its mean
     /// run time left until its soft deadline.
     is_late: bool,
+    /// Whether the call is beyond the share of its organisation.
+    is_beyond_share: bool,
     /// The soft deadline, or the deadline if the call is late.
     due: Instant,
 }
@@ -36,6 +38,9 @@
     /// always went first, lookups would be late, and each late lookup would fail
     /// a call at another target that has used more slot time than the lookup
     /// needs.
+    ///
+    /// Of calls of one cost that are not late, or that are all late, those of
+    /// organisations within their share start first.
     pub(super) fn of(request: &AdmissionRequest, is_likely_late: bool, now: Instant) -> CallOrder {
         let is_late = is_likely_late || now + request.run.mean.mul_f64(0.5) > request.soft_deadline;
         let run_ms = (request.run.mean.as_secs_f64() * 1_000.0).max(1.0);
@@ -43,6 +48,7 @@
         CallOrder {
             cost: truncate_to_u64(doublings * COST_STEPS_PER_DOUBLING),
             is_late,
+            is_beyond_share: false,
             due: if is_late {
                 request.deadline
             } else {
@@ -51,6 +57,26 @@
         }
     }
 
+    /// Sets whether the call is beyond the share of its organisation. It is not at first.
+    pub(super) fn set_beyond_share(&mut self, is_beyond_share: bool) {
+        self.is_beyond_share = is_beyond_share;
+    }
+
+    /// Whether the call is beyond the share of its organisation.
+    pub(super) fn is_beyond_share(self) -> bool {
+        self.is_beyond_share
+    }
+
+    /// Whether the call is in time, and starts no later than `other` by its cost.
+    pub(super) fn is_in_time_by_cost_of(self, other: CallOrder) -> bool {
+        !self.is_late && self.cost <= other.cost
+    }
+
+    /// Whether the call is in time and within the share of its organisation.
+    pub(super) fn has_claim(self) -> bool {
+        !self.is_late && !self.is_beyond_share
+    }
+
     /// Index of the [`OfferedLoad`] bucket that counts the call. It may exceed
     /// the last bucket.
     fn bucket(self) -> usize {
@@ -78,6 +104,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct OfferedLoad {
     buckets: [f64; BUCKETS],
+    /// The part of `buckets` by calls that have no other call of their organisation
+    /// ahead of them.
+    within_share: [f64; BUCKETS],
     updated_at: Option<Instant>,
 }
 
@@ -95,24 +124,40 @@
     pub(super) fn record(
         &mut self,
         request: &AdmissionRequest,
+        is_first_of_share: bool,
         capacity_time: Duration,
         now: Instant,
     ) {
         let decay = self.decay(now);
-        for share in &mut self.buckets {
+        for share in self.buckets.iter_mut().chain(&mut self.within_share) {
             *share *= decay;
         }
         self.updated_at = Some(now);
         let share = capacity_time.as_secs_f64() / LOAD_TIME_CONSTANT.as_secs_f64();
-        let bucket = CallOrder::of(request, false, now).bucket();
-        self.buckets[bucket.min(BUCKETS - 1)] += share;
+        let order = CallOrder::of(request, false, now);
+        let bucket = order.bucket().min(BUCKETS - 1);
+        self.buckets[bucket] += share;
+        if is_first_of_share {
+            self.within_share[bucket] += share;
+        }
     }
 
     /// Share of the capacity requested by calls that start ahead of `order`. A late
     /// call also starts behind the calls of its own bucket that are not late, so
-    /// that bucket counts as well.
-    pub(super) fn ahead_of(&self, order: CallOrder, now: Instant) -> f64 {
+    /// that bucket counts as well. A call beyond the share of its organisation starts
+    /// behind the calls of its own bucket that are within theirs. If organisations
+    /// compete, as `is_contended` says, calls beyond a share yield to those with a claim.
+    pub(super) fn ahead_of(&self, order: CallOrder, is_contended: bool, now: Instant) -> f64 {
         let buckets = (order.bucket() + usize::from(order.is_late)).min(BUCKETS);
-        self.buckets[..buckets].iter().sum::<f64>() * self.decay(now)
+        let counted = if is_contended && order.has_claim() {
+            &self.within_share
+        } else {
+            &self.buckets
+        };
+        let mut share = counted[..buckets].iter().sum::<f64>();
+        if order.is_beyond_share && !order.is_late {
+            share += self.within_share.get(buckets).copied().unwrap_or(0.0);
+        }
+        share * self.decay(now)
     }
 }
--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -3,72 +3,42 @@
 use std::time::{Duration, Instant};
 
 use super::order::{CallOrder, OfferedLoad};
+use super::start_order::{RankedCall, StartOrder};
 use super::wait::ExpectedWait;
-use super::{
-    AdmissionDecision, AdmissionRequest, DeclineReason, QueueLimits, WaitOutcome, WaitTicket,
-};
+use super::waiting::{CallsAhead, WaitingCall};
+use super::{AdmissionRequest, DeclineReason, QueueLimits, WaitOutcome, WaitTicket};
+use crate::fair_share::FairShares;
 use crate::numbers::count_to_f64;
 use crate::target_limit::{CallAllowance, CallRate, LimitChange, LimitStatement, TargetLimit};
 
-#[derive(Clone, Copy, Debug)]
-struct WaitingCall {
-    ticket: WaitTicket,
-    request: AdmissionRequest,
-    enqueued_at: Instant,
-    /// Whether the call was expected to miss its soft deadline when it arrived.
-    is_likely_late: bool,
-}
-
-impl WaitingCall {
-    fn order(&self, now: Instant) -> CallOrder {
-        CallOrder::of(&self.request, self.is_likely_late, now)
-    }
-}
-
-/// Waiting calls that start before another one.
-#[derive(Clone, Copy, Debug, Default)]
-struct CallsAhead {
-    count: usize,
-    /// Sum of the run times.
-    run: Duration,
-}
-
-impl CallsAhead {
-    fn of<'a>(calls: impl Iterator<Item = &'a WaitingCall>) -> CallsAhead {
-        let mut ahead = CallsAhead::default();
-        for call in calls {
-            ahead.add(call);
-        }
-        ahead
-    }
-
-    fn add(&mut self, call: &WaitingCall) {
-        self.count += 1;
-        self.run += call.request.run.mean;
-    }
-}
-
 /// The admission queue of one target.
 ///
 /// A call is accepted if the calls ahead of it leave time to answer it before
 /// its soft deadline. A call that is likely to miss its soft deadline waits only
 /// if the queue is expected to drain soon, or if its run is short compared with
 /// the other runs at the target. Waiting calls start in order of run time
-/// weighted by priority, then by the deadline that they can still meet.
+/// weighted by priority, then by the deadline that they can still meet. If calls of
+/// several organisations wait, the share of each organisation counts too.
 ///
 /// Load pattern: for seconds, more calls arrive than the target can run. If all
 /// of them waited, every wait would grow with the queue and all answers would
 /// be late.
 #[derive(Debug)]
 pub struct AdmissionQueue {
-    limits: QueueLimits,
-    slots: u32,
-    running: u32,
-    waiting: Vec<WaitingCall>,
-    next_ticket: u64,
-    is_open: bool,
-    offered_load: OfferedLoad,
-    limit: TargetLimit,
+    pub(super) limits: QueueLimits,
+    pub(super) slots: u32,
+    pub(super) running: u32,
+    pub(super) waiting: Vec<WaitingCall>,
+    /// Calls that were removed from the full queue, until [`AdmissionQueue::dispatch`]
+    /// returns their outcomes.
+    pub(super) given_up: Vec<WaitingCall>,
+    pub(super) shares: FairShares,
+    /// Time at which a call waited last.
+    pub(super) last_wait: Option<Instant>,
+    pub(super) next_ticket: u64,
+    pub(super) is_open: bool,
+    pub(super) offered_load: OfferedLoad,
+    pub(super) limit: TargetLimit,
 }
 
 impl AdmissionQueue {
@@ -80,6 +50,9 @@
             slots: 1,
             running: 0,
             waiting: Vec::new(),
+            given_up: Vec::new(),
+            shares: FairShares::default(),
+            last_wait: None,
             next_ticket: 0,
             is_open: false,
             offered_load: OfferedLoad::default(),
@@ -109,10 +82,10 @@
         self.running
     }
 
-    /// Number of waiting calls.
+    /// Number of waiting calls, including those whose outcome is not known yet.
     #[must_use]
     pub fn waiting(&self) -> u32 {
-        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+        u32::try_from(self.waiting.len() + self.given_up.len()).unwrap_or(u32::MAX)
     }
 
     /// Number of calls that the target runs at once.
@@ -178,7 +151,7 @@
 
     /// Why a call is declined for want of room: the limit, if the call would wait
     /// longer for it than for a slot.
-    fn crowding(&self, mean_run: Duration, now: Instant) -> DeclineReason {
+    pub(super) fn crowding(&self, mean_run: Duration, now: Instant) -> DeclineReason {
         let ahead = CallsAhead::of(self.waiting.iter());
         if self.wait_behind(ahead, mean_run, now) > self.slot_wait(ahead, mean_run) {
             DeclineReason::Limited
@@ -187,113 +160,40 @@
         }
     }
 
-    /// Decides whether a new call runs, waits or is declined, where `mean_run`
-    /// is the mean run time of the calls at the target.
-    pub fn offer(
-        &mut self,
-        request: AdmissionRequest,
-        mean_run: Duration,
-        now: Instant,
-    ) -> AdmissionDecision {
-        if !self.is_open {
-            return AdmissionDecision::Decline {
-                reason: DeclineReason::Closed,
-                room_in: mean_run,
-            };
-        }
-        self.offered_load
-            .record(&request, self.capacity_time(&request), now);
-        let is_within_limit = self.limit.ready_calls(1, now) == 1;
-        if self.running < self.slots && self.waiting.is_empty() && is_within_limit {
-            // Declines a call whose answer the host's link cannot transmit in
-            // time, even if a slot is free. Otherwise answers of 90 KB queue
-            // up for a link of 7.5 Mbit/s until all of them are late.
-            let no_wait = ExpectedWait::none(mean_run);
-            let link_has_capacity = request.link.wait.is_zero()
-                || no_wait.meets_soft_deadline(&request, now)
-                || no_wait.is_worth_queueing(&request, now);
-            if !link_has_capacity {
-                return AdmissionDecision::Decline {
-                    reason: DeclineReason::Crowded,
-                    room_in: request.link.wait,
-                };
-            }
-            self.start_run(now);
-            return AdmissionDecision::Run;
-        }
-        let on_time_wait = self.expected_wait_of_new(&request, false, mean_run, now);
-        let is_likely_late = !on_time_wait.meets_soft_deadline(&request, now);
-        let max_waiting = (self.limits.max_waiting_per_slot * self.slots) as usize;
-        let is_futile = is_likely_late
-            && !self
-                .expected_wait_of_new(&request, true, mean_run, now)
-                .is_worth_queueing(&request, now);
-        if is_futile || self.waiting.len() >= max_waiting {
-            return AdmissionDecision::Decline {
-                reason: self.crowding(mean_run, now),
-                room_in: self.room_in(mean_run, now),
-            };
-        }
-        let ticket = WaitTicket(self.next_ticket);
-        self.next_ticket += 1;
-        self.waiting.push(WaitingCall {
-            ticket,
-            request,
-            enqueued_at: now,
-            is_likely_late,
-        });
-        AdmissionDecision::Wait(ticket)
-    }
-
     /// Time of the target's whole capacity that the call takes: its share of the slots,
     /// or of the limit if that is scarcer.
-    fn capacity_time(&self, request: &AdmissionRequest) -> Duration {
+    pub(super) fn capacity_time(&self, request: &AdmissionRequest) -> Duration {
         (request.run.mean / self.slots).max(self.limit.time_per_call())
     }
 
-    fn start_run(&mut self, now: Instant) {
+    pub(super) fn start_run(&mut self, now: Instant) {
         self.running += 1;
         self.limit.take(now);
     }
 
-    /// Expected wait of a new call if the queue orders the call by `is_likely_late`.
-    fn expected_wait_of_new(
-        &self,
-        request: &AdmissionRequest,
-        is_likely_late: bool,
-        mean_run: Duration,
-        now: Instant,
-    ) -> ExpectedWait {
-        let order = CallOrder::of(request, is_likely_late, now);
-        let ahead = CallsAhead::of(
-            self.waiting
-                .iter()
-                .filter(|other| other.order(now) <= order),
-        );
-        self.expected_wait(ahead, order, mean_run, now)
-    }
-
     /// Expected wait of a call with sort key `order` behind the waiting calls `ahead`.
-    fn expected_wait(
+    pub(super) fn expected_wait(
         &self,
         ahead: CallsAhead,
         order: CallOrder,
+        is_contended: bool,
         mean_run: Duration,
         now: Instant,
     ) -> ExpectedWait {
         let without_arrivals = self.wait_behind(ahead, mean_run, now);
         ExpectedWait::under_load(
             without_arrivals,
-            self.offered_load.ahead_of(order, now),
+            self.offered_load.ahead_of(order, is_contended, now),
             mean_run,
         )
     }
 
     /// Removes a waiting call. Returns false if the call is not in the queue.
     pub fn cancel(&mut self, ticket: WaitTicket) -> bool {
-        let before = self.waiting.len();
+        let before = self.waiting();
         self.waiting.retain(|call| call.ticket != ticket);
-        before != self.waiting.len()
+        self.given_up.retain(|call| call.ticket != ticket);
+        before != self.waiting()
     }
 
     /// Frees the slot of a call that ran.
@@ -312,50 +212,80 @@
     /// target. Must be called after each change and periodically.
     pub fn dispatch(&mut self, mean_run: Duration, now: Instant) -> Vec<WaitOutcome> {
         let mut outcomes = Vec::new();
-        self.decline_late(mean_run, now, &mut outcomes);
-        // `decline_late` left the waiting calls in the order in which they start.
+        if !self.waiting.is_empty() {
+            self.last_wait = Some(now);
+        }
+        let calls = self.decline_late(mean_run, now, &mut outcomes);
         let free_slots = self.slots.saturating_sub(self.running) as usize;
-        let wanted = free_slots.min(self.waiting.len());
+        let wanted = free_slots.min(calls.len());
         let starting = self.limit.ready_calls(wanted, now);
-        let started: Vec<WaitingCall> = self.waiting.drain(..starting).collect();
-        for call in started {
+        for (index, started) in calls[..starting].iter().enumerate() {
             self.start_run(now);
-            outcomes.push(WaitOutcome::Run(call.ticket));
+            let earliest = StartOrder::earliest_competing(
+                &calls[index + 1..],
+                started,
+                &self.shares,
+                self.share_burst(mean_run),
+            );
+            self.shares
+                .record_start(&started.call.claim, started.call.work(), earliest);
+            outcomes.push(WaitOutcome::Run(started.call.ticket));
         }
+        self.waiting = calls[starting..].iter().map(|ranked| ranked.call).collect();
         outcomes
     }
 
-    /// Sorts the waiting calls and declines each call as soon as the calls ahead
-    /// of it leave it no time. Otherwise a call that more urgent calls have
-    /// overtaken would wait until its soft deadline and then be declined
-    /// anyway.
-    fn decline_late(&mut self, mean_run: Duration, now: Instant, outcomes: &mut Vec<WaitOutcome>) {
+    /// Returns the waiting calls in the order in which they start, and declines each
+    /// call as soon as the calls ahead of it leave it no time. Otherwise a call that
+    /// more urgent calls have overtaken would wait until its soft deadline and then be
+    /// declined anyway.
+    fn decline_late(
+        &mut self,
+        mean_run: Duration,
+        now: Instant,
+        outcomes: &mut Vec<WaitOutcome>,
+    ) -> Vec<RankedCall> {
         let room_in = self.room_in(mean_run, now);
-        let reason = self.crowding(mean_run, now);
-        self.waiting
-            .sort_by_key(|call| (call.order(now), call.ticket));
-        let mut kept = Vec::with_capacity(self.waiting.len());
+        let crowding = self.crowding(mean_run, now);
+        let mut decline = |call: &WaitingCall, is_beyond_share| {
+            outcomes.push(WaitOutcome::Decline {
+                ticket: call.ticket,
+                reason: if is_beyond_share {
+                    DeclineReason::BeyondShare
+                } else {
+                    crowding
+                },
+                room_in,
+            });
+        };
+        for call in self.given_up.drain(..) {
+            decline(&call, true);
+        }
+        let StartOrder {
+            calls,
+            is_contended,
+        } = self.start_order(None, mean_run, now);
+        let mut kept = Vec::with_capacity(calls.len());
         let mut ahead = CallsAhead::default();
-        for call in std::mem::take(&mut self.waiting) {
-            let wait = self.expected_wait(ahead, call.order(now), mean_run, now);
+        for ranked in calls {
+            let RankedCall { call, order, .. } = ranked;
+            let wait = self.expected_wait(ahead, order, is_contended, mean_run, now);
             if wait.is_worth_keeping(&call.request, call.enqueued_at, now) {
                 ahead.add(&call);
-                kept.push(call);
+                kept.push(ranked);
             } else {
-                outcomes.push(WaitOutcome::Decline {
-                    ticket: call.ticket,
-                    reason,
-                    room_in,
-                });
+                decline(&call, order.is_beyond_share());
             }
         }
-        self.waiting = kept;
+        kept
     }
 
     /// Declines all waiting calls, for example after the target has gone.
     pub fn decline_all(&mut self, mean_run: Duration) -> Vec<WaitOutcome> {
-        self.waiting
+        self.shares.clear();
+        self.given_up
             .drain(..)
+            .chain(self.waiting.drain(..))
             .map(|call| WaitOutcome::Decline {
                 ticket: call.ticket,
                 reason: DeclineReason::Closed,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`client_timeouts`] estimates how long ago a call was first tried.
 //! - [`placement`] chooses a target of the service.
 //! - [`admission`] runs, queues or declines the call at the target.
+//! - [`fair_share`] shares a scarce target between organisations.
 //! - [`attempt`] and [`budget`] decide whether the call is retried, and
 //!   [`refusal`] when a refused caller should retry.
 //! - [`quarantine`] holds back calls that crash their targets, recognised by
@@ -26,6 +27,7 @@
 pub mod client_timeouts;
 pub mod clock;
 pub mod egress;
+pub mod fair_share;
 pub mod health;
 pub mod identity;
 pub mod instance;
--- a/crates/policy/tests/admission_replay.rs
+++ b/crates/policy/tests/admission_replay.rs
@@ -36,6 +36,7 @@
             timeout: Duration::from_secs(2),
             run: Duration::from_millis(if number % 10 == 9 { 500 } else { 150 }),
             expected_run: RUN,
+            organisation: None,
         })
         .collect()
 }
@@ -117,6 +118,7 @@
         deadline: now + Duration::from_secs(2),
         run: RunTime::exponential(RUN),
         link: LinkTime::default(),
+        organisation: None,
     };
     for _ in 0..SLOTS {
         assert_eq!(queue.offer(request(900), RUN, now), AdmissionDecision::Run);
@@ -144,6 +146,7 @@
         deadline: now + RUN * 10,
         run: RunTime::exponential(RUN),
         link: LinkTime::default(),
+        organisation: None,
     };
     assert!(matches!(
         queue.offer(request, RUN, now),
@@ -176,6 +179,7 @@
                     timeout: Duration::from_millis(soft_timeout * 2),
                     run: Duration::from_millis(run),
                     expected_run: RUN,
+                    organisation: None,
                 }
             })
             .collect();
--- a/crates/policy/tests/egress_replay.rs
+++ b/crates/policy/tests/egress_replay.rs
@@ -201,6 +201,7 @@
                 wait: link.backlog(now).saturating_sub(RUN),
                 send: link.transmission_time(ANSWER),
             },
+            organisation: None,
         };
         match admission_queue.offer(demand, RUN, now) {
             AdmissionDecision::Run => {
--- a/crates/policy/tests/mixed_load_replay.rs
+++ b/crates/policy/tests/mixed_load_replay.rs
@@ -64,6 +64,7 @@
                 timeout: Duration::from_millis(kind.timeout_ms),
                 run,
                 expected_run: run,
+                organisation: None,
             });
             at += gap;
         }
--- a/crates/policy/tests/support/gate.rs
+++ b/crates/policy/tests/support/gate.rs
@@ -9,6 +9,7 @@
     AdmissionDecision, AdmissionQueue, AdmissionRequest, LinkTime, QueueLimits, WaitOutcome,
     WaitTicket,
 };
+use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::run_times::RunTime;
 use filbert_policy::target_limit::LimitStatement;
 
@@ -35,6 +36,8 @@
     pub run: Duration,
     /// Expected run time, known to the queue.
     pub expected_run: Duration,
+    /// The organisation that the call belongs to.
+    pub organisation: Option<OrganisationShare>,
 }
 
 /// How a simulated call ended, and how long after its arrival.
@@ -55,6 +58,7 @@
     calls: &[SimulatedCall],
     statements: &[(Duration, LimitStatement)],
 ) -> Vec<CallOutcome> {
+    let is_limited = !statements.is_empty();
     let mut statements = statements.iter().peekable();
     let start = Instant::now();
     let mut queue = open_queue();
@@ -73,14 +77,7 @@
         while let Some((_, statement)) = statements.next_if(|(at, _)| *at <= now) {
             queue.record_statement(*statement, start + now, start + now);
         }
-        let mut finished_calls = Vec::new();
-        running.retain(|&(until, call)| {
-            if until <= now {
-                finished_calls.push(call);
-            }
-            until > now
-        });
-        for call in finished_calls {
+        for (_, call) in running.extract_if(.., |(until, _)| *until <= now) {
             queue.finish_run();
             outcomes[call] = CallOutcome::Answered {
                 took: now.saturating_sub(calls[call].at),
@@ -94,6 +91,7 @@
                 deadline: start + call.at + call.timeout,
                 run: RunTime::exponential(call.expected_run),
                 link: LinkTime::default(),
+                organisation: call.organisation,
             };
             match queue.offer(request, mean_run(calls, &running), start + now) {
                 AdmissionDecision::Run => running.push((now + call.run, next)),
@@ -130,6 +128,10 @@
             running.len() <= SLOTS as usize,
             "more running calls than slots"
         );
+        assert!(
+            is_limited || waiting.is_empty() || running.len() == SLOTS as usize,
+            "a slot is idle while a call waits"
+        );
     }
     outcomes
 }
--- a/crates/policy/tests/target_limit_replay.rs
+++ b/crates/policy/tests/target_limit_replay.rs
@@ -40,6 +40,7 @@
             timeout: Duration::from_secs(4),
             run: RUN,
             expected_run: RUN,
+            organisation: None,
         })
         .collect()
 }
@@ -121,6 +122,7 @@
         deadline: now + Duration::from_millis(800),
         run: RunTime::exponential(RUN),
         link: LinkTime::default(),
+        organisation: None,
     };
     let decision = queue.offer(request, RUN, now);
     let expected = AdmissionDecision::Decline {
