Tell the target's gate the organisation of a call

Cause: the gate could not tell whose calls wait in front of its target.

Change: CallHead.organisation holds the hash of the organisation's name and its weight, the rate of its limit, 1 without a limit. It is None without organisations. The gate logs the first invalid weight and counts it as 1.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -59,7 +59,7 @@
                 get("candidates"),
             ),
             "gate_declined" => format!(
-                "declined in front of the target ({}) after {} ms: {} running and {} waiting for {} slots, average run time {} ms, soft deadline in {} ms; room expected in {} ms{}",
+                "declined in front of the target ({}) after {} ms: {} running and {} waiting for {} slots, average run time {} ms, soft deadline in {} ms; room expected in {} ms{}{}",
                 get("reason"),
                 get("waited_ms"),
                 get("running"),
@@ -69,6 +69,7 @@
                 get("aim_ms"),
                 get("room_in_ms"),
                 describe_limit(get("limit")),
+                describe_share(get("reason"), get("ahead_ms"), get("weight")),
             ),
             "gate_ran" => format!(
                 "dispatched to instance {} after waiting {} ms: {} after {} ms ({})",
@@ -151,6 +152,16 @@
     }
 }
 
+/// Describes why a call was passed over; empty if it was declined for another reason.
+fn describe_share(reason: &str, ahead_ms: &str, weight: &str) -> String {
+    if reason != "BeyondShare" {
+        return String::new();
+    }
+    format!(
+        "; passed over for calls of other organisations: its own is {ahead_ms} ms of run time ahead of its share (weight {weight})"
+    )
+}
+
 /// Describes a target's limit on the rate of calls; empty if it has none, or if the line
 /// does not tell.
 fn describe_limit(limit: &str) -> String {
--- a/crates/ctl/tests/explain_cases.rs
+++ b/crates/ctl/tests/explain_cases.rs
@@ -54,6 +54,19 @@
     );
 }
 
+/// Guards against a call that was passed over for fairness and looks like one for want of
+/// slots.
+#[test]
+fn a_call_that_was_passed_over_names_its_share() {
+    let line = "ts=2026-01-01T00:00:21.201+00:00 level=info event=gate_declined request=r reason=BeyondShare share=00000000000000aa weight=160 ahead_ms=945";
+    let line = LogLine::parse(line, "file").expect("a line");
+    let description = line.describe();
+    assert!(
+        description.contains("945 ms of run time ahead of its share (weight 160)"),
+        "{description}"
+    );
+}
+
 #[rstest]
 #[case("declined in front of the target (Crowded)")]
 #[case("9 running and 5 waiting for 9 slots")]
--- a/crates/mesh/src/calls/outgoing.rs
+++ b/crates/mesh/src/calls/outgoing.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use filbert_platform::headers;
+use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::routing::RouteRule;
 
 use super::ClientCall;
@@ -47,6 +48,7 @@
         .as_ref()
         .and_then(|organisation| organisation.priority);
     let call_priority = organisation_priority.unwrap_or(route.priority);
+    let organisation = call.organisation.as_deref().map(OrganisationShare::of);
     let head = CallHead {
         lines: headers::target_header_lines(
             &call.head,
@@ -69,6 +71,7 @@
         expected_run_time: shared
             .expected_run_time(&route.name)
             .map(ExpectedRunTime::from),
+        organisation,
     };
     (head, call.body)
 }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -6,6 +6,7 @@
 
 mod crash;
 mod run;
+mod shares;
 mod statements;
 mod wait;
 
@@ -84,6 +85,8 @@
     /// clients read them; one semaphore permit for each KiB.
     answer_buffer_kib: Arc<Semaphore>,
     log_limiter: LogRateLimiter,
+    /// Whether the log says that a call came with an invalid weight.
+    has_logged_invalid_weight: Cell<bool>,
     clock: Rc<dyn Clock>,
     address: Cell<SocketAddr>,
     drain_time: Cell<Duration>,
@@ -129,6 +132,7 @@
             egress,
             answer_buffer_kib: Arc::new(Semaphore::new(MAX_BUFFERED_ANSWER_KIB)),
             log_limiter: LogRateLimiter::new(clock.now()),
+            has_logged_invalid_weight: Cell::new(false),
             clock,
             address: Cell::new(settings.target),
             drain_time: Cell::new(settings.times.drain),
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -42,7 +42,7 @@
             deadline: received + Duration::from_micros(call.deadline_us),
             run: self.estimate_run_time(call),
             link,
-            organisation: None,
+            organisation: self.organisation_share(call),
         };
         let empty_body = AnswerBody::Whole(bytes::Bytes::new());
         if let Some(reply) = self.refuse_held(call) {
@@ -234,7 +234,7 @@
         }
         let load = self.load();
         log::info!(
-            "event=gate_declined request={} service={} reason={:?} waited_ms={} room_in_ms={} running={} waiting={} slots={} run_ms={:.0} link_ms={:.0} aim_ms={} left_ms={} route={} priority={} own_run_ms={} limit={}",
+            "event=gate_declined request={} service={} reason={:?} waited_ms={} room_in_ms={} running={} waiting={} slots={} run_ms={:.0} link_ms={:.0} aim_ms={} left_ms={} route={} priority={} own_run_ms={} limit={} {}",
             call.id,
             call.service,
             declined.reason,
@@ -250,7 +250,8 @@
             call.kind,
             call.priority,
             self.estimate_run_time(call).mean.as_millis(),
-            rate_text(load.allowance.map(|allowance| allowance.rate))
+            rate_text(load.allowance.map(|allowance| allowance.rate)),
+            self.share_text(call)
         );
     }
 
--- a/crates/mesh/src/messages/calls.rs
+++ b/crates/mesh/src/messages/calls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::instance::InstanceKey;
 use filbert_policy::run_times::RunTime;
@@ -43,6 +44,8 @@
     pub kind: String,
     /// Expected run time on the call's route; `None` if not known.
     pub expected_run_time: Option<ExpectedRunTime>,
+    /// The organisation that the call belongs to; `None` without organisations.
+    pub organisation: Option<OrganisationShare>,
 }
 
 /// Expected run time of the calls on a route, over all targets.
--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -7,7 +7,7 @@
 use super::wait::ExpectedWait;
 use super::waiting::{CallsAhead, WaitingCall};
 use super::{AdmissionRequest, DeclineReason, QueueLimits, WaitOutcome, WaitTicket};
-use crate::fair_share::FairShares;
+use crate::fair_share::{FairShares, OrganisationShare};
 use crate::numbers::count_to_f64;
 use crate::target_limit::{CallAllowance, CallRate, LimitChange, LimitStatement, TargetLimit};
 
@@ -94,6 +94,14 @@
         self.slots
     }
 
+    /// Run time by which an organisation is ahead of its share of the target; zero if it
+    /// is not ahead, and while no calls wait.
+    #[must_use]
+    pub fn run_ahead_of_share(&self, organisation: OrganisationShare) -> Duration {
+        let claim = self.shares.claim(Some(organisation));
+        Duration::try_from_secs_f64(self.shares.work_ahead(&claim)).unwrap_or(Duration::ZERO)
+    }
+
     /// Removes the limit on the rate of calls, as the target was replaced.
     pub fn reset_limit(&mut self) {
         self.limit = TargetLimit::default();
--- a/crates/policy/src/fair_share.rs
+++ b/crates/policy/src/fair_share.rs
@@ -24,12 +24,17 @@
 use std::collections::{BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
+use twox_hash::XxHash64;
+
+use crate::organisations::keys::OrganisationRule;
 
 /// Maximum number of organisations that are tracked. Further ones form one share
 /// together with the items that belong to no organisation.
 pub const MAX_TRACKED_ORGANISATIONS: usize = 10_000;
 /// Weight of an organisation without a limit, or with an invalid weight.
 pub const DEFAULT_WEIGHT: f64 = 1.0;
+/// Seed of [`OrganisationShare::id`]. It is the same on all hosts.
+const ID_SEED: u64 = 0;
 /// Bounds of a weight, in calls per second. A weight outside them would make virtual
 /// time lose precision.
 const MIN_WEIGHT: f64 = 0.001;
@@ -45,6 +50,18 @@
 }
 
 impl OrganisationShare {
+    /// Returns the share of an organisation: its weight is the rate of its limit, and
+    /// [`DEFAULT_WEIGHT`] without a limit.
+    #[must_use]
+    pub fn of(organisation: &OrganisationRule) -> OrganisationShare {
+        OrganisationShare {
+            id: XxHash64::oneshot(ID_SEED, organisation.name.as_bytes()),
+            weight: organisation
+                .limit
+                .map_or(DEFAULT_WEIGHT, |limit| limit.per_s),
+        }
+    }
+
     /// Whether the weight is a positive, finite number.
     #[must_use]
     pub fn has_valid_weight(&self) -> bool {
--- a/crates/policy/tests/fair_share_replay.rs
+++ b/crates/policy/tests/fair_share_replay.rs
@@ -12,6 +12,7 @@
     AdmissionDecision, AdmissionRequest, DeclineReason, LinkTime, QueueLimits, WaitOutcome,
 };
 use filbert_policy::fair_share::{FairShares, OrganisationShare, MAX_TRACKED_ORGANISATIONS};
+use filbert_policy::organisations::keys::{OrganisationRule, RateLimit};
 use filbert_policy::run_times::RunTime;
 use gate::{open_queue, replay, CallOutcome, SimulatedCall, SLOTS};
 use proptest::prelude::*;
@@ -274,6 +275,30 @@
     assert_eq!(shares.claim(Some(share)), shares.claim(Some(one)));
 }
 
+/// Guards against an organisation that gets another share on each host, or none without
+/// a limit.
+#[rstest]
+#[case(None, 1.0)]
+#[case(Some(RateLimit { per_s: 40.0, burst: 8.0 }), 40.0)]
+fn the_weight_is_the_rate_of_the_limit(#[case] limit: Option<RateLimit>, #[case] weight: f64) {
+    let share = |name: &str| {
+        OrganisationShare::of(&OrganisationRule {
+            name: name.to_owned(),
+            keys: Vec::new(),
+            priority: None,
+            limit,
+        })
+    };
+    assert_eq!(
+        share("north"),
+        OrganisationShare {
+            weight,
+            ..share("north")
+        }
+    );
+    assert_ne!(share("north").id, share("south").id);
+}
+
 /// Ten times as many organisations as are tracked send calls. The state must stay
 /// bounded.
 #[test]
