Divide a short retry budget by organisation

Cause: an organisation whose calls fail used up the retry budget of a service, so that single failures of other organisations were not retried.

Change: once half of a service's budget is spent, an organisation spends at most the part that corresponds to its share of the calls of the window. Before that, it may also spend what the others leave unused. At most 10,000 organisations are counted per daemon. Without organisations nothing changes.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -10,7 +10,7 @@
 use filbert_policy::admission::{
     AdmissionDecision, AdmissionQueue, AdmissionRequest, LinkTime, QueueLimits,
 };
-use filbert_policy::budget::{RetryBudget, RetryBudgetLimits, RetryCause};
+use filbert_policy::budget::{BudgetAccount, RetryBudget, RetryBudgetLimits, RetryCause};
 use filbert_policy::identity::{CallIdentity, IdentityParts};
 use filbert_policy::organisations::keys::{KeyHash, KeyIndex, OrganisationRule, RateLimit};
 use filbert_policy::organisations::quota::{PoolTopology, QuotaPolicy, TokenPool};
@@ -324,9 +324,13 @@
         window: Duration::from_secs(10),
     };
     let mut budget = RetryBudget::new(limits, now);
+    let account = BudgetAccount {
+        service: "one",
+        organisation: Some(1),
+    };
     measure("retry budget, earn and spend", |_| {
-        budget.record_call("one", now);
-        black_box(budget.try_spend("one", RetryCause::NoAnswer, 10, now));
+        budget.record_call(account, now);
+        black_box(budget.try_spend(account, RetryCause::NoAnswer, 10, now));
     });
 }
 
--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -95,13 +95,16 @@
             .next_service(route, shared.seed)
             .to_owned();
         let now = shared.clock.now();
-        shared.retry_budget.borrow_mut().record_call(&service, now);
         let soft_deadline = estimate_soft_deadline(shared, route, &call);
         log_entry.service.clone_from(&service);
         log_entry.soft_deadline_ms = soft_deadline
             .saturating_duration_since(call.received)
             .as_millis();
         let (head, body) = into_call_parts(shared, route, &service, call);
+        shared
+            .retry_budget
+            .borrow_mut()
+            .record_call(head.budget_account(), now);
         CallDispatch {
             shared,
             route,
@@ -369,7 +372,7 @@
         let daemon_count = self.shared.daemon_count();
         let now = self.shared.clock.now();
         let mut budget = self.shared.retry_budget.borrow_mut();
-        budget.try_spend(&self.head.service, cause, daemon_count, now)
+        budget.try_spend(self.head.budget_account(), cause, daemon_count, now)
     }
 }
 
--- a/crates/mesh/src/messages/calls.rs
+++ b/crates/mesh/src/messages/calls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use filbert_policy::budget::BudgetAccount;
 use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::instance::InstanceKey;
@@ -48,6 +49,17 @@
     pub organisation: Option<OrganisationShare>,
 }
 
+impl CallHead {
+    /// The account of the retry budget that retries of the call are charged to.
+    #[must_use]
+    pub fn budget_account(&self) -> BudgetAccount<'_> {
+        BudgetAccount {
+            service: &self.service,
+            organisation: self.organisation.map(|share| share.id),
+        }
+    }
+}
+
 /// Expected run time of the calls on a route, over all targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExpectedRunTime {
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -28,6 +28,13 @@
 /// the target calls.
 const FAILED_CALL_SHARE: f64 = 0.5;
 
+/// Part of a service's budget from which the budget is short: an organisation then
+/// spends no more than its own part. Below it, it also spends what others leave unused.
+const SHORT_BUDGET_PART: f64 = 0.5;
+/// Maximum number of organisations that are counted, over all services. Further ones
+/// count together with the calls that belong to no organisation.
+const MAX_COUNTED_ORGANISATIONS: usize = 10_000;
+
 /// Why a call is to be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryCause {
@@ -37,13 +44,30 @@
     Failed,
 }
 
-/// Calls and retries of one service in the current window.
-#[derive(Debug)]
+/// The calls that a retry is charged to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetAccount<'a> {
+    /// Service that was called.
+    pub service: &'a str,
+    /// Hash of the name of the organisation that the call belongs to; `None` without
+    /// organisations.
+    pub organisation: Option<u64>,
+}
+
+/// Calls and retries in the current window.
+#[derive(Debug, Default)]
 struct WindowCounts {
     /// Slice number, calls and retries of each slice.
     slices: [(u64, u32, u32); WINDOW_SLICES as usize],
 }
 
+/// Calls and retries of one service.
+#[derive(Debug, Default)]
+struct ServiceCounts {
+    all: WindowCounts,
+    by_organisation: HashMap<Option<u64>, WindowCounts>,
+}
+
 impl WindowCounts {
     fn slice(&mut self, slice_number: u64) -> &mut (u64, u32, u32) {
         let index = usize::try_from(slice_number % u64::from(WINDOW_SLICES)).unwrap_or(0);
@@ -78,11 +102,16 @@
 ///
 /// Load pattern: many targets fail at once, and the load of the retries makes the
 /// remaining targets fail as well.
+///
+/// Load pattern: most calls of one organisation fail, at several times its usual load.
+/// Its retries would use up the budget, and single failures of the others would not be
+/// retried any more. So once a budget is short, each organisation spends at most the part
+/// that corresponds to its share of the calls.
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryBudgetLimits,
     started_at: Instant,
-    services: HashMap<String, WindowCounts>,
+    services: HashMap<String, ServiceCounts>,
 }
 
 impl RetryBudget {
@@ -104,34 +133,72 @@
         u64::try_from(elapsed_micros / slice_micros).unwrap_or(u64::MAX) + u64::from(WINDOW_SLICES)
     }
 
-    fn counts(&mut self, service: &str) -> &mut WindowCounts {
+    fn counts(&mut self, service: &str) -> &mut ServiceCounts {
         if !self.services.contains_key(service) {
-            let empty = WindowCounts {
-                slices: [(0, 0, 0); WINDOW_SLICES as usize],
-            };
-            self.services.insert(service.to_owned(), empty);
+            self.services
+                .insert(service.to_owned(), ServiceCounts::default());
         }
         self.services
             .get_mut(service)
             .expect("the entry was just inserted")
     }
 
-    /// Counts a new call to `service`.
-    pub fn record_call(&mut self, service: &str, now: Instant) {
+    /// Returns the organisation as which `account` is counted, and makes room for it.
+    fn counted_organisation(
+        &mut self,
+        account: BudgetAccount<'_>,
+        slice_number: u64,
+    ) -> Option<u64> {
+        let counts = self.counts(account.service);
+        if counts.by_organisation.contains_key(&account.organisation) {
+            return account.organisation;
+        }
+        let counted = |budget: &RetryBudget| -> usize {
+            let counts = budget.services.values();
+            counts.map(|counts| counts.by_organisation.len()).sum()
+        };
+        if counted(self) >= MAX_COUNTED_ORGANISATIONS {
+            for counts in self.services.values_mut() {
+                counts
+                    .by_organisation
+                    .retain(|_, counts| counts.totals(slice_number) != (0, 0));
+            }
+        }
+        let has_room = counted(self) < MAX_COUNTED_ORGANISATIONS;
+        account.organisation.filter(|_| has_room)
+    }
+
+    /// Counts a new call.
+    pub fn record_call(&mut self, account: BudgetAccount<'_>, now: Instant) {
         let slice_number = self.slice_number(now);
-        self.counts(service).slice(slice_number).1 += 1;
+        self.count(account, slice_number, |slice| slice.1 += 1);
+    }
+
+    fn count(
+        &mut self,
+        account: BudgetAccount<'_>,
+        slice_number: u64,
+        add: impl Fn(&mut (u64, u32, u32)),
+    ) {
+        let organisation = self.counted_organisation(account, slice_number);
+        let counts = self.counts(account.service);
+        add(counts.all.slice(slice_number));
+        let own = counts.by_organisation.entry(organisation).or_default();
+        add(own.slice(slice_number));
     }
 
-    /// Takes one retry of a call to `service` from the budget and returns true, or
-    /// returns false if the retry would exceed this daemon's share of the limits
-    /// at any service. The slack is divided among `daemons` daemons.
+    /// Takes one retry of a call from the budget and returns true, or returns false if
+    /// the retry would exceed this daemon's share of the limits at any service, or the
+    /// part of the call's organisation in a short budget. The slack is divided among
+    /// `daemons` daemons.
     pub fn try_spend(
         &mut self,
-        service: &str,
+        account: BudgetAccount<'_>,
         cause: RetryCause,
         daemons: usize,
         now: Instant,
     ) -> bool {
+        let service = account.service;
         let slice_number = self.slice_number(now);
         self.counts(service);
         let share = match cause {
@@ -143,7 +210,7 @@
             .services
             .iter()
             .map(|(name, counts)| {
-                let (calls, retries) = counts.totals(slice_number);
+                let (calls, retries) = counts.all.totals(slice_number);
                 let new = if name == service { 1.0 } else { 0.0 };
                 (f64::from(calls), f64::from(retries) + new)
             })
@@ -159,9 +226,32 @@
                 .sum();
             direct + indirect <= share * (self.limits.ratio * calls + slack)
         });
-        if fits {
-            self.counts(service).slice(slice_number).2 += 1;
+        let is_allowed = fits && self.is_within_part(account, share, slack, slice_number);
+        if is_allowed {
+            self.count(account, slice_number, |slice| slice.2 += 1);
         }
-        fits
+        is_allowed
+    }
+
+    /// Returns whether a retry is within the part of the call's organisation in the
+    /// budget, or the budget is not short. A part below one retry still allows one, as
+    /// the organisations that are this small do not all need it.
+    fn is_within_part(
+        &mut self,
+        account: BudgetAccount<'_>,
+        share: f64,
+        slack: f64,
+        slice_number: u64,
+    ) -> bool {
+        let organisation = self.counted_organisation(account, slice_number);
+        let counts = self.counts(account.service);
+        let (calls, retries) = counts.all.totals(slice_number);
+        let own = counts.by_organisation.get(&organisation);
+        let (own_calls, own_retries) = own.map_or((0, 0), |own| own.totals(slice_number));
+        let budget = share * (self.limits.ratio * f64::from(calls) + slack);
+        let own_part = budget * f64::from(own_calls) / f64::from(calls.max(1));
+        f64::from(retries) + 1.0 <= budget * SHORT_BUDGET_PART
+            || f64::from(own_retries) < own_part
+            || own_calls == calls
     }
 }
--- a/crates/policy/tests/budget_replay.rs
+++ b/crates/policy/tests/budget_replay.rs
@@ -9,7 +9,7 @@
 
 use std::time::{Duration, Instant};
 
-use filbert_policy::budget::{RetryBudget, RetryBudgetLimits, RetryCause};
+use filbert_policy::budget::{BudgetAccount, RetryBudget, RetryBudgetLimits, RetryCause};
 use rstest::rstest;
 
 const LIMITS: RetryBudgetLimits = RetryBudgetLimits {
@@ -19,6 +19,14 @@
 };
 const DAEMONS: usize = 10;
 
+/// The account of calls without organisations.
+fn account(service: &str) -> BudgetAccount<'_> {
+    BudgetAccount {
+        service,
+        organisation: None,
+    }
+}
+
 /// A load on a front service whose runs call a service behind it.
 struct ChainLoad {
     /// Calls per second to the front service, at all daemons together.
@@ -53,11 +61,11 @@
         let now = start + at;
         let daemon = usize::try_from(number).expect("a number") % DAEMONS;
         let budget = &mut budgets[daemon];
-        budget.record_call("front", now);
+        budget.record_call(account("front"), now);
         front.push((at, false));
         let mut runs = 1;
         let is_failing = |salt: u64| (number * 7 + salt) % 10 < load.failing_of_ten;
-        if is_failing(0) && budget.try_spend("front", RetryCause::Failed, DAEMONS, now) {
+        if is_failing(0) && budget.try_spend(account("front"), RetryCause::Failed, DAEMONS, now) {
             front.push((at, true));
             runs = 2;
         }
@@ -68,9 +76,10 @@
             // A run calls other services through the daemon on its target's host.
             let caller_daemon = (daemon + 3) % DAEMONS;
             let budget = &mut budgets[caller_daemon];
-            budget.record_call("behind", now);
+            budget.record_call(account("behind"), now);
             behind.push((at, run > 0));
-            if is_failing(run + 1) && budget.try_spend("behind", RetryCause::NoAnswer, DAEMONS, now)
+            if is_failing(run + 1)
+                && budget.try_spend(account("behind"), RetryCause::NoAnswer, DAEMONS, now)
             {
                 behind.push((at, true));
             }
@@ -107,10 +116,10 @@
     for second in 0..60 {
         let now = start + Duration::from_secs(second);
         for _ in 0..10 {
-            budget.record_call("front", now);
+            budget.record_call(account("front"), now);
         }
         assert!(
-            budget.try_spend("front", RetryCause::NoAnswer, DAEMONS, now),
+            budget.try_spend(account("front"), RetryCause::NoAnswer, DAEMONS, now),
             "second {second}"
         );
     }
@@ -122,10 +131,59 @@
     let start = Instant::now();
     let mut budget = RetryBudget::new(LIMITS, start);
     let mut spent = 0;
-    while budget.try_spend("front", RetryCause::NoAnswer, DAEMONS, start) {
+    while budget.try_spend(account("front"), RetryCause::NoAnswer, DAEMONS, start) {
         spent += 1;
     }
     assert!(spent >= 3, "the slack alone allows some");
     let later = start + LIMITS.window + Duration::from_secs(1);
-    assert!(budget.try_spend("front", RetryCause::NoAnswer, DAEMONS, later));
+    assert!(budget.try_spend(account("front"), RetryCause::NoAnswer, DAEMONS, later));
+}
+
+/// Guards against single failures that are not retried any more because another
+/// organisation, most of whose calls fail, uses up the budget.
+#[test]
+fn an_organisation_whose_calls_fail_leaves_the_others_their_part() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(LIMITS, start);
+    let account = |organisation| BudgetAccount {
+        service: "front",
+        organisation: Some(organisation),
+    };
+    let (mut failed, mut retried) = (0, 0);
+    for number in 0..4_000_u64 {
+        let now = start + Duration::from_millis(5) * number as u32;
+        let is_large = number % 2 == 0;
+        let organisation = if is_large { 0 } else { 1 + number / 2 % 40 };
+        budget.record_call(account(organisation), now);
+        let cause = RetryCause::NoAnswer;
+        if is_large {
+            budget.try_spend(account(organisation), cause, DAEMONS, now);
+        } else if number % 40 == 1 + number / 40 % 20 * 2 {
+            failed += 1;
+            let is_retried = budget.try_spend(account(organisation), cause, DAEMONS, now);
+            retried += u32::from(is_retried);
+        }
+    }
+    assert!(failed > 90, "{failed} failed");
+    assert!(retried * 100 >= failed * 95, "{retried} of {failed}");
+}
+
+/// An organisation whose calls fail while no other needs retries must be able to spend
+/// more than its own part.
+#[test]
+fn parts_that_others_leave_unused_are_available() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(LIMITS, start);
+    let account = |organisation| BudgetAccount {
+        service: "front",
+        organisation: Some(organisation),
+    };
+    for number in 0..1_000 {
+        budget.record_call(account(number % 10), start);
+    }
+    let spent = (0..1_000)
+        .filter(|_| budget.try_spend(account(0), RetryCause::NoAnswer, DAEMONS, start))
+        .count();
+    let own_part = 0.7 * (0.2 * 1_000.0 + 5.6) / 10.0;
+    assert!(spent as f64 > 3.0 * own_part, "{spent} of {own_part}");
 }
