Share a host's link between organisations

Cause: the pacer of long answers knew no organisations, so that one with many times the usual answers delayed those of all others until its own were sent.

Change: if answers of several organisations wait, chunks of organisations within their share of the link go first, by start-time fair queueing over bytes; urgent before others and shortest first as before within each group. The organisation of the call goes with answers to peers and to clients. The writing of answers to clients moves to ingress/answers.rs.

--- a/crates/mesh/src/calls/access_log.rs
+++ b/crates/mesh/src/calls/access_log.rs
@@ -57,10 +57,10 @@
         let now = shared.clock.now();
         let elapsed = now.saturating_duration_since(self.received);
         let (outcome, status, retry_after) = match answer {
-            ClientAnswer::Target(head, _) if head.status >= MIN_SERVER_ERROR_STATUS => {
+            ClientAnswer::Target(head, ..) if head.status >= MIN_SERVER_ERROR_STATUS => {
                 ("target_failed", head.status, None)
             }
-            ClientAnswer::Target(head, _) => ("answered", head.status, None),
+            ClientAnswer::Target(head, ..) => ("answered", head.status, None),
             ClientAnswer::Local {
                 status,
                 retry_after,
--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -186,7 +186,7 @@
                             self.shared.quarantine.record_success(self.head.identity);
                         }
                     }
-                    return ClientAnswer::Target(head, body);
+                    return ClientAnswer::Target(head, body, self.head.organisation);
                 }
                 (NextStep::SendAgain, AttemptOutcome::Answer { head, body, .. }) => {
                     self.failed_answer = Some((head, body));
@@ -283,7 +283,7 @@
             let (host, outcome) = first_outcome(&mut stalled_attempts).await;
             if let AttemptOutcome::Answer { head, body, .. } = outcome {
                 self.log_entry.host = host;
-                return ClientAnswer::Target(head, body);
+                return ClientAnswer::Target(head, body, self.head.organisation);
             }
         }
         self.final_answer()
--- a/crates/mesh/src/calls/dispatch/ending.rs
+++ b/crates/mesh/src/calls/dispatch/ending.rs
@@ -49,7 +49,7 @@
     /// run.
     pub(super) fn final_answer(self) -> ClientAnswer {
         if let Some((head, body)) = self.failed_answer {
-            return ClientAnswer::Target(head, body);
+            return ClientAnswer::Target(head, body, self.head.organisation);
         }
         if self.progress.may_have_run.get() {
             self.log_entry.reason = "answer_lost";
--- a/crates/mesh/src/calls/mod.rs
+++ b/crates/mesh/src/calls/mod.rs
@@ -14,6 +14,7 @@
 
 use filbert_http1::RequestHead;
 use filbert_platform::headers::CallHeaders;
+use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::organisations::keys::OrganisationRule;
 use filbert_policy::routing::{RouteIndex, RouteRule};
@@ -75,8 +76,8 @@
 /// The answer to a client's call.
 #[derive(Debug)]
 pub enum ClientAnswer {
-    /// An answer of the target.
-    Target(AnswerHead, AnswerBody),
+    /// An answer of the target, and the organisation that the call belongs to.
+    Target(AnswerHead, AnswerBody, Option<OrganisationShare>),
     /// A local reply of this daemon, without a body.
     Local {
         /// Status code.
--- a/crates/mesh/src/egress.rs
+++ b/crates/mesh/src/egress.rs
@@ -6,6 +6,7 @@
 
 use filbert_policy::clock::Clock;
 use filbert_policy::egress::{EgressDecision, EgressQueue, EgressTicket, MAX_UNPACED_BYTES};
+use filbert_policy::fair_share::OrganisationShare;
 use tokio::sync::Notify;
 
 /// Makes senders of answers wait for their turn on this host's link.
@@ -69,14 +70,23 @@
 
     /// Waits until the next chunk of an answer, `bytes` long, may be sent. The
     /// answer has `remaining` bytes left, this chunk included, and should be sent
-    /// completely by `due`.
-    pub async fn pace(&self, bytes: u64, remaining: u64, due: Instant) {
+    /// completely by `due`. The link is shared between organisations.
+    pub async fn pace(
+        &self,
+        bytes: u64,
+        remaining: u64,
+        due: Instant,
+        organisation: Option<OrganisationShare>,
+    ) {
         if remaining <= MAX_UNPACED_BYTES {
             let now = self.clock.now();
             self.queue.borrow_mut().record_sent(bytes, now);
             return;
         }
-        let ticket = self.queue.borrow_mut().enqueue(bytes, remaining, due);
+        let ticket = self
+            .queue
+            .borrow_mut()
+            .enqueue(bytes, remaining, due, organisation);
         let queued_chunk = QueuedChunk {
             pacer: self,
             ticket,
--- /dev/null
+++ b/crates/mesh/src/ingress/answers.rs
@@ -0,0 +1,137 @@
+//! Writes answers to clients.
+
+use std::time::Duration;
+
+use filbert_platform::headers;
+use filbert_policy::fair_share::OrganisationShare;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use super::PendingAnswer;
+use crate::body::AnswerBody;
+use crate::calls::ClientAnswer;
+use crate::egress::EgressPacer;
+use crate::messages::AnswerHead;
+use crate::small_server::reason_phrase;
+use crate::target::encode_chunk;
+
+/// Writes `answer` as the answer to the call that `pending` belongs to.
+///
+/// # Errors
+/// The connection's error.
+pub(super) async fn write_answer(
+    egress: &EgressPacer,
+    writer: &mut OwnedWriteHalf,
+    pending: &PendingAnswer,
+    answer: ClientAnswer,
+    closes_connection: bool,
+) -> std::io::Result<()> {
+    let connection_line = if closes_connection {
+        "Connection: close\r\n"
+    } else {
+        ""
+    };
+    match answer {
+        ClientAnswer::Local {
+            status,
+            retry_after,
+        } => {
+            let text = format!(
+                "HTTP/1.1 {status} {}\r\n{}Content-Length: 0\r\n{connection_line}\r\n",
+                reason_phrase(status),
+                headers::local_reply_header_lines(&pending.id, retry_after)
+            );
+            writer.write_all(text.as_bytes()).await
+        }
+        ClientAnswer::Target(head, body, organisation) => {
+            write_target_answer(
+                egress,
+                writer,
+                TargetAnswer {
+                    head,
+                    body,
+                    organisation,
+                },
+                connection_line,
+                pending.is_http11,
+            )
+            .await
+        }
+    }
+}
+
+/// Time from the answer's first byte within which an answer to a client should be
+/// sent; the pacer treats the answer as urgent when this time runs out. The call's
+/// deadline does not apply here: it limits the time until the answer is returned to
+/// this connection.
+const CLIENT_SEND_TIME: Duration = Duration::from_secs(3);
+
+/// An answer of the target to a client.
+struct TargetAnswer {
+    head: AnswerHead,
+    body: AnswerBody,
+    /// The organisation that the call belongs to.
+    organisation: Option<OrganisationShare>,
+}
+
+async fn write_target_answer(
+    egress: &EgressPacer,
+    writer: &mut OwnedWriteHalf,
+    answer: TargetAnswer,
+    connection_line: &str,
+    is_http11: bool,
+) -> std::io::Result<()> {
+    let TargetAnswer {
+        head,
+        mut body,
+        organisation,
+    } = answer;
+    let length = match &body {
+        AnswerBody::Whole(whole) => head.body_length.or(Some(whole.len() as u64)),
+        _ => head.body_length,
+    };
+    let is_chunked = length.is_none() && is_http11;
+    let framing = match length {
+        Some(length) => format!("Content-Length: {length}\r\n"),
+        None if is_chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
+        None => String::new(),
+    };
+    let mut first_bytes = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
+    first_bytes.extend_from_slice(&head.lines);
+    first_bytes.extend_from_slice(framing.as_bytes());
+    first_bytes.extend_from_slice(connection_line.as_bytes());
+    first_bytes.extend_from_slice(b"\r\n");
+    if let AnswerBody::Whole(whole) = &mut body {
+        first_bytes.extend_from_slice(&std::mem::take(whole));
+    }
+    // Answers to clients are paced too, as they leave over the same link as the
+    // target's answers to other hosts. If the target sends long answers, both
+    // compete for the link.
+    let mut remaining = length.unwrap_or(0);
+    let due = egress.now() + CLIENT_SEND_TIME;
+    egress
+        .pace(first_bytes.len() as u64, remaining, due, organisation)
+        .await;
+    writer.write_all(&first_bytes).await?;
+    loop {
+        match body.next().await {
+            Ok(Some(data)) => {
+                let bytes = data.len() as u64;
+                egress
+                    .pace(bytes, remaining.max(bytes), due, organisation)
+                    .await;
+                remaining = remaining.saturating_sub(bytes);
+                if is_chunked {
+                    writer.write_all(&encode_chunk(&data)).await?;
+                } else {
+                    writer.write_all(&data).await?;
+                }
+            }
+            Ok(None) if is_chunked => return writer.write_all(b"0\r\n\r\n").await,
+            Ok(None) => return Ok(()),
+            // The connection is closed before the end of the body, so that the client
+            // does not take the answer for complete.
+            Err(_) => return Err(std::io::ErrorKind::UnexpectedEof.into()),
+        }
+    }
+}
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use filbert_policy::fair_share::OrganisationShare;
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
 use http::{Request, Response};
@@ -128,7 +129,11 @@
             ReplyHead::Answer { head, .. } => head.body_length,
             _ => None,
         };
-        let transfer = AnswerTransfer { length, deadline };
+        let transfer = AnswerTransfer {
+            length,
+            deadline,
+            organisation: call.organisation,
+        };
         send_body(&shared, &mut outgoing, body, transfer).await?;
     }
     Ok(())
@@ -165,13 +170,15 @@
     length: Option<u64>,
     /// Deadline of the call.
     deadline: Instant,
+    /// The organisation that the call belongs to.
+    organisation: Option<OrganisationShare>,
 }
 
 async fn send_body(
     shared: &MeshShared,
     outgoing: &mut SendStream<Bytes>,
     mut body: AnswerBody,
-    AnswerTransfer { length, deadline }: AnswerTransfer,
+    transfer: AnswerTransfer,
 ) -> Result<(), LinkError> {
     let mut sent = 0;
     loop {
@@ -184,8 +191,11 @@
                 while !piece.is_empty() {
                     let chunk = piece.split_to(piece.len().min(PACED_CHUNK_BYTES));
                     let bytes = chunk.len() as u64;
-                    let remaining = length.unwrap_or(0).saturating_sub(sent).max(bytes);
-                    shared.egress.pace(bytes, remaining, deadline).await;
+                    let remaining = transfer.length.unwrap_or(0).saturating_sub(sent).max(bytes);
+                    shared
+                        .egress
+                        .pace(bytes, remaining, transfer.deadline, transfer.organisation)
+                        .await;
                     sent += bytes;
                     send_body_data(outgoing, chunk).await?;
                 }
--- a/crates/policy/src/egress.rs
+++ b/crates/policy/src/egress.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::fair_share::{FairShares, OrganisationShare, ShareClaim, VirtualTime};
 use crate::numbers::bytes_to_f64;
 
 /// Fraction of the link's rate that is used for answers, including short ones.
@@ -26,6 +27,14 @@
 /// that have a tenth of a core.
 const DELIVERY_TIME: Duration = Duration::from_millis(700);
 
+/// Bytes by which an organisation may be ahead of its share of the link: one long answer.
+const SHARE_BURST_BYTES: f64 = 96.0 * 1024.0;
+/// Part of the burst from which an organisation counts as beyond its share. It covers
+/// the rounding of the bytes of an organisation that has just used its burst.
+const USED_BURST: f64 = 0.999;
+/// Time without waiting answers after which the shares are forgotten.
+const SHARE_MEMORY: Duration = Duration::from_secs(1);
+
 /// Identifies an answer's chunk in the queue. Tickets sort by remaining bytes,
 /// then by age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -57,6 +66,7 @@
     /// Time from which the chunk's answer is urgent and is sent before those that
     /// are not.
     urgent_at: Instant,
+    claim: ShareClaim,
 }
 
 /// Queue of the answers that wait to be sent over a host's link.
@@ -73,6 +83,11 @@
 /// an answer that is longer than most would starve while shorter ones arrive
 /// faster than the link can send them, until its caller times out or the
 /// caller's host stops.
+///
+/// If answers of several organisations wait, those of organisations within their share
+/// of the link are sent before those of organisations beyond theirs, also if the latter
+/// are urgent. Otherwise an organisation with seven times its usual answers delays the
+/// answers of all others.
 #[derive(Debug)]
 pub struct EgressQueue {
     /// Bytes per second; `None` if the link is not limited.
@@ -83,6 +98,9 @@
     /// Expected bytes of answers that are not complete yet.
     reserved: u64,
     next_number: u64,
+    shares: FairShares,
+    /// Time at which an answer waited last.
+    last_wait: Instant,
 }
 
 impl EgressQueue {
@@ -95,6 +113,8 @@
             waiting: BTreeMap::new(),
             reserved: 0,
             next_number: 0,
+            shares: FairShares::default(),
+            last_wait: now,
         };
         queue.set_rate(mbps);
         queue
@@ -150,9 +170,15 @@
         self.free_at = self.free_at.max(now) + self.transmission_time(bytes);
     }
 
-    /// Enqueues a chunk of `bytes` of an answer that has `left` bytes remaining
-    /// and whose caller waits until `due`.
-    pub fn enqueue(&mut self, bytes: u64, left: u64, due: Instant) -> EgressTicket {
+    /// Enqueues a chunk of `bytes` of an answer to `organisation` that has `left` bytes
+    /// remaining and whose caller waits until `due`.
+    pub fn enqueue(
+        &mut self,
+        bytes: u64,
+        left: u64,
+        due: Instant,
+        organisation: Option<OrganisationShare>,
+    ) -> EgressTicket {
         let left = left.max(bytes);
         let ticket = EgressTicket {
             left,
@@ -163,6 +189,7 @@
         let chunk = WaitingChunk {
             bytes,
             urgent_at: due.checked_sub(urgent_time).unwrap_or(due),
+            claim: self.shares.claim(organisation),
         };
         self.waiting.insert(ticket, chunk);
         ticket
@@ -170,21 +197,61 @@
 
     /// The chunk to be sent next; `None` if the queue is empty.
     fn next_chunk(&self, now: Instant) -> Option<EgressTicket> {
-        let is_urgent = |(_, chunk): &(&EgressTicket, &WaitingChunk)| chunk.urgent_at <= now;
-        let urgent = self.waiting.iter().filter(is_urgent);
-        let most_urgent = urgent.min_by_key(|(ticket, chunk)| (chunk.urgent_at, ticket.number));
-        most_urgent
-            .or_else(|| self.waiting.first_key_value())
-            .map(|(ticket, _)| *ticket)
+        let is_contended = self.is_contended();
+        let is_beyond_share = |chunk: &WaitingChunk| {
+            is_contended && self.shares.work_ahead(&chunk.claim) > SHARE_BURST_BYTES * USED_BURST
+        };
+        let urgency = |chunk: &WaitingChunk| (chunk.urgent_at <= now).then_some(chunk.urgent_at);
+        let next = self.waiting.iter().min_by_key(|(ticket, chunk)| {
+            let urgent_at = urgency(chunk);
+            // Urgent answers are sent in the order in which they became urgent.
+            let left = urgent_at.map_or(ticket.left, |_| 0);
+            (
+                is_beyond_share(chunk),
+                urgent_at.is_none(),
+                urgent_at,
+                left,
+                ticket.number,
+            )
+        });
+        next.map(|(ticket, _)| *ticket)
+    }
+
+    /// Whether answers of several organisations wait.
+    fn is_contended(&self) -> bool {
+        let mut claims = self.waiting.values().map(|chunk| &chunk.claim);
+        let first = claims.next();
+        first.is_some_and(|first| claims.any(|claim| !claim.has_share_of(first)))
+    }
+
+    /// Charges a chunk that is sent to the share of its organisation.
+    fn charge(&mut self, chunk: &WaitingChunk, now: Instant) {
+        if now.saturating_duration_since(self.last_wait) > SHARE_MEMORY {
+            self.shares.clear();
+        }
+        if !self.waiting.is_empty() {
+            self.last_wait = now;
+        }
+        let time_with_burst =
+            |claim: &ShareClaim| self.shares.time_with_burst(claim, SHARE_BURST_BYTES);
+        let competing = self.waiting.values();
+        let earliest = competing
+            .map(|other| time_with_burst(&other.claim))
+            .fold(time_with_burst(&chunk.claim), VirtualTime::min);
+        let bytes = bytes_to_f64(chunk.bytes);
+        self.shares.record_start(&chunk.claim, bytes, earliest);
     }
 
     /// Checks whether the chunk of `ticket` may be sent, and if so removes it from
     /// the queue. The result is [`EgressDecision::Send`] as well if the chunk is
     /// no longer in the queue.
     pub fn try_send(&mut self, ticket: EgressTicket, now: Instant) -> EgressDecision {
-        let Some(WaitingChunk { bytes, urgent_at }) = self.waiting.get(&ticket).copied() else {
+        let Some(chunk) = self.waiting.get(&ticket).copied() else {
             return EgressDecision::Send;
         };
+        let WaitingChunk {
+            bytes, urgent_at, ..
+        } = chunk;
         if self.rate.is_some() {
             if self.next_chunk(now) != Some(ticket) {
                 return if urgent_at > now {
@@ -200,6 +267,9 @@
             }
         }
         self.waiting.remove(&ticket);
+        if self.rate.is_some() {
+            self.charge(&chunk, now);
+        }
         self.record_sent(bytes, now);
         EgressDecision::Send
     }
--- a/crates/policy/tests/egress_replay.rs
+++ b/crates/policy/tests/egress_replay.rs
@@ -6,6 +6,7 @@
     AdmissionDecision, AdmissionQueue, AdmissionRequest, DeclineReason, LinkTime, QueueLimits,
 };
 use filbert_policy::egress::{EgressDecision, EgressQueue, EgressTicket};
+use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::run_times::RunTime;
 
 /// Rate of the slowest links in use, in Mbit/s.
@@ -20,6 +21,7 @@
     left: u64,
     ticket: Option<EgressTicket>,
     done: Option<Duration>,
+    organisation: Option<OrganisationShare>,
 }
 
 impl Answer {
@@ -28,6 +30,7 @@
             left: bytes,
             ticket: None,
             done: None,
+            organisation: None,
         }
     }
 }
@@ -38,9 +41,14 @@
     while answers.iter().any(|answer| answer.done.is_none()) {
         for answer in answers.iter_mut().filter(|answer| answer.done.is_none()) {
             let chunk = answer.left.min(CHUNK_BYTES);
-            let ticket = *answer
-                .ticket
-                .get_or_insert_with(|| queue.enqueue(chunk, answer.left, start + CALLER_TIMEOUT));
+            let ticket = *answer.ticket.get_or_insert_with(|| {
+                queue.enqueue(
+                    chunk,
+                    answer.left,
+                    start + CALLER_TIMEOUT,
+                    answer.organisation,
+                )
+            });
             if queue.try_send(ticket, now) == EgressDecision::Send {
                 answer.ticket = None;
                 answer.left -= chunk;
@@ -117,8 +125,8 @@
             if chunk == 0 {
                 continue;
             }
-            let place =
-                *ticket.get_or_insert_with(|| queue.enqueue(chunk, *left, began + CALLER_TIMEOUT));
+            let place = *ticket
+                .get_or_insert_with(|| queue.enqueue(chunk, *left, began + CALLER_TIMEOUT, None));
             if queue.try_send(place, now) == EgressDecision::Send {
                 *ticket = None;
                 *left -= chunk;
@@ -136,8 +144,8 @@
 fn blocked_answer_is_retried_when_it_becomes_urgent() {
     let start = Instant::now();
     let mut queue = EgressQueue::new(SLOW_LINK_MBPS, start);
-    let long = queue.enqueue(CHUNK_BYTES, 10 * CHUNK_BYTES, start + CALLER_TIMEOUT);
-    let short = queue.enqueue(CHUNK_BYTES, CHUNK_BYTES, start + CALLER_TIMEOUT * 2);
+    let long = queue.enqueue(CHUNK_BYTES, 10 * CHUNK_BYTES, start + CALLER_TIMEOUT, None);
+    let short = queue.enqueue(CHUNK_BYTES, CHUNK_BYTES, start + CALLER_TIMEOUT * 2, None);
     queue.record_sent(10 * CHUNK_BYTES, start);
     let EgressDecision::RetryAt(retry_at) = queue.try_send(long, start) else {
         panic!("the decision has no time for the next attempt");
@@ -156,8 +164,8 @@
 fn cancelled_answer_does_not_block_others() {
     let now = Instant::now();
     let mut queue = EgressQueue::new(SLOW_LINK_MBPS, now);
-    let first = queue.enqueue(CHUNK_BYTES, CHUNK_BYTES, now + CALLER_TIMEOUT);
-    let second = queue.enqueue(CHUNK_BYTES, 4 * CHUNK_BYTES, now + CALLER_TIMEOUT);
+    let first = queue.enqueue(CHUNK_BYTES, CHUNK_BYTES, now + CALLER_TIMEOUT, None);
+    let second = queue.enqueue(CHUNK_BYTES, 4 * CHUNK_BYTES, now + CALLER_TIMEOUT, None);
     let decision = queue.try_send(second, now);
     assert!(matches!(decision, EgressDecision::RetryAt(at) if at > now));
     queue.cancel(first);
@@ -169,7 +177,7 @@
     let now = Instant::now();
     let mut queue = EgressQueue::new(0.0, now);
     for _ in 0..100 {
-        let ticket = queue.enqueue(CHUNK_BYTES, 100 * CHUNK_BYTES, now + CALLER_TIMEOUT);
+        let ticket = queue.enqueue(CHUNK_BYTES, 100 * CHUNK_BYTES, now + CALLER_TIMEOUT, None);
         assert_eq!(queue.try_send(ticket, now), EgressDecision::Send);
     }
     assert_eq!(queue.backlog(now), Duration::ZERO);
@@ -217,3 +225,25 @@
     }
     assert!((3..=6).contains(&admitted), "{admitted} calls admitted");
 }
+
+/// Guards against answers that wait behind all answers of an organisation that has many
+/// times as many. The answers of the others must be sent first, but for a burst.
+#[test]
+fn an_organisation_with_many_answers_leaves_the_others_their_part_of_the_link() {
+    let start = Instant::now();
+    let mut queue = EgressQueue::new(SLOW_LINK_MBPS, start);
+    let answer = |organisation, bytes| Answer {
+        organisation: Some(OrganisationShare {
+            id: organisation,
+            weight: 1.0,
+        }),
+        ..Answer::of(bytes)
+    };
+    let mut answers: Vec<Answer> = (0..18).map(|_| answer(0, 80 * 1024)).collect();
+    answers.extend((1..4).map(|id| answer(id, 90 * 1024)));
+    replay(&mut queue, &mut answers, start);
+    let last_of_others = answers[18..].iter().filter_map(|answer| answer.done).max();
+    let last = answers.iter().filter_map(|answer| answer.done).max();
+    let (last_of_others, last) = last_of_others.zip(last).expect("all are sent");
+    assert!(last_of_others < last / 3, "{last_of_others:?} of {last:?}");
+}
