--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -11,6 +11,7 @@
     AdmissionDecision, AdmissionQueue, AdmissionRequest, LinkTime, QueueLimits,
 };
 use filbert_policy::budget::{BudgetAccount, RetryBudget, RetryBudgetLimits, RetryCause};
+use filbert_policy::fair_share::{FairShares, OrganisationShare, MAX_TRACKED_ORGANISATIONS};
 use filbert_policy::identity::{CallIdentity, IdentityParts};
 use filbert_policy::organisations::keys::{KeyHash, KeyIndex, OrganisationRule, RateLimit};
 use filbert_policy::organisations::quota::{PoolTopology, QuotaPolicy, TokenPool};
@@ -317,6 +318,7 @@
     measure_placement();
     measure_run_times();
     measure_admission();
+    measure_fair_share();
     let now = Instant::now();
     let limits = RetryBudgetLimits {
         ratio: 0.2,
@@ -334,6 +336,26 @@
     });
 }
 
+/// Cost of sharing a target between as many organisations as are tracked.
+fn measure_fair_share() {
+    /// Burst that keeps virtual time from advancing, so that all stay tracked.
+    const ENDLESS_BURST: f64 = 1e9;
+    let mut shares = FairShares::default();
+    let mut start = |id: usize| {
+        let organisation = OrganisationShare {
+            id: id as u64,
+            weight: 1.0,
+        };
+        let claim = shares.claim(Some(organisation));
+        let earliest = shares.time_with_burst(&claim, ENDLESS_BURST);
+        shares.record_start(&claim, 0.2, earliest);
+    };
+    (0..MAX_TRACKED_ORGANISATIONS).for_each(&mut start);
+    measure("fair share of one start, 10,000 organisations", |round| {
+        start(round as usize * 7_919 % MAX_TRACKED_ORGANISATIONS);
+    });
+}
+
 /// Cost of admitting a call at a target, without and with a limit on the rate of calls.
 fn measure_admission() {
     let now = Instant::now();
