Say what a decline beyond the share means

Cause: two comments claimed more than the code does.

Change: the comments on DeclineReason::BeyondShare and on calls at risk.

Result: no change of behaviour; the cases of fair_share_replay pass.

--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -67,8 +67,8 @@
     Crowded,
     /// The target's limit on the rate of calls leaves no time for the call's answer.
     Limited,
-    /// The call's organisation is beyond its share, and calls of other organisations
-    /// start first. The call would have been accepted if it was within the share.
+    /// There is no room for the call, whose organisation is beyond its share: calls of
+    /// other organisations start first.
     BeyondShare,
     /// The target takes no calls, for example because it is shutting down.
     Closed,
--- a/crates/policy/src/admission/start_order.rs
+++ b/crates/policy/src/admission/start_order.rs
@@ -33,8 +33,8 @@
     /// Work by which the call's organisation is ahead of its share when the call
     /// starts, in seconds of run time.
     pub(super) work_ahead: f64,
-    /// Whether the call has a claim, and is likely to miss its soft deadline behind
-    /// calls that have none.
+    /// Whether the call has a claim, and is likely to miss its soft deadline in the order
+    /// by run time and priority.
     is_at_risk: bool,
 }
 
