Test that a declined call shows its organisation's share

Cause: no test covered the way of the share from the caller's daemon to the gate.

Change: a case of mesh_organisations with a limited organisation and target.

--- a/tests/mesh_organisations.rs
+++ b/tests/mesh_organisations.rs
@@ -186,3 +186,33 @@
     assert!(runs >= allowed * 0.4, "{runs} of {allowed}");
     assert!(rejected > 100, "{rejected}");
 }
+
+/// Guards against a gate that does not know whose calls wait: the line on a call that is
+/// declined in front of the target must name the weight of its organisation, the rate of
+/// its limit.
+#[tokio::test]
+async fn a_declined_call_shows_the_share_of_its_organisation() {
+    let limited = [OrganisationSpec::new("north", &["key-n1"]).limited(400.0, 200.0)];
+    let fleet = fleet_with_organisations(&limited).await;
+    let quoter = &fleet.hosts[1];
+    quoter.target.set_statements(&["Server-Limit: 0.4"]);
+    let is_declined = eventually(WAIT_TIMEOUT, || async {
+        for host in [&fleet.hosts[0], &fleet.hosts[2]] {
+            tokio::join!(
+                call(host, READ, "one", Some("key-n1")),
+                call(host, READ, "two", Some("key-n1")),
+                call(host, READ, "three", Some("key-n1")),
+            );
+        }
+        quoter.log().contains("event=gate_declined")
+    });
+    assert!(is_declined.await, "{}", quoter.log());
+    let log = quoter.log();
+    let mut declines = log
+        .lines()
+        .filter(|line| line.contains("event=gate_declined"));
+    assert!(
+        declines.all(|line| line.contains(" weight=400 ahead_ms=")),
+        "{log}"
+    );
+}
