--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -10,7 +10,8 @@
 use filbert_policy::admission::{
     AdmissionDecision, AdmissionQueue, AdmissionRequest, LinkTime, QueueLimits,
 };
-use filbert_policy::budget::{RetryBudget, RetryBudgetLimits, RetryCause};
+use filbert_policy::budget::{BudgetAccount, RetryBudget, RetryBudgetLimits, RetryCause};
+use filbert_policy::fair_share::{FairShares, OrganisationShare, MAX_TRACKED_ORGANISATIONS};
 use filbert_policy::identity::{CallIdentity, IdentityParts};
 use filbert_policy::organisations::keys::{KeyHash, KeyIndex, OrganisationRule, RateLimit};
 use filbert_policy::organisations::quota::{PoolTopology, QuotaPolicy, TokenGrant, TokenPool};
@@ -413,6 +414,7 @@
     measure_placement_by_pace();
     measure_run_times();
     measure_admission();
+    measure_fair_share();
     let now = Instant::now();
     let limits = RetryBudgetLimits {
         ratio: 0.2,
@@ -420,9 +422,33 @@
         window: Duration::from_secs(10),
     };
     let mut budget = RetryBudget::new(limits, now);
+    let account = BudgetAccount {
+        service: "one",
+        organisation: Some(1),
+    };
     measure("retry budget, earn and spend", |_| {
-        budget.record_call("one", now);
-        black_box(budget.try_spend("one", RetryCause::NoAnswer, 10, now));
+        budget.record_call(account, now);
+        black_box(budget.try_spend(account, RetryCause::NoAnswer, 10, now));
+    });
+}
+
+/// Cost of sharing a target between as many organisations as are tracked.
+fn measure_fair_share() {
+    /// Burst that keeps virtual time from advancing, so that all stay tracked.
+    const ENDLESS_BURST: f64 = 1e9;
+    let mut shares = FairShares::default();
+    let mut start = |id: usize| {
+        let organisation = OrganisationShare {
+            id: id as u64,
+            weight: 1.0,
+        };
+        let claim = shares.claim(Some(organisation));
+        let earliest = shares.time_with_burst(&claim, ENDLESS_BURST);
+        shares.record_start(&claim, 0.2, earliest);
+    };
+    (0..MAX_TRACKED_ORGANISATIONS).for_each(&mut start);
+    measure("fair share of one start, 10,000 organisations", |round| {
+        start(round as usize * 7_919 % MAX_TRACKED_ORGANISATIONS);
     });
 }
 
@@ -436,6 +462,7 @@
         deadline: now + Duration::from_secs(4),
         run: RunTime::exponential(run),
         link: LinkTime::default(),
+        organisation: None,
     };
     for (name, limit) in [
         ("offer, settle and finish, some 30 waiting", None),
--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -1,14 +1,14 @@
 //! Dispatches a call: tries targets until one answers or no attempt is left.
 
 mod ending;
+mod retries;
 mod zone;
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use filbert_policy::attempt::{next_step, AttemptEnd, NextStep, RetryAllowance};
-use filbert_policy::budget::RetryCause;
+use filbert_policy::attempt::{AttemptEnd, NextStep};
 use filbert_policy::quarantine::QuarantineState;
 use filbert_policy::routing::RouteRule;
 use filbert_policy::run_times::RunTime;
@@ -103,7 +103,6 @@
             .next_service(route, shared.seed)
             .to_owned();
         let now = shared.clock.now();
-        shared.retry_budget.borrow_mut().record_call(&service, now);
         if let Some(client_timeout) = call.headers.time_left {
             shared.record_client_timeout(&route.name, client_timeout);
         }
@@ -117,6 +116,10 @@
             .saturating_duration_since(call.received)
             .as_millis();
         let (head, body) = into_call_parts(shared, route, &service, call);
+        shared
+            .retry_budget
+            .borrow_mut()
+            .record_call(head.budget_account(), now);
         CallDispatch {
             shared,
             route,
@@ -211,7 +214,7 @@
                             self.shared.quarantine.record_success(self.head.identity);
                         }
                     }
-                    return ClientAnswer::Target(head, body);
+                    return ClientAnswer::Target(head, body, self.head.organisation);
                 }
                 (NextStep::SendAgain, AttemptOutcome::Answer { head, body, .. }) => {
                     self.failed_answer = Some((head, body));
@@ -308,7 +311,7 @@
             let (host, outcome) = first_outcome(&mut stalled_attempts).await;
             if let AttemptOutcome::Answer { head, body, .. } = outcome {
                 self.log_entry.host = host;
-                return ClientAnswer::Target(head, body);
+                return ClientAnswer::Target(head, body, self.head.organisation);
             }
         }
         self.final_answer()
@@ -352,53 +355,6 @@
             .record_attempt(&self.head.service, attempt_end_label(end));
         end
     }
-
-    fn decide_next_step(&self, end: AttemptEnd) -> NextStep {
-        next_step(
-            end,
-            self.retry_allowance(self.delivered_attempts),
-            |cause| self.is_retry_paid.take() || self.try_spend(cause),
-        )
-    }
-
-    /// Returns which further attempts are allowed after `delivered_attempts` attempts
-    /// that may have reached a target.
-    fn retry_allowance(&self, delivered_attempts: u32) -> RetryAllowance {
-        let now = self.shared.clock.now();
-        let time_left = self.deadline.saturating_duration_since(now);
-        RetryAllowance {
-            // A suspect, a call during whose runs two targets have crashed since its last
-            // success, is not sent to a third one by a daemon.
-            repeatable: self.route.kind.is_repeatable() && !self.is_suspect(),
-            may_have_run: self.progress.may_have_run.get(),
-            has_other_target: self.declines < MAX_DECLINES
-                && self.replay_body.is_replayable()
-                && time_left > MIN_ATTEMPT_TIME,
-            attempts_left: self.route.max_attempts.saturating_sub(delivered_attempts),
-        }
-    }
-
-    /// Returns whether the call may be sent to another target while the outcome of
-    /// the attempt at `host` is still unknown. If so, the retry budget is charged for
-    /// the other attempt.
-    fn try_reserve_retry(&self, host: &str) -> bool {
-        let mut tried_hosts = self.tried_hosts.clone();
-        tried_hosts.push(host.to_owned());
-        let retry_allowance = self.retry_allowance(self.delivered_attempts + 1);
-        let step = next_step(AttemptEnd::Lost, retry_allowance, |cause| {
-            self.pick_target(&tried_hosts).is_some() && self.try_spend(cause)
-        });
-        let is_reserved = step == NextStep::SendAgain;
-        self.is_retry_paid.set(is_reserved);
-        is_reserved
-    }
-
-    fn try_spend(&self, cause: RetryCause) -> bool {
-        let daemon_count = self.shared.daemon_count();
-        let now = self.shared.clock.now();
-        let mut budget = self.shared.retry_budget.borrow_mut();
-        budget.try_spend(&self.head.service, cause, daemon_count, now)
-    }
 }
 
 /// Waits until the link to a target becomes unresponsive. Never completes for the
--- a/crates/mesh/src/messages/calls.rs
+++ b/crates/mesh/src/messages/calls.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use filbert_policy::budget::BudgetAccount;
+use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::instance::InstanceKey;
 use filbert_policy::run_times::RunTime;
@@ -43,6 +45,19 @@
     pub kind: String,
     /// Expected run time on the call's route; `None` if not known.
     pub expected_run_time: Option<ExpectedRunTime>,
+    /// The organisation that the call belongs to; `None` without organisations.
+    pub organisation: Option<OrganisationShare>,
+}
+
+impl CallHead {
+    /// The account of the retry budget that retries of the call are charged to.
+    #[must_use]
+    pub fn budget_account(&self) -> BudgetAccount<'_> {
+        BudgetAccount {
+            service: &self.service,
+            organisation: self.organisation.map(|share| share.id),
+        }
+    }
 }
 
 /// Expected run time of the calls on a route, over all targets.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`zone_load`] shares the load of a service among availability zones, and
 //!   [`placement`] chooses a target of the service.
 //! - [`admission`] runs, queues or declines the call at the target.
+//! - [`fair_share`] shares a scarce target between organisations.
 //! - [`attempt`] and [`budget`] decide whether the call is retried, and
 //!   [`refusal`] and [`return_schedule`] when a refused caller should retry; [`told_times`]
 //!   remembers what it was told.
@@ -30,6 +31,7 @@
 pub mod clock;
 pub mod decaying_rate;
 pub mod egress;
+pub mod fair_share;
 pub mod health;
 pub mod identity;
 pub mod instance;
--- a/crates/policy/tests/pace_cases.rs
+++ b/crates/policy/tests/pace_cases.rs
@@ -95,6 +95,7 @@
     let mut queue = AdmissionQueue::new(QueueLimits::default());
     queue.set_open(true);
     let request = |run_ms, soft_ms| AdmissionRequest {
+        organisation: None,
         priority: 0,
         soft_deadline: now + millis(soft_ms),
         deadline: now + millis(9_000),
--- a/crates/policy/tests/support/pace_target.rs
+++ b/crates/policy/tests/support/pace_target.rs
@@ -180,6 +180,7 @@
         let long_term = self.run_times.expect("read", call.usual);
         let arrived = start + Duration::from_millis(u64::from(call.at));
         let request = AdmissionRequest {
+            organisation: None,
             priority: 0,
             soft_deadline: arrived + SOFT_DEADLINE,
             deadline: arrived + DEADLINE,
