Account for organisations' tokens, and refill pools by the leases held

An operator could not tell a limit that was reached from tokens that were not found. Pools now count tokens generated, granted, lost to a full bucket, lent and borrowed, and the share of the limit granted in the last window. Refused calls are counted by what the last search for tokens found.

A bucket was refilled with the fraction that the pool has at the moment of a request, for all time since the previous one: a pool to which hosts had just turned generated their shares for the time before as well. Buckets are now refilled by the integral of the fraction over time, so that a pool no longer has to be emptied when it starts to grant.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -284,11 +284,14 @@
         hosts: 20,
         leased_by: 20,
     };
-    let mut pool = TokenPool::new(QuotaPolicy::default());
+    let mut pool = TokenPool::new(QuotaPolicy::default(), now);
+    pool.apply_limits(std::iter::once(("one", limit)), now);
     let mut token_cache = TokenCache::default();
     measure("a token from pool to call", |round| {
         let now = now + Duration::from_millis(u64::from(round));
-        token_cache.granted(pool.grant("one", limit, topology.share(), 1, now), now);
+        pool.update_share(topology.share(), now);
+        let grant = pool.grant("one", 1, now).expect("a limit");
+        token_cache.granted(grant, now);
         black_box(token_cache.take(now));
     });
 }
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -166,7 +166,7 @@
         #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
         output: OutputFormat,
     },
-    /// List the organisations with their limits and call counts.
+    /// List the organisations with their limits and the counts of their calls and tokens.
     Organisations {
         /// Port on which the daemons serve their metrics.
         #[arg(long, default_value_t = DEFAULT_METRICS_PORT)]
@@ -174,6 +174,9 @@
         /// Output format.
         #[arg(long, value_enum, default_value_t = OutputFormat::Text)]
         output: OutputFormat,
+        /// Short for `--output json`.
+        #[arg(long, conflicts_with = "output")]
+        json: bool,
     },
     /// Release a call that is held back.
     Release {
--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -20,6 +20,8 @@
 
 /// Timeout of a call to the store or to a daemon.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Path of a daemon's metrics.
+const METRICS_PATH: &str = "/metrics";
 /// Pause between two polls of the daemons' metrics.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -40,7 +42,11 @@
         MeshCommand::Organisations {
             metrics_port,
             output,
-        } => organisations::list(&store, metrics_port, output).await,
+            json,
+        } => {
+            let output = if json { OutputFormat::Json } else { output };
+            organisations::list(&store, metrics_port, output).await
+        }
         MeshCommand::Release { call } => held::release(&store, call).await,
         MeshCommand::Watch {
             version,
@@ -122,7 +128,7 @@
 
 async fn status(store: &StoreClient, metrics_port: u16, output: OutputFormat) -> CtlResult<()> {
     let members = read_members(store).await?;
-    let metrics = fetch_metrics(members.clone(), metrics_port).await?;
+    let metrics = fetch_metrics(members.clone(), metrics_port, METRICS_PATH).await?;
     let daemons = metrics
         .into_iter()
         .map(|(_, text)| text.and_then(|text| DaemonMetrics::parse(&text)));
@@ -180,18 +186,19 @@
 }
 
 /// Fetches the metrics of the daemons of `members` in parallel. Returns each host's id
-/// and metrics, in the order of `members`; the metrics are `None` if the daemon does
-/// not answer.
+/// and the metrics at `path`, in the order of `members`; the metrics are `None` if the
+/// daemon does not answer.
 pub(super) async fn fetch_metrics(
     members: Vec<PeerAddress>,
     port: u16,
+    path: &'static str,
 ) -> CtlResult<Vec<(String, Option<String>)>> {
     let http = metrics_client()?;
     let mut requests = tokio::task::JoinSet::new();
     for (index, member) in members.into_iter().enumerate() {
         let http = http.clone();
         requests.spawn(async move {
-            let text = fetch_metrics_text(&http, &member, port).await;
+            let text = fetch_metrics_text(&http, &member, port, path).await;
             (index, member.id, text)
         });
     }
@@ -267,7 +274,7 @@
     member: &PeerAddress,
     port: u16,
 ) -> Option<DaemonMetrics> {
-    DaemonMetrics::parse(&fetch_metrics_text(http, member, port).await?)
+    DaemonMetrics::parse(&fetch_metrics_text(http, member, port, METRICS_PATH).await?)
 }
 
 /// Fetches the metrics of the daemon of `member` as text; `None` if it does not answer.
@@ -275,8 +282,9 @@
     http: &reqwest::Client,
     member: &PeerAddress,
     port: u16,
+    path: &str,
 ) -> Option<String> {
     let host = member.address.rsplit_once(':')?.0;
-    let response = http.get(format!("http://{host}:{port}/metrics")).send();
+    let response = http.get(format!("http://{host}:{port}{path}")).send();
     response.await.ok()?.text().await.ok()
 }
--- a/crates/ctl/src/cmd/organisations.rs
+++ b/crates/ctl/src/cmd/organisations.rs
@@ -1,11 +1,12 @@
-//! `filbertctl mesh organisations`: lists the organisations with their limits and call
-//! counts.
+//! `filbertctl mesh organisations`: lists the organisations with their limits and the
+//! counts of their calls and tokens.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
+use filbert_mesh::metrics::ORGANISATIONS_PATH;
 use filbert_platform::operator::decode_config;
 use filbert_platform::store::StoreClient;
 use filbert_policy::organisations::keys::OrganisationRule;
@@ -14,7 +15,7 @@
 use super::mesh::{fetch_metrics, read_config, read_members};
 use crate::cli::OutputFormat;
 use crate::error::CtlError;
-use crate::mesh::add_organisation_calls;
+use crate::organisations::{add_organisation_samples, OrganisationTotals};
 use crate::store::{to_json, CtlResult};
 
 /// An organisation, as listed. Its API keys are counted, but not shown.
@@ -29,36 +30,28 @@
     per_s: Option<f64>,
     /// Maximum number of calls in a burst; `None` if they are not limited.
     burst: Option<f64>,
-    /// Calls within the quota, as counted by the daemons that report the organisation:
-    /// each daemon reports only its busiest ones.
-    allowed: u64,
-    /// Calls over the quota, as counted by the same daemons.
-    over_quota: u64,
+    /// Counts of its calls and tokens, by the daemons that answered.
+    #[serde(flatten)]
+    totals: OrganisationTotals,
 }
 
 impl OrganisationSummary {
     fn from_rule(
         rule: &OrganisationRule,
-        calls: &BTreeMap<(String, String), u64>,
+        totals: &BTreeMap<String, OrganisationTotals>,
     ) -> OrganisationSummary {
-        let count_of = |verdict: &str| {
-            let key = (rule.name.clone(), verdict.to_owned());
-            calls.get(&key).copied().unwrap_or_default()
-        };
         OrganisationSummary {
             name: rule.name.clone(),
             keys: rule.keys.len(),
             priority: rule.priority,
             per_s: rule.limit.map(|limit| limit.per_s),
             burst: rule.limit.map(|limit| limit.burst),
-            allowed: count_of("allowed"),
-            over_quota: count_of("over_quota"),
+            totals: totals.get(&rule.name).cloned().unwrap_or_default(),
         }
     }
 }
 
-/// Lists the organisations, sorted by calls over quota, then by allowed calls, largest
-/// first.
+/// Lists the organisations, sorted by refused calls, then by allowed calls, largest first.
 ///
 /// # Errors
 /// [`CtlError::Incomplete`], after the list, if a daemon does not answer.
@@ -69,20 +62,24 @@
 ) -> CtlResult<()> {
     let (text, _) = read_config(store).await?;
     let version = decode_config(&text).change_context(CtlError::Platform)?;
-    let mut calls = BTreeMap::new();
+    let mut totals = BTreeMap::new();
     let mut unreachable = Vec::new();
-    for (host, metrics) in fetch_metrics(read_members(store).await?, metrics_port).await? {
+    let members = read_members(store).await?;
+    for (host, metrics) in fetch_metrics(members, metrics_port, ORGANISATIONS_PATH).await? {
         match metrics {
-            Some(text) => add_organisation_calls(&text, &mut calls),
+            Some(text) => add_organisation_samples(&text, &mut totals),
             None => unreachable.push(host),
         }
     }
     let rules: Vec<Arc<OrganisationRule>> = version.organisations;
     let mut summaries: Vec<OrganisationSummary> = rules
         .iter()
-        .map(|rule| OrganisationSummary::from_rule(rule, &calls))
+        .map(|rule| OrganisationSummary::from_rule(rule, &totals))
         .collect();
-    summaries.sort_by_key(|summary| (Reverse(summary.over_quota), Reverse(summary.allowed)));
+    summaries.sort_by_key(|summary| {
+        let totals = &summary.totals;
+        (Reverse(totals.refused()), Reverse(totals.allowed))
+    });
     if output == OutputFormat::Json {
         println!("{}", to_json(&summaries)?);
     } else {
@@ -100,8 +97,21 @@
 /// Prints the organisations as a table.
 fn print_table(summaries: &[OrganisationSummary]) {
     println!(
-        "{:<32} {:>5} {:>8} {:>10} {:>10} {:>10} {:>10}",
-        "organisation", "keys", "priority", "a second", "at once", "allowed", "over quota"
+        "{:<32} {:>5} {:>8} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>8} {:>8} {:>6}",
+        "organisation",
+        "keys",
+        "priority",
+        "a second",
+        "at once",
+        "allowed",
+        "over quota",
+        "not found",
+        "generated",
+        "granted",
+        "lost full",
+        "lent",
+        "borrowed",
+        "used"
     );
     let format_limit =
         |value: Option<f64>| value.map_or("-".to_owned(), |value| format!("{value}"));
@@ -109,14 +119,24 @@
         let priority = summary
             .priority
             .map_or("-".to_owned(), |priority| priority.to_string());
+        let totals = &summary.totals;
+        let used = summary.per_s.map_or("-".to_owned(), |_| {
+            format!("{:.0}%", totals.granted_share * 100.0)
+        });
         println!(
-            "{:<32} {:>5} {priority:>8} {:>10} {:>10} {:>10} {:>10}",
+            "{:<32} {:>5} {priority:>8} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>8} {:>8} {used:>6}",
             summary.name,
             summary.keys,
             format_limit(summary.per_s),
             format_limit(summary.burst),
-            summary.allowed,
-            summary.over_quota
+            totals.allowed,
+            totals.over_quota,
+            totals.token_not_found,
+            totals.generated,
+            totals.granted,
+            totals.lost_full,
+            totals.lent,
+            totals.borrowed
         );
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod explain;
 pub mod fleet;
 pub mod mesh;
+pub mod organisations;
 pub mod report;
 pub mod store;
 
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use tokio::net::TcpListener;
 
+use crate::organisations::counts::CountsRange;
 use crate::small_server::{accept_loop, serve_requests, SimpleResponse};
 use crate::state::MeshShared;
 use target::TargetGauges;
@@ -20,6 +21,10 @@
 /// deadlines of calls are between 0.1 and 1 s.
 const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
 
+/// Path of the metrics of all organisations. Those of the busiest ones are among the
+/// daemon's metrics.
+pub const ORGANISATIONS_PATH: &str = "/metrics/organisations";
+
 /// Kinds of traffic on links to other availability zones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrossZoneCause {
@@ -245,7 +250,8 @@
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
             log::error!("event=metrics_failed error=\"{error}\"");
         }
-        String::from_utf8_lossy(&out).into_owned() + &shared.organisations.counts.text()
+        String::from_utf8_lossy(&out).into_owned()
+            + &shared.organisations.metrics_text(CountsRange::Busiest)
     }
 }
 
@@ -270,10 +276,13 @@
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
     accept_loop("metrics", listener, |stream| {
         let shared = Rc::clone(&shared);
-        serve_requests(stream, move |_, _| SimpleResponse {
+        serve_requests(stream, move |head, _| SimpleResponse {
             status: 200,
             content_type: "text/plain; version=0.0.4",
-            body: shared.metrics.render(&shared),
+            body: match head.target.as_str() {
+                ORGANISATIONS_PATH => shared.organisations.metrics_text(CountsRange::All),
+                _ => shared.metrics.render(&shared),
+            },
         })
     })
     .await;
--- a/crates/mesh/src/organisations/mod.rs
+++ b/crates/mesh/src/organisations/mod.rs
@@ -15,7 +15,7 @@
 
 use filbert_policy::clock::Clock;
 use filbert_policy::organisations::freshness::VersionFreshness;
-use filbert_policy::organisations::keys::OrganisationRule;
+use filbert_policy::organisations::keys::{OrganisationRule, RateLimit};
 use filbert_policy::organisations::token_cache::TokenCache;
 use filbert_policy::routing::{RouteIndex, RouteRule};
 use tokio::sync::Notify;
@@ -73,12 +73,13 @@
     /// Creates the state from `settings`, without any organisations.
     #[must_use]
     pub fn new(settings: &MeshSettings, clock: Rc<dyn Clock>) -> Rc<OrganisationState> {
+        let now = clock.now();
         let state = OrganisationState {
             clock,
             max_version_age: Cell::new(None),
             freshness: RefCell::default(),
             is_stale: Cell::new(false),
-            pools: PoolState::new(settings.quota_policy()),
+            pools: PoolState::new(settings.quota_policy(), now),
             token_caches: RefCell::default(),
             counts: OrganisationCounts::default(),
         };
@@ -140,8 +141,10 @@
             .borrow_mut()
             .update_for_version(index.number());
         let limited = index.organisations().limited();
-        let names: Vec<&str> = limited.map(|rule| rule.name.as_str()).collect();
-        self.pools.apply_limited(&names, self.clock.now());
+        let limits: Vec<(&str, RateLimit)> = limited
+            .filter_map(|rule| Some((rule.name.as_str(), rule.limit?)))
+            .collect();
+        self.pools.apply_limits(&limits, self.clock.now());
         self.counts.keep(|name| index.organisations().has(name));
         let mut token_caches = self.token_caches.borrow_mut();
         token_caches.retain(|name, entry| entry.waiting > 0 || index.organisations().has(name));
--- a/crates/mesh/src/organisations/pools.rs
+++ b/crates/mesh/src/organisations/pools/mod.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{oneshot, Notify};
 use twox_hash::XxHash64;
 
+use super::counts::{CountsRange, TokenSearch};
 use super::OrganisationState;
 use crate::messages::{to_micros, LinkMessage};
 use crate::peers::Peer;
@@ -57,9 +58,9 @@
 }
 
 impl PoolState {
-    pub(super) fn new(policy: QuotaPolicy) -> PoolState {
+    pub(super) fn new(policy: QuotaPolicy, now: Instant) -> PoolState {
         PoolState {
-            pool: RefCell::new(TokenPool::new(policy)),
+            pool: RefCell::new(TokenPool::new(policy, now)),
             leases: RefCell::default(),
             zone_hosts: Cell::new(1),
             zone_count: Cell::new(1),
@@ -80,6 +81,7 @@
             pools.limits_added.notified().await;
         }
         shared.renew_pool_leases();
+        shared.update_pool_share();
         tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
     }
 }
@@ -104,6 +106,7 @@
     /// Requests tokens for `organisation` from one pool after the other, until one
     /// grants some. Otherwise returns the shortest time until the next token.
     pub(super) async fn request_tokens(&self, organisation: &str) -> TokenGrant {
+        let counts = &self.organisations.counts;
         let mut next_token_in: Option<Duration> = None;
         for pool in self.pools_in_request_order(organisation) {
             let wanted = self.organisations.wanted(organisation);
@@ -114,7 +117,10 @@
                 }
             };
             match grant {
-                Some(grant) if grant.tokens > 0 => return grant,
+                Some(grant) if grant.tokens > 0 => {
+                    counts.record_search(organisation, TokenSearch::Granted);
+                    return grant;
+                }
                 Some(grant) => {
                     next_token_in = Some(next_token_in.map_or(grant.next_token_in, |earliest| {
                         earliest.min(grant.next_token_in)
@@ -123,6 +129,8 @@
                 None => {}
             }
         }
+        let search = next_token_in.map_or(TokenSearch::NoAnswer, |_| TokenSearch::PoolsEmpty);
+        counts.record_search(organisation, search);
         TokenGrant {
             tokens: 0,
             next_token_in: next_token_in.unwrap_or(POOL_RETRY_DELAY),
@@ -205,18 +213,18 @@
     /// Grants up to `wanted` tokens for `organisation` from this daemon's pool.
     #[must_use]
     pub fn grant_tokens(&self, organisation: &str, wanted: u32) -> TokenGrant {
-        let Some(limit) = self.rate_limit(organisation) else {
-            return EMPTY_GRANT;
-        };
-        let share = self.pool_topology().share();
+        self.update_pool_share();
         let now = self.clock.now();
         let mut pool = self.organisations.pools.pool.borrow_mut();
-        pool.grant(organisation, limit, share, wanted, now)
+        pool.grant(organisation, wanted, now).unwrap_or(EMPTY_GRANT)
     }
 
-    fn rate_limit(&self, organisation: &str) -> Option<RateLimit> {
-        let index = self.current_index();
-        index.organisations().organisation(organisation)?.limit
+    /// Tells the pool which fraction of the tokens the leases held at it contribute.
+    pub fn update_pool_share(&self) {
+        let share = self.pool_topology().share();
+        let now = self.clock.now();
+        let mut pool = self.organisations.pools.pool.borrow_mut();
+        pool.update_share(share, now);
     }
 
     fn pool_topology(&self) -> PoolTopology {
@@ -243,13 +251,15 @@
 }
 
 impl PoolState {
-    /// Applies the names of the organisations that have a rate limit.
-    pub(super) fn apply_limited(&self, names: &[&str], now: Instant) {
-        self.has_limits.set(!names.is_empty());
+    /// Applies the organisations that have a rate limit, and their limits.
+    pub(super) fn apply_limits(&self, limits: &[(&str, RateLimit)], now: Instant) {
+        self.has_limits.set(!limits.is_empty());
         if self.has_limits.get() {
             self.limits_added.notify_one();
         }
-        self.pool.borrow_mut().keep(names.iter().copied(), now);
+        self.pool
+            .borrow_mut()
+            .apply_limits(limits.iter().copied(), now);
     }
 
     fn begin_request(&self) -> (u64, oneshot::Receiver<TokenGrant>) {
@@ -275,9 +285,13 @@
         self.pools.zone_count.set(zone_count);
     }
 
-    /// Empties the token pool, as this daemon starts to grant tokens to others.
-    pub fn begin_granting(&self) {
-        self.pools.pool.borrow_mut().clear_buckets(self.clock.now());
+    /// Returns the metrics of organisations' calls and tokens in the Prometheus text
+    /// format, for all organisations or the busiest ones.
+    #[must_use]
+    pub fn metrics_text(&self, range: CountsRange) -> String {
+        let now = self.clock.now();
+        let mut pool = self.pools.pool.borrow_mut();
+        self.counts.text(&pool.accounts(now), range)
     }
 
     /// Delivers a pool's response to the request with this id. A response that arrives
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -169,9 +169,6 @@
         let in_zone = others.iter().filter(|host| host.zone == own.zone).count();
         let zones: BTreeSet<&str> = others.iter().map(|host| host.zone).collect();
         self.organisations.set_host_counts(in_zone + 1, zones.len());
-        if plan.is_reader && !self.members.is_reader() {
-            self.organisations.begin_granting();
-        }
         let before = self.members.plan.replace(plan);
         let after = self.members.plan.borrow();
         if *after != before {
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -65,9 +65,12 @@
                         outgoing.send_data(encode(&checksum), false)?;
                     }
                 }
-                Some(LinkMessage::RenewPoolLease) => subscription
-                    .lease_renewed_at
-                    .set(Some(shared.clock.now())),
+                Some(LinkMessage::RenewPoolLease) => {
+                    subscription
+                        .lease_renewed_at
+                        .set(Some(shared.clock.now()));
+                    shared.update_pool_share();
+                }
                 Some(message) => {
                     if let Some(response) = handle_request(&shared, message) {
                         outgoing.send_data(encode(&response), false)?;
--- /dev/null
+++ b/crates/policy/src/organisations/quota/pool.rs
@@ -0,0 +1,180 @@
+//! The token buckets of one pool, from which it grants tokens.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::account::{GrantWindow, PoolAccount};
+use super::{QuotaPolicy, TokenGrant};
+use crate::numbers::truncate_to_u64;
+use crate::organisations::keys::RateLimit;
+
+/// Minimum time before an empty pool is asked again.
+const MIN_TOKEN_WAIT: Duration = Duration::from_millis(20);
+/// Maximum time before an empty pool is asked again.
+const MAX_TOKEN_WAIT: Duration = Duration::from_secs(1);
+
+/// The tokens of one organisation in one pool.
+#[derive(Clone, Copy, Debug)]
+struct TokenBucket {
+    /// Limit of the organisation in all pools together.
+    limit: RateLimit,
+    tokens: f64,
+    /// Value of [`TokenPool::share_seconds`] up to which tokens were generated.
+    refilled_at: f64,
+    account: PoolAccount,
+    window: GrantWindow,
+}
+
+impl TokenBucket {
+    /// Adds the tokens generated until the pool's `share_seconds`, and discards those
+    /// that exceed the pool's `share` of the capacity.
+    fn refill(&mut self, policy: QuotaPolicy, share_seconds: f64, share: f64) {
+        let refill = policy.refill_limit(self.limit);
+        let generated = (share_seconds - self.refilled_at) * refill.per_s;
+        self.refilled_at = share_seconds;
+        self.account.generated += generated;
+        self.tokens += generated;
+        let excess = (self.tokens - refill.burst * share).max(0.0);
+        self.account.lost_full += excess;
+        self.tokens -= excess;
+    }
+
+    /// Removes up to `max` whole tokens.
+    fn take(&mut self, max: u32) -> u32 {
+        let available = u32::try_from(truncate_to_u64(self.tokens)).unwrap_or(u32::MAX);
+        let taken = available.min(max);
+        self.tokens -= f64::from(taken);
+        taken
+    }
+}
+
+/// The token buckets of all organisations with a limit at one daemon, from which it
+/// grants tokens to other daemons and to itself.
+///
+/// The pool generates the fraction of the tokens that the hosts contribute to it. The
+/// fraction changes as hosts come and go, so each bucket is refilled by the integral
+/// of the fraction over time: a host's share counts only for the time of its lease.
+#[derive(Debug)]
+pub struct TokenPool {
+    buckets: HashMap<String, TokenBucket>,
+    policy: QuotaPolicy,
+    /// Fraction of all tokens that this pool generates now.
+    share: f64,
+    /// Integral of `share` over time until `integrated_at`, in seconds.
+    share_seconds: f64,
+    integrated_at: Instant,
+}
+
+impl TokenPool {
+    /// Creates a pool without buckets and without a share.
+    ///
+    /// The slack of `policy` serves organisations whose burst is less than one call
+    /// per pool: without it, no pool would ever accumulate a whole token for them.
+    #[must_use]
+    pub fn new(policy: QuotaPolicy, now: Instant) -> TokenPool {
+        TokenPool {
+            buckets: HashMap::new(),
+            policy,
+            share: 0.0,
+            share_seconds: 0.0,
+            integrated_at: now,
+        }
+    }
+
+    /// Sets the fraction of all tokens that the pool generates from `now` on. Since the
+    /// last update, the smaller one of the two fractions counts.
+    ///
+    /// If the fraction decreases, buckets lose the tokens beyond their new capacity.
+    pub fn update_share(&mut self, share: f64, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.integrated_at);
+        self.share_seconds += elapsed.as_secs_f64() * share.min(self.share);
+        self.integrated_at = self.integrated_at.max(now);
+        let decreases = share < self.share;
+        self.share = share;
+        if decreases {
+            self.refill_all();
+        }
+    }
+
+    /// Grants up to `wanted` tokens to `organisation`. Returns `None` if it has no
+    /// limit here.
+    pub fn grant(&mut self, organisation: &str, wanted: u32, now: Instant) -> Option<TokenGrant> {
+        self.update_share(self.share, now);
+        let bucket = self.buckets.get_mut(organisation)?;
+        bucket.refill(self.policy, self.share_seconds, self.share);
+        let tokens = bucket.take(wanted);
+        bucket.account.granted += u64::from(tokens);
+        bucket.window.add(tokens, self.policy.window_length(), now);
+        let per_s = self.policy.refill_limit(bucket.limit).per_s * self.share;
+        Some(TokenGrant {
+            tokens,
+            next_token_in: refill_time(1.0 - bucket.tokens, per_s),
+        })
+    }
+
+    /// Creates empty buckets for those of the organisations in `limits` that have none,
+    /// applies changed limits, and removes the buckets of all other organisations.
+    pub fn apply_limits<'a>(
+        &mut self,
+        limits: impl Iterator<Item = (&'a str, RateLimit)>,
+        now: Instant,
+    ) {
+        self.update_share(self.share, now);
+        self.refill_all();
+        let mut buckets = HashMap::new();
+        for (organisation, limit) in limits {
+            let earlier = self.buckets.remove(organisation);
+            let mut bucket = earlier.unwrap_or(TokenBucket {
+                limit,
+                tokens: 0.0,
+                refilled_at: self.share_seconds,
+                account: PoolAccount::default(),
+                window: GrantWindow::new(now),
+            });
+            bucket.limit = limit;
+            buckets.insert(organisation.to_owned(), bucket);
+        }
+        self.buckets = buckets;
+    }
+
+    /// Returns the account of each organisation whose tokens the pool has had.
+    pub fn accounts(&mut self, now: Instant) -> Vec<(&str, PoolAccount)> {
+        self.update_share(self.share, now);
+        self.refill_all();
+        let window = self.policy.window_length();
+        let accounts = self.buckets.iter().map(|(organisation, bucket)| {
+            let allowed = self.policy.calls_per_window(bucket.limit);
+            let granted = bucket.window.last_complete(window, now);
+            let granted_share = if allowed > 0.0 {
+                granted / allowed
+            } else {
+                0.0
+            };
+            let account = PoolAccount {
+                granted_share,
+                ..bucket.account
+            };
+            (organisation.as_str(), account)
+        });
+        accounts
+            .filter(|(_, account)| account.has_activity())
+            .collect()
+    }
+
+    fn refill_all(&mut self) {
+        for bucket in self.buckets.values_mut() {
+            bucket.refill(self.policy, self.share_seconds, self.share);
+        }
+    }
+}
+
+/// Returns the time in which `missing` tokens are generated at the rate `per_s`,
+/// between [`MIN_TOKEN_WAIT`] and [`MAX_TOKEN_WAIT`]; zero if none are missing.
+fn refill_time(missing: f64, per_s: f64) -> Duration {
+    if missing <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::try_from_secs_f64(missing / per_s)
+        .unwrap_or(MAX_TOKEN_WAIT)
+        .clamp(MIN_TOKEN_WAIT, MAX_TOKEN_WAIT)
+}
--- a/crates/policy/tests/quota_replay.rs
+++ b/crates/policy/tests/quota_replay.rs
@@ -2,6 +2,7 @@
 //! hosts that are cut off, restart or lose grants. It must never run more calls
 //! than its limit allows.
 
+use std::iter;
 use std::time::{Duration, Instant};
 
 use filbert_policy::numbers::count_to_f64;
@@ -12,6 +13,7 @@
 use filbert_policy::organisations::token_cache::{TakeOutcome, TokenCache};
 use proptest::prelude::*;
 
+const ORGANISATION: &str = "north";
 const ZONES: usize = 3;
 /// Readers in each zone, which have the token pools.
 const READERS: usize = 2;
@@ -151,10 +153,15 @@
             hosts: HOSTS,
             leased_by: if is_isolated { 1 } else { HOSTS },
         };
-        let pool = self.hosts[reader]
-            .pool
-            .get_or_insert_with(|| TokenPool::new(POLICY));
-        pool.grant("one", self.limit, topology.share(), wanted, now)
+        let limit = self.limit;
+        let pool = self.hosts[reader].pool.get_or_insert_with(|| {
+            let mut pool = TokenPool::new(POLICY, now);
+            pool.apply_limits(iter::once((ORGANISATION, limit)), now);
+            pool
+        });
+        pool.update_share(topology.share(), now);
+        let grant = pool.grant(ORGANISATION, wanted, now);
+        grant.expect("the organisation has a limit")
     }
 
     /// Returns the maximum number of calls that ran in any window.
--- a/tests/mesh_organisations.rs
+++ b/tests/mesh_organisations.rs
@@ -185,4 +185,26 @@
     assert!(runs <= allowed * 1.1 + 20.0, "{runs} of {allowed}");
     assert!(runs >= allowed * 0.4, "{runs} of {allowed}");
     assert!(rejected > 100, "{rejected}");
+    let (granted, over_quota) = counted_tokens_and_refusals(&fleet).await;
+    assert!(granted > 0 && over_quota > 0, "{granted}, {over_quota}");
+}
+
+/// Returns the numbers of granted tokens and of calls over quota that `filbertctl mesh
+/// organisations` lists for the first organisation.
+async fn counted_tokens_and_refusals(fleet: &Fleet) -> (u64, u64) {
+    let store = fleet.store.address.to_string();
+    let (mut granted, mut over_quota) = (0, 0);
+    for host in &fleet.hosts {
+        let port = host.metrics.port().to_string();
+        let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_filbertctl"))
+            .args(["mesh", "--store", &store, "organisations", "--json"])
+            .args(["--metrics-port", &port])
+            .output()
+            .await
+            .expect("filbertctl runs");
+        let listed: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+        granted += listed[0]["granted"].as_u64().expect("a count");
+        over_quota += listed[0]["over_quota"].as_u64().expect("a count");
+    }
+    (granted, over_quota)
 }
