Reserve a retry time of its own for each refused call

Cause: calls that are refused together are told nearly the same retry time, return together and are refused again.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,7 +8,7 @@
 //! - [`placement`] chooses a target of the service.
 //! - [`admission`] runs, queues or declines the call at the target.
 //! - [`attempt`] and [`budget`] decide whether the call is retried, and
-//!   [`refusal`] when a refused caller should retry.
+//!   [`refusal`] and [`return_schedule`] when a refused caller should retry.
 //! - [`quarantine`] holds back calls that crash their targets, recognised by
 //!   their [`identity`].
 //! - [`instance`] tracks the lifecycle of the target on the daemon's host,
@@ -35,6 +35,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod refusal;
+pub mod return_schedule;
 pub mod rollout;
 pub mod routing;
 pub mod run_times;
