Generate the whole limit as rate, and credit the time a share was unused

Pools started empty: after a loss of power, an organisation with 5 calls a second was refused although its share had been generated nowhere. A renewal now states where the share was counted before, and the pool credits the time for which it was counted nowhere, up to the share's part of the capacity. LeaseBook replaces the time of renewal in the table of subscribers; the leases of a host end with its link.

Before, a host that was alone counted twice for as long as it was alone, which leases rule out after 1.2 s.

--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -9,6 +9,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use filbert_policy::admission::DeclineReason;
 use filbert_policy::instance::InstanceKey;
+use filbert_policy::organisations::quota::LeaseClaim;
 use filbert_policy::run_times::RunTime;
 use filbert_policy::target_limit::{CallAllowance, CallRate};
 use serde::{Deserialize, Serialize};
@@ -209,7 +210,10 @@
     },
     /// Leases the sender's share of the tokens to the receiver's pool for a limited
     /// time. The receiver is a reader of the sender's zone.
-    RenewPoolLease,
+    RenewPoolLease {
+        /// Where the share was counted before.
+        claim: LeaseClaim,
+    },
     /// Requests tokens for calls from the receiver's pool.
     RequestTokens {
         /// Number of the request, chosen by the sender.
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -237,7 +237,7 @@
         | LinkMessage::RequestClock { .. }
         | LinkMessage::StoreClock { .. }
         | LinkMessage::Version { .. } => CrossZoneCause::Version,
-        LinkMessage::RenewPoolLease
+        LinkMessage::RenewPoolLease { .. }
         | LinkMessage::RequestTokens { .. }
         | LinkMessage::GrantTokens { .. } => CrossZoneCause::Token,
         LinkMessage::Hello { .. }
@@ -313,7 +313,7 @@
             },
         ),
         LinkMessage::RequestTokens { .. }
-        | LinkMessage::RenewPoolLease
+        | LinkMessage::RenewPoolLease { .. }
         | LinkMessage::RequestClock { .. }
         | LinkMessage::TargetReports(_)
         | LinkMessage::InForce { .. }
--- a/crates/mesh/src/organisations/pools/mod.rs
+++ b/crates/mesh/src/organisations/pools/mod.rs
@@ -4,6 +4,8 @@
 //! The pools are on the readers of the availability zone, to which all daemons of
 //! the zone are linked.
 
+pub mod leases;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -11,7 +13,7 @@
 
 use filbert_policy::organisations::keys::RateLimit;
 use filbert_policy::organisations::quota::{
-    PoolLeases, PoolTopology, QuotaPolicy, TokenGrant, TokenPool, POOL_LEASE_DURATION,
+    LeaseBook, PoolLeases, QuotaPolicy, TokenGrant, TokenPool,
 };
 use tokio::sync::{oneshot, Notify};
 use twox_hash::XxHash64;
@@ -36,14 +38,14 @@
 };
 /// Number of pools that a host uses: those of the two readers of its zone.
 const POOLS_PER_HOST: usize = 2;
-/// Interval at which the host checks whether a lease has to be renewed.
-const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// This daemon's pool, its leases at the pools that it uses, and its requests to them.
 pub(super) struct PoolState {
     pool: RefCell<TokenPool>,
     /// Leases at the pools that count this host's share of the tokens.
     leases: RefCell<PoolLeases>,
+    /// Leases of hosts at this daemon's pool.
+    lease_book: RefCell<LeaseBook>,
     /// Number of hosts in this host's availability zone, including this one.
     zone_hosts: Cell<usize>,
     /// Number of availability zones with known hosts.
@@ -61,7 +63,8 @@
     pub(super) fn new(policy: QuotaPolicy, now: Instant) -> PoolState {
         PoolState {
             pool: RefCell::new(TokenPool::new(policy, now)),
-            leases: RefCell::default(),
+            leases: RefCell::new(PoolLeases::new(POOLS_PER_HOST, now)),
+            lease_book: RefCell::new(LeaseBook::new(now)),
             zone_hosts: Cell::new(1),
             zone_count: Cell::new(1),
             has_limits: Cell::new(false),
@@ -72,20 +75,6 @@
     }
 }
 
-/// Keeps this host's leases at its pools while any organisation has a rate limit, so
-/// that the pools generate the host's share of the tokens. Never returns.
-pub async fn maintain_pool_leases(shared: Rc<MeshShared>) {
-    let pools = &shared.organisations.pools;
-    loop {
-        if !pools.has_limits.get() {
-            pools.limits_added.notified().await;
-        }
-        shared.renew_pool_leases();
-        shared.update_pool_share();
-        tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
-    }
-}
-
 /// Location of a pool from which this daemon may request tokens.
 enum PoolLocation {
     Local,
@@ -150,25 +139,6 @@
         pools
     }
 
-    fn renew_pool_leases(&self) {
-        let own = self.settings.borrow().id.clone();
-        let wanted: Vec<String> = self
-            .host_pools()
-            .iter()
-            .map(|pool| pool.host(&own).to_owned())
-            .collect();
-        let now = self.clock.now();
-        let due = self
-            .organisations
-            .pools
-            .leases
-            .borrow_mut()
-            .renew(&wanted, POOLS_PER_HOST, now);
-        for peer in due.iter().filter_map(|id| self.peers.get(id)) {
-            peer.send_message(LinkMessage::RenewPoolLease);
-        }
-    }
-
     /// Returns the pools that generate this host's share of the tokens. Their number
     /// is limited to [`POOLS_PER_HOST`] for each host, however many daemons take
     /// themselves for readers.
@@ -218,36 +188,6 @@
         let mut pool = self.organisations.pools.pool.borrow_mut();
         pool.grant(organisation, wanted, now).unwrap_or(EMPTY_GRANT)
     }
-
-    /// Tells the pool which fraction of the tokens the leases held at it contribute.
-    pub fn update_pool_share(&self) {
-        let share = self.pool_topology().share();
-        let now = self.clock.now();
-        let mut pool = self.organisations.pools.pool.borrow_mut();
-        pool.update_share(share, now);
-    }
-
-    fn pool_topology(&self) -> PoolTopology {
-        let settings = self.settings.borrow();
-        let now = self.clock.now();
-        let since = now.checked_sub(POOL_LEASE_DURATION).unwrap_or(now);
-        let hosts = self.organisations.pools.zone_hosts.get();
-        let holds_own_lease = self
-            .organisations
-            .pools
-            .leases
-            .borrow()
-            .is_counted_at(&settings.id, now);
-        PoolTopology {
-            zones: settings
-                .zones
-                .len()
-                .max(self.organisations.pools.zone_count.get()),
-            pools: POOLS_PER_HOST.min(hosts),
-            hosts,
-            leased_by: self.peers.leased_by(&settings.zone, since) + usize::from(holds_own_lease),
-        }
-    }
 }
 
 impl PoolState {
--- a/crates/mesh/src/peers/table.rs
+++ b/crates/mesh/src/peers/table.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Instant;
 
 use bytes::Bytes;
 use rand::seq::SliceRandom;
@@ -14,13 +13,9 @@
 
 /// A daemon that linked to this one and subscribed to its news.
 struct NewsSubscriber {
-    host: String,
     zone: String,
     /// Whether the subscriber gets updates of hosts although it is in another zone.
     wants_host_updates: Rc<Cell<bool>>,
-    /// Time at which the subscriber last renewed its lease to this daemon's pool;
-    /// `None` if it has not.
-    lease_renewed_at: Rc<Cell<Option<Instant>>>,
     frames: mpsc::Sender<Bytes>,
 }
 
@@ -31,9 +26,6 @@
     pub frames: mpsc::Receiver<Bytes>,
     /// Whether the subscriber gets updates of hosts although it is in another zone.
     pub wants_host_updates: Rc<Cell<bool>>,
-    /// Time at which the subscriber last renewed its lease to this daemon's pool;
-    /// `None` if it has not.
-    pub lease_renewed_at: Rc<Cell<Option<Instant>>>,
 }
 
 /// The peers by host name, and the subscribers to this daemon's news.
@@ -120,23 +112,14 @@
     pub fn subscribe(&self, from: &PeerAddress) -> NewsSubscription {
         let (sender, frames) = mpsc::channel(SUBSCRIBER_QUEUE_MESSAGES);
         let wants_host_updates = Rc::new(Cell::new(false));
-        let lease_renewed_at = Rc::default();
-        let mut subscribers = self.subscribers.borrow_mut();
-        // The lease of a daemon that links again must not be counted twice.
-        for earlier in subscribers.iter().filter(|other| other.host == from.id) {
-            earlier.lease_renewed_at.set(None);
-        }
-        subscribers.push(NewsSubscriber {
-            host: from.id.clone(),
+        self.subscribers.borrow_mut().push(NewsSubscriber {
             zone: from.zone.clone(),
             wants_host_updates: Rc::clone(&wants_host_updates),
-            lease_renewed_at: Rc::clone(&lease_renewed_at),
             frames: sender,
         });
         NewsSubscription {
             frames,
             wants_host_updates,
-            lease_renewed_at,
         }
     }
 
@@ -146,17 +129,6 @@
         self.subscribers.borrow().len()
     }
 
-    /// Number of daemons of `zone` that have renewed their lease to this daemon's pool
-    /// at or after `since`.
-    #[must_use]
-    pub fn leased_by(&self, zone: &str, since: Instant) -> usize {
-        let subscribers = self.subscribers.borrow();
-        let in_zone = subscribers.iter().filter(|other| other.zone == zone);
-        in_zone
-            .filter(|other| other.lease_renewed_at.get() >= Some(since))
-            .count()
-    }
-
     /// Sends an encoded message to all subscribers.
     pub fn broadcast(&self, frame: &Bytes) {
         self.subscribers
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -11,7 +11,7 @@
 use crate::body::next_data;
 use crate::links::{LinkError, NEWS_URL};
 use crate::messages::{decode_next, encode, DecodeError, LinkMessage, PeerAddress, RowChange};
-use crate::organisations::pools;
+use crate::organisations::pools::{self, leases::LinkLeases};
 use crate::state::MeshShared;
 use crate::versions::StepsUnavailable;
 
@@ -45,6 +45,7 @@
         return Ok(());
     }
     let mut subscription = shared.peers.subscribe(&from);
+    let pool_leases = LinkLeases::new(&shared, &from);
     for key in &leaving_instances {
         shared.gate.mark_left_before_restart(key);
     }
@@ -65,12 +66,7 @@
                         outgoing.send_data(encode(&checksum), false)?;
                     }
                 }
-                Some(LinkMessage::RenewPoolLease) => {
-                    subscription
-                        .lease_renewed_at
-                        .set(Some(shared.clock.now()));
-                    shared.update_pool_share();
-                }
+                Some(LinkMessage::RenewPoolLease { claim }) => pool_leases.renew(claim),
                 Some(message) => {
                     if let Some(response) = handle_request(&shared, message) {
                         outgoing.send_data(encode(&response), false)?;
@@ -200,7 +196,7 @@
         LinkMessage::Hello { .. }
         | LinkMessage::WrongHost(_)
         | LinkMessage::RequestHostUpdates
-        | LinkMessage::RenewPoolLease
+        | LinkMessage::RenewPoolLease { .. }
         | LinkMessage::VersionConfirmation(_)
         | LinkMessage::StoreClock { .. }
         | LinkMessage::GrantTokens { .. }
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -184,9 +184,9 @@
     spawn(Box::pin(rollouts::row_writer::run_rollout_writer(
         Rc::clone(shared),
     )));
-    spawn(Box::pin(organisations::pools::maintain_pool_leases(
-        Rc::clone(shared),
-    )));
+    spawn(Box::pin(
+        organisations::pools::leases::maintain_pool_leases(Rc::clone(shared)),
+    ));
     spawn(Box::pin(plan::maintain_link_plan(Rc::clone(shared))));
     spawn(Box::pin(rows::maintain_own_row(Rc::clone(shared))));
     spawn(Box::pin(rows::run_row_writer(Rc::clone(shared))));
--- a/crates/policy/src/organisations/quota/mod.rs
+++ b/crates/policy/src/organisations/quota/mod.rs
@@ -17,15 +17,20 @@
 use std::time::Duration;
 
 pub use account::PoolAccount;
-pub use leases::{PoolLeases, POOL_LEASE_DURATION};
+pub use leases::{LeaseBook, LeaseClaim, LeaseRenewal, PoolLeases, POOL_LEASE_DURATION};
 pub use pool::TokenPool;
 
 use super::keys::RateLimit;
 use crate::numbers::count_to_f64;
 
-/// Fraction of a burst that is converted to rate when limits apply to a window,
-/// as the burst may be used again in every window.
-const BURST_RATE_FRACTION: f64 = 0.8;
+/// Fraction by which the calls in a window may exceed the limit.
+const WINDOW_TOLERANCE: f64 = 0.1;
+/// Maximum age of the tokens that are spent in excess of those generated in a window:
+/// 150 ms of use in the caches of hosts, 80 ms on the way to hosts and 80 ms on the way
+/// to pools of other zones.
+const OUTSTANDING_TIME: Duration = Duration::from_millis(310);
+/// Largest fraction of a burst that may accumulate while it is also generated as rate.
+const MAX_ACCUMULATED_BURST: f64 = 0.2;
 
 /// How rate limits are interpreted.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -41,13 +46,25 @@
 impl QuotaPolicy {
     /// Returns the rate at which tokens are generated under `limit` and the number
     /// that may accumulate, in all pools together.
+    ///
+    /// Where limits apply to a window, the burst may be used again in every window, so
+    /// all of it is generated as rate: an organisation under constant pressure gets its
+    /// whole limit. What accumulates in addition stays within the tolerance, less the
+    /// tokens that are outstanding when a window begins.
     fn refill_limit(self, limit: RateLimit) -> RateLimit {
-        let as_rate = self
-            .window
-            .map_or(0.0, |_| limit.burst * BURST_RATE_FRACTION);
+        let Some(window) = self.window else {
+            return RateLimit {
+                burst: limit.burst + self.slack,
+                ..limit
+            };
+        };
+        let per_s = self.calls_per_window(limit) / window.as_secs_f64();
+        let tolerated = WINDOW_TOLERANCE * self.calls_per_window(limit);
+        let outstanding = per_s * OUTSTANDING_TIME.as_secs_f64();
+        let accumulated = (tolerated - outstanding).max(0.0);
         RateLimit {
-            per_s: limit.per_s + as_rate / self.window_length().as_secs_f64(),
-            burst: limit.burst - as_rate + self.slack,
+            per_s,
+            burst: accumulated.min(MAX_ACCUMULATED_BURST * limit.burst) + self.slack,
         }
     }
 
@@ -89,7 +106,19 @@
     pub fn share(self) -> f64 {
         let leased_by = self.leased_by.min(self.hosts);
         let leased_fraction = count_to_f64(leased_by) / count_to_f64(self.hosts.max(1));
-        leased_fraction / (count_to_f64(self.zones.max(1)) * count_to_f64(self.pools.max(1)))
+        leased_fraction * self.zone_pool_share()
+    }
+
+    /// Returns the fraction of an organisation's tokens that one host contributes to
+    /// this pool.
+    #[must_use]
+    pub fn host_share(self) -> f64 {
+        self.zone_pool_share() / count_to_f64(self.hosts.max(1))
+    }
+
+    /// Returns the fraction of this pool if all hosts of the zone hold a lease at it.
+    fn zone_pool_share(self) -> f64 {
+        1.0 / (count_to_f64(self.zones.max(1)) * count_to_f64(self.pools.max(1)))
     }
 }
 
--- a/crates/policy/src/organisations/quota/pool.rs
+++ b/crates/policy/src/organisations/quota/pool.rs
@@ -96,6 +96,22 @@
         }
     }
 
+    /// Adds the tokens that the fraction `share` would have generated in the time
+    /// `unused`, for which it generated none in any pool. As all of them could have
+    /// accumulated, they are no more than `share` of the capacity.
+    pub fn credit(&mut self, share: f64, unused: Duration) {
+        if unused.is_zero() {
+            return;
+        }
+        for bucket in self.buckets.values_mut() {
+            let refill = self.policy.refill_limit(bucket.limit);
+            let missed = (refill.per_s * unused.as_secs_f64()).min(refill.burst) * share;
+            bucket.tokens += missed;
+            bucket.account.generated += missed;
+            bucket.refill(self.policy, self.share_seconds, self.share);
+        }
+    }
+
     /// Grants up to `wanted` tokens to `organisation`. Returns `None` if it has no
     /// limit here.
     pub fn grant(&mut self, organisation: &str, wanted: u32, now: Instant) -> Option<TokenGrant> {
