Tell each host a time of its own to ask a pool again, and keep to it

A pool told all hosts that asked in vain the same time, so that they asked again at once and all but one in vain; hosts asked both pools again at the earlier of the two times. The pool now reserves a time for each request that it can't grant in full (ReturnSchedule, at the rate of recent grants), and a host doesn't ask a pool before the time that it was told.

--- a/crates/mesh/src/organisations/pools/mod.rs
+++ b/crates/mesh/src/organisations/pools/mod.rs
@@ -14,7 +14,7 @@
 
 use filbert_policy::organisations::keys::RateLimit;
 use filbert_policy::organisations::quota::{
-    LeaseBook, PoolLeases, QuotaPolicy, TokenGrant, TokenPool,
+    LeaseBook, PoolLeases, QuotaPolicy, TokenGrant, TokenPool, ToldTimes,
 };
 use tokio::sync::{oneshot, Notify};
 use twox_hash::XxHash64;
@@ -48,6 +48,8 @@
     leases: RefCell<PoolLeases>,
     /// Leases of hosts at this daemon's pool.
     lease_book: RefCell<LeaseBook>,
+    /// Times before which this host does not ask its pools again.
+    told_times: RefCell<ToldTimes>,
     /// Requests of this daemon's pool to pools of other zones.
     borrowing: RefCell<BorrowingState>,
     /// Number of hosts in this host's availability zone, including this one.
@@ -69,6 +71,7 @@
             pool: RefCell::new(TokenPool::new(policy, now)),
             leases: RefCell::new(PoolLeases::new(POOLS_PER_HOST, now)),
             lease_book: RefCell::new(LeaseBook::new(now)),
+            told_times: RefCell::default(),
             borrowing: RefCell::default(),
             zone_hosts: Cell::new(1),
             zone_count: Cell::new(1),
@@ -102,12 +105,23 @@
     pub(super) async fn request_tokens(self: &Rc<Self>, organisation: &str) -> TokenGrant {
         let counts = &self.organisations.counts;
         let mut next_token_in: Option<Duration> = None;
+        let own = self.settings.borrow().id.clone();
         for pool in self.pools_in_request_order(organisation) {
+            let told_times = &self.organisations.pools.told_times;
+            let now = self.clock.now();
+            let time_left = told_times
+                .borrow()
+                .time_left(organisation, pool.host(&own), now);
+            if let Some(time_left) = time_left {
+                let earliest = next_token_in.map_or(time_left, |earliest| earliest.min(time_left));
+                next_token_in = Some(earliest);
+                continue;
+            }
             let wanted = self.organisations.wanted(organisation);
-            let grant = match pool {
+            let grant = match &pool {
                 PoolLocation::Local => Some(self.grant_tokens(organisation, wanted)),
                 PoolLocation::Remote(peer) => {
-                    self.request_from_peer(&peer, |request_id| LinkMessage::RequestTokens {
+                    self.request_from_peer(peer, |request_id| LinkMessage::RequestTokens {
                         request_id,
                         organisation: organisation.to_owned(),
                         wanted,
@@ -115,6 +129,12 @@
                     .await
                 }
             };
+            if let Some(grant) = grant {
+                let now = self.clock.now();
+                told_times
+                    .borrow_mut()
+                    .record(organisation, pool.host(&own), grant, wanted, now);
+            }
             match grant {
                 Some(grant) if grant.tokens > 0 => {
                     counts.record_search(organisation, TokenSearch::Granted);
@@ -209,6 +229,9 @@
     pub(super) fn apply_limits(&self, limits: &[(&str, RateLimit)], now: Instant) {
         self.has_limits.set(!limits.is_empty());
         let names: HashSet<&str> = limits.iter().map(|(name, _)| *name).collect();
+        self.told_times
+            .borrow_mut()
+            .keep(|name| names.contains(name));
         self.borrowing
             .borrow_mut()
             .keep(|name| names.contains(name));
--- a/crates/policy/src/organisations/quota/mod.rs
+++ b/crates/policy/src/organisations/quota/mod.rs
@@ -13,12 +13,14 @@
 mod account;
 mod leases;
 mod pool;
+mod told_times;
 
 use std::time::Duration;
 
 pub use account::PoolAccount;
 pub use leases::{LeaseBook, LeaseClaim, LeaseRenewal, PoolLeases, POOL_LEASE_DURATION};
 pub use pool::TokenPool;
+pub use told_times::ToldTimes;
 
 use super::keys::RateLimit;
 use crate::numbers::count_to_f64;
--- a/crates/policy/src/organisations/quota/pool.rs
+++ b/crates/policy/src/organisations/quota/pool.rs
@@ -7,14 +7,15 @@
 use super::{QuotaPolicy, TokenGrant};
 use crate::numbers::truncate_to_u64;
 use crate::organisations::keys::RateLimit;
+use crate::return_schedule::ReturnSchedule;
 
 /// Minimum time before an empty pool is asked again.
 const MIN_TOKEN_WAIT: Duration = Duration::from_millis(20);
 /// Maximum time before an empty pool is asked again.
 const MAX_TOKEN_WAIT: Duration = Duration::from_secs(1);
 
-/// Time constant of the average of a zone's demand for tokens.
-const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(1);
+/// Time constant of the averages of the tokens requested and granted.
+const RATE_TIME_CONSTANT: Duration = Duration::from_secs(1);
 /// Time for whose expected use a pool keeps its tokens instead of lending them.
 const KEPT_TIME: Duration = Duration::from_millis(500);
 /// Largest fraction of its capacity that a pool keeps. What it generates while it is
@@ -25,7 +26,7 @@
 const BORROWED_TIME: Duration = Duration::from_millis(100);
 
 /// The tokens of one organisation in one pool.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct TokenBucket {
     /// Limit of the organisation in all pools together.
     limit: RateLimit,
@@ -34,27 +35,38 @@
     refilled_at: f64,
     account: PoolAccount,
     window: GrantWindow,
-    demand: DemandRate,
+    /// Rate at which the hosts of the zone request tokens. It counts requests in vain
+    /// too: a pool whose tokens were all lent would otherwise see no use of them by its
+    /// own zone.
+    demand: RecentRate,
+    grants: RecentRate,
+    /// Times that hosts were told to ask again.
+    turns: ReturnSchedule,
 }
 
-/// Decaying average of the rate at which the hosts of a zone request tokens. It counts
-/// requests in vain too: a pool whose tokens were all lent would otherwise see no use
-/// of them by its own zone.
+/// Decaying average of a rate of tokens.
 #[derive(Clone, Copy, Debug)]
-struct DemandRate {
+struct RecentRate {
     per_s: f64,
     updated_at: Instant,
 }
 
-impl DemandRate {
+impl RecentRate {
+    fn new(now: Instant) -> RecentRate {
+        RecentRate {
+            per_s: 0.0,
+            updated_at: now,
+        }
+    }
+
     fn at(self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.updated_at);
-        self.per_s * (-elapsed.as_secs_f64() / DEMAND_TIME_CONSTANT.as_secs_f64()).exp()
+        self.per_s * (-elapsed.as_secs_f64() / RATE_TIME_CONSTANT.as_secs_f64()).exp()
     }
 
     fn add(&mut self, tokens: u32, now: Instant) {
-        let per_s = self.at(now) + f64::from(tokens) / DEMAND_TIME_CONSTANT.as_secs_f64();
-        *self = DemandRate {
+        let per_s = self.at(now) + f64::from(tokens) / RATE_TIME_CONSTANT.as_secs_f64();
+        *self = RecentRate {
             per_s,
             updated_at: now,
         };
@@ -150,6 +162,10 @@
 
     /// Grants up to `wanted` tokens to `organisation`. Returns `None` if it has no
     /// limit here.
+    ///
+    /// Each host that does not get all that it wants is told a time of its own, at which
+    /// the pool expects a token for it: hosts that were told the same time would ask at
+    /// once, and all but one in vain.
     pub fn grant(&mut self, organisation: &str, wanted: u32, now: Instant) -> Option<TokenGrant> {
         self.update_share(self.share, now);
         let bucket = self.buckets.get_mut(organisation)?;
@@ -158,10 +174,19 @@
         bucket.account.granted += u64::from(tokens);
         bucket.window.add(tokens, self.policy.window_length(), now);
         bucket.demand.add(wanted, now);
+        bucket.grants.add(tokens, now);
         let per_s = self.policy.refill_limit(bucket.limit).per_s * self.share;
+        let mut next_token_in = refill_time(1.0 - bucket.tokens, per_s);
+        if tokens < wanted {
+            // Borrowed tokens may be granted at a higher rate than own ones.
+            let turns_per_s = per_s.max(bucket.grants.at(now));
+            next_token_in = bucket
+                .turns
+                .reserve(now, turns_per_s, next_token_in, MAX_TOKEN_WAIT);
+        }
         Some(TokenGrant {
             tokens,
-            next_token_in: refill_time(1.0 - bucket.tokens, per_s),
+            next_token_in,
         })
     }
 
@@ -228,10 +253,9 @@
                 refilled_at: self.share_seconds,
                 account: PoolAccount::default(),
                 window: GrantWindow::new(now),
-                demand: DemandRate {
-                    per_s: 0.0,
-                    updated_at: now,
-                },
+                demand: RecentRate::new(now),
+                grants: RecentRate::new(now),
+                turns: ReturnSchedule::default(),
             });
             bucket.limit = limit;
             buckets.insert(organisation.to_owned(), bucket);
