Log the number of leases at a pool when it changes

An operator could not see from the log of a reader how many hosts bring their share of the limits to its pool. One line a second at most. AskTimes is named apart from the retry times that callers are told.

--- a/crates/mesh/src/organisations/pools/leases.rs
+++ b/crates/mesh/src/organisations/pools/leases.rs
@@ -1,16 +1,19 @@
 //! Leases of this host at its pools, and of other hosts at this daemon's pool.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbert_policy::organisations::quota::{LeaseClaim, PoolTopology};
 
-use super::POOLS_PER_HOST;
+use super::{PoolState, POOLS_PER_HOST};
 use crate::messages::{LinkMessage, PeerAddress};
 use crate::state::MeshShared;
 
 /// Interval at which the host checks whether a lease has to be renewed.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Minimum time between two log lines on the number of leases. When a zone starts, its
+/// hosts take their leases within seconds.
+const LEASE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Keeps this host's leases at its pools while any organisation has a rate limit, so
 /// that the pools generate the host's share of the tokens. Never returns.
@@ -62,6 +65,28 @@
     }
 }
 
+/// Number of leases at this daemon's pool as last logged, and the time of the line.
+pub(super) type LoggedLeases = Option<(usize, Instant)>;
+
+impl PoolState {
+    /// Logs a changed number of leases at this daemon's pool, once a second at most.
+    fn log_lease_change(&self, topology: PoolTopology, now: Instant) {
+        let leases = topology.leased_by;
+        let is_due = match self.logged_leases.get() {
+            None => leases > 0,
+            Some((logged, at)) => leases != logged && now >= at + LEASE_LOG_INTERVAL,
+        };
+        if is_due {
+            self.logged_leases.set(Some((leases, now)));
+            log::info!(
+                "event=pool_leases leases={leases} hosts={} share={:.4}",
+                topology.hosts,
+                topology.share()
+            );
+        }
+    }
+}
+
 impl MeshShared {
     fn renew_pool_leases(&self) {
         let own = self.settings.borrow().id.clone();
@@ -106,10 +131,11 @@
 
     /// Tells the pool which fraction of the tokens the leases held at it contribute.
     pub(super) fn update_pool_share(&self) {
-        let share = self.pool_topology().share();
+        let topology = self.pool_topology();
         let now = self.clock.now();
-        let mut pool = self.organisations.pools.pool.borrow_mut();
-        pool.update_share(share, now);
+        let pools = &self.organisations.pools;
+        pools.pool.borrow_mut().update_share(topology.share(), now);
+        pools.log_lease_change(topology, now);
     }
 
     fn pool_topology(&self) -> PoolTopology {
--- a/crates/mesh/src/organisations/pools/mod.rs
+++ b/crates/mesh/src/organisations/pools/mod.rs
@@ -14,11 +14,12 @@
 
 use filbert_policy::organisations::keys::RateLimit;
 use filbert_policy::organisations::quota::{
-    LeaseBook, PoolLeases, QuotaPolicy, TokenGrant, TokenPool, ToldTimes,
+    AskTimes, LeaseBook, PoolLeases, QuotaPolicy, TokenGrant, TokenPool,
 };
 use tokio::sync::{oneshot, Notify};
 use twox_hash::XxHash64;
 
+use self::leases::LoggedLeases;
 use self::lending::BorrowingState;
 use super::counts::{CountsRange, TokenSearch};
 use super::OrganisationState;
@@ -48,8 +49,9 @@
     leases: RefCell<PoolLeases>,
     /// Leases of hosts at this daemon's pool.
     lease_book: RefCell<LeaseBook>,
+    logged_leases: Cell<LoggedLeases>,
     /// Times before which this host does not ask its pools again.
-    told_times: RefCell<ToldTimes>,
+    ask_times: RefCell<AskTimes>,
     /// Requests of this daemon's pool to pools of other zones.
     borrowing: RefCell<BorrowingState>,
     /// Number of hosts in this host's availability zone, including this one.
@@ -71,7 +73,8 @@
             pool: RefCell::new(TokenPool::new(policy, now)),
             leases: RefCell::new(PoolLeases::new(POOLS_PER_HOST, now)),
             lease_book: RefCell::new(LeaseBook::new(now)),
-            told_times: RefCell::default(),
+            logged_leases: Cell::new(None),
+            ask_times: RefCell::default(),
             borrowing: RefCell::default(),
             zone_hosts: Cell::new(1),
             zone_count: Cell::new(1),
@@ -107,9 +110,9 @@
         let mut next_token_in: Option<Duration> = None;
         let own = self.settings.borrow().id.clone();
         for pool in self.pools_in_request_order(organisation) {
-            let told_times = &self.organisations.pools.told_times;
+            let ask_times = &self.organisations.pools.ask_times;
             let now = self.clock.now();
-            let time_left = told_times
+            let time_left = ask_times
                 .borrow()
                 .time_left(organisation, pool.host(&own), now);
             if let Some(time_left) = time_left {
@@ -131,7 +134,7 @@
             };
             if let Some(grant) = grant {
                 let now = self.clock.now();
-                told_times
+                ask_times
                     .borrow_mut()
                     .record(organisation, pool.host(&own), grant, wanted, now);
             }
@@ -229,7 +232,7 @@
     pub(super) fn apply_limits(&self, limits: &[(&str, RateLimit)], now: Instant) {
         self.has_limits.set(!limits.is_empty());
         let names: HashSet<&str> = limits.iter().map(|(name, _)| *name).collect();
-        self.told_times
+        self.ask_times
             .borrow_mut()
             .keep(|name| names.contains(name));
         self.borrowing
--- a/crates/policy/src/organisations/quota/told_times.rs
+++ b/crates/policy/src/organisations/quota/ask_times.rs
@@ -10,11 +10,11 @@
 /// Load pattern: an organisation sends many times its limit at all hosts of a zone. If
 /// each host asked again for each call, most requests to the pools would be in vain.
 #[derive(Clone, Debug, Default)]
-pub struct ToldTimes {
+pub struct AskTimes {
     ask_at: HashMap<String, Vec<(String, Instant)>>,
 }
 
-impl ToldTimes {
+impl AskTimes {
     /// Records the grant of `pool` to a request for `wanted` tokens.
     pub fn record(
         &mut self,
--- a/crates/policy/src/organisations/quota/mod.rs
+++ b/crates/policy/src/organisations/quota/mod.rs
@@ -11,16 +11,16 @@
 //! hosts at once, while some hosts are cut off or restart.
 
 mod account;
+mod ask_times;
 mod leases;
 mod pool;
-mod told_times;
 
 use std::time::Duration;
 
 pub use account::PoolAccount;
+pub use ask_times::AskTimes;
 pub use leases::{LeaseBook, LeaseClaim, LeaseRenewal, PoolLeases, POOL_LEASE_DURATION};
 pub use pool::TokenPool;
-pub use told_times::ToldTimes;
 
 use super::keys::RateLimit;
 use crate::numbers::count_to_f64;
--- a/crates/policy/tests/support/pool_fleet.rs
+++ b/crates/policy/tests/support/pool_fleet.rs
@@ -7,7 +7,7 @@
 
 use filbert_policy::organisations::keys::RateLimit;
 use filbert_policy::organisations::quota::{
-    LeaseBook, LeaseClaim, PoolLeases, PoolTopology, QuotaPolicy, TokenGrant, TokenPool, ToldTimes,
+    AskTimes, LeaseBook, LeaseClaim, PoolLeases, PoolTopology, QuotaPolicy, TokenGrant, TokenPool,
 };
 use filbert_policy::organisations::token_cache::{TakeOutcome, TokenCache};
 
@@ -77,7 +77,7 @@
     /// Step from which the host's pool may ask each lender again.
     ask_lender_at: BTreeMap<usize, u64>,
     /// Times that the host was told to ask each pool again.
-    told_times: ToldTimes,
+    ask_times: AskTimes,
 }
 
 impl ReplayHost {
@@ -94,7 +94,7 @@
             renewals: Vec::new(),
             borrowed: Vec::new(),
             ask_lender_at: BTreeMap::new(),
-            told_times: ToldTimes::default(),
+            ask_times: AskTimes::default(),
         }
     }
 }
@@ -301,7 +301,7 @@
         };
         for reader in self.pools_of(host, step) {
             let name = reader.to_string();
-            let told = &self.hosts[host].told_times;
+            let told = &self.hosts[host].ask_times;
             if let Some(left) = told.time_left(ORGANISATION, &name, now) {
                 empty_grant.next_token_in = left;
                 continue;
@@ -316,7 +316,7 @@
             if matches!(fault, Some(FaultKind::LosesGrants)) && reader != host {
                 continue;
             }
-            let told = &mut self.hosts[host].told_times;
+            let told = &mut self.hosts[host].ask_times;
             told.record(ORGANISATION, &name, grant, wanted, now);
             if grant.tokens > 0 {
                 let transit = if reader == host {
