--- a/crates/policy/tests/quota_replay.rs
+++ b/crates/policy/tests/quota_replay.rs
@@ -12,6 +12,8 @@
 use filbert_policy::organisations::quota::{PoolLeases, POOL_LEASE_DURATION};
 use pool_fleet::{max_allowed_runs, FaultKind, HostFault, Replay, HOSTS, STEP, WINDOW, ZONES};
 use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
 fn faults() -> impl Strategy<Value = Vec<HostFault>> {
@@ -137,6 +139,31 @@
     assert!(requests < granted * 3, "{requests} for {granted}");
 }
 
+/// Guards against an organisation whose calls are refused although it sends less than
+/// its limit: at random times and hosts, 1 / 1.6 of the rate.
+#[rstest]
+#[case(20.0, 20.0)]
+#[case(100.0, 50.0)]
+#[case(400.0, 400.0)]
+fn an_organisation_below_its_limit_is_hardly_refused(#[case] per_s: f64, #[case] burst: f64) {
+    let mut replay = Replay::new(RateLimit { per_s, burst }, Vec::new());
+    let calls_per_step = per_s / 1.6 * STEP.as_secs_f64();
+    let mut random = StdRng::seed_from_u64(7);
+    let mut sent = 0;
+    for step in 0..3_000 {
+        replay.advance(step);
+        // Ten chances in each step make the number of calls nearly a Poisson variable.
+        for _ in 0..10 {
+            if step > 100 && random.random_bool(calls_per_step / 10.0) {
+                sent += 1;
+                replay.call(random.random_range(0..ZONES * HOSTS), step);
+            }
+        }
+    }
+    let declined = replay.declined;
+    assert!(declined * 200 < sent, "{declined} of {sent}");
+}
+
 /// Guards against a zone whose tokens are all lent to another one while its own hosts
 /// need them.
 #[test]
