--- a/crates/policy/tests/support/pool_fleet.rs
+++ b/crates/policy/tests/support/pool_fleet.rs
@@ -1,6 +1,9 @@
 //! Replays the token pools of a fleet whose hosts are cut off, restart, move to other
 //! pools and lose grants, with the calls of one organisation.
 
+#[path = "host_faults.rs"]
+mod host_faults;
+
 use std::collections::BTreeMap;
 use std::iter;
 use std::time::{Duration, Instant};
@@ -10,6 +13,7 @@
     AskTimes, LeaseBook, LeaseClaim, PoolLeases, PoolTopology, QuotaPolicy, TokenGrant, TokenPool,
 };
 use filbert_policy::organisations::token_cache::{TakeOutcome, TokenCache};
+pub use host_faults::{FaultKind, HostFault};
 
 const ORGANISATION: &str = "north";
 pub const ZONES: usize = 3;
@@ -33,34 +37,6 @@
     slack: SLACK,
 };
 
-/// A fault of one host during a part of a replay.
-#[derive(Clone, Debug)]
-pub struct HostFault {
-    pub zone: usize,
-    /// Number of the host within its zone.
-    pub host: usize,
-    /// First step with the fault.
-    pub from: u64,
-    /// Duration of the fault in steps.
-    pub steps: u64,
-    pub kind: FaultKind,
-}
-
-#[derive(Clone, Copy, Debug)]
-pub enum FaultKind {
-    /// The host is cut off and takes itself for the only reader.
-    Isolated,
-    /// The host reaches only the other hosts with this fault.
-    CutOff,
-    /// The host's links stall: it notices after a second and then takes itself for the
-    /// only reader. Its renewals arrive after the fault.
-    Stalled,
-    /// The host loses power: it is unavailable during the fault, and empty after.
-    Restart,
-    /// The grants of the host's pool are lost in transmission.
-    LosesGrants,
-}
-
 struct ReplayHost {
     pool: TokenPool,
     book: LeaseBook,
