--- a/crates/ctl/src/cmd/services.rs
+++ b/crates/ctl/src/cmd/services.rs
@@ -3,7 +3,7 @@
 use error_stack::Report;
 use filbert_platform::store::StoreClient;
 
-use super::mesh::{fetch_metrics, read_members};
+use super::mesh::{fetch_metrics, read_members, METRICS_PATH};
 use crate::cli::OutputFormat;
 use crate::error::CtlError;
 use crate::services::{add_service_loads, ServiceLoads};
@@ -20,7 +20,9 @@
 ) -> CtlResult<()> {
     let mut loads = ServiceLoads::default();
     let mut unreachable = Vec::new();
-    for (host, metrics) in fetch_metrics(read_members(store).await?, metrics_port).await? {
+    for (host, metrics) in
+        fetch_metrics(read_members(store).await?, metrics_port, METRICS_PATH).await?
+    {
         match metrics {
             Some(text) => add_service_loads(&text, &mut loads),
             None => unreachable.push(host),
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -9,6 +9,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use filbert_policy::admission::DeclineReason;
 use filbert_policy::instance::InstanceKey;
+use filbert_policy::organisations::quota::LeaseClaim;
 use filbert_policy::pace::TargetPace;
 use filbert_policy::run_times::RunTime;
 use filbert_policy::target_limit::{CallAllowance, CallRate};
@@ -232,7 +233,10 @@
     },
     /// Leases the sender's share of the tokens to the receiver's pool for a limited
     /// time. The receiver is a reader of the sender's zone.
-    RenewPoolLease,
+    RenewPoolLease {
+        /// Where the share was counted before.
+        claim: LeaseClaim,
+    },
     /// Requests tokens for calls from the receiver's pool.
     RequestTokens {
         /// Number of the request, chosen by the sender.
@@ -242,7 +246,17 @@
         /// Maximum number of tokens to grant.
         wanted: u32,
     },
-    /// Response to `RequestTokens`.
+    /// Requests that the receiver's pool lends tokens to the pool of the sender, a
+    /// reader of another zone. The response is `GrantTokens`.
+    BorrowTokens {
+        /// Number of the request, chosen by the sender.
+        request_id: u64,
+        /// Organisation whose calls use the tokens.
+        organisation: String,
+        /// Maximum number of tokens to lend.
+        wanted: u32,
+    },
+    /// Response to `RequestTokens` and `BorrowTokens`.
     GrantTokens {
         /// Number of the request.
         request_id: u64,
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -239,8 +239,9 @@
         | LinkMessage::RequestClock { .. }
         | LinkMessage::StoreClock { .. }
         | LinkMessage::Version { .. } => CrossZoneCause::Version,
-        LinkMessage::RenewPoolLease
+        LinkMessage::RenewPoolLease { .. }
         | LinkMessage::RequestTokens { .. }
+        | LinkMessage::BorrowTokens { .. }
         | LinkMessage::GrantTokens { .. } => CrossZoneCause::Token,
         LinkMessage::Hello { .. }
         | LinkMessage::WrongHost(_)
@@ -317,7 +318,8 @@
         LinkMessage::ZoneLoads(sum) => shared.merge_zone_sum(sum, from),
         LinkMessage::RequestTokens { .. }
         | LinkMessage::ReportLoad(_)
-        | LinkMessage::RenewPoolLease
+        | LinkMessage::BorrowTokens { .. }
+        | LinkMessage::RenewPoolLease { .. }
         | LinkMessage::RequestClock { .. }
         | LinkMessage::TargetReports(_)
         | LinkMessage::InForce { .. }
--- a/crates/mesh/src/organisations/pools.rs
+++ b/crates/mesh/src/organisations/pools/mod.rs
@@ -4,18 +4,24 @@
 //! The pools are on the readers of the availability zone, to which all daemons of
 //! the zone are linked.
 
+pub mod leases;
+pub mod lending;
+
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use filbert_policy::organisations::keys::RateLimit;
 use filbert_policy::organisations::quota::{
-    PoolLeases, PoolTopology, QuotaPolicy, TokenGrant, TokenPool, POOL_LEASE_DURATION,
+    AskTimes, LeaseBook, PoolLeases, QuotaPolicy, TokenGrant, TokenPool,
 };
 use tokio::sync::{oneshot, Notify};
 use twox_hash::XxHash64;
 
+use self::leases::LoggedLeases;
+use self::lending::BorrowingState;
+use super::counts::{CountsRange, TokenSearch};
 use super::OrganisationState;
 use crate::messages::{to_micros, LinkMessage};
 use crate::peers::Peer;
@@ -35,14 +41,19 @@
 };
 /// Number of pools that a host uses: those of the two readers of its zone.
 const POOLS_PER_HOST: usize = 2;
-/// Interval at which the host checks whether a lease has to be renewed.
-const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// This daemon's pool, its leases at the pools that it uses, and its requests to them.
 pub(super) struct PoolState {
     pool: RefCell<TokenPool>,
     /// Leases at the pools that count this host's share of the tokens.
     leases: RefCell<PoolLeases>,
+    /// Leases of hosts at this daemon's pool.
+    lease_book: RefCell<LeaseBook>,
+    logged_leases: Cell<LoggedLeases>,
+    /// Times before which this host does not ask its pools again.
+    ask_times: RefCell<AskTimes>,
+    /// Requests of this daemon's pool to pools of other zones.
+    borrowing: RefCell<BorrowingState>,
     /// Number of hosts in this host's availability zone, including this one.
     zone_hosts: Cell<usize>,
     /// Number of availability zones with known hosts.
@@ -57,10 +68,14 @@
 }
 
 impl PoolState {
-    pub(super) fn new(policy: QuotaPolicy) -> PoolState {
+    pub(super) fn new(policy: QuotaPolicy, now: Instant) -> PoolState {
         PoolState {
-            pool: RefCell::new(TokenPool::new(policy)),
-            leases: RefCell::default(),
+            pool: RefCell::new(TokenPool::new(policy, now)),
+            leases: RefCell::new(PoolLeases::new(POOLS_PER_HOST, now)),
+            lease_book: RefCell::new(LeaseBook::new(now)),
+            logged_leases: Cell::new(None),
+            ask_times: RefCell::default(),
+            borrowing: RefCell::default(),
             zone_hosts: Cell::new(1),
             zone_count: Cell::new(1),
             has_limits: Cell::new(false),
@@ -71,19 +86,6 @@
     }
 }
 
-/// Keeps this host's leases at its pools while any organisation has a rate limit, so
-/// that the pools generate the host's share of the tokens. Never returns.
-pub async fn maintain_pool_leases(shared: Rc<MeshShared>) {
-    let pools = &shared.organisations.pools;
-    loop {
-        if !pools.has_limits.get() {
-            pools.limits_added.notified().await;
-        }
-        shared.renew_pool_leases();
-        tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
-    }
-}
-
 /// Location of a pool from which this daemon may request tokens.
 enum PoolLocation {
     Local,
@@ -103,18 +105,44 @@
 impl MeshShared {
     /// Requests tokens for `organisation` from one pool after the other, until one
     /// grants some. Otherwise returns the shortest time until the next token.
-    pub(super) async fn request_tokens(&self, organisation: &str) -> TokenGrant {
+    pub(super) async fn request_tokens(self: &Rc<Self>, organisation: &str) -> TokenGrant {
+        let counts = &self.organisations.counts;
         let mut next_token_in: Option<Duration> = None;
+        let own = self.settings.borrow().id.clone();
         for pool in self.pools_in_request_order(organisation) {
+            let ask_times = &self.organisations.pools.ask_times;
+            let now = self.clock.now();
+            let time_left = ask_times
+                .borrow()
+                .time_left(organisation, pool.host(&own), now);
+            if let Some(time_left) = time_left {
+                let earliest = next_token_in.map_or(time_left, |earliest| earliest.min(time_left));
+                next_token_in = Some(earliest);
+                continue;
+            }
             let wanted = self.organisations.wanted(organisation);
-            let grant = match pool {
+            let grant = match &pool {
                 PoolLocation::Local => Some(self.grant_tokens(organisation, wanted)),
                 PoolLocation::Remote(peer) => {
-                    self.request_from_peer(&peer, organisation, wanted).await
+                    self.request_from_peer(peer, |request_id| LinkMessage::RequestTokens {
+                        request_id,
+                        organisation: organisation.to_owned(),
+                        wanted,
+                    })
+                    .await
                 }
             };
+            if let Some(grant) = grant {
+                let now = self.clock.now();
+                ask_times
+                    .borrow_mut()
+                    .record(organisation, pool.host(&own), grant, wanted, now);
+            }
             match grant {
-                Some(grant) if grant.tokens > 0 => return grant,
+                Some(grant) if grant.tokens > 0 => {
+                    counts.record_search(organisation, TokenSearch::Granted);
+                    return grant;
+                }
                 Some(grant) => {
                     next_token_in = Some(next_token_in.map_or(grant.next_token_in, |earliest| {
                         earliest.min(grant.next_token_in)
@@ -123,6 +151,8 @@
                 None => {}
             }
         }
+        let search = next_token_in.map_or(TokenSearch::NoAnswer, |_| TokenSearch::PoolsEmpty);
+        counts.record_search(organisation, search);
         TokenGrant {
             tokens: 0,
             next_token_in: next_token_in.unwrap_or(POOL_RETRY_DELAY),
@@ -142,25 +172,6 @@
         pools
     }
 
-    fn renew_pool_leases(&self) {
-        let own = self.settings.borrow().id.clone();
-        let wanted: Vec<String> = self
-            .host_pools()
-            .iter()
-            .map(|pool| pool.host(&own).to_owned())
-            .collect();
-        let now = self.clock.now();
-        let due = self
-            .organisations
-            .pools
-            .leases
-            .borrow_mut()
-            .renew(&wanted, POOLS_PER_HOST, now);
-        for peer in due.iter().filter_map(|id| self.peers.get(id)) {
-            peer.send_message(LinkMessage::RenewPoolLease);
-        }
-    }
-
     /// Returns the pools that generate this host's share of the tokens. Their number
     /// is limited to [`POOLS_PER_HOST`] for each host, however many daemons take
     /// themselves for readers.
@@ -184,16 +195,10 @@
     async fn request_from_peer(
         &self,
         peer: &Peer,
-        organisation: &str,
-        wanted: u32,
+        message: impl FnOnce(u64) -> LinkMessage,
     ) -> Option<TokenGrant> {
         let (request_id, answer) = self.organisations.pools.begin_request();
-        let message = LinkMessage::RequestTokens {
-            request_id,
-            organisation: organisation.to_owned(),
-            wanted,
-        };
-        if !peer.send_message(message) {
+        if !peer.send_message(message(request_id)) {
             self.organisations.pools.end_request(request_id);
             return None;
         }
@@ -202,54 +207,43 @@
         answer.ok()?.ok()
     }
 
-    /// Grants up to `wanted` tokens for `organisation` from this daemon's pool.
+    /// Grants up to `wanted` tokens for `organisation` from this daemon's pool. If it
+    /// runs out of tokens, it borrows some for later requests.
     #[must_use]
-    pub fn grant_tokens(&self, organisation: &str, wanted: u32) -> TokenGrant {
-        let Some(limit) = self.rate_limit(organisation) else {
+    pub fn grant_tokens(self: &Rc<Self>, organisation: &str, wanted: u32) -> TokenGrant {
+        self.update_pool_share();
+        let now = self.clock.now();
+        let grant = {
+            let mut pool = self.organisations.pools.pool.borrow_mut();
+            pool.grant(organisation, wanted, now)
+        };
+        let Some(grant) = grant else {
             return EMPTY_GRANT;
         };
-        let share = self.pool_topology().share();
-        let now = self.clock.now();
-        let mut pool = self.organisations.pools.pool.borrow_mut();
-        pool.grant(organisation, limit, share, wanted, now)
-    }
-
-    fn rate_limit(&self, organisation: &str) -> Option<RateLimit> {
-        let index = self.current_index();
-        index.organisations().organisation(organisation)?.limit
-    }
-
-    fn pool_topology(&self) -> PoolTopology {
-        let settings = self.settings.borrow();
-        let now = self.clock.now();
-        let since = now.checked_sub(POOL_LEASE_DURATION).unwrap_or(now);
-        let hosts = self.organisations.pools.zone_hosts.get();
-        let holds_own_lease = self
-            .organisations
-            .pools
-            .leases
-            .borrow()
-            .is_counted_at(&settings.id, now);
-        PoolTopology {
-            zones: settings
-                .zones
-                .len()
-                .max(self.organisations.pools.zone_count.get()),
-            pools: POOLS_PER_HOST.min(hosts),
-            hosts,
-            leased_by: self.peers.leased_by(&settings.zone, since) + usize::from(holds_own_lease),
+        if grant.tokens < wanted {
+            self.borrow_tokens(organisation);
         }
+        grant
     }
 }
 
 impl PoolState {
-    /// Applies the names of the organisations that have a rate limit.
-    pub(super) fn apply_limited(&self, names: &[&str], now: Instant) {
-        self.has_limits.set(!names.is_empty());
+    /// Applies the organisations that have a rate limit, and their limits.
+    pub(super) fn apply_limits(&self, limits: &[(&str, RateLimit)], now: Instant) {
+        self.has_limits.set(!limits.is_empty());
+        let names: HashSet<&str> = limits.iter().map(|(name, _)| *name).collect();
+        self.ask_times
+            .borrow_mut()
+            .keep(|name| names.contains(name));
+        self.borrowing
+            .borrow_mut()
+            .keep(|name| names.contains(name));
         if self.has_limits.get() {
             self.limits_added.notify_one();
         }
-        self.pool.borrow_mut().keep(names.iter().copied(), now);
+        self.pool
+            .borrow_mut()
+            .apply_limits(limits.iter().copied(), now);
     }
 
     fn begin_request(&self) -> (u64, oneshot::Receiver<TokenGrant>) {
@@ -275,9 +269,19 @@
         self.pools.zone_count.set(zone_count);
     }
 
-    /// Empties the token pool, as this daemon starts to grant tokens to others.
-    pub fn begin_granting(&self) {
-        self.pools.pool.borrow_mut().clear_buckets(self.clock.now());
+    /// Whether any organisation has a rate limit.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        self.pools.has_limits.get()
+    }
+
+    /// Returns the metrics of organisations' calls and tokens in the Prometheus text
+    /// format, for all organisations or the busiest ones.
+    #[must_use]
+    pub fn metrics_text(&self, range: CountsRange) -> String {
+        let now = self.clock.now();
+        let mut pool = self.pools.pool.borrow_mut();
+        self.counts.text(&pool.accounts(now), range)
     }
 
     /// Delivers a pool's response to the request with this id. A response that arrives
@@ -291,22 +295,29 @@
     }
 }
 
-/// Returns the response of this daemon's pool to a request of another daemon.
+/// Returns the response of this daemon's pool to a request for tokens; `None` if
+/// `message` is none. A daemon that is no reader grants nothing.
 #[must_use]
-pub fn answer(
-    shared: &MeshShared,
-    request_id: u64,
-    organisation: &str,
-    wanted: u32,
-) -> LinkMessage {
-    let grant = if shared.members.is_reader() {
-        shared.grant_tokens(organisation, wanted)
-    } else {
-        EMPTY_GRANT
+pub fn answer(shared: &Rc<MeshShared>, message: &LinkMessage) -> Option<LinkMessage> {
+    let is_reader = shared.members.is_reader();
+    let (request_id, grant) = match message {
+        LinkMessage::RequestTokens {
+            request_id,
+            organisation,
+            wanted,
+        } if is_reader => (request_id, shared.grant_tokens(organisation, *wanted)),
+        LinkMessage::BorrowTokens {
+            request_id,
+            organisation,
+            wanted,
+        } if is_reader => (request_id, shared.lend_tokens(organisation, *wanted)),
+        LinkMessage::RequestTokens { request_id, .. }
+        | LinkMessage::BorrowTokens { request_id, .. } => (request_id, EMPTY_GRANT),
+        _ => return None,
     };
-    LinkMessage::GrantTokens {
-        request_id,
+    Some(LinkMessage::GrantTokens {
+        request_id: *request_id,
         granted: grant.tokens,
         next_token_in_us: to_micros(grant.next_token_in),
-    }
+    })
 }
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -12,7 +12,7 @@
 use crate::body::next_data;
 use crate::links::{LinkError, NEWS_URL};
 use crate::messages::{decode_next, encode, DecodeError, LinkMessage, PeerAddress, RowChange};
-use crate::organisations::pools;
+use crate::organisations::pools::{self, leases::LinkLeases};
 use crate::state::MeshShared;
 use crate::versions::StepsUnavailable;
 
@@ -48,6 +48,7 @@
     }
     let mut subscription = shared.peers.subscribe(&from);
     caller_zone.replace(Some(from.zone.clone()));
+    let pool_leases = LinkLeases::new(&shared, &from);
     for key in &leaving_instances {
         shared.gate.mark_left_before_restart(key);
     }
@@ -68,9 +69,7 @@
                         outgoing.send_data(encode(&checksum), false)?;
                     }
                 }
-                Some(LinkMessage::RenewPoolLease) => subscription
-                    .lease_renewed_at
-                    .set(Some(shared.clock.now())),
+                Some(LinkMessage::RenewPoolLease { claim }) => pool_leases.renew(claim),
                 Some(message) => {
                     if let Some(response) = handle_request(&shared, message) {
                         outgoing.send_data(encode(&response), false)?;
@@ -177,11 +176,9 @@
             }
             None
         }
-        LinkMessage::RequestTokens {
-            request_id,
-            organisation,
-            wanted,
-        } => Some(pools::answer(shared, request_id, &organisation, wanted)),
+        message @ (LinkMessage::RequestTokens { .. } | LinkMessage::BorrowTokens { .. }) => {
+            pools::answer(shared, &message)
+        }
         LinkMessage::RequestClock { asked_us } => shared.store_clock(asked_us),
         other => {
             handle_update(shared, other);
@@ -207,8 +204,9 @@
         | LinkMessage::RequestMembers
         | LinkMessage::RequestRowChange { .. }
         | LinkMessage::RequestTokens { .. }
+        | LinkMessage::BorrowTokens { .. }
         | LinkMessage::RequestClock { .. }
-        | LinkMessage::RenewPoolLease
+        | LinkMessage::RenewPoolLease { .. }
         | LinkMessage::VersionConfirmation(_)
         | LinkMessage::StoreClock { .. }
         | LinkMessage::GrantTokens { .. }
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -188,9 +188,9 @@
     spawn(Box::pin(rollouts::row_writer::run_rollout_writer(
         Rc::clone(shared),
     )));
-    spawn(Box::pin(organisations::pools::maintain_pool_leases(
-        Rc::clone(shared),
-    )));
+    spawn(Box::pin(
+        organisations::pools::leases::maintain_pool_leases(Rc::clone(shared)),
+    ));
     spawn(Box::pin(zone_load::share_load(Rc::clone(shared))));
     spawn(Box::pin(plan::maintain_link_plan(Rc::clone(shared))));
     spawn(Box::pin(rows::maintain_own_row(Rc::clone(shared))));
--- a/crates/policy/tests/token_queue_replay.rs
+++ b/crates/policy/tests/token_queue_replay.rs
@@ -89,12 +89,16 @@
     /// Runs a load of `factor` times the limit, in which one in ten callers is impatient.
     fn run(factor: f64, seed: u64) -> Replay {
         let start = Instant::now();
+        let policy = QuotaPolicy {
+            window: None,
+            slack: 20.0,
+        };
+        let mut pool = TokenPool::new(policy, start);
+        pool.apply_limits([("one", LIMIT)].into_iter(), start);
+        pool.update_share(1.0, start);
         let mut replay = Replay {
             start,
-            pool: TokenPool::new(QuotaPolicy {
-                window: None,
-                slack: 20.0,
-            }),
+            pool,
             daemons: (0..HOSTS).map(|_| Daemon::default()).collect(),
             callers: Vec::new(),
             tries: BTreeSet::new(),
@@ -154,7 +158,8 @@
             if daemon.response_at.is_some_and(|at| at <= now) {
                 daemon.response_at = None;
                 let wanted = daemon.queue.wanted();
-                let grant = self.pool.grant("one", LIMIT, 1.0, wanted, now);
+                let grant = self.pool.grant("one", wanted, now);
+                let grant = grant.expect("a limited organisation");
                 daemon.queue.granted(grant, self.rng.random(), now);
             }
             let needs_tokens = daemon.queue.has_waiting() || daemon.queue.needs_refill(now);
