Begin parts at 0.02 and follow larger changes in 250 ms

A part now begins at 0.02 instead of 0.03, and a change beyond the random variation is followed in 250 ms instead of 200 ms.

--- a/crates/policy/src/zone_load/demand.rs
+++ b/crates/policy/src/zone_load/demand.rs
@@ -15,7 +15,7 @@
 const STEADY_TIME: Duration = Duration::from_secs(2);
 /// Time in which a [`SteadyLoad`] closes the part of a deviation beyond its band. A
 /// short random excursion moves it less.
-const CHANGE_TIME: Duration = Duration::from_millis(200);
+const CHANGE_TIME: Duration = Duration::from_millis(250);
 
 /// Decaying average of the number of slots that calls need: calls per second times
 /// expected run time.
--- a/crates/policy/src/zone_load/shares.rs
+++ b/crates/policy/src/zone_load/shares.rs
@@ -8,7 +8,7 @@
 /// wait for a slot.
 const FULL_UTILISATION: f64 = 0.75;
 /// Part of a zone's calls from which the zone begins to send calls to another.
-const MIN_FIRST_PART: f64 = 0.03;
+const MIN_FIRST_PART: f64 = 0.02;
 /// Part of a zone's calls below which a zone that sends calls to another ends this.
 const MIN_PART: f64 = 0.01;
 /// Free part of a zone's capacity from which the zone gets calls of others. A zone that
