Count a target's pace in the capacity of its zone

A target in a slow period serves fewer calls; the sum of its zone counted it as usual, as the two parts were written apart.

--- a/crates/mesh/src/zone_load/demand.rs
+++ b/crates/mesh/src/zone_load/demand.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use filbert_policy::pace::slowdown_at_pace;
 use filbert_policy::zone_load::demand::DemandAverage;
 use filbert_policy::zone_load::shares::ZoneLoad;
 use filbert_policy::zone_load::sums::{ServiceLoad, MAX_SERVICES};
@@ -195,10 +196,10 @@
     if target.state != TargetState::Open {
         return ZoneLoad::default();
     }
+    let slowdown = slowdown_at_pace(target.load.slowdown, target.load.pace);
     ZoneLoad {
         demand: 0.0,
-        capacity: f64::from(target.load.slots)
-            / target.load.slowdown.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN),
+        capacity: f64::from(target.load.slots) / slowdown.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN),
         slots: target.load.slots,
         open_targets: 1,
     }
