Notice replaced targets of a roll-out by any count that fell

The counter of slow runs noticed that a target was replaced only by fewer ended runs. A target that had already had more runs when its report arrived, as after lost reports, inherited the slow runs of the one before: of 25 runs of 30 ms after 20 of 300 ms, 20 counted as slow. Now any count that fell drops all that is known of the target. Besides, the replay covers targets that differ in speed by the factor of two that the bound names, and two comments state the bounds of the buckets.

--- a/crates/policy/src/rollout/slow_runs.rs
+++ b/crates/policy/src/rollout/slow_runs.rs
@@ -14,8 +14,8 @@
 use super::judge::{CallCounts, TargetCounts, VersionSide};
 use crate::numbers::{count_to_f64, truncate_to_u64};
 
-/// Number of buckets of a [`RunHistogram`]; the last one counts all runs of about a
-/// minute and longer.
+/// Number of buckets of a [`RunHistogram`]; the last one counts all runs of 46 s and
+/// longer.
 const BUCKETS: usize = 32;
 /// Buckets per doubling of the run time.
 const BUCKETS_PER_DOUBLING: f64 = 2.0;
@@ -50,8 +50,7 @@
         self.counts[bucket] += 1;
     }
 
-    /// The runs counted since `before`. A count below the one before is that of another
-    /// target, and counts for nothing.
+    /// The runs counted since `before`; a count below the one before yields 0.
     fn since(&self, before: &RunHistogram) -> RunHistogram {
         let count_before = |bucket| before.counts.get(bucket).copied().unwrap_or(0);
         let counts = self.counts.iter().take(BUCKETS).enumerate();
@@ -62,6 +61,15 @@
         }
     }
 
+    /// Whether no count is below the one in `before`.
+    fn continues(&self, before: &RunHistogram) -> bool {
+        before
+            .counts
+            .iter()
+            .enumerate()
+            .all(|(bucket, count)| self.counts.get(bucket).is_some_and(|now| now >= count))
+    }
+
     fn total(&self) -> u64 {
         self.counts.iter().sum()
     }
@@ -75,7 +83,7 @@
     }
 }
 
-/// Bucket of a run that took `took`: the first one counts runs of 1 ms and less.
+/// Bucket of a run that took `took`: the first one counts all runs below 1.4 ms.
 fn bucket_of(took: Duration) -> usize {
     let took_ms = (took.as_secs_f64() * 1_000.0).max(1.0);
     let bucket = truncate_to_u64(took_ms.log2() * BUCKETS_PER_DOUBLING);
@@ -102,6 +110,16 @@
     pub abandoned: RunHistogram,
 }
 
+impl RunCounts {
+    /// Whether these can be later counters of the target that had the counters `before`.
+    fn continues(&self, before: &RunCounts) -> bool {
+        self.ended >= before.ended
+            && self.failed >= before.failed
+            && self.completed.continues(&before.completed)
+            && self.abandoned.continues(&before.abandoned)
+    }
+}
+
 /// Counters of one target, by kind of call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetRuns<'a> {
@@ -182,10 +200,10 @@
     /// as bad. Each run is compared with the old version's runs until `now`.
     pub fn count<'a>(&mut self, targets: &[TargetRuns<'a>], now: Instant) -> Vec<TargetCounts<'a>> {
         self.forget_replaced_targets(targets);
-        for target in targets
+        let old_targets = targets
             .iter()
-            .filter(|other| other.side == VersionSide::Old)
-        {
+            .filter(|target| target.side == VersionSide::Old);
+        for target in old_targets {
             for (kind, counts) in &target.kinds {
                 let before = self.completed_before(target.target_id, kind);
                 let runs = counts.completed.since(&before);
@@ -202,12 +220,13 @@
     /// Drops what is known of targets whose counters have started again.
     fn forget_replaced_targets(&mut self, targets: &[TargetRuns<'_>]) {
         for target in targets {
-            for (kind, counts) in &target.kinds {
+            let is_replaced = target.kinds.iter().any(|(kind, counts)| {
                 let key = (target.target_id.to_owned(), (*kind).to_owned());
                 let known = self.known.get(&key);
-                if known.is_some_and(|known| counts.ended < known.counts.ended) {
-                    self.known.remove(&key);
-                }
+                known.is_some_and(|known| !counts.continues(&known.counts))
+            });
+            if is_replaced {
+                self.known.retain(|(id, _), _| id != target.target_id);
             }
         }
     }
--- a/crates/policy/tests/slow_run_replay.rs
+++ b/crates/policy/tests/slow_run_replay.rs
@@ -114,6 +114,7 @@
 #[rstest]
 #[case::usual(USUAL)]
 #[case::slower_targets(TrialLoad { slowdown: 1.6, ..USUAL })]
+#[case::twice_slower_targets(TrialLoad { slowdown: 2.0, ..USUAL })]
 #[case::overloaded_hosts(TrialLoad { overload_ms: 200.0, ..USUAL })]
 #[case::all_runs_slower(TrialLoad { late_factor: 3.0, ..USUAL })]
 #[case::slower_after_the_move(TrialLoad { late_factor: 2.5, old_until: EVALUATIONS / 3, ..USUAL })]
@@ -124,9 +125,12 @@
     }
 }
 
-/// Guards against counts of a replaced target that count for the one that follows it.
-#[test]
-fn a_replaced_target_starts_without_slow_runs() {
+/// Guards against counts of a replaced target that count for the one that follows it,
+/// also if that one has had more runs when it is first seen.
+#[rstest]
+#[case::fewer_runs(3)]
+#[case::more_runs(25)]
+fn a_replaced_target_starts_without_slow_runs(#[case] runs_after: u32) {
     let mut slow_runs = SlowRunCounter::default();
     let now = Instant::now();
     let run_counts = |runs: u32, took_ms: u64| {
@@ -152,6 +156,6 @@
         slow_runs.count(&targets, now)[1].kinds[0].1
     };
     assert_eq!(bad_counts(&run_counts(20, 300)).bad, 20);
-    let replaced = bad_counts(&run_counts(3, 30));
-    assert_eq!((replaced.ended, replaced.bad), (3, 0));
+    let replaced = bad_counts(&run_counts(runs_after, 30));
+    assert_eq!((replaced.ended, replaced.bad), (u64::from(runs_after), 0));
 }
