--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,43 +3,31 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use filbert_platform_standin::soak::{self, SoakSpec};
+use filbert_platform_standin::soak::{self, SoakExtra, SoakSpec};
 use rstest::rstest;
 
-/// What happens during a soak besides the random faults.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ExtraEvent {
-    None,
-    /// A call that ends each target that runs it.
-    HarmfulCall,
-    /// A roll-out, and a store that is restored from an older copy.
-    Rollout,
-    /// Targets that state limits on the rate of calls and that they are leaving.
-    Statements,
-}
-
 /// Daemons are killed, paused, stopped, cut off and reloaded while targets, the
 /// store and links misbehave and versions change. The guarantees to callers must
 /// hold: no order runs twice, no order that is reported as not run has run,
 /// responses are whole, versions come into force in time and never go back, a
 /// planned stop cuts no call, and a target that has left gets no calls.
 #[rstest]
-#[case::short(1, 6, ExtraEvent::None)]
+#[case::short(1, 6, None)]
 // Two replacements of one target overlap. The soak counted the drain that the
 // second replacement had ordered as one of the new target that the first
 // replacement had started since.
-#[case::overlapping_replacements(201, 8, ExtraEvent::None)]
+#[case::overlapping_replacements(201, 8, None)]
 // A call ends each target that runs it while daemons and links fail too.
-#[case::short_with_a_harmful_call(2, 6, ExtraEvent::HarmfulCall)]
+#[case::short_with_a_harmful_call(2, 6, Some(SoakExtra::HarmfulCall))]
 // A roll-out is ordered, and the store is restored from an older copy.
-#[case::short_with_a_roll_out(3, 6, ExtraEvent::Rollout)]
+#[case::short_with_a_roll_out(3, 6, Some(SoakExtra::Rollout))]
 // Targets state limits and that they leave while daemons and links fail too.
-#[case::short_with_statements(4, 6, ExtraEvent::Statements)]
+#[case::short_with_statements(4, 6, Some(SoakExtra::Statements))]
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_during_a_soak(
     #[case] seed: u64,
     #[case] hosts: usize,
-    #[case] extra_event: ExtraEvent,
+    #[case] extra: Option<SoakExtra>,
 ) {
     let report = soak::run(&SoakSpec {
         daemon_path: PathBuf::from(env!("CARGO_BIN_EXE_filbertd")),
@@ -47,9 +35,7 @@
         length: Duration::from_secs(12),
         hosts,
         callers: 3,
-        has_harmful_call: extra_event == ExtraEvent::HarmfulCall,
-        has_rollout: extra_event == ExtraEvent::Rollout,
-        has_statements: extra_event == ExtraEvent::Statements,
+        extras: extra.into_iter().collect(),
     })
     .await;
     println!("{}", report.text());
