Run the soak with organisations and with slow periods

The soak had neither rate limits nor targets of changing speed. Targets' records must show no more runs in any 5 s than (rate x 5 s + burst) x 1.1 + 20. While no fault is active, the organisation below its limit must have at most 1 in 200 answers 429, and 98 in 100 of its calls must be served.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -10,7 +10,8 @@
 /// store and links misbehave and versions change. The guarantees to callers must
 /// hold: no order runs twice, no order that is reported as not run has run,
 /// responses are whole, versions come into force in time and never go back, a
-/// planned stop cuts no call, and a target that has left gets no calls.
+/// planned stop cuts no call, a target that has left gets no calls, no organisation
+/// exceeds its limit, and without faults one below its limit is served.
 #[rstest]
 #[case::short(1, 6, None)]
 // Two replacements of one target overlap. The soak counted the drain that the
@@ -23,6 +24,12 @@
 #[case::short_with_a_roll_out(3, 6, Some(SoakExtra::Rollout))]
 // Targets state limits and that they leave while daemons and links fail too.
 #[case::short_with_statements(4, 6, Some(SoakExtra::Statements))]
+// An organisation asks for more than its limit while all hosts lose power and links of
+// whole zones fail. Daemons that were ready before they knew any target answered 503.
+#[case::organisations(3, 8, Some(SoakExtra::Organisations))]
+// Targets have slow periods, and one zone has one target for a third of the calls. As
+// above, daemons were ready before they knew any target.
+#[case::slow_periods(3, 8, Some(SoakExtra::Pace))]
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_during_a_soak(
     #[case] seed: u64,
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -36,6 +36,8 @@
         has_unread_stdout: false,
         piped_links: false,
         is_first_start: false,
+        zones: Vec::new(),
+        tables: String::new(),
     }
 }
 
