--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -27,6 +27,9 @@
 // An organisation asks for more than its limit while all hosts lose power and links of
 // whole zones fail. Daemons that were ready before they knew any target answered 503.
 #[case::organisations(3, 8, Some(SoakExtra::Organisations))]
+// Long after the last fault, hosts of a zone named different readers, and an organisation
+// below its limit was answered 429 there.
+#[case::different_readers(13, 8, Some(SoakExtra::Organisations))]
 // Targets have slow periods, and one zone has one target for a third of the calls. As
 // above, daemons were ready before they knew any target.
 #[case::slow_periods(3, 8, Some(SoakExtra::Pace))]
