Never count calls of no organisation as beyond their share

Calls that targets make belong to no organisation and shared the weight 1 with each other, beside organisations that weigh hundreds by their limits. They now have the highest weight; organisations beyond the number that is tracked keep a share of their own.

--- a/crates/policy/src/fair_share.rs
+++ b/crates/policy/src/fair_share.rs
@@ -28,8 +28,7 @@
 
 use crate::organisations::keys::OrganisationRule;
 
-/// Maximum number of organisations that are tracked. Further ones form one share
-/// together with the items that belong to no organisation.
+/// Maximum number of organisations that are tracked. Further ones form one share.
 pub const MAX_TRACKED_ORGANISATIONS: usize = 10_000;
 /// Weight of an organisation without a limit, or with an invalid weight.
 pub const DEFAULT_WEIGHT: f64 = 1.0;
@@ -81,8 +80,10 @@
 /// Identifies a share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum ShareKey {
-    /// The items that belong to no organisation, and to those that are not tracked.
-    Common,
+    /// The items that belong to no organisation, such as calls that targets make.
+    Unowned,
+    /// The items of all organisations that are not tracked.
+    Untracked,
     Organisation(u64),
 }
 
@@ -134,22 +135,26 @@
     }
 
     /// Returns the share of an item of `organisation`; `None` stands for all items that
-    /// belong to no organisation.
+    /// belong to no organisation. These have the highest weight, so that they are never
+    /// beyond their share: the run of another target may depend on them, and no
+    /// organisation's limit tells how many there should be.
     #[must_use]
     pub fn claim(&self, organisation: Option<OrganisationShare>) -> ShareClaim {
-        let organisation = organisation.filter(|organisation| {
-            let key = ShareKey::Organisation(organisation.id);
-            self.tracked.len() < MAX_TRACKED_ORGANISATIONS || self.tracked.contains_key(&key)
-        });
-        match organisation {
-            Some(organisation) => ShareClaim {
-                key: ShareKey::Organisation(organisation.id),
-                weight: organisation.effective_weight(),
-            },
-            None => ShareClaim {
-                key: ShareKey::Common,
-                weight: DEFAULT_WEIGHT,
-            },
+        let Some(organisation) = organisation else {
+            return ShareClaim {
+                key: ShareKey::Unowned,
+                weight: MAX_WEIGHT,
+            };
+        };
+        let key = ShareKey::Organisation(organisation.id);
+        let has_room = self.tracked.len() < MAX_TRACKED_ORGANISATIONS;
+        if has_room || self.tracked.contains_key(&key) {
+            let weight = organisation.effective_weight();
+            return ShareClaim { key, weight };
+        }
+        ShareClaim {
+            key: ShareKey::Untracked,
+            weight: DEFAULT_WEIGHT,
         }
     }
 
--- a/crates/policy/tests/fair_share_replay.rs
+++ b/crates/policy/tests/fair_share_replay.rs
@@ -169,6 +169,44 @@
     );
 }
 
+/// Lookups that targets make for their own calls. They belong to no organisation.
+const LOOKUP: CallKind = CallKind {
+    priority: 0,
+    run_ms: 38,
+    soft_timeout_ms: 150,
+    timeout_ms: 500,
+    share: 1.0,
+};
+/// Load of the lookups, as a ratio of the target's slots.
+const LOOKUP_LOAD: f64 = 0.25;
+
+/// Guards against calls at other targets that fail because the lookups they depend on,
+/// which belong to no organisation, are taken for those of one small organisation.
+#[test]
+fn lookups_of_targets_are_not_passed_over_for_organisations() {
+    for seed in 1..=3 {
+        let mut calls = calls_of(OTHERS + 1, &[LOOKUP], LOOKUP_LOAD, seed);
+        for call in &mut calls {
+            call.organisation = None;
+        }
+        for organisation in 1..=OTHERS {
+            let load = OTHERS_LOAD * size_of(organisation);
+            calls.extend(calls_of(organisation, &[TELEMETRY], load, seed));
+        }
+        calls.extend(calls_of(LARGE, &[TELEMETRY], LARGE_LOAD * 7.0, seed));
+        calls.sort_by_key(|call| call.at);
+        let outcomes = replay(&calls);
+        let lookups = calls.iter().zip(&outcomes);
+        let lookups: Vec<_> = lookups.filter(|(c, _)| c.organisation.is_none()).collect();
+        let lost = lookups.iter().filter(|(call, outcome)| match outcome {
+            CallOutcome::Answered { took } => *took > call.soft_timeout,
+            CallOutcome::Declined { .. } => true,
+        });
+        let lost = lost.count() as f64 / lookups.len() as f64;
+        assert!(lost < 0.01, "seed {seed}: {lost} of the lookups");
+    }
+}
+
 /// Calls at a target that serves one organisation, or none, must be decided as if there
 /// were no shares.
 fn same_outcomes(calls: &[SimulatedCall], organisation: OrganisationShare) {
