Mend what a review of pace, zone load and run-time reports found

A call drawn to another zone whose linked targets had all declined it was refused, although its own zone would have queued it: it now goes back there. A reader that had just started replaced the other one of its zone before it had heard of all hosts, so that the zone counted as absent for half a second. Loads, run-time reports and counters of another daemon with absurd figures could panic or overflow: they are ignored with a line. Counters of a replaced target gave more bad runs than runs. Calls of no organisation are never beyond a share by rule, not by a weight that only made it unlikely.

--- a/crates/mesh/src/calls/pick.rs
+++ b/crates/mesh/src/calls/pick.rs
@@ -58,7 +58,7 @@
     let service = head.service.as_str();
     // Without a link to an open target there, the call is placed in its own zone.
     let call_zone = other_zone
-        .filter(|zone| has_open_target(shared, service, zone))
+        .filter(|zone| has_open_target(shared, service, zone, tried_hosts))
         .unwrap_or(&settings.zone);
     let is_in_own_zone = call_zone == settings.zone;
     let answer_kib = shared
@@ -142,12 +142,14 @@
     })
 }
 
-/// Whether this daemon has a link to an open target of `service` in `zone`.
-fn has_open_target(shared: &MeshShared, service: &str, zone: &str) -> bool {
+/// Whether this daemon has a link to an open target of `service` in `zone` that is not on
+/// `tried_hosts`. A call that all of them declined goes back to its own zone.
+fn has_open_target(shared: &MeshShared, service: &str, zone: &str, tried_hosts: &[String]) -> bool {
     let now = shared.clock.now();
     let drain_time = shared.settings.borrow().times.drain;
     shared.peers.all().iter().any(|peer| {
         peer.address.zone == zone
+            && !tried_hosts.contains(&peer.address.id)
             && peer.target(now).is_some_and(|(status, _)| {
                 status.service == service
                     && peer.restrict_state(&status, drain_time, now) == TargetState::Open
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -28,6 +28,8 @@
 /// Maximum size of a message body, in bytes. A version of a few thousand routes
 /// fits.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
+/// Highest figure of a target's load that is taken over.
+const MAX_LOAD_FIGURE: f64 = 1e9;
 /// Size of the length prefix of each message, in bytes.
 const LENGTH_PREFIX_BYTES: usize = 4;
 
@@ -82,9 +84,10 @@
     pub running: u32,
     /// Number of calls queued for the target.
     pub waiting: u32,
-    /// Mean run time of the calls at the target, in milliseconds.
+    /// Mean run time of the calls at the target at its pace now, in milliseconds.
     pub run_ms: f64,
-    /// Ratio of current to usual run times over all routes; 1 means no slowdown.
+    /// Ratio of the target's long-term run times to the usual ones of all targets, over
+    /// all routes; 1 is usual. Without the pace, if the target states one.
     pub slowdown: f64,
     /// Fraction of the target's recent runs that failed, from 0 to 1.
     pub failure_rate: f64,
@@ -101,6 +104,21 @@
 }
 
 impl TargetLoad {
+    /// Whether the figures can be used: placement computes times from them.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let figures = [
+            self.run_ms,
+            self.slowdown,
+            self.failure_rate,
+            self.link_ms,
+            self.link_ms_per_kib,
+        ];
+        figures
+            .iter()
+            .all(|figure| (0.0..=MAX_LOAD_FIGURE).contains(figure))
+    }
+
     /// The load after `elapsed` without news: the allowance is refilled, and the pace and
     /// the mean run time approach their usual values.
     #[must_use]
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -48,6 +48,8 @@
     target: RefCell<Option<HeardTarget>>,
     /// What this daemon remembers of the targets on the peer's host.
     pub memory: SharedTargetMemory,
+    /// Whether the log says that a load of the target could not be used.
+    has_logged_invalid_load: Cell<bool>,
     /// Number of calls sent to the target since its last status or load.
     sent_since: Cell<u32>,
     /// Whether the peer was replaced or removed in the table of peers. Its link is
@@ -95,6 +97,7 @@
             link: RefCell::new(None),
             target: RefCell::new(None),
             memory,
+            has_logged_invalid_load: Cell::new(false),
             sent_since: Cell::new(0),
             is_removed: Cell::new(false),
             calls_in_flight: Cell::new(0),
@@ -258,6 +261,12 @@
     /// Sets the status of the peer's target, received at `now`; `None` if there is no
     /// target.
     pub fn set_target(&self, target: Option<TargetStatus>, now: Instant) {
+        if target
+            .as_ref()
+            .is_some_and(|target| self.ignores(&target.load))
+        {
+            return;
+        }
         if let Some(target) = &target {
             if target.state == TargetState::Leaving {
                 self.record_leaving(&target.instance, now);
@@ -273,6 +282,9 @@
 
     /// Sets the load of the peer's target, as carried by a reply received at `now`.
     pub fn set_target_load(&self, load: TargetLoad, now: Instant) {
+        if self.ignores(&load) {
+            return;
+        }
         if let Some(target) = self.target.borrow_mut().as_mut() {
             self.sent_since.set(0);
             self.remember_limit(&target.status.instance, &load);
@@ -281,6 +293,17 @@
         }
     }
 
+    /// Whether `load` cannot be used; logs the first such load.
+    fn ignores(&self, load: &TargetLoad) -> bool {
+        if load.is_valid() {
+            return false;
+        }
+        if !self.has_logged_invalid_load.replace(true) {
+            log::warn!("event=target_load_ignored peer={}", self.address.id);
+        }
+        true
+    }
+
     fn remember_limit(&self, instance: &InstanceKey, load: &TargetLoad) {
         let rate = load.allowance.map(|allowance| allowance.rate);
         self.memory.borrow_mut().record_limit(instance, rate);
--- a/crates/mesh/src/rollouts/counters.rs
+++ b/crates/mesh/src/rollouts/counters.rs
@@ -20,6 +20,8 @@
 /// Time after a target's first report in which run times do not count, as the
 /// target may still be warming up.
 const WARM_UP_TIME: Duration = Duration::from_secs(4);
+/// Longest name of a route in a report, in bytes.
+const MAX_NAME_BYTES: usize = 512;
 /// Maximum number of reports kept, for all services together.
 const MAX_REPORTS: usize = 4_096;
 
@@ -158,8 +160,15 @@
 
 impl ReceivedReports {
     /// Records a report that arrives at `now`. Ignores it if a newer one of the same
-    /// incarnation is known, or if it is of another host and `MAX_REPORTS` are kept.
+    /// incarnation is known, if it is of another host and `MAX_REPORTS` are kept, or if its
+    /// counts cannot be evaluated.
     pub fn record(&self, report: TargetReport, now: Instant) {
+        let is_readable =
+            |kind: &KindCounts| kind.kind.len() <= MAX_NAME_BYTES && kind.runs.is_valid();
+        if report.kinds.len() > MAX_KINDS + 1 || !report.kinds.iter().all(is_readable) {
+            log::warn!("event=target_report_ignored host={:?}", report.host);
+            return;
+        }
         let mut by_host = self.by_host.borrow_mut();
         if let Some(known) = by_host.get(&report.host) {
             let is_older = known.report.incarnation == report.incarnation
--- a/crates/mesh/src/zone_load/demand.rs
+++ b/crates/mesh/src/zone_load/demand.rs
@@ -69,7 +69,7 @@
 
 impl SlotUse {
     fn add(&mut self, status: &TargetStatus) {
-        self.calls += f64::from(status.load.running + status.load.waiting);
+        self.calls += f64::from(status.load.running) + f64::from(status.load.waiting);
         self.slots += f64::from(status.load.slots);
         self.targets += 1;
     }
--- a/crates/mesh/src/zone_load/reports.rs
+++ b/crates/mesh/src/zone_load/reports.rs
@@ -58,11 +58,11 @@
     /// Records the report of a host of this zone.
     pub fn record_load_report(&self, mut report: LoadReport) {
         if report.zone != self.settings.borrow().zone {
-            self.log_unusable(&report.host, "the host is in another zone");
+            self.log_unusable(&report.host, &report.zone, "the host is in another zone");
             return;
         }
         if let Some(fault) = remove_unusable(&mut report.loads) {
-            self.log_unusable(&report.host, fault);
+            self.log_unusable(&report.host, &report.zone, fault);
         }
         let now = self.clock.now();
         let mut reports = self.zone_load.reports.borrow_mut();
@@ -102,7 +102,7 @@
     /// reader whose sums are used.
     pub fn merge_zone_sum(&self, mut sum: ZoneSum, from: &str) {
         if let Some(fault) = remove_unusable(&mut sum.loads) {
-            self.log_unusable(&format!("{from} zone={}", sum.zone), fault);
+            self.log_unusable(from, &sum.zone, fault);
         }
         let now = self.clock.now();
         if !self.zone_load.sums.borrow_mut().record(sum.clone(), now) {
@@ -141,10 +141,10 @@
         }
     }
 
-    fn log_unusable(&self, from: &str, fault: &str) {
+    fn log_unusable(&self, from: &str, zone: &str, fault: &str) {
         let now = self.clock.now();
         if self.log_limiter.allows(LinePriority::Notable, now) {
-            log::warn!("event=zone_load_ignored from={from} reason=\"{fault}\"");
+            log::warn!("event=zone_load_ignored from={from:?} zone={zone:?} reason=\"{fault}\"");
         }
     }
 }
--- a/crates/policy/src/admission/start_order.rs
+++ b/crates/policy/src/admission/start_order.rs
@@ -21,9 +21,6 @@
 /// of the target. Calls of small organisations arrive in bursts of a few. A larger burst
 /// lets the first calls of a flood delay the others by up to this part of a run.
 const SHARE_BURST: f64 = 0.7;
-/// Part of the burst from which an organisation counts as beyond its share. It covers
-/// the rounding of the work of an organisation that has just used its burst.
-const USED_BURST: f64 = 0.999;
 
 /// A waiting call and its place in the order.
 #[derive(Clone, Copy, Debug)]
@@ -82,7 +79,7 @@
                 });
             let work = &mut work_ahead[index].1;
             ranked.work_ahead = *work;
-            ranked.order.set_beyond_share(*work > burst * USED_BURST);
+            ranked.order.set_beyond_share(claim.is_beyond(*work, burst));
             *work += ranked.call.work();
         }
     }
--- a/crates/policy/src/egress.rs
+++ b/crates/policy/src/egress.rs
@@ -29,9 +29,6 @@
 
 /// Bytes by which an organisation may be ahead of its share of the link: one long answer.
 const SHARE_BURST_BYTES: f64 = 96.0 * 1024.0;
-/// Part of the burst from which an organisation counts as beyond its share. It covers
-/// the rounding of the bytes of an organisation that has just used its burst.
-const USED_BURST: f64 = 0.999;
 /// Time without waiting answers after which the shares are forgotten.
 const SHARE_MEMORY: Duration = Duration::from_secs(1);
 
@@ -199,7 +196,8 @@
     fn next_chunk(&self, now: Instant) -> Option<EgressTicket> {
         let is_contended = self.is_contended();
         let is_beyond_share = |chunk: &WaitingChunk| {
-            is_contended && self.shares.work_ahead(&chunk.claim) > SHARE_BURST_BYTES * USED_BURST
+            let work_ahead = self.shares.work_ahead(&chunk.claim);
+            is_contended && chunk.claim.is_beyond(work_ahead, SHARE_BURST_BYTES)
         };
         let urgency = |chunk: &WaitingChunk| (chunk.urgent_at <= now).then_some(chunk.urgent_at);
         let next = self.waiting.iter().min_by_key(|(ticket, chunk)| {
--- a/crates/policy/src/fair_share.rs
+++ b/crates/policy/src/fair_share.rs
@@ -30,6 +30,9 @@
 
 /// Maximum number of organisations that are tracked. Further ones form one share.
 pub const MAX_TRACKED_ORGANISATIONS: usize = 10_000;
+/// Part of the burst from which an organisation counts as beyond its share. It covers
+/// the rounding of the work of an organisation that has just used its burst.
+const USED_BURST: f64 = 0.999;
 /// Weight of an organisation without a limit, or with an invalid weight.
 pub const DEFAULT_WEIGHT: f64 = 1.0;
 /// Seed of [`OrganisationShare::id`]. It is the same on all hosts.
@@ -95,6 +98,13 @@
 }
 
 impl ShareClaim {
+    /// Whether an item of this share is beyond it if the share is ahead by `work_ahead`
+    /// and may be ahead by `burst`. Items that belong to no organisation never are.
+    #[must_use]
+    pub fn is_beyond(&self, work_ahead: f64, burst: f64) -> bool {
+        self.key != ShareKey::Unowned && work_ahead > burst * USED_BURST
+    }
+
     /// Whether both items belong to the same share.
     #[must_use]
     pub fn has_share_of(&self, other: &ShareClaim) -> bool {
@@ -135,9 +145,8 @@
     }
 
     /// Returns the share of an item of `organisation`; `None` stands for all items that
-    /// belong to no organisation. These have the highest weight, so that they are never
-    /// beyond their share: the run of another target may depend on them, and no
-    /// organisation's limit tells how many there should be.
+    /// belong to no organisation. These are never beyond a share: the run of another target
+    /// may depend on them, and no limit tells how many there should be.
     #[must_use]
     pub fn claim(&self, organisation: Option<OrganisationShare>) -> ShareClaim {
         let Some(organisation) = organisation else {
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -33,9 +33,11 @@
 
 impl CallCounts {
     fn since(self, before: CallCounts) -> CallCounts {
+        let ended = self.ended.saturating_sub(before.ended);
         CallCounts {
-            ended: self.ended.saturating_sub(before.ended),
-            bad: self.bad.saturating_sub(before.bad),
+            ended,
+            // The counters of a replaced target start again, and may pass one another.
+            bad: self.bad.saturating_sub(before.bad).min(ended),
         }
     }
 
--- a/crates/policy/src/rollout/slow_runs.rs
+++ b/crates/policy/src/rollout/slow_runs.rs
@@ -14,6 +14,8 @@
 use super::judge::{CallCounts, TargetCounts, VersionSide};
 use crate::numbers::{count_to_f64, truncate_to_u64};
 
+/// Highest count that a target reports: a million runs a second for twelve days.
+const MAX_COUNT: u64 = 1 << 40;
 /// Number of buckets of a [`RunHistogram`]; the last one counts all runs of 46 s and
 /// longer.
 const BUCKETS: usize = 32;
@@ -50,6 +52,12 @@
         self.counts[bucket] += 1;
     }
 
+    /// Whether the counts are those of a daemon: an absurd number would overflow the sums
+    /// of all targets.
+    fn is_valid(&self) -> bool {
+        self.counts.len() <= BUCKETS && self.counts.iter().all(|count| *count <= MAX_COUNT)
+    }
+
     /// The runs counted since `before`; a count below the one before yields 0.
     fn since(&self, before: &RunHistogram) -> RunHistogram {
         let count_before = |bucket| before.counts.get(bucket).copied().unwrap_or(0);
@@ -120,6 +128,16 @@
     }
 }
 
+impl RunCounts {
+    /// Whether the counts can be evaluated.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.ended.max(self.failed) <= MAX_COUNT
+            && self.completed.is_valid()
+            && self.abandoned.is_valid()
+    }
+}
+
 /// Counters of one target, by kind of call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetRuns<'a> {
--- a/crates/policy/src/zone_load/sums.rs
+++ b/crates/policy/src/zone_load/sums.rs
@@ -195,7 +195,7 @@
         all.map(|load| load.service.clone()).collect()
     }
 
-    /// The services that use most of their capacity in any zone.
+    /// The services that are pressed in any zone.
     #[must_use]
     pub fn pressed_services(&self) -> BTreeSet<String> {
         let all = self.sums.values().flat_map(|(sum, _)| &sum.loads);
@@ -203,14 +203,15 @@
         pressed.map(|load| load.service.clone()).collect()
     }
 
-    /// The reader whose sums of `zone` are used: the first by name, unless its latest sum
-    /// is older than [`MAX_READER_AGE`]. All daemons thereby use the same sums, as two
-    /// readers differ.
+    /// The reader whose sums of `zone` are used: the first by name that has heard of all
+    /// hosts, unless its latest sum is older than [`MAX_READER_AGE`]. All daemons thereby
+    /// use the same sums, as two readers differ.
     #[must_use]
     pub fn used_reader(&self, zone: &str, now: Instant) -> Option<&str> {
         let of_zone = || self.sums.iter().filter(|((of, _), _)| of == zone);
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < MAX_READER_AGE;
-        let recent = of_zone().find(|(_, (_, at))| is_recent(at));
+        let is_complete = |sum: &ZoneSum| sum.loads.iter().any(|load| load.is_complete);
+        let recent = of_zone().find(|(_, (sum, at))| is_recent(at) && is_complete(sum));
         let used = recent.or_else(|| of_zone().max_by_key(|(_, (_, at))| *at));
         used.map(|((_, reader), _)| reader.as_str())
     }
