Grant tokens wherever shares are leased, and keep the credit of a restart

Hosts can disagree for long on which daemons read for their zone. It now grants what is leased to it; each token still exists once.

--- a/crates/mesh/src/organisations/pools/leases.rs
+++ b/crates/mesh/src/organisations/pools/leases.rs
@@ -138,6 +138,11 @@
         pools.log_lease_change(topology, now);
     }
 
+    /// Whether any host leases its share to this daemon's pool.
+    pub(super) fn holds_pool_leases(&self) -> bool {
+        self.pool_topology().leased_by > 0
+    }
+
     fn pool_topology(&self) -> PoolTopology {
         let settings = self.settings.borrow();
         let pools = &self.organisations.pools;
--- a/crates/mesh/src/organisations/pools/lending.rs
+++ b/crates/mesh/src/organisations/pools/lending.rs
@@ -51,7 +51,7 @@
     }
 
     /// Returns the number of tokens that were requested from all lenders.
-    fn requested(&self, organisation: &str) -> u32 {
+    pub(super) fn requested(&self, organisation: &str) -> u32 {
         let lenders = self.organisations.get(organisation).into_iter();
         let states = lenders.flat_map(|borrowing| borrowing.lenders.values());
         states
--- a/crates/mesh/src/organisations/pools/mod.rs
+++ b/crates/mesh/src/organisations/pools/mod.rs
@@ -34,6 +34,8 @@
 /// for a token timed out.
 pub(super) const POOL_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Longest time until the next token that is believed.
+const MAX_NEXT_TOKEN_IN: Duration = Duration::from_secs(5);
 /// Grant of a daemon that has no pool, or knows no limit of the organisation.
 const EMPTY_GRANT: TokenGrant = TokenGrant {
     tokens: 0,
@@ -123,14 +125,14 @@
             let wanted = self.organisations.wanted(organisation);
             let grant = match &pool {
                 PoolLocation::Local => Some(self.grant_tokens(organisation, wanted)),
-                PoolLocation::Remote(peer) => {
-                    self.request_from_peer(peer, |request_id| LinkMessage::RequestTokens {
+                PoolLocation::Remote(peer) => self
+                    .request_from_peer(peer, |request_id| LinkMessage::RequestTokens {
                         request_id,
                         organisation: organisation.to_owned(),
                         wanted,
                     })
                     .await
-                }
+                    .map(|grant| within_bounds(grant, wanted)),
             };
             if let Some(grant) = grant {
                 let now = self.clock.now();
@@ -220,10 +222,20 @@
         let Some(grant) = grant else {
             return EMPTY_GRANT;
         };
-        if grant.tokens < wanted {
-            self.borrow_tokens(organisation);
+        if grant.tokens == wanted {
+            return grant;
+        }
+        self.borrow_tokens(organisation);
+        let pools = &self.organisations.pools;
+        if pools.borrowing.borrow().requested(organisation) == 0 {
+            return grant;
+        }
+        // Borrowed tokens arrive long before this pool generates the next one, if its
+        // organisation is small.
+        TokenGrant {
+            next_token_in: grant.next_token_in.min(POOL_RESPONSE_TIMEOUT),
+            ..grant
         }
-        grant
     }
 }
 
@@ -295,22 +307,34 @@
     }
 }
 
+/// Limits what another daemon grants to the tokens that it was asked for and to a time
+/// within which a pool that works asks for more.
+fn within_bounds(grant: TokenGrant, wanted: u32) -> TokenGrant {
+    TokenGrant {
+        tokens: grant.tokens.min(wanted),
+        next_token_in: grant.next_token_in.min(MAX_NEXT_TOKEN_IN),
+    }
+}
+
 /// Returns the response of this daemon's pool to a request for tokens; `None` if
-/// `message` is none. A daemon that is no reader grants nothing.
+/// `message` is none. A daemon that no host leases its share to, as none takes it for a
+/// reader, grants nothing.
 #[must_use]
 pub fn answer(shared: &Rc<MeshShared>, message: &LinkMessage) -> Option<LinkMessage> {
-    let is_reader = shared.members.is_reader();
+    // Hosts may disagree for long on which daemons are readers. Where they lease their
+    // share, tokens are generated, and would be granted nowhere else.
+    let has_pool = shared.members.is_reader() || shared.holds_pool_leases();
     let (request_id, grant) = match message {
         LinkMessage::RequestTokens {
             request_id,
             organisation,
             wanted,
-        } if is_reader => (request_id, shared.grant_tokens(organisation, *wanted)),
+        } if has_pool => (request_id, shared.grant_tokens(organisation, *wanted)),
         LinkMessage::BorrowTokens {
             request_id,
             organisation,
             wanted,
-        } if is_reader => (request_id, shared.lend_tokens(organisation, *wanted)),
+        } if has_pool => (request_id, shared.lend_tokens(organisation, *wanted)),
         LinkMessage::RequestTokens { request_id, .. }
         | LinkMessage::BorrowTokens { request_id, .. } => (request_id, EMPTY_GRANT),
         _ => return None,
--- a/crates/mesh/src/organisations/tokens.rs
+++ b/crates/mesh/src/organisations/tokens.rs
@@ -18,6 +18,10 @@
 use crate::logging::LinePriority;
 use crate::state::MeshShared;
 
+/// Age up to which the token of a call that did not run is returned. Older ones would be
+/// spent in a later window, in addition to the tokens generated in it.
+const MAX_REFUND_AGE: Duration = Duration::from_millis(500);
+
 /// Tokens of one organisation at this daemon, and the calls that wait for one.
 #[derive(Default)]
 pub(super) struct OrganisationTokens {
@@ -75,13 +79,18 @@
 pub struct CallToken {
     /// Name of the organisation whose token this is.
     organisation: String,
+    taken_at: Instant,
     organisations: Rc<OrganisationState>,
 }
 
 impl CallToken {
-    /// Returns the token for the next call, as this call did not run.
+    /// Returns the token for the next call, as this call did not run. A token older than
+    /// [`MAX_REFUND_AGE`] is lost.
     pub fn refund(self) {
-        self.organisations.refund(&self.organisation);
+        let now = self.organisations.clock.now();
+        if now.saturating_duration_since(self.taken_at) < MAX_REFUND_AGE {
+            self.organisations.refund(&self.organisation);
+        }
     }
 }
 
@@ -149,6 +158,7 @@
         outcome.map(|()| {
             Some(CallToken {
                 organisation: organisation.name.clone(),
+                taken_at: self.clock.now(),
                 organisations: Rc::clone(&self.organisations),
             })
         })
--- a/crates/policy/src/organisations/quota/leases.rs
+++ b/crates/policy/src/organisations/quota/leases.rs
@@ -126,7 +126,9 @@
     }
 
     /// Records a lease that `host` takes or renews. Returns the time before `now` for
-    /// which the host's share provably generated no tokens.
+    /// which the host's share generated no tokens, as far as this pool and the claim
+    /// tell. After a restart of the host ([`LeaseClaim::Started`]), a pool that it no longer
+    /// reaches may have counted it for up to [`POOL_LEASE_DURATION`] more.
     ///
     /// A share that the host has held here was last counted here: by this process, or
     /// by one that ended before this one started.
@@ -143,6 +145,9 @@
             // The host has held its last lease for 1.6 s at most, so a longer gap is due
             // to a late message.
             LeaseClaim::Held if earlier.is_some() => uncounted.min(MAX_LEASE_GAP),
+            // A process that has run for longer than any lease lasts has missed a renewal;
+            // the host's share may have been counted elsewhere before.
+            LeaseClaim::Held if uncounted > HOST_LEASE_DURATION => MAX_LEASE_GAP,
             LeaseClaim::Held => uncounted,
             LeaseClaim::Unused(millis) | LeaseClaim::Started(millis) => {
                 uncounted.min(Duration::from_millis(millis.into()))
--- a/crates/policy/src/organisations/quota/pool.rs
+++ b/crates/policy/src/organisations/quota/pool.rs
@@ -113,6 +113,11 @@
 pub struct TokenPool {
     buckets: HashMap<String, TokenBucket>,
     policy: QuotaPolicy,
+    /// Sum of the credits before the first limits were known, in seconds of generation of
+    /// all tokens. Hosts renew their leases before a restarted daemon has a version.
+    early_credit_s: f64,
+    /// Whether the pool has had buckets.
+    has_had_limits: bool,
     /// Fraction of all tokens that this pool generates now.
     share: f64,
     /// Integral of `share` over time until `integrated_at`, in seconds.
@@ -130,6 +135,8 @@
         TokenPool {
             buckets: HashMap::new(),
             policy,
+            early_credit_s: 0.0,
+            has_had_limits: false,
             share: 0.0,
             share_seconds: 0.0,
             integrated_at: now,
@@ -158,6 +165,10 @@
         if unused.is_zero() {
             return;
         }
+        if !self.has_had_limits {
+            self.early_credit_s += share * unused.as_secs_f64();
+            return;
+        }
         for bucket in self.buckets.values_mut() {
             let refill = self.policy.refill_limit(bucket.limit);
             let missed = (refill.per_s * unused.as_secs_f64()).min(refill.burst) * share;
@@ -255,9 +266,15 @@
         let mut buckets = HashMap::new();
         for (organisation, limit) in limits {
             let earlier = self.buckets.remove(organisation);
+            let early_tokens = if self.has_had_limits {
+                0.0
+            } else {
+                let seconds = self.early_credit_s + self.share_seconds;
+                self.policy.refill_limit(limit).per_s * seconds
+            };
             let mut bucket = earlier.unwrap_or(TokenBucket {
                 limit,
-                tokens: 0.0,
+                tokens: early_tokens,
                 refilled_at: self.share_seconds,
                 account: PoolAccount::default(),
                 window: GrantWindow::new(now),
@@ -266,8 +283,13 @@
                 turns: ReturnSchedule::default(),
             });
             bucket.limit = limit;
+            if early_tokens > 0.0 {
+                bucket.refill(self.policy, self.share_seconds, self.share);
+                bucket.account.generated += bucket.tokens;
+            }
             buckets.insert(organisation.to_owned(), bucket);
         }
+        self.has_had_limits |= !buckets.is_empty();
         self.buckets = buckets;
     }
 
--- a/crates/policy/tests/quota_account_cases.rs
+++ b/crates/policy/tests/quota_account_cases.rs
@@ -96,3 +96,33 @@
     let credited = lease_book.renew("h1", claim, renewed_at);
     assert_eq!(credited, Duration::from_millis(credited_ms));
 }
+
+/// Guards against a restarted reader whose pool starts empty, as its zone renews its leases
+/// before the version with the limits arrives.
+#[test]
+fn a_pool_keeps_the_credit_of_leases_that_precede_its_limits() {
+    let start = Instant::now();
+    let policy = QuotaPolicy {
+        window: Some(Duration::from_secs(5)),
+        slack: 20.0,
+    };
+    let mut pool = TokenPool::new(policy, start);
+    pool.update_share(0.5, start);
+    pool.credit(0.5, Duration::from_millis(400));
+    let limit = RateLimit {
+        per_s: 200.0,
+        burst: 100.0,
+    };
+    pool.apply_limits([("north", limit)].into_iter(), start);
+    let grant = pool
+        .grant("north", 100, start)
+        .expect("a limited organisation");
+    assert!(grant.tokens >= 10, "{grant:?}");
+    // A limit that is removed and comes back brings no second credit.
+    pool.apply_limits(std::iter::empty(), start);
+    pool.apply_limits([("north", limit)].into_iter(), start);
+    let grant = pool
+        .grant("north", 100, start)
+        .expect("a limited organisation");
+    assert_eq!(grant.tokens, 0);
+}
