--- a/crates/ctl/src/cmd/services.rs
+++ b/crates/ctl/src/cmd/services.rs
@@ -45,21 +45,23 @@
 fn print_table(loads: &ServiceLoads) {
     println!(
         "{:<32} {:<16} {:>8} {:>8} {:>8} {:>6} {:>6}  sent to",
-        "service", "zone", "targets", "capacity", "demand", "use", "pace"
+        "service", "zone", "targets", "capacity", "demand", "util", "slowdn"
     );
     for (service, zones) in loads {
         for (zone, load) in zones {
-            let slot_use = load.demand / load.capacity;
-            let pace = load
-                .pace
-                .map_or("-".to_owned(), |pace| format!("{pace:.2}"));
+            let utilisation = load.slowdown.map_or("-".to_owned(), |_| {
+                format!("{:.2}", load.demand / load.capacity)
+            });
+            let slowdown = load
+                .slowdown
+                .map_or("-".to_owned(), |slowdown| format!("{slowdown:.2}"));
             let sent: Vec<String> = load
                 .sent_to
                 .iter()
                 .map(|(to, part)| format!("{to}:{part:.2}"))
                 .collect();
             println!(
-                "{service:<32} {zone:<16} {:>8} {:>8.1} {:>8.1} {slot_use:>6.2} {pace:>6}  {}",
+                "{service:<32} {zone:<16} {:>8} {:>8.1} {:>8.1} {utilisation:>6} {slowdown:>6}  {}",
                 load.targets,
                 load.capacity,
                 load.demand,
--- a/crates/ctl/src/services.rs
+++ b/crates/ctl/src/services.rs
@@ -9,14 +9,15 @@
 pub struct ZoneServiceLoad {
     /// Slots that the calls that begin in the zone need.
     pub demand: f64,
-    /// Slots of the zone's open targets at their speed of the moment.
+    /// Slots of the zone's open targets, each divided by its slowdown and pace.
     pub capacity: f64,
     /// Slots of the zone's open targets.
     pub slots: f64,
     /// Number of the zone's open targets.
     pub targets: f64,
-    /// How long runs take now, compared with the usual time; `None` without open targets.
-    pub pace: Option<f64>,
+    /// Slowdown of the zone's open targets at their pace now; 1 is the usual speed of all
+    /// targets, `None` without open targets.
+    pub slowdown: Option<f64>,
     /// Parts of the zone's calls that other zones take, by zone.
     pub sent_to: BTreeMap<String, f64>,
 }
@@ -48,7 +49,7 @@
             "targets" => load.targets = value,
             _ => {}
         }
-        load.pace = (load.capacity > 0.0).then(|| load.slots / load.capacity);
+        load.slowdown = (load.capacity > 0.0).then(|| load.slots / load.capacity);
     }
 }
 
--- a/crates/mesh/src/zone_load/demand.rs
+++ b/crates/mesh/src/zone_load/demand.rs
@@ -6,7 +6,7 @@
 
 use filbert_policy::pace::slowdown_at_pace;
 use filbert_policy::zone_load::demand::DemandAverage;
-use filbert_policy::zone_load::shares::ZoneLoad;
+use filbert_policy::zone_load::shares::{ZoneLoad, MIN_OPEN_TARGETS};
 use filbert_policy::zone_load::sums::{ServiceLoad, MAX_SERVICES};
 
 use crate::messages::{TargetState, TargetStatus};
@@ -23,13 +23,12 @@
 const PRESSED_TIME: Duration = Duration::from_secs(2);
 /// Demand, in slots, below which a service counts as not called.
 const MIN_DEMAND: f64 = 0.001;
-/// Smallest slowdown by which a target's capacity is raised. Targets of one service differ
-/// in speed by three to one.
+/// Smallest slowdown by which a target's capacity is raised. Like the largest, it only
+/// bounds errors of measurement: targets of one service differ in speed by 2.3 to 1, and a
+/// pace is 4 at most.
 const MIN_SLOWDOWN: f64 = 0.25;
 /// Largest slowdown by which a target's capacity is lowered.
 const MAX_SLOWDOWN: f64 = 10.0;
-/// Number of open targets of a service from which its load can be shared.
-const MIN_OPEN_TARGETS: u32 = 2;
 
 /// How much of its capacity a service uses in this daemon's zone.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/policy/src/organisations/quota/pool.rs
+++ b/crates/policy/src/organisations/quota/pool.rs
@@ -9,17 +9,17 @@
 use crate::organisations::keys::RateLimit;
 use crate::return_schedule::ReturnSchedule;
 
-/// Turns of hosts that a pool reserves ahead. A host with more valuable calls must not
-/// wait behind the turns of many others.
-const TURNS_AHEAD: f64 = 3.0;
-/// Least time for which turns are reserved ahead. It is within the slack of the most
-/// urgent calls.
-const MIN_LONGEST_TURN: Duration = Duration::from_millis(40);
+/// Number of turns of hosts that a pool reserves ahead at most, so that a host with more
+/// valuable calls does not wait behind those of many others.
+const MAX_TURNS_AHEAD: f64 = 3.0;
+/// Time for which turns are reserved ahead if more of them fit into it. The most urgent
+/// calls can wait so long.
+const MIN_TURN_HORIZON: Duration = Duration::from_millis(40);
 
 /// Minimum time before an empty pool is asked again.
-const MIN_TOKEN_WAIT: Duration = Duration::from_millis(20);
+const MIN_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum time before an empty pool is asked again.
-const MAX_TOKEN_WAIT: Duration = Duration::from_secs(1);
+const MAX_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time constant of the averages of the tokens requested and granted.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(1);
@@ -325,19 +325,19 @@
 }
 
 /// Returns the time in which `missing` tokens are generated at the rate `per_s`,
-/// between [`MIN_TOKEN_WAIT`] and [`MAX_TOKEN_WAIT`]; zero if none are missing.
+/// between [`MIN_RETRY_INTERVAL`] and [`MAX_RETRY_INTERVAL`]; zero if none are missing.
 fn refill_time(missing: f64, per_s: f64) -> Duration {
     if missing <= 0.0 {
         return Duration::ZERO;
     }
     Duration::try_from_secs_f64(missing / per_s)
-        .unwrap_or(MAX_TOKEN_WAIT)
-        .clamp(MIN_TOKEN_WAIT, MAX_TOKEN_WAIT)
+        .unwrap_or(MAX_RETRY_INTERVAL)
+        .clamp(MIN_RETRY_INTERVAL, MAX_RETRY_INTERVAL)
 }
 
 /// Returns how far ahead a host's turn may be reserved at a rate of `turns_per_s`.
 fn longest_turn(turns_per_s: f64) -> Duration {
-    Duration::try_from_secs_f64(TURNS_AHEAD / turns_per_s)
-        .unwrap_or(MAX_TOKEN_WAIT)
-        .clamp(MIN_LONGEST_TURN, MAX_TOKEN_WAIT)
+    Duration::try_from_secs_f64(MAX_TURNS_AHEAD / turns_per_s)
+        .unwrap_or(MAX_RETRY_INTERVAL)
+        .clamp(MIN_TURN_HORIZON, MAX_RETRY_INTERVAL)
 }
--- a/crates/policy/src/organisations/token_request.rs
+++ b/crates/policy/src/organisations/token_request.rs
@@ -95,7 +95,7 @@
 }
 
 impl QuotaRefusal {
-    /// Label for logs.
+    /// Label for logs and metrics.
     #[must_use]
     pub fn label(self) -> &'static str {
         match self {
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -126,7 +126,7 @@
 
 /// Pace of one target, from the statements in its answers.
 ///
-/// The tracker keeps a clock of usual time, which runs slower than real time by the pace
+/// The tracker keeps a clock of usual time, which advances by real time divided by the pace
 /// of the target. The usual time between the start and the end of a run is the time that
 /// the run would have taken at the usual pace.
 #[derive(Clone, Debug, Default)]
--- a/crates/policy/src/return_schedule.rs
+++ b/crates/policy/src/return_schedule.rs
@@ -5,8 +5,8 @@
 
 /// Lowest rate of the schedule, used for a rate that is lower or is not a number.
 const MIN_RATE_PER_S: f64 = 1.0;
-/// Highest rate of the schedule: retry times are told in milliseconds, and an interval
-/// of zero would give two calls one time.
+/// Highest rate of the schedule, in retries per second. It keeps the interval above zero;
+/// above 1,000 per second several calls are told the same millisecond.
 const MAX_RATE_PER_S: f64 = 100_000.0;
 /// Longest time to the earliest retry that is taken into account.
 const MAX_EARLIEST: Duration = Duration::from_mins(1);
@@ -38,7 +38,7 @@
     /// Capacity for `rate_per_s` calls is expected to become free each second, and none
     /// before `earliest` has passed. A call whose retry would be more than `longest`
     /// away reserves nothing, as its caller cannot wait so long, and is told about
-    /// that time. No two calls are told the same time.
+    /// that time. No two calls reserve the same time.
     pub fn reserve(
         &mut self,
         now: Instant,
--- a/crates/policy/src/zone_load.rs
+++ b/crates/policy/src/zone_load.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: the demand of each zone rises and falls by half, at times that differ
 //! from zone to zone, and one zone has a third of the calls but less than a third of the
-//! targets. At a peak no target reports a free slot. A call leaves its zone only for a
-//! free slot, so that calls wait in one zone while the targets of another have short
+//! targets. At a peak no target reports a free slot. If calls leave their zone
+//! only for a free slot, they wait in one zone while the targets of another have short
 //! queues.
 //!
 //! [`demand`] measures the demand of one daemon's callers. [`sums`] adds up the demand
--- a/crates/policy/src/zone_load/shares.rs
+++ b/crates/policy/src/zone_load/shares.rs
@@ -15,7 +15,7 @@
 /// has as many calls as it can serve neither sends nor receives.
 const MIN_FREE_PART: f64 = 0.02;
 /// Number of open targets of a service, in all zones, from which its load is shared.
-const MIN_OPEN_TARGETS: u32 = 2;
+pub const MIN_OPEN_TARGETS: u32 = 2;
 
 /// Largest demand or capacity that is accepted, in slots: far above that of any zone.
 const MAX_SLOTS: f64 = 1_000_000.0;
