--- a/review/1/case.py
+++ b/review/1/case.py
@@ -37,7 +37,7 @@
     for index, (zone, service) in enumerate(
         [("z1", "quote-desk"), ("z2", "quote-desk"), ("z3", "art-vault")]
     ):
-        server = s.Server(record, service, f"i-{index}")
+        server = s.Server(record, service, f"i-{index}", zone)
         await server.start()
         host = s.Host(workspace, store.address, f"sidecar-{zone}-1", zone, service, server.address)
         hosts.append(host)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -59,7 +59,7 @@
     for index, (zone, service) in enumerate(
         [("z1", "quote-desk"), ("z2", "quote-desk"), ("z3", "art-vault")]
     ):
-        server = Desk(record, service, f"i-{index}", 9)
+        server = Desk(record, service, f"i-{index}", zone)
         await server.start()
         host = s.Host(workspace, store.address, f"sidecar-{zone}-1", zone, service, server.address)
         hosts.append(host)
@@ -125,6 +125,8 @@
         await asyncio.sleep(max(0, acknowledged + LATE_S - loop.time()))
         status = await leaving.report(home.ports["control"])
         record.line(f"the late heartbeat of {leaving.instance} arrives: {status}")
+        if status != 200:
+            raise s.CannotRun(f"the late heartbeat got {status}")
     await asyncio.sleep(max(0, acknowledged + SERVES_S - loop.time()))
     leaving.exit()
     exited = loop.time()
