Take the framing of an outgoing body from a value, not from the head's bytes

Cause: `send_request` searched the encoded head for the bytes `Transfer-Encoding: chunked` to learn how it had framed the body. The head holds the client's lines too.

Change: `BodyEncoder` holds the framing, gives the header line and encodes the body, towards targets and towards clients. A body of another length than stated is an error that closes the connection.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -9,9 +9,11 @@
 //! caller.
 
 pub mod body;
+pub mod encoder;
 pub mod head;
 pub mod reader;
 
 pub use body::{BodyDecoder, BodyError, BodyFraming};
+pub use encoder::{BodyEncoder, LengthMismatch};
 pub use head::{FieldList, HeadError, RequestHead, ResponseHead};
 pub use reader::{MessageReader, ReadError};
--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use filbert_http1::{BodyEncoder, BodyFraming, LengthMismatch};
 use filbert_platform::headers;
 use filbert_policy::fair_share::OrganisationShare;
 use tokio::io::AsyncWriteExt;
@@ -13,7 +14,6 @@
 use crate::egress::EgressPacer;
 use crate::messages::AnswerHead;
 use crate::small_server::reason_phrase;
-use crate::target::encode_chunk;
 
 /// Writes `answer` as the answer to the call that `pending` belongs to.
 ///
@@ -90,19 +90,19 @@
         AnswerBody::Whole(whole) => head.body_length.or(Some(whole.len() as u64)),
         _ => head.body_length,
     };
-    let is_chunked = length.is_none() && is_http11;
-    let framing = match length {
-        Some(length) => format!("Content-Length: {length}\r\n"),
-        None if is_chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
-        None => String::new(),
-    };
+    let mut encoder = BodyEncoder::new(match length {
+        Some(length) => BodyFraming::Length(length),
+        None if is_http11 => BodyFraming::Chunked,
+        None => BodyFraming::UntilClose,
+    });
     let mut first_bytes = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
     first_bytes.extend_from_slice(&head.lines);
-    first_bytes.extend_from_slice(framing.as_bytes());
+    first_bytes.extend_from_slice(encoder.header_line().as_bytes());
     first_bytes.extend_from_slice(connection_line.as_bytes());
     first_bytes.extend_from_slice(b"\r\n");
     if let AnswerBody::Whole(whole) = &mut body {
-        first_bytes.extend_from_slice(&std::mem::take(whole));
+        let encoded = encoder.encode(std::mem::take(whole));
+        first_bytes.extend_from_slice(&encoded.map_err(wrong_length)?);
     }
     // Answers to clients are paced too, as they leave over the same link as the
     // target's answers to other hosts. If the target sends long answers, both
@@ -121,17 +121,22 @@
                     .pace(bytes, remaining.max(bytes), due, organisation)
                     .await;
                 remaining = remaining.saturating_sub(bytes);
-                if is_chunked {
-                    writer.write_all(&encode_chunk(&data)).await?;
-                } else {
-                    writer.write_all(&data).await?;
-                }
+                let encoded = encoder.encode(data).map_err(wrong_length)?;
+                writer.write_all(&encoded).await?;
+            }
+            Ok(None) => {
+                let end = encoder.finish().map_err(wrong_length)?;
+                return writer.write_all(end).await;
             }
-            Ok(None) if is_chunked => return writer.write_all(b"0\r\n\r\n").await,
-            Ok(None) => return Ok(()),
             // The connection is closed before the end of the body, so that the client
             // does not take the answer for complete.
             Err(_) => return Err(std::io::ErrorKind::UnexpectedEof.into()),
         }
     }
 }
+
+/// The error of an answer whose body has another length than its head states. It
+/// closes the connection, so that the client does not take the answer for complete.
+fn wrong_length(mismatch: LengthMismatch) -> std::io::Error {
+    std::io::Error::new(std::io::ErrorKind::InvalidData, mismatch)
+}
--- a/crates/mesh/src/messages/calls.rs
+++ b/crates/mesh/src/messages/calls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use filbert_http1::BodyFraming;
 use filbert_policy::budget::BudgetAccount;
 use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::identity::CallIdentity;
@@ -50,6 +51,16 @@
 }
 
 impl CallHead {
+    /// Framing of the call's body on the connection to the target.
+    #[must_use]
+    pub fn body_framing(&self) -> BodyFraming {
+        match (self.has_body, self.body_length) {
+            (false, _) => BodyFraming::Empty,
+            (true, Some(length)) => BodyFraming::Length(length),
+            (true, None) => BodyFraming::Chunked,
+        }
+    }
+
     /// The account of the retry budget that retries of the call are charged to.
     #[must_use]
     pub fn budget_account(&self) -> BudgetAccount<'_> {
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use filbert_http1::{BodyDecoder, BodyFraming, MessageReader, ResponseHead};
+use filbert_http1::{BodyDecoder, BodyEncoder, BodyFraming, MessageReader, ResponseHead};
 use filbert_platform::headers::{self, ResponseKind, StatedLoad, TargetStatement};
 use filbert_policy::clock::Clock;
 use socket2::SockRef;
@@ -193,11 +193,12 @@
             Ok(connection) => connection,
             Err(error) => return ExchangeOutcome::NotConnected(error),
         };
-        let first_bytes = encode_request(call, &body, &params);
+        let encoder = BodyEncoder::new(call.body_framing());
+        let request_head = encode_request_head(call, &encoder.header_line(), &params);
         let mut is_sent = false;
         let answer = {
             let TargetConnection { reader, writer, .. } = &mut connection;
-            let send = send_request(writer, first_bytes, body);
+            let send = send_request(writer, request_head, body, encoder);
             tokio::pin!(send);
             let receive = read_response_head(reader, call);
             tokio::pin!(receive);
@@ -246,8 +247,12 @@
     }
 }
 
-/// Encodes the request head, and the body if it is complete.
-fn encode_request(call: &CallHead, body: &CallBody, params: &ExchangeParams<'_>) -> Vec<u8> {
+/// Encodes the request head up to the line that states the body's framing.
+fn encode_request_head(
+    call: &CallHead,
+    framing_line: &str,
+    params: &ExchangeParams<'_>,
+) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(call.lines.len() + 256);
     bytes.extend_from_slice(call.method.as_bytes());
     bytes.push(b' ');
@@ -257,64 +262,39 @@
     bytes.extend_from_slice(
         headers::attempt_header_lines(params.time_to_deadline, params.instance_id).as_bytes(),
     );
-    match (call.has_body, call.body_length, body) {
-        (false, _, _) => {}
-        (true, Some(length), _) => {
-            bytes.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
-        }
-        (true, None, CallBody::Whole(whole)) => {
-            bytes.extend_from_slice(format!("Content-Length: {}\r\n", whole.len()).as_bytes());
-        }
-        (true, None, CallBody::Streamed(_)) => {
-            bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
-        }
-    }
+    bytes.extend_from_slice(framing_line.as_bytes());
     bytes.extend_from_slice(b"\r\n");
-    if let CallBody::Whole(whole) = body {
-        bytes.extend_from_slice(whole);
-    }
     bytes
 }
 
-/// Sends the output of [`encode_request`], then a streamed body as it is received.
+/// Sends a request: `head`, then the body as it is received.
 async fn send_request(
     writer: &mut OwnedWriteHalf,
-    first_bytes: Vec<u8>,
+    mut head: Vec<u8>,
     body: CallBody,
+    mut encoder: BodyEncoder,
 ) -> Result<(), ExchangeOutcome> {
-    let is_chunked = first_bytes
-        .windows(26)
-        .any(|window| window == b"Transfer-Encoding: chunked");
     let failed = |_| ExchangeOutcome::ConnectionLost("write failed");
-    writer.write_all(&first_bytes).await.map_err(failed)?;
-    let CallBody::Streamed(mut source) = body else {
-        return Ok(());
+    let mismatch = |_| ExchangeOutcome::Lost("call body of another length than stated");
+    let mut source = match body {
+        CallBody::Whole(whole) => {
+            head.extend_from_slice(&encoder.encode(whole).map_err(mismatch)?);
+            head.extend_from_slice(encoder.finish().map_err(mismatch)?);
+            return writer.write_all(&head).await.map_err(failed);
+        }
+        CallBody::Streamed(source) => source,
     };
+    writer.write_all(&head).await.map_err(failed)?;
     while let Some(data) = source
         .next()
         .await
         .map_err(|_| ExchangeOutcome::Lost("call body broken off"))?
     {
-        let framed = if is_chunked {
-            encode_chunk(&data)
-        } else {
-            data
-        };
-        writer.write_all(&framed).await.map_err(failed)?;
-    }
-    if is_chunked {
-        writer.write_all(b"0\r\n\r\n").await.map_err(failed)?;
+        let encoded = encoder.encode(data).map_err(mismatch)?;
+        writer.write_all(&encoded).await.map_err(failed)?;
     }
-    Ok(())
-}
-
-/// Encodes data of a body as one chunk of the chunked transfer encoding.
-#[must_use]
-pub fn encode_chunk(data: &[u8]) -> Bytes {
-    let mut framed = format!("{:x}\r\n", data.len()).into_bytes();
-    framed.extend_from_slice(data);
-    framed.extend_from_slice(b"\r\n");
-    Bytes::from(framed)
+    let end = encoder.finish().map_err(mismatch)?;
+    writer.write_all(end).await.map_err(failed)
 }
 
 /// Reads the response head that answers `call`. Skips interim responses (1xx) and
