Store a target's shutdown before it is acknowledged

What callers saw: a target deregistered, its daemon acknowledged that, and all daemons were killed.

Cause: the acknowledgement was kept in the memory of the daemon beside the target and of its peers, which can all end at once. A report from before the announcement cannot be told from one of a live target then.

Evidence: held when only the one daemon is killed, broken whatever the announcement, the number of late reports and the down time (the users' variants); the log shows `change=Replaced` for the late report.

Change: the daemon writes a row for the shutdown, then acknowledges. Without the store it answers 503 within 0.8 s, while the gate closes all the same and the write goes on. A restarted daemon reads the rows of its host at the first report and opens the gate only then; where the store does not answer, a further report half an interval behind the first opens it (`policy::restart_check`). Readers of the hosts table take the rows from there. Sources remove rows after ten minutes.

Ruled out: an acknowledgement without the store, as nothing could keep it; a health check, which is priced and may mislead; evidence of the target alone, for which each live target would wait 1.5 s more after a restart.

--- a/crates/mesh/src/feeds/apply.rs
+++ b/crates/mesh/src/feeds/apply.rs
@@ -9,7 +9,8 @@
 use crate::held_rows::is_held_key;
 use crate::messages::{KnownHosts, PeerAddress, RowChange};
 use crate::rollouts::row::is_rollout_key;
-use crate::rows::decode_member;
+use crate::rows::{decode_member, is_host_key};
+use crate::shutdowns::restore::apply_shutdown_rows;
 use crate::state::MeshShared;
 
 /// Applies a table that was read as a whole.
@@ -22,6 +23,7 @@
         }
         FeedSubject::Membership => {
             shared.merge_held_rows(batch.rows.iter());
+            apply_shutdown_rows(shared, &batch.rows);
             for row in batch.rows.iter().filter(|row| is_rollout_key(&row.key)) {
                 shared.apply_rollout_row(row);
             }
@@ -68,6 +70,9 @@
         shared.apply_rollout_row(row);
         return;
     }
+    if !is_host_key(&row.key) {
+        return;
+    }
     match decode_member(row) {
         Some(address) if address == shared.own_address() => shared.own_row_found(),
         Some(address) => shared.upsert_host(address, "store"),
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -6,6 +6,7 @@
 
 mod crash;
 mod estimate;
+mod restart;
 mod run;
 mod shares;
 mod statements;
@@ -26,6 +27,7 @@
     accepts_while_leaving, InstanceChange, InstanceKey, InstanceReport, InstanceTracker,
 };
 use filbert_policy::pace::PaceTracker;
+use filbert_policy::restart_check::RestartCheck;
 use filbert_policy::run_times::RunTimeEstimator;
 use filbert_policy::target_limit::CallRate;
 use filbert_policy::target_memory::ReportedLimits;
@@ -50,6 +52,7 @@
     run_times: RunTimeEstimator,
     pace: PaceTracker,
     tracker: InstanceTracker,
+    restart_check: RestartCheck,
     /// Senders of the gate's decision to each waiting call: `Ok` if the call runs,
     /// otherwise why it is declined.
     waiters: HashMap<WaitTicket, oneshot::Sender<Result<(), Declined>>>,
@@ -125,6 +128,11 @@
                 run_times: RunTimeEstimator::default(),
                 pace: PaceTracker::default(),
                 tracker: InstanceTracker::default(),
+                restart_check: if settings.first_start {
+                    RestartCheck::first_start()
+                } else {
+                    RestartCheck::restarted()
+                },
                 waiters: HashMap::new(),
                 down_until: None,
                 active_runs: HashMap::new(),
@@ -193,9 +201,13 @@
     pub fn report(&self, report: InstanceReport) -> InstanceChange {
         let now = self.clock.now();
         let slots = report.slots;
+        let key = report.key.clone();
         let change = {
             let mut state = self.state.borrow_mut();
             let change = state.tracker.report(report, now);
+            if change != InstanceChange::Stale {
+                self.check_after_restart(&mut state, &key, now);
+            }
             match change {
                 InstanceChange::Stale => {}
                 InstanceChange::Replaced => {
@@ -278,7 +290,8 @@
     /// before its drain time is over.
     fn state_without_rollouts(&self, state: &GateState, now: Instant) -> TargetState {
         let is_down = state.down_until.is_some_and(|until| now < until);
-        if self.is_stopping.get() || is_down || state.tracker.current().is_none() {
+        let may_get_calls = state.tracker.current().is_some() && state.restart_check.allows_calls();
+        if self.is_stopping.get() || is_down || !may_get_calls {
             return TargetState::Closed;
         }
         match state.tracker.leaving_since() {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! [`links`] connect the daemons, and [`version_fetch`] fetches versions of the configuration
 //! over them. [`feeds`] read the configuration and the members of the fleet from the
-//! store. [`control`] receives the reports of the target on the host. [`rollouts`] moves
+//! store. [`control`] receives the reports of the target on the host, and [`shutdowns`] keeps
+//! the shutdowns that it announces. [`rollouts`] moves
 //! services to other software versions. [`organisations`] checks API keys and quotas.
 //! [`zone_load`] shares the load of services among availability zones. [`stop`] performs a
 //! planned stop.
@@ -40,6 +41,7 @@
 pub mod serve_peers;
 pub mod settings;
 pub mod shell;
+pub mod shutdowns;
 pub mod small_server;
 pub mod sockets;
 pub mod state;
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -12,9 +12,8 @@
 use filbert_policy::membership::LinkPlan;
 use tokio::sync::{watch, Notify};
 
-use crate::held_rows::is_held_key;
 use crate::messages::{HostChanges, KnownHosts, PeerAddress, RowChange, StoreState};
-use crate::rows::RowWriter;
+use crate::rows::{is_host_key, RowWriter};
 use crate::state::MeshShared;
 
 /// Maximum number of added hosts that are sent one by one. When a fleet starts,
@@ -274,7 +273,7 @@
                     self.upsert_host(address.clone(), "store");
                     self.relay_registration(&address.id);
                 }
-                RowChange::Remove(key) if is_held_key(key) => {}
+                RowChange::Remove(key) if !is_host_key(key) => {}
                 RowChange::Remove(id) => self.handle_row_removed(id, "store"),
                 RowChange::Hold(_) => {}
             }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -323,7 +323,7 @@
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
     accept_loop("metrics", listener, |stream| {
         let shared = Rc::clone(&shared);
-        serve_requests(stream, move |head, _| SimpleResponse {
+        serve_requests(stream, async move |head, _| SimpleResponse {
             status: 200,
             content_type: "text/plain; version=0.0.4",
             body: match head.target.as_str() {
--- a/crates/mesh/src/ready.rs
+++ b/crates/mesh/src/ready.rs
@@ -12,7 +12,7 @@
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
     accept_loop("ready", listener, |stream| {
         let shared = Rc::clone(&shared);
-        serve_requests(stream, move |head, _| {
+        serve_requests(stream, async move |head, _| {
             SimpleResponse::status(if head.target.starts_with(READINESS_PATH) {
                 readiness_status(&shared)
             } else {
--- a/crates/mesh/src/rows.rs
+++ b/crates/mesh/src/rows.rs
@@ -13,9 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::feeds;
-use crate::held_rows::is_held_key;
 use crate::messages::{LinkMessage, PeerAddress, RowChange, StoreState};
-use crate::rollouts::row::is_rollout_key;
 use crate::row_value;
 use crate::state::MeshShared;
 
@@ -110,7 +108,7 @@
     fn record_written(&self, change: &RowChange) {
         let mut removed = self.removed.borrow_mut();
         match change {
-            RowChange::Remove(id) if !is_held_key(id) => {
+            RowChange::Remove(id) if is_host_key(id) => {
                 if removed.len() >= MAX_REMOVED_ROWS {
                     removed.pop_first();
                 }
@@ -308,11 +306,18 @@
     }
 }
 
+/// Whether a row of [`HOSTS_TABLE`] with `key` is that of a host. The keys of all other
+/// rows have a prefix that ends with a slash, and no host's name has one.
+#[must_use]
+pub fn is_host_key(key: &str) -> bool {
+    !key.contains('/')
+}
+
 /// Decodes the address in a row of [`HOSTS_TABLE`]; `None` for rows of other
 /// kinds, removed rows and malformed ones.
 #[must_use]
 pub fn decode_member(row: &StoreRow) -> Option<PeerAddress> {
-    if is_held_key(&row.key) || is_rollout_key(&row.key) {
+    if !is_host_key(&row.key) {
         return None;
     }
     let value = row.value.as_ref()?;
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -34,7 +34,7 @@
 use crate::zone_load::{self, ZoneLoadState};
 use crate::{
     control, feeds, ingress, metrics, organisations, plan, ready, reload, rows, serve_peers,
-    sockets, status, stop,
+    shutdowns, sockets, status, stop,
 };
 
 /// Why the daemon ended other than by a planned stop.
@@ -195,6 +195,12 @@
     spawn(Box::pin(plan::maintain_link_plan(Rc::clone(shared))));
     spawn(Box::pin(rows::maintain_own_row(Rc::clone(shared))));
     spawn(Box::pin(rows::run_row_writer(Rc::clone(shared))));
+    spawn(Box::pin(shutdowns::restore::restore_shutdowns(Rc::clone(
+        shared,
+    ))));
+    spawn(Box::pin(shutdowns::expiry::remove_expired_rows(Rc::clone(
+        shared,
+    ))));
     spawn(Box::pin(versions::announce_oversized_versions(Rc::clone(
         shared,
     ))));
--- a/crates/mesh/src/small_server.rs
+++ b/crates/mesh/src/small_server.rs
@@ -92,7 +92,7 @@
 /// lifetime.
 pub async fn serve_requests(
     stream: TcpStream,
-    respond: impl Fn(&RequestHead, &[u8]) -> SimpleResponse,
+    respond: impl AsyncFn(&RequestHead, &[u8]) -> SimpleResponse,
 ) {
     sockets::set_socket_options(&stream);
     // How the connection ended does not matter: clients send their next request on a
@@ -102,7 +102,7 @@
 
 async fn serve_connection(
     stream: TcpStream,
-    respond: impl Fn(&RequestHead, &[u8]) -> SimpleResponse,
+    respond: impl AsyncFn(&RequestHead, &[u8]) -> SimpleResponse,
 ) -> Result<(), ()> {
     let (read, mut write) = stream.into_split();
     let mut reader = MessageReader::new(read);
@@ -116,7 +116,8 @@
                 return Err(());
             }
         }
-        let bytes = encode_response(&respond(&head, &body), head.keep_alive);
+        let response = respond(&head, &body).await;
+        let bytes = encode_response(&response, head.keep_alive);
         write.write_all(&bytes).await.map_err(|_| ())?;
         if !head.keep_alive {
             break;
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -250,6 +250,15 @@
         self.current.as_ref().map(|current| &current.report)
     }
 
+    /// The key under which the instance that `key` names has reported itself; `key` if it
+    /// names another one. A shutdown notice may lack the start time that reports state.
+    #[must_use]
+    pub fn reported_key(&self, key: &InstanceKey) -> InstanceKey {
+        let reported = self.current.as_ref().map(|current| &current.report.key);
+        let same = reported.filter(|reported| key.may_equal(reported));
+        same.unwrap_or(key).clone()
+    }
+
     /// The time since which the target is shutting down; `None` if it is not.
     #[must_use]
     pub fn leaving_since(&self) -> Option<Instant> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`quarantine`] holds back calls that crash their targets, recognised by
 //!   their [`identity`].
 //! - [`instance`] tracks the lifecycle of the target on the daemon's host,
+//!   [`restart_check`] whether it may get calls after a restart of the daemon,
 //!   [`target_memory`] what was heard of other targets, and
 //!   [`health`] and [`run_times`] its failures and run times.
 //! - [`target_limit`] keeps the limit on calls that a target states, and [`pace`]
@@ -42,6 +43,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod refusal;
+pub mod restart_check;
 pub mod return_schedule;
 pub mod rollout;
 pub mod routing;
