Refuse a head whose end the parser finds before the reader does

`head_length` finds the end of a head at an empty line behind a carriage return; the parser also takes bare line feeds. A head with `\n\n` in it ended there for the parser, and what stood between the two ends was dropped: a client's second request was never answered, and bytes of a target's body were lost before the length was counted.

Change: a head is malformed if the parser does not read all of it. A request gets 400, an answer counts as spoiled.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -222,10 +222,7 @@
     pub fn parse(raw: &Bytes) -> Result<RequestHead, HeadError> {
         let mut storage = [httparse::EMPTY_HEADER; MAX_FIELD_COUNT];
         let mut parsed = httparse::Request::new(&mut storage);
-        match parsed.parse(raw) {
-            Ok(httparse::Status::Complete(_)) => {}
-            _ => return Err(HeadError::Malformed),
-        }
+        check_is_whole(parsed.parse(raw), raw)?;
         let fields = FieldList::from_parsed(raw, parsed.headers);
         let is_http11 = parsed.version == Some(1);
         let chunked = fields.is_chunked()?;
@@ -258,10 +255,7 @@
     pub fn parse(raw: &Bytes, request_was_head: bool) -> Result<ResponseHead, HeadError> {
         let mut storage = [httparse::EMPTY_HEADER; MAX_FIELD_COUNT];
         let mut parsed = httparse::Response::new(&mut storage);
-        match parsed.parse(raw) {
-            Ok(httparse::Status::Complete(_)) => {}
-            _ => return Err(HeadError::Malformed),
-        }
+        check_is_whole(parsed.parse(raw), raw)?;
         let fields = FieldList::from_parsed(raw, parsed.headers);
         let status = parsed.code.unwrap_or_default();
         let chunked = fields.is_chunked()?;
@@ -286,6 +280,17 @@
     }
 }
 
+/// Checks that the parser read a head that ends where `raw` does.
+///
+/// The parser also takes a bare line feed for the end of a line. A head that ends earlier
+/// for it than for the reader would hide the bytes in between, such as a request.
+fn check_is_whole(parsed: httparse::Result<usize>, raw: &Bytes) -> Result<(), HeadError> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) if length == raw.len() => Ok(()),
+        _ => Err(HeadError::Malformed),
+    }
+}
+
 /// Whether the connection persists after the message, by the version's default and
 /// the `Connection` field.
 fn is_persistent(is_http11: bool, fields: &FieldList) -> bool {
--- a/crates/http1/tests/message_cases.rs
+++ b/crates/http1/tests/message_cases.rs
@@ -69,6 +69,33 @@
     assert_eq!((head.framing, head.keep_alive), (framing, keep_alive));
 }
 
+/// Guards against a head that ends earlier for the parser than for the reader: what stands
+/// between the two ends would be dropped, or taken for the start of a body.
+#[rstest]
+#[case("GET /a HTTP/1.1\nHost: a\n\nGET /b HTTP/1.1\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: a\r\n\nGET /b HTTP/1.1\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: a\n\r\nGET /b HTTP/1.1\r\n\r\n")]
+#[tokio::test]
+async fn a_head_with_two_ends_is_malformed(#[case] text: &'static str) {
+    let mut reader = MessageReader::new(text.as_bytes());
+    let raw = reader
+        .read_head(1_000)
+        .await
+        .expect("read")
+        .expect("a head");
+    let head = RequestHead::parse(&raw).map(|head| head.target);
+    assert_eq!(head, Err(HeadError::Malformed));
+    let text = text.replacen("GET /a HTTP/1.1", "HTTP/1.1 200 OK", 1);
+    let mut reader = MessageReader::new(text.as_bytes());
+    let raw = reader
+        .read_head(1_000)
+        .await
+        .expect("read")
+        .expect("a head");
+    let head = ResponseHead::parse(&raw, false).map(|head| head.status);
+    assert_eq!(head, Err(HeadError::Malformed));
+}
+
 async fn read_all(stream: &[u8], framing: BodyFraming) -> Result<Vec<u8>, ReadError> {
     let mut reader = MessageReader::new(stream);
     let mut decoder = BodyDecoder::new(framing);
