Close a kept HTTP/1.0 connection behind an answer without a length

An answer whose length is not known goes to an HTTP/1.0 client without framing, as such a client knows no chunks, and its end is the close of the connection. With `Connection: keep-alive` the connection stayed open: the client waited for the idle timeout, and would have taken the next answer for the rest of the first.

Change: the framing is decided once, before the head; without a length for HTTP/1.0 the connection is closed behind the answer, and the head says so.

--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -15,7 +15,9 @@
 use crate::messages::AnswerHead;
 use crate::small_server::reason_phrase;
 
-/// Writes `answer` as the answer to the call that `pending` belongs to.
+/// Writes `answer` as the answer to the call that `pending` belongs to. Returns whether
+/// the connection must be closed behind it: because of `closes_connection`, or because the
+/// close is what ends the answer's body.
 ///
 /// # Errors
 /// The connection's error.
@@ -25,7 +27,9 @@
     pending: &PendingAnswer,
     answer: ClientAnswer,
     closes_connection: bool,
-) -> std::io::Result<()> {
+) -> std::io::Result<bool> {
+    let framing = answer_framing(&answer, pending.is_http11);
+    let closes_connection = closes_connection || framing == BodyFraming::UntilClose;
     let connection_line = if closes_connection {
         "Connection: close\r\n"
     } else {
@@ -41,7 +45,7 @@
                 reason_phrase(status),
                 headers::local_reply_header_lines(&pending.id, retry_after)
             );
-            writer.write_all(text.as_bytes()).await
+            writer.write_all(text.as_bytes()).await?;
         }
         ClientAnswer::Target(head, body, organisation) => {
             write_target_answer(
@@ -53,11 +57,28 @@
                     organisation,
                 },
                 connection_line,
-                pending.is_http11,
+                framing,
             )
-            .await
+            .await?;
         }
     }
+    Ok(closes_connection)
+}
+
+/// Framing of the body of `answer` for a client that speaks HTTP/1.1 or an older version.
+fn answer_framing(answer: &ClientAnswer, is_http11: bool) -> BodyFraming {
+    let length = match answer {
+        ClientAnswer::Local { .. } => Some(0),
+        ClientAnswer::Target(head, AnswerBody::Whole(whole), _) => {
+            head.body_length.or(Some(whole.len() as u64))
+        }
+        ClientAnswer::Target(head, _, _) => head.body_length,
+    };
+    match length {
+        Some(length) => BodyFraming::Length(length),
+        None if is_http11 => BodyFraming::Chunked,
+        None => BodyFraming::UntilClose,
+    }
 }
 
 /// Time from the answer's first byte within which an answer to a client should be
@@ -79,35 +100,27 @@
     writer: &mut OwnedWriteHalf,
     answer: TargetAnswer,
     connection_line: &str,
-    is_http11: bool,
+    framing: BodyFraming,
 ) -> std::io::Result<()> {
     let TargetAnswer {
         head,
         mut body,
         organisation,
     } = answer;
-    let length = match &body {
-        AnswerBody::Whole(whole) => head.body_length.or(Some(whole.len() as u64)),
-        _ => head.body_length,
-    };
-    let mut encoder = BodyEncoder::new(match length {
-        Some(length) => BodyFraming::Length(length),
-        None if is_http11 => BodyFraming::Chunked,
-        None => BodyFraming::UntilClose,
-    });
+    let mut encoder = BodyEncoder::new(framing);
     let mut first_bytes = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
     first_bytes.extend_from_slice(&head.lines);
     first_bytes.extend_from_slice(encoder.header_line().as_bytes());
     first_bytes.extend_from_slice(connection_line.as_bytes());
     first_bytes.extend_from_slice(b"\r\n");
     if let AnswerBody::Whole(whole) = &mut body {
-        let encoded = encoder.encode(std::mem::take(whole));
-        first_bytes.extend_from_slice(&encoded.map_err(wrong_length)?);
+        let framed = encoder.encode(std::mem::take(whole));
+        first_bytes.extend_from_slice(&framed.map_err(wrong_length)?);
     }
     // Answers to clients are paced too, as they leave over the same link as the
     // target's answers to other hosts. If the target sends long answers, both
     // compete for the link.
-    let mut remaining = length.unwrap_or(0);
+    let mut remaining = framing.length().unwrap_or(0);
     let due = egress.now() + CLIENT_SEND_TIME;
     egress
         .pace(first_bytes.len() as u64, remaining, due, organisation)
@@ -121,8 +134,8 @@
                     .pace(bytes, remaining.max(bytes), due, organisation)
                     .await;
                 remaining = remaining.saturating_sub(bytes);
-                let encoded = encoder.encode(data).map_err(wrong_length)?;
-                writer.write_all(&encoded).await?;
+                let framed = encoder.encode(data).map_err(wrong_length)?;
+                writer.write_all(&framed).await?;
             }
             Ok(None) => {
                 let end = encoder.finish().map_err(wrong_length)?;
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -299,7 +299,8 @@
         let is_last_pending = state.pending.borrow().is_empty();
         let closes_connection =
             pending.closes_connection || (shared.stop.is_closing() && is_last_pending);
-        write_answer(&shared.egress, writer, &pending, answer, closes_connection).await?;
+        let closes_connection =
+            write_answer(&shared.egress, writer, &pending, answer, closes_connection).await?;
         state.last_active.set(shared.clock.now());
         state.answer_written.notify_one();
         if closes_connection {
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -290,8 +290,8 @@
         .await
         .map_err(|_| ExchangeOutcome::Lost("call body broken off"))?
     {
-        let encoded = encoder.encode(data).map_err(mismatch)?;
-        writer.write_all(&encoded).await.map_err(failed)?;
+        let framed = encoder.encode(data).map_err(mismatch)?;
+        writer.write_all(&framed).await.map_err(failed)?;
     }
     let end = encoder.finish().map_err(mismatch)?;
     writer.write_all(end).await.map_err(failed)
--- a/tests/mesh_framing.rs
+++ b/tests/mesh_framing.rs
@@ -4,7 +4,9 @@
 #[path = "support/users.rs"]
 mod users;
 
-use filbert_platform_standin::{Answer, Client};
+use std::time::Duration;
+
+use filbert_platform_standin::{Answer, Client, TargetBehaviour};
 use rstest::rstest;
 use users::{two_host_fleet, Fleet};
 
@@ -94,3 +96,21 @@
         "a target ran a changed body"
     );
 }
+
+/// Guards against an answer whose end a client of HTTP/1.0 cannot find, as the connection
+/// stays open behind a body without a length: it would take the next answer for its rest.
+#[tokio::test]
+async fn an_answer_without_a_length_closes_a_kept_connection_of_http_1_0() {
+    let fleet = two_host_fleet("a").await;
+    let target = &fleet.hosts[1].target;
+    target.set_behaviour(TargetBehaviour::Chunked);
+    target.set_body_bytes(LONG_BODY_BYTES);
+    let mut client = fleet.connect(0).await;
+    let head = "GET /read/a HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: read-1\r\n\
+                Deadline-Ms: 2000\r\nConnection: keep-alive\r\n\r\n";
+    client.send_raw(head.as_bytes()).await.expect("sent");
+    let answer = client.answer();
+    let answer = tokio::time::timeout(Duration::from_secs(3), answer).await;
+    let answer = answer.expect("the answer ends").expect("a whole answer");
+    assert_eq!((answer.status, answer.body.len()), (200, LONG_BODY_BYTES));
+}
