Start a task again that panicked, or end the process with a line

Change: each panic is logged and counted (`filbert_panics`). Tasks that keep all that must last in the shared state are started again after a second; listeners, which own their socket, end the process with the task's name. Links to peers are tasks of the first kind.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,7 +11,7 @@
 //! the shutdowns that it announces. [`rollouts`] moves
 //! services to other software versions. [`organisations`] checks API keys and quotas.
 //! [`zone_load`] shares the load of services among availability zones. [`stop`] performs a
-//! planned stop.
+//! planned stop. [`supervision`] restarts tasks that panic.
 
 pub mod body;
 pub mod calls;
@@ -47,6 +47,7 @@
 pub mod state;
 pub mod status;
 pub mod stop;
+pub mod supervision;
 pub mod target;
 pub mod text_delta;
 pub mod version_fetch;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -17,6 +17,7 @@
 use crate::organisations::counts::CountsRange;
 use crate::small_server::{accept_loop, serve_requests, SimpleResponse};
 use crate::state::MeshShared;
+use crate::supervision::panic_count;
 use target::TargetGauges;
 
 /// Upper bounds of the buckets of the latency histograms, in seconds. The soft
@@ -109,6 +110,7 @@
     links: Gauge<u64>,
     peers: Gauge<u64>,
     memory_bytes: Gauge<u64>,
+    panics: Gauge<u64>,
     /// Rows of the store that cannot be read.
     pub skipped_rows: SkippedRows,
 }
@@ -188,6 +190,7 @@
             links: gauge("filbert.links", "Links to other daemons that are up"),
             peers: gauge("filbert.peers", "Other daemons known"),
             skipped_rows: SkippedRows::new(&meter),
+            panics: gauge("filbert.panics", "Panics of tasks since the daemon's start"),
             memory_bytes: meter
                 .u64_gauge("process.resident_memory")
                 .with_unit("By")
@@ -292,6 +295,7 @@
         self.peers.record((shared.members.count() - 1) as u64, &[]);
         self.held_calls.record(shared.quarantine.held() as u64, &[]);
         self.target.record(&shared.gate);
+        self.panics.record(panic_count(), &[]);
         if let Some(bytes) = resident_memory_bytes() {
             self.memory_bytes.record(bytes, &[]);
         }
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -13,6 +13,7 @@
 use crate::messages::StoreState;
 use crate::peers::Peer;
 use crate::state::MeshShared;
+use crate::supervision::spawn_restartable;
 
 /// Delay before links are planned again, so that changes are batched: hosts
 /// often join and leave in large numbers.
@@ -164,7 +165,11 @@
                 .get(id)
                 .and_then(|host| self.peers.add_or_replace(host))
             {
-                tokio::task::spawn_local(links::maintain_link(Rc::clone(self), peer));
+                let shared = Rc::clone(self);
+                spawn_restartable("link", move || {
+                    let maintained = links::maintain_link(Rc::clone(&shared), Rc::clone(&peer));
+                    Box::pin(maintained)
+                });
             }
         }
         let in_zone = others.iter().filter(|host| host.zone == own.zone).count();
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -16,6 +16,7 @@
 use filbert_policy::clock::{Clock, SystemClock};
 use filbert_policy::weights::WeightedRoundRobin;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::egress::EgressPacer;
 use crate::gate::Gate;
@@ -30,6 +31,7 @@
 use crate::settings::MeshSettings;
 use crate::state::MeshShared;
 use crate::stop::StopState;
+use crate::supervision::{log_panics, spawn_restartable, TaskSupervisor};
 use crate::versions::{self, VersionState};
 use crate::zone_load::{self, ZoneLoadState};
 use crate::{
@@ -44,6 +46,8 @@
     Listen,
     /// A signal handler could not be installed.
     Signals,
+    /// A task panicked that cannot be started again.
+    TaskLost,
 }
 
 impl fmt::Display for MeshError {
@@ -51,6 +55,7 @@
         formatter.write_str(match self {
             MeshError::Listen => "could not start listening",
             MeshError::Signals => "could not install signal handlers",
+            MeshError::TaskLost => "a task that the daemon cannot do without has ended",
         })
     }
 }
@@ -81,8 +86,10 @@
 /// `path` are applied while the daemon runs.
 ///
 /// # Errors
-/// [`MeshError`] if the daemon cannot listen on an address or install a signal handler.
+/// [`MeshError`] if the daemon cannot listen on an address or install a signal handler, or
+/// if a task is lost that it cannot do without.
 pub async fn run(settings: MeshSettings, path: PathBuf) -> Result<(), Report<MeshError>> {
+    log_panics();
     let listeners = Listeners {
         calls: bind("calls", settings.listen.calls)?,
         peers: bind("peers", settings.listen.peers)?,
@@ -106,10 +113,15 @@
     let local = tokio::task::LocalSet::new();
     local
         .run_until(async move {
-            start(&shared, listeners, path);
-            stop::drain_on_signal(shared)
-                .await
-                .change_context(MeshError::Signals)
+            let mut lost_tasks = start(&shared, listeners, path);
+            tokio::select! {
+                stopped = stop::drain_on_signal(shared) => {
+                    stopped.change_context(MeshError::Signals)
+                }
+                Some(task) = lost_tasks.recv() => {
+                    Err(Report::new(MeshError::TaskLost).attach(task))
+                }
+            }
         })
         .await
 }
@@ -157,62 +169,114 @@
     })
 }
 
-/// Starts the daemon's tasks on the current `LocalSet`.
-fn start(shared: &Rc<MeshShared>, listeners: Listeners, path: PathBuf) {
-    let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
-        tokio::task::spawn_local(task);
-    };
-    spawn(Box::pin(control::serve(
-        Rc::clone(shared),
-        listeners.control,
-    )));
-    spawn(Box::pin(ready::serve(Rc::clone(shared), listeners.ready)));
-    spawn(Box::pin(ingress::serve(Rc::clone(shared), listeners.calls)));
-    spawn(Box::pin(serve_peers::serve(
-        Rc::clone(shared),
-        listeners.peers,
-    )));
-    spawn(Box::pin(Rc::clone(&shared.gate).run_queue_expiry()));
-    spawn(Box::pin(status::send_updates(Rc::clone(shared))));
-    spawn(Box::pin(quarantine::send_updates(Rc::clone(shared))));
-    spawn(Box::pin(rollouts::replication::send_updates(Rc::clone(
+/// Starts the daemon's tasks on the current `LocalSet`. Returns the receiver of the names
+/// of tasks that are lost for good.
+fn start(
+    shared: &Rc<MeshShared>,
+    listeners: Listeners,
+    path: PathBuf,
+) -> UnboundedReceiver<&'static str> {
+    let (supervisor, lost_tasks) = TaskSupervisor::new();
+    start_listeners(shared, listeners, &supervisor);
+    start_reports(shared);
+    start_rollouts(shared);
+    start_store_access(shared);
+    restartable(shared, "link_plan", plan::maintain_link_plan);
+    restartable(shared, "zone_load", zone_load::share_load);
+    restartable(
+        shared,
+        "pool_leases",
+        organisations::pools::leases::maintain_pool_leases,
+    );
+    restartable(shared, "settings", move |shared| {
+        watch_settings(shared, path.clone())
+    });
+    lost_tasks
+}
+
+/// Starts a task that keeps all that must last in `shared`.
+fn restartable<F>(
+    shared: &Rc<MeshShared>,
+    name: &'static str,
+    task: impl Fn(Rc<MeshShared>) -> F + 'static,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    let shared = Rc::clone(shared);
+    spawn_restartable(name, move || Box::pin(task(Rc::clone(&shared))));
+}
+
+fn start_listeners(shared: &Rc<MeshShared>, listeners: Listeners, supervisor: &TaskSupervisor) {
+    let shared = || Rc::clone(shared);
+    supervisor.spawn_essential(
+        "control",
+        Box::pin(control::serve(shared(), listeners.control)),
+    );
+    supervisor.spawn_essential("ready", Box::pin(ready::serve(shared(), listeners.ready)));
+    supervisor.spawn_essential("calls", Box::pin(ingress::serve(shared(), listeners.calls)));
+    supervisor.spawn_essential(
+        "peers",
+        Box::pin(serve_peers::serve(shared(), listeners.peers)),
+    );
+    if let Some(listener) = listeners.metrics {
+        supervisor.spawn_essential("metrics", Box::pin(metrics::serve(shared(), listener)));
+    }
+}
+
+/// Starts the tasks of the gate and those that tell other daemons of it.
+fn start_reports(shared: &Rc<MeshShared>) {
+    restartable(shared, "queue_expiry", |shared| {
+        Rc::clone(&shared.gate).run_queue_expiry()
+    });
+    restartable(shared, "status", status::send_updates);
+    restartable(shared, "quarantine", quarantine::send_updates);
+}
+
+fn start_rollouts(shared: &Rc<MeshShared>) {
+    restartable(shared, "rollout_news", rollouts::replication::send_updates);
+    restartable(
         shared,
-    ))));
-    spawn(Box::pin(rollouts::replication::apply_stages_to_gate(
-        Rc::clone(shared),
-    )));
-    spawn(Box::pin(rollouts::replication::report_run_counts(
-        Rc::clone(shared),
-    )));
-    spawn(Box::pin(rollouts::decide::decide_stages(Rc::clone(shared))));
-    spawn(Box::pin(rollouts::row_writer::run_rollout_writer(
-        Rc::clone(shared),
-    )));
-    spawn(Box::pin(
-        organisations::pools::leases::maintain_pool_leases(Rc::clone(shared)),
-    ));
-    spawn(Box::pin(zone_load::share_load(Rc::clone(shared))));
-    spawn(Box::pin(plan::maintain_link_plan(Rc::clone(shared))));
-    spawn(Box::pin(rows::maintain_own_row(Rc::clone(shared))));
-    spawn(Box::pin(rows::run_row_writer(Rc::clone(shared))));
-    spawn(Box::pin(shutdowns::restore::restore_shutdowns(Rc::clone(
+        "rollout_stages",
+        rollouts::replication::apply_stages_to_gate,
+    );
+    restartable(
         shared,
-    ))));
-    spawn(Box::pin(shutdowns::expiry::remove_expired_rows(Rc::clone(
+        "rollout_counts",
+        rollouts::replication::report_run_counts,
+    );
+    restartable(shared, "rollout_decisions", rollouts::decide::decide_stages);
+    restartable(
         shared,
-    ))));
-    spawn(Box::pin(versions::announce_oversized_versions(Rc::clone(
+        "rollout_rows",
+        rollouts::row_writer::run_rollout_writer,
+    );
+}
+
+/// Starts the tasks that read and write the store.
+fn start_store_access(shared: &Rc<MeshShared>) {
+    restartable(shared, "own_row", rows::maintain_own_row);
+    restartable(shared, "row_writer", rows::run_row_writer);
+    restartable(
         shared,
-    ))));
-    spawn(Box::pin(feeds::watch_configuration(Rc::clone(shared))));
-    spawn(Box::pin(feeds::watch_members(Rc::clone(shared))));
-    if let Some(listener) = listeners.metrics {
-        spawn(Box::pin(metrics::serve(Rc::clone(shared), listener)));
+        "shutdown_rows",
+        shutdowns::restore::restore_shutdowns,
+    );
+    restartable(
+        shared,
+        "shutdown_expiry",
+        shutdowns::expiry::remove_expired_rows,
+    );
+    restartable(
+        shared,
+        "oversized_versions",
+        versions::announce_oversized_versions,
+    );
+    restartable(shared, "configuration", feeds::watch_configuration);
+    restartable(shared, "membership", feeds::watch_members);
+}
+
+async fn watch_settings(shared: Rc<MeshShared>, path: PathBuf) {
+    if let Err(error) = reload::watch_settings_file(shared, path).await {
+        log::error!("event=reload_unwatched error=\"{error}\"");
     }
-    let shared = Rc::clone(shared);
-    spawn(Box::pin(async move {
-        if let Err(error) = reload::watch_settings_file(shared, path).await {
-            log::error!("event=reload_unwatched error=\"{error}\"");
-        }
-    }));
 }
