Let the first calls wait for the first word of a link

Change: a call without a target waits, within its deadline and for 0.6 s at most, while a link to its service has not given its first word, or a target that is known not to have reported may do so within its interval. When all have spoken, or cannot be reached, it is refused at once as before (`policy::first_report`). A target that a restarted daemon has not confirmed counts as not reported.

Weighed: a later readiness. It sends the callers of all services elsewhere, and needs a bound that delays a start in a cut zone. The time to ready does not change this way.

--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatches a call: tries targets until one answers or no attempt is left.
 
 mod ending;
+mod first_target;
 mod retries;
 mod zone;
 
@@ -37,12 +38,6 @@
 /// stands in for the expected run time of a call where it is not known.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Maximum time to wait for the first link to a target of a service that was not
-/// called recently. It covers the connection and the target's first status, with
-/// the retransmissions after a lost packet. Without a link by then, the call is
-/// refused as if the service had no target.
-const FIRST_LINK_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Progress of a call, read when its deadline passes.
 #[derive(Default)]
 pub(super) struct CallProgress {
@@ -152,24 +147,27 @@
         if !self.passes_quarantine() {
             return self.finish(stalled_attempts).await;
         }
-        self.wait_for_first_link().await;
+        let service = self.head.service.as_str();
+        let now = self.shared.clock.now();
+        let is_unlinked = self.shared.members.record_service_call(service, now);
+        let mut may_wait_for_target = true;
         loop {
-            let now = self.shared.clock.now();
-            let exit_deadline = self.shared.stop.exit_deadline().unwrap_or(self.deadline);
-            let deadline = self.deadline.min(exit_deadline);
-            self.head.deadline_us = to_micros(deadline.saturating_duration_since(now));
-            self.head.soft_deadline_us =
-                to_micros(self.soft_deadline.saturating_duration_since(now));
+            self.set_deadlines();
             if !self.passes_quarantine() {
                 return self.finish(stalled_attempts).await;
             }
-            if self.log_entry.attempts == 0 {
+            let is_first_attempt = self.log_entry.attempts == 0;
+            if is_first_attempt && may_wait_for_target {
                 self.choose_zone();
             }
             let Some(target) = self.pick_target(&self.tried_hosts) else {
+                let may_wait = is_first_attempt && std::mem::take(&mut may_wait_for_target);
+                if may_wait && self.wait_for_first_target(is_unlinked).await {
+                    continue;
+                }
                 return self.finish(stalled_attempts).await;
             };
-            if self.log_entry.attempts == 0 {
+            if is_first_attempt {
                 self.count_sent_to_zone(&target);
             }
             // Set before the attempt, so that the access log line names the host even
@@ -225,6 +223,15 @@
         }
     }
 
+    /// Sets the deadlines in the call's head for an attempt that begins now.
+    fn set_deadlines(&mut self) {
+        let now = self.shared.clock.now();
+        let exit_deadline = self.shared.stop.exit_deadline().unwrap_or(self.deadline);
+        let deadline = self.deadline.min(exit_deadline);
+        self.head.deadline_us = to_micros(deadline.saturating_duration_since(now));
+        self.head.soft_deadline_us = to_micros(self.soft_deadline.saturating_duration_since(now));
+    }
+
     /// Returns whether the quarantine lets the call run now. Starts the probe of a
     /// suspect call if that is allowed, and sets `remaining_hold` if the call is held
     /// back. Checked before each attempt, since a hold may have started during the
@@ -255,26 +262,6 @@
         self.shared.quarantine.is_suspect(self.head.identity)
     }
 
-    /// Waits for the first target of a service that this daemon has no links to yet.
-    async fn wait_for_first_link(&self) {
-        let service = self.head.service.as_str();
-        let now = self.shared.clock.now();
-        if !self.shared.members.record_service_call(service, now) {
-            return;
-        }
-        let until = self.deadline.min(now + FIRST_LINK_TIMEOUT);
-        loop {
-            let target_updated = self.shared.peers.target_updated.notified();
-            if self.pick_target(&[]).is_some() {
-                return;
-            }
-            tokio::select! {
-                () = target_updated => {}
-                () = tokio::time::sleep_until(until.into()) => return,
-            }
-        }
-    }
-
     /// Waits until the current attempt ends or a stalled one gets an answer. Returns
     /// `None` if the current attempt's link became unresponsive and another target
     /// is to be tried.
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -96,6 +96,7 @@
     /// Whether the log says that a call came with an invalid weight.
     has_logged_invalid_weight: Cell<bool>,
     clock: Rc<dyn Clock>,
+    started_at: Instant,
     address: Cell<SocketAddr>,
     drain_time: Cell<Duration>,
     report_interval: Cell<Duration>,
@@ -149,6 +150,7 @@
             egress,
             answer_buffer_kib: Arc::new(Semaphore::new(MAX_BUFFERED_ANSWER_KIB)),
             log_limiter: LogRateLimiter::new(clock.now()),
+            started_at: clock.now(),
             has_logged_invalid_weight: Cell::new(false),
             clock,
             address: Cell::new(settings.target),
@@ -305,12 +307,15 @@
     }
 
     /// Returns the target's status, as sent to other daemons; `None` before the
-    /// target's first report.
+    /// target's first report, and while it may be late.
     #[must_use]
     pub fn status(&self) -> Option<TargetStatus> {
         let state = self.state.borrow();
         let now = self.clock.now();
         let report = state.tracker.current()?;
+        if !state.restart_check.allows_calls() {
+            return None;
+        }
         Some(TargetStatus {
             service: report.service.clone(),
             software: report.software.clone(),
--- a/crates/mesh/src/gate/restart.rs
+++ b/crates/mesh/src/gate/restart.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use filbert_policy::first_report::TargetNews;
 use filbert_policy::instance::InstanceKey;
 
 use super::{Gate, GateState};
@@ -18,6 +19,17 @@
         }
     }
 
+    /// What has been heard of the target on this host since the start of this daemon.
+    #[must_use]
+    pub fn target_news(&self) -> TargetNews {
+        let state = self.state.borrow();
+        if state.tracker.current().is_some() && state.restart_check.allows_calls() {
+            TargetNews::Heard
+        } else {
+            TargetNews::UnreportedSince(self.started_at)
+        }
+    }
+
     /// The key under which the instance that `key` names has reported itself; `key` if it
     /// names another one.
     #[must_use]
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use filbert_policy::first_report::TargetNews;
 use h2::client::SendRequest;
 use h2::{Ping, PingPong};
 use rand::Rng;
@@ -112,6 +113,8 @@
             shared.handle_link_down(&peer.address.id);
             log::info!("event=link_down peer={} reason=\"{end}\"", peer.address.id);
         } else {
+            peer.target_news.set(TargetNews::Heard);
+            shared.peers.target_updated.notify_waiters();
             redial_delay = (redial_delay * 2).min(MAX_REDIAL_DELAY);
             if now >= down_since + UNREACHABLE_AFTER && !peer.is_unreachable.replace(true) {
                 shared.members.changed.notify_one();
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -113,6 +113,13 @@
         self.hosts.borrow().contains_key(id)
     }
 
+    /// Whether the target on another host belongs to `service`, by its daemon's settings.
+    #[must_use]
+    pub fn has_service(&self, service: &str) -> bool {
+        let hosts = self.hosts.borrow();
+        hosts.values().any(|host| host.service == service)
+    }
+
     /// The other hosts, by name.
     #[must_use]
     pub fn hosts_by_name(&self) -> BTreeMap<String, PeerAddress> {
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use filbert_policy::clock::Clock;
+use filbert_policy::first_report::TargetNews;
 use filbert_policy::instance::{accepts_while_leaving, InstanceKey};
 use filbert_policy::membership::Reachability;
 use filbert_policy::target_memory::TargetMemory;
@@ -48,6 +49,8 @@
     target: RefCell<Option<HeardTarget>>,
     /// What this daemon remembers of the targets on the peer's host.
     pub memory: SharedTargetMemory,
+    /// What has been heard of the target since the peer was added.
+    pub target_news: Cell<TargetNews>,
     /// Whether the log says that a load of the target could not be used.
     has_logged_invalid_load: Cell<bool>,
     /// Number of calls sent to the target since its last status or load.
@@ -97,6 +100,7 @@
             link: RefCell::new(None),
             target: RefCell::new(None),
             memory,
+            target_news: Cell::default(),
             has_logged_invalid_load: Cell::new(false),
             sent_since: Cell::new(0),
             is_removed: Cell::new(false),
@@ -273,6 +277,10 @@
             }
             self.remember_limit(&target.instance, &target.load);
         }
+        self.target_news.set(match &target {
+            Some(_) => TargetNews::Heard,
+            None => self.target_news.get().after_unreported(now),
+        });
         self.sent_since.set(0);
         *self.target.borrow_mut() = target.map(|status| HeardTarget {
             status,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 //!   remembers what it was told.
 //! - [`quarantine`] holds back calls that crash their targets, recognised by
 //!   their [`identity`].
+//! - [`first_report`] decides whether a call waits for the first word of a target.
 //! - [`instance`] tracks the lifecycle of the target on the daemon's host,
 //!   [`restart_check`] whether it may get calls after a restart of the daemon,
 //!   [`target_memory`] what was heard of other targets, and
@@ -33,6 +34,7 @@
 pub mod decaying_rate;
 pub mod egress;
 pub mod fair_share;
+pub mod first_report;
 pub mod health;
 pub mod identity;
 pub mod instance;
