Check again what a call waited for when it gets its slot

Cause: the gate compares the service when a call is queued, and sends it to whatever instance is current when it gets a slot.

Change: a call whose target was replaced by one of another service is declined as not run at once, and each call is checked again at its slot: service, instance, shutdown and roll-out.

--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -204,9 +204,15 @@
         let now = self.clock.now();
         let slots = report.slots;
         let key = report.key.clone();
+        let service = report.service.clone();
         let change = {
             let mut state = self.state.borrow_mut();
+            let former = state.tracker.current().map(|former| former.service.clone());
             let change = state.tracker.report(report, now);
+            if change == InstanceChange::Replaced && former.is_some_and(|former| former != service)
+            {
+                state.decline_waiting(now);
+            }
             if change != InstanceChange::Stale {
                 self.check_after_restart(&mut state, &key, now);
             }
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -1,7 +1,7 @@
 //! The gate's admission: calls wait for a free slot and get a [`RunPermit`].
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbert_policy::admission::{
     AdmissionDecision, AdmissionRequest, DeclineReason, WaitOutcome, WaitTicket,
@@ -11,7 +11,7 @@
 use filbert_policy::run_times::RunTime;
 use tokio::sync::oneshot;
 
-use super::{ActiveRun, Gate};
+use super::{ActiveRun, Gate, GateState};
 use crate::messages::{CallHead, TargetState};
 
 /// Interval at which waiting calls that have become too late are declined.
@@ -138,12 +138,8 @@
         let waiting = {
             let mut state = self.state.borrow_mut();
             let state = &mut *state;
-            let has_service = state
-                .tracker
-                .current()
-                .is_some_and(|report| report.service == call.service);
-            let is_open = has_service && self.target_state(state, now) != TargetState::Closed;
-            state.queue.set_open(is_open);
+            let accepts = self.accepts(state, &call.service, now);
+            state.queue.set_open(accepts);
             state.update_queue_pace(now);
             let mean_run = state.mean_run_time(now);
             match state.queue.offer(request, mean_run, now) {
@@ -168,7 +164,23 @@
             };
             guard.decision().await?;
         }
-        Ok(self.start_run(call.identity, long_term_run.mean))
+        let permit = self.start_run(call.identity, long_term_run.mean);
+        // The target may have been replaced, or closed by a roll-out, while the call waited.
+        let now = self.clock.now();
+        if self.accepts(&self.state.borrow(), &call.service, now) {
+            return Ok(permit);
+        }
+        Err(Declined {
+            reason: DeclineReason::Closed,
+            room_in: Duration::ZERO,
+        })
+    }
+
+    /// Whether the target accepts calls of `service` now.
+    fn accepts(&self, state: &GateState, service: &str, now: Instant) -> bool {
+        let report = state.tracker.current();
+        report.is_some_and(|report| report.service == service)
+            && self.target_state(state, now) != TargetState::Closed
     }
 
     fn start_run(self: &Rc<Self>, call: CallIdentity, expected: Duration) -> RunPermit {
@@ -209,21 +221,7 @@
                 state.queue.dispatch(mean_run, now)
             };
             for outcome in outcomes {
-                let (ticket, decision) = match outcome {
-                    WaitOutcome::Run(ticket) => (ticket, Ok(())),
-                    WaitOutcome::Decline {
-                        ticket,
-                        reason,
-                        room_in,
-                    } => (ticket, Err(Declined { reason, room_in })),
-                };
-                let may_run = decision.is_ok();
-                let was_received = state
-                    .waiters
-                    .remove(&ticket)
-                    .is_some_and(|waiter| waiter.send(decision).is_ok());
-                // The call's future was dropped, so its slot is free for another call.
-                if may_run && !was_received {
+                if state.send_decision(outcome) == Delivery::SlotUnused {
                     state.queue.abort_run(now);
                     freed_slots += 1;
                 }
@@ -246,3 +244,45 @@
         }
     }
 }
+
+/// Whether a decision to run reached the call that waited for it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Delivery {
+    /// The decision was received, or was one to decline.
+    Done,
+    /// The call's future was dropped, so its slot is free for another call.
+    SlotUnused,
+}
+
+impl GateState {
+    /// Declines all waiting calls: the target that they wait for was replaced by one of
+    /// another service.
+    pub(super) fn decline_waiting(&mut self, now: Instant) {
+        let mean_run = self.mean_run_time(now);
+        for outcome in self.queue.decline_all(mean_run) {
+            self.send_decision(outcome);
+        }
+    }
+
+    /// Sends the decision on a call to the task that waits for it.
+    fn send_decision(&mut self, outcome: WaitOutcome) -> Delivery {
+        let (ticket, decision) = match outcome {
+            WaitOutcome::Run(ticket) => (ticket, Ok(())),
+            WaitOutcome::Decline {
+                ticket,
+                reason,
+                room_in,
+            } => (ticket, Err(Declined { reason, room_in })),
+        };
+        let may_run = decision.is_ok();
+        let was_received = self
+            .waiters
+            .remove(&ticket)
+            .is_some_and(|waiter| waiter.send(decision).is_ok());
+        if may_run && !was_received {
+            Delivery::SlotUnused
+        } else {
+            Delivery::Done
+        }
+    }
+}
