Count the time that a call's body is on its way against its deadlines

Found while looking for facts that are read before a wait and used after it: the daemon beside the target reads a short body whole before the gate counts the call's deadlines, which the head states as times left. On a slow link the target was handed more time than the caller had.

Change: the time from the head to the end of the body is subtracted.

--- a/crates/mesh/src/messages/calls.rs
+++ b/crates/mesh/src/messages/calls.rs
@@ -51,6 +51,13 @@
 }
 
 impl CallHead {
+    /// Subtracts `elapsed`, for which the call has been on its way, from its deadlines.
+    pub fn count_elapsed(&mut self, elapsed: Duration) {
+        let elapsed_us = to_micros(elapsed);
+        self.deadline_us = self.deadline_us.saturating_sub(elapsed_us);
+        self.soft_deadline_us = self.soft_deadline_us.saturating_sub(elapsed_us);
+    }
+
     /// Framing of the call's body on the connection to the target.
     #[must_use]
     pub fn body_framing(&self) -> BodyFraming {
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -102,7 +102,7 @@
     let _active_call = ActiveCallGuard::new(&shared);
     let mut incoming = request.into_body();
     let mut buffer = BytesMut::new();
-    let call: CallHead = loop {
+    let mut call: CallHead = loop {
         if let Some(call) = decode_next(&mut buffer).map_err(|_| LinkError::InvalidMessage)? {
             break call;
         }
@@ -111,9 +111,13 @@
             None => return Err(LinkError::Closed),
         }
     };
-    let deadline = shared.clock.now() + Duration::from_micros(call.deadline_us);
+    let received_at = shared.clock.now();
+    let deadline = received_at + Duration::from_micros(call.deadline_us);
+    let organisation = call.organisation;
     let work = async {
         let body = read_body(&call, incoming, buffer).await?;
+        // The gate counts the deadlines from now on.
+        call.count_elapsed(shared.clock.now().saturating_duration_since(received_at));
         let link = shared.gate.link_time(&call);
         let reservation = shared.egress.reserve(call.answer_bytes);
         let done = shared.gate.run(&call, body, link).await;
@@ -141,7 +145,7 @@
         let transfer = AnswerTransfer {
             length,
             deadline,
-            organisation: call.organisation,
+            organisation,
         };
         send_body(&shared, &mut outgoing, body, transfer).await?;
     }
