Hold a connection until the client's side has its last answer

Cause: a call counted as done when its answer was handed on; the kernel resets a closed socket that gets input. The stop ended 3.5 s before the end of the grace time, so it gave up nothing that it knew of, and answers of clients that sent nothing were whole, so they were not in the daemon.

Change: behind the last answer the input is discarded and the connection counts as active until the kernel has nothing unacknowledged, the client closes, or the idle limit passes without progress; a stop bounds it by the grace time.

--- /dev/null
+++ b/crates/mesh/src/ingress/linger.rs
@@ -0,0 +1,94 @@
+//! Closes a client's connection behind its last answer, once the client has that answer.
+
+use std::os::fd::AsRawFd;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbert_http1::MessageReader;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use crate::state::MeshShared;
+use crate::stop::ActiveCallGuard;
+
+/// Maximum time for which a connection is still read after its last answer has arrived.
+/// Closing it with unread input would send a reset, which may discard that answer at the
+/// client.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which the kernel is asked whether the client has the last answer.
+const DELIVERY_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+nix::ioctl_read_bad!(
+    /// Reads the number of sent bytes that the peer has not acknowledged.
+    read_unacknowledged,
+    nix::libc::TIOCOUTQ,
+    nix::libc::c_int
+);
+
+/// Closes a connection whose last answer has been handed to the kernel.
+///
+/// Guards against an answer that is cut: the kernel may hold most of it for a client that
+/// reads slowly, and resets the connection when input arrives for a socket that is closed.
+/// A planned stop therefore waits for the client's side to acknowledge the last byte.
+pub(super) async fn close_after_answers(
+    shared: &Rc<MeshShared>,
+    mut reader: MessageReader<OwnedReadHalf>,
+    mut writer: OwnedWriteHalf,
+) {
+    let undelivered = ActiveCallGuard::new(shared);
+    if writer.shutdown().await.is_err() {
+        return;
+    }
+    let delivered = tokio::select! {
+        () = wait_for_delivery(shared, &writer) => true,
+        () = discard_input(&mut reader) => false,
+    };
+    drop(undelivered);
+    if delivered {
+        // If the client is still sending after the timeout, closing the connection
+        // resets it. The client has the last answer by then.
+        let _ = tokio::time::timeout(LINGER_TIMEOUT, discard_input(&mut reader)).await;
+    }
+}
+
+/// Discards input until the client closes the connection or it fails.
+async fn discard_input(reader: &mut MessageReader<OwnedReadHalf>) {
+    while let Ok(true) = reader.fill().await {
+        reader.discard_buffered();
+    }
+}
+
+/// Waits until the client's side has acknowledged all that was sent, or has acknowledged
+/// nothing for the idle timeout.
+async fn wait_for_delivery(shared: &MeshShared, writer: &OwnedWriteHalf) {
+    let mut last = None;
+    let mut last_progress = shared.clock.now();
+    loop {
+        let now = shared.clock.now();
+        match unacknowledged_bytes(writer) {
+            // Where the kernel cannot tell, the linger timeout has to do.
+            None | Some(0) => return,
+            current if current != last => {
+                last = current;
+                last_progress = now;
+            }
+            _ => {}
+        }
+        let idle_timeout = shared.current_index().limits().idle_timeout;
+        if now >= last_progress + idle_timeout {
+            return;
+        }
+        tokio::time::sleep(DELIVERY_POLL_INTERVAL).await;
+    }
+}
+
+/// Number of sent bytes that the peer has not acknowledged; `None` if the kernel does not
+/// tell.
+fn unacknowledged_bytes(writer: &OwnedWriteHalf) -> Option<i32> {
+    let mut bytes = 0;
+    let socket = writer.as_ref().as_raw_fd();
+    // SAFETY: the descriptor is open while `writer` is borrowed, and the call writes one
+    // integer to `bytes`.
+    let outcome = unsafe { read_unacknowledged(socket, &raw mut bytes) };
+    outcome.ok().map(|_| bytes)
+}
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -3,15 +3,15 @@
 
 mod answers;
 mod bodies;
+mod linger;
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use filbert_http1::{BodyDecoder, HeadError, MessageReader, ReadError, RequestHead};
 use filbert_platform::headers;
-use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -24,15 +24,11 @@
 use crate::stop::ActiveCallGuard;
 use answers::write_answer;
 use bodies::{call_identity, forward_body, read_body};
+use linger::close_after_answers;
 
 /// Maximum number of calls of one connection that are handled at the same time.
 /// Further calls are not read until an answer has been written.
 const MAX_PIPELINED_CALLS: usize = 16;
-/// Maximum time for which a connection is still read after its last answer. Closing
-/// it with unread input would send a reset, which may discard that answer at the
-/// client.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-
 const BAD_REQUEST: u16 = 400;
 const REQUEST_TIMEOUT: u16 = 408;
 const CONTENT_TOO_LARGE: u16 = 413;
@@ -95,15 +91,8 @@
     // Aborts the calls that are still running: the client has disconnected, or
     // writing an answer failed.
     state.pending.borrow_mut().clear();
-    if has_written_last_answer && writer.shutdown().await.is_ok() {
-        let discard_input = async {
-            while let Ok(true) = reader.fill().await {
-                reader.discard_buffered();
-            }
-        };
-        // If the client is still sending after the timeout, closing the connection
-        // resets it. The last answer has been sent by then.
-        let _ = tokio::time::timeout(LINGER_TIMEOUT, discard_input).await;
+    if has_written_last_answer {
+        close_after_answers(&shared, reader, writer).await;
     }
 }
 
