Keep the connection of a client that pauses within the idle limit

The kernel counts a closed window as unacknowledged data, and `TCP_USER_TIMEOUT` was 1.5 s on all connections.

Change: clients' connections have the configuration's idle limit instead. A client that closes or crashes is noticed at once as before, one that is idle and gone by keep-alive probes after 3 s, and one that is gone with an answer under way within the idle limit. Links, targets and the store keep 1.5 s.

--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -73,7 +73,8 @@
 }
 
 async fn serve_connection(shared: Rc<MeshShared>, stream: TcpStream) {
-    sockets::set_socket_options(&stream);
+    let idle_timeout = shared.current_index().limits().idle_timeout;
+    sockets::set_client_socket_options(&stream, idle_timeout);
     let (read, write) = stream.into_split();
     let state = ConnectionState {
         pending: RefCell::new(VecDeque::new()),
--- a/crates/mesh/src/sockets.rs
+++ b/crates/mesh/src/sockets.rs
@@ -22,8 +22,22 @@
 const LISTEN_BACKLOG: u32 = 1024;
 
 /// Enables keep-alive probes, a limit on unacknowledged data, and `TCP_NODELAY` on a
-/// connection. A failure is logged.
+/// connection to the store, a target or another daemon. A failure is logged.
 pub fn set_socket_options(stream: &TcpStream) {
+    set_options(stream, TCP_USER_TIMEOUT);
+}
+
+/// Sets the options of a client's connection. `idle_timeout` is how long a client may do
+/// nothing.
+///
+/// The kernel counts the time during which a client reads nothing as that of
+/// unacknowledged data, though the client's side answers its probes. With the timeout of
+/// other connections, a client that pauses for two seconds would be taken for gone.
+pub fn set_client_socket_options(stream: &TcpStream, idle_timeout: Duration) {
+    set_options(stream, idle_timeout.max(TCP_USER_TIMEOUT));
+}
+
+fn set_options(stream: &TcpStream, user_timeout: Duration) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -31,7 +45,7 @@
         .with_retries(KEEPALIVE_PROBES);
     let outcome = socket
         .set_tcp_keepalive(&keepalive)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(user_timeout)))
         .and_then(|()| socket.set_tcp_nodelay(true));
     if let Err(error) = outcome {
         // The connection works without the options; it is only detected later that it is
--- a/tests/mesh_slow_clients.rs
+++ b/tests/mesh_slow_clients.rs
@@ -94,3 +94,14 @@
     let left = GRACE_TIME.saturating_sub(stopped_at.elapsed());
     assert!(fleet.hosts[0].exited_cleanly_within(left).await);
 }
+
+/// Guards against a client that is taken for gone because it does not read for a while.
+#[tokio::test]
+async fn a_client_that_pauses_keeps_its_connection() {
+    let fleet = two_host_fleet("a").await;
+    fleet.hosts[1].target.set_body_bytes(4 * BODY_BYTES);
+    let stream = send_call(fleet.hosts[0].calls, "read-1").await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let received = read_slowly(stream, GRACE_TIME).await;
+    assert!(received >= BODY_BYTES, "{received} bytes");
+}
