Accept a replaced instance again that goes on reporting

What callers saw (from the review): after a restart of its daemon, a late report of a crashed target took the place of the live one, all whose later reports then counted as outdated: each call was declined for good.

Cause: an instance that was replaced was treated like one that has left. A report alone cannot tell a new target from a late report; what goes on reporting is live.

An instance that has announced its shutdown is never accepted again; one that was only replaced is, when the current one has been silent for 5 s and the replaced one has reported twice since, half a second apart.

--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -91,12 +91,43 @@
     last_report_at: Instant,
 }
 
+/// An instance that was replaced or has left.
+#[derive(Clone, Debug)]
+struct FormerInstance {
+    key: InstanceKey,
+    /// Whether it announced its shutdown, which is final.
+    has_left: bool,
+    /// Sequence number of its last report; 0 if it never reported.
+    last_sequence: u64,
+    /// Time of its first report since the current instance fell silent.
+    reporting_since: Option<Instant>,
+}
+
+impl FormerInstance {
+    fn left(key: InstanceKey) -> FormerInstance {
+        FormerInstance {
+            key,
+            has_left: true,
+            last_sequence: 0,
+            reporting_since: None,
+        }
+    }
+}
+
 /// Tracks the current instance of the target on the daemon's host.
+///
+/// The rules by which reports are believed:
+/// - The first report of an instance that is not known makes it the current one.
+/// - An instance that has announced its shutdown is never accepted again.
+/// - An instance that was replaced is accepted again only if it goes on reporting while
+///   the current one is silent. A live target does so; the late reports of one that has
+///   ended come to an end.
+/// - A report counts only if its sequence number is higher than the last one.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTracker {
     current: Option<CurrentInstance>,
     /// Instances that were replaced or have left, newest last.
-    former: Vec<InstanceKey>,
+    former: Vec<FormerInstance>,
 }
 
 /// Time without a report from the current instance after which another instance
@@ -104,20 +135,17 @@
 /// reports are missing by then, and the target's clock may have been set back
 /// between the two starts.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Minimum time between two reports of a replaced instance that show that it is live. The
+/// late reports of one that has ended come in a burst.
+const MIN_REPORT_SPACING: Duration = Duration::from_millis(500);
 /// Maximum number of former instances that are remembered.
 const MAX_FORMER_INSTANCES: usize = 64;
 
 impl InstanceTracker {
-    /// Processes a report of the target.
-    ///
-    /// An instance that was replaced or has left is never accepted again, and a
-    /// report of the current instance counts only if its sequence number is
-    /// higher than the last one. This guards against a delayed report that
-    /// arrives after its sender ended and another target took the address. A
-    /// restarted target with the same id starts a new sequence; it is recognised
-    /// by its start time.
+    /// Processes a report of the target. A restarted target with the same id starts a new
+    /// sequence; it is recognised by its start time.
     pub fn report(&mut self, report: InstanceReport, now: Instant) -> InstanceChange {
-        if self.is_outdated(&report.key, now) {
+        if self.is_outdated(&report.key, now) && !self.is_live_again(&report, now) {
             return InstanceChange::Stale;
         }
         let cold_until = now + report.cold_left;
@@ -157,7 +185,12 @@
                     last_report_at: now,
                 };
                 if let Some(old) = self.current.replace(new) {
-                    self.add_former(old.report.key);
+                    self.add_former(FormerInstance {
+                        has_left: old.leaving_since.is_some(),
+                        last_sequence: old.report.sequence,
+                        reporting_since: None,
+                        key: old.report.key,
+                    });
                 }
                 change
             }
@@ -185,9 +218,42 @@
         let has_no_start_time = key.born.is_none();
         self.former
             .iter()
+            .map(|former| &former.key)
             .any(|former| former == key || (has_no_start_time && former.id == key.id))
     }
 
+    /// Whether `report` shows that a replaced instance is live: the current one has been
+    /// silent for several reports, and the replaced one goes on reporting. If so, it is no
+    /// former instance any more.
+    ///
+    /// Guards against a late report of an instance that has ended, which a restarted daemon
+    /// takes for a new target: the reports of the live one would count as outdated for
+    /// good, and all calls to it would be declined.
+    fn is_live_again(&mut self, report: &InstanceReport, now: Instant) -> bool {
+        let Some(current) = &self.current else {
+            return false;
+        };
+        let silent_since = current.last_report_at;
+        let mut former = self.former.iter_mut();
+        let Some(replaced) = former.find(|former| former.key == report.key) else {
+            return false;
+        };
+        if replaced.has_left || report.is_draining || report.sequence <= replaced.last_sequence {
+            return false;
+        }
+        replaced.last_sequence = report.sequence;
+        let reporting_since = replaced
+            .reporting_since
+            .filter(|since| *since > silent_since);
+        replaced.reporting_since = reporting_since.or(Some(now));
+        let goes_on = reporting_since.is_some_and(|since| now >= since + MIN_REPORT_SPACING);
+        if !goes_on || now < silent_since + REPORT_TIMEOUT {
+            return false;
+        }
+        self.former.retain(|former| former.key != report.key);
+        true
+    }
+
     /// Processes the shutdown notice of instance `key`.
     pub fn leave(&mut self, key: &InstanceKey, now: Instant) -> InstanceChange {
         match &mut self.current {
@@ -199,15 +265,17 @@
                 InstanceChange::Draining
             }
             _ => {
-                self.remember_former(key);
+                self.remember_left(key);
                 InstanceChange::Stale
             }
         }
     }
 
-    fn remember_former(&mut self, key: &InstanceKey) {
-        if !self.former.contains(key) {
-            self.add_former(key.clone());
+    fn remember_left(&mut self, key: &InstanceKey) {
+        let mut former = self.former.iter_mut();
+        match former.find(|former| former.key == *key) {
+            Some(known) => known.has_left = true,
+            None => self.add_former(FormerInstance::left(key.clone())),
         }
     }
 
@@ -224,7 +292,7 @@
                     current.left_before_restart = true;
                 }
             }
-            _ => self.remember_former(key),
+            _ => self.remember_left(key),
         }
     }
 
@@ -237,11 +305,11 @@
             .is_some_and(|current| current.left_before_restart)
     }
 
-    fn add_former(&mut self, key: InstanceKey) {
+    fn add_former(&mut self, former: FormerInstance) {
         if self.former.len() >= MAX_FORMER_INSTANCES {
             self.former.remove(0);
         }
-        self.former.push(key);
+        self.former.push(former);
     }
 
     /// The target's last accepted report; `None` before the first one.
