Refuse a call at once whose single fields are doubled or not forwarded

What callers saw (from the issue and the new test): a call with two `Request-Id` fields was passed on with both; a target that reads the other one runs it under an id that the daemon never counted. A call whose `Connection` names its id got 503 after tries at several targets, though none can run it. An answer with two ids or two seals was passed on.

Cause: the daemon reads the first of several fields and forwards all, and removes what `Connection` names, as the protocol says, without asking whether the call can be served then.

Change: fields that name a call, its deadline, its host, its caller or its length must come once and must not be named by `Connection`; otherwise 400 before the call is routed, with a line that names the field. A status outside 100 to 599 is no answer. `Content-Length` twice with the same number was accepted before; the test case that said so is replaced by the stricter one.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,7 +1,7 @@
 //! Heads of requests and responses: start line and header fields.
 
 use std::fmt;
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 
 use bytes::Bytes;
 
@@ -11,6 +11,9 @@
 /// malformed.
 const MAX_FIELD_COUNT: usize = 100;
 
+/// Status codes that a response may have.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// Hop-by-hop fields: they apply to one connection and are never forwarded.
 const HOP_BY_HOP_FIELDS: [&str; 9] = [
     "connection",
@@ -29,9 +32,9 @@
 pub enum HeadError {
     /// The bytes are not a valid HTTP/1.x head.
     Malformed,
-    /// The length of the body is ambiguous: `Content-Length` fields contradict
-    /// each other or appear together with a transfer coding, or the transfer
-    /// coding is repeated, not plain chunked, or sent in an HTTP/1.0 request.
+    /// The length of the body is ambiguous: `Content-Length` is repeated or appears
+    /// together with a transfer coding, or the transfer coding is repeated, not plain
+    /// chunked, or sent in an HTTP/1.0 request.
     /// Rejecting such a head prevents request smuggling.
     AmbiguousLength,
 }
@@ -47,6 +50,25 @@
 
 impl std::error::Error for HeadError {}
 
+/// What is wrong with a field that has to reach the other end once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FieldFault<'a> {
+    /// The head has several fields of this name, of which receivers may read different
+    /// ones.
+    Repeated(&'a str),
+    /// A `Connection` field names the field, so that the next hop does not get it.
+    HopByHop(&'a str),
+}
+
+impl fmt::Display for FieldFault<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FieldFault::Repeated(name) => write!(formatter, "{name} is repeated"),
+            FieldFault::HopByHop(name) => write!(formatter, "{name} is named by Connection"),
+        }
+    }
+}
+
 /// Byte ranges of one field's name and value in the raw head.
 #[derive(Clone, Debug)]
 struct FieldSpan {
@@ -104,6 +126,34 @@
             .map(str::trim)
     }
 
+    /// One of `names`, 32 at most, that appears in more than one field, or that a
+    /// `Connection` field names, so that the field does not get past this hop.
+    #[must_use]
+    pub fn find_fault<'a>(&self, names: &[&'a str]) -> Option<FieldFault<'a>> {
+        let mut seen = 0_u32;
+        let mut has_connection = false;
+        for (field, _) in self.iter() {
+            let mut known = names.iter();
+            if let Some(index) = known.position(|name| name.eq_ignore_ascii_case(field)) {
+                let bit = 1 << index;
+                if seen & bit != 0 {
+                    return Some(FieldFault::Repeated(names[index]));
+                }
+                seen |= bit;
+            } else if field.eq_ignore_ascii_case("connection") {
+                has_connection = true;
+            }
+        }
+        if !has_connection {
+            return None;
+        }
+        let dropped = names
+            .iter()
+            .enumerate()
+            .find(|(index, name)| seen & (1 << index) != 0 && self.has_token("connection", name));
+        dropped.map(|(_, name)| FieldFault::HopByHop(name))
+    }
+
     /// Whether the comma-separated list in the field `name` contains `token`. Both
     /// are matched without regard to case.
     #[must_use]
@@ -133,26 +183,23 @@
         }
     }
 
-    /// The value of `Content-Length`; `None` if the field is absent. Repeated fields
-    /// have to agree.
+    /// The value of `Content-Length`; `None` if the field is absent.
     fn content_length(&self) -> Result<Option<u64>, HeadError> {
-        let mut stated = None;
-        for (name, value) in self.iter() {
-            if !name.eq_ignore_ascii_case("content-length") {
-                continue;
-            }
-            let text = std::str::from_utf8(value).map_err(|_| HeadError::Malformed)?;
-            let digits = text.trim();
-            if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
-                return Err(HeadError::Malformed);
-            }
-            let length: u64 = digits.parse().map_err(|_| HeadError::Malformed)?;
-            if stated.is_some_and(|other| other != length) {
-                return Err(HeadError::AmbiguousLength);
-            }
-            stated = Some(length);
+        let mut lengths = self
+            .iter()
+            .filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+        let (Some((_, value)), second) = (lengths.next(), lengths.next()) else {
+            return Ok(None);
+        };
+        if second.is_some() {
+            return Err(HeadError::AmbiguousLength);
+        }
+        let text = std::str::from_utf8(value).map_err(|_| HeadError::Malformed)?;
+        let digits = text.trim();
+        if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(HeadError::Malformed);
         }
-        Ok(stated)
+        digits.parse().map(Some).map_err(|_| HeadError::Malformed)
     }
 
     /// Whether the body uses the chunked transfer coding. Any other coding is an
@@ -258,6 +305,9 @@
         check_is_whole(parsed.parse(raw), raw)?;
         let fields = FieldList::from_parsed(raw, parsed.headers);
         let status = parsed.code.unwrap_or_default();
+        if !STATUS_CODES.contains(&status) {
+            return Err(HeadError::Malformed);
+        }
         let chunked = fields.is_chunked()?;
         let length = fields.content_length()?;
         let has_no_body = request_was_head || status < 200 || status == 204 || status == 304;
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use body::{BodyDecoder, BodyError, BodyFraming};
 pub use encoder::{BodyEncoder, LengthMismatch};
-pub use head::{FieldList, HeadError, RequestHead, ResponseHead};
+pub use head::{FieldFault, FieldList, HeadError, RequestHead, ResponseHead};
 pub use reader::{MessageReader, ReadError};
--- a/crates/http1/tests/message_cases.rs
+++ b/crates/http1/tests/message_cases.rs
@@ -17,7 +17,7 @@
 #[rstest]
 #[case(FramingCase { fields: "", framing: Ok(BodyFraming::Empty) })]
 #[case(FramingCase { fields: "Content-Length: 5\r\n", framing: Ok(BodyFraming::Length(5)) })]
-#[case(FramingCase { fields: "Content-Length: 5\r\nContent-Length: 5\r\n", framing: Ok(BodyFraming::Length(5)) })]
+#[case(FramingCase { fields: "Content-Length: 5\r\nContent-Length: 5\r\n", framing: Err(HeadError::AmbiguousLength) })]
 #[case(FramingCase { fields: "Transfer-Encoding: Chunked\r\n", framing: Ok(BodyFraming::Chunked) })]
 #[case(FramingCase { fields: "Content-Length: 5\r\nContent-Length: 6\r\n", framing: Err(HeadError::AmbiguousLength) })]
 #[case(FramingCase { fields: "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", framing: Err(HeadError::AmbiguousLength) })]
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use filbert_http1::{BodyDecoder, HeadError, MessageReader, ReadError, RequestHead};
+use filbert_http1::{BodyDecoder, FieldFault, HeadError, MessageReader, ReadError, RequestHead};
 use filbert_platform::headers;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +18,7 @@
 use tokio::task::JoinHandle;
 
 use crate::calls::{self, ClientAnswer, ClientCall};
+use crate::logging::LinePriority;
 use crate::small_server::accept_loop;
 use crate::sockets;
 use crate::state::MeshShared;
@@ -188,6 +189,10 @@
             return Err(ReadEnd::CloseAfterAnswers(Some(BAD_REQUEST)))
         }
     };
+    if let Some(fault) = headers::find_call_fault(&head) {
+        log_refused(shared, &head, fault);
+        return Err(ReadEnd::CloseAfterAnswers(Some(BAD_REQUEST)));
+    }
     let length = head.framing.length();
     if length.is_some_and(|length| length > limits.body_bytes) {
         return Err(ReadEnd::CloseAfterAnswers(Some(CONTENT_TOO_LARGE)));
@@ -224,6 +229,15 @@
     Ok(keep_alive)
 }
 
+/// Logs a call that is refused because of a header field.
+fn log_refused(shared: &MeshShared, head: &RequestHead, fault: FieldFault<'_>) {
+    let now = shared.clock.now();
+    if shared.log_limiter.allows(LinePriority::Notable, now) {
+        let id = headers::read_call_headers(head).id;
+        log::info!("event=call_refused request={id:?} reason=\"{fault}\"");
+    }
+}
+
 /// Waits for the first byte of a call.
 ///
 /// # Errors
