Take as many header fields as the configuration's limit has room for

From the review: a request with more than 100 fields got 400 from the parser's own limit, within the configuration's `header_bytes`.

Change: a head with more lines than usual is parsed into a list of its own length.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -7,9 +7,8 @@
 
 use crate::body::BodyFraming;
 
-/// Maximum number of header fields in one head. A head with more is rejected as
-/// malformed.
-const MAX_FIELD_COUNT: usize = 100;
+/// Number of header fields that are parsed without an allocation.
+const USUAL_FIELD_COUNT: usize = 64;
 
 /// Status codes that a response may have.
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
@@ -76,6 +75,35 @@
     value: Range<usize>,
 }
 
+/// Space for all fields of a head, whose length the caller limits.
+struct FieldStorage<'a> {
+    usual: [httparse::Header<'a>; USUAL_FIELD_COUNT],
+    many: Vec<httparse::Header<'a>>,
+}
+
+impl<'a> FieldStorage<'a> {
+    fn for_head(raw: &[u8]) -> FieldStorage<'a> {
+        let lines = raw.split(|byte| *byte == b'\n').count();
+        let many = if lines > USUAL_FIELD_COUNT {
+            vec![httparse::EMPTY_HEADER; lines]
+        } else {
+            Vec::new()
+        };
+        FieldStorage {
+            usual: [httparse::EMPTY_HEADER; USUAL_FIELD_COUNT],
+            many,
+        }
+    }
+
+    fn slots(&mut self) -> &mut [httparse::Header<'a>] {
+        if self.many.is_empty() {
+            &mut self.usual
+        } else {
+            &mut self.many
+        }
+    }
+}
+
 /// The header fields of a head, stored as byte ranges of the raw head.
 #[derive(Clone, Debug, Default)]
 pub struct FieldList {
@@ -158,22 +186,30 @@
     /// are matched without regard to case.
     #[must_use]
     pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.tokens(name)
+            .any(|part| part.eq_ignore_ascii_case(token))
+    }
+
+    /// The parts of the comma-separated lists in the fields `name`.
+    fn tokens<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         self.iter()
-            .filter(|(field, _)| field.eq_ignore_ascii_case(name))
+            .filter(move |(field, _)| field.eq_ignore_ascii_case(name))
             .filter_map(|(_, value)| std::str::from_utf8(value).ok())
             .flat_map(|value| value.split(','))
-            .any(|part| part.trim().eq_ignore_ascii_case(token))
+            .map(str::trim)
     }
 
     /// Appends the end-to-end fields to `out` as header lines, without
     /// `Content-Length` and without the fields for whose name `skip` returns true.
     pub fn write_end_to_end(&self, out: &mut Vec<u8>, skip: impl Fn(&str) -> bool) {
+        // Collected once: a head may have thousands of fields.
+        let listed: Vec<&str> = self.tokens("connection").collect();
         for (name, value) in self.iter() {
             let is_hop_by_hop = HOP_BY_HOP_FIELDS
                 .iter()
+                .chain(&listed)
                 .any(|field| field.eq_ignore_ascii_case(name))
-                || name.eq_ignore_ascii_case("content-length")
-                || self.has_token("connection", name);
+                || name.eq_ignore_ascii_case("content-length");
             if !is_hop_by_hop && !skip(name) {
                 out.extend_from_slice(name.as_bytes());
                 out.extend_from_slice(b": ");
@@ -267,8 +303,8 @@
     /// [`HeadError`] if `raw` is not an HTTP/1.x request head or the length of the
     /// body is ambiguous.
     pub fn parse(raw: &Bytes) -> Result<RequestHead, HeadError> {
-        let mut storage = [httparse::EMPTY_HEADER; MAX_FIELD_COUNT];
-        let mut parsed = httparse::Request::new(&mut storage);
+        let mut storage = FieldStorage::for_head(raw);
+        let mut parsed = httparse::Request::new(storage.slots());
         check_is_whole(parsed.parse(raw), raw)?;
         let fields = FieldList::from_parsed(raw, parsed.headers);
         let is_http11 = parsed.version == Some(1);
@@ -300,8 +336,8 @@
     /// [`HeadError`] if `raw` is not an HTTP/1.x response head or the length of the
     /// body is ambiguous.
     pub fn parse(raw: &Bytes, request_was_head: bool) -> Result<ResponseHead, HeadError> {
-        let mut storage = [httparse::EMPTY_HEADER; MAX_FIELD_COUNT];
-        let mut parsed = httparse::Response::new(&mut storage);
+        let mut storage = FieldStorage::for_head(raw);
+        let mut parsed = httparse::Response::new(storage.slots());
         check_is_whole(parsed.parse(raw), raw)?;
         let fields = FieldList::from_parsed(raw, parsed.headers);
         let status = parsed.code.unwrap_or_default();
--- a/crates/http1/tests/field_cases.rs
+++ b/crates/http1/tests/field_cases.rs
@@ -53,3 +53,25 @@
     let expected = is_valid.then_some(status).ok_or(HeadError::Malformed);
     assert_eq!(parsed, expected);
 }
+
+/// Guards against a proper call that is refused for the number of its fields, and against
+/// one whose fields take the processor for long.
+#[rstest]
+#[case(64, 2)]
+#[case(101, 2)]
+#[case(4_000, 2_000)]
+fn a_head_may_have_as_many_fields_as_fit(#[case] fields: usize, #[case] listed: usize) {
+    let names: Vec<String> = (0..fields).map(|number| format!("a{number:x}")).collect();
+    let lines: String = names.iter().flat_map(|name| [name, ":\r\n"]).collect();
+    let list = names[..listed].join(",");
+    let raw = Bytes::from(format!(
+        "GET / HTTP/1.1\r\nConnection: {list}\r\n{lines}\r\n"
+    ));
+    let started = std::time::Instant::now();
+    let head = RequestHead::parse(&raw).expect("a head");
+    let mut forwarded = Vec::new();
+    head.fields.write_end_to_end(&mut forwarded, |_| false);
+    let count = forwarded.split(|byte| *byte == b'\n').count() - 1;
+    assert_eq!(count, fields - listed);
+    assert!(started.elapsed() < std::time::Duration::from_secs(1));
+}
