Keep a replaced target that announces its shutdown from coming back

Found by reading the change as a whole: a target whose place a late report has taken may report that it drains. The report was stored and acknowledged, but the tracker only saw an outdated one, so that late reports behind it could bring the target back.

Change: a draining report of a replaced instance counts as its shutdown.

Measured: a_replaced_target_that_drains_has_left failed on the code before and passes; the generated histories have draining targets too, and did not find it on the code before.

--- a/crates/mesh/src/calls/dispatch/first_target.rs
+++ b/crates/mesh/src/calls/dispatch/first_target.rs
@@ -50,14 +50,14 @@
         if settings.service == service && may_bring_target(self.gate.target_news()) {
             return true;
         }
-        let peers = self.peers.all();
-        let mut of_service = peers.iter().filter(|peer| peer.address.service == service);
-        let Some(first) = of_service.next() else {
+        let mut peers = self.peers.all();
+        peers.retain(|peer| peer.address.service == service);
+        if peers.is_empty() {
             // The links are planned as soon as the hosts are known.
             return self.members.has_service(service);
-        };
-        std::iter::once(first)
-            .chain(of_service)
+        }
+        peers
+            .iter()
             .any(|peer| may_bring_target(peer.target_news.get()))
     }
 }
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -238,7 +238,8 @@
         let Some(replaced) = former.find(|former| former.key == report.key) else {
             return false;
         };
-        if replaced.has_left || report.is_draining || report.sequence <= replaced.last_sequence {
+        replaced.has_left |= report.is_draining;
+        if replaced.has_left || report.sequence <= replaced.last_sequence {
             return false;
         }
         replaced.last_sequence = report.sequence;
--- a/crates/policy/tests/instance_replay.rs
+++ b/crates/policy/tests/instance_replay.rs
@@ -29,8 +29,10 @@
 enum End {
     /// It sends nothing any more.
     Crash,
-    /// It announces its shutdown, which is acknowledged.
-    Shutdown,
+    /// It deregisters, which is acknowledged.
+    Deregistration,
+    /// It reports that it drains, which is acknowledged.
+    Draining,
 }
 
 /// The life of one target. The next one begins when it has ended.
@@ -47,7 +49,11 @@
 fn lives() -> impl Strategy<Value = Vec<Life>> {
     let life = (
         1_u64..12,
-        prop_oneof![Just(End::Crash), Just(End::Shutdown)],
+        prop_oneof![
+            Just(End::Crash),
+            Just(End::Deregistration),
+            Just(End::Draining)
+        ],
         prop::collection::vec(0_u64..60, 0..3),
         0_u64..30,
     )
@@ -63,7 +69,8 @@
 /// What reaches the daemon in a step.
 enum Arrival {
     Report(usize, u64),
-    Shutdown(usize),
+    Deregistration(usize),
+    Draining(usize, u64),
 }
 
 /// The arrivals by step, and the steps in which each target lives.
@@ -103,11 +110,13 @@
                     .push(Arrival::Report(number, report + 1));
                 step += STEPS_PER_REPORT;
             }
-            if life.end == End::Shutdown && !is_last {
-                arrivals
-                    .entry(step)
-                    .or_default()
-                    .push(Arrival::Shutdown(number));
+            let announcement = match life.end {
+                End::Crash => None,
+                End::Deregistration => Some(Arrival::Deregistration(number)),
+                End::Draining => Some(Arrival::Draining(number, reports + 1)),
+            };
+            if !is_last {
+                arrivals.entry(step).or_default().extend(announcement);
             }
             spans.push((started, step));
             step += life.pause;
@@ -137,29 +146,34 @@
 impl Daemon {
     fn receive(&mut self, arrival: &Arrival, now: Instant) {
         match arrival {
-            Arrival::Report(number, sequence) => {
-                let report = InstanceReport {
-                    key: key(*number),
-                    service: "quotes".to_owned(),
-                    software: "v1".to_owned(),
-                    address: "127.0.0.1:1".to_owned(),
-                    slots: 9,
-                    is_draining: false,
-                    sequence: *sequence,
-                    cold_left: Duration::ZERO,
-                };
-                if self.tracker.report(report, now) != InstanceChange::Stale {
-                    self.check
-                        .record_report(&key(*number), REPORT_INTERVAL, now);
-                }
+            Arrival::Report(number, sequence) => self.report(*number, *sequence, false, now),
+            Arrival::Draining(number, sequence) => {
+                self.stored_shutdowns.push(key(*number));
+                self.report(*number, *sequence, true, now);
             }
-            Arrival::Shutdown(number) => {
+            Arrival::Deregistration(number) => {
                 self.stored_shutdowns.push(key(*number));
                 self.tracker.leave(&key(*number), now);
             }
         }
     }
 
+    fn report(&mut self, number: usize, sequence: u64, is_draining: bool, now: Instant) {
+        let report = InstanceReport {
+            key: key(number),
+            service: "quotes".to_owned(),
+            software: "v1".to_owned(),
+            address: "127.0.0.1:1".to_owned(),
+            slots: 9,
+            is_draining,
+            sequence,
+            cold_left: Duration::ZERO,
+        };
+        if self.tracker.report(report, now) != InstanceChange::Stale {
+            self.check.record_report(&key(number), REPORT_INTERVAL, now);
+        }
+    }
+
     /// Restarts the daemon, which reads the store at its first report at the latest.
     fn restart(&mut self, now: Instant) {
         self.tracker = InstanceTracker::default();
@@ -248,3 +262,23 @@
     }
     assert_eq!(daemon.open_instance(), Some(&key(1)));
 }
+
+/// Guards against an acknowledged shutdown that is forgotten, as a late report had taken
+/// the target's place when it announced it.
+#[test]
+fn a_replaced_target_that_drains_has_left() {
+    let started = Instant::now();
+    let mut daemon = Daemon {
+        tracker: InstanceTracker::default(),
+        check: RestartCheck::first_start(),
+        stored_shutdowns: Vec::new(),
+    };
+    daemon.receive(&Arrival::Report(1, 1), started);
+    daemon.receive(&Arrival::Report(0, 90), started + STEP);
+    daemon.receive(&Arrival::Draining(1, 2), started + REPORT_INTERVAL);
+    for sequence in 3..8 {
+        let now = started + REPORT_INTERVAL * sequence;
+        daemon.receive(&Arrival::Report(1, u64::from(sequence)), now);
+        assert_ne!(daemon.open_instance(), Some(&key(1)));
+    }
+}
