Let a shutdown without a start time bind the start that it meant

Cause: the shutdown of `id` and the report of `id@start` count as two instances. A target that starts again under its id must not be shut out for good, so any start time was taken for a new start.

Change: a shutdown without a start time holds for each start of its id that has not gone on reporting for 10 s; reports are seconds late at most. A row of that kind takes back a report that came before it was read.

--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -104,6 +104,13 @@
 }
 
 impl FormerInstance {
+    /// Whether the instance left without naming its start time, and may be the one with
+    /// `key`, which has one.
+    fn may_be_left_start(&self, key: &InstanceKey) -> bool {
+        let is_unknown_start = self.key.born.is_none() && key.born.is_some();
+        self.has_left && is_unknown_start && self.key.id == key.id
+    }
+
     fn left(key: InstanceKey) -> FormerInstance {
         FormerInstance {
             key,
@@ -118,7 +125,8 @@
 ///
 /// The rules by which reports are believed:
 /// - The first report of an instance that is not known makes it the current one.
-/// - An instance that has announced its shutdown is never accepted again.
+/// - An instance that has announced its shutdown is never accepted again. Without a start
+///   time, that holds for each start of its id that does not go on reporting.
 /// - An instance that was replaced is accepted again only if it goes on reporting while
 ///   the current one is silent. A live target does so; the late reports of one that has
 ///   ended come to an end.
@@ -138,6 +146,9 @@
 /// Minimum time between two reports of a replaced instance that show that it is live. The
 /// late reports of one that has ended come in a burst.
 const MIN_REPORT_SPACING: Duration = Duration::from_millis(500);
+/// Time for which a target must go on reporting whose id was deregistered without a start
+/// time: longer than reports are late, as it may be the one that left.
+const UNKNOWN_START_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum number of former instances that are remembered.
 const MAX_FORMER_INSTANCES: usize = 64;
 
@@ -145,7 +156,10 @@
     /// Processes a report of the target. A restarted target with the same id starts a new
     /// sequence; it is recognised by its start time.
     pub fn report(&mut self, report: InstanceReport, now: Instant) -> InstanceChange {
-        if self.is_outdated(&report.key, now) && !self.is_live_again(&report, now) {
+        if self.is_outdated(&report.key, now)
+            && !self.is_new_start(&report, now)
+            && !self.is_live_again(&report, now)
+        {
             return InstanceChange::Stale;
         }
         let cold_until = now + report.cold_left;
@@ -216,10 +230,35 @@
             }
         }
         let has_no_start_time = key.born.is_none();
+        self.former.iter().any(|former| {
+            former.key == *key
+                || (has_no_start_time && former.key.id == key.id)
+                || former.may_be_left_start(key)
+        })
+    }
+
+    /// Whether `report` shows that the target has started again since its id was
+    /// deregistered without a start time: it has gone on reporting for longer than reports
+    /// are late.
+    ///
+    /// Guards against a late report that is taken for that of a new start: the daemon was
+    /// restarted and heard of the shutdown before it heard of the target.
+    fn is_new_start(&mut self, report: &InstanceReport, now: Instant) -> bool {
+        let mut former = self.former.iter_mut();
+        let Some(left) = former.find(|former| former.may_be_left_start(&report.key)) else {
+            return false;
+        };
+        if report.is_draining || report.sequence <= left.last_sequence {
+            return false;
+        }
+        left.last_sequence = report.sequence;
+        let reporting_since = *left.reporting_since.get_or_insert(now);
+        if now < reporting_since + UNKNOWN_START_TIMEOUT {
+            return false;
+        }
         self.former
-            .iter()
-            .map(|former| &former.key)
-            .any(|former| former == key || (has_no_start_time && former.id == key.id))
+            .retain(|former| !former.may_be_left_start(&report.key));
+        true
     }
 
     /// Whether `report` shows that a replaced instance is live: the current one has been
@@ -293,6 +332,10 @@
                     current.left_before_restart = true;
                 }
             }
+            Some(current) if key.may_equal(&current.report.key) => {
+                self.current = None;
+                self.remember_left(key);
+            }
             _ => self.remember_left(key),
         }
     }
--- a/crates/policy/tests/instance_replay.rs
+++ b/crates/policy/tests/instance_replay.rs
@@ -282,3 +282,58 @@
         assert_ne!(daemon.open_instance(), Some(&key(1)));
     }
 }
+
+fn started_report(born: u64, sequence: u64) -> InstanceReport {
+    InstanceReport {
+        key: InstanceKey {
+            id: "i-0".to_owned(),
+            born: Some(born),
+        },
+        service: "quotes".to_owned(),
+        software: "v1".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        slots: 9,
+        is_draining: false,
+        sequence,
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// Guards against a shutdown without a start time that does not bind the start that it
+/// meant: a restarted daemon hears of it, or reads it, before or after a late report.
+#[test]
+fn a_shutdown_without_a_start_time_binds_the_start_that_it_meant() {
+    let now = Instant::now();
+    let mut tracker = InstanceTracker::default();
+    tracker.leave(&key(0), now);
+    let late = now + REPORT_INTERVAL * 2;
+    assert_eq!(
+        tracker.report(started_report(1_000, 17), late),
+        InstanceChange::Stale
+    );
+    assert!(tracker.current().is_none());
+    let mut tracker = InstanceTracker::default();
+    tracker.report(started_report(1_000, 17), now);
+    tracker.mark_left_before_restart(&key(0), now + STEP);
+    assert!(tracker.current().is_none());
+    let late = now + REPORT_INTERVAL;
+    assert_eq!(
+        tracker.report(started_report(1_000, 18), late),
+        InstanceChange::Stale
+    );
+}
+
+/// Guards against a target that is shut out for good, as it started again under an id that
+/// was deregistered without a start time.
+#[test]
+fn a_new_start_under_a_deregistered_id_gets_calls_within_the_recovery_time() {
+    let now = Instant::now();
+    let mut tracker = InstanceTracker::default();
+    tracker.leave(&key(0), now);
+    for sequence in 1..=8 {
+        let at = now + REPORT_INTERVAL * sequence;
+        tracker.report(started_report(2_000, u64::from(sequence)), at);
+    }
+    assert!(tracker.current().is_some());
+    assert!(tracker.leaving_since().is_none());
+}
