Keep the platform's names out of a test of the mesh

Cause: an answer of the property test bore a header of the users' wire, which belongs into `platform/`.

Change: a header of no meaning.

--- a/crates/mesh/tests/decoding_properties.rs
+++ b/crates/mesh/tests/decoding_properties.rs
@@ -202,7 +202,7 @@
         head: AnswerHead {
             status: 200,
             reason: "OK".to_owned(),
-            lines: b"Server-Seal: seal\r\n".to_vec(),
+            lines: b"X-Own: kept\r\n".to_vec(),
             body_length: Some(4),
         },
         time_to_head_us: 1_000,
