--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{BodyEnd, Head, Reader};
 
@@ -11,7 +11,7 @@
 pub enum Ending {
     /// A complete answer.
     Answer(Head, Vec<u8>),
-    /// The connection ended inside the answer.
+    /// The connection ended inside the answer, or the client left there.
     Partial(Head, usize),
     /// The connection ended without an answer.
     Closed(String),
@@ -56,9 +56,9 @@
         })
     }
 
-    /// Reads the next answer, for which it waits `limit` at most between two reads.
+    /// Reads the next answer, for which it waits `limit` at most.
     pub fn answer(&mut self, limit: Duration) -> Ending {
-        let _ = self.reader.stream.set_read_timeout(Some(limit));
+        self.reader.until = Some(Instant::now() + limit);
         match self.reader.head() {
             Ok(Some(head)) => match self.reader.body(&head) {
                 (body, BodyEnd::Complete) => Ending::Answer(head, body),
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read};
 use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 /// A message's first line and header fields.
 #[derive(Clone, Debug, Default)]
@@ -62,6 +63,8 @@
 pub struct Reader {
     /// The connection.
     pub stream: TcpStream,
+    /// When reading ends with a time-out; `None` for never.
+    pub until: Option<Instant>,
     buffer: Vec<u8>,
 }
 
@@ -70,11 +73,17 @@
     pub fn new(stream: TcpStream) -> Reader {
         Reader {
             stream,
+            until: None,
             buffer: Vec::new(),
         }
     }
 
     fn fill(&mut self) -> io::Result<bool> {
+        if let Some(until) = self.until {
+            let left = until.saturating_duration_since(Instant::now());
+            let left = left.max(Duration::from_millis(1));
+            self.stream.set_read_timeout(Some(left))?;
+        }
         let mut bytes = [0; 64 * 1024];
         let count = self.stream.read(&mut bytes)?;
         self.buffer.extend_from_slice(&bytes[..count]);
