--- a/review/standins-2/src/bin/silent.rs
+++ b/review/standins-2/src/bin/silent.rs
@@ -20,7 +20,7 @@
 /// Time after the time-out within which a final answer has to come.
 const ALLOWED_AFTER: Duration = Duration::from_millis(500);
 /// Time between two requests.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(105);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(92);
 /// Time for which requests are sent.
 const SENT_FOR: Duration = Duration::from_secs(58);
 /// Moments at which the server falls silent, and for how long.
