Close connections at a planned stop behind the calls that were read

Clients of hosts that stop together stay where they are.

Cause: the writer closed a connection only behind an answer with no call queued behind it, which a client that pipelines never meets, and the reader took a queued call as a reason to read on. A connection opened in the closing phase met the reader's condition at once and was closed before its first call. Both decided by the queue at a moment other than the one at which the decision held.

Change: a call stays queued until the head of its answer is written, and the state of the connection says which calls it still reads: none as soon as an answer can still announce the close, else one more. Connections opened later are kept. A call that cannot end before the process is refused at once (503, time to return, close). At the end the listener is closed behind those that wait, and each call that is left is answered. A call from another host has no more time than the process beside its target.

--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -226,10 +226,12 @@
     /// Sets the deadlines in the call's head for an attempt that begins now.
     fn set_deadlines(&mut self) {
         let now = self.shared.clock.now();
-        let exit_deadline = self.shared.stop.exit_deadline().unwrap_or(self.deadline);
-        let deadline = self.deadline.min(exit_deadline);
-        self.head.deadline_us = to_micros(deadline.saturating_duration_since(now));
-        self.head.soft_deadline_us = to_micros(self.soft_deadline.saturating_duration_since(now));
+        let time_to = |deadline: Instant| to_micros(deadline.saturating_duration_since(now));
+        self.head.deadline_us = time_to(self.deadline);
+        self.head.soft_deadline_us = time_to(self.soft_deadline);
+        if let Some(time_to_exit) = self.shared.stop.time_to_exit(now) {
+            self.head.shorten_deadlines(time_to_exit);
+        }
     }
 
     /// Returns whether the quarantine lets the call run now. Starts the probe of a
--- a/crates/mesh/src/calls/mod.rs
+++ b/crates/mesh/src/calls/mod.rs
@@ -17,11 +17,15 @@
 use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::organisations::keys::OrganisationRule;
+use filbert_policy::planned_stop::{can_end_before_exit, retry_after_restart};
 use filbert_policy::routing::{RouteIndex, RouteRule};
+use filbert_policy::run_times::RunTime;
+use rand::Rng;
 
 use crate::body::{AnswerBody, CallBody};
 use crate::messages::AnswerHead;
 use crate::state::MeshShared;
+use crate::stop::StopPhase;
 use access_log::AccessLogEntry;
 use admit::{admit, CallDeadlines};
 use dispatch::{CallDispatch, CallProgress};
@@ -37,6 +41,9 @@
 /// have run the call.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Run time of a call that is assumed while none is known.
+const UNKNOWN_RUN_TIME: Duration = Duration::from_millis(300);
+
 const UNAUTHORIZED: u16 = 401;
 const NOT_FOUND: u16 = 404;
 const TOO_MANY_REQUESTS: u16 = 429;
@@ -104,6 +111,37 @@
     }
 }
 
+/// Refuses a call that cannot be answered before a planned stop ends the process, and
+/// writes its access log line. Returns `None` if the call may run.
+pub fn refuse_before_exit(shared: &Rc<MeshShared>, call: &ClientCall) -> Option<ClientAnswer> {
+    let time_to_exit = shared.stop.time_to_exit(shared.clock.now())?;
+    let index = shared.current_index();
+    let route = index.lookup(&call.headers.host, &call.head.target)?;
+    let time_left = time_left(route, call);
+    let run_time = shared
+        .expected_run_time(&route.name)
+        .unwrap_or(RunTime::exponential(UNKNOWN_RUN_TIME));
+    if can_end_before_exit(time_to_exit, time_left, run_time) {
+        return None;
+    }
+    let mut log_entry = AccessLogEntry::new(call, index.number());
+    log_entry.route.clone_from(&route.name);
+    log_entry.reason = "stopping";
+    let jitter = rand::rng().random::<f64>();
+    let answer = service_unavailable(retry_after_restart(time_to_exit, time_left, jitter));
+    log_entry.write(shared, &answer);
+    Some(answer)
+}
+
+/// Returns the longest time that a call may take.
+fn time_left(route: &RouteRule, call: &ClientCall) -> Duration {
+    call.headers.time_left.map_or(route.timeout, |time_left| {
+        time_left
+            .saturating_sub(CLIENT_NETWORK_MARGIN)
+            .min(route.timeout)
+    })
+}
+
 /// Runs a client's call, writes its access log line and returns the answer.
 pub async fn handle_call(shared: &Rc<MeshShared>, call: ClientCall) -> ClientAnswer {
     let index = shared.current_index();
@@ -128,14 +166,9 @@
     mut call: ClientCall,
     log_entry: &mut AccessLogEntry,
 ) -> ClientAnswer {
-    let time_left = call.headers.time_left.map_or(route.timeout, |time_left| {
-        time_left
-            .saturating_sub(CLIENT_NETWORK_MARGIN)
-            .min(route.timeout)
-    });
     let deadlines = CallDeadlines {
         soft: estimate_soft_deadline(shared, route, &call),
-        hard: call.received + time_left,
+        hard: call.received + time_left(route, &call),
     };
     log_entry.route.clone_from(&route.name);
     let token = match admit(shared, index, route, &mut call, deadlines, log_entry).await {
@@ -144,13 +177,20 @@
     };
     let progress = CallProgress::default();
     let dispatch = CallDispatch::new(shared, route, call, deadlines, &progress, log_entry);
-    let answer = match tokio::time::timeout_at(deadlines.hard.into(), dispatch.run()).await {
-        Ok(answer) => answer,
-        Err(_) if progress.may_have_run.get() || progress.in_attempt.get() => {
+    let answer = tokio::select! {
+        biased;
+        answer = dispatch.run() => Some(answer),
+        () = tokio::time::sleep_until(deadlines.hard.into()) => None,
+        // The process ends: each call is answered as far as its outcome is known.
+        () = shared.stop.reached(StopPhase::Ending) => None,
+    };
+    let answer = match answer {
+        Some(answer) => answer,
+        None if progress.may_have_run.get() || progress.in_attempt.get() => {
             log_entry.reason = "time_up";
             ClientAnswer::local(GATEWAY_TIMEOUT)
         }
-        Err(_) => {
+        None => {
             log_entry.reason = "no_time_left";
             service_unavailable(NOT_READY_RETRY_AFTER)
         }
--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -8,28 +8,26 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
-use super::PendingAnswer;
+use super::connection::CallInfo;
 use crate::body::AnswerBody;
 use crate::calls::ClientAnswer;
 use crate::egress::EgressPacer;
 use crate::messages::AnswerHead;
 use crate::small_server::reason_phrase;
 
-/// Writes `answer` as the answer to the call that `pending` belongs to. Returns whether
-/// the connection must be closed behind it: because of `closes_connection`, or because the
-/// close is what ends the answer's body.
+/// Writes `answer` as the answer to `call`. Returns whether the connection must be closed
+/// behind it: because the call says so, or because the close is what ends the answer's body.
 ///
 /// # Errors
 /// The connection's error.
 pub(super) async fn write_answer(
     egress: &EgressPacer,
     writer: &mut OwnedWriteHalf,
-    pending: &PendingAnswer,
+    call: &CallInfo,
     answer: ClientAnswer,
-    closes_connection: bool,
 ) -> std::io::Result<bool> {
-    let framing = answer_framing(&answer, pending.is_http11);
-    let closes_connection = closes_connection || framing == BodyFraming::UntilClose;
+    let framing = answer_framing(&answer, call.is_http11);
+    let closes_connection = call.closes_connection || framing == BodyFraming::UntilClose;
     let connection_line = if closes_connection {
         "Connection: close\r\n"
     } else {
@@ -43,7 +41,7 @@
             let text = format!(
                 "HTTP/1.1 {status} {}\r\n{}Content-Length: 0\r\n{connection_line}\r\n",
                 reason_phrase(status),
-                headers::local_reply_header_lines(&pending.id, retry_after)
+                headers::local_reply_header_lines(&call.id, retry_after)
             );
             writer.write_all(text.as_bytes()).await?;
         }
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -3,28 +3,25 @@
 
 mod answers;
 mod bodies;
+mod connection;
 mod linger;
 
-use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::Instant;
 
 use filbert_http1::{BodyDecoder, FieldFault, HeadError, MessageReader, ReadError, RequestHead};
 use filbert_platform::headers;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
-use tokio::task::JoinHandle;
 
 use crate::calls::{self, ClientAnswer, ClientCall};
 use crate::logging::LinePriority;
-use crate::small_server::accept_loop;
+use crate::small_server::{accept_loop, accept_waiting};
 use crate::sockets;
 use crate::state::MeshShared;
-use crate::stop::ActiveCallGuard;
+use crate::stop::StopPhase;
 use answers::write_answer;
 use bodies::{call_identity, forward_body, read_body};
+use connection::{CallInfo, ConnectionState, NextCall};
 use linger::close_after_answers;
 
 /// Maximum number of calls of one connection that are handled at the same time.
@@ -35,64 +32,28 @@
 const CONTENT_TOO_LARGE: u16 = 413;
 const HEADER_FIELDS_TOO_LARGE: u16 = 431;
 
-/// Accepts and serves clients' connections until the process ends.
+/// Accepts and serves clients' connections until the last phase of a planned stop. Clients
+/// that connect later are refused by the kernel.
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
-    accept_loop("calls", listener, |stream| {
-        serve_connection(Rc::clone(&shared), stream)
-    })
-    .await;
-}
-
-/// A call whose answer has not been written yet.
-struct PendingAnswer {
-    task: JoinHandle<ClientAnswer>,
-    id: String,
-    is_http11: bool,
-    closes_connection: bool,
-    _active_call_guard: ActiveCallGuard,
-}
-
-impl Drop for PendingAnswer {
-    /// Aborts the task, which is still running only if the connection has ended
-    /// before the answer was written.
-    fn drop(&mut self) {
-        self.task.abort();
+    let serve = |stream| serve_connection(Rc::clone(&shared), stream);
+    tokio::select! {
+        () = accept_loop("calls", &listener, serve) => {}
+        () = shared.stop.reached(StopPhase::Ending) => accept_waiting(&listener, serve).await,
     }
 }
 
-/// State shared by the reader and the writer of a connection.
-struct ConnectionState {
-    pending: RefCell<VecDeque<PendingAnswer>>,
-    /// Wakes the writer when a call has been added or the input was closed.
-    call_added: Notify,
-    /// Wakes the reader when an answer has been written.
-    answer_written: Notify,
-    /// Time at which the last head was read or the last answer was written.
-    last_active: std::cell::Cell<Instant>,
-    /// Whether no further call will be read.
-    is_input_closed: std::cell::Cell<bool>,
-}
-
 async fn serve_connection(shared: Rc<MeshShared>, stream: TcpStream) {
     let idle_timeout = shared.current_index().limits().idle_timeout;
     sockets::set_client_socket_options(&stream, idle_timeout);
     let (read, write) = stream.into_split();
-    let state = ConnectionState {
-        pending: RefCell::new(VecDeque::new()),
-        call_added: Notify::new(),
-        answer_written: Notify::new(),
-        last_active: std::cell::Cell::new(shared.clock.now()),
-        is_input_closed: std::cell::Cell::new(false),
-    };
+    let state = ConnectionState::new(&shared);
     let mut reader = MessageReader::new(read);
     let mut writer = write;
     let has_written_last_answer = tokio::select! {
         () = read_calls(&shared, &state, &mut reader) => false,
         result = write_answers(&shared, &state, &mut writer) => result.is_ok(),
     };
-    // Aborts the calls that are still running: the client has disconnected, or
-    // writing an answer failed.
-    state.pending.borrow_mut().clear();
+    state.abort_calls();
     if has_written_last_answer {
         close_after_answers(&shared, reader, writer).await;
     }
@@ -125,36 +86,24 @@
         return;
     };
     if let Some(status) = status {
-        let answer = async move { ClientAnswer::local(status) };
-        spawn_answer(shared, state, answer, String::new(), true, true);
+        let unread_call = CallInfo {
+            id: String::new(),
+            is_http11: true,
+            closes_connection: true,
+        };
+        state.spawn_answer(
+            shared,
+            unread_call,
+            async move { ClientAnswer::local(status) },
+        );
     }
-    state.is_input_closed.set(true);
-    state.call_added.notify_one();
+    state.close_input();
     // Further input is discarded; reading detects that the client disconnects.
     while let Ok(true) = reader.fill().await {
         reader.discard_buffered();
     }
 }
 
-/// Spawns the task that produces an answer, and queues the answer for the writer.
-fn spawn_answer(
-    shared: &Rc<MeshShared>,
-    state: &ConnectionState,
-    answer: impl std::future::Future<Output = ClientAnswer> + 'static,
-    id: String,
-    is_http11: bool,
-    closes_connection: bool,
-) {
-    state.pending.borrow_mut().push_back(PendingAnswer {
-        task: tokio::task::spawn_local(answer),
-        id,
-        is_http11,
-        closes_connection,
-        _active_call_guard: ActiveCallGuard::new(shared),
-    });
-    state.call_added.notify_one();
-}
-
 /// Reads one call and starts to handle it as soon as its head and the first part of
 /// its body are read. Returns, after the end of the body, whether further calls may
 /// follow on the connection.
@@ -166,8 +115,8 @@
     state: &ConnectionState,
     reader: &mut MessageReader<OwnedReadHalf>,
 ) -> Result<bool, ReadEnd> {
-    while state.pending.borrow().len() >= MAX_PIPELINED_CALLS {
-        state.answer_written.notified().await;
+    while state.pending_count() >= MAX_PIPELINED_CALLS {
+        state.answer_written().await;
     }
     wait_for_first_byte(shared, state, reader).await?;
     let limits = *shared.current_index().limits();
@@ -182,7 +131,7 @@
         Err(_) => return Err(ReadEnd::CloseAfterAnswers(Some(REQUEST_TIMEOUT))),
     };
     let received = shared.clock.now();
-    state.last_active.set(received);
+    state.record_activity(received);
     let head = match RequestHead::parse(&raw) {
         Ok(head) => head,
         Err(HeadError::Malformed | HeadError::AmbiguousLength) => {
@@ -213,9 +162,19 @@
         received,
         organisation: None,
     };
+    let mut call_info = CallInfo {
+        id,
+        is_http11,
+        closes_connection: !keep_alive,
+    };
+    if let Some(refusal) = calls::refuse_before_exit(shared, &call) {
+        call_info.closes_connection = true;
+        state.spawn_answer(shared, call_info, async move { refusal });
+        return Ok(false);
+    }
     let shared_call = Rc::clone(shared);
     let answer = async move { calls::handle_call(&shared_call, call).await };
-    spawn_answer(shared, state, answer, id, is_http11, !keep_alive);
+    state.spawn_answer(shared, call_info, answer);
     if let Some((prefix, body_sender)) = unsent {
         forward_body(
             reader,
@@ -241,21 +200,24 @@
 /// Waits for the first byte of a call.
 ///
 /// # Errors
-/// [`ReadEnd`] if the connection was idle for too long, the daemon is stopping, or
-/// the client disconnected.
+/// [`ReadEnd`] if the connection was idle for too long, a planned stop closes it behind the
+/// calls that were read, or the client disconnected.
 async fn wait_for_first_byte(
     shared: &MeshShared,
     state: &ConnectionState,
     reader: &mut MessageReader<OwnedReadHalf>,
 ) -> Result<(), ReadEnd> {
-    while !reader.has_buffered_bytes() {
-        let is_busy = !state.pending.borrow().is_empty();
-        if shared.stop.is_closing() && !is_busy {
+    loop {
+        if state.next_call(shared.stop.phase()) == NextCall::None {
             return Err(ReadEnd::CloseAfterAnswers(None));
         }
+        if reader.has_buffered_bytes() {
+            return Ok(());
+        }
+        let is_idle = state.is_idle();
         let idle_timeout = shared.current_index().limits().idle_timeout;
-        let idle_until = state.last_active.get() + idle_timeout;
-        if !is_busy && shared.clock.now() >= idle_until {
+        let idle_until = state.last_active() + idle_timeout;
+        if is_idle && shared.clock.now() >= idle_until {
             return Err(ReadEnd::CloseAfterAnswers(None));
         }
         tokio::select! {
@@ -263,12 +225,11 @@
                 Ok(true) => {}
                 Ok(false) | Err(_) => return Err(ReadEnd::Disconnected),
             },
-            () = tokio::time::sleep_until(idle_until.into()), if !is_busy => {}
-            () = state.answer_written.notified() => {}
-            () = shared.stop.phase_changed.notified() => {}
+            () = tokio::time::sleep_until(idle_until.into()), if is_idle => {}
+            () = state.answer_written() => {}
+            () = shared.stop.phase_changed() => {}
         }
     }
-    Ok(())
 }
 
 /// Writes answers in the order of their calls. Returns after the answer that closes
@@ -281,34 +242,12 @@
     state: &ConnectionState,
     writer: &mut OwnedWriteHalf,
 ) -> std::io::Result<()> {
-    loop {
-        let next_pending = state.pending.borrow_mut().pop_front();
-        let Some(mut pending) = next_pending else {
-            if state.is_input_closed.get() {
-                return Ok(());
-            }
-            state.call_added.notified().await;
-            continue;
-        };
-        let answer = match (&mut pending.task).await {
-            Ok(answer) => answer,
-            Err(error) => {
-                log::error!(
-                    "event=call_task_failed request={} error=\"{error}\"",
-                    pending.id
-                );
-                ClientAnswer::local(502)
-            }
-        };
-        let is_last_pending = state.pending.borrow().is_empty();
-        let closes_connection =
-            pending.closes_connection || (shared.stop.is_closing() && is_last_pending);
-        let closes_connection =
-            write_answer(&shared.egress, writer, &pending, answer, closes_connection).await?;
-        state.last_active.set(shared.clock.now());
-        state.answer_written.notify_one();
+    while let Some((pending, answer)) = state.next_answer().await {
+        let closes_connection = write_answer(&shared.egress, writer, &pending.call, answer).await?;
+        state.finish_answer(shared.clock.now());
         if closes_connection {
-            return Ok(());
+            break;
         }
     }
+    Ok(())
 }
--- a/crates/mesh/src/messages/calls.rs
+++ b/crates/mesh/src/messages/calls.rs
@@ -58,6 +58,13 @@
         self.soft_deadline_us = self.soft_deadline_us.saturating_sub(elapsed_us);
     }
 
+    /// Shortens the deadlines to `time_left` from now, if they are later.
+    pub fn shorten_deadlines(&mut self, time_left: Duration) {
+        let time_left_us = to_micros(time_left);
+        self.deadline_us = self.deadline_us.min(time_left_us);
+        self.soft_deadline_us = self.soft_deadline_us.min(time_left_us);
+    }
+
     /// Framing of the call's body on the connection to the target.
     #[must_use]
     pub fn body_framing(&self) -> BodyFraming {
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -329,7 +329,7 @@
 /// Serves the metrics to every connection that `listener` accepts. Runs until the
 /// process ends.
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
-    accept_loop("metrics", listener, |stream| {
+    accept_loop("metrics", &listener, |stream| {
         let shared = Rc::clone(&shared);
         serve_requests(stream, async move |head, _| SimpleResponse {
             status: 200,
--- a/crates/mesh/src/ready.rs
+++ b/crates/mesh/src/ready.rs
@@ -10,7 +10,7 @@
 
 /// Answers readiness checks on `listener`. Runs until the process ends.
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
-    accept_loop("ready", listener, |stream| {
+    accept_loop("ready", &listener, |stream| {
         let shared = Rc::clone(&shared);
         serve_requests(stream, async move |head, _| {
             SimpleResponse::status(if head.target.starts_with(READINESS_PATH) {
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -112,6 +112,9 @@
         }
     };
     let received_at = shared.clock.now();
+    if let Some(time_to_exit) = shared.stop.time_to_exit(received_at) {
+        call.shorten_deadlines(time_to_exit);
+    }
     let deadline = received_at + Duration::from_micros(call.deadline_us);
     let organisation = call.organisation;
     let work = async {
--- a/crates/mesh/src/small_server.rs
+++ b/crates/mesh/src/small_server.rs
@@ -26,7 +26,7 @@
 /// `port` names the listener in log lines.
 pub async fn accept_loop<F>(
     port: &'static str,
-    listener: TcpListener,
+    listener: &TcpListener,
     serve: impl Fn(TcpStream) -> F,
 ) where
     F: Future<Output = ()> + 'static,
@@ -44,6 +44,25 @@
     }
 }
 
+/// Accepts and serves the connections that wait to be accepted, and no others.
+pub async fn accept_waiting<F>(listener: &TcpListener, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    loop {
+        tokio::select! {
+            biased;
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(serve(stream));
+                }
+                Err(_) => return,
+            },
+            () = std::future::ready(()) => return,
+        }
+    }
+}
+
 fn encode_response(response: &SimpleResponse, keep_alive: bool) -> Vec<u8> {
     let connection = if keep_alive { "keep-alive" } else { "close" };
     format!(
--- a/crates/mesh/src/stop.rs
+++ b/crates/mesh/src/stop.rs
@@ -1,6 +1,8 @@
 //! Planned stop of the daemon. It reports that it is not ready and goes on serving
 //! until callers have moved to other hosts. Then it closes its persistent connections,
-//! each after its last answer, and exits when no call is left.
+//! each behind the calls that were read, and exits when no call is left. Clients that have
+//! nowhere else to go are served until the process ends; a call that cannot be answered by
+//! then is refused.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -25,6 +27,10 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which a stop checks whether it can go on.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time that the last answers get to reach their connections.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+/// Interval at which the end of the last answers is checked.
+const LAST_ANSWERS_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Time without calls before the process exits, so that calls on connections that were
 /// opened just before are answered.
 const QUIET_PERIOD: Duration = Duration::from_millis(300);
@@ -37,8 +43,12 @@
     Serving,
     /// Readiness checks fail; calls are still served.
     NotReady,
-    /// Connections are closed after the answer in progress, idle ones at once.
+    /// The connections that are open are closed behind the calls that were read, or behind
+    /// one more.
     Closing,
+    /// The process ends: no connection is accepted, and each call that is left is answered
+    /// at once.
+    Ending,
 }
 
 /// State of a planned stop, and the calls that it waits for.
@@ -52,8 +62,8 @@
     active_calls: Cell<u32>,
     last_call_end: Cell<Option<Instant>>,
     exit_deadline: Cell<Option<Instant>>,
-    /// Notified when connections have to be closed.
-    pub phase_changed: Notify,
+    /// Notified of each change of the phase.
+    phase_changed: Notify,
 }
 
 /// Counts a call of a client or of another daemon as active until dropped, from its
@@ -94,17 +104,39 @@
         self.phase.get() > StopPhase::Serving
     }
 
-    /// Returns whether connections have to be closed after the answer in progress.
+    /// Returns the phase of the stop.
     #[must_use]
-    pub fn is_closing(&self) -> bool {
-        self.phase.get() == StopPhase::Closing
+    pub fn phase(&self) -> StopPhase {
+        self.phase.get()
     }
 
-    /// Returns when the process exits at the latest; `None` if no stop is in progress.
-    /// A call has no more time than that, however long its client would wait.
+    /// Waits for the next change of the phase.
+    pub async fn phase_changed(&self) {
+        self.phase_changed.notified().await;
+    }
+
+    /// Waits until the stop has reached `phase`.
+    pub async fn reached(&self, phase: StopPhase) {
+        loop {
+            let changed = self.phase_changed.notified();
+            if self.phase.get() >= phase {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn enter(&self, phase: StopPhase) {
+        self.phase.set(phase);
+        self.phase_changed.notify_waiters();
+    }
+
+    /// Returns the time until the process exits at the latest; `None` if no stop is in
+    /// progress. A call has no more time than that, however long its client would wait.
     #[must_use]
-    pub fn exit_deadline(&self) -> Option<Instant> {
-        self.exit_deadline.get()
+    pub fn time_to_exit(&self, now: Instant) -> Option<Duration> {
+        let exit_deadline = self.exit_deadline.get()?;
+        Some(exit_deadline.saturating_duration_since(now))
     }
 
     /// Records a readiness check that failed because of the stop.
@@ -133,13 +165,12 @@
     log::info!("event=stop_ordered calls={}", stop.active_calls.get());
     let exit_deadline = started + grace.saturating_sub(EXIT_MARGIN);
     stop.exit_deadline.set(Some(exit_deadline));
-    stop.phase.set(StopPhase::NotReady);
+    stop.enter(StopPhase::NotReady);
     while !may_close(stop, clock.now(), started, grace) {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    stop.phase.set(StopPhase::Closing);
+    stop.enter(StopPhase::Closing);
     shared.gate.stop();
-    stop.phase_changed.notify_waiters();
     log::info!(
         "event=stop_closing misses={} calls={} at_target={}",
         stop.failed_checks.get(),
@@ -178,6 +209,8 @@
     {
         log::warn!("event=stop_cut_short reason=\"the grace time is over\"");
     }
+    stop.enter(StopPhase::Ending);
+    write_last_answers(&shared).await;
     log::info!(
         "event=stopped calls={} at_target={}",
         stop.active_calls.get(),
@@ -186,6 +219,18 @@
     Ok(())
 }
 
+/// Waits until the answers to the calls that were read last are handed to their connections,
+/// for [`LAST_ANSWERS_TIME`] at most.
+async fn write_last_answers(shared: &MeshShared) {
+    let until = shared.clock.now() + LAST_ANSWERS_TIME;
+    loop {
+        tokio::time::sleep(LAST_ANSWERS_POLL_INTERVAL).await;
+        if shared.stop.active_calls.get() == 0 || shared.clock.now() >= until {
+            return;
+        }
+    }
+}
+
 /// Returns whether the stop may go on to [`StopPhase::Closing`]: callers have been sent
 /// elsewhere, or the time to wait for this is over.
 fn may_close(stop: &StopState, now: Instant, started: Instant, grace: Duration) -> bool {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 //!   its momentary pace.
 //! - [`egress`] paces answers on a slow network link.
 //! - [`membership`] plans the links to other hosts.
+//! - [`planned_stop`] decides which calls a stopping daemon still accepts.
 //! - [`store_access`] decides which daemon queries the store, and when.
 //! - [`rollout`] moves a service to another software version or rolls it back.
 
@@ -43,6 +44,7 @@
 pub mod organisations;
 pub mod pace;
 pub mod placement;
+pub mod planned_stop;
 pub mod quarantine;
 pub mod refusal;
 pub mod restart_check;
