Test that the idle limit does not run during a call

Cause: the reader of a connection looked for calls in progress in the queue, from which the writer had taken the one it waited for. When an answer was written while the next call ran, the reader found nothing in progress, and closed the input after the idle limit; the connection ended behind that call's answer with no word, and the client's next call with it.

--- a/tests/mesh_slow_clients.rs
+++ b/tests/mesh_slow_clients.rs
@@ -8,10 +8,11 @@
 use std::time::{Duration, Instant};
 
 use filbert_platform_standin::host::call_headers;
+use filbert_platform_standin::{config_text, RouteSpec, TargetBehaviour};
 use nix::sys::signal::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use users::two_host_fleet;
+use users::{eventually_logs, two_host_fleet};
 
 /// Length of an answer's body: more than the clients' windows.
 const BODY_BYTES: usize = 540_000;
@@ -105,3 +106,36 @@
     let received = read_slowly(stream, GRACE_TIME).await;
     assert!(received >= BODY_BYTES, "{received} bytes");
 }
+
+/// Guards against an idle limit that runs during a call: the connection was closed behind the
+/// answer with no word, and the client's next call with it.
+#[tokio::test]
+async fn a_call_longer_than_the_idle_limit_keeps_its_connection() {
+    let fleet = two_host_fleet("a").await;
+    let routes = [RouteSpec::reads("/read/", "quotes")];
+    let text = String::from_utf8(config_text(2, &routes)).expect("JSON");
+    let short_idle = text.replace(r#""idle":"15s""#, r#""idle":"600ms""#);
+    assert_ne!(text, short_idle);
+    fleet.store.put("op", "config", short_idle.as_bytes());
+    assert!(eventually_logs(&fleet.hosts[0], "event=version_in_force version=00000002").await);
+    let slow = TargetBehaviour::RespondsAfter(Duration::from_millis(1_200));
+    fleet.hosts[1]
+        .target
+        .set_behaviour_for_prefix("/read/slow", slow);
+    let mut client = fleet.connect(0).await;
+    for (id, line) in [
+        ("read-1", "GET /read/a HTTP/1.1"),
+        ("read-2", "GET /read/slow HTTP/1.1"),
+    ] {
+        let headers = call_headers(id);
+        client.send(line, &headers, b"").await.expect("sent");
+    }
+    for _ in 0..2 {
+        let answer = client.answer().await.expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    let headers = call_headers("read-3");
+    let sent = client.send("GET /read/a HTTP/1.1", &headers, b"").await;
+    sent.expect("sent");
+    assert!(client.answer().await.is_some(), "{}", fleet.hosts[0].log());
+}
