--- a/tests/mesh_stop_clients.rs
+++ b/tests/mesh_stop_clients.rs
@@ -44,6 +44,8 @@
             burst: 1,
             pipelined: 16,
             line: READ,
+            id_header: "Request-Id",
+            headers: "Deadline-Ms: 4000\r\n",
             body_bytes: 0,
         },
         run_time: Duration::from_millis(run_ms),
--- a/tests/support/steady_clients.rs
+++ b/tests/support/steady_clients.rs
@@ -1,6 +1,8 @@
 //! Clients that keep calling one daemon, whatever becomes of it, and a record of how each
 //! of their calls ended.
 
+#![allow(dead_code)] // Each test binary uses only some of the fields.
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -31,8 +33,12 @@
     pub burst: usize,
     /// Number of calls that a client has open at most.
     pub pipelined: usize,
-    /// Request line of the calls.
+    /// Method and path of the calls, to which the id of the call is added.
     pub line: &'static str,
+    /// Name of the header with the id of the call.
+    pub id_header: &'static str,
+    /// Further header lines.
+    pub headers: &'static str,
     /// Length of a call's body, in bytes.
     pub body_bytes: usize,
 }
@@ -171,9 +177,14 @@
             0 => String::new(),
             length => format!("Content-Length: {length}\r\n"),
         };
+        let CallPattern {
+            line,
+            id_header,
+            headers,
+            ..
+        } = self.pattern;
         let text = format!(
-            "{}/{id} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n{length_line}\r\n",
-            self.pattern.line
+            "{line}/{id} HTTP/1.1\r\nHost: shop.example\r\n{id_header}: {id}\r\n{headers}{length_line}\r\n"
         );
         let mut bytes = text.into_bytes();
         bytes.resize(bytes.len() + self.pattern.body_bytes, b'x');
