Serve at a planned stop only what does not prolong it

Cause: with connections that are opened in the closing phase kept and served, callers who stay kept the process until the end of its grace time, while the target beside it is closed to all.

Change: the daemon keeps the time at which the calls it has accepted are expected to end. Once connections are closed, a further call is accepted only if it ends by then, else refused with 503, a time to return and the close. Those who stay miss the daemon for the time of a restart whenever it ends; the target's slots are missed for less. The process ends as soon as no call is left, 0.3 s after the closing at the earliest, and waits up to 0.1 s for the first call of connections that it has just accepted.

--- a/crates/mesh/src/calls/mod.rs
+++ b/crates/mesh/src/calls/mod.rs
@@ -17,7 +17,7 @@
 use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::organisations::keys::OrganisationRule;
-use filbert_policy::planned_stop::{can_end_before_exit, retry_after_restart};
+use filbert_policy::planned_stop::{retry_after_restart, usual_call_time};
 use filbert_policy::routing::{RouteIndex, RouteRule};
 use filbert_policy::run_times::RunTime;
 use rand::Rng;
@@ -114,25 +114,30 @@
 /// Refuses a call that cannot be answered before a planned stop ends the process, and
 /// writes its access log line. Returns `None` if the call may run.
 pub fn refuse_before_exit(shared: &Rc<MeshShared>, call: &ClientCall) -> Option<ClientAnswer> {
-    let time_to_exit = shared.stop.time_to_exit(shared.clock.now())?;
+    let time_to_accept = shared.stop.time_to_accept(shared.clock.now())?;
     let index = shared.current_index();
     let route = index.lookup(&call.headers.host, &call.head.target)?;
     let time_left = time_left(route, call);
-    let run_time = shared
-        .expected_run_time(&route.name)
-        .unwrap_or(RunTime::exponential(UNKNOWN_RUN_TIME));
-    if can_end_before_exit(time_to_exit, time_left, run_time) {
+    if usual_time(shared, route, time_left) <= time_to_accept {
         return None;
     }
     let mut log_entry = AccessLogEntry::new(call, index.number());
     log_entry.route.clone_from(&route.name);
     log_entry.reason = "stopping";
     let jitter = rand::rng().random::<f64>();
-    let answer = service_unavailable(retry_after_restart(time_to_exit, time_left, jitter));
+    let answer = service_unavailable(retry_after_restart(time_to_accept, time_left, jitter));
     log_entry.write(shared, &answer);
     Some(answer)
 }
 
+/// Returns the time after which a call is usually answered that may take `time_left`.
+fn usual_time(shared: &MeshShared, route: &RouteRule, time_left: Duration) -> Duration {
+    let run_time = shared
+        .expected_run_time(&route.name)
+        .unwrap_or(RunTime::exponential(UNKNOWN_RUN_TIME));
+    usual_call_time(time_left, run_time)
+}
+
 /// Returns the longest time that a call may take.
 fn time_left(route: &RouteRule, call: &ClientCall) -> Duration {
     call.headers.time_left.map_or(route.timeout, |time_left| {
@@ -166,9 +171,12 @@
     mut call: ClientCall,
     log_entry: &mut AccessLogEntry,
 ) -> ClientAnswer {
+    let time_left = time_left(route, &call);
+    let usual_time = usual_time(shared, route, time_left);
+    shared.stop.record_expected_end(call.received + usual_time);
     let deadlines = CallDeadlines {
         soft: estimate_soft_deadline(shared, route, &call),
-        hard: call.received + time_left(route, &call),
+        hard: call.received + time_left,
     };
     log_entry.route.clone_from(&route.name);
     let token = match admit(shared, index, route, &mut call, deadlines, log_entry).await {
--- a/crates/mesh/src/ingress/connection.rs
+++ b/crates/mesh/src/ingress/connection.rs
@@ -14,7 +14,7 @@
 
 use crate::calls::ClientAnswer;
 use crate::state::MeshShared;
-use crate::stop::{ActiveCallGuard, StopPhase};
+use crate::stop::{ActiveCallGuard, StopPhase, UnusedConnection};
 
 /// Answer to a call whose task panicked.
 const BAD_GATEWAY: u16 = 502;
@@ -72,11 +72,13 @@
     is_input_closed: Cell<bool>,
     /// Phase of a planned stop in which the connection was opened.
     opened_in: StopPhase,
+    /// Present until the first call.
+    unused: Cell<Option<UnusedConnection>>,
 }
 
 impl ConnectionState {
     /// State of a connection that was just opened.
-    pub(super) fn new(shared: &MeshShared) -> ConnectionState {
+    pub(super) fn new(shared: &Rc<MeshShared>) -> ConnectionState {
         ConnectionState {
             pending: RefCell::default(),
             call_added: Notify::new(),
@@ -85,6 +87,7 @@
             is_writing: Cell::new(false),
             is_input_closed: Cell::new(false),
             opened_in: shared.stop.phase(),
+            unused: Cell::new(Some(UnusedConnection::new(shared))),
         }
     }
 
@@ -96,6 +99,7 @@
         call: CallInfo,
         answer: impl Future<Output = ClientAnswer> + 'static,
     ) {
+        self.unused.take();
         self.pending.borrow_mut().push_back(PendingAnswer {
             call,
             task: tokio::task::spawn_local(answer),
@@ -132,8 +136,8 @@
     /// Returns which calls the connection still reads in `phase` of a planned stop.
     ///
     /// A connection is closed once, when the stop begins to close connections. Clients that
-    /// have nowhere else to go open another one then; it is kept until the process ends,
-    /// as each close makes clients send pipelined calls again.
+    /// have nowhere else to go open another one then; it is kept while its calls can be
+    /// served, as each close makes clients send pipelined calls again.
     pub(super) fn next_call(&self, phase: StopPhase) -> NextCall {
         let closes = match phase {
             StopPhase::Serving | StopPhase::NotReady => false,
--- a/crates/policy/src/planned_stop.rs
+++ b/crates/policy/src/planned_stop.rs
@@ -3,9 +3,12 @@
 //!
 //! Load pattern: all hosts of a zone stop at the same time, so their clients have nowhere
 //! else to go and call until the processes end. A call that is cut costs its client the
-//! answer, and an order that is cut may have run; one that is refused comes back.
+//! answer, and an order that is cut may have run; one that is refused comes back. The
+//! clients miss the daemon for the time of a restart whenever the process ends, and the
+//! fleet misses the slots of its target until then: calls that would only prolong the stop
+//! are refused.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::run_times::RunTime;
 
@@ -15,18 +18,31 @@
 /// Room for runs that are longer than the mean, in mean deviations. About one in fifty runs
 /// is longer if run times are exponential.
 const RUN_TIME_DEVIATIONS: u32 = 4;
+/// Minimum time between the closing of connections and the end of the process, so that calls
+/// that are on their way are read.
+pub const MIN_DRAIN_TIME: Duration = Duration::from_millis(300);
 /// Usual time from the end of a process until the next one takes calls.
 const RESTART_TIME: Duration = Duration::from_millis(500);
 /// Minimum time before a retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(40);
 
-/// Returns whether a call that arrives `time_to_exit` before the end of the process is
-/// answered by then. `time_left` is the longest time that the call may take, `run_time` its
-/// usual run time.
+/// Returns the time after which a call is usually answered. `time_left` is the longest time
+/// that it may take, `run_time` its usual run time.
 #[must_use]
-pub fn can_end_before_exit(time_to_exit: Duration, time_left: Duration, run_time: RunTime) -> bool {
-    let usual_time = run_time.mean + run_time.mean_deviation * RUN_TIME_DEVIATIONS;
-    usual_time.min(time_left) + ANSWER_TIME <= time_to_exit
+pub fn usual_call_time(time_left: Duration, run_time: RunTime) -> Duration {
+    let usual_run = run_time.mean + run_time.mean_deviation * RUN_TIME_DEVIATIONS;
+    usual_run.min(time_left) + ANSWER_TIME
+}
+
+/// Returns by when a process is expected to end whose connections are closed from `now` on.
+/// The calls that it has accepted are expected to end by `last_call_end`; it must end by
+/// `exit_deadline`.
+#[must_use]
+pub fn drain_end(now: Instant, last_call_end: Option<Instant>, exit_deadline: Instant) -> Instant {
+    let earliest = now + MIN_DRAIN_TIME;
+    last_call_end
+        .map_or(earliest, |last_call_end| last_call_end.max(earliest))
+        .min(exit_deadline)
 }
 
 /// Returns the time after which the caller of a refused call should retry: when the next
--- a/crates/policy/tests/planned_stop_cases.rs
+++ b/crates/policy/tests/planned_stop_cases.rs
@@ -1,8 +1,8 @@
 //! Which calls a stopping daemon accepts, and when the callers of others return.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use filbert_policy::planned_stop::{can_end_before_exit, retry_after_restart};
+use filbert_policy::planned_stop::{drain_end, retry_after_restart, usual_call_time};
 use filbert_policy::run_times::RunTime;
 use rstest::rstest;
 
@@ -39,10 +39,21 @@
         mean: call.mean,
         mean_deviation: call.mean_deviation,
     };
-    assert_eq!(
-        can_end_before_exit(call.to_exit, call.time_left, run_time),
-        expected
-    );
+    let usual_time = usual_call_time(call.time_left, run_time);
+    assert_eq!(usual_time <= call.to_exit, expected, "{usual_time:?}");
+}
+
+/// Guards against a stop that clients who stay prolong to its deadline, and against one that
+/// ends under calls that it has accepted.
+#[test]
+fn a_stop_ends_with_the_calls_accepted_before() {
+    let now = Instant::now();
+    let exit_deadline = now + ms(3_000);
+    let end = |last_call_end| drain_end(now, last_call_end, exit_deadline) - now;
+    assert_eq!(end(None), ms(300));
+    assert_eq!(end(Some(now + ms(20))), ms(300));
+    assert_eq!(end(Some(now + ms(900))), ms(900));
+    assert_eq!(end(Some(now + ms(9_000))), ms(3_000));
 }
 
 /// Guards against callers that return before the next process takes calls, or all at once.
