Bound the bytes that frame a body, and empty lines ahead of a head

Cause: chunk extensions and trailer fields were bounded line by line, and empty lines ahead of a head not at all.

Change: a decoder counts what is no data, 64 KiB by default; a reader counts the empty lines towards the limit of the head.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -33,7 +33,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
     /// A chunk-size line, the end of a chunk or a trailer line is malformed or
-    /// too long.
+    /// too long, or all of them together are.
     BadChunk,
     /// The connection closed before the end of the body.
     Truncated,
@@ -64,6 +64,10 @@
 /// Maximum length in bytes of a chunk-size line or a trailer line. Real peers
 /// send far shorter lines; the limit bounds the memory that a connection holds.
 const MAX_CHUNK_LINE_BYTES: usize = 4096;
+/// Length in bytes of the longest chunk-size line without extensions.
+const PLAIN_CHUNK_LINE_BYTES: usize = 18;
+/// Default maximum of the bytes of chunk extensions and trailer fields in one body.
+const DEFAULT_MAX_OVERHEAD_BYTES: usize = 64 * 1024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DecodeState {
@@ -81,6 +85,8 @@
 #[derive(Clone, Debug)]
 pub struct BodyDecoder {
     state: DecodeState,
+    /// Number of bytes of chunk extensions and trailer fields that may still follow.
+    overhead_left: usize,
 }
 
 impl BodyDecoder {
@@ -93,7 +99,27 @@
             BodyFraming::Chunked => DecodeState::ChunkSize,
             BodyFraming::UntilClose => DecodeState::UntilClose,
         };
-        BodyDecoder { state }
+        BodyDecoder {
+            state,
+            overhead_left: DEFAULT_MAX_OVERHEAD_BYTES,
+        }
+    }
+
+    /// Sets the maximum of the bytes of chunk extensions and trailer fields in the body.
+    /// A sender that adds them without end would be read without end.
+    #[must_use]
+    pub fn with_max_overhead(self, bytes: usize) -> BodyDecoder {
+        BodyDecoder {
+            overhead_left: bytes,
+            ..self
+        }
+    }
+
+    /// Counts `bytes` of chunk extensions or trailer fields.
+    fn count_overhead(&mut self, bytes: usize) -> Result<(), BodyError> {
+        let left = self.overhead_left.checked_sub(bytes);
+        self.overhead_left = left.ok_or(BodyError::BadChunk)?;
+        Ok(())
     }
 
     /// Whether the whole body has been decoded.
@@ -146,6 +172,7 @@
                 DecodeState::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((used, size))) => {
                         buffer.advance(used);
+                        self.count_overhead(used.saturating_sub(PLAIN_CHUNK_LINE_BYTES))?;
                         self.state = match size {
                             0 => DecodeState::Trailers,
                             size => DecodeState::ChunkData(size),
@@ -174,6 +201,7 @@
                         return Ok(DecodeOutcome::NeedMore);
                     };
                     buffer.advance(end + 2);
+                    self.count_overhead(end)?;
                     if end == 0 {
                         self.state = DecodeState::Done;
                     }
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -59,6 +59,8 @@
     buffer: BytesMut,
     /// Number of buffered bytes that are known to hold no end of a head.
     scanned: usize,
+    /// Number of bytes of empty lines that were skipped ahead of the next head.
+    skipped: usize,
 }
 
 impl<R: AsyncRead + Unpin> MessageReader<R> {
@@ -68,6 +70,7 @@
             stream,
             buffer: BytesMut::new(),
             scanned: 0,
+            skipped: 0,
         }
     }
 
@@ -86,6 +89,7 @@
     pub fn discard_buffered(&mut self) {
         self.buffer.clear();
         self.scanned = 0;
+        self.skipped = 0;
     }
 
     /// Reads once from the stream into the buffer and returns false at the end of
@@ -106,10 +110,16 @@
         // A recipient ignores empty lines before a message (RFC 9112, section 2.2).
         while self.scanned == 0 && self.buffer.starts_with(b"\r\n") {
             let _ = self.buffer.split_to(2);
+            self.skipped += 2;
         }
+        // A sender of empty lines without end would be read without end.
+        let limit = limit
+            .checked_sub(self.skipped)
+            .ok_or(ReadError::HeadTooLong)?;
         match head_length(&self.buffer, self.scanned) {
             Some(length) if length <= limit => {
                 self.scanned = 0;
+                self.skipped = 0;
                 Ok(Some(self.buffer.split_to(length).freeze()))
             }
             Some(_) => Err(ReadError::HeadTooLong),
--- a/crates/http1/tests/message_cases.rs
+++ b/crates/http1/tests/message_cases.rs
@@ -3,7 +3,8 @@
 
 use bytes::Bytes;
 use filbert_http1::{
-    BodyDecoder, BodyFraming, HeadError, MessageReader, ReadError, RequestHead, ResponseHead,
+    BodyDecoder, BodyError, BodyFraming, HeadError, MessageReader, ReadError, RequestHead,
+    ResponseHead,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -142,6 +143,39 @@
     ));
 }
 
+/// Guards against a sender of chunk extensions, trailer fields or empty lines without end.
+#[rstest]
+#[case::extensions("1;name=value-of-20-bytes\r\nx\r\n", "")]
+#[case::trailers("X-Trailer: value-of-20-bytes\r\n", "0\r\n")]
+#[tokio::test]
+async fn framing_without_end_is_malformed(#[case] repeated: &str, #[case] start: &str) {
+    const MAX_OVERHEAD_BYTES: usize = 1_000;
+    let text = start.to_owned() + &repeated.repeat(10 * MAX_OVERHEAD_BYTES / repeated.len());
+    let mut reader = MessageReader::new(text.as_bytes());
+    let mut decoder = BodyDecoder::new(BodyFraming::Chunked).with_max_overhead(MAX_OVERHEAD_BYTES);
+    let error = loop {
+        match reader.read_body_data(&mut decoder).await {
+            Ok(Some(_)) => {}
+            Ok(None) => panic!("the end of the body"),
+            Err(error) => break error,
+        }
+    };
+    assert!(
+        matches!(error, ReadError::Body(BodyError::BadChunk)),
+        "{error}"
+    );
+}
+
+#[tokio::test]
+async fn empty_lines_without_end_are_no_head() {
+    let text = "\r\n".repeat(5_000);
+    let mut reader = MessageReader::new(text.as_bytes());
+    assert!(matches!(
+        reader.read_head(4_096).await,
+        Err(ReadError::HeadTooLong)
+    ));
+}
+
 proptest! {
     /// The decoded body depends neither on the sizes of the chunks nor on those of
     /// the reads, and the message after the body stays in the buffer.
