End a call at its deadline on each host that carries a part of it

A client that left, or fell silent, while its long body was read kept its call or its connection.

Cause: the deadline of a call ended with the head of its answer, and what is no body was bounded in its parts only. Evidence: an answer at the target's own host stayed open like one over a link. A client's leaving was seen by reading alone, and nothing is read while a body waits for a slot.

Change: policy/call_limits.rs states for all hosts and both directions how long a call may last and how much besides bodies may be read for it, in header limits. The target's connection and slot, links, the client's side, the gate behind a caller that stands still and the bodies of calls follow it.

--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -1,8 +1,10 @@
 //! Bodies of calls and answers, streamed through the daemon.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use filbert_policy::call_limits::AnswerDeadline;
 use h2::RecvStream;
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
@@ -10,9 +12,14 @@
 use crate::peers::LinkGuard;
 use crate::target::RunBody;
 
-/// Error: the sender of a body ended it before it was complete.
+/// Why a body ended before it was complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BodyTruncated;
+pub enum BodyTruncated {
+    /// Its sender broke it off, or sent what is no body.
+    BrokenOff,
+    /// The call's deadline passed.
+    AtDeadline,
+}
 
 /// A call's body.
 #[derive(Debug)]
@@ -44,7 +51,7 @@
             BodySource::Client(queue) => match queue.recv().await {
                 Some(data) if data.is_empty() => Ok(None),
                 Some(data) => Ok(Some(data)),
-                None => Err(BodyTruncated),
+                None => Err(BodyTruncated::BrokenOff),
             },
             BodySource::Link(body) => body.next().await,
         }
@@ -95,7 +102,7 @@
                 }
                 Ok(Some(data))
             }
-            Some(Err(_)) => Err(BodyTruncated),
+            Some(Err(_)) => Err(BodyTruncated::BrokenOff),
             None => Ok(None),
         }
     }
@@ -161,6 +168,20 @@
         }
     }
 
+    /// Time until which the body is sent on to a client that may be idle for `idle_timeout`.
+    /// While it is read from the target it holds a slot there, which a slow client must not
+    /// keep beyond the deadline.
+    #[must_use]
+    pub fn send_until(&self, deadline: AnswerDeadline, idle_timeout: Duration) -> Instant {
+        match self {
+            AnswerBody::Run(_) => deadline.slot_until(),
+            AnswerBody::Partial(_, rest) => rest.send_until(deadline, idle_timeout),
+            AnswerBody::Whole(_) | AnswerBody::Buffered(_) | AnswerBody::Link(_) => {
+                deadline.send_until(idle_timeout)
+            }
+        }
+    }
+
     /// Reads ahead until the body is complete or more than `max_bytes` are
     /// buffered. If the body is truncated before that, nothing of the answer has been
     /// forwarded, and a repeatable call can be retried.
@@ -218,10 +239,13 @@
                     Ok(Some(data)) => {
                         let kib = u32::try_from(data.len().div_ceil(KIB)).unwrap_or(u32::MAX);
                         // The semaphore is never closed.
-                        let Ok(permit) = Arc::clone(&free_kib).acquire_many_owned(kib).await else {
-                            return;
-                        };
-                        Ok((data, permit))
+                        let permit = Arc::clone(&free_kib).acquire_many_owned(kib);
+                        let until = body.deadline().read_until();
+                        match tokio::time::timeout_at(until.into(), permit).await {
+                            Ok(Ok(permit)) => Ok((data, permit)),
+                            Ok(Err(_)) => return,
+                            Err(_) => Err(BodyTruncated::AtDeadline),
+                        }
                     }
                     Ok(None) => return,
                     Err(error) => Err(error),
--- a/crates/mesh/src/calls/access_log.rs
+++ b/crates/mesh/src/calls/access_log.rs
@@ -64,10 +64,10 @@
         let now = shared.clock.now();
         let elapsed = now.saturating_duration_since(self.received);
         let (outcome, status, retry_after) = match answer {
-            ClientAnswer::Target(head, ..) if head.status >= MIN_SERVER_ERROR_STATUS => {
-                ("target_failed", head.status, None)
+            ClientAnswer::Target(answer) if answer.head.status >= MIN_SERVER_ERROR_STATUS => {
+                ("target_failed", answer.head.status, None)
             }
-            ClientAnswer::Target(head, ..) => ("answered", head.status, None),
+            ClientAnswer::Target(answer) => ("answered", answer.head.status, None),
             ClientAnswer::Local {
                 status,
                 retry_after,
--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_policy::attempt::{AttemptEnd, NextStep};
+use filbert_policy::call_limits::AnswerDeadline;
 use filbert_policy::quarantine::QuarantineState;
 use filbert_policy::routing::RouteRule;
 use filbert_policy::run_times::RunTime;
@@ -19,7 +20,7 @@
 use super::attempt::{first_outcome, start_attempt, AttemptOutcome, RunningAttempt};
 use super::outgoing::{client_deadline, into_call_parts, ReplayBody};
 use super::pick::{Destination, PickedTarget};
-use super::{ClientAnswer, ClientCall, MIN_SERVER_ERROR_STATUS};
+use super::{ClientAnswer, ClientCall, TargetAnswer, MIN_SERVER_ERROR_STATUS};
 use crate::body::AnswerBody;
 use crate::messages::{to_micros, AnswerHead, CallHead};
 use crate::quarantine::ProbePermit;
@@ -212,7 +213,7 @@
                             self.shared.quarantine.record_success(self.head.identity);
                         }
                     }
-                    return ClientAnswer::Target(head, body, self.head.organisation);
+                    return self.target_answer(head, body);
                 }
                 (NextStep::SendAgain, AttemptOutcome::Answer { head, body, .. }) => {
                     self.failed_answer = Some((head, body));
@@ -292,6 +293,15 @@
         }
     }
 
+    fn target_answer(&self, head: AnswerHead, body: AnswerBody) -> ClientAnswer {
+        ClientAnswer::Target(TargetAnswer {
+            head,
+            body,
+            organisation: self.head.organisation,
+            deadline: AnswerDeadline::new(self.deadline),
+        })
+    }
+
     /// Waits for the stalled attempts, and returns the final answer if none of them
     /// is answered.
     async fn finish(self, mut stalled_attempts: Vec<RunningAttempt>) -> ClientAnswer {
@@ -300,7 +310,7 @@
             let (host, outcome) = first_outcome(&mut stalled_attempts).await;
             if let AttemptOutcome::Answer { head, body, .. } = outcome {
                 self.log_entry.host = host;
-                return ClientAnswer::Target(head, body, self.head.organisation);
+                return self.target_answer(head, body);
             }
         }
         self.final_answer()
--- a/crates/mesh/src/calls/dispatch/ending.rs
+++ b/crates/mesh/src/calls/dispatch/ending.rs
@@ -48,9 +48,9 @@
     /// The answer if no further attempt is made: a target's own failure answer if
     /// there is one, otherwise a local reply that states whether the call may have
     /// run.
-    pub(super) fn final_answer(self) -> ClientAnswer {
-        if let Some((head, body)) = self.failed_answer {
-            return ClientAnswer::Target(head, body, self.head.organisation);
+    pub(super) fn final_answer(mut self) -> ClientAnswer {
+        if let Some((head, body)) = self.failed_answer.take() {
+            return self.target_answer(head, body);
         }
         if self.progress.may_have_run.get() {
             self.log_entry.reason = "answer_lost";
--- a/crates/mesh/src/calls/mod.rs
+++ b/crates/mesh/src/calls/mod.rs
@@ -14,6 +14,7 @@
 
 use filbert_http1::RequestHead;
 use filbert_platform::headers::CallHeaders;
+use filbert_policy::call_limits::AnswerDeadline;
 use filbert_policy::fair_share::OrganisationShare;
 use filbert_policy::identity::CallIdentity;
 use filbert_policy::organisations::keys::OrganisationRule;
@@ -81,11 +82,24 @@
     }
 }
 
+/// An answer of the target to a client's call.
+#[derive(Debug)]
+pub struct TargetAnswer {
+    /// Status and headers.
+    pub head: AnswerHead,
+    /// The body, of which the first part has been read.
+    pub body: AnswerBody,
+    /// The organisation that the call belongs to.
+    pub organisation: Option<OrganisationShare>,
+    /// Deadline of the answer.
+    pub deadline: AnswerDeadline,
+}
+
 /// The answer to a client's call.
 #[derive(Debug)]
 pub enum ClientAnswer {
-    /// An answer of the target, and the organisation that the call belongs to.
-    Target(AnswerHead, AnswerBody, Option<OrganisationShare>),
+    /// An answer of the target.
+    Target(TargetAnswer),
     /// A local reply of this daemon, without a body.
     Local {
         /// Status code.
@@ -117,7 +131,7 @@
     let time_to_accept = shared.stop.time_to_accept(shared.clock.now())?;
     let index = shared.current_index();
     let route = index.lookup(&call.headers.host, &call.head.target)?;
-    let time_left = time_left(route, call);
+    let time_left = time_left(route, &call.headers);
     if usual_time(shared, route, time_left) <= time_to_accept {
         return None;
     }
@@ -138,9 +152,21 @@
     usual_call_time(time_left, run_time)
 }
 
+/// Returns the time that a client has for the body of a call: as long as the call may take.
+/// A call without a route is answered at once; its body may take as long as a client may be
+/// idle.
+pub fn body_time(shared: &MeshShared, head: &RequestHead, headers: &CallHeaders) -> Duration {
+    let index = shared.current_index();
+    index
+        .lookup(&headers.host, &head.target)
+        .map_or(index.limits().idle_timeout, |route| {
+            time_left(route, headers)
+        })
+}
+
 /// Returns the longest time that a call may take.
-fn time_left(route: &RouteRule, call: &ClientCall) -> Duration {
-    call.headers.time_left.map_or(route.timeout, |time_left| {
+fn time_left(route: &RouteRule, headers: &CallHeaders) -> Duration {
+    headers.time_left.map_or(route.timeout, |time_left| {
         time_left
             .saturating_sub(CLIENT_NETWORK_MARGIN)
             .min(route.timeout)
@@ -171,7 +197,7 @@
     mut call: ClientCall,
     log_entry: &mut AccessLogEntry,
 ) -> ClientAnswer {
-    let time_left = time_left(route, &call);
+    let time_left = time_left(route, &call.headers);
     let usual_time = usual_time(shared, route, time_left);
     shared.stop.record_expected_end(call.received + usual_time);
     let deadlines = CallDeadlines {
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -20,6 +20,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_policy::admission::{AdmissionQueue, QueueLimits, WaitTicket};
+use filbert_policy::call_limits::OverheadLimits;
 use filbert_policy::clock::Clock;
 use filbert_policy::health::{RunOutcome, TargetHealth};
 use filbert_policy::identity::CallIdentity;
@@ -28,6 +29,7 @@
 };
 use filbert_policy::pace::PaceTracker;
 use filbert_policy::restart_check::RestartCheck;
+use filbert_policy::routing::ClientLimits;
 use filbert_policy::run_times::RunTimeEstimator;
 use filbert_policy::target_limit::CallRate;
 use filbert_policy::target_memory::ReportedLimits;
@@ -100,6 +102,8 @@
     address: Cell<SocketAddr>,
     drain_time: Cell<Duration>,
     report_interval: Cell<Duration>,
+    /// Limits on what is read for a call besides bodies.
+    overhead_limits: Cell<OverheadLimits>,
     /// Whether the daemon itself is stopping.
     is_stopping: Cell<bool>,
     /// Signals that a call was queued.
@@ -156,6 +160,7 @@
             address: Cell::new(settings.target),
             drain_time: Cell::new(settings.times.drain),
             report_interval: Cell::new(settings.times.report_every),
+            overhead_limits: Cell::new(OverheadLimits::new(ClientLimits::default().head_bytes)),
             is_stopping: Cell::new(false),
             call_queued: Notify::new(),
             status_changed: Notify::new(),
@@ -171,6 +176,12 @@
         self.report_interval.set(times.report_every);
     }
 
+    /// Applies the limits of a configuration version.
+    pub fn apply_limits(&self, limits: &ClientLimits) {
+        self.overhead_limits
+            .set(OverheadLimits::new(limits.head_bytes));
+    }
+
     /// Closes the gate for good, as the daemon is stopping.
     pub fn stop(&self) {
         self.is_stopping.set(true);
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -6,6 +6,7 @@
 use filbert_http1::ResponseHead;
 use filbert_platform::headers;
 use filbert_policy::admission::{AdmissionRequest, DeclineReason, LinkTime};
+use filbert_policy::call_limits::AnswerDeadline;
 use filbert_policy::egress::MAX_UNPACED_BYTES;
 use filbert_policy::health::RunOutcome;
 use filbert_policy::instance::InstanceKey;
@@ -72,6 +73,8 @@
             address: self.address.get(),
             instance_id: &instance.id,
             time_to_deadline: request.deadline.saturating_duration_since(started_at),
+            deadline: AnswerDeadline::new(request.deadline),
+            limits: self.overhead_limits.get(),
             permit,
         };
         let outcome = self
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Ends a run whose target fell silent inside the answer, as failed.
+    pub fn end_silent(self) {
+        self.gate.record_outcome(RunOutcome::Failure);
+    }
+
     /// Ends a run whose answer was complete and no failure. Clears the call in the
     /// quarantine.
     pub fn end_successful(self) {
--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -4,28 +4,61 @@
 
 use filbert_http1::{BodyEncoder, BodyFraming, LengthMismatch};
 use filbert_platform::headers;
-use filbert_policy::fair_share::OrganisationShare;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::connection::CallInfo;
-use crate::body::AnswerBody;
-use crate::calls::ClientAnswer;
+use crate::body::{AnswerBody, BodyTruncated};
+use crate::calls::{ClientAnswer, TargetAnswer};
 use crate::egress::EgressPacer;
-use crate::messages::AnswerHead;
 use crate::small_server::reason_phrase;
 
+/// Why an answer was not written to its end. The connection is closed, so that the client
+/// does not take the answer for complete.
+#[derive(Debug)]
+pub(super) enum AnswerFault {
+    /// The client has disconnected.
+    Disconnected,
+    /// The target or its host broke the answer off, or it is spoiled.
+    BrokenOff,
+    /// The call's deadline passed before the target had sent all of it.
+    AtDeadline,
+    /// The client reads too slowly.
+    ClientTooSlow,
+}
+
+impl AnswerFault {
+    /// Name of the fault in log lines.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            AnswerFault::Disconnected => "client_left",
+            AnswerFault::BrokenOff => "broken_off",
+            AnswerFault::AtDeadline => "time_up",
+            AnswerFault::ClientTooSlow => "client_too_slow",
+        }
+    }
+}
+
+impl From<std::io::Error> for AnswerFault {
+    fn from(_: std::io::Error) -> AnswerFault {
+        AnswerFault::Disconnected
+    }
+}
+
 /// Writes `answer` as the answer to `call`. Returns whether the connection must be closed
 /// behind it: because the call says so, or because the close is what ends the answer's body.
 ///
+/// The client may be idle for `idle_timeout`.
+///
 /// # Errors
-/// The connection's error.
+/// Why the answer was not written to its end.
 pub(super) async fn write_answer(
     egress: &EgressPacer,
     writer: &mut OwnedWriteHalf,
     call: &CallInfo,
     answer: ClientAnswer,
-) -> std::io::Result<bool> {
+    idle_timeout: Duration,
+) -> Result<bool, AnswerFault> {
     let framing = answer_framing(&answer, call.is_http11);
     let closes_connection = call.closes_connection || framing == BodyFraming::UntilClose;
     let connection_line = if closes_connection {
@@ -45,19 +78,12 @@
             );
             writer.write_all(text.as_bytes()).await?;
         }
-        ClientAnswer::Target(head, body, organisation) => {
-            write_target_answer(
-                egress,
-                writer,
-                TargetAnswer {
-                    head,
-                    body,
-                    organisation,
-                },
-                connection_line,
-                framing,
-            )
-            .await?;
+        ClientAnswer::Target(answer) => {
+            let until = answer.body.send_until(answer.deadline, idle_timeout);
+            let sent = write_target_answer(egress, writer, answer, connection_line, framing);
+            tokio::time::timeout_at(until.into(), sent)
+                .await
+                .unwrap_or(Err(AnswerFault::ClientTooSlow))?;
         }
     }
     Ok(closes_connection)
@@ -67,10 +93,12 @@
 fn answer_framing(answer: &ClientAnswer, is_http11: bool) -> BodyFraming {
     let length = match answer {
         ClientAnswer::Local { .. } => Some(0),
-        ClientAnswer::Target(head, AnswerBody::Whole(whole), _) => {
-            head.body_length.or(Some(whole.len() as u64))
-        }
-        ClientAnswer::Target(head, _, _) => head.body_length,
+        ClientAnswer::Target(TargetAnswer {
+            head,
+            body: AnswerBody::Whole(whole),
+            ..
+        }) => head.body_length.or(Some(whole.len() as u64)),
+        ClientAnswer::Target(answer) => answer.head.body_length,
     };
     match length {
         Some(length) => BodyFraming::Length(length),
@@ -85,25 +113,18 @@
 /// this connection.
 const CLIENT_SEND_TIME: Duration = Duration::from_secs(3);
 
-/// An answer of the target to a client.
-struct TargetAnswer {
-    head: AnswerHead,
-    body: AnswerBody,
-    /// The organisation that the call belongs to.
-    organisation: Option<OrganisationShare>,
-}
-
 async fn write_target_answer(
     egress: &EgressPacer,
     writer: &mut OwnedWriteHalf,
     answer: TargetAnswer,
     connection_line: &str,
     framing: BodyFraming,
-) -> std::io::Result<()> {
+) -> Result<(), AnswerFault> {
     let TargetAnswer {
         head,
         mut body,
         organisation,
+        deadline,
     } = answer;
     let mut encoder = BodyEncoder::new(framing);
     let mut first_bytes = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
@@ -125,7 +146,9 @@
         .await;
     writer.write_all(&first_bytes).await?;
     loop {
-        match body.next().await {
+        let receive_until = deadline.receive_until(egress.now());
+        let next = tokio::time::timeout_at(receive_until.into(), body.next());
+        match next.await.unwrap_or(Err(BodyTruncated::AtDeadline)) {
             Ok(Some(data)) => {
                 let bytes = data.len() as u64;
                 egress
@@ -137,17 +160,15 @@
             }
             Ok(None) => {
                 let end = encoder.finish().map_err(wrong_length)?;
-                return writer.write_all(end).await;
+                return Ok(writer.write_all(end).await?);
             }
-            // The connection is closed before the end of the body, so that the client
-            // does not take the answer for complete.
-            Err(_) => return Err(std::io::ErrorKind::UnexpectedEof.into()),
+            Err(BodyTruncated::BrokenOff) => return Err(AnswerFault::BrokenOff),
+            Err(BodyTruncated::AtDeadline) => return Err(AnswerFault::AtDeadline),
         }
     }
 }
 
-/// The error of an answer whose body has another length than its head states. It
-/// closes the connection, so that the client does not take the answer for complete.
-fn wrong_length(mismatch: LengthMismatch) -> std::io::Error {
-    std::io::Error::new(std::io::ErrorKind::InvalidData, mismatch)
+/// The error of an answer whose body has another length than its head states.
+fn wrong_length(_: LengthMismatch) -> AnswerFault {
+    AnswerFault::BrokenOff
 }
--- a/crates/mesh/src/ingress/bodies.rs
+++ b/crates/mesh/src/ingress/bodies.rs
@@ -1,14 +1,18 @@
 //! Reads the bodies of clients' calls: short bodies completely, long ones as a
 //! stream.
 
+use std::time::{Duration, Instant};
+
 use bytes::Bytes;
 use filbert_http1::{BodyDecoder, BodyFraming, MessageReader, ReadError, RequestHead};
 use filbert_platform::headers;
 use filbert_policy::identity::{CallIdentity, IdentityParts};
+use tokio::io::Interest;
 use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use super::{ReadEnd, BAD_REQUEST};
+use super::{ReadEnd, BAD_REQUEST, REQUEST_TIMEOUT};
 use crate::body::{BodySource, CallBody};
 
 /// Maximum length in bytes of a body that is read completely before its call is
@@ -17,6 +21,9 @@
 /// Number of buffers of a longer body that are read ahead of the call's attempt.
 const BODY_CHANNEL_CAPACITY: usize = 4;
 
+/// Interval at which it is checked whether a client has left whose body is not read.
+const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 async fn read_complete(
     reader: &mut MessageReader<OwnedReadHalf>,
     decoder: &mut BodyDecoder,
@@ -41,7 +48,7 @@
 /// Reads a body as far as is needed before its call is dispatched: completely if
 /// possible within [`MAX_REPLAYABLE_BODY_BYTES`]. A longer body is returned as
 /// streamed, with its unsent prefix; the caller then has to pass the prefix to
-/// [`forward_body`], which sends it and the rest.
+/// [`forward_body`], which sends it and the rest. Waits for the client until `until`.
 ///
 /// # Errors
 /// The reason why the body cannot be read.
@@ -49,15 +56,23 @@
     reader: &mut MessageReader<OwnedReadHalf>,
     decoder: &mut BodyDecoder,
     framing: BodyFraming,
+    until: Instant,
 ) -> Result<(CallBody, Option<UnsentBody>), ReadEnd> {
-    match framing {
-        BodyFraming::Empty | BodyFraming::UntilClose => Ok((CallBody::Whole(Bytes::new()), None)),
-        BodyFraming::Length(length) if length <= MAX_REPLAYABLE_BODY_BYTES => {
-            let body = read_complete(reader, decoder).await?;
-            Ok((CallBody::Whole(body), None))
+    let body = async {
+        match framing {
+            BodyFraming::Length(length) if length <= MAX_REPLAYABLE_BODY_BYTES => {
+                let body = read_complete(reader, decoder).await?;
+                Ok((CallBody::Whole(body), None))
+            }
+            _ => read_prefix(reader, decoder).await,
         }
-        BodyFraming::Length(_) | BodyFraming::Chunked => read_prefix(reader, decoder).await,
+    };
+    if matches!(framing, BodyFraming::Empty | BodyFraming::UntilClose) {
+        return Ok((CallBody::Whole(Bytes::new()), None));
     }
+    tokio::time::timeout_at(until.into(), body)
+        .await
+        .unwrap_or(Err(ReadEnd::CloseAfterAnswers(Some(REQUEST_TIMEOUT))))
 }
 
 /// Computes the identity of a call. Of the body, it covers the bytes read so far and
@@ -106,11 +121,26 @@
 }
 
 /// Sends the prefix and the rest of a body to the call's attempt. Empty data marks
-/// the end of the body; a channel that closes without it marks a truncated body.
+/// the end of the body; a channel that closes without it marks a truncated body. Goes on
+/// until `until` at most.
 ///
 /// # Errors
-/// [`ReadEnd::Disconnected`] if the body cannot be read or exceeds `max_bytes`.
+/// [`ReadEnd::Disconnected`] if the client has left, or the body cannot be read or exceeds
+/// `max_bytes`; [`ReadEnd::CloseAfterAnswers`] if the time is over.
 pub(super) async fn forward_body(
+    reader: &mut MessageReader<OwnedReadHalf>,
+    decoder: &mut BodyDecoder,
+    (prefix, sender): UnsentBody,
+    max_bytes: u64,
+    until: Instant,
+) -> Result<(), ReadEnd> {
+    let forward = forward_rest(reader, decoder, prefix, &sender, max_bytes);
+    tokio::time::timeout_at(until.into(), forward)
+        .await
+        .unwrap_or(Err(ReadEnd::CloseAfterAnswers(None)))
+}
+
+async fn forward_rest(
     reader: &mut MessageReader<OwnedReadHalf>,
     decoder: &mut BodyDecoder,
     prefix: Bytes,
@@ -121,7 +151,7 @@
     // The receiver is closed if the call is answered before its body was sent. The
     // rest of the body is then read and discarded, so that the next call on the
     // connection can be read.
-    let mut is_receiver_open = sender.send(prefix).await.is_ok();
+    let mut is_receiver_open = send_to_attempt(reader, sender, prefix).await?;
     loop {
         match reader.read_body_data(decoder).await {
             Ok(Some(data)) => {
@@ -130,13 +160,13 @@
                     return Err(ReadEnd::Disconnected);
                 }
                 if is_receiver_open {
-                    is_receiver_open = sender.send(data).await.is_ok();
+                    is_receiver_open = send_to_attempt(reader, sender, data).await?;
                 }
             }
             Ok(None) => {
                 if is_receiver_open {
                     // It is no failure if the receiver is already closed.
-                    let _ = sender.send(Bytes::new()).await;
+                    send_to_attempt(reader, sender, Bytes::new()).await?;
                 }
                 return Ok(());
             }
@@ -144,3 +174,33 @@
         }
     }
 }
+
+/// Sends data of a body to the call's attempt, which may still wait for a slot. Returns
+/// whether the attempt takes it.
+///
+/// # Errors
+/// [`ReadEnd::Disconnected`] if the client leaves meanwhile. Nothing is read then that would
+/// show it, and a target would run a call that nobody waits for.
+async fn send_to_attempt(
+    reader: &mut MessageReader<OwnedReadHalf>,
+    sender: &mpsc::Sender<Bytes>,
+    data: Bytes,
+) -> Result<bool, ReadEnd> {
+    let half: &OwnedReadHalf = reader.stream();
+    tokio::select! {
+        biased;
+        sent = sender.send(data) => Ok(sent.is_ok()),
+        () = wait_for_disconnect(half.as_ref()) => Err(ReadEnd::Disconnected),
+    }
+}
+
+/// Waits until the client has closed its side, though unread input may be ahead of that.
+async fn wait_for_disconnect(stream: &TcpStream) {
+    loop {
+        match stream.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => {}
+            _ => return,
+        }
+        tokio::time::sleep(DISCONNECT_POLL_INTERVAL).await;
+    }
+}
--- a/crates/mesh/src/ingress/linger.rs
+++ b/crates/mesh/src/ingress/linger.rs
@@ -15,6 +15,9 @@
 /// Closing it with unread input would send a reset, which may discard that answer at the
 /// client.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time for which a client may read what the kernel holds of its last answer, in
+/// idle timeouts.
+const MAX_DELIVERY_IDLE_TIMEOUTS: u32 = 4;
 /// Interval at which the kernel is asked whether the client has the last answer.
 const DELIVERY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -59,10 +62,11 @@
 }
 
 /// Waits until the client's side has acknowledged all that was sent, or has acknowledged
-/// nothing for the idle timeout.
+/// nothing for the idle timeout, or only a little for several of them.
 async fn wait_for_delivery(shared: &MeshShared, writer: &OwnedWriteHalf) {
     let mut last = None;
-    let mut last_progress = shared.clock.now();
+    let started = shared.clock.now();
+    let mut last_progress = started;
     loop {
         let now = shared.clock.now();
         match unacknowledged_bytes(writer) {
@@ -75,7 +79,8 @@
             _ => {}
         }
         let idle_timeout = shared.current_index().limits().idle_timeout;
-        if now >= last_progress + idle_timeout {
+        let is_over = now >= started + idle_timeout * MAX_DELIVERY_IDLE_TIMEOUTS;
+        if is_over || now >= last_progress + idle_timeout {
             return;
         }
         tokio::time::sleep(DELIVERY_POLL_INTERVAL).await;
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -7,9 +7,13 @@
 mod linger;
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use filbert_http1::{BodyDecoder, FieldFault, HeadError, MessageReader, ReadError, RequestHead};
+use filbert_http1::{
+    BodyDecoder, BodyFraming, FieldFault, HeadError, MessageReader, ReadError, RequestHead,
+};
 use filbert_platform::headers;
+use filbert_policy::call_limits::OverheadLimits;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -19,7 +23,7 @@
 use crate::sockets;
 use crate::state::MeshShared;
 use crate::stop::StopPhase;
-use answers::write_answer;
+use answers::{write_answer, AnswerFault};
 use bodies::{call_identity, forward_body, read_body};
 use connection::{CallInfo, ConnectionState, NextCall};
 use linger::close_after_answers;
@@ -151,8 +155,14 @@
     let is_http11 = head.is_http11;
     let framing = head.framing;
     let id = call_headers.id.clone();
-    let mut decoder = BodyDecoder::new(framing);
-    let (body, unsent) = read_body(reader, &mut decoder, framing).await?;
+    let overhead_limits = OverheadLimits::new(limits.head_bytes);
+    let mut decoder = BodyDecoder::new(framing).with_max_overhead(overhead_limits.framing());
+    let body_time = match framing {
+        BodyFraming::Empty => Duration::ZERO,
+        _ => calls::body_time(shared, &head, &call_headers),
+    };
+    let until = received + body_time;
+    let (body, unsent) = read_body(reader, &mut decoder, framing, until).await?;
     let identity = call_identity(&head, &call_headers.host, &body, unsent.as_ref());
     let call = ClientCall {
         head,
@@ -175,15 +185,8 @@
     let shared_call = Rc::clone(shared);
     let answer = async move { calls::handle_call(&shared_call, call).await };
     state.spawn_answer(shared, call_info, answer);
-    if let Some((prefix, body_sender)) = unsent {
-        forward_body(
-            reader,
-            &mut decoder,
-            prefix,
-            &body_sender,
-            limits.body_bytes,
-        )
-        .await?;
+    if let Some(unsent) = unsent {
+        forward_body(reader, &mut decoder, unsent, limits.body_bytes, until).await?;
     }
     Ok(keep_alive)
 }
@@ -236,14 +239,18 @@
 /// the connection, or after all pending answers once the input is closed.
 ///
 /// # Errors
-/// The error of a write, or of an answer's body that is truncated.
+/// Why an answer was not written to its end.
 async fn write_answers(
     shared: &Rc<MeshShared>,
     state: &ConnectionState,
     writer: &mut OwnedWriteHalf,
-) -> std::io::Result<()> {
+) -> Result<(), AnswerFault> {
     while let Some((pending, answer)) = state.next_answer().await {
-        let closes_connection = write_answer(&shared.egress, writer, &pending.call, answer).await?;
+        let idle_timeout = shared.current_index().limits().idle_timeout;
+        let written = write_answer(&shared.egress, writer, &pending.call, answer, idle_timeout);
+        let closes_connection = written.await.inspect_err(|fault| {
+            log_answer_fault(shared, &pending.call.id, fault);
+        })?;
         state.finish_answer(shared.clock.now());
         if closes_connection {
             break;
@@ -251,3 +258,13 @@
     }
     Ok(())
 }
+
+/// Counts and logs an answer that ended before its end.
+fn log_answer_fault(shared: &MeshShared, id: &str, fault: &AnswerFault) {
+    let reason = fault.label();
+    shared.metrics.record_answer_fault(reason);
+    let now = shared.clock.now();
+    if shared.log_limiter.allows(LinePriority::Notable, now) {
+        log::info!("event=answer_cut request={id} reason={reason}");
+    }
+}
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the daemon: counters, gauges and latency histograms of `opentelemetry`,
 //! served in the Prometheus text format.
 
+mod answer_faults;
 mod target;
 
 use std::rc::Rc;
@@ -18,6 +19,7 @@
 use crate::small_server::{accept_loop, serve_requests, SimpleResponse};
 use crate::state::MeshShared;
 use crate::supervision::panic_count;
+use answer_faults::AnswerFaults;
 use target::TargetGauges;
 
 /// Upper bounds of the buckets of the latency histograms, in seconds. The soft
@@ -93,6 +95,7 @@
     _provider: SdkMeterProvider,
     calls: Counter<u64>,
     call_time: Histogram<f64>,
+    answer_faults: AnswerFaults,
     attempts: Counter<u64>,
     gate_calls: Counter<u64>,
     gate_wait: Histogram<f64>,
@@ -149,6 +152,7 @@
         MeshMetrics {
             calls: counter("filbert.calls", "Calls of clients, by service and outcome"),
             call_time: latency("filbert.call.duration", "Time to answer clients' calls"),
+            answer_faults: AnswerFaults::new(&meter),
             attempts: counter(
                 "filbert.attempts",
                 "Attempts at targets, by service and ending",
@@ -211,6 +215,11 @@
         self.call_time.record(took.as_secs_f64(), &labels[..1]);
     }
 
+    /// Counts an answer that ended before its end.
+    pub fn record_answer_fault(&self, reason: &'static str) {
+        self.answer_faults.record(reason);
+    }
+
     /// Counts an attempt that ended at a target of `service` with `end`.
     pub fn record_attempt(&self, service: &str, end: &'static str) {
         self.attempts.add(
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use filbert_policy::call_limits::AnswerDeadline;
 use filbert_policy::fair_share::OrganisationShare;
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
@@ -33,6 +34,9 @@
 /// Maximum number of answer bytes sent before the pacer decides again which
 /// answer goes next.
 const PACED_CHUNK_BYTES: usize = 16 * 1024;
+/// Time from the opening of a call's stream within which its head must have come. The caller's
+/// daemon sends both together.
+const CALL_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay after a failed accept. Without it, running out of file descriptors would
 /// turn the accept loop into a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -102,15 +106,10 @@
     let _active_call = ActiveCallGuard::new(&shared);
     let mut incoming = request.into_body();
     let mut buffer = BytesMut::new();
-    let mut call: CallHead = loop {
-        if let Some(call) = decode_next(&mut buffer).map_err(|_| LinkError::InvalidMessage)? {
-            break call;
-        }
-        match next_data(&mut incoming).await {
-            Some(data) => buffer.extend_from_slice(&data?),
-            None => return Err(LinkError::Closed),
-        }
-    };
+    let head = read_call_head(&mut incoming, &mut buffer);
+    let mut call = tokio::time::timeout(CALL_HEAD_TIMEOUT, head)
+        .await
+        .unwrap_or(Err(LinkError::Closed))?;
     let received_at = shared.clock.now();
     if let Some(time_to_exit) = shared.stop.time_to_exit(received_at) {
         call.shorten_deadlines(time_to_exit);
@@ -118,7 +117,10 @@
     let deadline = received_at + Duration::from_micros(call.deadline_us);
     let organisation = call.organisation;
     let work = async {
-        let body = read_body(&call, incoming, buffer).await?;
+        let body = read_body(&call, incoming, buffer);
+        let body = tokio::time::timeout_at(deadline.into(), body)
+            .await
+            .unwrap_or(Err(LinkError::Closed))?;
         // The gate counts the deadlines from now on.
         call.count_elapsed(shared.clock.now().saturating_duration_since(received_at));
         let link = shared.gate.link_time(&call);
@@ -150,11 +152,31 @@
             deadline,
             organisation,
         };
-        send_body(&shared, &mut outgoing, body, transfer).await?;
+        let idle_timeout = shared.current_index().limits().idle_timeout;
+        let until = body.send_until(AnswerDeadline::new(deadline), idle_timeout);
+        let sent = send_body(&shared, &mut outgoing, body, transfer);
+        tokio::time::timeout_at(until.into(), sent)
+            .await
+            .unwrap_or(Err(LinkError::Closed))?;
     }
     Ok(())
 }
 
+async fn read_call_head(
+    incoming: &mut RecvStream,
+    buffer: &mut BytesMut,
+) -> Result<CallHead, LinkError> {
+    loop {
+        if let Some(call) = decode_next(buffer).map_err(|_| LinkError::InvalidMessage)? {
+            return Ok(call);
+        }
+        match next_data(incoming).await {
+            Some(data) => buffer.extend_from_slice(&data?),
+            None => return Err(LinkError::Closed),
+        }
+    }
+}
+
 async fn read_body(
     call: &CallHead,
     mut incoming: RecvStream,
--- a/crates/mesh/src/versions.rs
+++ b/crates/mesh/src/versions.rs
@@ -188,6 +188,7 @@
         versions.deflated.take();
         log::info!("event=version_in_force version={number:08x} before={before:08x} routes={routes} from={from}");
         let had_limits = self.organisations.has_limits();
+        self.gate.apply_limits(index.limits());
         self.organisations.apply_version(&index);
         if self.organisations.has_limits() != had_limits {
             // Readers link to the readers of other zones while there are limits.
--- /dev/null
+++ b/tests/mesh_endless_answers.rs
@@ -0,0 +1,117 @@
+//! Tests of targets that fall silent inside an answer, or send bytes without end.
+
+#[path = "support/users.rs"]
+mod users;
+
+use std::time::{Duration, Instant};
+
+use filbert_platform_standin::host::call_headers;
+use filbert_platform_standin::{Client, EndlessBytes, Host, TargetBehaviour};
+use filbert_standin::usage::ProcessUsage;
+use rstest::rstest;
+use users::{eventually, two_host_fleet, Fleet};
+
+const READ: &str = "GET /read/a HTTP/1.1";
+/// Timeout of the routes, and time that the clients wait.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after the timeout within which an answer must have ended.
+const END_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the timeout in which an answer may end: the way of the client's call.
+const EARLY_MARGIN: Duration = Duration::from_millis(100);
+/// The most that a daemon may read of bytes that are no answer, besides what the kernel's
+/// buffers of a connection hold.
+const MAX_SPOILED_BYTES: u64 = 4 * 1024 * 1024;
+const KERNEL_BUFFER_BYTES: u64 = 8 * 1024 * 1024;
+/// The most processor time of a daemon for a call that is spoiled.
+const MAX_SPOILED_CPU_TIME: Duration = Duration::from_millis(50);
+
+/// Host whose client calls the target on the host with index 1.
+const OVER_A_LINK: usize = 0;
+const AT_THE_TARGET: usize = 1;
+
+/// Sends a call through `host` and reads until its connection ends or `limit` is over.
+/// Returns whether a whole answer came, and when it ended.
+async fn read_to_the_end(host: &Host, limit: Duration) -> (bool, Duration) {
+    let mut client = Client::connect(host.calls).await.expect("a connection");
+    let sent_at = Instant::now();
+    client
+        .send(READ, &call_headers("read-1"), b"")
+        .await
+        .expect("sent");
+    let answer = tokio::time::timeout(limit, client.answer()).await;
+    let is_whole = matches!(answer, Ok(Some(answer)) if answer.status == 200);
+    (is_whole, sent_at.elapsed())
+}
+
+/// The run ends at the target, and a further call is answered: its slot is free.
+async fn check_slots(fleet: &Fleet) {
+    let target = &fleet.hosts[1].target;
+    assert!(eventually(END_MARGIN, || async { target.running() == 0 }).await);
+    target.set_behaviour(TargetBehaviour::Responds);
+    let answer = fleet.hosts[0].call(READ, "read-2", b"").await;
+    assert_eq!(answer.expect("an answer").status, 200);
+}
+
+/// Guards against an answer that is kept open for ever because its target has fallen silent.
+#[rstest]
+#[case::over_a_link(OVER_A_LINK)]
+#[case::at_the_target(AT_THE_TARGET)]
+#[tokio::test]
+async fn an_answer_that_falls_silent_ends_at_its_timeout(#[case] host: usize) {
+    let fleet = two_host_fleet("a").await;
+    fleet.hosts[1].target.set_body_bytes(540_000);
+    fleet.hosts[1]
+        .target
+        .set_behaviour(TargetBehaviour::FallsSilent);
+    let (is_whole, took) = read_to_the_end(&fleet.hosts[host], ROUTE_TIMEOUT * 3).await;
+    assert!(!is_whole, "looks complete");
+    assert!(took <= ROUTE_TIMEOUT + END_MARGIN, "{took:?}");
+    assert!(took + EARLY_MARGIN >= ROUTE_TIMEOUT, "{took:?}");
+    check_slots(&fleet).await;
+}
+
+/// Guards against a daemon that reads without end what is no answer, or an answer without end.
+#[rstest]
+#[case::interim(EndlessBytes::Interim)]
+#[case::empty_lines(EndlessBytes::EmptyLines)]
+#[case::fields(EndlessBytes::Fields)]
+#[case::other_answers(EndlessBytes::OtherAnswers)]
+#[case::other_body(EndlessBytes::OtherBody)]
+#[case::trailers(EndlessBytes::Trailers)]
+#[case::chunk_extensions(EndlessBytes::ChunkExtensions)]
+#[case::junk(EndlessBytes::Junk)]
+#[case::chunks(EndlessBytes::Chunks)]
+#[case::body(EndlessBytes::Body)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bytes_without_end_end_with_their_call(
+    #[case] bytes: EndlessBytes,
+    #[values(OVER_A_LINK, AT_THE_TARGET)] host: usize,
+) {
+    let fleet = two_host_fleet("a").await;
+    let target = &fleet.hosts[1].target;
+    target.set_behaviour(TargetBehaviour::SendsWithoutEnd(bytes));
+    let cpu_time = || {
+        let usage = ProcessUsage::read(fleet.hosts[1].pid().expect("a process"));
+        usage.expect("its usage").cpu_time
+    };
+    let cpu_time_before = cpu_time();
+    let (is_whole, took) = read_to_the_end(&fleet.hosts[host], ROUTE_TIMEOUT * 3).await;
+    assert!(!is_whole, "looks complete");
+    assert!(took <= ROUTE_TIMEOUT + END_MARGIN, "{took:?}");
+    // The test's own tasks: the target notices the close with its next write.
+    assert!(eventually(END_MARGIN, || async { target.running() == 0 }).await);
+    let is_a_body = matches!(bytes, EndlessBytes::Chunks | EndlessBytes::Body);
+    if !is_a_body {
+        let runs = u64::try_from(target.runs().len()).expect("a few runs");
+        let read = target.endless_bytes() / runs.max(1);
+        println!("{bytes:?}: {read} bytes of each of {runs} runs, {took:?}");
+        assert!(
+            read <= MAX_SPOILED_BYTES + KERNEL_BUFFER_BYTES,
+            "{read} bytes"
+        );
+        let cpu_time = cpu_time().saturating_sub(cpu_time_before);
+        let most = MAX_SPOILED_CPU_TIME * target.runs().len().try_into().expect("a few runs");
+        assert!(cpu_time <= most, "{cpu_time:?}");
+    }
+    check_slots(&fleet).await;
+}
