Follow each changed key of the settings, or refuse it by name

Cause: the client of the store took its address at the start, and a reload replaced the settings only. The same held for the limits of the retry budget and the policy of quotas; id and zone were followed in some places and not in others. All of these were logged as reloaded.

Change: settings/changes.rs says for each key when a change takes effect, naming each field. The store's address comes into force when the store has answered there; pending reads are dropped and tables read anew. The retry budget's limits are followed. id, zone, quota and the ports keep their values and are refused by name, in a log line and a metric. The signals of a stop are received before the ports are bound, SIGHUP is ignored from the first statement on, and a file that changed during the start is found. A value out of range names its line, a failed reload its file.

--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -4,6 +4,7 @@
 mod apply;
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use error_stack::Report;
@@ -102,6 +103,8 @@
     era: Option<u64>,
     /// Failed calls since the last answer.
     failures: u32,
+    /// Address of the store at which `position` was reached.
+    address: Arc<str>,
 }
 
 impl FeedState {
@@ -136,6 +139,7 @@
         version_at_position: 0,
         era: None,
         failures: 0,
+        address: shared.store.address(),
     };
     match subject {
         FeedSubject::Membership => load_members(&shared, &mut state).await,
@@ -335,10 +339,28 @@
 
 /// Makes one call to the store and applies the result. Returns the position
 /// from which to go on, `None` to read the whole table, and whether anything
-/// had changed.
+/// had changed. A call that is pending when the store moves is dropped: its
+/// answer may come from an address that is no longer kept up to date.
 async fn query(
     shared: &Rc<MeshShared>,
     state: &mut FeedState,
+) -> Result<(Option<u64>, bool), Report<StoreError>> {
+    let address = shared.store.address();
+    if state.address != address {
+        state.address = address;
+        state.position = None;
+    }
+    let moved = shared.store_move.done.notified();
+    tokio::select! {
+        result = query_address(shared, state) => result,
+        () = moved => Ok((None, false)),
+    }
+}
+
+/// Makes one call to the store at the address in force, like [`query`].
+async fn query_address(
+    shared: &Rc<MeshShared>,
+    state: &mut FeedState,
 ) -> Result<(Option<u64>, bool), Report<StoreError>> {
     let subject = state.subject;
     log::info!(
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -34,7 +34,6 @@
 pub mod plan;
 pub mod quarantine;
 pub mod ready;
-pub mod reload;
 pub mod return_times;
 pub mod rollouts;
 pub mod rows;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -2,6 +2,7 @@
 //! served in the Prometheus text format.
 
 mod answer_faults;
+mod settings;
 mod target;
 
 use std::rc::Rc;
@@ -20,6 +21,7 @@
 use crate::state::MeshShared;
 use crate::supervision::panic_count;
 use answer_faults::AnswerFaults;
+use settings::SettingsGauges;
 use target::TargetGauges;
 
 /// Upper bounds of the buckets of the latency histograms, in seconds. The soft
@@ -96,6 +98,7 @@
     calls: Counter<u64>,
     call_time: Histogram<f64>,
     answer_faults: AnswerFaults,
+    settings: SettingsGauges,
     attempts: Counter<u64>,
     gate_calls: Counter<u64>,
     gate_wait: Histogram<f64>,
@@ -153,6 +156,7 @@
             calls: counter("filbert.calls", "Calls of clients, by service and outcome"),
             call_time: latency("filbert.call.duration", "Time to answer clients' calls"),
             answer_faults: AnswerFaults::new(&meter),
+            settings: SettingsGauges::new(&meter),
             attempts: counter(
                 "filbert.attempts",
                 "Attempts at targets, by service and ending",
@@ -220,6 +224,16 @@
         self.answer_faults.record(reason);
     }
 
+    /// Sets the number of changed settings that take a restart.
+    pub fn set_unfollowed_keys(&self, count: usize) {
+        self.settings.set_unfollowed_keys(count);
+    }
+
+    /// Sets whether the settings name an address of the store that is not in force.
+    pub fn set_unfollowed_store(&self, is_pending: bool) {
+        self.settings.set_unfollowed_store(is_pending);
+    }
+
     /// Counts an attempt that ended at a target of `service` with `end`.
     pub fn record_attempt(&self, service: &str, end: &'static str) {
         self.attempts.add(
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings/mod.rs
@@ -1,5 +1,9 @@
 //! Settings file of the mesh daemon (TOML).
 
+pub mod changes;
+pub mod reload;
+pub mod store_move;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -205,6 +209,8 @@
     OutOfRange {
         /// Key of the value, such as `retry.ratio`.
         key: &'static str,
+        /// Line of the key, counted from 1, if it is in the file.
+        line: Option<usize>,
         /// Range of valid values, as a phrase such as `must be above 0`.
         reason: &'static str,
     },
@@ -217,7 +223,12 @@
             MeshSettingsError::Invalid(error) => {
                 write!(formatter, "settings file invalid: {error}")
             }
-            MeshSettingsError::OutOfRange { key, reason } => {
+            MeshSettingsError::OutOfRange {
+                key,
+                line: Some(line),
+                reason,
+            } => write!(formatter, "line {line}, key `{key}`: {reason}"),
+            MeshSettingsError::OutOfRange { key, reason, .. } => {
                 write!(formatter, "key `{key}`: {reason}")
             }
         }
@@ -237,6 +248,23 @@
     time(deserializer).map(Some)
 }
 
+/// Returns the line of the dotted `key` in the TOML `text`, counted from 1.
+fn line_of_key(text: &str, key: &str) -> Option<usize> {
+    let (table, name) = key.rsplit_once('.').unwrap_or(("", key));
+    let mut current_table = "";
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(header) = line.strip_prefix('[') {
+            current_table = header.split(']').next().unwrap_or_default().trim();
+        }
+        let name_on_line = line.split('=').next().unwrap_or_default().trim();
+        if current_table == table && name_on_line == name {
+            return Some(index + 1);
+        }
+    }
+    None
+}
+
 impl MeshSettings {
     /// Reads and checks the settings file at `path`.
     ///
@@ -259,12 +287,12 @@
             let error = ParseError::from_toml(text, &error);
             Report::new(MeshSettingsError::Invalid(error))
         })?;
-        settings.check()?;
+        settings.check(text)?;
         Ok(settings)
     }
 
-    /// Checks that all values are in range.
-    fn check(&self) -> Result<(), Report<MeshSettingsError>> {
+    /// Checks that all values, which were read from `text`, are in range.
+    fn check(&self, text: &str) -> Result<(), Report<MeshSettingsError>> {
         let checks = [
             ("id", self.id.is_empty(), "must not be empty"),
             ("zone", self.zone.is_empty(), "must not be empty"),
@@ -313,9 +341,11 @@
             ("times.grace", self.times.grace.is_zero(), "must be above 0"),
         ];
         match checks.into_iter().find(|(_, failed, _)| *failed) {
-            Some((key, _, reason)) => {
-                Err(Report::new(MeshSettingsError::OutOfRange { key, reason }))
-            }
+            Some((key, _, reason)) => Err(Report::new(MeshSettingsError::OutOfRange {
+                key,
+                line: line_of_key(text, key),
+                reason,
+            })),
             None => Ok(()),
         }
     }
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/settings/reload.rs
@@ -7,7 +7,8 @@
 
 use tokio::signal::unix::{signal, SignalKind};
 
-use crate::settings::MeshSettings;
+use super::changes::{changed_keys, without_restart_keys, KeyEffect};
+use super::MeshSettings;
 use crate::state::MeshShared;
 
 /// Interval at which the settings file is read to detect changes.
@@ -20,7 +21,8 @@
 /// If the handler for SIGHUP cannot be installed.
 pub async fn watch_settings_file(shared: Rc<MeshShared>, path: PathBuf) -> std::io::Result<()> {
     let mut sighup = signal(SignalKind::hangup())?;
-    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+    // Empty, so that a change between the start of the process and now is found.
+    let mut text = String::new();
     loop {
         let is_requested = tokio::select! {
             _ = sighup.recv() => true,
@@ -46,29 +48,59 @@
             // The file may be incomplete because it is being written. The old settings
             // stay in force until it is valid.
             Err(report) => {
-                log::error!("event=reload_failed error=\"{}\"", report.current_context());
+                let file = path.display();
+                let error = report.current_context();
+                log::error!("event=reload_failed file={file} error=\"{error}\"");
             }
         }
         text = new_text;
     }
 }
 
-/// Puts changed settings in force. Changes of `listen` take effect only after a restart.
+/// Puts changed settings in force, apart from the keys that take a restart.
 fn apply_reload(shared: &MeshShared, settings: MeshSettings, is_requested: bool) {
     let old_settings = Rc::clone(&shared.settings.borrow());
-    if old_settings.listen != settings.listen {
-        log::warn!("event=reload_partial key=listen reason=\"takes a restart\"");
+    let changed_keys = changed_keys(&old_settings, &settings);
+    for changed in &changed_keys {
+        if changed.effect == KeyEffect::Restart {
+            let key = changed.key;
+            log::warn!("event=reload_partial key={key} reason=\"takes a restart\"");
+        }
+    }
+    shared.metrics.set_unfollowed_keys(
+        changed_keys
+            .iter()
+            .filter(|changed| changed.effect == KeyEffect::Restart)
+            .count(),
+    );
+    let settings = without_restart_keys(&old_settings, settings);
+    if settings == *old_settings {
+        if is_requested && changed_keys.is_empty() {
+            log::info!("event=reloaded changed=false");
+        }
+        return;
     }
+    let names: Vec<&str> = changed_keys
+        .iter()
+        .filter(|changed| changed.effect != KeyEffect::Restart)
+        .map(|changed| changed.key)
+        .collect();
     log::info!(
-        "event=reloaded changed=true ordered={is_requested} service={} target={}",
+        "event=reloaded changed=true ordered={is_requested} service={} target={} keys={}",
         settings.service,
-        settings.target
+        settings.target,
+        names.join(",")
     );
     shared.gate.apply_settings(settings.target, &settings.times);
     shared.egress.set_rate(settings.link.mbps);
     shared.organisations.apply_settings(&settings);
+    shared
+        .retry_budget
+        .borrow_mut()
+        .set_limits(settings.retry_budget_limits(), shared.clock.now());
     let old_address = shared.own_address();
     *shared.settings.borrow_mut() = Rc::new(settings);
+    shared.store_move.requested.notify_waiters();
     shared.members.changed.notify_one();
     if shared.own_address() != old_address {
         shared.members.rows.mark_own_unregistered();
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -28,15 +28,16 @@
 use crate::quarantine::{self, SharedQuarantine};
 use crate::return_times::ReturnTimes;
 use crate::rollouts::{self, RolloutTable};
-use crate::settings::MeshSettings;
+use crate::settings::store_move::{self, StoreMove};
+use crate::settings::{reload, MeshSettings};
 use crate::state::MeshShared;
-use crate::stop::StopState;
+use crate::stop::{StopSignals, StopState};
 use crate::supervision::{log_panics, spawn_restartable, TaskSupervisor};
 use crate::versions::{self, VersionState};
 use crate::zone_load::{self, ZoneLoadState};
 use crate::{
-    control, feeds, ingress, metrics, organisations, plan, ready, reload, rows, serve_peers,
-    shutdowns, sockets, status, stop,
+    control, feeds, ingress, metrics, organisations, plan, ready, rows, serve_peers, shutdowns,
+    sockets, status, stop,
 };
 
 /// Why the daemon ended other than by a planned stop.
@@ -90,6 +91,7 @@
 /// if a task is lost that it cannot do without.
 pub async fn run(settings: MeshSettings, path: PathBuf) -> Result<(), Report<MeshError>> {
     log_panics();
+    let stop_signals = StopSignals::install().change_context(MeshError::Signals)?;
     let listeners = Listeners {
         calls: bind("calls", settings.listen.calls)?,
         peers: bind("peers", settings.listen.peers)?,
@@ -115,9 +117,7 @@
         .run_until(async move {
             let mut lost_tasks = start(&shared, listeners, path);
             tokio::select! {
-                stopped = stop::drain_on_signal(shared) => {
-                    stopped.change_context(MeshError::Signals)
-                }
+                () = stop::drain_on_signal(shared, stop_signals) => Ok(()),
                 Some(task) = lost_tasks.recv() => {
                     Err(Report::new(MeshError::TaskLost).attach(task))
                 }
@@ -162,6 +162,7 @@
         metrics,
         log_limiter: LogRateLimiter::new(now),
         store_returned: tokio::sync::Notify::new(),
+        store_move: StoreMove::default(),
         store_era: Cell::new(None),
         stop: StopState::default(),
         seed: rand::random(),
@@ -188,6 +189,7 @@
         "pool_leases",
         organisations::pools::leases::maintain_pool_leases,
     );
+    restartable(shared, "store_address", store_move::follow_store_address);
     restartable(shared, "settings", move |shared| {
         watch_settings(shared, path.clone())
     });
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -27,6 +27,7 @@
 use crate::quarantine::SharedQuarantine;
 use crate::return_times::ReturnTimes;
 use crate::rollouts::RolloutTable;
+use crate::settings::store_move::StoreMove;
 use crate::settings::MeshSettings;
 use crate::stop::StopState;
 use crate::versions::VersionState;
@@ -87,6 +88,8 @@
     /// Notified when the store answers again after a failure, so that the membership
     /// feed reads all rows again.
     pub store_returned: Notify,
+    /// Signals of a change of the store's address.
+    pub store_move: StoreMove,
     /// Number of restorations of the store from an older copy that this daemon has
     /// handled; `None` before the store has stated its era.
     pub store_era: Cell<Option<u64>>,
--- a/crates/mesh/src/stop/drain.rs
+++ b/crates/mesh/src/stop/drain.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_policy::planned_stop::MIN_DRAIN_TIME;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 use super::{StopPhase, StopState};
 use crate::rows;
@@ -28,18 +28,36 @@
 /// Interval at which the end of the last answers is checked.
 const LAST_ANSWERS_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Waits for SIGTERM or SIGINT, then performs a planned stop. Returns when the process
-/// may exit.
-///
-/// # Errors
-/// If a signal handler cannot be installed.
-pub async fn drain_on_signal(shared: Rc<MeshShared>) -> std::io::Result<()> {
-    let mut sigterm = signal(SignalKind::terminate())?;
-    let mut sigint = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = sigterm.recv() => {}
-        _ = sigint.recv() => {}
+/// Signals that order a stop.
+pub struct StopSignals {
+    sigterm: Signal,
+    sigint: Signal,
+}
+
+impl StopSignals {
+    /// Receives the signals from now on.
+    ///
+    /// # Errors
+    /// If a signal handler cannot be installed.
+    pub fn install() -> std::io::Result<StopSignals> {
+        Ok(StopSignals {
+            sigterm: signal(SignalKind::terminate())?,
+            sigint: signal(SignalKind::interrupt())?,
+        })
     }
+
+    /// Waits for one of the signals.
+    async fn received(&mut self) {
+        tokio::select! {
+            _ = self.sigterm.recv() => {}
+            _ = self.sigint.recv() => {}
+        }
+    }
+}
+
+/// Waits for a signal, then performs a planned stop. Returns when the process may exit.
+pub async fn drain_on_signal(shared: Rc<MeshShared>, mut signals: StopSignals) {
+    signals.received().await;
     let clock = Rc::clone(&shared.clock);
     let started = clock.now();
     let grace = shared.settings.borrow().times.grace;
@@ -92,7 +110,6 @@
         stop.active_calls.get(),
         shared.gate.calls_in_progress()
     );
-    Ok(())
 }
 
 /// Waits until the answers to the calls that were read last are handed to their connections,
--- a/crates/mesh/src/stop/mod.rs
+++ b/crates/mesh/src/stop/mod.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::state::MeshShared;
-pub use drain::drain_on_signal;
+pub use drain::{drain_on_signal, StopSignals};
 
 /// Phase of a planned stop.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -125,6 +125,15 @@
         }
     }
 
+    /// Applies other limits. Counts are kept unless the length of the window changes.
+    pub fn set_limits(&mut self, limits: RetryBudgetLimits, now: Instant) {
+        if limits.window == self.limits.window {
+            self.limits = limits;
+        } else {
+            *self = RetryBudget::new(limits, now);
+        }
+    }
+
     /// Number of the slice at `now`. Numbers start at [`WINDOW_SLICES`], so that
     /// unused slices, which have number 0, lie outside the first window.
     fn slice_number(&self, now: Instant) -> u64 {
--- a/src/bin/filbertd.rs
+++ b/src/bin/filbertd.rs
@@ -9,6 +9,7 @@
 use filbert_ctl::error::format_report;
 use filbert_daemon::DaemonSettings;
 use filbert_mesh::{logging, MeshSettings};
+use nix::sys::signal::{signal, SigHandler, Signal};
 
 /// Number of worker threads of the daemon with filbertladder's own store. It is small, as
 /// the host's processors are for the target.
@@ -50,6 +51,7 @@
 }
 
 fn main() -> ExitCode {
+    ignore_hangups();
     error_stack::Report::set_color_mode(error_stack::fmt::ColorMode::None);
     let args = Args::parse();
     match (args.mode, args.config) {
@@ -69,6 +71,14 @@
     }
 }
 
+/// Ignores SIGHUP until a daemon handles it. The settings may change while the process
+/// starts, and by default the signal ends it.
+fn ignore_hangups() {
+    // SAFETY: no handler runs, and no other thread has started. Without the call, the default
+    // stays in force.
+    let _ = unsafe { signal(Signal::SIGHUP, SigHandler::SigIgn) };
+}
+
 /// Runs the daemon on the users' platform, or only checks its settings file.
 fn run_mesh(path: PathBuf, check: bool, log: &str) -> ExitCode {
     let settings = match MeshSettings::load(&path) {
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -127,6 +127,8 @@
 /// faulty key or value.
 #[rstest::rstest]
 #[case("ratio = 0.2", "ratio = 2.0", "retry.ratio")]
+#[case("ratio = 0.2", "ratio = 2.0", "line 16,")]
+#[case("slack = 60", "slack = 60\nslack = 61", "slack")]
 #[case("grace = \"6s\"", "grace = \"6\"", "`6` is no time")]
 #[case("zone = \"a\"", "zone = \"\"", "key `zone`")]
 #[case("zone = \"a\"", "zon = \"a\"", "zon")]
