Read the reply to a call whose body is not taken to its end

Cause: both places that send a body and wait for the reply took a failed send for the outcome. The gate closes its stream, a target its connection, once it has answered: the reply was there and was not read.

Change: a send that is refused ends the sending only, and the reply decides. A body that the client breaks off ends the call as before.

--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -9,6 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use filbert_policy::admission::LinkTime;
+use h2::SendStream;
 use http::Request;
 
 use super::pick::{Destination, PickedTarget};
@@ -177,6 +178,44 @@
     }
 }
 
+/// Why a call was not sent to its end.
+enum SendFault {
+    /// Its body ended early.
+    BrokenOff,
+    /// The stream takes no more data.
+    Refused,
+}
+
+/// Sends a call on the stream `outgoing` of the link to `peer`.
+async fn send_call(
+    shared: &MeshShared,
+    peer: &Rc<Peer>,
+    outgoing: &mut SendStream<Bytes>,
+    head: &CallHead,
+    body: CallBody,
+) -> Result<(), SendFault> {
+    let refused = |_| SendFault::Refused;
+    match body {
+        CallBody::Whole(whole) => {
+            let mut first_data = BytesMut::from(encode(head));
+            first_data.extend_from_slice(&whole);
+            shared.count_cross_zone_bytes(peer, CrossZoneCause::Call, first_data.len());
+            outgoing
+                .send_data(first_data.freeze(), true)
+                .map_err(refused)
+        }
+        CallBody::Streamed(mut source) => {
+            outgoing.send_data(encode(head), false).map_err(refused)?;
+            while let Some(data) = source.next().await.map_err(|_| SendFault::BrokenOff)? {
+                shared.count_cross_zone_bytes(peer, CrossZoneCause::Call, data.len());
+                let sent = send_body_data(outgoing, data).await;
+                sent.map_err(|_| SendFault::Refused)?;
+            }
+            outgoing.send_data(Bytes::new(), true).map_err(refused)
+        }
+    }
+}
+
 /// Sends a call over the link to `peer` and reads the head of the reply.
 ///
 /// # Errors
@@ -223,27 +262,7 @@
             }
         }
     };
-    let send = async {
-        match body {
-            CallBody::Whole(whole) => {
-                let mut first_data = BytesMut::from(encode(head));
-                first_data.extend_from_slice(&whole);
-                shared.count_cross_zone_bytes(peer, CrossZoneCause::Call, first_data.len());
-                outgoing
-                    .send_data(first_data.freeze(), true)
-                    .map_err(|_| ())?;
-            }
-            CallBody::Streamed(mut source) => {
-                outgoing.send_data(encode(head), false).map_err(|_| ())?;
-                while let Some(data) = source.next().await.map_err(|_| ())? {
-                    shared.count_cross_zone_bytes(peer, CrossZoneCause::Call, data.len());
-                    send_body_data(&mut outgoing, data).await.map_err(|_| ())?;
-                }
-                outgoing.send_data(Bytes::new(), true).map_err(|_| ())?;
-            }
-        }
-        Ok::<(), ()>(())
-    };
+    let send = send_call(shared, peer, &mut outgoing, head, body);
     tokio::pin!(reply);
     tokio::pin!(send);
     let mut is_sent = false;
@@ -251,8 +270,10 @@
         tokio::select! {
             biased;
             result = &mut send, if !is_sent => match result {
-                Ok(()) => is_sent = true,
-                Err(()) => return Err(AttemptOutcome::Lost),
+                // The other host takes no more of a body when it has replied, for example
+                // that it declines the call. If the link is lost, the reply fails too.
+                Ok(()) | Err(SendFault::Refused) => is_sent = true,
+                Err(SendFault::BrokenOff) => return Err(AttemptOutcome::Lost),
             },
             result = &mut reply => break result,
             () = tokio::time::sleep(PING_IDLE_TIME) => {
--- a/crates/mesh/src/target/exchange.rs
+++ b/crates/mesh/src/target/exchange.rs
@@ -82,6 +82,7 @@
         let encoder = BodyEncoder::new(call.body_framing());
         let request_head = encode_request_head(call, &encoder.header_line(), &params);
         let mut is_sent = false;
+        let mut send_fault = None;
         let answer = {
             let TargetConnection { reader, writer, .. } = &mut connection;
             let send = send_request(writer, request_head, body, encoder);
@@ -94,11 +95,18 @@
             loop {
                 tokio::select! {
                     biased;
-                    result = &mut send, if !is_sent => match result {
+                    result = &mut send, if !is_sent && send_fault.is_none() => match result {
                         Ok(()) => is_sent = true,
-                        Err(outcome) => break Err(outcome),
+                        // A target that answers before it has read the whole call may close
+                        // its connection, and the answer is there to be read.
+                        Err(fault @ ExchangeOutcome::ConnectionLost(_)) => {
+                            send_fault = Some(fault);
+                        }
+                        Err(fault) => break Err(fault),
                     },
-                    answer = &mut receive => break answer,
+                    answer = &mut receive => {
+                        break answer.map_err(|fault| send_fault.take().unwrap_or(fault));
+                    }
                     () = &mut expiry => break Err(ExchangeOutcome::Lost("no answer in time")),
                 }
             }
--- a/tests/mesh_uploads.rs
+++ b/tests/mesh_uploads.rs
@@ -8,7 +8,8 @@
 
 use filbert_platform_standin::host::call_headers;
 use filbert_platform_standin::http::reset_on_drop;
-use filbert_platform_standin::TargetBehaviour;
+use filbert_platform_standin::{Client, TargetBehaviour};
+use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use users::{eventually, two_host_fleet, WAIT_TIMEOUT};
@@ -71,6 +72,42 @@
     assert!(!has_arrived, "{arrivals:?}");
 }
 
+/// Guards against a declined order that is called lost: its gate declines it, or its target
+/// rejects it, before the whole body is sent, and the failed send hid the reply.
+#[rstest]
+#[case::declined_by_the_gate(TargetBehaviour::RespondsAfter(Duration::from_secs(1)), 0)]
+#[case::rejected_by_the_target(TargetBehaviour::RejectsUnread, 0)]
+#[case::rejected_by_the_own_target(TargetBehaviour::RejectsUnread, 1)]
+#[tokio::test]
+async fn a_declined_upload_is_not_called_lost(
+    #[case] behaviour: TargetBehaviour,
+    #[case] host: usize,
+) {
+    const ORDERS: usize = 24;
+    let fleet = two_host_fleet("a").await;
+    fleet.hosts[1].target.set_behaviour(behaviour);
+    let body = vec![b'x'; BODY_BYTES];
+    let orders = (0..ORDERS).map(|number| {
+        let (calls, body) = (fleet.hosts[host].calls, body.clone());
+        tokio::spawn(async move {
+            let id = format!("order-{number}");
+            Client::once(calls, ORDER, &call_headers(&id), &body).await
+        })
+    });
+    let mut statuses = Vec::new();
+    for order in orders.collect::<Vec<_>>() {
+        let answer = order.await.expect("no panic").expect("an answer");
+        let is_refused = answer.status == 503;
+        assert!(!is_refused || !answer.header("Retry-After").is_empty());
+        statuses.push(answer.status);
+    }
+    assert!(
+        statuses.iter().all(|status| [200, 503].contains(status)),
+        "{statuses:?}"
+    );
+    assert!(statuses.contains(&503), "{statuses:?}");
+}
+
 /// Guards against a client that falls silent inside the body of its call and keeps its
 /// connection, and a daemon's memory, for ever.
 #[tokio::test]
