Keep a report without a start time from replacing a live target

A heartbeat of another writer with an unknown id, a known service and no start time became the current instance for some seconds; calls to the live target were declined (read in the code by the review).

Cause: a report of an unknown id always made a new instance. Targets of a host all state a start time, or none does.

--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -217,7 +217,8 @@
     /// Guards against a report that has the current instance's id but an earlier
     /// start time or none. If it were accepted as a new instance, it would
     /// replace the live one, whose own reports would count as outdated from then
-    /// on.
+    /// on. The same holds for a report of another writer without a start time: the
+    /// targets of a host all state one, or none does.
     fn is_outdated(&self, key: &InstanceKey, now: Instant) -> bool {
         if let Some(current) = &self.current {
             let current_key = &current.report.key;
@@ -225,7 +226,9 @@
                 return false;
             }
             let is_earlier = current_key.id == key.id && key.born < current_key.born;
-            if is_earlier && now < current.last_report_at + REPORT_TIMEOUT {
+            let lacks_start_time = key.born.is_none() && current_key.born.is_some();
+            let is_live = now < current.last_report_at + REPORT_TIMEOUT;
+            if is_live && (is_earlier || lacks_start_time) {
                 return true;
             }
         }
--- a/crates/policy/tests/instance_replay.rs
+++ b/crates/policy/tests/instance_replay.rs
@@ -337,3 +337,28 @@
     assert!(tracker.current().is_some());
     assert!(tracker.leaving_since().is_none());
 }
+
+/// Guards against a report of another writer that lacks its start time and replaces a live
+/// target, which states one.
+#[test]
+fn a_report_without_a_start_time_does_not_replace_a_live_target() {
+    let report = |id: &str, born, sequence| InstanceReport {
+        key: InstanceKey {
+            id: id.to_owned(),
+            born,
+        },
+        ..started_report(0, sequence)
+    };
+    let now = Instant::now();
+    let mut tracker = InstanceTracker::default();
+    tracker.report(report("live", Some(5), 1), now);
+    let change = tracker.report(report("other", None, 1), now + REPORT_INTERVAL);
+    assert_eq!(change, InstanceChange::Stale);
+    let change = tracker.report(report("live", Some(5), 2), now + REPORT_INTERVAL);
+    assert_eq!(change, InstanceChange::None);
+    let change = tracker.report(report("next", Some(9), 1), now + REPORT_INTERVAL);
+    assert_eq!(change, InstanceChange::Replaced);
+    let much_later = now + REPORT_INTERVAL * 8;
+    let change = tracker.report(report("other", None, 2), much_later);
+    assert_eq!(change, InstanceChange::Replaced);
+}
