Bound the cancelled calls of a link by what a link carries

Cause: the HTTP/2 server's default bound on streams that are cancelled before it has looked at them, which is 20.

Change: 2,000, as many as a link may have open.

--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -26,6 +26,10 @@
 
 /// Maximum number of streams that a peer may have open on a link.
 const MAX_CONCURRENT_STREAMS: u32 = 2_000;
+/// Maximum number of streams of a link that a peer has cancelled before this daemon has
+/// looked at them. Beyond it, the link ends with all its calls. A host that stands still
+/// finds as many as its peer sent meanwhile: 2,000 are those of several seconds.
+const MAX_CANCELLED_UNSEEN_STREAMS: usize = 2_000;
 /// Maximum size of a call body that is read whole before the call runs, in bytes.
 /// Larger bodies are streamed to the target.
 const MAX_WHOLE_BODY_BYTES: u64 = 64 * 1024;
@@ -72,6 +76,7 @@
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .max_concurrent_reset_streams(64)
+        .max_pending_accept_reset_streams(MAX_CANCELLED_UNSEEN_STREAMS)
         .handshake(stream)
         .await?;
     while let Some(accepted) = connection.accept().await {
--- a/tests/mesh_links.rs
+++ b/tests/mesh_links.rs
@@ -108,3 +108,34 @@
     assert_eq!(answer.status, 200, "{}", fleet.hosts[0].log());
     assert_eq!(runs_at(&fleet, other), 1, "{}", fleet.hosts[0].log());
 }
+
+/// Guards against a link that ends, with every call on it, because many calls were cancelled
+/// while the host at its other end stood still.
+#[rstest]
+#[case::short(300)]
+#[case::long(900)]
+#[case::given_up(1_600)]
+#[tokio::test]
+async fn cancelled_calls_do_not_end_a_link(#[case] stall_ms: u64) {
+    const CANCELLED_CALLS: usize = 120;
+    let fleet = two_host_fleet("a").await;
+    let target = &fleet.hosts[1].target;
+    target.set_behaviour(TargetBehaviour::RespondsAfter(Duration::from_millis(400)));
+    let mut client = fleet.start_call("POST /order/a HTTP/1.1", "kept").await;
+    fleet.hosts[1].signal(Signal::SIGSTOP);
+    let mut cancelled = Vec::new();
+    for number in 0..CANCELLED_CALLS {
+        let mut client = fleet.connect(0).await;
+        let id = format!("cancelled-{number}");
+        let headers = call_headers(&id);
+        let sent = client.send("GET /read/a HTTP/1.1", &headers, b"").await;
+        sent.expect("sent");
+        cancelled.push(client);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(cancelled);
+    tokio::time::sleep(Duration::from_millis(stall_ms)).await;
+    fleet.hosts[1].signal(Signal::SIGCONT);
+    let answer = client.answer().await.expect("an answer");
+    assert_eq!(answer.status, 200, "{}", fleet.hosts[0].log());
+}
