--- a/tests/mesh_stop_clients.rs
+++ b/tests/mesh_stop_clients.rs
@@ -1,17 +1,15 @@
 //! Tests of a planned stop under clients that cannot go elsewhere, as the clients of a zone
 //! all of whose hosts stop: each call that reaches the daemon ends in words.
 
-#[path = "support/steady_clients.rs"]
-mod steady_clients;
 #[path = "support/users.rs"]
 mod users;
 
 use std::time::{Duration, Instant};
 
+use filbert_platform_standin::steady_clients::{CallEnd, CallPattern, EndedCall, SteadyClients};
 use filbert_platform_standin::{RouteSpec, TargetBehaviour};
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use steady_clients::{CallEnd, CallPattern, EndedCall, SteadyClients};
 use users::{fleet, Fleet};
 
 /// Time for which the clients call before the stop: enough for usual run times to be known.
@@ -83,7 +81,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn calls_at_a_stop_end_in_words(#[case] case: StopCase) {
     let mut fleet = start_fleet(case).await;
-    let clients = SteadyClients::start(fleet.hosts[0].calls, case.pattern);
+    let clients = SteadyClients::start("c", fleet.hosts[0].calls, case.pattern);
     tokio::time::sleep(CALM).await;
     let stopped_at = Instant::now();
     fleet.hosts[0].signal(Signal::SIGTERM);
--- a/tests/stop_clients.rs
+++ b/tests/stop_clients.rs
@@ -1,15 +1,13 @@
 //! Tests of a planned stop of the daemon over our own store, under clients that pipeline
 //! calls or send one at a time.
 
-#[path = "support/steady_clients.rs"]
-mod steady_clients;
 mod support;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use filbert_platform_standin::steady_clients::{CallEnd, CallPattern, SteadyClients};
 use rstest::rstest;
-use steady_clients::{CallEnd, CallPattern, SteadyClients};
 use support::{mesh_spec, start_mesh_with_example};
 
 /// Time for which the clients call before the stop.
@@ -46,7 +44,7 @@
     let mut mesh = start_mesh_with_example(spec).await;
     let proxy = mesh.daemons[0].proxy_url.trim_start_matches("http://");
     let address: SocketAddr = proxy.parse().expect("an address");
-    let clients = SteadyClients::start(address, pattern);
+    let clients = SteadyClients::start("c", address, pattern);
     tokio::time::sleep(CALM).await;
     let daemon = &mut mesh.daemons[0];
     let stopped = tokio::task::block_in_place(|| daemon.terminate(STOP_TIMEOUT));
