Soak: let the new kinds show their faults

Freezes spread their cancelled calls over all targets, single hosts that moved were told by others, clients were hardly ever pipelined, and a client that stopped closed its side under its own calls.

A freeze of less than 0.9 s may cost no call.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -54,6 +54,7 @@
         hosts,
         callers: 3,
         extras: extras.to_vec(),
+        has_random_faults: true,
     })
     .await;
     println!("{}", report.text());
