--- a/crates/mesh/src/calls/mod.rs
+++ b/crates/mesh/src/calls/mod.rs
@@ -125,9 +125,9 @@
     }
 }
 
-/// Refuses a call that cannot be answered before a planned stop ends the process, and
-/// writes its access log line. Returns `None` if the call may run.
-pub fn refuse_before_exit(shared: &Rc<MeshShared>, call: &ClientCall) -> Option<ClientAnswer> {
+/// Refuses a call that would prolong a planned stop, or could not be answered before it ends
+/// the process, and writes its access log line. Returns `None` if the call may run.
+pub fn refuse_while_stopping(shared: &Rc<MeshShared>, call: &ClientCall) -> Option<ClientAnswer> {
     let time_to_accept = shared.stop.time_to_accept(shared.clock.now())?;
     let index = shared.current_index();
     let route = index.lookup(&call.headers.host, &call.head.target)?;
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -177,7 +177,7 @@
         is_http11,
         closes_connection: !keep_alive,
     };
-    if let Some(refusal) = calls::refuse_before_exit(shared, &call) {
+    if let Some(refusal) = calls::refuse_while_stopping(shared, &call) {
         call_info.closes_connection = true;
         state.spawn_answer(shared, call_info, async move { refusal });
         return Ok(false);
--- a/crates/mesh/src/stop/mod.rs
+++ b/crates/mesh/src/stop/mod.rs
@@ -44,9 +44,9 @@
     unused_connections: Cell<u32>,
     /// Latest time at which a call that was accepted is expected to end.
     last_expected_end: Cell<Option<Instant>>,
-    /// Time by which calls must end that are accepted now, and time at which the process
-    /// exits at the latest. `None` if no stop is in progress.
+    /// Time by which calls must end that are accepted now; `None` if no stop is in progress.
     accept_until: Cell<Option<Instant>>,
+    /// Time at which the process exits at the latest; `None` if no stop is in progress.
     exit_deadline: Cell<Option<Instant>>,
     /// Notified of each change of the phase.
     phase_changed: Notify,
@@ -83,7 +83,7 @@
 }
 
 /// Counts a client's connection as unused until dropped, from its opening until its first
-/// byte. Without this count, a stop would end under a connection that it has just accepted.
+/// call has been read. Without this count, a stop would end under a connection that it has just accepted.
 pub struct UnusedConnection {
     shared: Rc<MeshShared>,
 }
