--- a/tests/mesh_replaced_targets.rs
+++ b/tests/mesh_replaced_targets.rs
@@ -18,7 +18,7 @@
 /// Longest time until a call that can no longer run is refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(200);
 /// First report of a target of another service at the same address.
-const OTHER_REPORT: &str = r#"{"addr":"127.0.0.1:1","info":{"service":"art","version":"v1","zone":"a","slots":4},"status":{"state":"ready","sequence":1,"cold_left":"0ms"}}"#;
+const OTHER_REPORT: &str = r#"{"born":4000000000000,"addr":"127.0.0.1:1","info":{"service":"art","version":"v1","zone":"a","slots":4},"status":{"state":"ready","sequence":1,"cold_left":"0ms"}}"#;
 
 /// Guards against a call that waited for a slot and is sent to whatever target is there by
 /// then, though it belongs to another service.
