--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -1,5 +1,7 @@
 //! Bodies of calls and answers, streamed through the daemon.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -223,6 +225,9 @@
 pub struct BufferedBody {
     queue: mpsc::UnboundedReceiver<Result<BufferedData, BodyTruncated>>,
     reader: JoinHandle<()>,
+    /// Whether the deadline has passed before the target had sent all. What is buffered is
+    /// not sent on then: the answer cannot be complete.
+    is_cut: Rc<Cell<bool>>,
 }
 
 impl BufferedBody {
@@ -233,6 +238,8 @@
         const KIB: usize = 1024;
         let (sender, queue) = mpsc::unbounded_channel();
         let free_kib = Arc::clone(free_kib);
+        let is_cut = Rc::new(Cell::new(false));
+        let is_cut_by_reader = Rc::clone(&is_cut);
         let reader = tokio::task::spawn_local(async move {
             loop {
                 let item = match body.next().await {
@@ -251,16 +258,25 @@
                     Err(error) => Err(error),
                 };
                 let is_last = item.is_err();
+                is_cut_by_reader.set(matches!(item, Err(BodyTruncated::AtDeadline)));
                 if sender.send(item).is_err() || is_last {
                     return;
                 }
             }
         });
-        BufferedBody { queue, reader }
+        BufferedBody {
+            queue,
+            reader,
+            is_cut,
+        }
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, BodyTruncated> {
-        match self.queue.recv().await {
+        let next = self.queue.recv().await;
+        if self.is_cut.get() {
+            return Err(BodyTruncated::AtDeadline);
+        }
+        match next {
             Some(Ok((data, _permit))) => Ok(Some(data)),
             Some(Err(error)) => Err(error),
             None => Ok(None),
