Let an order that ran time out in the test of declined orders

Callers saw nothing: the test was wrong. The log of such a run: the orders with 504 are those that held the four slots, arrived at the target and ran; sending 1 MB took up to 1.6 s there, and with a run of 1 s they passed their deadline of 2 s. Each order that the gate declined (event=gate_declined) got its 503.

The check now goes by what happened to each order, and is stricter for declined ones: an order that no target received, or whose target rejects it, must get 503; one that arrived at a target that runs it 200 or 504, never 503 or 502.

--- a/tests/mesh_uploads.rs
+++ b/tests/mesh_uploads.rs
@@ -73,7 +73,8 @@
 }
 
 /// Guards against a declined order that is called lost: its gate declines it, or its target
-/// rejects it, before the whole body is sent, and the failed send hid the reply.
+/// rejects it, before the whole body is sent, and the failed send hid the reply. Only an order
+/// that was sent to a target which runs it may still time out.
 #[rstest]
 #[case::declined_by_the_gate(TargetBehaviour::RespondsAfter(Duration::from_secs(1)), 0)]
 #[case::rejected_by_the_target(TargetBehaviour::RejectsUnread, 0)]
@@ -84,6 +85,7 @@
     #[case] host: usize,
 ) {
     const ORDERS: usize = 24;
+    let is_run_by_target = matches!(behaviour, TargetBehaviour::RespondsAfter(_));
     let fleet = two_host_fleet("a").await;
     fleet.hosts[1].target.set_behaviour(behaviour);
     let body = vec![b'x'; BODY_BYTES];
@@ -101,10 +103,13 @@
         assert!(!is_refused || !answer.header("Retry-After").is_empty());
         statuses.push(answer.status);
     }
-    assert!(
-        statuses.iter().all(|status| [200, 503].contains(status)),
-        "{statuses:?}"
-    );
+    let arrivals = fleet.hosts[1].target.arrivals();
+    for (number, status) in statuses.iter().enumerate() {
+        let id = format!("order-{number}");
+        let is_run = is_run_by_target && arrivals.iter().any(|call| call.id == id);
+        let allowed: &[u16] = if is_run { &[200, 504] } else { &[503] };
+        assert!(allowed.contains(status), "{id}: {statuses:?}");
+    }
     assert!(statuses.contains(&503), "{statuses:?}");
 }
 
