--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -55,6 +55,7 @@
         callers: 3,
         extras: extras.to_vec(),
         has_random_faults: true,
+        logs: None,
     })
     .await;
     println!("{}", report.text());
