Send calls elsewhere that an ended link has not read

What callers saw: an order on a link that its other end closes (as a host does that finds more than 2,000 cancelled calls after standing still) was answered 502, "may have run", although the closing host named the last call that it had read and theirs was a later one.

Cause: the caller's daemon took every failure of a stream for a lost call (attempt.rs, `map_err(lost)`). HTTP/2 says more: the streams newer than the one that a GOAWAY names, and refused streams, were not processed (RFC 9113, 6.8 and 8.7). And the closing host dropped its socket with unread input, so that a reset could discard the GOAWAY before the caller's side read it.

Change: such a call, if nothing has come on its stream, counts as declined: another target in time, or 503. It is logged as call_unread. A read call stays unknown.

The test holds an order that was read (502, one run) beside twelve that were not: with one target 503 and no run, with another target 200 and one run.

--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -186,6 +186,28 @@
     Refused,
 }
 
+/// Why no reply to a call came.
+enum ReplyFault {
+    /// The other host stated that it has not read the call.
+    Unread,
+    /// The link or its stream ended, or the reply was invalid.
+    Lost,
+}
+
+impl ReplyFault {
+    /// Classifies the error of a stream on which nothing has been received. A GOAWAY ends
+    /// only those streams by itself that are newer than the last one that it names, and a
+    /// refused stream was never processed (RFC 9113, sections 6.8 and 8.7).
+    fn of_unanswered_stream(error: &h2::Error) -> ReplyFault {
+        let is_refused = error.is_reset() && error.reason() == Some(h2::Reason::REFUSED_STREAM);
+        if error.is_remote() && (error.is_go_away() || is_refused) {
+            ReplyFault::Unread
+        } else {
+            ReplyFault::Lost
+        }
+    }
+}
+
 /// Sends a call on the stream `outgoing` of the link to `peer`.
 async fn send_call(
     shared: &MeshShared,
@@ -219,7 +241,7 @@
 /// Sends a call over the link to `peer` and reads the head of the reply.
 ///
 /// # Errors
-/// [`AttemptOutcome::Declined`] if the call could not be sent,
+/// [`AttemptOutcome::Declined`] if the call could not be sent or was not read,
 /// [`AttemptOutcome::Lost`] if the link or the call's body failed afterwards.
 async fn run_on_peer(
     shared: &MeshShared,
@@ -236,9 +258,11 @@
     let request = Request::post(CALL_URL).body(()).map_err(|_| not_sent())?;
     let (response, mut outgoing) = link.send_request(request, false).map_err(|_| not_sent())?;
     peer.count_sent();
-    let lost = |_| AttemptOutcome::Lost;
+    let lost = |_: h2::Error| ReplyFault::Lost;
     let reply = async {
-        let mut incoming = response.await?.into_body();
+        let response = response.await;
+        let response = response.map_err(|error| ReplyFault::of_unanswered_stream(&error))?;
+        let mut incoming = response.into_body();
         let mut buffer = BytesMut::new();
         loop {
             let buffered_before = buffer.len();
@@ -251,14 +275,14 @@
                     let bytes =
                         buffered_before - buffer.len() + usize::try_from(body_length).unwrap_or(0);
                     shared.count_cross_zone_bytes(peer, cross_zone_cause(&reply), bytes);
-                    return Ok(Some((reply, LinkBody::new(incoming, buffer))));
+                    return Ok((reply, LinkBody::new(incoming, buffer)));
                 }
                 Ok(None) => {}
-                Err(_) => return Ok(None),
+                Err(_) => return Err(ReplyFault::Lost),
             }
             match next_data(&mut incoming).await {
-                Some(data) => buffer.extend_from_slice(&data?),
-                None => return Ok(None),
+                Some(data) => buffer.extend_from_slice(&data.map_err(lost)?),
+                None => return Err(ReplyFault::Lost),
             }
         }
     };
@@ -266,7 +290,7 @@
     tokio::pin!(reply);
     tokio::pin!(send);
     let mut is_sent = false;
-    let result: Result<_, h2::Error> = loop {
+    let result = loop {
         tokio::select! {
             biased;
             result = &mut send, if !is_sent => match result {
@@ -282,8 +306,13 @@
         }
     };
     peer.record_received(shared.clock.now());
-    match result.map_err(lost)? {
-        Some((reply, body)) => Ok((reply, AnswerBody::Link(body.with_link_guard(link_guard)))),
-        None => Err(AttemptOutcome::Lost),
+    match result {
+        Ok((reply, body)) => Ok((reply, AnswerBody::Link(body.with_link_guard(link_guard)))),
+        Err(ReplyFault::Unread) => {
+            let (request, peer) = (&head.id, &peer.address.id);
+            log::info!("event=call_unread request={request} peer={peer}");
+            Err(not_sent())
+        }
+        Err(ReplyFault::Lost) => Err(AttemptOutcome::Lost),
     }
 }
--- a/tests/mesh_links.rs
+++ b/tests/mesh_links.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use filbert_platform_standin::host::call_headers;
-use filbert_platform_standin::{Client, RouteSpec, TargetBehaviour};
+use filbert_platform_standin::{Client, Host, HostSpec, RouteSpec, StandinStore, TargetBehaviour};
+use filbert_standin::fault_proxy::FaultMode;
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use users::{eventually, fleet, two_host_fleet, Fleet, WAIT_TIMEOUT};
+use users::{
+    eventually, eventually_logs, fleet, host_spec, publish, two_host_fleet, Fleet, WAIT_TIMEOUT,
+};
 
 /// Guards against a call that fails although its target answers it. The daemon of
 /// the only target stalls for so long that it counts as unresponsive, or that its link
@@ -139,3 +142,77 @@
     let answer = client.answer().await.expect("an answer");
     assert_eq!(answer.status, 200, "{}", fleet.hosts[0].log());
 }
+
+/// Guards against an order that is called lost although the host that was sent it says that it
+/// has not read it: its link ended, and named the last call that it had read.
+#[rstest]
+#[case::one_target(1)]
+#[case::another_target(2)]
+#[tokio::test]
+async fn orders_that_an_ended_link_has_not_read_are_not_lost(#[case] targets: usize) {
+    const ORDERS: usize = 12;
+    let fleet = piped_fleet(targets).await;
+    let piped = &fleet.hosts[1];
+    // Placement gives each target one of these.
+    let mut read = send_orders(&fleet, "long", targets).await;
+    assert!(eventually(WAIT_TIMEOUT, || async { piped.target.runs().len() == 1 }).await);
+    let links = piped.links.as_ref().expect("piped links");
+    links.set_mode(FaultMode::Blackhole);
+    let mut unread = send_orders(&fleet, "short", ORDERS).await;
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    links.set_mode(FaultMode::GoAway);
+    let (status, runs) = if targets == 1 { (503, 0) } else { (200, 1) };
+    for (client, id) in &mut unread {
+        let answer = client.answer().await.expect("an answer");
+        assert_eq!(answer.status, status, "{id}: {}", fleet.hosts[0].log());
+        assert_eq!(fleet.run_count(id), runs);
+    }
+    assert!(eventually_logs(&fleet.hosts[0], "event=call_unread request=short-").await);
+    for (client, id) in &mut read {
+        let status = client.answer().await.expect("an answer").status;
+        let is_cut = piped.target.runs().iter().any(|run| run.id == *id);
+        assert_eq!(status, if is_cut { 502 } else { 200 }, "{id}");
+        assert_eq!(fleet.run_count(id), 1);
+    }
+}
+
+/// Sends `count` orders to the daemon of host 0. Returns the client of each and its id.
+async fn send_orders(fleet: &Fleet, name: &str, count: usize) -> Vec<(Client, String)> {
+    let line = format!("POST /order/{name} HTTP/1.1");
+    let mut sent = Vec::new();
+    for number in 0..count {
+        let mut client = fleet.connect(0).await;
+        let id = format!("{name}-{number}");
+        let headers = call_headers(&id);
+        client.send(&line, &headers, b"sign").await.expect("sent");
+        sent.push((client, id));
+    }
+    sent
+}
+
+/// A caller, a target whose links a pipe carries, and as many further ones as make `targets`.
+/// They run orders with the name `long` for half a second.
+async fn piped_fleet(targets: usize) -> Fleet {
+    let store = StandinStore::start().await;
+    publish(&store, 1, &[RouteSpec::orders("/order/", "quotes")]);
+    let mut hosts = vec![Host::start(host_spec(&store, "caller", "a", "art")).await];
+    for number in 0..targets {
+        let spec = host_spec(&store, &format!("quoter-{number}"), "a", "quotes");
+        let piped_links = number == 0;
+        hosts.push(
+            Host::start(HostSpec {
+                piped_links,
+                ..spec
+            })
+            .await,
+        );
+    }
+    for host in &hosts {
+        let behaviour = TargetBehaviour::RespondsAfter(Duration::from_millis(500));
+        host.target
+            .set_behaviour_for_prefix("/order/long", behaviour);
+    }
+    let fleet = Fleet { store, hosts };
+    fleet.wait_until_ready().await;
+    fleet
+}
