Refuse faulty lines of a chunked body in place of taking them for its end

What callers saw: a target that wrote an empty line where the size of a chunk belongs had its answer cut there, and the client got it as whole. An order with such a line ran with the body up to it and was answered 200; what followed was read as trailer fields, or as the next call.

Cause: the library's parser of chunk sizes returns 0 for a line without a digit, which is that of the last chunk; and trailer lines were not looked at, though the decoder's page called a malformed one an error. One decoder serves both directions and the store, so the fix is one place: a size line begins with a digit, and a trailer line is a field.

Generated calls have faulty chunk lines now too.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -69,6 +69,9 @@
 /// Default maximum of the bytes of chunk extensions and trailer fields in one body.
 const DEFAULT_MAX_OVERHEAD_BYTES: usize = 64 * 1024;
 
+/// Characters of a token besides letters and digits (RFC 9110, section 5.6.2).
+const TOKEN_MARKS: &[u8] = b"!#$%&'*+-.^_`|~";
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DecodeState {
     FixedLength(u64),
@@ -169,6 +172,10 @@
                 }
                 DecodeState::UntilClose if buffer.is_empty() => return Ok(DecodeOutcome::NeedMore),
                 DecodeState::UntilClose => return Ok(DecodeOutcome::Data(buffer.split().freeze())),
+                // The parser takes a line without a digit for that of the last chunk.
+                DecodeState::ChunkSize if !starts_with_digit(buffer) => {
+                    return Err(BodyError::BadChunk)
+                }
                 DecodeState::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((used, size))) => {
                         buffer.advance(used);
@@ -200,11 +207,13 @@
                         }
                         return Ok(DecodeOutcome::NeedMore);
                     };
-                    buffer.advance(end + 2);
                     self.count_overhead(end)?;
                     if end == 0 {
                         self.state = DecodeState::Done;
+                    } else if !is_field_line(&buffer[..end]) {
+                        return Err(BodyError::BadChunk);
                     }
+                    buffer.advance(end + 2);
                 }
             }
         }
@@ -236,3 +245,19 @@
         DecodeOutcome::Data(data)
     }
 }
+
+/// Whether a chunk-size line that has begun to arrive begins with a digit.
+fn starts_with_digit(line: &[u8]) -> bool {
+    line.first().is_none_or(u8::is_ascii_hexdigit)
+}
+
+/// Whether `line` is a field: a token, a colon, and a value without control characters.
+fn is_field_line(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let (name, value) = line.split_at(colon);
+    let is_token = |byte: &u8| byte.is_ascii_alphanumeric() || TOKEN_MARKS.contains(byte);
+    let is_text = |byte: &u8| *byte == b'\t' || !byte.is_ascii_control();
+    !name.is_empty() && name.iter().all(is_token) && value.iter().all(is_text)
+}
--- a/crates/http1/tests/message_cases.rs
+++ b/crates/http1/tests/message_cases.rs
@@ -143,6 +143,37 @@
     ));
 }
 
+/// Guards against a malformed line of a chunked body that is taken for its end: the body would
+/// look whole, and what follows it would be read as the next message.
+#[rstest]
+#[case::no_size("5\r\nhello\r\n\r\n\r\n")]
+#[case::extension_without_a_size("5\r\nhello\r\n;name=value\r\n\r\n")]
+#[case::space_before_the_size("5\r\nhello\r\n 0\r\n\r\n")]
+#[case::two_sizes("5\r\nhello\r\n0 0\r\n\r\n")]
+#[case::sign("5\r\nhello\r\n-0\r\n\r\n")]
+#[case::trailer_without_a_colon("0\r\nno colon\r\n\r\n")]
+#[case::trailer_without_a_name("0\r\n: value\r\n\r\n")]
+#[case::space_behind_the_name("0\r\nX-Trailer : 1\r\n\r\n")]
+#[case::folded_trailer("0\r\nX-Trailer: 1\r\n folded\r\n\r\n")]
+#[case::nul_in_a_trailer("0\r\nX-Trailer: a\0b\r\n\r\n")]
+#[case::line_feed_in_a_trailer("0\r\nX-Trailer: a\nX-Other: b\r\n\r\n")]
+#[tokio::test]
+async fn a_malformed_line_does_not_end_a_chunked_body(#[case] text: &str) {
+    let mut reader = MessageReader::new(text.as_bytes());
+    let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+    let error = loop {
+        match reader.read_body_data(&mut decoder).await {
+            Ok(Some(_)) => {}
+            Ok(None) => panic!("the end of the body"),
+            Err(error) => break error,
+        }
+    };
+    assert!(
+        matches!(error, ReadError::Body(BodyError::BadChunk)),
+        "{error}"
+    );
+}
+
 /// Guards against a sender of chunk extensions, trailer fields or empty lines without end.
 #[rstest]
 #[case::extensions("1;name=value-of-20-bytes\r\nx\r\n", "")]
--- a/tests/mesh_fields.rs
+++ b/tests/mesh_fields.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use users::{two_host_fleet, Fleet};
+use users::{generated_cases, two_host_fleet, Fleet};
 
 const BAD_REQUEST: u16 = 400;
 /// Longest time until a call that can never be served is refused.
@@ -82,7 +82,10 @@
         "no colon",
         "Content-Length: 1\r\nContent-Length: 2",
     ];
+    let faulty_sizes = ["", ";name=value", "zz", "-1", "0x5"];
+    let is_chunked = rng.random_bool(0.5);
     let is_proper = rng.random_bool(0.7);
+    let has_faulty_chunk = !is_proper && is_chunked && rng.random_bool(0.4);
     let mut lines = vec![
         format!("POST /order/{id} HTTP/1.1"),
         "Host: shop.example".to_owned(),
@@ -92,10 +95,9 @@
     for _ in 0..rng.random_range(0..3) {
         lines.push((*odd.choose(rng).expect("fields")).to_owned());
     }
-    if !is_proper {
+    if !is_proper && !has_faulty_chunk {
         lines.push((*illegal.choose(rng).expect("fields")).to_owned());
     }
-    let is_chunked = rng.random_bool(0.5);
     if is_chunked {
         lines.push("Transfer-Encoding: chunked".to_owned());
     } else if !body.is_empty() {
@@ -111,6 +113,10 @@
             bytes.extend_from_slice(b"\r\n");
             rest = tail;
         }
+        if has_faulty_chunk {
+            let size = faulty_sizes.choose(rng).expect("sizes");
+            bytes.extend_from_slice(format!("{size}\r\n").as_bytes());
+        }
         bytes.extend_from_slice(b"0\r\nTrailer: x\r\n\r\n");
     } else {
         bytes.extend_from_slice(&body);
@@ -128,7 +134,7 @@
 async fn a_call_arrives_as_it_was_meant_or_is_refused() {
     let fleet = two_host_fleet("a").await;
     let mut rng = StdRng::seed_from_u64(SEED);
-    for number in 0..GENERATED_CALLS {
+    for number in 0..generated_cases(GENERATED_CALLS) {
         let id = format!("order-{number}");
         let call = generate_call(&id, &mut rng);
         let head = String::from_utf8_lossy(&call.bytes[..call.bytes.len().min(300)]).into_owned();
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -13,6 +13,16 @@
 /// Longest wait for an expected event; far above the usual time.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Environment variable with the number of cases that a property test generates.
+const CASES_VARIABLE: &str = "FILBERT_CASES";
+
+/// Number of cases that a property test generates: `usual`, unless the environment variable
+/// [`CASES_VARIABLE`] states another.
+pub fn generated_cases(usual: usize) -> usize {
+    let stated = std::env::var(CASES_VARIABLE).ok();
+    stated.map_or(usual, |text| text.parse().expect("a number of cases"))
+}
+
 /// A store stand-in and the hosts that use it.
 pub struct Fleet {
     pub store: StandinStore,
