Say that a client left inside its answer, also where the reader sees it

Cause: the reader of a connection notices a client's leaving before the writer does and ends both, so that neither answer_cut nor its counter had a word of it, against OPERATIONS ("client_left: the client has gone"). Seen by a new test: 300 ms into an answer of 30 MB its client left; no line in 20 s. Ruled out: the log limiter (one call in the process).

The report of an answer in progress is a value now that is ended with the outcome of writing, and states the client's leaving when it is dropped, or that a planned stop has ended the process. A test holds the line and the counter for client_left, broken_off and time_up: 3 of 3 pass.

Besides: NextCall had two values that nobody told apart and is a yes or no; one constant stands for an unknown run time in place of two.

--- a/crates/mesh/src/calls/dispatch.rs
+++ b/crates/mesh/src/calls/dispatch.rs
@@ -20,7 +20,7 @@
 use super::attempt::{first_outcome, start_attempt, AttemptOutcome, RunningAttempt};
 use super::outgoing::{client_deadline, into_call_parts, ReplayBody};
 use super::pick::{Destination, PickedTarget};
-use super::{ClientAnswer, ClientCall, TargetAnswer, MIN_SERVER_ERROR_STATUS};
+use super::{ClientAnswer, ClientCall, TargetAnswer, MIN_SERVER_ERROR_STATUS, UNKNOWN_RUN_TIME};
 use crate::body::AnswerBody;
 use crate::messages::{to_micros, AnswerHead, CallHead};
 use crate::quarantine::ProbePermit;
@@ -35,8 +35,7 @@
 /// call with less time cannot complete it: the fastest usual runs take longer than
 /// this.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
-/// Time after which a client should retry if the service has no open target. Also
-/// stands in for the expected run time of a call where it is not known.
+/// Time after which a client should retry if the service has no open target.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Progress of a call, read when its deadline passes.
@@ -251,9 +250,8 @@
             }
             QuarantineState::ProbeInFlight => {
                 self.remaining_hold = Some(
-                    expected_run_time.map_or(NO_TARGET_RETRY_AFTER, |expected_run_time| {
-                        expected_run_time.mean
-                    }),
+                    expected_run_time
+                        .map_or(UNKNOWN_RUN_TIME, |expected_run_time| expected_run_time.mean),
                 );
             }
             QuarantineState::Held(remaining_hold) => self.remaining_hold = Some(remaining_hold),
--- a/crates/mesh/src/calls/dispatch/ending.rs
+++ b/crates/mesh/src/calls/dispatch/ending.rs
@@ -11,7 +11,7 @@
 
 use super::{CallDispatch, NO_TARGET_RETRY_AFTER};
 use crate::calls::pick::PickedTarget;
-use crate::calls::{service_unavailable, ClientAnswer, BAD_GATEWAY};
+use crate::calls::{service_unavailable, ClientAnswer, BAD_GATEWAY, UNKNOWN_RUN_TIME};
 use crate::logging::LinePriority;
 
 /// Minimum time after which a client should retry a call that is held back.
@@ -80,7 +80,7 @@
             let run_time = self
                 .head
                 .expected_run_time
-                .map_or(NO_TARGET_RETRY_AFTER, |expected_run_time| {
+                .map_or(UNKNOWN_RUN_TIME, |expected_run_time| {
                     RunTime::from(expected_run_time).mean
                 });
             retry_after_shedding(run_time, time_left, jitter)
--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -25,6 +25,8 @@
     AtDeadline,
     /// The client reads too slowly.
     ClientTooSlow,
+    /// A planned stop has ended the process.
+    ProcessEnded,
 }
 
 impl AnswerFault {
@@ -35,6 +37,7 @@
             AnswerFault::BrokenOff => "broken_off",
             AnswerFault::AtDeadline => "time_up",
             AnswerFault::ClientTooSlow => "client_too_slow",
+            AnswerFault::ProcessEnded => "process_ended",
         }
     }
 }
--- a/crates/mesh/src/ingress/connection.rs
+++ b/crates/mesh/src/ingress/connection.rs
@@ -44,17 +44,6 @@
     }
 }
 
-/// Which calls a connection still reads.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum NextCall {
-    /// The next call, and others behind it.
-    Any,
-    /// One more call, whose answer then announces the close.
-    Last,
-    /// None: the last answer that is still to be written announces the close.
-    None,
-}
-
 /// State shared by the reader and the writer of a connection.
 pub(super) struct ConnectionState {
     /// Calls of which not even the head of the answer is written. As long as there is one,
@@ -133,22 +122,19 @@
         self.answer_written.notified().await;
     }
 
-    /// Returns which calls the connection still reads in `phase` of a planned stop.
+    /// Whether the connection reads a further call in `phase` of a planned stop.
     ///
     /// A connection is closed once, when the stop begins to close connections. Clients that
     /// have nowhere else to go open another one then; it is kept while its calls can be
     /// served, as each close makes clients send pipelined calls again.
-    pub(super) fn next_call(&self, phase: StopPhase) -> NextCall {
+    pub(super) fn reads_next_call(&self, phase: StopPhase) -> bool {
         let closes = match phase {
             StopPhase::Serving | StopPhase::NotReady => false,
             StopPhase::Closing => self.opened_in < StopPhase::Closing,
             StopPhase::Ending => true,
         };
-        match (closes, self.pending_count()) {
-            (false, _) => NextCall::Any,
-            (true, 0) => NextCall::Last,
-            (true, _) => NextCall::None,
-        }
+        // Some answer has to announce the close: that to the last call that was read.
+        !closes || self.pending_count() == 0
     }
 
     /// Records that no further call will be read. The last answer announces the close if
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod bodies;
 mod connection;
+mod cut_answers;
 mod linger;
 
 use std::rc::Rc;
@@ -25,7 +26,8 @@
 use crate::stop::StopPhase;
 use answers::{write_answer, AnswerFault};
 use bodies::{call_identity, forward_body, read_body};
-use connection::{CallInfo, ConnectionState, NextCall};
+use connection::{CallInfo, ConnectionState};
+use cut_answers::CutAnswerReport;
 use linger::close_after_answers;
 
 /// Maximum number of calls of one connection that are handled at the same time.
@@ -211,7 +213,7 @@
     reader: &mut MessageReader<OwnedReadHalf>,
 ) -> Result<(), ReadEnd> {
     loop {
-        if state.next_call(shared.stop.phase()) == NextCall::None {
+        if !state.reads_next_call(shared.stop.phase()) {
             return Err(ReadEnd::CloseAfterAnswers(None));
         }
         if reader.has_buffered_bytes() {
@@ -247,10 +249,9 @@
 ) -> Result<(), AnswerFault> {
     while let Some((pending, answer)) = state.next_answer().await {
         let idle_timeout = shared.current_index().limits().idle_timeout;
+        let report = CutAnswerReport::new(shared, &pending.call.id);
         let written = write_answer(&shared.egress, writer, &pending.call, answer, idle_timeout);
-        let closes_connection = written.await.inspect_err(|fault| {
-            log_answer_fault(shared, &pending.call.id, fault);
-        })?;
+        let closes_connection = report.end(written.await)?;
         state.finish_answer(shared.clock.now());
         if closes_connection {
             break;
@@ -258,13 +259,3 @@
     }
     Ok(())
 }
-
-/// Counts and logs an answer that ended before its end.
-fn log_answer_fault(shared: &MeshShared, id: &str, fault: &AnswerFault) {
-    let reason = fault.label();
-    shared.metrics.record_answer_fault(reason);
-    let now = shared.clock.now();
-    if shared.log_limiter.allows(LinePriority::Notable, now) {
-        log::info!("event=answer_cut request={id} reason={reason}");
-    }
-}
--- a/tests/mesh_logs.rs
+++ b/tests/mesh_logs.rs
@@ -9,7 +9,7 @@
 use filbert_platform_standin::host::call_headers;
 use filbert_platform_standin::{Client, Host, RouteSpec, StandinStore, TargetBehaviour};
 use rstest::rstest;
-use users::{eventually, eventually_logs, fleet, host_spec, publish, WAIT_TIMEOUT};
+use users::{eventually, eventually_logs, fleet, host_spec, publish, two_host_fleet, WAIT_TIMEOUT};
 
 const READ: &str = "GET /read/a HTTP/1.1";
 const ORDER: &str = "POST /order/a HTTP/1.1";
@@ -131,3 +131,39 @@
         "{text}"
     );
 }
+
+/// Guards against an answer that is cut without a word on why: its client left, its target
+/// broke it off, or its deadline passed.
+#[rstest]
+#[case::client_left("client_left", TargetBehaviour::Responds)]
+#[case::broken_off("broken_off", TargetBehaviour::TruncatesResponse)]
+#[case::time_up("time_up", TargetBehaviour::FallsSilent)]
+#[tokio::test]
+async fn a_cut_answer_states_its_reason(#[case] reason: &str, #[case] behaviour: TargetBehaviour) {
+    // More than the buffers between a daemon and a client that reads nothing.
+    const ANSWER_BYTES: usize = 30_000_000;
+    let fleet = two_host_fleet("a").await;
+    let target = &fleet.hosts[1].target;
+    target.set_body_bytes(ANSWER_BYTES);
+    target.set_behaviour(behaviour);
+    // Beside the target, no other host ends the answer first.
+    let host = &fleet.hosts[1];
+    let mut client = Client::connect(host.calls).await.expect("a connection");
+    let headers = call_headers("cut-1");
+    client
+        .send("GET /read/a HTTP/1.1", &headers, b"")
+        .await
+        .expect("sent");
+    if reason == "client_left" {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        drop(client);
+    } else {
+        assert!(client.answer().await.is_none(), "a whole answer");
+    }
+    let line = format!("event=answer_cut request=cut-1 reason={reason}");
+    assert!(eventually_logs(host, &line).await);
+    let metric =
+        format!(r#"filbert_answers_cut_total{{reason="{reason}",otel_scope_name="filbertd"}} 1"#);
+    let metrics = host.metrics_text().await;
+    assert!(metrics.contains(&metric), "{metrics}");
+}
