Drop the second handle of a link, and test that its end names the read calls

The handle was to keep a link from being closed with unread input, whose reset might discard the GOAWAY. A test now ends a link as a host does that stood still for 0.4 s: 2,100 cancelled streams and 1 MB behind them.

--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -19,7 +19,7 @@
 use crate::body::{next_data, AnswerBody, BodySource, CallBody, LinkBody};
 use crate::links::{LinkError, CONNECTION_WINDOW, STREAM_WINDOW};
 use crate::messages::{decode_next, encode, CallHead, ReplyHead};
-use crate::sockets::{self, UnreadInput};
+use crate::sockets;
 use crate::state::MeshShared;
 use crate::stop::ActiveCallGuard;
 use news::{news_path, serve_news};
@@ -68,19 +68,8 @@
 /// Availability zone of the daemon that dialed a link, once it has said so.
 type CallerZone = Rc<RefCell<Option<String>>>;
 
-/// Serves a link until it ends. A link that this side ends, by a GOAWAY which tells the other
-/// one which of its calls were read, is closed behind its input.
 async fn serve_link(shared: Rc<MeshShared>, stream: TcpStream) -> Result<(), LinkError> {
     sockets::set_socket_options(&stream);
-    let unread_input = UnreadInput::of(&stream);
-    let end = serve_streams(shared, stream).await;
-    if let (Err(_), Ok(unread_input)) = (&end, unread_input) {
-        unread_input.discard().await;
-    }
-    end
-}
-
-async fn serve_streams(shared: Rc<MeshShared>, stream: TcpStream) -> Result<(), LinkError> {
     let caller_zone = CallerZone::default();
     let mut connection = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW)
--- a/crates/mesh/src/sockets.rs
+++ b/crates/mesh/src/sockets.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Idle time before the first keep-alive probe, and time between probes.
@@ -19,10 +18,6 @@
 /// ever and return none. The time is several times that of two round trips with a
 /// lost packet on a lossy link.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Longest time for which the input of a connection is discarded before it is closed.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
-/// Number of bytes of it that are discarded at a time.
-const DISCARD_BYTES: usize = 16 * 1024;
 /// Maximum number of connections that wait to be accepted on a listener.
 const LISTEN_BACKLOG: u32 = 1024;
 
@@ -87,30 +82,3 @@
     socket.bind(address)?;
     socket.listen(LISTEN_BACKLOG)
 }
-
-/// A further handle of a connection, which keeps it from being closed with unread input.
-///
-/// The kernel resets a connection that is closed with unread input, and the reset may discard
-/// what was sent last: the other side would not learn which of its calls were read.
-pub struct UnreadInput(std::net::TcpStream);
-
-impl UnreadInput {
-    /// Creates a further handle of `stream`.
-    ///
-    /// # Errors
-    /// The error of duplicating the descriptor.
-    pub fn of(stream: &TcpStream) -> io::Result<UnreadInput> {
-        let duplicate = SockRef::from(stream).try_clone()?;
-        Ok(UnreadInput(duplicate.into()))
-    }
-
-    /// Discards the input until the other side closes the connection, for a limited time.
-    pub async fn discard(self) {
-        let Ok(mut input) = TcpStream::from_std(self.0) else {
-            return;
-        };
-        let mut buffer = vec![0; DISCARD_BYTES];
-        let until_closed = async { while let Ok(1..) = input.read(&mut buffer).await {} };
-        let _ = tokio::time::timeout(DISCARD_TIMEOUT, until_closed).await;
-    }
-}
--- a/crates/standin/src/http2_frames.rs
+++ b/crates/standin/src/http2_frames.rs
@@ -6,11 +6,20 @@
 const HEADER_BYTES: usize = 9;
 /// Type of the frames that open a stream.
 const HEADERS_TYPE: u8 = 0x1;
+/// Type of the frame that cancels a stream.
+const RST_STREAM_TYPE: u8 = 0x3;
+const SETTINGS_TYPE: u8 = 0x4;
+const PING_TYPE: u8 = 0x6;
 /// Type of the frame that ends a connection.
 const GO_AWAY_TYPE: u8 = 0x7;
 /// Error code of a server that has had too many streams cancelled.
 const ENHANCE_YOUR_CALM: u32 = 0xb;
 
+/// Error code of a cancelled stream.
+const CANCEL: u32 = 0x8;
+/// Flag of the last frame with a stream's header fields.
+const END_HEADERS: u8 = 0x4;
+
 /// Follows the frames in one direction of a connection.
 #[derive(Debug)]
 pub struct FrameScanner {
@@ -19,6 +28,7 @@
     /// The part of a frame's header that has come.
     header: Vec<u8>,
     newest_stream: u32,
+    has_ended: bool,
 }
 
 impl FrameScanner {
@@ -29,6 +39,7 @@
             skipped: PREFACE_BYTES,
             header: Vec::new(),
             newest_stream: 0,
+            has_ended: false,
         }
     }
 
@@ -68,6 +79,7 @@
         if self.header[3] == HEADERS_TYPE {
             self.newest_stream = self.newest_stream.max(stream);
         }
+        self.has_ended |= self.header[3] == GO_AWAY_TYPE;
         self.skipped = usize::try_from(length).unwrap_or(usize::MAX);
         self.header.clear();
     }
@@ -78,6 +90,12 @@
         self.skipped == 0 && self.header.is_empty()
     }
 
+    /// Whether a frame has come that ends the connection.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
     /// Number of the newest stream that was opened; 0 if none was.
     #[must_use]
     pub fn newest_stream(&self) -> u32 {
@@ -85,11 +103,41 @@
     }
 }
 
+/// What a client sends that opens `count` streams and cancels each.
+#[must_use]
+pub fn cancelled_streams(count: u32) -> Vec<u8> {
+    // POST, http, the path `/`, and the authority `peer`, in the header compression's codes.
+    const HEADER_BLOCK: &[u8] = b"\x83\x86\x84\x41\x04peer";
+    let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
+    bytes.extend(frame(SETTINGS_TYPE, 0, 0, &[]));
+    for number in 0..count {
+        let stream = 2 * number + 1;
+        bytes.extend(frame(HEADERS_TYPE, END_HEADERS, stream, HEADER_BLOCK));
+        bytes.extend(frame(RST_STREAM_TYPE, 0, stream, &CANCEL.to_be_bytes()));
+    }
+    bytes
+}
+
+/// At least `length` bytes of frames that ask for an answer.
+#[must_use]
+pub fn ping_frames(length: usize) -> Vec<u8> {
+    let ping = frame(PING_TYPE, 0, 0, &[0; 8]);
+    ping.repeat(length.div_ceil(ping.len()))
+}
+
+fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
+    let mut bytes = length.to_be_bytes()[1..].to_vec();
+    bytes.extend_from_slice(&[kind, flags]);
+    bytes.extend_from_slice(&stream.to_be_bytes());
+    bytes.extend_from_slice(payload);
+    bytes
+}
+
 /// A frame that ends a connection, of whose streams `last_stream` was the last to be read.
 #[must_use]
 pub fn go_away_frame(last_stream: u32) -> Vec<u8> {
-    let mut frame = vec![0, 0, 8, GO_AWAY_TYPE, 0, 0, 0, 0, 0];
-    frame.extend_from_slice(&last_stream.to_be_bytes());
-    frame.extend_from_slice(&ENHANCE_YOUR_CALM.to_be_bytes());
-    frame
+    let mut payload = last_stream.to_be_bytes().to_vec();
+    payload.extend_from_slice(&ENHANCE_YOUR_CALM.to_be_bytes());
+    frame(GO_AWAY_TYPE, 0, 0, &payload)
 }
--- a/tests/mesh_links.rs
+++ b/tests/mesh_links.rs
@@ -8,8 +8,11 @@
 use filbert_platform_standin::host::call_headers;
 use filbert_platform_standin::{Client, Host, HostSpec, RouteSpec, StandinStore, TargetBehaviour};
 use filbert_standin::fault_proxy::FaultMode;
+use filbert_standin::http2_frames::{cancelled_streams, ping_frames, FrameScanner};
 use nix::sys::signal::Signal;
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use users::{
     eventually, eventually_logs, fleet, host_spec, publish, two_host_fleet, Fleet, WAIT_TIMEOUT,
 };
@@ -216,3 +219,35 @@
     fleet.wait_until_ready().await;
     fleet
 }
+
+/// Guards against a host that ends a link and resets it, so that the other host does not learn
+/// which of its calls were read.
+#[tokio::test]
+async fn a_host_that_ends_a_link_says_what_it_has_read() {
+    const CANCELLED_CALLS: u32 = 2_100;
+    const UNREAD_BYTES: usize = 1_000_000;
+    let fleet = two_host_fleet("a").await;
+    let host = &fleet.hosts[1];
+    let log = host.log();
+    let address = log
+        .split(" peers=")
+        .nth(1)
+        .and_then(|rest| rest.split_whitespace().next());
+    let mut stream = TcpStream::connect(address.expect("an address"))
+        .await
+        .expect("a link");
+    host.signal(Signal::SIGSTOP);
+    let mut bytes = cancelled_streams(CANCELLED_CALLS);
+    bytes.extend(ping_frames(UNREAD_BYTES));
+    let (mut read, mut write) = stream.split();
+    let send = tokio::time::timeout(Duration::from_millis(400), write.write_all(&bytes));
+    let _ = send.await;
+    host.signal(Signal::SIGCONT);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let mut frames = FrameScanner::of_server();
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(length @ 1..) = read.read(&mut buffer).await {
+        frames.scan(&buffer[..length]);
+    }
+    assert!(frames.has_ended(), "reset");
+}
