Make a client leave inside its answer in the test of cut answers

The client now reads the first byte of the answer and closes its side, so that the reader notices first; the target builds its body at once.

--- a/tests/mesh_logs.rs
+++ b/tests/mesh_logs.rs
@@ -9,6 +9,8 @@
 use filbert_platform_standin::host::call_headers;
 use filbert_platform_standin::{Client, Host, RouteSpec, StandinStore, TargetBehaviour};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use users::{eventually, eventually_logs, fleet, host_spec, publish, two_host_fleet, WAIT_TIMEOUT};
 
 const READ: &str = "GET /read/a HTTP/1.1";
@@ -148,22 +150,30 @@
     target.set_behaviour(behaviour);
     // Beside the target, no other host ends the answer first.
     let host = &fleet.hosts[1];
-    let mut client = Client::connect(host.calls).await.expect("a connection");
-    let headers = call_headers("cut-1");
-    client
-        .send("GET /read/a HTTP/1.1", &headers, b"")
-        .await
-        .expect("sent");
-    if reason == "client_left" {
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        drop(client);
+    let half_closed = if reason == "client_left" {
+        Some(leave_inside_answer(host).await)
     } else {
-        assert!(client.answer().await.is_none(), "a whole answer");
-    }
+        let answer = host.call(READ, "cut-1", b"").await;
+        assert!(answer.is_none(), "a whole answer");
+        None
+    };
     let line = format!("event=answer_cut request=cut-1 reason={reason}");
     assert!(eventually_logs(host, &line).await);
+    drop(half_closed);
     let metric =
         format!(r#"filbert_answers_cut_total{{reason="{reason}",otel_scope_name="filbertd"}} 1"#);
     let metrics = host.metrics_text().await;
     assert!(metrics.contains(&metric), "{metrics}");
 }
+
+/// Sends call `cut-1` and closes its side as soon as the answer has begun, so that the reader
+/// of the connection notices before the writer does.
+async fn leave_inside_answer(host: &Host) -> TcpStream {
+    let mut stream = TcpStream::connect(host.calls).await.expect("connected");
+    let call =
+        format!("{READ}\r\nHost: shop.example\r\nRequest-Id: cut-1\r\nDeadline-Ms: 2000\r\n\r\n");
+    stream.write_all(call.as_bytes()).await.expect("sent");
+    stream.read_u8().await.expect("the beginning of an answer");
+    stream.shutdown().await.expect("closed");
+    stream
+}
