--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -85,6 +85,13 @@
         !self.buffer.is_empty()
     }
 
+    /// Frees the memory of an empty buffer.
+    pub fn release_buffer(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Discards all buffered bytes.
     pub fn discard_buffered(&mut self) {
         self.buffer.clear();
--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
 
+use crate::links::STREAM_WINDOW;
 use crate::peers::LinkGuard;
 use crate::target::RunBody;
 
@@ -33,6 +34,17 @@
     Streamed(BodySource),
 }
 
+impl CallBody {
+    /// Length of what is buffered of the body, in bytes.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> u64 {
+        match self {
+            CallBody::Whole(body) => body.len() as u64,
+            CallBody::Streamed(_) => 0,
+        }
+    }
+}
+
 /// Source of the data of a streamed call body.
 #[derive(Debug)]
 pub enum BodySource {
@@ -184,6 +196,21 @@
         }
     }
 
+    /// Memory that the body may take on this host while it is not read, in bytes; besides
+    /// that of [`BufferedBody`], which has a limit of its own.
+    #[must_use]
+    pub fn held_bytes(&self) -> u64 {
+        match self {
+            AnswerBody::Whole(body) => body.len() as u64,
+            AnswerBody::Run(_) | AnswerBody::Buffered(_) => 0,
+            AnswerBody::Link(_) => u64::from(STREAM_WINDOW),
+            AnswerBody::Partial(parts, rest) => {
+                let buffered: usize = parts.iter().map(Bytes::len).sum();
+                buffered as u64 + rest.held_bytes()
+            }
+        }
+    }
+
     /// Reads ahead until the body is complete or more than `max_bytes` are
     /// buffered. If the body is truncated before that, nothing of the answer has been
     /// forwarded, and a repeatable call can be retried.
--- a/crates/mesh/src/calls/mod.rs
+++ b/crates/mesh/src/calls/mod.rs
@@ -115,6 +115,17 @@
         matches!(self, ClientAnswer::Local { status, .. } if *status == SERVICE_UNAVAILABLE)
     }
 
+    /// Memory that the answer takes until it is written, in bytes.
+    #[must_use]
+    pub fn held_bytes(&self) -> u64 {
+        match self {
+            ClientAnswer::Target(answer) => {
+                answer.head.lines.len() as u64 + answer.body.held_bytes()
+            }
+            ClientAnswer::Local { .. } => 0,
+        }
+    }
+
     /// Creates a local reply without a retry time.
     #[must_use]
     pub fn local(status: u16) -> ClientAnswer {
--- /dev/null
+++ b/crates/mesh/src/clients/mod.rs
@@ -0,0 +1,145 @@
+//! The clients' connections of this process, and what is held for them.
+
+mod account;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+
+use filbert_policy::client_budget::eviction::{choose_for_memory, ConnectionUse};
+use filbert_policy::client_budget::{MachineSize, ResourceLimits};
+use filbert_policy::clock::Clock;
+
+use crate::logging::{LinePriority, LogRateLimiter};
+use crate::metrics::MeshMetrics;
+pub use account::{CallCharge, ConnectionAccount, EndReason, MemoryFull};
+
+/// All connections of clients, with what is held for them.
+pub struct ClientTable {
+    limits: Cell<ResourceLimits>,
+    connections: RefCell<HashMap<u64, Weak<ConnectionAccount>>>,
+    next_connection: Cell<u64>,
+    /// Bytes held for the connections in the table.
+    held_bytes: Cell<u64>,
+    /// Calls that were read ahead of the answer to an earlier one.
+    calls_ahead: Cell<usize>,
+    metrics: Rc<MeshMetrics>,
+    log_limiter: LogRateLimiter,
+    clock: Rc<dyn Clock>,
+}
+
+impl ClientTable {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(
+        machine: MachineSize,
+        metrics: Rc<MeshMetrics>,
+        clock: Rc<dyn Clock>,
+    ) -> Rc<ClientTable> {
+        Rc::new(ClientTable {
+            limits: Cell::new(ResourceLimits::new(machine)),
+            connections: RefCell::default(),
+            next_connection: Cell::new(0),
+            held_bytes: Cell::new(0),
+            calls_ahead: Cell::new(0),
+            log_limiter: LogRateLimiter::new(clock.now()),
+            metrics,
+            clock,
+        })
+    }
+
+    /// Number of connections.
+    #[must_use]
+    pub fn connection_count(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Bytes held for all connections.
+    #[must_use]
+    pub fn held_bytes(&self) -> u64 {
+        self.held_bytes.get()
+    }
+
+    /// Bytes that may be held for all connections.
+    #[must_use]
+    pub fn max_held_bytes(&self) -> u64 {
+        self.limits.get().held_bytes
+    }
+
+    /// Adds a connection that was just accepted.
+    #[must_use]
+    pub fn add(self: &Rc<Self>) -> Rc<ConnectionAccount> {
+        let id = self.next_connection.get();
+        self.next_connection.set(id + 1);
+        let account = Rc::new(ConnectionAccount::new(id, Rc::clone(self)));
+        let mut connections = self.connections.borrow_mut();
+        connections.insert(id, Rc::downgrade(&account));
+        account
+    }
+
+    /// Whether a connection may read a call ahead of the answer to an earlier one.
+    fn allows_call_ahead(&self) -> bool {
+        let limits = self.limits.get();
+        limits.allows_call_ahead(self.held_bytes.get(), self.calls_ahead.get())
+    }
+
+    /// Ends connections until the others may hold what they do. If the connection
+    /// `requester` is the one to end and `may_refuse`, it is left as it is, and the result
+    /// is false.
+    fn end_for_memory(&self, requester: u64, may_refuse: bool) -> bool {
+        while self.held_bytes.get() > self.limits.get().held_bytes {
+            match choose_for_memory(self.open().into_iter(), self.clock.now()) {
+                None => return true,
+                Some(account) if account.id() == requester && may_refuse => return false,
+                Some(account) => self.end(&account, EndReason::Memory),
+            }
+        }
+        true
+    }
+
+    /// The connections in the table, with what they are used for.
+    fn open(&self) -> Vec<(Rc<ConnectionAccount>, ConnectionUse)> {
+        let connections = self.connections.borrow();
+        connections
+            .values()
+            .filter_map(Weak::upgrade)
+            .map(|account| {
+                let usage = account.usage();
+                (account, usage)
+            })
+            .collect()
+    }
+
+    fn end(&self, account: &ConnectionAccount, reason: EndReason) {
+        self.remove(account);
+        account.end();
+        self.metrics.record_ended_connection(reason.label());
+        if !self
+            .log_limiter
+            .allows(LinePriority::Notable, self.clock.now())
+        {
+            return;
+        }
+        log::info!(
+            "event=client_connection_ended reason={} usage=\"{:?}\" connections={} held_bytes={} max_held_bytes={}",
+            reason.label(),
+            account.usage(),
+            self.connection_count(),
+            self.held_bytes.get(),
+            self.max_held_bytes()
+        );
+    }
+
+    /// Removes a connection that is in the table, with what it holds.
+    fn remove(&self, account: &ConnectionAccount) {
+        self.connections.borrow_mut().remove(&account.id());
+        self.subtract(account.held_bytes(), account.calls_ahead());
+    }
+
+    fn subtract(&self, bytes: u64, calls_ahead: usize) {
+        let held = self.held_bytes.get();
+        self.held_bytes.set(held.saturating_sub(bytes));
+        let ahead = self.calls_ahead.get();
+        self.calls_ahead.set(ahead.saturating_sub(calls_ahead));
+    }
+}
--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -4,9 +4,8 @@
 
 use filbert_http1::{BodyEncoder, BodyFraming, LengthMismatch};
 use filbert_platform::headers;
-use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::OwnedWriteHalf;
 
+use super::client_io::ClientWriter;
 use super::connection::CallInfo;
 use crate::body::{AnswerBody, BodyTruncated};
 use crate::calls::{ClientAnswer, TargetAnswer};
@@ -57,7 +56,7 @@
 /// Why the answer was not written to its end.
 pub(super) async fn write_answer(
     egress: &EgressPacer,
-    writer: &mut OwnedWriteHalf,
+    writer: &mut ClientWriter,
     call: &CallInfo,
     answer: ClientAnswer,
     idle_timeout: Duration,
@@ -118,7 +117,7 @@
 
 async fn write_target_answer(
     egress: &EgressPacer,
-    writer: &mut OwnedWriteHalf,
+    writer: &mut ClientWriter,
     answer: TargetAnswer,
     connection_line: &str,
     framing: BodyFraming,
--- a/crates/mesh/src/ingress/bodies.rs
+++ b/crates/mesh/src/ingress/bodies.rs
@@ -4,14 +4,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use filbert_http1::{BodyDecoder, BodyFraming, MessageReader, ReadError, RequestHead};
+use filbert_http1::{BodyDecoder, BodyFraming, ReadError, RequestHead};
 use filbert_platform::headers;
+use filbert_policy::client_budget::call_bytes;
 use filbert_policy::identity::{CallIdentity, IdentityParts};
 use tokio::io::Interest;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
+use super::client_io::ClientReader;
 use super::{ReadEnd, BAD_REQUEST, REQUEST_TIMEOUT};
 use crate::body::{BodySource, CallBody};
 
@@ -21,11 +22,23 @@
 /// Number of buffers of a longer body that are read ahead of the call's attempt.
 const BODY_CHANNEL_CAPACITY: usize = 4;
 
+/// Memory of a streamed body: the prefix, the buffers of the channel, and that of the
+/// reader, in bytes.
+const STREAMED_BODY_BYTES: u64 = 192 * 1024;
+
 /// Interval at which it is checked whether a client has left whose body is not read.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Memory to charge for a call with a head of `head_bytes` before its body is read.
+pub(super) fn expected_call_bytes(head_bytes: usize, framing: BodyFraming) -> u64 {
+    match framing.length() {
+        Some(length) if length <= MAX_REPLAYABLE_BODY_BYTES => call_bytes(head_bytes, length),
+        _ => call_bytes(head_bytes, 0) + STREAMED_BODY_BYTES,
+    }
+}
+
 async fn read_complete(
-    reader: &mut MessageReader<OwnedReadHalf>,
+    reader: &mut ClientReader,
     decoder: &mut BodyDecoder,
 ) -> Result<Bytes, ReadEnd> {
     let mut body = Vec::new();
@@ -53,7 +66,7 @@
 /// # Errors
 /// The reason why the body cannot be read.
 pub(super) async fn read_body(
-    reader: &mut MessageReader<OwnedReadHalf>,
+    reader: &mut ClientReader,
     decoder: &mut BodyDecoder,
     framing: BodyFraming,
     until: Instant,
@@ -101,7 +114,7 @@
 /// Reads a body up to [`MAX_REPLAYABLE_BODY_BYTES`]. A body that ends within this
 /// length is returned complete, a longer one as streamed, with its unsent prefix.
 async fn read_prefix(
-    reader: &mut MessageReader<OwnedReadHalf>,
+    reader: &mut ClientReader,
     decoder: &mut BodyDecoder,
 ) -> Result<(CallBody, Option<UnsentBody>), ReadEnd> {
     let mut prefix = Vec::new();
@@ -128,7 +141,7 @@
 /// [`ReadEnd::Disconnected`] if the client has left, or the body cannot be read or exceeds
 /// `max_bytes`; [`ReadEnd::CloseAfterAnswers`] if the time is over.
 pub(super) async fn forward_body(
-    reader: &mut MessageReader<OwnedReadHalf>,
+    reader: &mut ClientReader,
     decoder: &mut BodyDecoder,
     (prefix, sender): UnsentBody,
     max_bytes: u64,
@@ -141,7 +154,7 @@
 }
 
 async fn forward_rest(
-    reader: &mut MessageReader<OwnedReadHalf>,
+    reader: &mut ClientReader,
     decoder: &mut BodyDecoder,
     prefix: Bytes,
     sender: &mpsc::Sender<Bytes>,
@@ -182,25 +195,27 @@
 /// [`ReadEnd::Disconnected`] if the client leaves meanwhile. Nothing is read then that would
 /// show it, and a target would run a call that nobody waits for.
 async fn send_to_attempt(
-    reader: &mut MessageReader<OwnedReadHalf>,
+    reader: &mut ClientReader,
     sender: &mpsc::Sender<Bytes>,
     data: Bytes,
 ) -> Result<bool, ReadEnd> {
-    let half: &OwnedReadHalf = reader.stream();
     tokio::select! {
         biased;
         sent = sender.send(data) => Ok(sent.is_ok()),
-        () = wait_for_disconnect(half.as_ref()) => Err(ReadEnd::Disconnected),
+        () = wait_for_disconnect(reader.stream(), DISCONNECT_POLL_INTERVAL) => {
+            Err(ReadEnd::Disconnected)
+        }
     }
 }
 
 /// Waits until the client has closed its side, though unread input may be ahead of that.
-async fn wait_for_disconnect(stream: &TcpStream) {
+/// Checks it at each `interval`.
+pub(super) async fn wait_for_disconnect(stream: &TcpStream, interval: Duration) {
     loop {
         match stream.ready(Interest::READABLE).await {
             Ok(ready) if !ready.is_read_closed() => {}
             _ => return,
         }
-        tokio::time::sleep(DISCONNECT_POLL_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
 }
--- a/crates/mesh/src/ingress/connection.rs
+++ b/crates/mesh/src/ingress/connection.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::calls::ClientAnswer;
+use crate::clients::CallCharge;
 use crate::state::MeshShared;
 use crate::stop::{ActiveCallGuard, StopPhase, UnusedConnection};
 
@@ -33,6 +34,8 @@
 pub(super) struct PendingAnswer {
     pub(super) call: CallInfo,
     task: JoinHandle<ClientAnswer>,
+    /// Memory of the call and its answer, until the answer is written.
+    _charge: Option<Rc<CallCharge>>,
     _active_call_guard: ActiveCallGuard,
 }
 
@@ -86,12 +89,22 @@
         &self,
         shared: &Rc<MeshShared>,
         call: CallInfo,
+        charge: Option<Rc<CallCharge>>,
         answer: impl Future<Output = ClientAnswer> + 'static,
     ) {
         self.unused.take();
+        let answer_charge = charge.clone();
+        let charged_answer = async move {
+            let answer = answer.await;
+            if let Some(charge) = answer_charge {
+                charge.add(answer.held_bytes());
+            }
+            answer
+        };
         self.pending.borrow_mut().push_back(PendingAnswer {
             call,
-            task: tokio::task::spawn_local(answer),
+            task: tokio::task::spawn_local(charged_answer),
+            _charge: charge,
             _active_call_guard: ActiveCallGuard::new(shared),
         });
         self.call_added.notify_one();
--- a/crates/mesh/src/ingress/linger.rs
+++ b/crates/mesh/src/ingress/linger.rs
@@ -4,10 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbert_http1::MessageReader;
-use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-
+use super::client_io::{ClientReader, ClientWriter};
 use crate::state::MeshShared;
 use crate::stop::ActiveCallGuard;
 
@@ -35,8 +32,8 @@
 /// A planned stop therefore waits for the client's side to acknowledge the last byte.
 pub(super) async fn close_after_answers(
     shared: &Rc<MeshShared>,
-    mut reader: MessageReader<OwnedReadHalf>,
-    mut writer: OwnedWriteHalf,
+    mut reader: ClientReader,
+    mut writer: ClientWriter,
 ) {
     let undelivered = ActiveCallGuard::new(shared);
     if writer.shutdown().await.is_err() {
@@ -44,26 +41,19 @@
     }
     let delivered = tokio::select! {
         () = wait_for_delivery(shared, &writer) => true,
-        () = discard_input(&mut reader) => false,
+        () = reader.discard_input() => false,
     };
     drop(undelivered);
     if delivered {
         // If the client is still sending after the timeout, closing the connection
         // resets it. The client has the last answer by then.
-        let _ = tokio::time::timeout(LINGER_TIMEOUT, discard_input(&mut reader)).await;
-    }
-}
-
-/// Discards input until the client closes the connection or it fails.
-async fn discard_input(reader: &mut MessageReader<OwnedReadHalf>) {
-    while let Ok(true) = reader.fill().await {
-        reader.discard_buffered();
+        let _ = tokio::time::timeout(LINGER_TIMEOUT, reader.discard_input()).await;
     }
 }
 
 /// Waits until the client's side has acknowledged all that was sent, or has acknowledged
 /// nothing for the idle timeout, or only a little for several of them.
-async fn wait_for_delivery(shared: &MeshShared, writer: &OwnedWriteHalf) {
+async fn wait_for_delivery(shared: &MeshShared, writer: &ClientWriter) {
     let mut last = None;
     let started = shared.clock.now();
     let mut last_progress = started;
@@ -89,9 +79,9 @@
 
 /// Number of sent bytes that the peer has not acknowledged; `None` if the kernel does not
 /// tell.
-fn unacknowledged_bytes(writer: &OwnedWriteHalf) -> Option<i32> {
+fn unacknowledged_bytes(writer: &ClientWriter) -> Option<i32> {
     let mut bytes = 0;
-    let socket = writer.as_ref().as_raw_fd();
+    let socket = writer.stream().as_raw_fd();
     // SAFETY: the descriptor is open while `writer` is borrowed, and the call writes one
     // integer to `bytes`.
     let outcome = unsafe { read_unacknowledged(socket, &raw mut bytes) };
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod bodies;
+mod client_io;
 mod connection;
 mod cut_answers;
 mod linger;
@@ -10,22 +11,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbert_http1::{
-    BodyDecoder, BodyFraming, FieldFault, HeadError, MessageReader, ReadError, RequestHead,
-};
+use bytes::Bytes;
+use filbert_http1::{BodyDecoder, BodyFraming, FieldFault, HeadError, ReadError, RequestHead};
 use filbert_platform::headers;
 use filbert_policy::call_limits::OverheadLimits;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use filbert_policy::client_budget::call_bytes;
+use filbert_policy::routing::ClientLimits;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::calls::{self, ClientAnswer, ClientCall};
+use crate::clients::{ClientTable, ConnectionAccount, MemoryFull};
 use crate::logging::LinePriority;
 use crate::small_server::{accept_loop, accept_waiting};
 use crate::sockets;
 use crate::state::MeshShared;
 use crate::stop::StopPhase;
 use answers::{write_answer, AnswerFault};
-use bodies::{call_identity, forward_body, read_body};
+use bodies::{call_identity, expected_call_bytes, forward_body, read_body, wait_for_disconnect};
+use client_io::{ClientReader, ClientWriter};
 use connection::{CallInfo, ConnectionState};
 use cut_answers::CutAnswerReport;
 use linger::close_after_answers;
@@ -33,35 +36,50 @@
 /// Maximum number of calls of one connection that are handled at the same time.
 /// Further calls are not read until an answer has been written.
 const MAX_PIPELINED_CALLS: usize = 16;
+/// Memory of the buffer into which a message is read, in bytes.
+const READ_BUFFER_BYTES: u64 = 16 * 1024;
+/// Interval at which it is checked whether a client has left whose next call is not read.
+const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after which a client should return whose call was refused for want of memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 const BAD_REQUEST: u16 = 400;
 const REQUEST_TIMEOUT: u16 = 408;
 const CONTENT_TOO_LARGE: u16 = 413;
 const HEADER_FIELDS_TOO_LARGE: u16 = 431;
+const SERVICE_UNAVAILABLE: u16 = 503;
 
 /// Accepts and serves clients' connections until the last phase of a planned stop. Clients
 /// that connect later are refused by the kernel.
-pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
-    let serve = |stream| serve_connection(Rc::clone(&shared), stream);
+pub async fn serve(shared: Rc<MeshShared>, clients: Rc<ClientTable>, listener: TcpListener) {
+    let serve = |stream| serve_connection(Rc::clone(&shared), clients.add(), stream);
     tokio::select! {
         () = accept_loop("calls", &listener, serve) => {}
         () = shared.stop.reached(StopPhase::Ending) => accept_waiting(&listener, serve).await,
     }
 }
 
-async fn serve_connection(shared: Rc<MeshShared>, stream: TcpStream) {
+async fn serve_connection(
+    shared: Rc<MeshShared>,
+    account: Rc<ConnectionAccount>,
+    stream: TcpStream,
+) {
     let idle_timeout = shared.current_index().limits().idle_timeout;
     sockets::set_client_socket_options(&stream, idle_timeout);
     let (read, write) = stream.into_split();
     let state = ConnectionState::new(&shared);
-    let mut reader = MessageReader::new(read);
-    let mut writer = write;
+    let mut reader = ClientReader::new(read, Rc::clone(&account));
+    let mut writer = ClientWriter::new(write, Rc::clone(&account));
     let has_written_last_answer = tokio::select! {
         () = read_calls(&shared, &state, &mut reader) => false,
         result = write_answers(&shared, &state, &mut writer) => result.is_ok(),
+        () = account.ended() => false,
     };
     state.abort_calls();
     if has_written_last_answer {
-        close_after_answers(&shared, reader, writer).await;
+        tokio::select! {
+            () = close_after_answers(&shared, reader, writer) => {}
+            () = account.ended() => {}
+        }
     }
 }
 
@@ -76,11 +94,7 @@
 
 /// Reads calls until no further call may follow, then discards input. Returns
 /// when the client has disconnected or its input cannot be read any further.
-async fn read_calls(
-    shared: &Rc<MeshShared>,
-    state: &ConnectionState,
-    reader: &mut MessageReader<OwnedReadHalf>,
-) {
+async fn read_calls(shared: &Rc<MeshShared>, state: &ConnectionState, reader: &mut ClientReader) {
     let end = loop {
         match read_next_call(shared, state, reader).await {
             Ok(true) => {}
@@ -97,17 +111,13 @@
             is_http11: true,
             closes_connection: true,
         };
-        state.spawn_answer(
-            shared,
-            unread_call,
-            async move { ClientAnswer::local(status) },
-        );
+        state.spawn_answer(shared, unread_call, None, async move {
+            ClientAnswer::local(status)
+        });
     }
     state.close_input();
-    // Further input is discarded; reading detects that the client disconnects.
-    while let Ok(true) = reader.fill().await {
-        reader.discard_buffered();
-    }
+    // Reading detects that the client disconnects.
+    reader.discard_input().await;
 }
 
 /// Reads one call and starts to handle it as soon as its head and the first part of
@@ -119,44 +129,27 @@
 async fn read_next_call(
     shared: &Rc<MeshShared>,
     state: &ConnectionState,
-    reader: &mut MessageReader<OwnedReadHalf>,
+    reader: &mut ClientReader,
 ) -> Result<bool, ReadEnd> {
-    while state.pending_count() >= MAX_PIPELINED_CALLS {
-        state.answer_written().await;
-    }
+    wait_until_call_allowed(state, reader).await?;
     wait_for_first_byte(shared, state, reader).await?;
+    let reading = reader.account().charge(READ_BUFFER_BYTES);
     let limits = *shared.current_index().limits();
-    let raw = match tokio::time::timeout(limits.head_timeout, reader.read_head(limits.head_bytes))
-        .await
-    {
-        Ok(Ok(Some(raw))) => raw,
-        Ok(Err(ReadError::HeadTooLong)) => {
-            return Err(ReadEnd::CloseAfterAnswers(Some(HEADER_FIELDS_TOO_LARGE)))
-        }
-        Ok(Ok(None) | Err(_)) => return Err(ReadEnd::Disconnected),
-        Err(_) => return Err(ReadEnd::CloseAfterAnswers(Some(REQUEST_TIMEOUT))),
-    };
+    let (raw, head) = read_head(shared, reader, &limits).await?;
     let received = shared.clock.now();
     state.record_activity(received);
-    let head = match RequestHead::parse(&raw) {
-        Ok(head) => head,
-        Err(HeadError::Malformed | HeadError::AmbiguousLength) => {
-            return Err(ReadEnd::CloseAfterAnswers(Some(BAD_REQUEST)))
-        }
-    };
-    if let Some(fault) = headers::find_call_fault(&head) {
-        log_refused(shared, &head, fault);
-        return Err(ReadEnd::CloseAfterAnswers(Some(BAD_REQUEST)));
-    }
-    let length = head.framing.length();
-    if length.is_some_and(|length| length > limits.body_bytes) {
-        return Err(ReadEnd::CloseAfterAnswers(Some(CONTENT_TOO_LARGE)));
-    }
     let call_headers = headers::read_call_headers(&head);
     let keep_alive = head.keep_alive;
     let is_http11 = head.is_http11;
     let framing = head.framing;
     let id = call_headers.id.clone();
+    let expected_bytes = expected_call_bytes(raw.len(), framing);
+    drop(reading);
+    let Ok(charge) = reader.account().charge_call(expected_bytes) else {
+        refuse_for_memory(shared, state, id, is_http11);
+        return Ok(false);
+    };
+    let charge = Rc::new(charge);
     let overhead_limits = OverheadLimits::new(limits.head_bytes);
     let mut decoder = BodyDecoder::new(framing).with_max_overhead(overhead_limits.framing());
     let body_time = match framing {
@@ -165,6 +158,10 @@
     };
     let until = received + body_time;
     let (body, unsent) = read_body(reader, &mut decoder, framing, until).await?;
+    if unsent.is_none() {
+        let body_bytes = body.buffered_bytes();
+        charge.set(call_bytes(raw.len(), body_bytes));
+    }
     let identity = call_identity(&head, &call_headers.host, &body, unsent.as_ref());
     let call = ClientCall {
         head,
@@ -181,18 +178,95 @@
     };
     if let Some(refusal) = calls::refuse_while_stopping(shared, &call) {
         call_info.closes_connection = true;
-        state.spawn_answer(shared, call_info, async move { refusal });
+        state.spawn_answer(shared, call_info, Some(charge), async move { refusal });
         return Ok(false);
     }
     let shared_call = Rc::clone(shared);
     let answer = async move { calls::handle_call(&shared_call, call).await };
-    state.spawn_answer(shared, call_info, answer);
+    state.spawn_answer(shared, call_info, Some(charge), answer);
     if let Some(unsent) = unsent {
         forward_body(reader, &mut decoder, unsent, limits.body_bytes, until).await?;
     }
     Ok(keep_alive)
 }
 
+/// Reads the head of a call, as it was received and parsed.
+///
+/// # Errors
+/// [`ReadEnd`] if it does not come whole and in time, or may not be served.
+async fn read_head(
+    shared: &MeshShared,
+    reader: &mut ClientReader,
+    limits: &ClientLimits,
+) -> Result<(Bytes, RequestHead), ReadEnd> {
+    let close = |status| ReadEnd::CloseAfterAnswers(Some(status));
+    let read = reader.read_head(limits.head_bytes);
+    let raw = match tokio::time::timeout(limits.head_timeout, read).await {
+        Ok(Ok(Some(raw))) => raw,
+        Ok(Err(ReadError::HeadTooLong)) => return Err(close(HEADER_FIELDS_TOO_LARGE)),
+        Ok(Ok(None) | Err(_)) => return Err(ReadEnd::Disconnected),
+        Err(_) => return Err(close(REQUEST_TIMEOUT)),
+    };
+    let head = match RequestHead::parse(&raw) {
+        Ok(head) => head,
+        Err(HeadError::Malformed | HeadError::AmbiguousLength) => return Err(close(BAD_REQUEST)),
+    };
+    if let Some(fault) = headers::find_call_fault(&head) {
+        log_refused(shared, &head, fault);
+        return Err(close(BAD_REQUEST));
+    }
+    let length = head.framing.length();
+    if length.is_some_and(|length| length > limits.body_bytes) {
+        return Err(close(CONTENT_TOO_LARGE));
+    }
+    Ok((raw, head))
+}
+
+/// Waits until the connection may read a further call: it has only so many in progress, and
+/// fewer while the process holds much for all its clients.
+///
+/// # Errors
+/// [`ReadEnd::Disconnected`] if the client has left meanwhile.
+async fn wait_until_call_allowed(
+    state: &ConnectionState,
+    reader: &mut ClientReader,
+) -> Result<(), ReadEnd> {
+    while state.pending_count() >= MAX_PIPELINED_CALLS || !reader.account().allows_call() {
+        tokio::select! {
+            () = state.answer_written() => {}
+            () = wait_for_disconnect(reader.stream(), DISCONNECT_POLL_INTERVAL) => {
+                return Err(ReadEnd::Disconnected);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Refuses a call because too much memory is held for clients, and this connection holds
+/// most of it.
+fn refuse_for_memory(
+    shared: &Rc<MeshShared>,
+    state: &ConnectionState,
+    id: String,
+    is_http11: bool,
+) {
+    shared.metrics.record_ended_connection("refused");
+    let now = shared.clock.now();
+    if shared.log_limiter.allows(LinePriority::Notable, now) {
+        log::info!("event=call_refused request={id:?} reason=\"{MemoryFull}\"");
+    }
+    let call_info = CallInfo {
+        id,
+        is_http11,
+        closes_connection: true,
+    };
+    let refusal = ClientAnswer::Local {
+        status: SERVICE_UNAVAILABLE,
+        retry_after: Some(MEMORY_RETRY_AFTER),
+    };
+    state.spawn_answer(shared, call_info, None, async move { refusal });
+}
+
 /// Logs a call that is refused because of a header field.
 fn log_refused(shared: &MeshShared, head: &RequestHead, fault: FieldFault<'_>) {
     let now = shared.clock.now();
@@ -210,7 +284,7 @@
 async fn wait_for_first_byte(
     shared: &MeshShared,
     state: &ConnectionState,
-    reader: &mut MessageReader<OwnedReadHalf>,
+    reader: &mut ClientReader,
 ) -> Result<(), ReadEnd> {
     loop {
         if !state.reads_next_call(shared.stop.phase()) {
@@ -226,7 +300,7 @@
             return Err(ReadEnd::CloseAfterAnswers(None));
         }
         tokio::select! {
-            filled = reader.fill() => match filled {
+            filled = reader.fill_when_readable() => match filled {
                 Ok(true) => {}
                 Ok(false) | Err(_) => return Err(ReadEnd::Disconnected),
             },
@@ -245,7 +319,7 @@
 async fn write_answers(
     shared: &Rc<MeshShared>,
     state: &ConnectionState,
-    writer: &mut OwnedWriteHalf,
+    writer: &mut ClientWriter,
 ) -> Result<(), AnswerFault> {
     while let Some((pending, answer)) = state.next_answer().await {
         let idle_timeout = shared.current_index().limits().idle_timeout;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod body;
 pub mod calls;
+pub mod clients;
 pub mod codec;
 pub mod control;
 pub mod deflate;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -2,6 +2,7 @@
 //! served in the Prometheus text format.
 
 mod answer_faults;
+mod clients;
 mod settings;
 mod target;
 
@@ -15,12 +16,14 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use tokio::net::TcpListener;
 
+use crate::clients::ClientTable;
 use crate::codec::skipped::SkippedRows;
 use crate::organisations::counts::CountsRange;
 use crate::small_server::{accept_loop, serve_requests, SimpleResponse};
 use crate::state::MeshShared;
 use crate::supervision::panic_count;
 use answer_faults::AnswerFaults;
+use clients::ClientMetrics;
 use settings::SettingsGauges;
 use target::TargetGauges;
 
@@ -98,6 +101,7 @@
     calls: Counter<u64>,
     call_time: Histogram<f64>,
     answer_faults: AnswerFaults,
+    clients: ClientMetrics,
     settings: SettingsGauges,
     attempts: Counter<u64>,
     gate_calls: Counter<u64>,
@@ -156,6 +160,7 @@
             calls: counter("filbert.calls", "Calls of clients, by service and outcome"),
             call_time: latency("filbert.call.duration", "Time to answer clients' calls"),
             answer_faults: AnswerFaults::new(&meter),
+            clients: ClientMetrics::new(&meter),
             settings: SettingsGauges::new(&meter),
             attempts: counter(
                 "filbert.attempts",
@@ -293,6 +298,11 @@
         self.zone_calls.add(1, &labels);
     }
 
+    /// Counts a client's connection that was ended, or a call that was refused, to make room.
+    pub fn record_ended_connection(&self, reason: &'static str) {
+        self.clients.record_ended(reason);
+    }
+
     /// Counts a change in the quarantine of a call that was in progress when targets
     /// ended.
     pub fn record_quarantine_change(&self, change: &'static str) {
@@ -312,7 +322,8 @@
     }
 
     /// Updates the gauges and returns all metrics in the Prometheus text format.
-    fn render(&self, shared: &MeshShared) -> String {
+    fn render(&self, shared: &MeshShared, clients: &ClientTable) -> String {
+        self.clients.record(clients);
         self.version.record(shared.versions.number(), &[]);
         self.links.record(shared.peers.linked_count() as u64, &[]);
         self.peers.record((shared.members.count() - 1) as u64, &[]);
@@ -351,15 +362,16 @@
 
 /// Serves the metrics to every connection that `listener` accepts. Runs until the
 /// process ends.
-pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
+pub async fn serve(shared: Rc<MeshShared>, clients: Rc<ClientTable>, listener: TcpListener) {
     accept_loop("metrics", &listener, |stream| {
         let shared = Rc::clone(&shared);
+        let clients = Rc::clone(&clients);
         serve_requests(stream, async move |head, _| SimpleResponse {
             status: 200,
             content_type: "text/plain; version=0.0.4",
             body: match head.target.as_str() {
                 ORGANISATIONS_PATH => shared.organisations.metrics_text(CountsRange::All),
-                _ => shared.metrics.render(&shared),
+                _ => shared.metrics.render(&shared, &clients),
             },
         })
     })
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -13,11 +13,13 @@
 use error_stack::{Report, ResultExt};
 use filbert_platform::store::StoreClient;
 use filbert_policy::budget::RetryBudget;
+use filbert_policy::client_budget::MachineSize;
 use filbert_policy::clock::{Clock, SystemClock};
 use filbert_policy::weights::WeightedRoundRobin;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::clients::ClientTable;
 use crate::egress::EgressPacer;
 use crate::gate::Gate;
 use crate::logging::LogRateLimiter;
@@ -67,6 +69,9 @@
 /// long when it is slow. A lost response is noticed after this time.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Memory of the machine that the process may use if the settings state none, in bytes.
+const DEFAULT_MEMORY_BYTES: u64 = 128 * 1024 * 1024;
+
 /// Listening sockets of the daemon.
 struct Listeners {
     calls: TcpListener,
@@ -209,19 +214,36 @@
 }
 
 fn start_listeners(shared: &Rc<MeshShared>, listeners: Listeners, supervisor: &TaskSupervisor) {
+    let clients = ClientTable::new(
+        MachineSize {
+            memory_bytes: DEFAULT_MEMORY_BYTES,
+        },
+        Rc::clone(&shared.metrics),
+        Rc::clone(&shared.clock),
+    );
     let shared = || Rc::clone(shared);
     supervisor.spawn_essential(
         "control",
         Box::pin(control::serve(shared(), listeners.control)),
     );
     supervisor.spawn_essential("ready", Box::pin(ready::serve(shared(), listeners.ready)));
-    supervisor.spawn_essential("calls", Box::pin(ingress::serve(shared(), listeners.calls)));
+    supervisor.spawn_essential(
+        "calls",
+        Box::pin(ingress::serve(
+            shared(),
+            Rc::clone(&clients),
+            listeners.calls,
+        )),
+    );
     supervisor.spawn_essential(
         "peers",
         Box::pin(serve_peers::serve(shared(), listeners.peers)),
     );
     if let Some(listener) = listeners.metrics {
-        supervisor.spawn_essential("metrics", Box::pin(metrics::serve(shared(), listener)));
+        supervisor.spawn_essential(
+            "metrics",
+            Box::pin(metrics::serve(shared(), clients, listener)),
+        );
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/client_budget/eviction.rs
@@ -0,0 +1,61 @@
+//! Which connection ends when a process has no room left.
+
+use std::time::{Duration, Instant};
+
+/// Time without progress that every connection is taken to have had. Without it, a
+/// connection that progresses would never end, however much it holds.
+const MIN_STALL: Duration = Duration::from_secs(1);
+
+/// What a connection is used for at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// It has brought no call since it was opened.
+    Unused {
+        /// Time at which it was opened.
+        since: Instant,
+    },
+    /// All its calls are answered.
+    Idle {
+        /// Time at which the last answer was written.
+        since: Instant,
+    },
+    /// It has calls in progress, or a part of one.
+    Active {
+        /// Size of what is held for it, in bytes.
+        held_bytes: u64,
+        /// Time since which the daemon waits for the client to send or to read;
+        /// `None` while it does not.
+        waits_since: Option<Instant>,
+    },
+}
+
+impl ConnectionUse {
+    /// Memory held, by how long it has been held without progress of the client, in
+    /// byte-seconds.
+    fn held_cost(self, now: Instant) -> u128 {
+        match self {
+            ConnectionUse::Unused { .. } | ConnectionUse::Idle { .. } => 0,
+            ConnectionUse::Active {
+                held_bytes,
+                waits_since,
+            } => {
+                let stall = waits_since
+                    .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+                u128::from(held_bytes) * stall.max(MIN_STALL).as_millis()
+            }
+        }
+    }
+}
+
+/// Chooses the connection that ends when too much memory is held: the one that holds most
+/// and progresses least. `None` if no connection holds anything.
+pub fn choose_for_memory<T>(
+    connections: impl Iterator<Item = (T, ConnectionUse)>,
+    now: Instant,
+) -> Option<T> {
+    connections
+        .map(|(id, usage)| (id, usage.held_cost(now)))
+        .filter(|(_, cost)| *cost > 0)
+        .max_by_key(|(_, cost)| *cost)
+        .map(|(id, _)| id)
+}
--- /dev/null
+++ b/crates/policy/src/client_budget/limits.rs
@@ -0,0 +1,54 @@
+//! The limits that follow from the size of the machine.
+
+/// Memory of the machine that the process may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MachineSize {
+    /// Memory, in bytes.
+    pub memory_bytes: u64,
+}
+
+/// Part of the memory that the clients' messages may take. The rest is for connections,
+/// links, answers that are read from the target, and the daemon's own state.
+const CLIENT_MEMORY_FRACTION: u64 = 4;
+/// Memory of the state of a call, besides its head and body, in bytes.
+const CALL_BYTES: u64 = 16 * 1024;
+/// Copies of a call's head while it is dispatched: as received, with its field ranges, as
+/// sent on, and in the buffer of a link.
+const HEAD_COPIES: u64 = 4;
+/// Copies of a call's body while it is dispatched: as received and as sent on.
+const BODY_COPIES: u64 = 2;
+/// Calls that all connections together may read ahead of the answer to an earlier one.
+const MAX_CALLS_AHEAD: usize = 256;
+/// Part of the memory for messages beyond which no call is read ahead.
+const AHEAD_MEMORY_FRACTION: u64 = 2;
+
+/// What the process may hold for its clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResourceLimits {
+    /// Maximum size of what is held of calls and answers, in bytes.
+    pub held_bytes: u64,
+}
+
+impl ResourceLimits {
+    /// Limits of a process on a machine of this size.
+    #[must_use]
+    pub fn new(machine: MachineSize) -> ResourceLimits {
+        ResourceLimits {
+            held_bytes: machine.memory_bytes / CLIENT_MEMORY_FRACTION,
+        }
+    }
+
+    /// Whether a connection may read a call ahead of the answer to an earlier one, while
+    /// the process holds `held_bytes` and `calls_ahead` such calls.
+    #[must_use]
+    pub fn allows_call_ahead(&self, held_bytes: u64, calls_ahead: usize) -> bool {
+        calls_ahead < MAX_CALLS_AHEAD && held_bytes < self.held_bytes / AHEAD_MEMORY_FRACTION
+    }
+}
+
+/// Memory that a call with a head of `head_bytes` and a buffered body of `body_bytes`
+/// takes until it is answered, in bytes.
+#[must_use]
+pub fn call_bytes(head_bytes: usize, body_bytes: u64) -> u64 {
+    CALL_BYTES + head_bytes as u64 * HEAD_COPIES + body_bytes * BODY_COPIES
+}
--- /dev/null
+++ b/crates/policy/src/client_budget/mod.rs
@@ -0,0 +1,15 @@
+//! What a process holds for its clients: memory, over all connections.
+//!
+//! Load pattern: many clients open connections, send calls ahead without reading an answer,
+//! or announce long bodies. What one connection may hold is bounded, but what
+//! fits on one connection times the connections is several times the memory of a host.
+//!
+//! From calm to full there are three steps. Connections read fewer calls ahead
+//! ([`ResourceLimits::allows_call_ahead`]). Then the connection ends that holds most and
+//! progresses least ([`eviction`]), which is hardly ever the one that came last. A
+//! connection that would have to end itself refuses the call that it is reading.
+
+pub mod eviction;
+mod limits;
+
+pub use limits::{call_bytes, MachineSize, ResourceLimits};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 //!   its momentary pace.
 //! - [`egress`] paces answers on a slow network link.
 //! - [`membership`] plans the links to other hosts.
+//! - [`client_budget`] bounds what is held for all clients together.
 //! - [`call_limits`] states how long a call may last and how much may be read for it.
 //! - [`planned_stop`] decides which calls a stopping daemon still accepts.
 //! - [`store_access`] decides which daemon queries the store, and when.
@@ -32,6 +33,7 @@
 pub mod attempt;
 pub mod budget;
 pub mod call_limits;
+pub mod client_budget;
 pub mod client_timeouts;
 pub mod clock;
 pub mod decaying_rate;
--- a/crates/standin/src/usage.rs
+++ b/crates/standin/src/usage.rs
@@ -1,10 +1,10 @@
-//! CPU time and resident memory of a process, read from Linux's `/proc`.
+//! CPU time, resident memory and descriptors of a process, read from Linux's `/proc`.
 
 use std::time::Duration;
 
 use nix::unistd::{sysconf, Pid, SysconfVar};
 
-/// CPU time and memory that a process uses.
+/// CPU time, memory and descriptors that a process uses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ProcessUsage {
     /// CPU time since the process started, user and system together. Its
@@ -12,6 +12,10 @@
     pub cpu_time: Duration,
     /// Current resident set size, in KiB.
     pub resident_kib: u64,
+    /// Largest resident set size since the process started, in KiB.
+    pub peak_resident_kib: u64,
+    /// Number of open descriptors.
+    pub descriptors: usize,
 }
 
 impl ProcessUsage {
@@ -28,16 +32,16 @@
         let ticks_per_second = sysconf(SysconfVar::CLK_TCK).ok()??;
         let tick_ms = 1_000 / u64::try_from(ticks_per_second).ok()?.max(1);
         let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-        let resident_kib = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"))?
-            .trim()
-            .trim_end_matches(" kB")
-            .parse()
-            .ok()?;
+        let memory_kib = |name: &str| -> Option<u64> {
+            let value = status.lines().find_map(|line| line.strip_prefix(name))?;
+            value.trim().trim_end_matches(" kB").parse().ok()
+        };
+        let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count();
         Some(ProcessUsage {
             cpu_time: Duration::from_millis((user_ticks + system_ticks) * tick_ms),
-            resident_kib,
+            resident_kib: memory_kib("VmRSS:")?,
+            peak_resident_kib: memory_kib("VmHWM:")?,
+            descriptors,
         })
     }
 }
--- /dev/null
+++ b/tests/mesh_crowds.rs
@@ -0,0 +1,121 @@
+//! Tests of clients outside the limits: many of them at once, sending ahead and reading no
+//! answer. The process lives, stays within its memory and descriptors, and answers others.
+
+#[path = "support/crowd.rs"]
+mod crowd;
+#[path = "support/users.rs"]
+mod users;
+
+use std::time::Duration;
+
+use crowd::{check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind};
+use filbert_platform_standin::{config_text, RouteSpec};
+use rstest::rstest;
+use users::{eventually, eventually_logs, two_host_fleet, Fleet, WAIT_TIMEOUT};
+
+const READ: &str = "GET /read/a HTTP/1.1";
+const HEADERS: &str = "Host: shop.example\r\nDeadline-Ms: 2000\r\n";
+/// How long a crowd presses.
+const CROWD_TIME: Duration = Duration::from_secs(5);
+/// Descriptors of a daemon on the users' hosts.
+const MAX_DESCRIPTORS: usize = 4_100;
+
+const SMALL_CALLS: CrowdKind = requests("GET /read/a", 0, 0);
+const LONG_HEADS: CrowdKind = requests("GET /read/a", 15_000, 0);
+const BODIES: CrowdKind = requests("POST /read/a", 0, 60_000);
+const UNROUTED: CrowdKind = requests("GET /none/a", 15_000, 0);
+const UPLOADS: CrowdKind = CrowdKind::Upload {
+    line: "POST /order/a",
+    headers: HEADERS,
+    body_bytes: 64 * 1024 * 1024,
+};
+
+const fn requests(line: &'static str, field_bytes: usize, body_bytes: usize) -> CrowdKind {
+    CrowdKind::Requests {
+        line,
+        headers: HEADERS,
+        field_bytes,
+        body_bytes,
+    }
+}
+
+/// A crowd at one host.
+struct CrowdCase {
+    connections: usize,
+    kind: CrowdKind,
+    /// Length of the answers.
+    answer_bytes: usize,
+}
+
+/// Host whose clients call the target on the host with index 1.
+const OVER_A_LINK: usize = 0;
+const AT_THE_TARGET: usize = 1;
+
+/// Allows bodies of 64 MiB, the usual limit, and connections that are idle for two minutes.
+async fn widen_limits(fleet: &Fleet) {
+    let routes = [
+        RouteSpec::reads("/read/", "quotes"),
+        RouteSpec::orders("/order/", "quotes"),
+    ];
+    let mut text = String::from_utf8(config_text(2, &routes)).expect("JSON");
+    for (usual, wide) in [
+        (r#""body_bytes":1048576"#, r#""body_bytes":67108864"#),
+        (r#""idle":"15s""#, r#""idle":"120s""#),
+    ] {
+        assert!(text.contains(usual));
+        text = text.replace(usual, wide);
+    }
+    fleet.store.put("op", "config", text.as_bytes());
+    for host in &fleet.hosts {
+        assert!(eventually_logs(host, "event=version_in_force version=00000002").await);
+    }
+}
+
+/// An ordinary client comes back until it has an answer of the target.
+async fn check_ordinary_call(fleet: &Fleet, host: usize) {
+    let host = &fleet.hosts[host];
+    let is_answered = || async {
+        let answer = host.call(READ, "ordinary", b"").await;
+        answer.is_some_and(|answer| answer.status == 200)
+    };
+    let name = &host.spec.name;
+    assert!(
+        eventually(WAIT_TIMEOUT, is_answered).await,
+        "no answer at {name}"
+    );
+}
+
+fn check_hosts(fleet: &Fleet, max_descriptors: usize) {
+    for host in &fleet.hosts {
+        let pid = host.pid().expect("a process");
+        check_usage(pid, &host.spec.name, max_descriptors);
+    }
+}
+
+/// Guards against a process that ends or starves because each connection is bounded and the
+/// process is not: what one client may send ahead, times the clients.
+#[rstest]
+#[case::small_calls(CrowdCase { connections: 1_000, kind: SMALL_CALLS, answer_bytes: 200 })]
+#[case::long_heads(CrowdCase { connections: 200, kind: LONG_HEADS, answer_bytes: 200 })]
+#[case::bodies(CrowdCase { connections: 200, kind: BODIES, answer_bytes: 200 })]
+#[case::uploads(CrowdCase { connections: 1_000, kind: UPLOADS, answer_bytes: 200 })]
+#[case::unrouted(CrowdCase { connections: 400, kind: UNROUTED, answer_bytes: 200 })]
+#[case::long_answers(CrowdCase { connections: 64, kind: SMALL_CALLS, answer_bytes: 1_000_000 })]
+#[case::unfinished_heads(CrowdCase { connections: 1_500, kind: CrowdKind::UnfinishedHead, answer_bytes: 200 })]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_crowd_does_not_take_the_process(
+    #[case] case: CrowdCase,
+    #[values(OVER_A_LINK, AT_THE_TARGET)] host: usize,
+) {
+    let _alone = run_alone().await;
+    raise_descriptor_limit();
+    let fleet = two_host_fleet("a").await;
+    widen_limits(&fleet).await;
+    fleet.hosts[1].target.set_body_bytes(case.answer_bytes);
+    let crowd = Crowd::start(fleet.hosts[host].calls, case.connections, case.kind);
+    tokio::time::sleep(CROWD_TIME).await;
+    check_hosts(&fleet, MAX_DESCRIPTORS);
+    crowd.leave().await;
+    check_ordinary_call(&fleet, host).await;
+    check_hosts(&fleet, MAX_DESCRIPTORS);
+}
--- /dev/null
+++ b/tests/support/crowd.rs
@@ -0,0 +1,198 @@
+//! Crowds of clients that read no answers, and limits on what they may cost a daemon.
+
+#![allow(dead_code)] // Each test binary uses only some of the helpers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filbert_standin::usage::ProcessUsage;
+use nix::sys::resource::{getrlimit, setrlimit, Resource};
+use nix::unistd::Pid;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::{Mutex, MutexGuard};
+use tokio::task::JoinSet;
+
+/// The most memory that a daemon may have used, in KiB: that which one daemon gets at the
+/// size that the system is designed for.
+pub const MAX_RESIDENT_KIB: u64 = 128 * 1024;
+/// Receive buffer of a client that reads nothing, in bytes.
+const UNREAD_BUFFER_BYTES: u32 = 4 * 1024;
+/// Number of requests that a client writes at a time.
+const REQUESTS_PER_WRITE: usize = 8;
+/// Pause before a client whose connection has ended opens another.
+const RETURN_DELAY: Duration = Duration::from_millis(50);
+
+/// Held by the test that runs: one crowd at a time.
+static RUNNING_TEST: Mutex<()> = Mutex::const_new(());
+
+/// Waits until no other crowd of this test binary runs.
+pub async fn run_alone() -> MutexGuard<'static, ()> {
+    RUNNING_TEST.lock().await
+}
+
+/// What each client of a crowd sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrowdKind {
+    /// Nothing.
+    Idle,
+    /// Requests without end, each with these many bytes of head fields and of body.
+    Requests {
+        /// First words of the request line.
+        line: &'static str,
+        /// Header lines of each request, besides its id.
+        headers: &'static str,
+        /// Length of a further head field.
+        field_bytes: usize,
+        /// Length of the body.
+        body_bytes: usize,
+    },
+    /// One request whose body has this length, as much of it as the daemon takes.
+    Upload {
+        /// First words of the request line.
+        line: &'static str,
+        /// Header lines of the request, besides its id.
+        headers: &'static str,
+        /// Length that the request states.
+        body_bytes: usize,
+    },
+    /// A head that never ends.
+    UnfinishedHead,
+}
+
+impl CrowdKind {
+    /// Bytes of the next request of client `client`, the `number`th.
+    fn request(self, client: usize, number: usize) -> Vec<u8> {
+        match self {
+            CrowdKind::Idle => Vec::new(),
+            CrowdKind::Requests {
+                line,
+                headers,
+                field_bytes,
+                body_bytes,
+            } => {
+                let field = "f".repeat(field_bytes);
+                let text = format!(
+                    "{line} HTTP/1.1\r\n{headers}Request-Id: c{client}-{number}\r\nX-Field: {field}\r\nContent-Length: {body_bytes}\r\n\r\n"
+                );
+                let mut bytes = text.into_bytes();
+                bytes.resize(bytes.len() + body_bytes, b'b');
+                bytes
+            }
+            CrowdKind::Upload {
+                line,
+                headers,
+                body_bytes,
+            } => format!(
+                "{line} HTTP/1.1\r\n{headers}Request-Id: c{client}-{number}\r\nContent-Length: {body_bytes}\r\n\r\n"
+            )
+            .into_bytes(),
+            CrowdKind::UnfinishedHead => b"GET /read/a HTTP/1.1\r\nX-Field: ".to_vec(),
+        }
+    }
+
+    /// Writes without end, or until it has sent all, and then waits.
+    async fn press(self, client: usize, stream: &mut TcpStream) -> std::io::Result<()> {
+        match self {
+            CrowdKind::Idle => {}
+            CrowdKind::UnfinishedHead => stream.write_all(&self.request(client, 0)).await?,
+            CrowdKind::Requests { .. } => {
+                for batch in 0.. {
+                    let first = batch * REQUESTS_PER_WRITE;
+                    let requests = first..first + REQUESTS_PER_WRITE;
+                    let bytes: Vec<u8> = requests
+                        .flat_map(|number| self.request(client, number))
+                        .collect();
+                    stream.write_all(&bytes).await?;
+                }
+            }
+            CrowdKind::Upload { body_bytes, .. } => {
+                stream.write_all(&self.request(client, 0)).await?;
+                let part = vec![b'b'; 64 * 1024];
+                for _ in 0..body_bytes / part.len() {
+                    stream.write_all(&part).await?;
+                }
+            }
+        }
+        // All is sent: the client stays until the daemon closes the connection.
+        let mut answer = [0; 1024];
+        while stream.read(&mut answer).await? > 0 {}
+        Ok(())
+    }
+}
+
+/// Clients that press on one address until they are dropped. A client whose connection ends
+/// opens another.
+pub struct Crowd {
+    clients: JoinSet<()>,
+}
+
+impl Crowd {
+    /// Starts `connections` clients of `kind`.
+    pub fn start(address: SocketAddr, connections: usize, kind: CrowdKind) -> Crowd {
+        let mut clients = JoinSet::new();
+        for client in 0..connections {
+            clients.spawn(async move {
+                loop {
+                    if let Ok(mut stream) = connect(address).await {
+                        // The daemon may close the connection at any time.
+                        let _ = kind.press(client, &mut stream).await;
+                    }
+                    tokio::time::sleep(RETURN_DELAY).await;
+                }
+            });
+        }
+        Crowd { clients }
+    }
+
+    /// Ends all clients.
+    pub async fn leave(mut self) {
+        self.clients.shutdown().await;
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(UNREAD_BUFFER_BYTES)?;
+    socket.connect(address).await
+}
+
+/// Asserts that process `pid` runs, and that it has used neither more memory than
+/// [`MAX_RESIDENT_KIB`] nor, now, more than `max_descriptors`.
+pub fn check_usage(pid: Pid, name: &str, max_descriptors: usize) {
+    let usage = ProcessUsage::read(pid);
+    let usage = usage.unwrap_or_else(|| panic!("{name} has ended"));
+    println!(
+        "{name}: peak {} KiB, now {} KiB, {} descriptors",
+        usage.peak_resident_kib, usage.resident_kib, usage.descriptors
+    );
+    let peak = usage.peak_resident_kib;
+    assert!(peak <= MAX_RESIDENT_KIB, "{name} used {peak} KiB");
+    assert!(usage.descriptors <= max_descriptors, "{usage:?}");
+}
+
+/// Limits the descriptors of the processes that are started until it is dropped.
+pub struct DescriptorLimit {
+    former: (u64, u64),
+}
+
+impl DescriptorLimit {
+    /// Sets the limit of this process, which its children inherit.
+    pub fn set(descriptors: u64) -> DescriptorLimit {
+        let former = getrlimit(Resource::RLIMIT_NOFILE).expect("a limit");
+        setrlimit(Resource::RLIMIT_NOFILE, descriptors, former.1).expect("set");
+        DescriptorLimit { former }
+    }
+}
+
+impl Drop for DescriptorLimit {
+    fn drop(&mut self) {
+        setrlimit(Resource::RLIMIT_NOFILE, self.former.0, self.former.1).expect("reset");
+    }
+}
+
+/// Allows this process as many descriptors as the system does.
+pub fn raise_descriptor_limit() {
+    let (_, most) = getrlimit(Resource::RLIMIT_NOFILE).expect("a limit");
+    setrlimit(Resource::RLIMIT_NOFILE, most, most).expect("set");
+}
