End connections that can be spared when there are too many

What callers saw: no connection to a daemon while others keep theirs open and send nothing.

Cause: connections were accepted until the process had no descriptor left, and then none for as long as those stayed. A limit that turns the newcomer away would have left the process to the same clients.

Change: clients may have three quarters of the process's descriptors, and as many connections as fit into a quarter of its memory at 16 KiB each. When one more comes, another ends: the oldest that never brought a call, else the one that has been idle longest, else the one that holds most and progresses least. The same happens when accepting fails all the same.

Why it holds: the newcomer is served at once and becomes a used connection with its first call, so that clients that send nothing only end each other.

--- a/crates/mesh/src/clients/account.rs
+++ b/crates/mesh/src/clients/account.rs
@@ -13,6 +13,8 @@
 /// Why a connection was ended to make room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndReason {
+    /// There are too many connections.
+    Connections,
     /// Too much memory is held for clients.
     Memory,
 }
@@ -22,6 +24,7 @@
     #[must_use]
     pub fn label(self) -> &'static str {
         match self {
+            EndReason::Connections => "connections",
             EndReason::Memory => "memory",
         }
     }
--- a/crates/mesh/src/clients/mod.rs
+++ b/crates/mesh/src/clients/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 
-use filbert_policy::client_budget::eviction::{choose_for_memory, ConnectionUse};
+use filbert_policy::client_budget::eviction::{choose_for_memory, choose_for_room, ConnectionUse};
 use filbert_policy::client_budget::{MachineSize, ResourceLimits};
 use filbert_policy::clock::Clock;
 
@@ -48,6 +48,11 @@
         })
     }
 
+    /// Applies a changed size of the machine.
+    pub fn set_machine(&self, machine: MachineSize) {
+        self.limits.set(ResourceLimits::new(machine));
+    }
+
     /// Number of connections.
     #[must_use]
     pub fn connection_count(&self) -> usize {
@@ -66,9 +71,14 @@
         self.limits.get().held_bytes
     }
 
-    /// Adds a connection that was just accepted.
+    /// Adds a connection that was just accepted. Ends others if there are too many.
     #[must_use]
     pub fn add(self: &Rc<Self>) -> Rc<ConnectionAccount> {
+        while self.connection_count() >= self.limits.get().connections {
+            if !self.end_one_for_room() {
+                break;
+            }
+        }
         let id = self.next_connection.get();
         self.next_connection.set(id + 1);
         let account = Rc::new(ConnectionAccount::new(id, Rc::clone(self)));
@@ -77,6 +87,15 @@
         account
     }
 
+    /// Ends the connection that can best be spared; false if there is none.
+    pub fn end_one_for_room(&self) -> bool {
+        let chosen = choose_for_room(self.open().into_iter(), self.clock.now());
+        if let Some(account) = &chosen {
+            self.end(account, EndReason::Connections);
+        }
+        chosen.is_some()
+    }
+
     /// Whether a connection may read a call ahead of the answer to an earlier one.
     fn allows_call_ahead(&self) -> bool {
         let limits = self.limits.get();
--- a/crates/mesh/src/control.rs
+++ b/crates/mesh/src/control.rs
@@ -14,15 +14,20 @@
 /// Serves the target's requests on `listener` until the process ends.
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
     let recorder = ShutdownRecorder::new(Rc::clone(&shared));
-    accept_loop("control", &listener, |stream| {
-        let shared = Rc::clone(&shared);
-        let recorder = Rc::clone(&recorder);
-        serve_requests(stream, async move |head, body| SimpleResponse {
-            status: handle_call(&shared, &recorder, head, body).await,
-            content_type: "application/json",
-            body: "{}".to_owned(),
-        })
-    })
+    accept_loop(
+        "control",
+        &listener,
+        |stream| {
+            let shared = Rc::clone(&shared);
+            let recorder = Rc::clone(&recorder);
+            serve_requests(stream, async move |head, body| SimpleResponse {
+                status: handle_call(&shared, &recorder, head, body).await,
+                content_type: "application/json",
+                body: "{}".to_owned(),
+            })
+        },
+        || {},
+    )
     .await;
 }
 
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -52,8 +52,11 @@
 /// that connect later are refused by the kernel.
 pub async fn serve(shared: Rc<MeshShared>, clients: Rc<ClientTable>, listener: TcpListener) {
     let serve = |stream| serve_connection(Rc::clone(&shared), clients.add(), stream);
+    let make_room = || {
+        clients.end_one_for_room();
+    };
     tokio::select! {
-        () = accept_loop("calls", &listener, serve) => {}
+        () = accept_loop("calls", &listener, serve, make_room) => {}
         () = shared.stop.reached(StopPhase::Ending) => accept_waiting(&listener, serve).await,
     }
 }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -363,17 +363,22 @@
 /// Serves the metrics to every connection that `listener` accepts. Runs until the
 /// process ends.
 pub async fn serve(shared: Rc<MeshShared>, clients: Rc<ClientTable>, listener: TcpListener) {
-    accept_loop("metrics", &listener, |stream| {
-        let shared = Rc::clone(&shared);
-        let clients = Rc::clone(&clients);
-        serve_requests(stream, async move |head, _| SimpleResponse {
-            status: 200,
-            content_type: "text/plain; version=0.0.4",
-            body: match head.target.as_str() {
-                ORGANISATIONS_PATH => shared.organisations.metrics_text(CountsRange::All),
-                _ => shared.metrics.render(&shared, &clients),
-            },
-        })
-    })
+    accept_loop(
+        "metrics",
+        &listener,
+        |stream| {
+            let shared = Rc::clone(&shared);
+            let clients = Rc::clone(&clients);
+            serve_requests(stream, async move |head, _| SimpleResponse {
+                status: 200,
+                content_type: "text/plain; version=0.0.4",
+                body: match head.target.as_str() {
+                    ORGANISATIONS_PATH => shared.organisations.metrics_text(CountsRange::All),
+                    _ => shared.metrics.render(&shared, &clients),
+                },
+            })
+        },
+        || {},
+    )
     .await;
 }
--- a/crates/mesh/src/ready.rs
+++ b/crates/mesh/src/ready.rs
@@ -10,16 +10,21 @@
 
 /// Answers readiness checks on `listener`. Runs until the process ends.
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
-    accept_loop("ready", &listener, |stream| {
-        let shared = Rc::clone(&shared);
-        serve_requests(stream, async move |head, _| {
-            SimpleResponse::status(if head.target.starts_with(READINESS_PATH) {
-                readiness_status(&shared)
-            } else {
-                404
+    accept_loop(
+        "ready",
+        &listener,
+        |stream| {
+            let shared = Rc::clone(&shared);
+            serve_requests(stream, async move |head, _| {
+                SimpleResponse::status(if head.target.starts_with(READINESS_PATH) {
+                    readiness_status(&shared)
+                } else {
+                    404
+                })
             })
-        })
-    })
+        },
+        || {},
+    )
     .await;
 }
 
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -16,6 +16,7 @@
 use filbert_policy::client_budget::MachineSize;
 use filbert_policy::clock::{Clock, SystemClock};
 use filbert_policy::weights::WeightedRoundRobin;
+use nix::sys::resource::{getrlimit, Resource};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -215,9 +216,7 @@
 
 fn start_listeners(shared: &Rc<MeshShared>, listeners: Listeners, supervisor: &TaskSupervisor) {
     let clients = ClientTable::new(
-        MachineSize {
-            memory_bytes: DEFAULT_MEMORY_BYTES,
-        },
+        machine_size(),
         Rc::clone(&shared.metrics),
         Rc::clone(&shared.clock),
     );
@@ -247,6 +246,15 @@
     }
 }
 
+/// The memory and descriptors that the process may use.
+fn machine_size() -> MachineSize {
+    let descriptors = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
+    MachineSize {
+        memory_bytes: DEFAULT_MEMORY_BYTES,
+        descriptors,
+    }
+}
+
 /// Starts the tasks of the gate and those that tell other daemons of it.
 fn start_reports(shared: &Rc<MeshShared>) {
     restartable(shared, "queue_expiry", |shared| {
--- a/crates/mesh/src/small_server.rs
+++ b/crates/mesh/src/small_server.rs
@@ -23,11 +23,13 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Accepts connections until the process ends, and serves each in a task of its own.
-/// `port` names the listener in log lines.
+/// `port` names the listener in log lines. `make_room` is called when no connection can be
+/// accepted, which usually means that the process has no descriptor left.
 pub async fn accept_loop<F>(
     port: &'static str,
     listener: &TcpListener,
     serve: impl Fn(TcpStream) -> F,
+    make_room: impl Fn(),
 ) where
     F: Future<Output = ()> + 'static,
 {
@@ -38,6 +40,7 @@
             }
             Err(error) => {
                 log::warn!("event=accept_failed port={port} error=\"{error}\"");
+                make_room();
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/policy/src/client_budget/eviction.rs
+++ b/crates/policy/src/client_budget/eviction.rs
@@ -1,5 +1,6 @@
 //! Which connection ends when a process has no room left.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 /// Time without progress that every connection is taken to have had. Without it, a
@@ -59,3 +60,20 @@
         .max_by_key(|(_, cost)| *cost)
         .map(|(id, _)| id)
 }
+
+/// Chooses the connection that ends when there are too many: the oldest that brought no
+/// call, otherwise the one that has been idle longest, otherwise the one that holds most and
+/// progresses least.
+pub fn choose_for_room<T>(
+    connections: impl Iterator<Item = (T, ConnectionUse)>,
+    now: Instant,
+) -> Option<T> {
+    let order = |usage: ConnectionUse| match usage {
+        ConnectionUse::Unused { since } => (0, Some(since), Reverse(0)),
+        ConnectionUse::Idle { since } => (1, Some(since), Reverse(0)),
+        ConnectionUse::Active { .. } => (2, None, Reverse(usage.held_cost(now))),
+    };
+    connections
+        .min_by_key(|(_, usage)| order(*usage))
+        .map(|(id, _)| id)
+}
--- a/crates/policy/src/client_budget/limits.rs
+++ b/crates/policy/src/client_budget/limits.rs
@@ -1,15 +1,21 @@
 //! The limits that follow from the size of the machine.
 
-/// Memory of the machine that the process may use.
+/// Memory and descriptors of the machine that the process may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MachineSize {
     /// Memory, in bytes.
     pub memory_bytes: u64,
+    /// Number of descriptors.
+    pub descriptors: u64,
 }
 
-/// Part of the memory that the clients' messages may take. The rest is for connections,
-/// links, answers that are read from the target, and the daemon's own state.
+/// Part of the memory that a client's messages may take, and part that its connections may.
+/// The rest is for links, answers that are read from the target, and the daemon's own state.
 const CLIENT_MEMORY_FRACTION: u64 = 4;
+/// Part of the descriptors that is left for links, targets, the store and other ports.
+const RESERVED_DESCRIPTOR_FRACTION: u64 = 4;
+/// Memory of a connection without a call: its tasks and its socket, in bytes.
+const CONNECTION_BYTES: u64 = 16 * 1024;
 /// Memory of the state of a call, besides its head and body, in bytes.
 const CALL_BYTES: u64 = 16 * 1024;
 /// Copies of a call's head while it is dispatched: as received, with its field ranges, as
@@ -25,6 +31,8 @@
 /// What the process may hold for its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResourceLimits {
+    /// Maximum number of clients' connections.
+    pub connections: usize,
     /// Maximum size of what is held of calls and answers, in bytes.
     pub held_bytes: u64,
 }
@@ -33,8 +41,12 @@
     /// Limits of a process on a machine of this size.
     #[must_use]
     pub fn new(machine: MachineSize) -> ResourceLimits {
+        let client_bytes = machine.memory_bytes / CLIENT_MEMORY_FRACTION;
+        let reserved = machine.descriptors / RESERVED_DESCRIPTOR_FRACTION;
+        let connections = (machine.descriptors - reserved).min(client_bytes / CONNECTION_BYTES);
         ResourceLimits {
-            held_bytes: machine.memory_bytes / CLIENT_MEMORY_FRACTION,
+            connections: usize::try_from(connections).unwrap_or(usize::MAX).max(1),
+            held_bytes: client_bytes,
         }
     }
 
--- a/crates/policy/src/client_budget/mod.rs
+++ b/crates/policy/src/client_budget/mod.rs
@@ -1,7 +1,7 @@
-//! What a process holds for its clients: memory, over all connections.
+//! What a process holds for its clients: memory and descriptors, over all connections.
 //!
 //! Load pattern: many clients open connections, send calls ahead without reading an answer,
-//! or announce long bodies. What one connection may hold is bounded, but what
+//! announce long bodies, or send nothing. What one connection may hold is bounded, but what
 //! fits on one connection times the connections is several times the memory of a host.
 //!
 //! From calm to full there are three steps. Connections read fewer calls ahead
--- a/crates/policy/tests/client_budget_cases.rs
+++ b/crates/policy/tests/client_budget_cases.rs
@@ -2,17 +2,62 @@
 
 use std::time::{Duration, Instant};
 
-use filbert_policy::client_budget::eviction::{choose_for_memory, ConnectionUse};
+use filbert_policy::client_budget::eviction::{choose_for_memory, choose_for_room, ConnectionUse};
 use filbert_policy::client_budget::{call_bytes, MachineSize, ResourceLimits};
 
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * KIB;
 
+/// A machine, and what its clients must be able to hold there.
+struct MachineCase {
+    memory_mib: u64,
+    descriptors: u64,
+    connections: usize,
+}
+
+#[test]
+fn limits_follow_from_the_machine() {
+    let cases = [
+        // The smallest host of the users' deployments, the usual one, and the design size.
+        MachineCase {
+            memory_mib: 88,
+            descriptors: 4_100,
+            connections: 1_408,
+        },
+        MachineCase {
+            memory_mib: 260,
+            descriptors: 4_100,
+            connections: 3_075,
+        },
+        MachineCase {
+            memory_mib: 128,
+            descriptors: 20_000,
+            connections: 2_048,
+        },
+        MachineCase {
+            memory_mib: 128,
+            descriptors: 600,
+            connections: 450,
+        },
+    ];
+    for case in cases {
+        let limits = ResourceLimits::new(MachineSize {
+            memory_bytes: case.memory_mib * MIB,
+            descriptors: case.descriptors,
+        });
+        assert_eq!(limits.connections, case.connections);
+        let connection_bytes = limits.connections as u64 * 16 * KIB;
+        let most = limits.held_bytes + connection_bytes;
+        assert!(most <= case.memory_mib * MIB / 2, "{} MiB", most / MIB);
+    }
+}
+
 /// Guards against calls read ahead that multiply with the connections.
 #[test]
 fn a_crowd_reads_few_calls_ahead() {
     let limits = ResourceLimits::new(MachineSize {
         memory_bytes: 128 * MIB,
+        descriptors: 4_100,
     });
     for (connections, head_bytes, body_bytes) in
         [(1_000, 200, 0), (200, 15_000, 0), (200, 200, 60_000)]
@@ -74,3 +119,45 @@
         assert_eq!(chosen, Some(1), "{}", case.name);
     }
 }
+
+/// Guards against a limit on connections that leaves them all to the clients that came first.
+#[test]
+fn connections_without_a_call_make_room_first() {
+    let now = Instant::now();
+    let before = |seconds| {
+        now.checked_sub(Duration::from_secs(seconds))
+            .expect("a time")
+    };
+    let cases = [
+        EvictionCase {
+            name: "it never brought a call",
+            others: ConnectionUse::Idle { since: before(12) },
+            chosen: ConnectionUse::Unused { since: before(1) },
+        },
+        EvictionCase {
+            name: "it is older",
+            others: ConnectionUse::Unused { since: before(1) },
+            chosen: ConnectionUse::Unused { since: before(2) },
+        },
+        EvictionCase {
+            name: "it has been idle longer",
+            others: ConnectionUse::Idle { since: before(3) },
+            chosen: ConnectionUse::Idle { since: before(4) },
+        },
+        EvictionCase {
+            name: "it has no call in progress",
+            others: active(300 * KIB, Some(before(8))),
+            chosen: ConnectionUse::Idle { since: before(0) },
+        },
+        EvictionCase {
+            name: "all have calls",
+            others: active(16 * KIB, None),
+            chosen: active(16 * KIB, Some(before(8))),
+        },
+    ];
+    for case in cases {
+        let connections = [case.others, case.chosen, case.others];
+        let chosen = choose_for_room(connections.into_iter().enumerate(), now);
+        assert_eq!(chosen, Some(1), "{}", case.name);
+    }
+}
--- a/tests/mesh_crowds.rs
+++ b/tests/mesh_crowds.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use crowd::{check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind};
+use crowd::{check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind, DescriptorLimit};
 use filbert_platform_standin::{config_text, RouteSpec};
 use rstest::rstest;
 use users::{eventually, eventually_logs, two_host_fleet, Fleet, WAIT_TIMEOUT};
@@ -17,6 +17,8 @@
 const HEADERS: &str = "Host: shop.example\r\nDeadline-Ms: 2000\r\n";
 /// How long a crowd presses.
 const CROWD_TIME: Duration = Duration::from_secs(5);
+/// Descriptors of a daemon in the test of idle connections.
+const FEW_DESCRIPTORS: u64 = 600;
 /// Descriptors of a daemon on the users' hosts.
 const MAX_DESCRIPTORS: usize = 4_100;
 
@@ -119,3 +121,26 @@
     check_ordinary_call(&fleet, host).await;
     check_hosts(&fleet, MAX_DESCRIPTORS);
 }
+
+/// Guards against clients that take all descriptors of a process by opening connections and
+/// sending nothing, so that others cannot connect while they stay.
+#[rstest]
+#[case::at_the_callers(OVER_A_LINK)]
+#[case::at_the_target(AT_THE_TARGET)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connections_leave_room_for_others(#[case] host: usize) {
+    let _alone = run_alone().await;
+    let limit = DescriptorLimit::set(FEW_DESCRIPTORS);
+    let fleet = two_host_fleet("a").await;
+    drop(limit);
+    raise_descriptor_limit();
+    widen_limits(&fleet).await;
+    let crowd = Crowd::start(fleet.hosts[host].calls, 900, CrowdKind::Idle);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    check_ordinary_call(&fleet, host).await;
+    check_hosts(
+        &fleet,
+        usize::try_from(FEW_DESCRIPTORS).expect("a small number"),
+    );
+    crowd.leave().await;
+}
