Bound the connections to the ports that clients have no business with

A link's handshake had no bound in time either.

Change: a small port holds 32 connections, one more ends the one that can best be spared by the rule for clients. A link that is dialed has 3 s for its handshake, and an eighth of the descriptors may wait for theirs; links that are up are not counted.

--- a/crates/mesh/src/clients/mod.rs
+++ b/crates/mesh/src/clients/mod.rs
@@ -53,6 +53,12 @@
         self.limits.set(ResourceLimits::new(machine));
     }
 
+    /// The limits in force.
+    #[must_use]
+    pub fn limits(&self) -> ResourceLimits {
+        self.limits.get()
+    }
+
     /// Number of connections.
     #[must_use]
     pub fn connection_count(&self) -> usize {
--- a/crates/mesh/src/control.rs
+++ b/crates/mesh/src/control.rs
@@ -8,26 +8,21 @@
 use tokio::net::TcpListener;
 
 use crate::shutdowns::recorder::ShutdownRecorder;
-use crate::small_server::{accept_loop, serve_requests, SimpleResponse};
+use crate::small_server::{accept_limited, serve_requests, SimpleResponse};
 use crate::state::MeshShared;
 
 /// Serves the target's requests on `listener` until the process ends.
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
     let recorder = ShutdownRecorder::new(Rc::clone(&shared));
-    accept_loop(
-        "control",
-        &listener,
-        |stream| {
-            let shared = Rc::clone(&shared);
-            let recorder = Rc::clone(&recorder);
-            serve_requests(stream, async move |head, body| SimpleResponse {
-                status: handle_call(&shared, &recorder, head, body).await,
-                content_type: "application/json",
-                body: "{}".to_owned(),
-            })
-        },
-        || {},
-    )
+    accept_limited("control", &listener, |stream, usage| {
+        let shared = Rc::clone(&shared);
+        let recorder = Rc::clone(&recorder);
+        serve_requests(stream, usage, async move |head, body| SimpleResponse {
+            status: handle_call(&shared, &recorder, head, body).await,
+            content_type: "application/json",
+            body: "{}".to_owned(),
+        })
+    })
     .await;
 }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod calls;
 pub mod clients;
 pub mod codec;
+pub mod connection_limit;
 pub mod control;
 pub mod deflate;
 pub mod egress;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -19,7 +19,7 @@
 use crate::clients::ClientTable;
 use crate::codec::skipped::SkippedRows;
 use crate::organisations::counts::CountsRange;
-use crate::small_server::{accept_loop, serve_requests, SimpleResponse};
+use crate::small_server::{accept_limited, serve_requests, SimpleResponse};
 use crate::state::MeshShared;
 use crate::supervision::panic_count;
 use answer_faults::AnswerFaults;
@@ -363,22 +363,17 @@
 /// Serves the metrics to every connection that `listener` accepts. Runs until the
 /// process ends.
 pub async fn serve(shared: Rc<MeshShared>, clients: Rc<ClientTable>, listener: TcpListener) {
-    accept_loop(
-        "metrics",
-        &listener,
-        |stream| {
-            let shared = Rc::clone(&shared);
-            let clients = Rc::clone(&clients);
-            serve_requests(stream, async move |head, _| SimpleResponse {
-                status: 200,
-                content_type: "text/plain; version=0.0.4",
-                body: match head.target.as_str() {
-                    ORGANISATIONS_PATH => shared.organisations.metrics_text(CountsRange::All),
-                    _ => shared.metrics.render(&shared, &clients),
-                },
-            })
-        },
-        || {},
-    )
+    accept_limited("metrics", &listener, |stream, usage| {
+        let shared = Rc::clone(&shared);
+        let clients = Rc::clone(&clients);
+        serve_requests(stream, usage, async move |head, _| SimpleResponse {
+            status: 200,
+            content_type: "text/plain; version=0.0.4",
+            body: match head.target.as_str() {
+                ORGANISATIONS_PATH => shared.organisations.metrics_text(CountsRange::All),
+                _ => shared.metrics.render(&shared, &clients),
+            },
+        })
+    })
     .await;
 }
--- a/crates/mesh/src/ready.rs
+++ b/crates/mesh/src/ready.rs
@@ -5,26 +5,21 @@
 use filbert_platform::READINESS_PATH;
 use tokio::net::TcpListener;
 
-use crate::small_server::{accept_loop, serve_requests, SimpleResponse};
+use crate::small_server::{accept_limited, serve_requests, SimpleResponse};
 use crate::state::MeshShared;
 
 /// Answers readiness checks on `listener`. Runs until the process ends.
 pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
-    accept_loop(
-        "ready",
-        &listener,
-        |stream| {
-            let shared = Rc::clone(&shared);
-            serve_requests(stream, async move |head, _| {
-                SimpleResponse::status(if head.target.starts_with(READINESS_PATH) {
-                    readiness_status(&shared)
-                } else {
-                    404
-                })
+    accept_limited("ready", &listener, |stream, usage| {
+        let shared = Rc::clone(&shared);
+        serve_requests(stream, usage, async move |head, _| {
+            SimpleResponse::status(if head.target.starts_with(READINESS_PATH) {
+                readiness_status(&shared)
+            } else {
+                404
             })
-        },
-        || {},
-    )
+        })
+    })
     .await;
 }
 
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -17,6 +17,8 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body::{next_data, AnswerBody, BodySource, CallBody, LinkBody};
+use crate::clients::ClientTable;
+use crate::connection_limit::{ConnectionLimit, UsageCell};
 use crate::links::{LinkError, CONNECTION_WINDOW, STREAM_WINDOW};
 use crate::messages::{decode_next, encode, CallHead, ReplyHead};
 use crate::sockets;
@@ -41,21 +43,30 @@
 /// Time from the opening of a call's stream within which its head must have come. The caller's
 /// daemon sends both together.
 const CALL_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time within which the daemon that dials a link completes the handshake. A host that stands
+/// still for a moment may take longer than the dialing side usually waits.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay after a failed accept. Without it, running out of file descriptors would
 /// turn the accept loop into a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Accepts links from other daemons until the process ends.
-pub async fn serve(shared: Rc<MeshShared>, listener: TcpListener) {
+pub async fn serve(shared: Rc<MeshShared>, clients: Rc<ClientTable>, listener: TcpListener) {
+    let handshakes = ConnectionLimit::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let shared = Rc::clone(&shared);
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = serve_link(shared, stream).await {
+                let usage = UsageCell::opened(shared.clock.now());
+                let link_usage = usage.clone();
+                let task = tokio::task::spawn_local(async move {
+                    if let Err(error) = serve_link(shared, link_usage, stream).await {
                         log::debug!("event=incoming_link_ended reason=\"{error}\"");
                     }
                 });
+                handshakes.release_active();
+                let max = clients.limits().handshakes;
+                handshakes.add(max, usage, task.abort_handle());
             }
             Err(error) => {
                 log::warn!("event=accept_failed port=peers error=\"{error}\"");
@@ -68,17 +79,24 @@
 /// Availability zone of the daemon that dialed a link, once it has said so.
 type CallerZone = Rc<RefCell<Option<String>>>;
 
-async fn serve_link(shared: Rc<MeshShared>, stream: TcpStream) -> Result<(), LinkError> {
+async fn serve_link(
+    shared: Rc<MeshShared>,
+    usage: UsageCell,
+    stream: TcpStream,
+) -> Result<(), LinkError> {
     sockets::set_socket_options(&stream);
     let caller_zone = CallerZone::default();
-    let mut connection = h2::server::Builder::new()
+    let handshake = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .max_concurrent_reset_streams(64)
         .max_pending_accept_reset_streams(MAX_CANCELLED_UNSEEN_STREAMS)
-        .handshake(stream)
-        .await?;
+        .handshake(stream);
+    let mut connection = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake)
+        .await
+        .map_err(|_| LinkError::ConnectFailed)??;
+    usage.set_active();
     while let Some(accepted) = connection.accept().await {
         let (request, respond) = accepted?;
         let shared = Rc::clone(&shared);
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -236,7 +236,11 @@
     );
     supervisor.spawn_essential(
         "peers",
-        Box::pin(serve_peers::serve(shared(), listeners.peers)),
+        Box::pin(serve_peers::serve(
+            shared(),
+            Rc::clone(&clients),
+            listeners.peers,
+        )),
     );
     if let Some(listener) = listeners.metrics {
         supervisor.spawn_essential(
--- a/crates/mesh/src/small_server.rs
+++ b/crates/mesh/src/small_server.rs
@@ -3,12 +3,13 @@
 //! loop.
 
 use std::future::Future;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbert_http1::{BodyDecoder, MessageReader, RequestHead};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::connection_limit::{ConnectionLimit, UsageCell};
 use crate::sockets;
 
 /// Maximum size of a request head, in bytes.
@@ -18,6 +19,8 @@
 /// Maximum lifetime of a connection. A client that sends requests regularly opens a
 /// new one.
 const MAX_CONNECTION_AGE: Duration = Duration::from_mins(1);
+/// Maximum number of connections to an auxiliary port.
+const MAX_AUXILIARY_CONNECTIONS: usize = 32;
 /// Delay after a failed accept. Without it, running out of file descriptors would
 /// turn the accept loop into a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -47,6 +50,31 @@
     }
 }
 
+/// Accepts connections to an auxiliary port until the process ends, and serves each in a task
+/// of its own. `port` names the listener in log lines.
+pub async fn accept_limited<F>(
+    port: &'static str,
+    listener: &TcpListener,
+    serve: impl Fn(TcpStream, UsageCell) -> F,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    let limit = ConnectionLimit::default();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let usage = UsageCell::opened(Instant::now());
+                let task = tokio::task::spawn_local(serve(stream, usage.clone()));
+                limit.add(MAX_AUXILIARY_CONNECTIONS, usage, task.abort_handle());
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed port={port} error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 /// Accepts and serves the connections that wait to be accepted, and no others.
 pub async fn accept_waiting<F>(listener: &TcpListener, serve: impl Fn(TcpStream) -> F)
 where
@@ -114,21 +142,28 @@
 /// lifetime.
 pub async fn serve_requests(
     stream: TcpStream,
+    usage: UsageCell,
     respond: impl AsyncFn(&RequestHead, &[u8]) -> SimpleResponse,
 ) {
     sockets::set_socket_options(&stream);
     // How the connection ended does not matter: clients send their next request on a
     // new one.
-    let _ = tokio::time::timeout(MAX_CONNECTION_AGE, serve_connection(stream, respond)).await;
+    let _ = tokio::time::timeout(
+        MAX_CONNECTION_AGE,
+        serve_connection(stream, &usage, respond),
+    )
+    .await;
 }
 
 async fn serve_connection(
     stream: TcpStream,
+    usage: &UsageCell,
     respond: impl AsyncFn(&RequestHead, &[u8]) -> SimpleResponse,
 ) -> Result<(), ()> {
     let (read, mut write) = stream.into_split();
     let mut reader = MessageReader::new(read);
     while let Some(raw) = reader.read_head(MAX_HEAD_BYTES).await.map_err(|_| ())? {
+        usage.set_active();
         let head = RequestHead::parse(&raw).map_err(|_| ())?;
         let mut body = Vec::new();
         let mut decoder = BodyDecoder::new(head.framing);
@@ -141,6 +176,7 @@
         let response = respond(&head, &body).await;
         let bytes = encode_response(&response, head.keep_alive);
         write.write_all(&bytes).await.map_err(|_| ())?;
+        usage.set_idle(Instant::now());
         if !head.keep_alive {
             break;
         }
--- a/crates/policy/src/client_budget/limits.rs
+++ b/crates/policy/src/client_budget/limits.rs
@@ -14,6 +14,8 @@
 const CLIENT_MEMORY_FRACTION: u64 = 4;
 /// Part of the descriptors that is left for links, targets, the store and other ports.
 const RESERVED_DESCRIPTOR_FRACTION: u64 = 4;
+/// Part of the descriptors that incoming links may take until their handshakes are complete.
+const HANDSHAKE_DESCRIPTOR_FRACTION: u64 = 8;
 /// Memory of a connection without a call: its tasks and its socket, in bytes.
 const CONNECTION_BYTES: u64 = 16 * 1024;
 /// Memory of the state of a call, besides its head and body, in bytes.
@@ -33,6 +35,8 @@
 pub struct ResourceLimits {
     /// Maximum number of clients' connections.
     pub connections: usize,
+    /// Maximum number of incoming links whose handshake is not complete.
+    pub handshakes: usize,
     /// Maximum size of what is held of calls and answers, in bytes.
     pub held_bytes: u64,
 }
@@ -44,8 +48,11 @@
         let client_bytes = machine.memory_bytes / CLIENT_MEMORY_FRACTION;
         let reserved = machine.descriptors / RESERVED_DESCRIPTOR_FRACTION;
         let connections = (machine.descriptors - reserved).min(client_bytes / CONNECTION_BYTES);
+        let handshakes = machine.descriptors / HANDSHAKE_DESCRIPTOR_FRACTION;
+        let count = |number| usize::try_from(number).unwrap_or(usize::MAX).max(1);
         ResourceLimits {
-            connections: usize::try_from(connections).unwrap_or(usize::MAX).max(1),
+            connections: count(connections),
+            handshakes: count(handshakes),
             held_bytes: client_bytes,
         }
     }
--- a/tests/mesh_crowds.rs
+++ b/tests/mesh_crowds.rs
@@ -6,10 +6,11 @@
 #[path = "support/users.rs"]
 mod users;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crowd::{check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind, DescriptorLimit};
-use filbert_platform_standin::{config_text, RouteSpec};
+use filbert_platform_standin::{config_text, Host, RouteSpec};
 use rstest::rstest;
 use users::{eventually, eventually_logs, two_host_fleet, Fleet, WAIT_TIMEOUT};
 
@@ -144,3 +145,52 @@
     );
     crowd.leave().await;
 }
+
+/// A port of a daemon that clients have no business with.
+#[derive(Clone, Copy, Debug)]
+enum OtherPort {
+    Readiness,
+    Control,
+    Metrics,
+    Links,
+}
+
+impl OtherPort {
+    fn address(self, host: &Host) -> SocketAddr {
+        match self {
+            OtherPort::Readiness => host.ready,
+            OtherPort::Control => host.control,
+            OtherPort::Metrics => host.metrics,
+            OtherPort::Links => host.peers,
+        }
+    }
+}
+
+/// Guards against connections that take all descriptors of a process at a port where nobody
+/// counts them.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connections_at_other_ports_leave_room(
+    #[values(
+        OtherPort::Readiness,
+        OtherPort::Control,
+        OtherPort::Metrics,
+        OtherPort::Links
+    )]
+    port: OtherPort,
+) {
+    let _alone = run_alone().await;
+    let limit = DescriptorLimit::set(FEW_DESCRIPTORS);
+    let fleet = two_host_fleet("a").await;
+    drop(limit);
+    raise_descriptor_limit();
+    let crowd = Crowd::start(port.address(&fleet.hosts[1]), 900, CrowdKind::Idle);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    check_ordinary_call(&fleet, AT_THE_TARGET).await;
+    assert!(eventually(WAIT_TIMEOUT, || fleet.hosts[1].is_ready()).await);
+    check_hosts(
+        &fleet,
+        usize::try_from(FEW_DESCRIPTORS).expect("a small number"),
+    );
+    crowd.leave().await;
+}
