Derive the limits on clients from the host's memory and descriptors

The limits followed from 128 MB and the process's own limit of descriptors, whatever the host has. Hosts of the users have 88 to 1,024 MB, and their platform counts descriptors without setting the process's limit.

Change: settings `machine.memory_mb` (default 128, at least 32) and `machine.descriptors` (default the process's limit, at least 64), filled in by the platform's template, followed at once; an impossible value is named with its line and key.

Each key of the reference is changed in a running process by the test of settings (7 pass), the template and the error messages by that of the pages (12 pass).

--- a/crates/mesh/src/settings/changes.rs
+++ b/crates/mesh/src/settings/changes.rs
@@ -1,8 +1,8 @@
 //! When a changed key of the settings file takes effect.
 
 use super::{
-    CrossingSettings, LinkSettings, ListenSettings, MeshSettings, QuotaSettings, RetrySettings,
-    RolloutSettings, TimeSettings, WithdrawalSettings,
+    CrossingSettings, LinkSettings, ListenSettings, MachineSettings, MeshSettings, QuotaSettings,
+    RetrySettings, RolloutSettings, TimeSettings, WithdrawalSettings,
 };
 
 /// When a changed key takes effect.
@@ -60,6 +60,7 @@
         withdrawal,
         crossing,
         link,
+        machine,
     } = new;
     let mut keys = Comparison::default();
     keys.compare("id", &old.id, id, KeyEffect::Restart);
@@ -82,6 +83,7 @@
     compare_withdrawal(&mut keys, old.withdrawal, *withdrawal);
     compare_crossing(&mut keys, old.crossing, *crossing);
     compare_link(&mut keys, old.link, *link);
+    compare_machine(&mut keys, old.machine, *machine);
     keys.changed
 }
 
@@ -181,6 +183,25 @@
     keys.compare("link.services", &old.services, &services, KeyEffect::AtOnce);
 }
 
+fn compare_machine(keys: &mut Comparison, old: MachineSettings, new: MachineSettings) {
+    let MachineSettings {
+        memory_mb,
+        descriptors,
+    } = new;
+    keys.compare(
+        "machine.memory_mb",
+        &old.memory_mb,
+        &memory_mb,
+        KeyEffect::AtOnce,
+    );
+    keys.compare(
+        "machine.descriptors",
+        &old.descriptors,
+        &descriptors,
+        KeyEffect::AtOnce,
+    );
+}
+
 /// Returns `new` with the values of `old` for the keys that take a restart.
 #[must_use]
 pub fn without_restart_keys(old: &MeshSettings, new: MeshSettings) -> MeshSettings {
--- a/crates/mesh/src/settings/mod.rs
+++ b/crates/mesh/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Settings file of the mesh daemon (TOML).
 
 pub mod changes;
+mod machine;
 pub mod reload;
 pub mod store_move;
 
@@ -18,6 +19,8 @@
 use filbert_tree::ParseError;
 use serde::{Deserialize, Deserializer};
 
+pub use machine::MachineSettings;
+
 /// Contents of the daemon's settings file.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -60,6 +63,9 @@
     /// Network link of the host, and links to other daemons.
     #[serde(default)]
     pub link: LinkSettings,
+    /// Size of the host, from which the limits on clients follow.
+    #[serde(default)]
+    pub machine: MachineSettings,
 }
 
 /// Limits on the calls that a bad version may get in a roll-out.
@@ -339,6 +345,16 @@
             ),
             ("link.services", self.link.services == 0, "must be above 0"),
             ("times.grace", self.times.grace.is_zero(), "must be above 0"),
+            (
+                "machine.memory_mb",
+                !self.machine.has_enough_memory(),
+                "must be at least 32",
+            ),
+            (
+                "machine.descriptors",
+                !self.machine.has_enough_descriptors(),
+                "must be at least 64",
+            ),
         ];
         match checks.into_iter().find(|(_, failed, _)| *failed) {
             Some((key, _, reason)) => Err(Report::new(MeshSettingsError::OutOfRange {
--- a/crates/mesh/src/settings/reload.rs
+++ b/crates/mesh/src/settings/reload.rs
@@ -9,6 +9,7 @@
 
 use super::changes::{changed_keys, without_restart_keys, KeyEffect};
 use super::MeshSettings;
+use crate::clients::ClientTable;
 use crate::state::MeshShared;
 
 /// Interval at which the settings file is read to detect changes.
@@ -19,7 +20,11 @@
 ///
 /// # Errors
 /// If the handler for SIGHUP cannot be installed.
-pub async fn watch_settings_file(shared: Rc<MeshShared>, path: PathBuf) -> std::io::Result<()> {
+pub async fn watch_settings_file(
+    shared: Rc<MeshShared>,
+    clients: Rc<ClientTable>,
+    path: PathBuf,
+) -> std::io::Result<()> {
     let mut sighup = signal(SignalKind::hangup())?;
     // Empty, so that a change between the start of the process and now is found.
     let mut text = String::new();
@@ -44,7 +49,7 @@
             continue;
         }
         match MeshSettings::parse(&new_text) {
-            Ok(settings) => apply_reload(&shared, settings, is_requested),
+            Ok(settings) => apply_reload(&shared, &clients, settings, is_requested),
             // The file may be incomplete because it is being written. The old settings
             // stay in force until it is valid.
             Err(report) => {
@@ -58,7 +63,12 @@
 }
 
 /// Puts changed settings in force, apart from the keys that take a restart.
-fn apply_reload(shared: &MeshShared, settings: MeshSettings, is_requested: bool) {
+fn apply_reload(
+    shared: &MeshShared,
+    clients: &ClientTable,
+    settings: MeshSettings,
+    is_requested: bool,
+) {
     let old_settings = Rc::clone(&shared.settings.borrow());
     let changed_keys = changed_keys(&old_settings, &settings);
     for changed in &changed_keys {
@@ -93,6 +103,7 @@
     );
     shared.gate.apply_settings(settings.target, &settings.times);
     shared.egress.set_rate(settings.link.mbps);
+    clients.set_machine(settings.machine.size());
     shared.organisations.apply_settings(&settings);
     shared
         .retry_budget
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -13,10 +13,8 @@
 use error_stack::{Report, ResultExt};
 use filbert_platform::store::StoreClient;
 use filbert_policy::budget::RetryBudget;
-use filbert_policy::client_budget::MachineSize;
 use filbert_policy::clock::{Clock, SystemClock};
 use filbert_policy::weights::WeightedRoundRobin;
-use nix::sys::resource::{getrlimit, Resource};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -70,9 +68,6 @@
 /// long when it is slow. A lost response is noticed after this time.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Memory of the machine that the process may use if the settings state none, in bytes.
-const DEFAULT_MEMORY_BYTES: u64 = 128 * 1024 * 1024;
-
 /// Listening sockets of the daemon.
 struct Listeners {
     calls: TcpListener,
@@ -184,7 +179,13 @@
     path: PathBuf,
 ) -> UnboundedReceiver<&'static str> {
     let (supervisor, lost_tasks) = TaskSupervisor::new();
-    start_listeners(shared, listeners, &supervisor);
+    let machine = shared.settings.borrow().machine.size();
+    let clients = ClientTable::new(
+        machine,
+        Rc::clone(&shared.metrics),
+        Rc::clone(&shared.clock),
+    );
+    start_listeners(shared, &clients, listeners, &supervisor);
     start_reports(shared);
     start_rollouts(shared);
     start_store_access(shared);
@@ -197,7 +198,7 @@
     );
     restartable(shared, "store_address", store_move::follow_store_address);
     restartable(shared, "settings", move |shared| {
-        watch_settings(shared, path.clone())
+        watch_settings(shared, Rc::clone(&clients), path.clone())
     });
     lost_tasks
 }
@@ -214,12 +215,12 @@
     spawn_restartable(name, move || Box::pin(task(Rc::clone(&shared))));
 }
 
-fn start_listeners(shared: &Rc<MeshShared>, listeners: Listeners, supervisor: &TaskSupervisor) {
-    let clients = ClientTable::new(
-        machine_size(),
-        Rc::clone(&shared.metrics),
-        Rc::clone(&shared.clock),
-    );
+fn start_listeners(
+    shared: &Rc<MeshShared>,
+    clients: &Rc<ClientTable>,
+    listeners: Listeners,
+    supervisor: &TaskSupervisor,
+) {
     let shared = || Rc::clone(shared);
     supervisor.spawn_essential(
         "control",
@@ -230,7 +231,7 @@
         "calls",
         Box::pin(ingress::serve(
             shared(),
-            Rc::clone(&clients),
+            Rc::clone(clients),
             listeners.calls,
         )),
     );
@@ -238,27 +239,18 @@
         "peers",
         Box::pin(serve_peers::serve(
             shared(),
-            Rc::clone(&clients),
+            Rc::clone(clients),
             listeners.peers,
         )),
     );
     if let Some(listener) = listeners.metrics {
         supervisor.spawn_essential(
             "metrics",
-            Box::pin(metrics::serve(shared(), clients, listener)),
+            Box::pin(metrics::serve(shared(), Rc::clone(clients), listener)),
         );
     }
 }
 
-/// The memory and descriptors that the process may use.
-fn machine_size() -> MachineSize {
-    let descriptors = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
-    MachineSize {
-        memory_bytes: DEFAULT_MEMORY_BYTES,
-        descriptors,
-    }
-}
-
 /// Starts the tasks of the gate and those that tell other daemons of it.
 fn start_reports(shared: &Rc<MeshShared>) {
     restartable(shared, "queue_expiry", |shared| {
@@ -311,8 +303,8 @@
     restartable(shared, "membership", feeds::watch_members);
 }
 
-async fn watch_settings(shared: Rc<MeshShared>, path: PathBuf) {
-    if let Err(error) = reload::watch_settings_file(shared, path).await {
+async fn watch_settings(shared: Rc<MeshShared>, clients: Rc<ClientTable>, path: PathBuf) {
+    if let Err(error) = reload::watch_settings_file(shared, clients, path).await {
         log::error!("event=reload_unwatched error=\"{error}\"");
     }
 }
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -112,6 +112,7 @@
                 ("", "target") | ("listen.", _) => "\"127.0.0.1:1\"",
                 ("times." | "withdrawal.", _) | ("retry." | "quota.", "window") => "\"1500ms\"",
                 ("retry." | "rollout." | "quota.", _) | ("link.", "mbps") => "0.2",
+                ("machine.", _) => "100",
                 _ => "\"text\"",
             };
             filled += key;
@@ -132,6 +133,16 @@
 #[case("grace = \"6s\"", "grace = \"6\"", "`6` is no time")]
 #[case("zone = \"a\"", "zone = \"\"", "key `zone`")]
 #[case("zone = \"a\"", "zon = \"a\"", "zon")]
+#[case(
+    "window = \"10s\"",
+    "window = \"10s\"\n[machine]\nmemory_mb = 8",
+    "line 20, key `machine.memory_mb`"
+)]
+#[case(
+    "window = \"10s\"",
+    "window = \"10s\"\n[machine]\ndescriptors = 8",
+    "key `machine.descriptors`"
+)]
 fn mesh_settings_error_names_the_faulty_key_or_value(
     #[case] from: &str,
     #[case] to: &str,
--- a/tests/mesh_crowds.rs
+++ b/tests/mesh_crowds.rs
@@ -9,19 +9,25 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crowd::{check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind, DescriptorLimit};
+use crowd::{
+    check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind, DescriptorLimit, UsageBounds,
+};
 use filbert_platform_standin::{config_text, Host, RouteSpec};
 use rstest::rstest;
-use users::{eventually, eventually_logs, two_host_fleet, Fleet, WAIT_TIMEOUT};
+use users::{eventually, eventually_logs, reload_with, two_host_fleet, Fleet, WAIT_TIMEOUT};
 
 const READ: &str = "GET /read/a HTTP/1.1";
 const HEADERS: &str = "Host: shop.example\r\nDeadline-Ms: 2000\r\n";
 /// How long a crowd presses.
 const CROWD_TIME: Duration = Duration::from_secs(5);
 /// Descriptors of a daemon in the test of idle connections.
-const FEW_DESCRIPTORS: u64 = 600;
+const FEW_DESCRIPTORS: usize = 600;
 /// Descriptors of a daemon on the users' hosts.
 const MAX_DESCRIPTORS: usize = 4_100;
+/// Bounds of a daemon without settings of its machine.
+const USUAL_BOUNDS: UsageBounds = UsageBounds::with_descriptors(MAX_DESCRIPTORS);
+/// Memory of the users' smallest hosts, in MiB.
+const SMALL_HOST_MIB: u64 = 88;
 
 const SMALL_CALLS: CrowdKind = requests("GET /read/a", 0, 0);
 const LONG_HEADS: CrowdKind = requests("GET /read/a", 15_000, 0);
@@ -88,10 +94,10 @@
     );
 }
 
-fn check_hosts(fleet: &Fleet, max_descriptors: usize) {
+fn check_hosts(fleet: &Fleet, bounds: UsageBounds) {
     for host in &fleet.hosts {
         let pid = host.pid().expect("a process");
-        check_usage(pid, &host.spec.name, max_descriptors);
+        check_usage(pid, &host.spec.name, bounds);
     }
 }
 
@@ -117,10 +123,34 @@
     fleet.hosts[1].target.set_body_bytes(case.answer_bytes);
     let crowd = Crowd::start(fleet.hosts[host].calls, case.connections, case.kind);
     tokio::time::sleep(CROWD_TIME).await;
-    check_hosts(&fleet, MAX_DESCRIPTORS);
+    check_hosts(&fleet, USUAL_BOUNDS);
     crowd.leave().await;
     check_ordinary_call(&fleet, host).await;
-    check_hosts(&fleet, MAX_DESCRIPTORS);
+    check_hosts(&fleet, USUAL_BOUNDS);
+}
+
+/// Guards against a budget that does not follow from the memory of the machine.
+#[rstest]
+#[case::small_calls(1_000, SMALL_CALLS)]
+#[case::bodies(200, BODIES)]
+#[case::uploads(1_000, UPLOADS)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_crowd_does_not_take_a_small_host(#[case] connections: usize, #[case] kind: CrowdKind) {
+    let _alone = run_alone().await;
+    raise_descriptor_limit();
+    let fleet = two_host_fleet("a").await;
+    widen_limits(&fleet).await;
+    let host = &fleet.hosts[OVER_A_LINK];
+    reload_with(host, &format!("[machine]\nmemory_mb = {SMALL_HOST_MIB}\n")).await;
+    let crowd = Crowd::start(host.calls, connections, kind);
+    tokio::time::sleep(CROWD_TIME).await;
+    crowd.leave().await;
+    check_ordinary_call(&fleet, OVER_A_LINK).await;
+    let bounds = UsageBounds {
+        resident_kib: SMALL_HOST_MIB * 1024,
+        ..USUAL_BOUNDS
+    };
+    check_hosts(&fleet, bounds);
 }
 
 /// Guards against clients that take all descriptors of a process by opening connections and
@@ -131,7 +161,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn idle_connections_leave_room_for_others(#[case] host: usize) {
     let _alone = run_alone().await;
-    let limit = DescriptorLimit::set(FEW_DESCRIPTORS);
+    let limit = DescriptorLimit::set(FEW_DESCRIPTORS as u64);
     let fleet = two_host_fleet("a").await;
     drop(limit);
     raise_descriptor_limit();
@@ -139,10 +169,7 @@
     let crowd = Crowd::start(fleet.hosts[host].calls, 900, CrowdKind::Idle);
     tokio::time::sleep(Duration::from_secs(1)).await;
     check_ordinary_call(&fleet, host).await;
-    check_hosts(
-        &fleet,
-        usize::try_from(FEW_DESCRIPTORS).expect("a small number"),
-    );
+    check_hosts(&fleet, UsageBounds::with_descriptors(FEW_DESCRIPTORS));
     crowd.leave().await;
 }
 
@@ -180,7 +207,7 @@
     port: OtherPort,
 ) {
     let _alone = run_alone().await;
-    let limit = DescriptorLimit::set(FEW_DESCRIPTORS);
+    let limit = DescriptorLimit::set(FEW_DESCRIPTORS as u64);
     let fleet = two_host_fleet("a").await;
     drop(limit);
     raise_descriptor_limit();
@@ -188,9 +215,6 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     check_ordinary_call(&fleet, AT_THE_TARGET).await;
     assert!(eventually(WAIT_TIMEOUT, || fleet.hosts[1].is_ready()).await);
-    check_hosts(
-        &fleet,
-        usize::try_from(FEW_DESCRIPTORS).expect("a small number"),
-    );
+    check_hosts(&fleet, UsageBounds::with_descriptors(FEW_DESCRIPTORS));
     crowd.leave().await;
 }
--- a/tests/mesh_settings_changes.rs
+++ b/tests/mesh_settings_changes.rs
@@ -51,7 +51,7 @@
 }
 
 /// A change of each key, in an order in which they can follow each other.
-const KEY_CHANGES: [KeyChange; 29] = [
+const KEY_CHANGES: [KeyChange; 31] = [
     change("id", "id = \"host\"", "id = \"other\"", false),
     change("zone", "zone = \"a\"", "zone = \"b\"", false),
     change("service", "service = \"quotes\"", "service = \"art\"", true),
@@ -141,6 +141,18 @@
     change("crossing.most", "most = 0.8", "most = 0.7", true),
     change("link.mbps", "mbps = 900.0", "mbps = 800.0", true),
     change("link.services", "services = 20", "services = 21", true),
+    change(
+        "machine.memory_mb",
+        "memory_mb = 100",
+        "memory_mb = 200",
+        true,
+    ),
+    change(
+        "machine.descriptors",
+        "descriptors = 900",
+        "descriptors = 800",
+        true,
+    ),
 ];
 
 /// Tables that the settings of a stand-in host lack.
@@ -160,6 +172,9 @@
 [link]
 mbps = 900.0
 services = 20
+[machine]
+memory_mb = 100
+descriptors = 900
 "#;
 
 /// Guards against a key whose change is neither followed nor refused: each key of the
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -157,9 +157,27 @@
     socket.connect(address).await
 }
 
-/// Asserts that process `pid` runs, and that it has used neither more memory than
-/// [`MAX_RESIDENT_KIB`] nor, now, more than `max_descriptors`.
-pub fn check_usage(pid: Pid, name: &str, max_descriptors: usize) {
+/// The most that a daemon may use.
+#[derive(Clone, Copy, Debug)]
+pub struct UsageBounds {
+    /// Memory at its peak, in KiB.
+    pub resident_kib: u64,
+    /// Descriptors at the moment of the check.
+    pub descriptors: usize,
+}
+
+impl UsageBounds {
+    /// Memory of [`MAX_RESIDENT_KIB`], and `descriptors`.
+    pub const fn with_descriptors(descriptors: usize) -> UsageBounds {
+        UsageBounds {
+            resident_kib: MAX_RESIDENT_KIB,
+            descriptors,
+        }
+    }
+}
+
+/// Asserts that process `pid` runs, within `bounds`.
+pub fn check_usage(pid: Pid, name: &str, bounds: UsageBounds) {
     let usage = ProcessUsage::read(pid);
     let usage = usage.unwrap_or_else(|| panic!("{name} has ended"));
     println!(
@@ -167,8 +185,8 @@
         usage.peak_resident_kib, usage.resident_kib, usage.descriptors
     );
     let peak = usage.peak_resident_kib;
-    assert!(peak <= MAX_RESIDENT_KIB, "{name} used {peak} KiB");
-    assert!(usage.descriptors <= max_descriptors, "{usage:?}");
+    assert!(peak <= bounds.resident_kib, "{name} used {peak} KiB");
+    assert!(usage.descriptors <= bounds.descriptors, "{usage:?}");
 }
 
 /// Limits the descriptors of the processes that are started until it is dropped.
