Give a link the window of all its streams

What callers saw: 504 for an ordinary call over a link on which a few answers wait that another client does not read.

Cause: a link had one window of 2 MiB for all its streams and 256 KiB for each. Eight answers that nobody reads use the whole of it, and then the reply to every other call waits, and the daemon's own news with them. Evidence: two clients with 16 calls ahead for 400 kB each, one ordinary call over the same link: 504 at its deadline in 4 of 4 runs (in others of the first form of the test the target ran no further call for 20 s); with windows that add up, 200 in 6 of 6. Ruled out: the target's slots, as its answers had been read into the buffer for slow clients, and that buffer (16 MiB, 12.8 MB were sent).

Change: the window of the connection is that of its 2,000 streams. For bodies of calls a stream's window is 64 KiB, since many may wait for one target, and a client's daemon holds the rest.

--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -27,8 +27,19 @@
 /// HTTP/2 flow-control window of a stream, in bytes. It is large enough that a
 /// large answer keeps flowing over the round trip between zones.
 pub const STREAM_WINDOW: u32 = 256 * 1024;
-/// HTTP/2 flow-control window of a connection, in bytes.
-pub const CONNECTION_WINDOW: u32 = 2 * 1024 * 1024;
+/// HTTP/2 flow-control window of a stream that carries a call's body, in bytes. Many such
+/// bodies may wait for the target of one host.
+pub const CALL_STREAM_WINDOW: u32 = 64 * 1024;
+/// Maximum number of streams of a link that are open at the same time.
+pub const MAX_CONCURRENT_STREAMS: u32 = 2_000;
+/// HTTP/2 flow-control window of a connection whose streams have `stream_window`, in bytes: as
+/// much as that of all its streams. With less, a few bodies that nobody reads would hold up
+/// every other call of the link.
+#[must_use]
+pub const fn connection_window(stream_window: u32) -> u32 {
+    stream_window * MAX_CONCURRENT_STREAMS
+}
+
 /// Timeout of each step of opening a link: the TCP connection, the HTTP/2
 /// handshake, and the response to the news stream's request.
 pub const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
@@ -173,7 +184,7 @@
         .map_err(|_| LinkError::ConnectFailed)?;
     let handshake = h2::client::Builder::new()
         .initial_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
+        .initial_connection_window_size(connection_window(STREAM_WINDOW))
         .max_concurrent_reset_streams(64)
         .handshake(stream);
     tokio::time::timeout(OPEN_TIMEOUT, handshake)
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -19,15 +19,13 @@
 use crate::body::{next_data, AnswerBody, BodySource, CallBody, LinkBody};
 use crate::clients::ClientTable;
 use crate::connection_limit::{ConnectionLimit, UsageCell};
-use crate::links::{LinkError, CONNECTION_WINDOW, STREAM_WINDOW};
+use crate::links::{connection_window, LinkError, CALL_STREAM_WINDOW, MAX_CONCURRENT_STREAMS};
 use crate::messages::{decode_next, encode, CallHead, ReplyHead};
 use crate::sockets;
 use crate::state::MeshShared;
 use crate::stop::ActiveCallGuard;
 use news::{news_path, serve_news};
 
-/// Maximum number of streams that a peer may have open on a link.
-const MAX_CONCURRENT_STREAMS: u32 = 2_000;
 /// Maximum number of streams of a link that a peer has cancelled before this daemon has
 /// looked at them. Beyond it, the link ends with all its calls. A host that stands still
 /// finds as many as its peer sent meanwhile: 2,000 are those of several seconds.
@@ -87,8 +85,8 @@
     sockets::set_socket_options(&stream);
     let caller_zone = CallerZone::default();
     let handshake = h2::server::Builder::new()
-        .initial_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
+        .initial_window_size(CALL_STREAM_WINDOW)
+        .initial_connection_window_size(connection_window(CALL_STREAM_WINDOW))
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .max_concurrent_reset_streams(64)
         .max_pending_accept_reset_streams(MAX_CANCELLED_UNSEEN_STREAMS)
--- a/tests/mesh_crowds.rs
+++ b/tests/mesh_crowds.rs
@@ -12,7 +12,8 @@
 use crowd::{
     check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind, DescriptorLimit, UsageBounds,
 };
-use filbert_platform_standin::{config_text, Host, RouteSpec};
+use filbert_platform_standin::host::call_headers;
+use filbert_platform_standin::{config_text, Client, Host, RouteSpec};
 use rstest::rstest;
 use users::{eventually, eventually_logs, reload_with, two_host_fleet, Fleet, WAIT_TIMEOUT};
 
@@ -218,3 +219,41 @@
     check_hosts(&fleet, UsageBounds::with_descriptors(FEW_DESCRIPTORS));
     crowd.leave().await;
 }
+
+/// Guards against unread answers of one client that take the window of a link from the calls
+/// of all others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_answers_leave_a_link_to_others() {
+    const CLIENTS: usize = 2;
+    const CALLS_AHEAD: usize = 16;
+    /// More than what the kernel takes of the answers that are written, and the window of a
+    /// whole link.
+    const ANSWER_BYTES: usize = 400_000;
+    const ENOUGH_RUNS: usize = 16;
+    let _alone = run_alone().await;
+    let fleet = two_host_fleet("a").await;
+    fleet.hosts[1].target.set_body_bytes(ANSWER_BYTES);
+    let mut unread = Vec::new();
+    for client in 0..CLIENTS {
+        let mut stream = Client::connect_with_buffer(fleet.hosts[OVER_A_LINK].calls, 4 * 1024)
+            .await
+            .expect("a connection");
+        for call in 0..CALLS_AHEAD {
+            let id = format!("unread-{client}-{call}");
+            stream
+                .send(READ, &call_headers(&id), b"")
+                .await
+                .expect("sent");
+        }
+        unread.push(stream);
+    }
+    let target = &fleet.hosts[1].target;
+    let have_run = || async { target.runs().len() >= ENOUGH_RUNS };
+    assert!(
+        eventually(WAIT_TIMEOUT, have_run).await,
+        "{} runs",
+        target.runs().len()
+    );
+    let answer = fleet.hosts[OVER_A_LINK].call(READ, "ordinary", b"").await;
+    assert_eq!(answer.map(|answer| answer.status), Some(200));
+}
