Take an answer that ends with a reset for cut, also when the writer saw the reset

What callers saw (MIXED, reported by the users): a target answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still being written; the client gets the part as a whole answer.

Cause: the kernel reports the error of a connection once, to whoever writes or reads first. Here the upload is written while the answer is read; the write took the reset, and the reader found a plain end, which is how such an answer ends.

Change: a write that fails for another reason than a closed connection marks the connection as broken off; an answer that ends with it is cut then, however the read ends. The run counts as failed, and the client's connection ends or the call gets 502. The log names the same reason as before for an answer that never came.

Related paths: bodies with a length or chunks state their end; requests never end with their connection; links carry the end of a stream.

--- a/crates/mesh/src/target/exchange.rs
+++ b/crates/mesh/src/target/exchange.rs
@@ -99,13 +99,14 @@
                         Ok(()) => is_sent = true,
                         // A target that answers before it has read the whole call may close
                         // its connection, and the answer is there to be read.
-                        Err(fault @ ExchangeOutcome::ConnectionLost(_)) => {
-                            send_fault = Some(fault);
-                        }
-                        Err(fault) => break Err(fault),
+                        Err(SendFault::Write(error)) => send_fault = Some(error.kind()),
+                        Err(SendFault::Body(reason)) => break Err(ExchangeOutcome::Lost(reason)),
                     },
                     answer = &mut receive => {
-                        break answer.map_err(|fault| send_fault.take().unwrap_or(fault));
+                        break answer.map_err(|fault| match send_fault {
+                            Some(_) => ExchangeOutcome::ConnectionLost("write failed"),
+                            None => fault,
+                        });
                     }
                     () = &mut expiry => break Err(ExchangeOutcome::Lost("no answer in time")),
                 }
@@ -122,6 +123,7 @@
             connection,
             &head,
             RunBodyParams {
+                is_broken: send_fault.is_some_and(breaks_connection),
                 // If the answer came before the request body was fully sent, the target
                 // still expects the rest of that body on this connection.
                 is_reusable: is_sent && head.keep_alive,
@@ -167,32 +169,53 @@
     bytes
 }
 
+/// Why a call was not sent to its end.
+enum SendFault {
+    /// Writing to the connection failed.
+    Write(io::Error),
+    /// The call's body cannot be sent; with the reason.
+    Body(&'static str),
+}
+
+impl From<io::Error> for SendFault {
+    fn from(error: io::Error) -> SendFault {
+        SendFault::Write(error)
+    }
+}
+
+/// Whether a write that failed like this shows that the connection was broken off, rather than
+/// closed by the target. The kernel reports the error of a connection once, to whoever writes
+/// or reads first; the reader would then take what it got for the whole of an answer that ends
+/// with the connection.
+fn breaks_connection(kind: io::ErrorKind) -> bool {
+    kind != io::ErrorKind::BrokenPipe
+}
+
 /// Sends a request: `head`, then the body as it is received.
 async fn send_request(
     writer: &mut OwnedWriteHalf,
     mut head: Vec<u8>,
     body: CallBody,
     mut encoder: BodyEncoder,
-) -> Result<(), ExchangeOutcome> {
-    let failed = |_| ExchangeOutcome::ConnectionLost("write failed");
-    let mismatch = |_| ExchangeOutcome::Lost("call body of another length than stated");
+) -> Result<(), SendFault> {
+    let mismatch = |_| SendFault::Body("call body of another length than stated");
     let mut source = match body {
         CallBody::Whole(whole) => {
             head.extend_from_slice(&encoder.encode(whole).map_err(mismatch)?);
             head.extend_from_slice(encoder.finish().map_err(mismatch)?);
-            return writer.write_all(&head).await.map_err(failed);
+            return Ok(writer.write_all(&head).await?);
         }
         CallBody::Streamed(source) => source,
     };
-    writer.write_all(&head).await.map_err(failed)?;
+    writer.write_all(&head).await?;
     while let Some(data) = source
         .next()
         .await
-        .map_err(|_| ExchangeOutcome::Lost("call body broken off"))?
+        .map_err(|_| SendFault::Body("call body broken off"))?
     {
         let framed = encoder.encode(data).map_err(mismatch)?;
-        writer.write_all(&framed).await.map_err(failed)?;
+        writer.write_all(&framed).await?;
     }
     let end = encoder.finish().map_err(mismatch)?;
-    writer.write_all(end).await.map_err(failed)
+    Ok(writer.write_all(end).await?)
 }
--- a/crates/mesh/src/target/run_body.rs
+++ b/crates/mesh/src/target/run_body.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use filbert_http1::{BodyDecoder, ResponseHead};
+use filbert_http1::{BodyDecoder, BodyFraming, ResponseHead};
 use filbert_policy::call_limits::{is_silent, AnswerDeadline, OverheadLimits};
 use filbert_policy::clock::Clock;
 
@@ -28,6 +28,9 @@
     pool: Rc<TargetConnectionPool>,
     clock: Rc<dyn Clock>,
     permit: Option<RunPermit>,
+    /// Whether the end of the connection would cut the answer: the answer ends with the
+    /// connection, and that was broken off.
+    is_cut_by_end: bool,
     /// Whether the answer has a failure status.
     is_failure: bool,
     deadline: AnswerDeadline,
@@ -37,6 +40,8 @@
 
 /// Parameters of a [`RunBody`], besides the connection and the answer's head.
 pub(super) struct RunBodyParams {
+    /// Whether a write has shown that the target broke the connection off.
+    pub(super) is_broken: bool,
     /// Whether the connection may go back to the pool after the body.
     pub(super) is_reusable: bool,
     pub(super) pool: Rc<TargetConnectionPool>,
@@ -74,6 +79,7 @@
             pool: params.pool,
             clock: params.clock,
             permit: Some(params.permit),
+            is_cut_by_end: params.is_broken && head.framing == BodyFraming::UntilClose,
             is_failure: head.status >= MIN_SERVER_ERROR_STATUS,
             deadline: params.deadline,
             last_data,
@@ -101,11 +107,11 @@
                 self.last_data = self.clock.now();
                 Ok(Some(data))
             }
-            Ok(Ok(None)) => {
+            Ok(Ok(None)) if !self.is_cut_by_end => {
                 self.finish();
                 Ok(None)
             }
-            Ok(Err(_)) => {
+            Ok(Ok(None) | Err(_)) => {
                 self.connection = None;
                 if let Some(permit) = self.permit.take() {
                     permit.end_truncated();
