--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -18,6 +18,8 @@
 
 /// Response header with which a target reports its load.
 const LOAD_HEADER: &str = "x-filbert-load";
+/// Highest status that an answer may have.
+const MAX_STATUS: u16 = 599;
 /// Status of a target that is not of the service that the call is for (HTTP
 /// 421, Misdirected Request).
 const MISDIRECTED_REQUEST: u16 = 421;
@@ -251,6 +253,10 @@
             Err(_) => return ended(AttemptEnd::Lost),
         };
         let status = response.status().as_u16();
+        // The library takes any three digits for a status.
+        if status > MAX_STATUS {
+            return ended(AttemptEnd::Lost);
+        }
         let header = |name: &str| {
             let value = response.headers().get(name)?.to_str().ok()?;
             Some((name.to_owned(), value.to_owned()))
