Refuse a long body among equals, and keep room for short calls

Change: of connections with the same cost the one that asks gives way, in words, before its body is read. Long bodies may fill three quarters of the memory for messages, so that a short call finds room without ending one of them. The memory of an idle connection is stated by the daemon that has it.

--- a/crates/mesh/src/clients/account.rs
+++ b/crates/mesh/src/clients/account.rs
@@ -6,9 +6,10 @@
 use std::time::Instant;
 
 use filbert_policy::client_budget::eviction::ConnectionUse;
+use filbert_policy::client_budget::CallSize;
 use tokio::sync::Notify;
 
-use super::ClientTable;
+use super::{ClientTable, MemoryRequest};
 
 /// Why a connection was ended to make room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -144,15 +145,20 @@
         charge
     }
 
-    /// Charges `bytes` for a call that begins, until the charge is dropped. Ends other
+    /// Charges `bytes` for a call of this `size` that begins, until the charge is dropped. Ends other
     /// connections if too much is held then.
     ///
     /// # Errors
     /// [`MemoryFull`] if this connection is the one that holds most and progresses least.
-    pub fn charge_call(self: &Rc<Self>, bytes: u64) -> Result<CallCharge, MemoryFull> {
+    pub fn charge_call(
+        self: &Rc<Self>,
+        size: CallSize,
+        bytes: u64,
+    ) -> Result<CallCharge, MemoryFull> {
         let charge = CallCharge::new(self, 1);
         charge.add_unchecked(bytes);
-        if self.table.end_for_memory(self.id, true) {
+        let request = MemoryRequest::Call(size);
+        if self.table.end_for_memory(self.id, request) {
             self.is_used.set(true);
             Ok(charge)
         } else {
@@ -228,7 +234,8 @@
     pub fn add(&self, bytes: u64) {
         self.add_unchecked(bytes);
         if let Some(account) = self.account.upgrade() {
-            account.table.end_for_memory(account.id, false);
+            let request = MemoryRequest::Part;
+            account.table.end_for_memory(account.id, request);
         }
     }
 
--- a/crates/mesh/src/clients/mod.rs
+++ b/crates/mesh/src/clients/mod.rs
@@ -6,14 +6,26 @@
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 
-use filbert_policy::client_budget::eviction::{choose_for_memory, choose_for_room, ConnectionUse};
-use filbert_policy::client_budget::{MachineSize, ResourceLimits};
+use filbert_policy::client_budget::eviction::{choose_for_memory, choose_for_room};
+use filbert_policy::client_budget::{CallSize, MachineSize, ResourceLimits};
 use filbert_policy::clock::Clock;
 
 use crate::logging::{LinePriority, LogRateLimiter};
 use crate::metrics::MeshMetrics;
 pub use account::{CallCharge, ConnectionAccount, EndReason, MemoryFull};
 
+/// Memory of a connection without a call: its tasks and its socket, in bytes.
+const CONNECTION_BYTES: u64 = 16 * 1024;
+
+/// What memory is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MemoryRequest {
+    /// A call of this size that begins.
+    Call(CallSize),
+    /// A part of a message that has been read.
+    Part,
+}
+
 /// All connections of clients, with what is held for them.
 pub struct ClientTable {
     limits: Cell<ResourceLimits>,
@@ -37,7 +49,7 @@
         clock: Rc<dyn Clock>,
     ) -> Rc<ClientTable> {
         Rc::new(ClientTable {
-            limits: Cell::new(ResourceLimits::new(machine)),
+            limits: Cell::new(ResourceLimits::new(machine, CONNECTION_BYTES)),
             connections: RefCell::default(),
             next_connection: Cell::new(0),
             held_bytes: Cell::new(0),
@@ -50,7 +62,8 @@
 
     /// Applies a changed size of the machine.
     pub fn set_machine(&self, machine: MachineSize) {
-        self.limits.set(ResourceLimits::new(machine));
+        self.limits
+            .set(ResourceLimits::new(machine, CONNECTION_BYTES));
     }
 
     /// The limits in force.
@@ -95,7 +108,11 @@
 
     /// Ends the connection that can best be spared; false if there is none.
     pub fn end_one_for_room(&self) -> bool {
-        let chosen = choose_for_room(self.open().into_iter(), self.clock.now());
+        let uses = self.open().into_iter().map(|account| {
+            let usage = account.usage();
+            (account, usage)
+        });
+        let chosen = choose_for_room(uses, self.clock.now());
         if let Some(account) = &chosen {
             self.end(account, EndReason::Connections);
         }
@@ -109,30 +126,36 @@
     }
 
     /// Ends connections until the others may hold what they do. If the connection
-    /// `requester` is the one to end and `may_refuse`, it is left as it is, and the result
-    /// is false.
-    fn end_for_memory(&self, requester: u64, may_refuse: bool) -> bool {
-        while self.held_bytes.get() > self.limits.get().held_bytes {
-            match choose_for_memory(self.open().into_iter(), self.clock.now()) {
-                None => return true,
-                Some(account) if account.id() == requester && may_refuse => return false,
-                Some(account) => self.end(&account, EndReason::Memory),
+    /// `requester` is the one to end and asks for a call, which it can refuse, it is left as
+    /// it is, and the result is false.
+    fn end_for_memory(&self, requester: u64, request: MemoryRequest) -> bool {
+        let limits = self.limits.get();
+        let max = match request {
+            MemoryRequest::Call(size) => limits.max_held_bytes(size),
+            MemoryRequest::Part => limits.held_bytes,
+        };
+        while self.held_bytes.get() > max {
+            let connections = self.open();
+            let uses = connections
+                .iter()
+                .map(|account| (account.id(), account.usage()));
+            let Some(id) = choose_for_memory(uses, &requester, self.clock.now()) else {
+                return true;
+            };
+            if id == requester && request != MemoryRequest::Part {
+                return false;
+            }
+            if let Some(account) = connections.iter().find(|account| account.id() == id) {
+                self.end(account, EndReason::Memory);
             }
         }
         true
     }
 
-    /// The connections in the table, with what they are used for.
-    fn open(&self) -> Vec<(Rc<ConnectionAccount>, ConnectionUse)> {
+    /// The connections in the table.
+    fn open(&self) -> Vec<Rc<ConnectionAccount>> {
         let connections = self.connections.borrow();
-        connections
-            .values()
-            .filter_map(Weak::upgrade)
-            .map(|account| {
-                let usage = account.usage();
-                (account, usage)
-            })
-            .collect()
+        connections.values().filter_map(Weak::upgrade).collect()
     }
 
     fn end(&self, account: &ConnectionAccount, reason: EndReason) {
--- a/crates/mesh/src/ingress/bodies.rs
+++ b/crates/mesh/src/ingress/bodies.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use filbert_http1::{BodyDecoder, BodyFraming, ReadError, RequestHead};
 use filbert_platform::headers;
-use filbert_policy::client_budget::call_bytes;
+use filbert_policy::client_budget::{call_bytes, CallSize};
 use filbert_policy::identity::{CallIdentity, IdentityParts};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -29,11 +29,17 @@
 /// Interval at which it is checked whether a client has left whose body is not read.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Memory to charge for a call with a head of `head_bytes` before its body is read.
-pub(super) fn expected_call_bytes(head_bytes: usize, framing: BodyFraming) -> u64 {
+/// Size of a call with a head of `head_bytes`, and the memory to charge for it before its body
+/// is read.
+pub(super) fn expected_call(head_bytes: usize, framing: BodyFraming) -> (CallSize, u64) {
     match framing.length() {
-        Some(length) if length <= MAX_REPLAYABLE_BODY_BYTES => call_bytes(head_bytes, length),
-        _ => call_bytes(head_bytes, 0) + STREAMED_BODY_BYTES,
+        Some(length) if length <= MAX_REPLAYABLE_BODY_BYTES => {
+            (CallSize::Short, call_bytes(head_bytes, length))
+        }
+        _ => {
+            let bytes = call_bytes(head_bytes, 0) + STREAMED_BODY_BYTES;
+            (CallSize::Long, bytes)
+        }
     }
 }
 
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -27,7 +27,7 @@
 use crate::state::MeshShared;
 use crate::stop::StopPhase;
 use answers::{write_answer, AnswerFault};
-use bodies::{call_identity, expected_call_bytes, forward_body, read_body, wait_for_disconnect};
+use bodies::{call_identity, expected_call, forward_body, read_body, wait_for_disconnect};
 use client_io::{ClientReader, ClientWriter};
 use connection::{CallInfo, ConnectionState};
 use cut_answers::CutAnswerReport;
@@ -146,9 +146,9 @@
     let is_http11 = head.is_http11;
     let framing = head.framing;
     let id = call_headers.id.clone();
-    let expected_bytes = expected_call_bytes(raw.len(), framing);
+    let (size, bytes) = expected_call(raw.len(), framing);
     drop(reading);
-    let Ok(charge) = reader.account().charge_call(expected_bytes) else {
+    let Ok(charge) = reader.account().charge_call(size, bytes) else {
         refuse_for_memory(shared, state, id, is_http11);
         return Ok(false);
     };
--- a/crates/policy/src/client_budget/eviction.rs
+++ b/crates/policy/src/client_budget/eviction.rs
@@ -48,16 +48,20 @@
     }
 }
 
-/// Chooses the connection that ends when too much memory is held: the one that holds most
-/// and progresses least. `None` if no connection holds anything.
-pub fn choose_for_memory<T>(
+/// Chooses the connection that ends when `requester` asks for more memory than is left: the
+/// one that holds most and progresses least. `None` if no connection holds anything.
+///
+/// Among equals it is the requester, so that of many long bodies those that are on their way
+/// reach their ends.
+pub fn choose_for_memory<T: PartialEq>(
     connections: impl Iterator<Item = (T, ConnectionUse)>,
+    requester: &T,
     now: Instant,
 ) -> Option<T> {
     connections
         .map(|(id, usage)| (id, usage.held_cost(now)))
         .filter(|(_, cost)| *cost > 0)
-        .max_by_key(|(_, cost)| *cost)
+        .max_by_key(|(id, cost)| (*cost, id == requester))
         .map(|(id, _)| id)
 }
 
--- a/crates/policy/src/client_budget/limits.rs
+++ b/crates/policy/src/client_budget/limits.rs
@@ -16,8 +16,6 @@
 const RESERVED_DESCRIPTOR_FRACTION: u64 = 4;
 /// Part of the descriptors that incoming links may take until their handshakes are complete.
 const HANDSHAKE_DESCRIPTOR_FRACTION: u64 = 8;
-/// Memory of a connection without a call: its tasks and its socket, in bytes.
-const CONNECTION_BYTES: u64 = 16 * 1024;
 /// Memory of the state of a call, besides its head and body, in bytes.
 const CALL_BYTES: u64 = 16 * 1024;
 /// Copies of a call's head while it is dispatched: as received, with its field ranges, as
@@ -30,6 +28,18 @@
 /// Part of the memory for messages beyond which no call is read ahead.
 const AHEAD_MEMORY_FRACTION: u64 = 2;
 
+/// Part of the memory for messages that is left for calls without a long body.
+const SHORT_CALL_FRACTION: u64 = 4;
+
+/// Whether a call has a long body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallSize {
+    /// The body is read before the call is sent on, or there is none.
+    Short,
+    /// The body is long.
+    Long,
+}
+
 /// What the process may hold for its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResourceLimits {
@@ -42,12 +52,13 @@
 }
 
 impl ResourceLimits {
-    /// Limits of a process on a machine of this size.
+    /// Limits of a process on a machine of this size, whose connections take
+    /// `connection_bytes` each without a call.
     #[must_use]
-    pub fn new(machine: MachineSize) -> ResourceLimits {
+    pub fn new(machine: MachineSize, connection_bytes: u64) -> ResourceLimits {
         let client_bytes = machine.memory_bytes / CLIENT_MEMORY_FRACTION;
         let reserved = machine.descriptors / RESERVED_DESCRIPTOR_FRACTION;
-        let connections = (machine.descriptors - reserved).min(client_bytes / CONNECTION_BYTES);
+        let connections = (machine.descriptors - reserved).min(client_bytes / connection_bytes);
         let handshakes = machine.descriptors / HANDSHAKE_DESCRIPTOR_FRACTION;
         let count = |number| usize::try_from(number).unwrap_or(usize::MAX).max(1);
         ResourceLimits {
@@ -57,6 +68,16 @@
         }
     }
 
+    /// Size of what may be held when a call of this size begins, in bytes. Long bodies leave
+    /// room for other calls, which would otherwise end them.
+    #[must_use]
+    pub fn max_held_bytes(&self, size: CallSize) -> u64 {
+        match size {
+            CallSize::Short => self.held_bytes,
+            CallSize::Long => self.held_bytes - self.held_bytes / SHORT_CALL_FRACTION,
+        }
+    }
+
     /// Whether a connection may read a call ahead of the answer to an earlier one, while
     /// the process holds `held_bytes` and `calls_ahead` such calls.
     #[must_use]
--- a/crates/policy/src/client_budget/mod.rs
+++ b/crates/policy/src/client_budget/mod.rs
@@ -12,4 +12,4 @@
 pub mod eviction;
 mod limits;
 
-pub use limits::{call_bytes, MachineSize, ResourceLimits};
+pub use limits::{call_bytes, CallSize, MachineSize, ResourceLimits};
--- a/crates/policy/tests/client_budget_cases.rs
+++ b/crates/policy/tests/client_budget_cases.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use filbert_policy::client_budget::eviction::{choose_for_memory, choose_for_room, ConnectionUse};
-use filbert_policy::client_budget::{call_bytes, MachineSize, ResourceLimits};
+use filbert_policy::client_budget::{call_bytes, CallSize, MachineSize, ResourceLimits};
 
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * KIB;
@@ -41,10 +41,11 @@
         },
     ];
     for case in cases {
-        let limits = ResourceLimits::new(MachineSize {
+        let machine = MachineSize {
             memory_bytes: case.memory_mib * MIB,
             descriptors: case.descriptors,
-        });
+        };
+        let limits = ResourceLimits::new(machine, 16 * KIB);
         assert_eq!(limits.connections, case.connections);
         let connection_bytes = limits.connections as u64 * 16 * KIB;
         let most = limits.held_bytes + connection_bytes;
@@ -55,10 +56,11 @@
 /// Guards against calls read ahead that multiply with the connections.
 #[test]
 fn a_crowd_reads_few_calls_ahead() {
-    let limits = ResourceLimits::new(MachineSize {
+    let machine = MachineSize {
         memory_bytes: 128 * MIB,
         descriptors: 4_100,
-    });
+    };
+    let limits = ResourceLimits::new(machine, 16 * KIB);
     for (connections, head_bytes, body_bytes) in
         [(1_000, 200, 0), (200, 15_000, 0), (200, 200, 60_000)]
     {
@@ -115,11 +117,29 @@
     ];
     for case in cases {
         let connections = [case.others, case.chosen, case.others];
-        let chosen = choose_for_memory(connections.into_iter().enumerate(), now);
+        let chosen = choose_for_memory(connections.into_iter().enumerate(), &0, now);
         assert_eq!(chosen, Some(1), "{}", case.name);
     }
 }
 
+/// Guards against long bodies that end each other, so that none of them reaches its end.
+#[test]
+fn among_equals_the_one_that_asks_gives_way() {
+    let now = Instant::now();
+    for requester in 0..3 {
+        let connections = [active(300 * KIB, None); 3];
+        let chosen = choose_for_memory(connections.into_iter().enumerate(), &requester, now);
+        assert_eq!(chosen, Some(requester));
+    }
+    let machine = MachineSize {
+        memory_bytes: 128 * MIB,
+        descriptors: 4_100,
+    };
+    let limits = ResourceLimits::new(machine, 16 * KIB);
+    let room = |size| limits.max_held_bytes(size) / MIB;
+    assert_eq!((room(CallSize::Short), room(CallSize::Long)), (32, 24));
+}
+
 /// Guards against a limit on connections that leaves them all to the clients that came first.
 #[test]
 fn connections_without_a_call_make_room_first() {
