Bound what is held for all clients of a daemon over our own store

What callers saw: a process of 573 MB beside 50 uploads announced with 2 GB, of 856 MB beside 100 uploads of 8 MB, and of 465 MB beside 100 clients that do not read answers of 4 MB.

Cause: a body was read up to its limit before anything was decided, whatever its stated length, and the answer was read whole, both for as many connections as there are. Each is the connections times what one may hold.

Change: the budget of `policy/client_budget`, over the connections of this daemon. A stated length beyond the limit is answered 413 unread. A body of a stated length is charged before it is read, with the HTTP server's buffer if it is long; one without as it comes; an answer as it comes, until it is written. A call that finds no room is refused (503, not run); a connection that holds most and progresses least ends: its socket is found among the process's own and shut down, as the HTTP server offers no other way. Bodies are not copied for each attempt any more, a caller may pause 15 s inside a body, and large blocks go back to the system.

--- /dev/null
+++ b/crates/daemon/src/clients/mod.rs
@@ -0,0 +1,143 @@
+//! The clients' connections to the proxy, and what is held for them.
+//!
+//! The HTTP server accepts and serves the connections; it does not tell how to end one. Their
+//! sockets are found among the process's own. The sums here come from the calls that pass the
+//! proxy.
+
+mod call;
+mod sockets;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use filbert_policy::client_budget::eviction::{choose_for_memory, ConnectionUse};
+use filbert_policy::client_budget::{CallSize, MachineSize, ResourceLimits};
+use nix::sys::resource::{getrlimit, Resource};
+
+use crate::clock::Clock;
+pub use call::{ClientCall, MemoryFull};
+
+/// Memory that the daemon may use, in bytes.
+const MEMORY_BYTES: u64 = 128 * 1024 * 1024;
+/// Memory of a connection, whose buffer the HTTP server fills with calls that were sent ahead,
+/// in bytes.
+const CONNECTION_BYTES: u64 = 64 * 1024;
+
+/// One connection.
+#[derive(Clone, Copy, Debug)]
+struct ClientConnection {
+    /// Distinguishes connections that came from the same address, one after the other.
+    number: u64,
+    usage: ConnectionUse,
+}
+
+#[derive(Debug, Default)]
+struct ClientState {
+    connections: HashMap<SocketAddr, ClientConnection>,
+    next_number: u64,
+    held_bytes: u64,
+}
+
+impl ClientState {
+    fn connection(&mut self, peer: SocketAddr, now: Instant) -> &mut ClientConnection {
+        let ClientState {
+            connections,
+            next_number,
+            ..
+        } = self;
+        connections.entry(peer).or_insert_with(|| {
+            *next_number += 1;
+            ClientConnection {
+                number: *next_number,
+                usage: ConnectionUse::Unused { since: now },
+            }
+        })
+    }
+
+    fn remove(&mut self, peer: SocketAddr) {
+        let removed = self.connections.remove(&peer);
+        if let Some(ConnectionUse::Active { held_bytes, .. }) = removed.map(|gone| gone.usage) {
+            self.held_bytes = self.held_bytes.saturating_sub(held_bytes);
+        }
+    }
+
+    fn uses(&self) -> impl Iterator<Item = (SocketAddr, ConnectionUse)> + '_ {
+        let connections = self.connections.iter();
+        connections.map(|(peer, connection)| (*peer, connection.usage))
+    }
+}
+
+/// All connections of clients, with what is held for them.
+pub struct ClientConnections {
+    limits: ResourceLimits,
+    state: Mutex<ClientState>,
+    clock: Arc<dyn Clock>,
+}
+
+impl ClientConnections {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>) -> ClientConnections {
+        let descriptors = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
+        let machine = MachineSize {
+            memory_bytes: MEMORY_BYTES,
+            descriptors,
+        };
+        ClientConnections {
+            limits: ResourceLimits::new(machine, CONNECTION_BYTES),
+            state: Mutex::default(),
+            clock,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ClientState> {
+        // Every operation leaves the sums consistent, so a poisoned lock is still usable.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds `bytes` to what is held for connection `number` of `peer`, whose call has this
+    /// `size`. Returns the
+    /// connections that are to end, as too much is held.
+    ///
+    /// # Errors
+    /// [`MemoryFull`] if this connection is the one that holds most and progresses least;
+    /// it counts as ended then.
+    fn charge(
+        &self,
+        peer: SocketAddr,
+        number: u64,
+        size: CallSize,
+        bytes: u64,
+    ) -> Result<Vec<SocketAddr>, MemoryFull> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(connection) = state.connections.get_mut(&peer) else {
+            return Err(MemoryFull);
+        };
+        let ConnectionUse::Active { held_bytes, .. } = &mut connection.usage else {
+            return Err(MemoryFull);
+        };
+        if connection.number != number {
+            return Err(MemoryFull);
+        }
+        *held_bytes += bytes;
+        state.held_bytes += bytes;
+        let mut spared = Vec::new();
+        while state.held_bytes > self.limits.max_held_bytes(size) {
+            match choose_for_memory(state.uses(), &peer, now) {
+                None => break,
+                Some(chosen) if chosen == peer => {
+                    state.remove(peer);
+                    return Err(MemoryFull);
+                }
+                Some(chosen) => {
+                    state.remove(chosen);
+                    spared.push(chosen);
+                }
+            }
+        }
+        Ok(spared)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/clients/sockets.rs
@@ -0,0 +1,53 @@
+//! The sockets of connections that another library has accepted, found among the process's own.
+
+use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, BorrowedFd, OwnedFd, RawFd};
+
+use nix::sys::resource::{getrlimit, Resource};
+use nix::sys::socket::{getpeername, getsockname, shutdown, Shutdown, SockaddrIn};
+use nix::unistd::dup;
+
+/// Most descriptors that are looked at.
+const MAX_DESCRIPTORS: u64 = 65_536;
+
+/// The connections to the local `port`: descriptor and address of the peer.
+fn connections_to(port: u16) -> Vec<(RawFd, SocketAddr)> {
+    let limit = getrlimit(Resource::RLIMIT_NOFILE).map_or(MAX_DESCRIPTORS, |(soft, _)| soft);
+    let limit = RawFd::try_from(limit.min(MAX_DESCRIPTORS)).unwrap_or(RawFd::MAX);
+    (0..limit)
+        .filter_map(|descriptor| Some((descriptor, peer_of(descriptor, port)?)))
+        .collect()
+}
+
+/// The peer of the connection `descriptor` to the local `port`; `None` if it is no such
+/// connection.
+fn peer_of(descriptor: RawFd, port: u16) -> Option<SocketAddr> {
+    let local: SockaddrIn = getsockname(descriptor).ok()?;
+    if local.port() != port {
+        return None;
+    }
+    let peer: SockaddrIn = getpeername(descriptor).ok()?;
+    Some(SocketAddr::from((peer.ip(), peer.port())))
+}
+
+/// Ends the connections of `peers` to the local `port`. Whoever serves them finds them closed.
+pub(super) fn shut_down(port: u16, peers: &[SocketAddr]) {
+    for (descriptor, peer) in connections_to(port) {
+        if peers.contains(&peer) {
+            shut_down_one(descriptor, port, peer);
+        }
+    }
+}
+
+fn shut_down_one(descriptor: RawFd, port: u16, peer: SocketAddr) {
+    // SAFETY: the descriptor is borrowed for the duplication only, which fails if it has been
+    // closed meanwhile.
+    let copy: Option<OwnedFd> = dup(unsafe { BorrowedFd::borrow_raw(descriptor) }).ok();
+    // Without a free descriptor there is no copy, which would keep the number from being used
+    // for another socket in between.
+    let socket = copy.as_ref().map_or(descriptor, AsRawFd::as_raw_fd);
+    if peer_of(socket, port) == Some(peer) {
+        // It fails if the peer has closed the connection.
+        let _ = shutdown(socket, Shutdown::Both);
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,8 +9,10 @@
 //! [`shell`] starts the daemon and shuts it down.
 
 pub mod admin;
+mod allocator;
 pub use filbert_policy::clock;
 pub mod budget;
+pub mod clients;
 pub mod control;
 pub mod counters;
 pub mod links;
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -1,12 +1,17 @@
 //! Answers to callers, which come from a target or from the daemon itself.
 
-use std::io::Cursor;
+use std::io::{self, Cursor, SeekFrom};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
 
 use rocket::http::Status;
 use rocket::request::Request;
 use rocket::response::{self, Responder, Response};
+use rocket::tokio::io::{AsyncRead, AsyncSeek, ReadBuf};
 
 use super::{OUTCOME_HEADER, REQUEST_ID_HEADER};
+use crate::clients::ClientCall;
 
 /// Value of the `Retry-After` header of a `not-run` answer, in seconds.
 pub const RETRY_AFTER_SECONDS: u32 = 1;
@@ -72,14 +77,70 @@
     }
 }
 
-impl<'r> Responder<'r, 'static> for ProxyAnswer {
-    fn respond_to(self, _request: &'r Request<'_>) -> response::Result<'static> {
+impl ProxyAnswer {
+    /// The response, whose body belongs to `call` until it is written.
+    fn into_response(self, call: Option<Arc<ClientCall>>) -> Response<'static> {
         let mut builder = Response::build();
         builder.status(Status::new(self.status));
         for (name, value) in self.headers {
             builder.raw_header(name, value);
         }
-        builder.sized_body(self.body.len(), Cursor::new(self.body));
-        Ok(builder.finalize())
+        let length = self.body.len();
+        let body = HeldBody {
+            bytes: Cursor::new(self.body),
+            _call: call,
+        };
+        builder.sized_body(length, body);
+        builder.finalize()
+    }
+}
+
+impl<'r> Responder<'r, 'static> for ProxyAnswer {
+    fn respond_to(self, _request: &'r Request<'_>) -> response::Result<'static> {
+        Ok(self.into_response(None))
+    }
+}
+
+/// An answer whose call goes on until the answer is written.
+pub(super) struct HeldAnswer {
+    answer: ProxyAnswer,
+    call: Arc<ClientCall>,
+}
+
+impl HeldAnswer {
+    pub(super) fn new(answer: ProxyAnswer, call: Arc<ClientCall>) -> HeldAnswer {
+        HeldAnswer { answer, call }
+    }
+}
+
+impl<'r> Responder<'r, 'static> for HeldAnswer {
+    fn respond_to(self, _request: &'r Request<'_>) -> response::Result<'static> {
+        Ok(self.answer.into_response(Some(self.call)))
+    }
+}
+
+/// Body of a response, which keeps its call in progress.
+struct HeldBody {
+    bytes: Cursor<Vec<u8>>,
+    _call: Option<Arc<ClientCall>>,
+}
+
+impl AsyncRead for HeldBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.bytes).poll_read(context, buffer)
+    }
+}
+
+impl AsyncSeek for HeldBody {
+    fn start_seek(mut self: Pin<&mut Self>, position: SeekFrom) -> io::Result<()> {
+        Pin::new(&mut self.bytes).start_seek(position)
+    }
+
+    fn poll_complete(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<u64>> {
+        Pin::new(&mut self.bytes).poll_complete(context)
     }
 }
--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -2,8 +2,11 @@
 //! policy allows.
 
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use filbert_policy::client_budget::CallSize;
 use filbert_tree::RouteEntry;
 use rocket::http::Method;
 
@@ -13,6 +16,7 @@
     NextStep, RetryAllowance,
 };
 use super::{ProxyShared, OUTCOME_HEADER, REQUEST_ID_HEADER, SERVICE_HEADER};
+use crate::clients::ClientCall;
 use crate::counters::CallOutcome;
 use crate::targets::{PlacementRequest, SlotGuard, TargetOutcome, TargetTable};
 
@@ -25,12 +29,13 @@
 const MISDIRECTED_REQUEST: u16 = 421;
 
 /// The parts of a caller's call that are forwarded to the target.
-#[derive(Clone, Debug)]
 pub(super) struct ForwardedCall {
     pub(super) method: Method,
     pub(super) path_and_query: String,
     pub(super) headers: Vec<(&'static str, String)>,
-    pub(super) body: Vec<u8>,
+    pub(super) body: Bytes,
+    /// What is held for the call, and for its answer.
+    pub(super) client: Arc<ClientCall>,
     pub(super) request_id: String,
     /// The time at which the caller must have the answer.
     pub(super) deadline: Instant,
@@ -273,21 +278,34 @@
             || header(OUTCOME_HEADER).is_some_and(|(_, outcome)| outcome == NOT_RUN);
         // The complete answer is read before any of it is returned, so that a
         // caller never gets a truncated answer that looks complete.
-        match response.bytes().await {
-            _ if declined => ended(AttemptEnd::Declined),
-            Ok(bytes) => Attempt {
+        if declined {
+            return ended(AttemptEnd::Declined);
+        }
+        match read_answer(response, &call.client).await {
+            Some(body) => Attempt {
                 end: AttemptEnd::Answered,
                 answer: Some(ProxyAnswer {
                     status,
                     headers,
-                    body: bytes.to_vec(),
+                    body,
                 }),
             },
-            Err(_) => ended(AttemptEnd::Lost),
+            None => ended(AttemptEnd::Lost),
         }
     }
 }
 
+/// Reads the body of an answer, which is charged to `client` as it comes; `None` if it is cut
+/// or no memory is left for it.
+async fn read_answer(mut response: reqwest::Response, client: &ClientCall) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(part) = response.chunk().await.ok()? {
+        client.charge(CallSize::Short, part.len()).ok()?;
+        body.extend_from_slice(&part);
+    }
+    Some(body)
+}
+
 fn call_result(
     step: NextStep,
     answer: Option<ProxyAnswer>,
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 
 mod answer;
 mod attempt;
+mod body;
 mod claim;
 mod keyed;
 pub mod policy;
@@ -20,17 +21,20 @@
 use arc_swap::ArcSwap;
 use filbert_store::PlatformClient;
 use filbert_tree::{RouteEntry, RouteTable};
-use rocket::data::{Data, ToByteUnit};
+use rocket::data::Data;
 use rocket::http::Method;
 use rocket::request::Request;
 use rocket::route::{Handler, Outcome, Route};
 
 use crate::budget::RetryBudget;
+use crate::clients::{ClientCall, ClientConnections};
 use crate::clock::Clock;
 use crate::counters::DaemonCounters;
 use crate::targets::{TargetTable, ZoneTargets};
+use answer::HeldAnswer;
 pub use answer::{ProxyAnswer, RETRY_AFTER_SECONDS};
 use attempt::ForwardedCall;
+use body::read_body;
 pub use claim::{ClaimOutcome, ClaimState, ClaimStore, HeldClaim, RecordedAnswer};
 
 /// Request header that names the member (customer) that the caller belongs to.
@@ -54,8 +58,6 @@
 /// Request header with the idempotency key of a call that must run at most
 /// once.
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
-/// Maximum size of a forwarded call's body, in MiB.
-const MAX_BODY_MIB: u64 = 8;
 /// Request headers that are forwarded to the target.
 const FORWARDED_HEADERS: [&str; 3] = ["content-type", "accept", IDEMPOTENCY_KEY_HEADER];
 /// Timeout for connecting to a target.
@@ -90,6 +92,10 @@
     pub target_table: Arc<TargetTable>,
     /// The daemon's counters, to which the proxy adds call outcomes.
     pub counters: Arc<DaemonCounters>,
+    /// Connections of clients.
+    pub clients: Arc<ClientConnections>,
+    /// Port at which the proxy listens.
+    pub port: u16,
     retry_budget: RetryBudget,
     claim_store: ClaimStore,
     clock: Arc<dyn Clock>,
@@ -133,7 +139,7 @@
 }
 
 impl ProxyShared {
-    /// Creates the state of a proxy that has no settings version and no targets.
+    /// Creates the state of a proxy at `port` that has no settings version and no targets.
     ///
     /// # Panics
     /// If the HTTP clients, which use no TLS, cannot be built.
@@ -141,9 +147,12 @@
     pub fn new(
         counters: Arc<DaemonCounters>,
         platform: PlatformClient,
+        port: u16,
         clock: Arc<dyn Clock>,
     ) -> ProxyShared {
         ProxyShared {
+            clients: Arc::new(ClientConnections::new(Arc::clone(&clock))),
+            port,
             config: ArcSwap::from_pointee(AppliedConfig::default()),
             targets: ArcSwap::from_pointee(ZoneTargets::default()),
             target_table: Arc::new(TargetTable::default()),
@@ -183,12 +192,24 @@
 #[rocket::async_trait]
 impl Handler for ProxyHandler {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
-        let answer = forward(&self.shared, request, data).await;
-        Outcome::from(request, answer)
+        let Some(peer) = request.remote() else {
+            // The connection has ended.
+            return Outcome::from(request, ProxyAnswer::local(400, "", "no peer"));
+        };
+        let call = ClientCall::begin(&self.shared.clients, peer, self.shared.port);
+        let call = Arc::new(call);
+        let answer = forward(&self.shared, &call, request, data).await;
+        call.set_waiting(true);
+        Outcome::from(request, HeldAnswer::new(answer, call))
     }
 }
 
-async fn forward(shared: &ProxyShared, request: &Request<'_>, data: Data<'_>) -> ProxyAnswer {
+async fn forward(
+    shared: &ProxyShared,
+    client: &Arc<ClientCall>,
+    request: &Request<'_>,
+    data: Data<'_>,
+) -> ProxyAnswer {
     let header = |name: &str| request.headers().get_one(name);
     let request_id = header(REQUEST_ID_HEADER).map_or_else(new_request_id, str::to_owned);
     let Some(member) = header(MEMBER_HEADER) else {
@@ -205,12 +226,10 @@
     let Some(route) = config.table.lookup(member, path) else {
         return ProxyAnswer::local(404, &request_id, "no route for this member and path");
     };
-    let Ok(body) = data.open(MAX_BODY_MIB.mebibytes()).into_bytes().await else {
-        return ProxyAnswer::local(400, &request_id, "call body unreadable");
+    let body = match read_body(request, data, client).await {
+        Ok(body) => body,
+        Err(fault) => return fault.answer(&request_id),
     };
-    if !body.is_complete() {
-        return ProxyAnswer::local(413, &request_id, "call body too large");
-    }
     let call = ForwardedCall {
         method: request.method(),
         path_and_query: request.uri().to_string(),
@@ -218,7 +237,8 @@
             .iter()
             .filter_map(|name| Some((*name, header(name)?.to_owned())))
             .collect(),
-        body: body.into_inner(),
+        body,
+        client: Arc::clone(client),
         request_id,
         deadline: shared.clock.now() + call_timeout(route, header(DEADLINE_HEADER)),
     };
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc;
 
 use crate::admin::{self, AdminState};
+use crate::allocator::return_large_blocks;
 use crate::clock::{Clock, SystemClock};
 use crate::control::{ControlEvent, ControlSettings, ControlState, StatusView};
 use crate::counters::DaemonCounters;
@@ -67,12 +68,14 @@
 /// server fails, [`DaemonError::Signal`] if the signal handlers cannot be installed, and
 /// [`DaemonError::Control`] if the control loop panics.
 pub async fn run(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
+    return_large_blocks();
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let counters = Arc::new(DaemonCounters::new());
     let platform = PlatformClient::new(&settings.platform, settings.timeouts.platform_timeout());
     let proxy = Arc::new(ProxyShared::new(
         Arc::clone(&counters),
         platform.clone(),
+        settings.proxy_listen.port(),
         Arc::clone(&clock),
     ));
     let status = Arc::new(ArcSwap::from_pointee(StatusView::default()));
--- /dev/null
+++ b/tests/crowds.rs
@@ -0,0 +1,124 @@
+//! Tests of clients outside the limits, at a daemon over our own store: the process lives,
+//! stays within its memory and descriptors, and answers others.
+
+#[path = "support/crowd.rs"]
+mod crowd;
+#[path = "support/raw_target.rs"]
+mod raw_target;
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crowd::{check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind, UsageBounds};
+use filbert_standin::mesh::LocalMesh;
+use raw_target::{RawEnd, RawTarget};
+use rstest::rstest;
+use support::{eventually, get, mesh_spec, start_mesh_with_example, WAIT_TIMEOUT};
+
+const HEADERS: &str = "Host: shop\r\nx-filbert-member: north-signs\r\n";
+const KEYED_HEADERS: &str =
+    "Host: shop\r\nx-filbert-member: north-signs\r\nidempotency-key: order-1\r\n";
+/// How long a crowd presses.
+const CROWD_TIME: Duration = Duration::from_secs(5);
+/// Descriptors of a daemon on the users' hosts.
+const MAX_DESCRIPTORS: usize = 4_100;
+
+/// A crowd at the proxy.
+struct CrowdCase {
+    connections: usize,
+    kind: CrowdKind,
+}
+
+const fn upload(body_bytes: usize) -> CrowdKind {
+    CrowdKind::Upload {
+        line: "POST /quotes/a",
+        headers: HEADERS,
+        body_bytes,
+    }
+}
+
+const fn requests(line: &'static str, headers: &'static str, body_bytes: usize) -> CrowdKind {
+    CrowdKind::Requests {
+        line,
+        headers,
+        field_bytes: 0,
+        body_bytes,
+    }
+}
+
+fn proxy_address(mesh: &LocalMesh) -> SocketAddr {
+    let address = mesh.daemons[0].proxy_url.trim_start_matches("http://");
+    address.parse().expect("an address")
+}
+
+/// An ordinary client comes back until it has an answer of a target.
+async fn check_ordinary_call(mesh: &LocalMesh) {
+    let url = &mesh.daemons[0].proxy_url;
+    let is_answered = || async {
+        let answer = get(url, "north-signs", "/quotes/ordinary");
+        let answer = tokio::time::timeout(Duration::from_secs(2), answer).await;
+        answer.is_ok_and(|answer| answer.status() == 200)
+    };
+    assert!(eventually(WAIT_TIMEOUT, is_answered).await, "no answer");
+}
+
+fn check_daemon(mesh: &LocalMesh, max_descriptors: usize) {
+    let daemon = &mesh.daemons[0];
+    let pid = daemon.pid().expect("a process");
+    check_usage(
+        pid,
+        &daemon.id,
+        UsageBounds::with_descriptors(max_descriptors),
+    );
+}
+
+/// Guards against a process that ends or starves because what one client may send is bounded
+/// and what all of them may send is not.
+#[rstest]
+#[case::long_uploads(CrowdCase { connections: 50, kind: upload(2_000_000_000) })]
+#[case::uploads(CrowdCase { connections: 100, kind: upload(8_000_000) })]
+#[case::bodies(CrowdCase { connections: 200, kind: requests("POST /quotes/a", HEADERS, 60_000) })]
+#[case::small_calls(CrowdCase { connections: 1_000, kind: requests("GET /quotes/a", HEADERS, 0) })]
+#[case::many_bodies(CrowdCase { connections: 1_000, kind: requests("POST /quotes/a", HEADERS, 60_000) })]
+#[case::orders(CrowdCase { connections: 100, kind: requests("POST /orders/a", KEYED_HEADERS, 200) })]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_crowd_does_not_take_the_process(#[case] case: CrowdCase) {
+    let _alone = run_alone().await;
+    raise_descriptor_limit();
+    let spec = mesh_spec(&["quoting"]).zones(&["zone-a"]);
+    let mesh = start_mesh_with_example(spec.daemons_per_zone(1)).await;
+    check_ordinary_call(&mesh).await;
+    let address = proxy_address(&mesh);
+    let crowd = Crowd::start(address, case.connections, case.kind);
+    tokio::time::sleep(CROWD_TIME).await;
+    check_daemon(&mesh, MAX_DESCRIPTORS);
+    crowd.leave().await;
+    check_ordinary_call(&mesh).await;
+    check_daemon(&mesh, MAX_DESCRIPTORS);
+}
+
+/// Guards against answers that are held whole for clients that do not read them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_answers_do_not_take_the_process() {
+    const ANSWER_BYTES: usize = 4_000_000;
+    const CONNECTIONS: usize = 100;
+    let _alone = run_alone().await;
+    raise_descriptor_limit();
+    let spec = mesh_spec(&[]).zones(&["zone-a"]).daemons_per_zone(1);
+    let mesh = start_mesh_with_example(spec).await;
+    let target = RawTarget::start(&mesh.daemons[0].admin_url).await;
+    let mut answer =
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n").into_bytes();
+    answer.resize(answer.len() + ANSWER_BYTES, b'a');
+    target.set_answer(answer, RawEnd::Open);
+    check_ordinary_call(&mesh).await;
+    let address = proxy_address(&mesh);
+    let kind = requests("GET /quotes/a", HEADERS, 0);
+    let crowd = Crowd::start(address, CONNECTIONS, kind);
+    tokio::time::sleep(CROWD_TIME).await;
+    check_daemon(&mesh, MAX_DESCRIPTORS);
+    crowd.leave().await;
+    check_ordinary_call(&mesh).await;
+    check_daemon(&mesh, MAX_DESCRIPTORS);
+}
--- a/tests/support/raw_target.rs
+++ b/tests/support/raw_target.rs
@@ -1,5 +1,7 @@
 //! A target of our own store's mesh that answers with given bytes.
 
+#![allow(dead_code)] // Each test binary uses only some of the helpers.
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
