End connections that can be spared at a daemon over our own store

What callers saw: no connection to the proxy while others keep theirs open and send nothing.

Cause: the HTTP server accepts until no descriptor is left and never ends an idle connection. The library takes no listener of ours and tells no connection, so that nothing can be counted or ended in it.

Change: once a second, and every 50 ms while they are many, the connections to the port are counted among the process's own sockets; those beyond the limit (three quarters of the descriptors, as many as fit into a quarter of 128 MB at 64 KiB each; 64 at the admin port) are shut down, by the rule of the other daemon. A link of another daemon has 0.5 s for its stream, too.

--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -1,18 +1,19 @@
 //! The clients' connections to the proxy, and what is held for them.
 //!
-//! The HTTP server accepts and serves the connections; it does not tell how to end one. Their
-//! sockets are found among the process's own. The sums here come from the calls that pass the
-//! proxy.
+//! The HTTP server accepts and serves the connections; it tells neither that one is open nor
+//! how to end it. [`reaper`] finds their sockets among the process's own and ends those that
+//! can best be spared; the sums here come from the calls that pass the proxy.
 
 mod call;
+pub mod reaper;
 mod sockets;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use filbert_policy::client_budget::eviction::{choose_for_memory, ConnectionUse};
+use filbert_policy::client_budget::eviction::{choose_for_memory, choose_for_room, ConnectionUse};
 use filbert_policy::client_budget::{CallSize, MachineSize, ResourceLimits};
 use nix::sys::resource::{getrlimit, Resource};
 
@@ -92,11 +93,49 @@
         }
     }
 
+    /// Creates an empty table of at most `connections`, fewer if the process has few
+    /// descriptors.
+    #[must_use]
+    pub fn with_limit(connections: usize, clock: Arc<dyn Clock>) -> ClientConnections {
+        let mut table = ClientConnections::new(clock);
+        table.limits.connections = table.limits.connections.min(connections);
+        table
+    }
+
     fn lock(&self) -> MutexGuard<'_, ClientState> {
         // Every operation leaves the sums consistent, so a poisoned lock is still usable.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes over which connections are open. Returns those that are to end, as there are too
+    /// many.
+    fn update_open(&self, open: &[SocketAddr]) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let is_open: HashSet<&SocketAddr> = open.iter().collect();
+        // A connection with a call may have been opened after `open` was read.
+        state.connections.retain(|peer, connection| {
+            is_open.contains(peer) || matches!(connection.usage, ConnectionUse::Active { .. })
+        });
+        for peer in open {
+            state.connection(*peer, now);
+        }
+        let mut spared = Vec::new();
+        while state.connections.len() > self.limits.connections {
+            let Some(peer) = choose_for_room(state.uses(), now) else {
+                break;
+            };
+            state.remove(peer);
+            spared.push(peer);
+        }
+        spared
+    }
+
+    /// Whether connections are so many that they have to be watched closely.
+    fn is_crowded(&self, open: usize) -> bool {
+        open >= self.limits.connections / 2
+    }
+
     /// Adds `bytes` to what is held for connection `number` of `peer`, whose call has this
     /// `size`. Returns the
     /// connections that are to end, as too much is held.
--- a/crates/daemon/src/clients/sockets.rs
+++ b/crates/daemon/src/clients/sockets.rs
@@ -12,13 +12,30 @@
 
 /// The connections to the local `port`: descriptor and address of the peer.
 fn connections_to(port: u16) -> Vec<(RawFd, SocketAddr)> {
-    let limit = getrlimit(Resource::RLIMIT_NOFILE).map_or(MAX_DESCRIPTORS, |(soft, _)| soft);
-    let limit = RawFd::try_from(limit.min(MAX_DESCRIPTORS)).unwrap_or(RawFd::MAX);
-    (0..limit)
+    listed_descriptors()
+        .unwrap_or_else(|_| possible_descriptors())
+        .into_iter()
         .filter_map(|descriptor| Some((descriptor, peer_of(descriptor, port)?)))
         .collect()
 }
 
+/// The open descriptors of this process.
+///
+/// # Errors
+/// The error of reading them, which takes a descriptor.
+fn listed_descriptors() -> std::io::Result<Vec<RawFd>> {
+    let entries = std::fs::read_dir("/proc/self/fd")?;
+    let names = entries.filter_map(|entry| entry.ok()?.file_name().into_string().ok());
+    Ok(names.filter_map(|name| name.parse().ok()).collect())
+}
+
+/// The descriptors that this process may have.
+fn possible_descriptors() -> Vec<RawFd> {
+    let limit = getrlimit(Resource::RLIMIT_NOFILE).map_or(MAX_DESCRIPTORS, |(soft, _)| soft);
+    let limit = RawFd::try_from(limit.min(MAX_DESCRIPTORS)).unwrap_or(RawFd::MAX);
+    (0..limit).collect()
+}
+
 /// The peer of the connection `descriptor` to the local `port`; `None` if it is no such
 /// connection.
 fn peer_of(descriptor: RawFd, port: u16) -> Option<SocketAddr> {
@@ -30,6 +47,14 @@
     Some(SocketAddr::from((peer.ip(), peer.port())))
 }
 
+/// Peers of the connections to the local `port`.
+pub(super) fn open_peers(port: u16) -> Vec<SocketAddr> {
+    connections_to(port)
+        .into_iter()
+        .map(|(_, peer)| peer)
+        .collect()
+}
+
 /// Ends the connections of `peers` to the local `port`. Whoever serves them finds them closed.
 pub(super) fn shut_down(port: u16, peers: &[SocketAddr]) {
     for (descriptor, peer) in connections_to(port) {
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -23,7 +23,8 @@
 /// falls further behind is closed, and the peer reconnects, so a slow peer cannot take
 /// up unlimited memory.
 const PEER_QUEUE_FRAMES: usize = 256;
-/// Timeout of each step of opening a link: the TCP connection and the HTTP/2 handshake.
+/// Timeout of each step of opening a link: the TCP connection, the HTTP/2 handshake, and the
+/// stream.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without flow-control capacity from the other side after which a link with data
 /// to send is closed.
@@ -156,9 +157,10 @@
     let mut connection = tokio::time::timeout(OPEN_TIMEOUT, handshake)
         .await
         .map_err(|_| LinkError::ConnectFailed)??;
-    let Some(accepted) = connection.accept().await else {
-        return Err(LinkError::Closed);
-    };
+    let accepted = tokio::time::timeout(OPEN_TIMEOUT, connection.accept())
+        .await
+        .map_err(|_| LinkError::ConnectFailed)?
+        .ok_or(LinkError::Closed)?;
     let (request, mut respond) = accepted?;
     let outgoing = respond.send_response(http::Response::new(()), false)?;
     let (sender, queue) = mpsc::channel(PEER_QUEUE_FRAMES);
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -19,6 +19,8 @@
 
 use crate::admin::{self, AdminState};
 use crate::allocator::return_large_blocks;
+use crate::clients::reaper::end_spare_connections;
+use crate::clients::ClientConnections;
 use crate::clock::{Clock, SystemClock};
 use crate::control::{ControlEvent, ControlSettings, ControlState, StatusView};
 use crate::counters::DaemonCounters;
@@ -51,6 +53,8 @@
 
 impl std::error::Error for DaemonError {}
 
+/// Maximum number of connections to the admin port, of targets and operators.
+const MAX_ADMIN_CONNECTIONS: usize = 64;
 /// Maximum number of events that wait for the control loop.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
 /// Maximum interval between ticks of the reducer. It is short compared to the poll
@@ -78,6 +82,16 @@
         settings.proxy_listen.port(),
         Arc::clone(&clock),
     ));
+    tokio::spawn(end_spare_connections(
+        Arc::clone(&proxy.clients),
+        settings.proxy_listen.port(),
+    ));
+    let admin_connections =
+        ClientConnections::with_limit(MAX_ADMIN_CONNECTIONS, Arc::clone(&clock));
+    tokio::spawn(end_spare_connections(
+        Arc::new(admin_connections),
+        settings.admin_listen.port(),
+    ));
     let status = Arc::new(ArcSwap::from_pointee(StatusView::default()));
     let (events, received) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let peers = PeerSenders::default();
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -10,8 +10,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crowd::{check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind, UsageBounds};
+use crowd::{
+    check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind, DescriptorLimit, UsageBounds,
+};
 use filbert_standin::mesh::LocalMesh;
+use filbert_standin::process::DaemonProcess;
 use raw_target::{RawEnd, RawTarget};
 use rstest::rstest;
 use support::{eventually, get, mesh_spec, start_mesh_with_example, WAIT_TIMEOUT};
@@ -21,6 +24,8 @@
     "Host: shop\r\nx-filbert-member: north-signs\r\nidempotency-key: order-1\r\n";
 /// How long a crowd presses.
 const CROWD_TIME: Duration = Duration::from_secs(5);
+/// Descriptors of a daemon in the test of idle connections.
+const FEW_DESCRIPTORS: usize = 300;
 /// Descriptors of a daemon on the users' hosts.
 const MAX_DESCRIPTORS: usize = 4_100;
 
@@ -47,11 +52,6 @@
     }
 }
 
-fn proxy_address(mesh: &LocalMesh) -> SocketAddr {
-    let address = mesh.daemons[0].proxy_url.trim_start_matches("http://");
-    address.parse().expect("an address")
-}
-
 /// An ordinary client comes back until it has an answer of a target.
 async fn check_ordinary_call(mesh: &LocalMesh) {
     let url = &mesh.daemons[0].proxy_url;
@@ -89,7 +89,7 @@
     let spec = mesh_spec(&["quoting"]).zones(&["zone-a"]);
     let mesh = start_mesh_with_example(spec.daemons_per_zone(1)).await;
     check_ordinary_call(&mesh).await;
-    let address = proxy_address(&mesh);
+    let address = DaemonPort::Proxy.address(&mesh.daemons[0]);
     let crowd = Crowd::start(address, case.connections, case.kind);
     tokio::time::sleep(CROWD_TIME).await;
     check_daemon(&mesh, MAX_DESCRIPTORS);
@@ -98,6 +98,45 @@
     check_daemon(&mesh, MAX_DESCRIPTORS);
 }
 
+/// A port of the daemon.
+#[derive(Clone, Copy, Debug)]
+enum DaemonPort {
+    Proxy,
+    Admin,
+}
+
+impl DaemonPort {
+    fn address(self, daemon: &DaemonProcess) -> SocketAddr {
+        let url = match self {
+            DaemonPort::Proxy => &daemon.proxy_url,
+            DaemonPort::Admin => &daemon.admin_url,
+        };
+        let address = url.trim_start_matches("http://");
+        address.parse().expect("an address")
+    }
+}
+
+/// Guards against clients that take all descriptors of a process by opening connections and
+/// sending nothing, so that others cannot connect while they stay.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connections_leave_room_for_others(
+    #[values(DaemonPort::Proxy, DaemonPort::Admin)] port: DaemonPort,
+) {
+    let _alone = run_alone().await;
+    let spec = mesh_spec(&["quoting"]).zones(&["zone-a"]);
+    let limit = DescriptorLimit::set(FEW_DESCRIPTORS as u64);
+    let mesh = start_mesh_with_example(spec.daemons_per_zone(1)).await;
+    drop(limit);
+    raise_descriptor_limit();
+    check_ordinary_call(&mesh).await;
+    let crowd = Crowd::start(port.address(&mesh.daemons[0]), 450, CrowdKind::Idle);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    check_ordinary_call(&mesh).await;
+    check_daemon(&mesh, FEW_DESCRIPTORS);
+    crowd.leave().await;
+}
+
 /// Guards against answers that are held whole for clients that do not read them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn unread_answers_do_not_take_the_process() {
@@ -113,7 +152,7 @@
     answer.resize(answer.len() + ANSWER_BYTES, b'a');
     target.set_answer(answer, RawEnd::Open);
     check_ordinary_call(&mesh).await;
-    let address = proxy_address(&mesh);
+    let address = DaemonPort::Proxy.address(&mesh.daemons[0]);
     let kind = requests("GET /quotes/a", HEADERS, 0);
     let crowd = Crowd::start(address, CONNECTIONS, kind);
     tokio::time::sleep(CROWD_TIME).await;
