Spare a connection that was just opened, unless most are

What callers saw: beside 1,000 connections that send small calls ahead, an ordinary client's connection to a daemon over our own store was closed before its first call was read (a trial, release build, with its 512 connections in use).

Cause: a connection without a call was the first to end, however new; a busy process has not read its first call yet.

--- a/crates/policy/src/client_budget/eviction.rs
+++ b/crates/policy/src/client_budget/eviction.rs
@@ -65,19 +65,37 @@
         .map(|(id, _)| id)
 }
 
-/// Chooses the connection that ends when there are too many: the oldest that brought no
-/// call, otherwise the one that has been idle longest, otherwise the one that holds most and
+/// Chooses the connection that ends when there are too many: the oldest that brought no call for
+/// a while, otherwise the one that has been idle longest, otherwise the one that holds most and
 /// progresses least.
+///
+/// One that was just opened may be about to send its call, and a busy process may not have read
+/// it. It ends before the others only if most connections are of this kind: clients that connect
+/// again and again would end all others.
 pub fn choose_for_room<T>(
     connections: impl Iterator<Item = (T, ConnectionUse)>,
     now: Instant,
 ) -> Option<T> {
+    let connections: Vec<(T, ConnectionUse)> = connections.collect();
+    let is_new = |usage: ConnectionUse| match usage {
+        ConnectionUse::Unused { since } => now.saturating_duration_since(since) < MIN_STALL,
+        ConnectionUse::Idle { .. } | ConnectionUse::Active { .. } => false,
+    };
+    let new = connections
+        .iter()
+        .filter(|(_, usage)| is_new(*usage))
+        .count();
+    let are_mostly_new = new * 2 >= connections.len();
     let order = |usage: ConnectionUse| match usage {
-        ConnectionUse::Unused { since } => (0, Some(since), Reverse(0)),
+        ConnectionUse::Unused { since } if are_mostly_new || !is_new(usage) => {
+            (0, Some(since), Reverse(0))
+        }
         ConnectionUse::Idle { since } => (1, Some(since), Reverse(0)),
         ConnectionUse::Active { .. } => (2, None, Reverse(usage.held_cost(now))),
+        ConnectionUse::Unused { since } => (3, Some(since), Reverse(0)),
     };
     connections
+        .into_iter()
         .min_by_key(|(_, usage)| order(*usage))
         .map(|(id, _)| id)
 }
