End unread answers when others need the buffer

What callers saw: no answer, or 504, for as long as a few clients do not read long answers that they asked for ahead.

Cause: answers are read from the target into a buffer of 16 MiB so that its slots become free; unread ones fill it, and further answers then hold their slots until their deadlines, though the buffer stays full for the idle limit beyond the first ones' deadlines. Evidence: 16 clients with 16 calls ahead for 1 MB each, read by nobody, over a link: no ordinary call was answered within 20 s.

Change: an answer that waits for room for 0.25 s ends one that has not been read for over a second, the one that holds most for longest: its stream is reset or its client's connection ends, so that it does not look complete. Answers that are read, however slowly, stay.

--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -2,15 +2,16 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use filbert_policy::call_limits::AnswerDeadline;
+use filbert_policy::clock::Clock;
 use h2::RecvStream;
-use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, OwnedSemaphorePermit};
 use tokio::task::JoinHandle;
 
+use crate::answer_buffer::{AnswerBuffer, BufferShare};
 use crate::links::STREAM_WINDOW;
 use crate::peers::LinkGuard;
 use crate::target::RunBody;
@@ -211,6 +212,16 @@
         }
     }
 
+    /// What the body holds of the buffer for answers; `None` if it is not buffered.
+    #[must_use]
+    pub fn buffer_share(&self) -> Option<Rc<BufferShare>> {
+        match self {
+            AnswerBody::Buffered(body) => Some(Rc::clone(&body.share)),
+            AnswerBody::Partial(_, rest) => rest.buffer_share(),
+            AnswerBody::Whole(_) | AnswerBody::Run(_) | AnswerBody::Link(_) => None,
+        }
+    }
+
     /// Reads ahead until the body is complete or more than `max_bytes` are
     /// buffered. If the body is truncated before that, nothing of the answer has been
     /// forwarded, and a repeatable call can be retried.
@@ -233,11 +244,6 @@
     }
 }
 
-/// Maximum size in KiB of all answer data that a daemon buffers for
-/// [`BufferedBody`]. A slow link of 7.5 Mbit/s sends this much in about 17 s; on
-/// the smallest hosts the daemon has 88 MB of memory.
-pub const MAX_BUFFERED_ANSWER_KIB: usize = 16 * 1024;
-
 /// Buffered data and the permit for its share of the buffer.
 type BufferedData = (Bytes, OwnedSemaphorePermit);
 
@@ -248,36 +254,43 @@
 /// answers that waited for a slow link held their slots: with nine slots and
 /// answers of 90 KB on 7.5 Mbit/s, each run seemed to take two to five seconds,
 /// and calls with short answers were declined while the target was idle.
-#[derive(Debug)]
 pub struct BufferedBody {
     queue: mpsc::UnboundedReceiver<Result<BufferedData, BodyTruncated>>,
     reader: JoinHandle<()>,
+    share: Rc<BufferShare>,
+    clock: Rc<dyn Clock>,
     /// Whether the deadline has passed before the target had sent all. What is buffered is
     /// not sent on then: the answer cannot be complete.
     is_cut: Rc<Cell<bool>>,
 }
 
 impl BufferedBody {
-    /// Starts to read `body`. Reading pauses while `free_kib`, a semaphore with one
-    /// permit per KiB, has too few permits.
+    /// Starts to read `body`. Reading pauses while `buffer` has no room.
     #[must_use]
-    pub fn start(mut body: Box<RunBody>, free_kib: &Arc<Semaphore>) -> BufferedBody {
-        const KIB: usize = 1024;
+    pub fn start(
+        mut body: Box<RunBody>,
+        buffer: &Rc<AnswerBuffer>,
+        clock: &Rc<dyn Clock>,
+    ) -> BufferedBody {
         let (sender, queue) = mpsc::unbounded_channel();
-        let free_kib = Arc::clone(free_kib);
+        let share = buffer.share();
+        let reader_share = Rc::clone(&share);
+        let buffer = Rc::clone(buffer);
         let is_cut = Rc::new(Cell::new(false));
         let is_cut_by_reader = Rc::clone(&is_cut);
         let reader = tokio::task::spawn_local(async move {
             loop {
                 let item = match body.next().await {
                     Ok(Some(data)) => {
-                        let kib = u32::try_from(data.len().div_ceil(KIB)).unwrap_or(u32::MAX);
-                        // The semaphore is never closed.
-                        let permit = Arc::clone(&free_kib).acquire_many_owned(kib);
+                        let permit = buffer.reserve(data.len());
                         let until = body.deadline().read_until();
                         match tokio::time::timeout_at(until.into(), permit).await {
-                            Ok(Ok(permit)) => Ok((data, permit)),
-                            Ok(Err(_)) => return,
+                            Ok(Some(permit)) => {
+                                reader_share.record_written(data.len());
+                                Ok((data, permit))
+                            }
+                            // The buffer is never closed.
+                            Ok(None) => return,
                             Err(_) => Err(BodyTruncated::AtDeadline),
                         }
                     }
@@ -294,6 +307,8 @@
         BufferedBody {
             queue,
             reader,
+            share,
+            clock: Rc::clone(clock),
             is_cut,
         }
     }
@@ -304,18 +319,39 @@
             return Err(BodyTruncated::AtDeadline);
         }
         match next {
-            Some(Ok((data, _permit))) => Ok(Some(data)),
+            Some(Ok((data, _permit))) => {
+                self.share.record_read(data.len(), self.clock.now());
+                Ok(Some(data))
+            }
             Some(Err(error)) => Err(error),
             None => Ok(None),
         }
     }
 }
 
+impl std::fmt::Debug for BufferedBody {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("BufferedBody")
+            .field("share", &self.share)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Waits until the answer that holds `share` of a buffer is to end; forever without a share.
+pub async fn buffer_ended(share: Option<Rc<BufferShare>>) {
+    match share {
+        Some(share) if share.ended().await => {}
+        _ => std::future::pending().await,
+    }
+}
+
 impl Drop for BufferedBody {
     /// Closes the connection to the target, so that the target stops a run whose
     /// client has disconnected.
     fn drop(&mut self) {
         self.reader.abort();
+        self.share.release();
     }
 }
 
--- a/crates/mesh/src/calls/mod.rs
+++ b/crates/mesh/src/calls/mod.rs
@@ -23,6 +23,7 @@
 use filbert_policy::run_times::RunTime;
 use rand::Rng;
 
+use crate::answer_buffer::BufferShare;
 use crate::body::{AnswerBody, CallBody};
 use crate::messages::AnswerHead;
 use crate::state::MeshShared;
@@ -126,6 +127,15 @@
         }
     }
 
+    /// What the answer holds of the buffer for answers; `None` if it is not buffered.
+    #[must_use]
+    pub fn buffer_share(&self) -> Option<Rc<BufferShare>> {
+        match self {
+            ClientAnswer::Target(answer) => answer.body.buffer_share(),
+            ClientAnswer::Local { .. } => None,
+        }
+    }
+
     /// Creates a local reply without a retry time.
     #[must_use]
     pub fn local(status: u16) -> ClientAnswer {
--- a/crates/mesh/src/clients/account.rs
+++ b/crates/mesh/src/clients/account.rs
@@ -10,6 +10,8 @@
 use tokio::sync::Notify;
 
 use super::{ClientTable, MemoryRequest};
+use crate::answer_buffer::BufferShare;
+use crate::calls::ClientAnswer;
 
 /// Why a connection was ended to make room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +20,8 @@
     Connections,
     /// Too much memory is held for clients.
     Memory,
+    /// Its client does not read an answer, whose room is needed.
+    Unread,
 }
 
 impl EndReason {
@@ -27,6 +31,7 @@
         match self {
             EndReason::Connections => "connections",
             EndReason::Memory => "memory",
+            EndReason::Unread => "unread",
         }
     }
 }
@@ -85,11 +90,26 @@
         }
     }
 
+    pub(super) fn is_ended(&self) -> bool {
+        self.is_ended.get()
+    }
+
     pub(super) fn end(&self) {
         self.is_ended.set(true);
         self.ended.notify_one();
     }
 
+    /// Ends the connection when an answer that waits in it is to end.
+    pub fn end_with(self: &Rc<Self>, answer: Rc<BufferShare>) {
+        let account = Rc::downgrade(self);
+        tokio::task::spawn_local(async move {
+            let is_ended = answer.ended().await;
+            if let Some(account) = account.upgrade().filter(|_| is_ended) {
+                account.table.end(&account, EndReason::Unread);
+            }
+        });
+    }
+
     pub(super) fn id(&self) -> u64 {
         self.id
     }
@@ -230,6 +250,14 @@
         }
     }
 
+    /// Charges an answer that waits to be written.
+    pub fn add_answer(&self, answer: &ClientAnswer) {
+        self.add(answer.held_bytes());
+        if let (Some(account), Some(share)) = (self.account.upgrade(), answer.buffer_share()) {
+            account.end_with(share);
+        }
+    }
+
     /// Adds `bytes` to the charge, and ends connections if too much is held then.
     pub fn add(&self, bytes: u64) {
         self.add_unchecked(bytes);
--- a/crates/mesh/src/clients/mod.rs
+++ b/crates/mesh/src/clients/mod.rs
@@ -158,7 +158,11 @@
         connections.values().filter_map(Weak::upgrade).collect()
     }
 
+    /// Ends a connection, unless it has been ended before.
     fn end(&self, account: &ConnectionAccount, reason: EndReason) {
+        if account.is_ended() {
+            return;
+        }
         self.remove(account);
         account.end();
         self.metrics.record_ended_connection(reason.label());
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -16,7 +16,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use filbert_policy::admission::{AdmissionQueue, QueueLimits, WaitTicket};
@@ -33,9 +32,9 @@
 use filbert_policy::run_times::RunTimeEstimator;
 use filbert_policy::target_limit::CallRate;
 use filbert_policy::target_memory::ReportedLimits;
-use tokio::sync::{oneshot, Notify, Semaphore};
+use tokio::sync::{oneshot, Notify};
 
-use crate::body::MAX_BUFFERED_ANSWER_KIB;
+use crate::answer_buffer::AnswerBuffer;
 use crate::egress::EgressPacer;
 use crate::logging::LogRateLimiter;
 use crate::messages::{TargetLoad, TargetState, TargetStatus};
@@ -91,9 +90,7 @@
     host: String,
     metrics: Rc<MeshMetrics>,
     egress: Rc<EgressPacer>,
-    /// Memory for answers that are read from the target faster than their
-    /// clients read them; one semaphore permit for each KiB.
-    answer_buffer_kib: Arc<Semaphore>,
+    answer_buffer: Rc<AnswerBuffer>,
     log_limiter: LogRateLimiter,
     /// Whether the log says that a call came with an invalid weight.
     has_logged_invalid_weight: Cell<bool>,
@@ -152,7 +149,7 @@
             host: settings.id.clone(),
             metrics,
             egress,
-            answer_buffer_kib: Arc::new(Semaphore::new(MAX_BUFFERED_ANSWER_KIB)),
+            answer_buffer: AnswerBuffer::new(Rc::clone(&clock)),
             log_limiter: LogRateLimiter::new(clock.now()),
             started_at: clock.now(),
             has_logged_invalid_weight: Cell::new(false),
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -135,7 +135,11 @@
                 let body = if is_short {
                     AnswerBody::Run(body)
                 } else {
-                    AnswerBody::Buffered(BufferedBody::start(body, &self.answer_buffer_kib))
+                    AnswerBody::Buffered(BufferedBody::start(
+                        body,
+                        &self.answer_buffer,
+                        &self.clock,
+                    ))
                 };
                 (reply, body, counted_outcome)
             }
--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -7,7 +7,7 @@
 
 use super::client_io::ClientWriter;
 use super::connection::CallInfo;
-use crate::body::{AnswerBody, BodyTruncated};
+use crate::body::{buffer_ended, AnswerBody, BodyTruncated};
 use crate::calls::{ClientAnswer, TargetAnswer};
 use crate::egress::EgressPacer;
 use crate::small_server::reason_phrase;
@@ -82,10 +82,13 @@
         }
         ClientAnswer::Target(answer) => {
             let until = answer.body.send_until(answer.deadline, idle_timeout);
+            let ended = buffer_ended(answer.body.buffer_share());
             let sent = write_target_answer(egress, writer, answer, connection_line, framing);
-            tokio::time::timeout_at(until.into(), sent)
-                .await
-                .unwrap_or(Err(AnswerFault::ClientTooSlow))?;
+            let sent = tokio::time::timeout_at(until.into(), sent);
+            tokio::select! {
+                sent = sent => sent.unwrap_or(Err(AnswerFault::ClientTooSlow))?,
+                () = ended => return Err(AnswerFault::ClientTooSlow),
+            }
         }
     }
     Ok(closes_connection)
--- a/crates/mesh/src/ingress/connection.rs
+++ b/crates/mesh/src/ingress/connection.rs
@@ -97,7 +97,7 @@
         let charged_answer = async move {
             let answer = answer.await;
             if let Some(charge) = answer_charge {
-                charge.add(answer.held_bytes());
+                charge.add_answer(&answer);
             }
             answer
         };
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -13,6 +13,7 @@
 //! [`zone_load`] shares the load of services among availability zones. [`stop`] performs a
 //! planned stop. [`supervision`] restarts tasks that panic.
 
+pub mod answer_buffer;
 pub mod body;
 pub mod calls;
 pub mod clients;
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -16,7 +16,7 @@
 use http::{Request, Response};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::body::{next_data, AnswerBody, BodySource, CallBody, LinkBody};
+use crate::body::{buffer_ended, next_data, AnswerBody, BodySource, CallBody, LinkBody};
 use crate::clients::ClientTable;
 use crate::connection_limit::{ConnectionLimit, UsageCell};
 use crate::links::{connection_window, LinkError, CALL_STREAM_WINDOW, MAX_CONCURRENT_STREAMS};
@@ -175,10 +175,14 @@
         };
         let idle_timeout = shared.current_index().limits().idle_timeout;
         let until = body.send_until(AnswerDeadline::new(deadline), idle_timeout);
+        let ended = buffer_ended(body.buffer_share());
         let sent = send_body(&shared, &mut outgoing, body, transfer);
-        tokio::time::timeout_at(until.into(), sent)
-            .await
-            .unwrap_or(Err(LinkError::Closed))?;
+        let sent = tokio::time::timeout_at(until.into(), sent);
+        tokio::select! {
+            sent = sent => sent.unwrap_or(Err(LinkError::Closed))?,
+            // Dropping the stream resets it: the answer does not look complete.
+            () = ended => return Err(LinkError::Closed),
+        }
     }
     Ok(())
 }
--- a/crates/policy/src/client_budget/eviction.rs
+++ b/crates/policy/src/client_budget/eviction.rs
@@ -31,23 +31,43 @@
 }
 
 impl ConnectionUse {
+    /// Time without progress of the client while the daemon waits for it.
+    fn stall(self, now: Instant) -> Duration {
+        match self {
+            ConnectionUse::Active {
+                waits_since: Some(since),
+                ..
+            } => now.saturating_duration_since(since),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Memory held, by how long it has been held without progress of the client, in
-    /// byte-seconds.
+    /// byte-milliseconds.
     fn held_cost(self, now: Instant) -> u128 {
         match self {
             ConnectionUse::Unused { .. } | ConnectionUse::Idle { .. } => 0,
-            ConnectionUse::Active {
-                held_bytes,
-                waits_since,
-            } => {
-                let stall = waits_since
-                    .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
-                u128::from(held_bytes) * stall.max(MIN_STALL).as_millis()
+            ConnectionUse::Active { held_bytes, .. } => {
+                u128::from(held_bytes) * self.stall(now).max(MIN_STALL).as_millis()
             }
         }
     }
 }
 
+/// Chooses the one that ends among those whose clients have made no progress for a while: the
+/// one that holds most for longest. `None` if all progress.
+pub fn choose_stalled<T>(
+    connections: impl Iterator<Item = (T, ConnectionUse)>,
+    now: Instant,
+) -> Option<T> {
+    connections
+        .filter(|(_, usage)| usage.stall(now) > MIN_STALL)
+        .map(|(id, usage)| (id, usage.held_cost(now)))
+        .filter(|(_, cost)| *cost > 0)
+        .max_by_key(|(_, cost)| *cost)
+        .map(|(id, _)| id)
+}
+
 /// Chooses the connection that ends when `requester` asks for more memory than is left: the
 /// one that holds most and progresses least. `None` if no connection holds anything.
 ///
--- a/crates/policy/tests/client_budget_cases.rs
+++ b/crates/policy/tests/client_budget_cases.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use filbert_policy::client_budget::eviction::{choose_for_memory, choose_for_room, ConnectionUse};
+use filbert_policy::client_budget::eviction::{
+    choose_for_memory, choose_for_room, choose_stalled, ConnectionUse,
+};
 use filbert_policy::client_budget::{call_bytes, CallSize, MachineSize, ResourceLimits};
 
 const KIB: u64 = 1024;
@@ -140,6 +142,21 @@
     assert_eq!((room(CallSize::Short), room(CallSize::Long)), (32, 24));
 }
 
+/// Guards against an answer that is cut though its client reads it.
+#[test]
+fn only_answers_that_stand_still_end() {
+    let now = Instant::now();
+    let before = |millis| {
+        now.checked_sub(Duration::from_millis(millis))
+            .expect("a time")
+    };
+    let reading = active(900 * KIB, Some(before(200)));
+    let unread = active(100 * KIB, Some(before(4_000)));
+    let choose = |answers: [ConnectionUse; 3]| choose_stalled(answers.into_iter().enumerate(), now);
+    assert_eq!(choose([reading; 3]), None);
+    assert_eq!(choose([reading, unread, reading]), Some(1));
+}
+
 /// Guards against a limit on connections that leaves them all to the clients that came first.
 #[test]
 fn connections_without_a_call_make_room_first() {
--- a/tests/mesh_crowds.rs
+++ b/tests/mesh_crowds.rs
@@ -257,3 +257,32 @@
     let answer = fleet.hosts[OVER_A_LINK].call(READ, "ordinary", b"").await;
     assert_eq!(answer.map(|answer| answer.status), Some(200));
 }
+
+/// Guards against unread answers of a few clients that take the buffer for answers, and with it
+/// the target's slots, for as long as their connections may be idle.
+#[rstest]
+#[case::over_a_link(OVER_A_LINK)]
+#[case::at_the_target(AT_THE_TARGET)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_answers_leave_the_buffer_to_others(#[case] host: usize) {
+    const CLIENTS: usize = 16;
+    const CALLS_AHEAD: usize = 16;
+    let _alone = run_alone().await;
+    let fleet = two_host_fleet("a").await;
+    widen_limits(&fleet).await;
+    fleet.hosts[1].target.set_body_bytes(1_000_000);
+    let mut unread = Vec::new();
+    for client in 0..CLIENTS {
+        let stream = Client::connect_with_buffer(fleet.hosts[host].calls, 4 * 1024).await;
+        let mut stream = stream.expect("a connection");
+        for call in 0..CALLS_AHEAD {
+            let id = format!("unread-{client}-{call}");
+            let headers = call_headers(&id);
+            stream.send(READ, &headers, b"").await.expect("sent");
+        }
+        unread.push(stream);
+    }
+    tokio::time::sleep(CROWD_TIME).await;
+    check_ordinary_call(&fleet, host).await;
+    check_hosts(&fleet, USUAL_BOUNDS);
+}
