Pause connections whose calls are refused as fast as they send ahead

Cause: a refused call is answered at once and the next one stands ready in the buffer, so that the crowd asks for each place that becomes free some thousand times, and uses the processor.

Change: a connection of which 17 calls were refused, with four refusals made up for by one answer of a target, leaves a call that was sent ahead unread for 0.1 s, and twice as long after each further refusal, 1.6 s at most. A call that comes after the client's answers is read at once, so nobody who waits for answers is held up; a client that sends its 16 calls ahead has them all answered first.

--- a/crates/mesh/src/ingress/connection.rs
+++ b/crates/mesh/src/ingress/connection.rs
@@ -7,8 +7,9 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use filbert_policy::client_budget::RefusalPause;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
@@ -62,6 +63,8 @@
     is_writing: Cell<bool>,
     /// Whether no further call will be read.
     is_input_closed: Cell<bool>,
+    /// How many of the connection's calls the daemon has refused.
+    refusals: Cell<RefusalPause>,
     /// Phase of a planned stop in which the connection was opened.
     opened_in: StopPhase,
     /// Present until the first call.
@@ -78,6 +81,7 @@
             last_active: Cell::new(shared.clock.now()),
             is_writing: Cell::new(false),
             is_input_closed: Cell::new(false),
+            refusals: Cell::default(),
             opened_in: shared.stop.phase(),
             unused: Cell::new(Some(UnusedConnection::new(shared))),
         }
@@ -150,6 +154,16 @@
         !closes || self.pending_count() == 0
     }
 
+    /// Records whether an answer is one of the daemon itself.
+    pub(super) fn record_refusal(&self, is_refusal: bool) {
+        self.refusals.set(self.refusals.get().after(is_refusal));
+    }
+
+    /// Time for which a call is left unread that was sent ahead.
+    pub(super) fn refusal_pause(&self) -> Duration {
+        self.refusals.get().pause()
+    }
+
     /// Records that no further call will be read. The last answer announces the close if
     /// its head has not been written.
     pub(super) fn close_input(&self) {
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -135,6 +135,7 @@
     reader: &mut ClientReader,
 ) -> Result<bool, ReadEnd> {
     wait_until_call_allowed(state, reader).await?;
+    pause_after_refusals(shared, state, reader).await?;
     wait_for_first_byte(shared, state, reader).await?;
     let reading = reader.account().charge(READ_BUFFER_BYTES);
     let limits = *shared.current_index().limits();
@@ -245,6 +246,29 @@
     Ok(())
 }
 
+/// Leaves a call that was sent ahead unread for a while if the daemon has refused many calls of
+/// the connection.
+///
+/// # Errors
+/// [`ReadEnd::Disconnected`] if the client has left meanwhile.
+async fn pause_after_refusals(
+    shared: &MeshShared,
+    state: &ConnectionState,
+    reader: &mut ClientReader,
+) -> Result<(), ReadEnd> {
+    let pause = state.refusal_pause();
+    if pause.is_zero() || !reader.has_buffered_bytes() {
+        return Ok(());
+    }
+    tokio::select! {
+        () = tokio::time::sleep(pause) => Ok(()),
+        () = shared.stop.phase_changed() => Ok(()),
+        () = wait_for_disconnect(reader.stream(), DISCONNECT_POLL_INTERVAL) => {
+            Err(ReadEnd::Disconnected)
+        }
+    }
+}
+
 /// Refuses a call because too much memory is held for clients, and this connection holds
 /// most of it.
 fn refuse_for_memory(
@@ -326,6 +350,7 @@
 ) -> Result<(), AnswerFault> {
     while let Some((pending, answer)) = state.next_answer().await {
         let idle_timeout = shared.current_index().limits().idle_timeout;
+        state.record_refusal(matches!(answer, ClientAnswer::Local { .. }));
         let report = CutAnswerReport::new(shared, &pending.call.id);
         let written = write_answer(&shared.egress, writer, &pending.call, answer, idle_timeout);
         let closes_connection = report.end(written.await)?;
--- a/crates/policy/src/client_budget/mod.rs
+++ b/crates/policy/src/client_budget/mod.rs
@@ -7,9 +7,13 @@
 //! From calm to full there are three steps. Connections read fewer calls ahead
 //! ([`ResourceLimits::allows_call_ahead`]). Then the connection ends that holds most and
 //! progresses least ([`eviction`]), which is hardly ever the one that came last. A
-//! connection that would have to end itself refuses the call that it is reading.
+//! connection that would have to end itself refuses the call that it is reading. Beside these,
+//! a connection whose calls are refused reads those that were sent ahead after a
+//! [`RefusalPause`].
 
 pub mod eviction;
 mod limits;
+mod refusal_pause;
 
 pub use limits::{call_bytes, CallSize, MachineSize, ResourceLimits};
+pub use refusal_pause::RefusalPause;
--- a/crates/policy/tests/client_budget_cases.rs
+++ b/crates/policy/tests/client_budget_cases.rs
@@ -5,7 +5,9 @@
 use filbert_policy::client_budget::eviction::{
     choose_for_memory, choose_for_room, choose_stalled, ConnectionUse,
 };
-use filbert_policy::client_budget::{call_bytes, CallSize, MachineSize, ResourceLimits};
+use filbert_policy::client_budget::{
+    call_bytes, CallSize, MachineSize, RefusalPause, ResourceLimits,
+};
 
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * KIB;
@@ -157,6 +159,27 @@
     assert_eq!(choose([reading, unread, reading]), Some(1));
 }
 
+/// Guards against calls sent ahead that are refused and read again as fast as the processor
+/// can, so that other clients find no place.
+#[test]
+fn refused_calls_that_were_sent_ahead_wait() {
+    let after = |refusals| {
+        let none = RefusalPause::default();
+        (0..refusals).fold(none, |pause, _| pause.after(true))
+    };
+    let millis = |refusals| after(refusals).pause().as_millis();
+    assert_eq!(
+        [16, 17, 18, 19, 20, 21, 100].map(millis),
+        [0, 100, 200, 400, 800, 1_600, 1_600]
+    );
+    // A connection of which one call in four is answered never pauses.
+    let mut pause = RefusalPause::default();
+    for call in 0..1_000 {
+        pause = pause.after(call % 4 != 0);
+        assert_eq!(pause.pause(), Duration::ZERO);
+    }
+}
+
 /// Guards against a limit on connections that leaves them all to the clients that came first.
 #[test]
 fn connections_without_a_call_make_room_first() {
