Tell the calls of one connection apart where they overlap for a moment

Found by reading the change: the HTTP server may begin a connection's next call before the task that sent the former answer has dropped it. The former call's end then marked the connection as idle, and the next call, whose body or answer was charged after that, was refused or called lost.

Change: each call has a number of its own, and beginning one ends what is held for the former.

--- a/crates/daemon/src/clients/call.rs
+++ b/crates/daemon/src/clients/call.rs
@@ -26,7 +26,7 @@
 pub struct ClientCall {
     connections: Arc<ClientConnections>,
     peer: SocketAddr,
-    /// Number of the connection.
+    /// Number of the call.
     number: u64,
     /// Local port of the connection.
     port: u16,
@@ -36,15 +36,7 @@
     /// Begins a call on the connection of `peer` to the local `port`.
     #[must_use]
     pub fn begin(connections: &Arc<ClientConnections>, peer: SocketAddr, port: u16) -> ClientCall {
-        let now = connections.clock.now();
-        let mut state = connections.lock();
-        let connection = state.connection(peer, now);
-        connection.usage = ConnectionUse::Active {
-            held_bytes: 0,
-            waits_since: None,
-        };
-        let number = connection.number;
-        drop(state);
+        let number = connections.lock().begin_call(peer);
         ClientCall {
             connections: Arc::clone(connections),
             peer,
@@ -86,10 +78,8 @@
 
     fn update(&self, change: impl FnOnce(&mut ConnectionUse)) {
         let mut state = self.connections.lock();
-        if let Some(connection) = state.connections.get_mut(&self.peer) {
-            if connection.number == self.number {
-                change(&mut connection.usage);
-            }
+        if let Some(connection) = state.connection_of(self.peer, self.number) {
+            change(&mut connection.usage);
         }
     }
 }
--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -29,32 +29,46 @@
 /// One connection.
 #[derive(Clone, Copy, Debug)]
 struct ClientConnection {
-    /// Distinguishes connections that came from the same address, one after the other.
-    number: u64,
+    /// Number of its last call; 0 before the first.
+    call: u64,
     usage: ConnectionUse,
 }
 
 #[derive(Debug, Default)]
 struct ClientState {
     connections: HashMap<SocketAddr, ClientConnection>,
-    next_number: u64,
+    last_call: u64,
     held_bytes: u64,
 }
 
 impl ClientState {
-    fn connection(&mut self, peer: SocketAddr, now: Instant) -> &mut ClientConnection {
-        let ClientState {
-            connections,
-            next_number,
-            ..
-        } = self;
-        connections.entry(peer).or_insert_with(|| {
-            *next_number += 1;
-            ClientConnection {
-                number: *next_number,
-                usage: ConnectionUse::Unused { since: now },
-            }
-        })
+    /// Begins a call on the connection of `peer`, and returns its number. The former call ends
+    /// if its answer is not dropped yet.
+    fn begin_call(&mut self, peer: SocketAddr) -> u64 {
+        self.remove(peer);
+        self.last_call += 1;
+        let connection = ClientConnection {
+            call: self.last_call,
+            usage: ConnectionUse::Active {
+                held_bytes: 0,
+                waits_since: None,
+            },
+        };
+        self.connections.insert(peer, connection);
+        self.last_call
+    }
+
+    /// Adds a connection that is open, unless it is known.
+    fn add_open(&mut self, peer: SocketAddr, now: Instant) {
+        let usage = ConnectionUse::Unused { since: now };
+        let unused = ClientConnection { call: 0, usage };
+        self.connections.entry(peer).or_insert(unused);
+    }
+
+    /// The connection of `peer`, if `call` is its last call.
+    fn connection_of(&mut self, peer: SocketAddr, call: u64) -> Option<&mut ClientConnection> {
+        let connection = self.connections.get_mut(&peer)?;
+        (connection.call == call).then_some(connection)
     }
 
     fn remove(&mut self, peer: SocketAddr) {
@@ -118,7 +132,7 @@
             is_open.contains(peer) || matches!(connection.usage, ConnectionUse::Active { .. })
         });
         for peer in open {
-            state.connection(*peer, now);
+            state.add_open(*peer, now);
         }
         let mut spared = Vec::new();
         while state.connections.len() > self.limits.connections {
@@ -136,8 +150,7 @@
         open >= self.limits.connections / 2
     }
 
-    /// Adds `bytes` to what is held for connection `number` of `peer`, whose call has this
-    /// `size`. Returns the
+    /// Adds `bytes` to what is held for `call` of `peer`, which has this `size`. Returns the
     /// connections that are to end, as too much is held.
     ///
     /// # Errors
@@ -146,21 +159,16 @@
     fn charge(
         &self,
         peer: SocketAddr,
-        number: u64,
+        call: u64,
         size: CallSize,
         bytes: u64,
     ) -> Result<Vec<SocketAddr>, MemoryFull> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let Some(connection) = state.connections.get_mut(&peer) else {
-            return Err(MemoryFull);
-        };
+        let connection = state.connection_of(peer, call).ok_or(MemoryFull)?;
         let ConnectionUse::Active { held_bytes, .. } = &mut connection.usage else {
             return Err(MemoryFull);
         };
-        if connection.number != number {
-            return Err(MemoryFull);
-        }
         *held_bytes += bytes;
         state.held_bytes += bytes;
         let mut spared = Vec::new();
