--- a/crates/daemon/src/clients/call.rs
+++ b/crates/daemon/src/clients/call.rs
@@ -1,27 +1,14 @@
 //! What one call of a client holds, until its answer is written.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use filbert_policy::client_budget::eviction::ConnectionUse;
-use filbert_policy::client_budget::CallSize;
+use filbert_policy::client_budget::{CallSize, MemoryFull};
 
 use super::sockets::shut_down;
 use super::ClientConnections;
 
-/// No memory is left for a call, and no other connection is to end for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct MemoryFull;
-
-impl fmt::Display for MemoryFull {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("no memory is left for the call")
-    }
-}
-
-impl std::error::Error for MemoryFull {}
-
 /// A call in progress on a connection, which has one at a time. Dropping it ends the call.
 pub struct ClientCall {
     connections: Arc<ClientConnections>,
--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -14,11 +14,11 @@
 use std::time::Instant;
 
 use filbert_policy::client_budget::eviction::{choose_for_memory, choose_for_room, ConnectionUse};
-use filbert_policy::client_budget::{CallSize, MachineSize, ResourceLimits};
+use filbert_policy::client_budget::{CallSize, MachineSize, MemoryFull, ResourceLimits};
 use nix::sys::resource::{getrlimit, Resource};
 
 use crate::clock::Clock;
-pub use call::{ClientCall, MemoryFull};
+pub use call::ClientCall;
 
 /// Memory that the daemon may use, in bytes.
 const MEMORY_BYTES: u64 = 128 * 1024 * 1024;
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use filbert_policy::client_budget::CallSize;
+use filbert_policy::client_budget::{CallSize, MemoryFull};
 use rocket::data::{Data, ToByteUnit};
 use rocket::request::Request;
 use rocket::tokio::io::AsyncReadExt;
 
 use super::ProxyAnswer;
-use crate::clients::{ClientCall, MemoryFull};
+use crate::clients::ClientCall;
 
 /// Maximum size of a forwarded call's body, in MiB.
 const MAX_BODY_MIB: u64 = 8;
--- a/crates/mesh/src/clients/account.rs
+++ b/crates/mesh/src/clients/account.rs
@@ -1,12 +1,11 @@
 //! What one connection of a client holds.
 
 use std::cell::Cell;
-use std::fmt;
 use std::rc::{Rc, Weak};
 use std::time::Instant;
 
 use filbert_policy::client_budget::eviction::ConnectionUse;
-use filbert_policy::client_budget::CallSize;
+use filbert_policy::client_budget::{CallSize, MemoryFull};
 use tokio::sync::Notify;
 
 use super::{ClientTable, MemoryRequest};
@@ -36,18 +35,6 @@
     }
 }
 
-/// No memory is left for a call, and no other connection is to end for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct MemoryFull;
-
-impl fmt::Display for MemoryFull {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("no memory is left for the call")
-    }
-}
-
-impl std::error::Error for MemoryFull {}
-
 /// What one connection holds, and whether its client makes progress.
 pub struct ConnectionAccount {
     id: u64,
--- a/crates/mesh/src/clients/mod.rs
+++ b/crates/mesh/src/clients/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::logging::{LinePriority, LogRateLimiter};
 use crate::metrics::MeshMetrics;
-pub use account::{CallCharge, ConnectionAccount, EndReason, MemoryFull};
+pub use account::{CallCharge, ConnectionAccount, EndReason};
 
 /// Memory of a connection without a call: its tasks and its socket, in bytes.
 const CONNECTION_BYTES: u64 = 16 * 1024;
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -15,12 +15,12 @@
 use filbert_http1::{BodyDecoder, BodyFraming, FieldFault, HeadError, ReadError, RequestHead};
 use filbert_platform::headers;
 use filbert_policy::call_limits::OverheadLimits;
-use filbert_policy::client_budget::call_bytes;
+use filbert_policy::client_budget::{call_bytes, MemoryFull};
 use filbert_policy::routing::ClientLimits;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::calls::{self, ClientAnswer, ClientCall};
-use crate::clients::{ClientTable, ConnectionAccount, MemoryFull};
+use crate::clients::{ClientTable, ConnectionAccount};
 use crate::logging::LinePriority;
 use crate::small_server::{accept_loop, accept_waiting};
 use crate::sockets;
--- a/crates/policy/src/client_budget/limits.rs
+++ b/crates/policy/src/client_budget/limits.rs
@@ -1,5 +1,7 @@
 //! The limits that follow from the size of the machine.
 
+use std::fmt;
+
 /// Memory and descriptors of the machine that the process may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MachineSize {
@@ -92,3 +94,15 @@
 pub fn call_bytes(head_bytes: usize, body_bytes: u64) -> u64 {
     CALL_BYTES + head_bytes as u64 * HEAD_COPIES + body_bytes * BODY_COPIES
 }
+
+/// No memory is left for a call, and no other connection is to end for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryFull;
+
+impl fmt::Display for MemoryFull {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("no memory is left for the call")
+    }
+}
+
+impl std::error::Error for MemoryFull {}
--- a/crates/policy/src/client_budget/mod.rs
+++ b/crates/policy/src/client_budget/mod.rs
@@ -15,5 +15,5 @@
 mod limits;
 mod refusal_pause;
 
-pub use limits::{call_bytes, CallSize, MachineSize, ResourceLimits};
+pub use limits::{call_bytes, CallSize, MachineSize, MemoryFull, ResourceLimits};
 pub use refusal_pause::RefusalPause;
