--- a/crates/policy/tests/client_budget_cases.rs
+++ b/crates/policy/tests/client_budget_cases.rs
@@ -57,14 +57,19 @@
     }
 }
 
-/// Guards against calls read ahead that multiply with the connections.
-#[test]
-fn a_crowd_reads_few_calls_ahead() {
+/// Limits of a process on a machine of the design size.
+fn usual_limits() -> ResourceLimits {
     let machine = MachineSize {
         memory_bytes: 128 * MIB,
         descriptors: 4_100,
     };
-    let limits = ResourceLimits::new(machine, 16 * KIB);
+    ResourceLimits::new(machine, 16 * KIB)
+}
+
+/// Guards against calls read ahead that multiply with the connections.
+#[test]
+fn a_crowd_reads_few_calls_ahead() {
+    let limits = usual_limits();
     for (connections, head_bytes, body_bytes) in
         [(1_000, 200, 0), (200, 15_000, 0), (200, 200, 60_000)]
     {
@@ -135,11 +140,7 @@
         let chosen = choose_for_memory(connections.into_iter().enumerate(), &requester, now);
         assert_eq!(chosen, Some(requester));
     }
-    let machine = MachineSize {
-        memory_bytes: 128 * MIB,
-        descriptors: 4_100,
-    };
-    let limits = ResourceLimits::new(machine, 16 * KIB);
+    let limits = usual_limits();
     let room = |size| limits.max_held_bytes(size) / MIB;
     assert_eq!((room(CallSize::Short), room(CallSize::Long)), (32, 24));
 }
