--- a/tests/support/faulty_heads.rs
+++ b/tests/support/faulty_heads.rs
@@ -29,24 +29,53 @@
     "X-Field: a\u{0}b",
 ];
 
-/// Bytes of an answer with this status line and field line, to the call `id`.
-pub fn faulty_answer(status: &str, field: &str, id: &str) -> Vec<u8> {
-    format!(
-        "HTTP/1.1 {status} OK\r\nRequest-Id: {id}\r\nServer-Seal: seal\r\n{field}\r\nContent-Length: 6\r\n\r\nspoilt"
-    )
-    .into_bytes()
+/// A head that is no answer's.
+pub struct FaultyHead {
+    /// What is wrong with it.
+    pub fault: String,
+    pub status: &'static str,
+    /// Field line, without its end.
+    pub field: &'static str,
 }
 
-/// All faulty answers to the call `id`, with what is wrong with each.
-pub fn faulty_answers(id: &str) -> Vec<(String, Vec<u8>)> {
-    let statuses = FAULTY_STATUSES.iter().map(|status| {
-        (
-            format!("status {status:?}"),
-            faulty_answer(status, "X: a", id),
-        )
+impl FaultyHead {
+    /// A sound head, to compare with.
+    pub const NONE: FaultyHead = FaultyHead {
+        fault: String::new(),
+        status: "200",
+        field: "X: a",
+    };
+
+    /// Bytes of an answer with this head, `fields` (each with its line's end) and `body`.
+    pub fn answer(&self, fields: &str, body: &str) -> Vec<u8> {
+        let FaultyHead { status, field, .. } = self;
+        let length = body.len();
+        format!("HTTP/1.1 {status} OK\r\n{fields}{field}\r\nContent-Length: {length}\r\n\r\n{body}")
+            .into_bytes()
+    }
+}
+
+/// One head for each faulty status and field.
+pub fn faulty_heads() -> Vec<FaultyHead> {
+    let statuses = FAULTY_STATUSES.iter().map(|status| FaultyHead {
+        fault: format!("status {status:?}"),
+        status,
+        field: "X: a",
+    });
+    let fields = FAULTY_FIELDS.iter().map(|field| FaultyHead {
+        fault: format!("field {field:?}"),
+        status: "200",
+        field,
     });
-    let fields = FAULTY_FIELDS
-        .iter()
-        .map(|field| (format!("field {field:?}"), faulty_answer("200", field, id)));
     statuses.chain(fields).collect()
 }
+
+/// All faulty answers to the call `id`, with what is wrong with each.
+pub fn faulty_answers(id: &str) -> Vec<(String, Vec<u8>)> {
+    let fields = format!("Request-Id: {id}\r\nServer-Seal: seal\r\n");
+    let answer = |head: FaultyHead| {
+        let bytes = head.answer(&fields, "spoilt");
+        (head.fault, bytes)
+    };
+    faulty_heads().into_iter().map(answer).collect()
+}
