--- a/tests/mesh_crowds.rs
+++ b/tests/mesh_crowds.rs
@@ -3,51 +3,26 @@
 
 #[path = "support/crowd.rs"]
 mod crowd;
+#[path = "support/mesh_crowd.rs"]
+mod mesh_crowd;
 #[path = "support/users.rs"]
 mod users;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crowd::{
-    check_usage, raise_descriptor_limit, run_alone, Crowd, CrowdKind, DescriptorLimit, UsageBounds,
-};
+use crowd::{raise_descriptor_limit, run_alone, Crowd, CrowdKind, DescriptorLimit, UsageBounds};
 use filbert_platform_standin::host::call_headers;
-use filbert_platform_standin::{config_text, Client, Host, RouteSpec};
+use filbert_platform_standin::{Client, Host};
+use mesh_crowd::{
+    check_hosts, check_ordinary_call, widen_limits, AT_THE_TARGET, BODIES, CROWD_TIME, LONG_HEADS,
+    OVER_A_LINK, READ, SMALL_CALLS, SMALL_HOST_MIB, UNROUTED, UPLOADS, USUAL_BOUNDS,
+};
 use rstest::rstest;
-use users::{eventually, eventually_logs, reload_with, two_host_fleet, Fleet, WAIT_TIMEOUT};
+use users::{eventually, reload_with, two_host_fleet, WAIT_TIMEOUT};
 
-const READ: &str = "GET /read/a HTTP/1.1";
-const HEADERS: &str = "Host: shop.example\r\nDeadline-Ms: 2000\r\n";
-/// How long a crowd presses.
-const CROWD_TIME: Duration = Duration::from_secs(5);
 /// Descriptors of a daemon in the test of idle connections.
 const FEW_DESCRIPTORS: usize = 600;
-/// Descriptors of a daemon on the users' hosts.
-const MAX_DESCRIPTORS: usize = 4_100;
-/// Bounds of a daemon without settings of its machine.
-const USUAL_BOUNDS: UsageBounds = UsageBounds::with_descriptors(MAX_DESCRIPTORS);
-/// Memory of the users' smallest hosts, in MiB.
-const SMALL_HOST_MIB: u64 = 88;
-
-const SMALL_CALLS: CrowdKind = requests("GET /read/a", 0, 0);
-const LONG_HEADS: CrowdKind = requests("GET /read/a", 15_000, 0);
-const BODIES: CrowdKind = requests("POST /read/a", 0, 60_000);
-const UNROUTED: CrowdKind = requests("GET /none/a", 15_000, 0);
-const UPLOADS: CrowdKind = CrowdKind::Upload {
-    line: "POST /order/a",
-    headers: HEADERS,
-    body_bytes: 64 * 1024 * 1024,
-};
-
-const fn requests(line: &'static str, field_bytes: usize, body_bytes: usize) -> CrowdKind {
-    CrowdKind::Requests {
-        line,
-        headers: HEADERS,
-        field_bytes,
-        body_bytes,
-    }
-}
 
 /// A crowd at one host.
 struct CrowdCase {
@@ -57,51 +32,6 @@
     answer_bytes: usize,
 }
 
-/// Host whose clients call the target on the host with index 1.
-const OVER_A_LINK: usize = 0;
-const AT_THE_TARGET: usize = 1;
-
-/// Allows bodies of 64 MiB, the usual limit, and connections that are idle for two minutes.
-async fn widen_limits(fleet: &Fleet) {
-    let routes = [
-        RouteSpec::reads("/read/", "quotes"),
-        RouteSpec::orders("/order/", "quotes"),
-    ];
-    let mut text = String::from_utf8(config_text(2, &routes)).expect("JSON");
-    for (usual, wide) in [
-        (r#""body_bytes":1048576"#, r#""body_bytes":67108864"#),
-        (r#""idle":"15s""#, r#""idle":"120s""#),
-    ] {
-        assert!(text.contains(usual));
-        text = text.replace(usual, wide);
-    }
-    fleet.store.put("op", "config", text.as_bytes());
-    for host in &fleet.hosts {
-        assert!(eventually_logs(host, "event=version_in_force version=00000002").await);
-    }
-}
-
-/// An ordinary client comes back until it has an answer of the target.
-async fn check_ordinary_call(fleet: &Fleet, host: usize) {
-    let host = &fleet.hosts[host];
-    let is_answered = || async {
-        let answer = host.call(READ, "ordinary", b"").await;
-        answer.is_some_and(|answer| answer.status == 200)
-    };
-    let name = &host.spec.name;
-    assert!(
-        eventually(WAIT_TIMEOUT, is_answered).await,
-        "no answer at {name}"
-    );
-}
-
-fn check_hosts(fleet: &Fleet, bounds: UsageBounds) {
-    for host in &fleet.hosts {
-        let pid = host.pid().expect("a process");
-        check_usage(pid, &host.spec.name, bounds);
-    }
-}
-
 /// Guards against a process that ends or starves because each connection is bounded and the
 /// process is not: what one client may send ahead, times the clients.
 #[rstest]
