Find the clients' connections of IPv6 listeners too, over our own store

Callers: a daemon over our own store that listens at an IPv6 address had no bound on its connections: clients could take all its descriptors.

Cause, by reading and then by a test: the sockets of the HTTP library are found among the process's own by their addresses, which were read as IPv4 addresses only; the kernel's answer for an IPv6 socket was taken for no connection at all.

Both kinds are read now. The test opens eight connections where five are allowed: for 127.0.0.1 it passed before, for ::1 none was ended in 20 s; both pass now. On a machine without IPv6 the case says so and has nothing to show.

--- a/crates/daemon/src/clients/sockets.rs
+++ b/crates/daemon/src/clients/sockets.rs
@@ -1,10 +1,10 @@
 //! The sockets of connections that another library has accepted, found among the process's own.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4, SocketAddrV6};
 use std::os::fd::{AsRawFd, BorrowedFd, OwnedFd, RawFd};
 
 use nix::sys::resource::{getrlimit, Resource};
-use nix::sys::socket::{getpeername, getsockname, shutdown, Shutdown, SockaddrIn};
+use nix::sys::socket::{getpeername, getsockname, shutdown, Shutdown, SockaddrStorage};
 use nix::unistd::dup;
 
 /// Most descriptors that are looked at.
@@ -39,12 +39,19 @@
 /// The peer of the connection `descriptor` to the local `port`; `None` if it is no such
 /// connection.
 fn peer_of(descriptor: RawFd, port: u16) -> Option<SocketAddr> {
-    let local: SockaddrIn = getsockname(descriptor).ok()?;
-    if local.port() != port {
+    let local: SockaddrStorage = getsockname(descriptor).ok()?;
+    if internet_address(&local)?.port() != port {
         return None;
     }
-    let peer: SockaddrIn = getpeername(descriptor).ok()?;
-    Some(SocketAddr::from((peer.ip(), peer.port())))
+    let peer: SockaddrStorage = getpeername(descriptor).ok()?;
+    internet_address(&peer)
+}
+
+/// The address, unless it belongs to a socket of another kind than IPv4 or IPv6.
+fn internet_address(address: &SockaddrStorage) -> Option<SocketAddr> {
+    let four = address.as_sockaddr_in().copied().map(SocketAddrV4::from);
+    let six = address.as_sockaddr_in6().copied().map(SocketAddrV6::from);
+    four.map(SocketAddr::V4).or(six.map(SocketAddr::V6))
 }
 
 /// Peers of the connections to the local `port`.
--- a/crates/daemon/tests/client_cases.rs
+++ b/crates/daemon/tests/client_cases.rs
@@ -1,13 +1,19 @@
 //! Cases of what is held for the calls of clients.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
+use filbert_daemon::clients::reaper::end_spare_connections;
 use filbert_daemon::clients::{ClientCall, ClientConnections};
 use filbert_daemon::clock::SystemClock;
 use filbert_policy::client_budget::CallSize;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 
-const PEER: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+const PEER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 /// More than half of what may be held.
 const LARGE_BYTES: usize = 20 * 1024 * 1024;
 
@@ -35,3 +41,34 @@
         assert!(second.is_err(), "beyond the limit");
     }
 }
+
+/// Guards against a limit that does not find the connections of one kind of address.
+#[rstest]
+#[case::four(IpAddr::V4(Ipv4Addr::LOCALHOST))]
+#[case::six(IpAddr::V6(Ipv6Addr::LOCALHOST))]
+#[tokio::test]
+async fn connections_beyond_the_limit_are_ended(#[case] host: IpAddr) {
+    const CONNECTIONS: usize = 8;
+    const LIMIT: usize = 5;
+    let Ok(listener) = TcpListener::bind(SocketAddr::new(host, 0)).await else {
+        assert!(host.is_ipv6(), "no IPv4 on this machine");
+        println!("no IPv6 on this machine");
+        return;
+    };
+    let address = listener.local_addr().expect("an address");
+    let mut accepted = Vec::new();
+    let mut ended = JoinSet::new();
+    for _ in 0..CONNECTIONS {
+        let mut client = TcpStream::connect(address).await.expect("a connection");
+        ended.spawn(async move { client.read(&mut [0]).await });
+        accepted.push(listener.accept().await.expect("a connection"));
+    }
+    let limit = ClientConnections::with_limit(LIMIT, Arc::new(SystemClock));
+    let reaper = tokio::spawn(end_spare_connections(Arc::new(limit), address.port()));
+    for _ in LIMIT..CONNECTIONS {
+        let end = tokio::time::timeout(Duration::from_secs(20), ended.join_next()).await;
+        end.expect("a connection ends");
+    }
+    assert_eq!(ended.len(), LIMIT);
+    reaper.abort();
+}
