End links that say nothing behind their handshake

Callers: whoever opened 900 connections to the port for links, and sent the 24 bytes that start HTTP/2 on each, kept them for ever: with 600 descriptors an ordinary client at that host got no answer while they stayed.

Cause: a link counted as established, out of its limit in number and in time, as soon as its handshake was complete, which costs the other side nothing. The bound was on a phase, not on what makes a link: that a daemon has said who it is.

It counts as established with the first message of its news stream, which a daemon sends first of all, and addressed to this host. The time for it passes in steps of a second, of which a host that stood still loses only one. The limit's name says so.

Tests, failed before (no answer to others in 20 s, 2 of 2 cases): 900 connections without a stream, 900 with a stream and nothing on it. Both pass, as do the four other ports.

--- a/crates/mesh/src/connection_limit.rs
+++ b/crates/mesh/src/connection_limit.rs
@@ -31,7 +31,9 @@
         self.0.set(ConnectionUse::Idle { since: now });
     }
 
-    fn is_active(&self) -> bool {
+    /// Whether the connection is in use.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
         matches!(self.0.get(), ConnectionUse::Active { .. })
     }
 }
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::future::poll_fn;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -44,13 +45,18 @@
 /// Time within which the daemon that dials a link completes the handshake. A host that stands
 /// still for a moment may take longer than the dialing side usually waits.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Step of the time within which a link's first message must have come, and their number. A
+/// host that stood still may have received the message and not read it: only the step that
+/// has begun passes meanwhile.
+const HELLO_TIMEOUT_STEP: Duration = Duration::from_secs(1);
+const HELLO_TIMEOUT_STEPS: u32 = 3;
 /// Delay after a failed accept. Without it, running out of file descriptors would
 /// turn the accept loop into a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Accepts links from other daemons until the process ends.
 pub async fn serve(shared: Rc<MeshShared>, clients: Rc<ClientTable>, listener: TcpListener) {
-    let handshakes = ConnectionLimit::default();
+    let pending_links = ConnectionLimit::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -62,9 +68,9 @@
                         log::debug!("event=incoming_link_ended reason=\"{error}\"");
                     }
                 });
-                handshakes.release_active();
-                let max = clients.limits().handshakes;
-                handshakes.add(max, usage, task.abort_handle());
+                pending_links.release_active();
+                let max = clients.limits().pending_links;
+                pending_links.add(max, usage, task.abort_handle());
             }
             Err(error) => {
                 log::warn!("event=accept_failed port=peers error=\"{error}\"");
@@ -74,6 +80,13 @@
     }
 }
 
+/// Returns when the first message of a link should have come.
+async fn await_hello_timeout() {
+    for _ in 0..HELLO_TIMEOUT_STEPS {
+        tokio::time::sleep(HELLO_TIMEOUT_STEP).await;
+    }
+}
+
 /// Availability zone of the daemon that dialed a link, once it has said so.
 type CallerZone = Rc<RefCell<Option<String>>>;
 
@@ -94,14 +107,29 @@
     let mut connection = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake)
         .await
         .map_err(|_| LinkError::ConnectFailed)??;
-    usage.set_active();
-    while let Some(accepted) = connection.accept().await {
+    let mut hello_timeout = pin!(await_hello_timeout());
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = connection.accept() => accepted,
+            () = &mut hello_timeout, if !usage.is_active() => {
+                if usage.is_active() {
+                    continue;
+                }
+                return Err(LinkError::ConnectFailed);
+            }
+        };
+        let Some(accepted) = accepted else {
+            return Ok(());
+        };
         let (request, respond) = accepted?;
         let shared = Rc::clone(&shared);
         let caller_zone = Rc::clone(&caller_zone);
         if request.uri().path() == news_path() {
+            let usage = usage.clone();
             tokio::task::spawn_local(async move {
-                if let Err(error) = serve_news(shared, request, respond, caller_zone).await {
+                let served = serve_news(shared, request, respond, caller_zone, usage);
+                if let Err(error) = served.await {
                     log::debug!("event=news_ended reason=\"{error}\"");
                 }
             });
@@ -116,7 +144,6 @@
             });
         }
     }
-    Ok(())
 }
 
 async fn serve_call(
--- a/crates/mesh/src/serve_peers/news.rs
+++ b/crates/mesh/src/serve_peers/news.rs
@@ -10,6 +10,7 @@
 
 use super::CallerZone;
 use crate::body::next_data;
+use crate::connection_limit::UsageCell;
 use crate::links::{LinkError, NEWS_URL};
 use crate::messages::{decode_next, encode, DecodeError, LinkMessage, PeerAddress, RowChange};
 use crate::organisations::pools::{self, leases::LinkLeases};
@@ -21,12 +22,14 @@
     NEWS_URL.strip_prefix("http://peer").unwrap_or(NEWS_URL)
 }
 
-/// Serves the news stream of another daemon until the stream ends.
+/// Serves the news stream of another daemon until the stream ends. Its link is active once the
+/// first message has come.
 pub(super) async fn serve_news(
     shared: Rc<MeshShared>,
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     caller_zone: CallerZone,
+    link_usage: UsageCell,
 ) -> Result<(), LinkError> {
     let mut incoming = request.into_body();
     let mut outgoing = respond.send_response(Response::new(()), false)?;
@@ -46,6 +49,7 @@
         outgoing.send_data(encode(&LinkMessage::WrongHost(own)), true)?;
         return Ok(());
     }
+    link_usage.set_active();
     let mut subscription = shared.peers.subscribe(&from);
     caller_zone.replace(Some(from.zone.clone()));
     let pool_leases = LinkLeases::new(&shared, &from);
--- a/crates/policy/src/client_budget/limits.rs
+++ b/crates/policy/src/client_budget/limits.rs
@@ -16,8 +16,8 @@
 const CLIENT_MEMORY_FRACTION: u64 = 4;
 /// Part of the descriptors that is left for links, targets, the store and other ports.
 const RESERVED_DESCRIPTOR_FRACTION: u64 = 4;
-/// Part of the descriptors that incoming links may take until their handshakes are complete.
-const HANDSHAKE_DESCRIPTOR_FRACTION: u64 = 8;
+/// Part of the descriptors that incoming links may take until their first messages have come.
+const PENDING_LINK_DESCRIPTOR_FRACTION: u64 = 8;
 /// Memory of the state of a call, besides its head and body, in bytes.
 const CALL_BYTES: u64 = 16 * 1024;
 /// Copies of a call's head while it is dispatched: as received, with its field ranges, as
@@ -47,8 +47,8 @@
 pub struct ResourceLimits {
     /// Maximum number of clients' connections.
     pub connections: usize,
-    /// Maximum number of incoming links whose handshake is not complete.
-    pub handshakes: usize,
+    /// Maximum number of incoming links whose first message has not come.
+    pub pending_links: usize,
     /// Maximum size of what is held of calls and answers, in bytes.
     pub held_bytes: u64,
 }
@@ -61,11 +61,11 @@
         let client_bytes = machine.memory_bytes / CLIENT_MEMORY_FRACTION;
         let reserved = machine.descriptors / RESERVED_DESCRIPTOR_FRACTION;
         let connections = (machine.descriptors - reserved).min(client_bytes / connection_bytes);
-        let handshakes = machine.descriptors / HANDSHAKE_DESCRIPTOR_FRACTION;
+        let pending_links = machine.descriptors / PENDING_LINK_DESCRIPTOR_FRACTION;
         let count = |number| usize::try_from(number).unwrap_or(usize::MAX).max(1);
         ResourceLimits {
             connections: count(connections),
-            handshakes: count(handshakes),
+            pending_links: count(pending_links),
             held_bytes: client_bytes,
         }
     }
--- a/tests/mesh_crowds.rs
+++ b/tests/mesh_crowds.rs
@@ -127,22 +127,23 @@
 /// Guards against connections that take all descriptors of a process at a port where nobody
 /// counts them.
 #[rstest]
+#[case::readiness(OtherPort::Readiness, CrowdKind::Idle)]
+#[case::control(OtherPort::Control, CrowdKind::Idle)]
+#[case::metrics(OtherPort::Metrics, CrowdKind::Idle)]
+#[case::links(OtherPort::Links, CrowdKind::Idle)]
+#[case::links_without_a_stream(OtherPort::Links, CrowdKind::Http2Start)]
+#[case::links_without_a_message(OtherPort::Links, CrowdKind::SilentHttp2Stream)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn idle_connections_at_other_ports_leave_room(
-    #[values(
-        OtherPort::Readiness,
-        OtherPort::Control,
-        OtherPort::Metrics,
-        OtherPort::Links
-    )]
-    port: OtherPort,
+    #[case] port: OtherPort,
+    #[case] kind: CrowdKind,
 ) {
     let _alone = run_alone().await;
     let limit = DescriptorLimit::set(FEW_DESCRIPTORS as u64);
     let fleet = two_host_fleet("a").await;
     drop(limit);
     raise_descriptor_limit();
-    let crowd = Crowd::start(port.address(&fleet.hosts[1]), 900, CrowdKind::Idle);
+    let crowd = Crowd::start(port.address(&fleet.hosts[1]), 900, kind);
     tokio::time::sleep(Duration::from_secs(1)).await;
     check_ordinary_call(&fleet, AT_THE_TARGET).await;
     assert!(eventually(WAIT_TIMEOUT, || fleet.hosts[1].is_ready()).await);
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -58,8 +58,17 @@
     },
     /// A head that never ends.
     UnfinishedHead,
+    /// The start of an HTTP/2 connection, without a stream.
+    Http2Start,
+    /// The start of an HTTP/2 connection, and a stream on which nothing is sent.
+    SilentHttp2Stream,
 }
 
+/// Start of an HTTP/2 connection, with empty settings.
+const HTTP2_START: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00";
+/// Frame with the header fields of a stream: `POST http://a/`, whose body is to come.
+const HTTP2_STREAM: &[u8] = b"\x00\x00\x06\x01\x04\x00\x00\x00\x01\x83\x86\x84\x41\x01a";
+
 impl CrowdKind {
     /// Bytes of the next request of client `client`, the `number`th.
     fn request(self, client: usize, number: usize) -> Vec<u8> {
@@ -88,6 +97,8 @@
             )
             .into_bytes(),
             CrowdKind::UnfinishedHead => b"GET /read/a HTTP/1.1\r\nX-Field: ".to_vec(),
+            CrowdKind::Http2Start => HTTP2_START.to_vec(),
+            CrowdKind::SilentHttp2Stream => [HTTP2_START, HTTP2_STREAM].concat(),
         }
     }
 
@@ -95,7 +106,9 @@
     async fn press(self, client: usize, stream: &mut TcpStream) -> std::io::Result<()> {
         match self {
             CrowdKind::Idle => {}
-            CrowdKind::UnfinishedHead => stream.write_all(&self.request(client, 0)).await?,
+            CrowdKind::UnfinishedHead | CrowdKind::Http2Start | CrowdKind::SilentHttp2Stream => {
+                stream.write_all(&self.request(client, 0)).await?;
+            }
             CrowdKind::Requests { .. } => {
                 for batch in 0.. {
                     let first = batch * REQUESTS_PER_WRITE;
