End links that say nothing at the relay port over our own store

Callers: as at the port for links of the other daemon. 450 connections that opened a stream on the relay port and sent nothing were kept for ever; with 300 descriptors an ordinary client got no answer in 20 s in one of two runs (in the other it was lucky with a descriptor).

Cause: neither number nor time of such links was bounded; only the handshake had a time, half a second.

A link whose message has come is out of the count.

--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -116,6 +116,12 @@
         table
     }
 
+    /// Maximum number of links of other daemons whose first message has not come.
+    #[must_use]
+    pub fn max_pending_links(&self) -> usize {
+        self.limits.pending_links
+    }
+
     fn lock(&self) -> MutexGuard<'_, ClientState> {
         // Every operation leaves the sums consistent, so a poisoned lock is still usable.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -2,6 +2,8 @@
 //! one stream. Its request body carries frames from the peer to the relay, and its
 //! response body carries frames from the relay to the peer.
 
+mod pending;
+
 use std::collections::HashMap;
 use std::fmt;
 use std::future::poll_fn;
@@ -18,6 +20,7 @@
 use crate::control::ControlEvent;
 use crate::counters::DaemonCounters;
 use crate::messages::{FrameDecoder, FrameError, PeerMessage, RelayMessage};
+use pending::{FirstMessage, PendingLinks};
 
 /// Maximum number of frames that wait to be sent on one link. The link of a peer that
 /// falls further behind is closed, and the peer reconnects, so a slow peer cannot take
@@ -114,13 +117,16 @@
 
 /// Accepts links from peers and serves each in a task of its own. Does not return: if
 /// accepting a connection fails, it tries again after 50 ms.
+/// At most `max_pending` links may be without a first message.
 pub async fn serve_peers(
     listener: TcpListener,
+    max_pending: usize,
     senders: PeerSenders,
     events: mpsc::Sender<ControlEvent>,
     counters: Arc<DaemonCounters>,
 ) {
     let next_peer = AtomicU64::new(1);
+    let mut pending_links = PendingLinks::new(max_pending);
     loop {
         let Ok((socket, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
@@ -130,8 +136,13 @@
         let senders = senders.clone();
         let events = events.clone();
         let counters = Arc::clone(&counters);
+        let (first_message, rejected) = pending_links.add();
         tokio::spawn(async move {
-            let _ = serve_peer(socket, peer, &senders, &events, &counters).await;
+            let served = serve_peer(socket, peer, &senders, &events, &counters, &first_message);
+            tokio::select! {
+                _ = served => {}
+                () = rejected => {}
+            }
             senders.close(peer);
             let _ = events.send(ControlEvent::PeerDisconnected { peer }).await;
         });
@@ -148,6 +159,7 @@
     senders: &PeerSenders,
     events: &mpsc::Sender<ControlEvent>,
     counters: &DaemonCounters,
+    first_message: &FirstMessage,
 ) -> Result<(), LinkError> {
     let _ = socket.set_nodelay(true);
     let handshake = h2::server::Builder::new()
@@ -166,6 +178,7 @@
     let (sender, queue) = mpsc::channel(PEER_QUEUE_FRAMES);
     senders.lock().insert(peer, sender);
     let reading = read_frames(request.into_body(), counters, |message: PeerMessage| {
+        first_message.record();
         events.send(ControlEvent::PeerMessageReceived { peer, message })
     });
     tokio::select! {
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -101,6 +101,7 @@
         .attach(format!("relay port {}", settings.relay_listen))?;
     tokio::spawn(serve_peers(
         listener,
+        proxy.clients.max_pending_links(),
         peers.clone(),
         events.clone(),
         Arc::clone(&counters),
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -76,6 +76,8 @@
     pub proxy_url: String,
     /// Base URL of the daemon's admin endpoint.
     pub admin_url: String,
+    /// Address of the daemon's relay port.
+    pub relay: SocketAddr,
     /// Fault proxy in front of the daemon's relay port; `None` without
     /// [`MeshSpec::with_fault_proxies()`].
     pub relay_fault_proxy: Option<FaultProxy>,
@@ -102,6 +104,7 @@
         let mut process = DaemonProcess {
             proxy_url: format!("http://{}", spec.settings.proxy_listen),
             admin_url: format!("http://{}", spec.settings.admin_listen),
+            relay: spec.settings.relay_listen,
             id: spec.settings.id,
             zone: spec.settings.zone,
             relay_fault_proxy: spec.relay_fault_proxy,
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -103,6 +103,7 @@
 enum DaemonPort {
     Proxy,
     Admin,
+    Relay,
 }
 
 impl DaemonPort {
@@ -110,6 +111,7 @@
         let url = match self {
             DaemonPort::Proxy => &daemon.proxy_url,
             DaemonPort::Admin => &daemon.admin_url,
+            DaemonPort::Relay => return daemon.relay,
         };
         let address = url.trim_start_matches("http://");
         address.parse().expect("an address")
@@ -119,10 +121,13 @@
 /// Guards against clients that take all descriptors of a process by opening connections and
 /// sending nothing, so that others cannot connect while they stay.
 #[rstest]
+#[case::proxy(DaemonPort::Proxy, CrowdKind::Idle)]
+#[case::admin(DaemonPort::Admin, CrowdKind::Idle)]
+#[case::relay(DaemonPort::Relay, CrowdKind::Idle)]
+#[case::links_without_a_stream(DaemonPort::Relay, CrowdKind::Http2Start)]
+#[case::links_without_a_message(DaemonPort::Relay, CrowdKind::SilentHttp2Stream)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn idle_connections_leave_room_for_others(
-    #[values(DaemonPort::Proxy, DaemonPort::Admin)] port: DaemonPort,
-) {
+async fn idle_connections_leave_room_for_others(#[case] port: DaemonPort, #[case] kind: CrowdKind) {
     let _alone = run_alone().await;
     let spec = mesh_spec(&["quoting"]).zones(&["zone-a"]);
     let limit = DescriptorLimit::set(FEW_DESCRIPTORS as u64);
@@ -130,7 +135,7 @@
     drop(limit);
     raise_descriptor_limit();
     check_ordinary_call(&mesh).await;
-    let crowd = Crowd::start(port.address(&mesh.daemons[0]), 450, CrowdKind::Idle);
+    let crowd = Crowd::start(port.address(&mesh.daemons[0]), 450, kind);
     tokio::time::sleep(Duration::from_secs(1)).await;
     check_ordinary_call(&mesh).await;
     check_daemon(&mesh, FEW_DESCRIPTORS);
