Bound what the HTTP library reads ahead of each connection

Callers: a process over our own store could end for want of memory beside 1,000 clients that send bodies of 60 kB as fast as they are taken: 177 MB in the new test, 214 MB in a trial with the crowd in a process of its own, where 128 MB are allowed. The crowd of the tests so far did not show it, as it made each request anew and was slower than the daemon.

Cause: the library doubles its read buffer, up to 400 KiB a connection, whenever a read fills it; this memory is not charged, and connections count with 64 KiB. The library's limit cannot be set through the server that we use. Evidence: with a smaller receive buffer of the sockets, and nothing else, the peak of 200 such clients fell from 104 to 50 MB; set a second late, after the crowd's first reads, it did not.

--- a/crates/daemon/src/clients/sockets.rs
+++ b/crates/daemon/src/clients/sockets.rs
@@ -4,7 +4,8 @@
 use std::os::fd::{AsRawFd, BorrowedFd, OwnedFd, RawFd};
 
 use nix::sys::resource::{getrlimit, Resource};
-use nix::sys::socket::{getpeername, getsockname, shutdown, Shutdown, SockaddrStorage};
+use nix::sys::socket::sockopt::RcvBuf;
+use nix::sys::socket::{getpeername, getsockname, setsockopt, shutdown, Shutdown, SockaddrStorage};
 use nix::unistd::dup;
 
 /// Most descriptors that are looked at.
@@ -36,11 +37,31 @@
     (0..limit).collect()
 }
 
+/// Limits the receive buffer of the sockets of the local `port` to `bytes`. Connections take
+/// it over from the listening socket. Returns whether there is any socket.
+pub(super) fn limit_receive_buffers(port: u16, bytes: usize) -> bool {
+    let descriptors = listed_descriptors().unwrap_or_else(|_| possible_descriptors());
+    let mut is_any = false;
+    for descriptor in descriptors {
+        if local_port(descriptor) == Some(port) {
+            // SAFETY: the descriptor is borrowed for the call only, which fails if it has been
+            // closed meanwhile.
+            let socket = unsafe { BorrowedFd::borrow_raw(descriptor) };
+            is_any |= setsockopt(&socket, RcvBuf, &bytes).is_ok();
+        }
+    }
+    is_any
+}
+
+fn local_port(descriptor: RawFd) -> Option<u16> {
+    let local: SockaddrStorage = getsockname(descriptor).ok()?;
+    internet_address(&local).map(|address| address.port())
+}
+
 /// The peer of the connection `descriptor` to the local `port`; `None` if it is no such
 /// connection.
 fn peer_of(descriptor: RawFd, port: u16) -> Option<SocketAddr> {
-    let local: SockaddrStorage = getsockname(descriptor).ok()?;
-    if internet_address(&local)?.port() != port {
+    if local_port(descriptor)? != port {
         return None;
     }
     let peer: SockaddrStorage = getpeername(descriptor).ok()?;
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -43,6 +43,14 @@
     }
 }
 
+const fn flood(body_bytes: usize) -> CrowdKind {
+    CrowdKind::Flood {
+        line: "POST /quotes/a",
+        headers: HEADERS,
+        body_bytes,
+    }
+}
+
 const fn requests(line: &'static str, headers: &'static str, body_bytes: usize) -> CrowdKind {
     CrowdKind::Requests {
         line,
@@ -81,6 +89,8 @@
 #[case::bodies(CrowdCase { connections: 200, kind: requests("POST /quotes/a", HEADERS, 60_000) })]
 #[case::small_calls(CrowdCase { connections: 1_000, kind: requests("GET /quotes/a", HEADERS, 0) })]
 #[case::many_bodies(CrowdCase { connections: 1_000, kind: requests("POST /quotes/a", HEADERS, 60_000) })]
+#[case::flood(CrowdCase { connections: 200, kind: flood(60_000) })]
+#[case::wide_flood(CrowdCase { connections: 1_000, kind: flood(60_000) })]
 #[case::orders(CrowdCase { connections: 100, kind: requests("POST /orders/a", KEYED_HEADERS, 200) })]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_crowd_does_not_take_the_process(#[case] case: CrowdCase) {
--- a/tests/mesh_crowds.rs
+++ b/tests/mesh_crowds.rs
@@ -15,8 +15,8 @@
 use filbert_platform_standin::host::call_headers;
 use filbert_platform_standin::{Client, Host};
 use mesh_crowd::{
-    check_hosts, check_ordinary_call, widen_limits, AT_THE_TARGET, BODIES, CROWD_TIME, LONG_HEADS,
-    OVER_A_LINK, READ, SMALL_CALLS, SMALL_HOST_MIB, UNROUTED, UPLOADS, USUAL_BOUNDS,
+    check_hosts, check_ordinary_call, widen_limits, AT_THE_TARGET, BODIES, CROWD_TIME, FLOOD,
+    LONG_HEADS, OVER_A_LINK, READ, SMALL_CALLS, SMALL_HOST_MIB, UNROUTED, UPLOADS, USUAL_BOUNDS,
 };
 use rstest::rstest;
 use users::{eventually, reload_with, two_host_fleet, WAIT_TIMEOUT};
@@ -38,6 +38,7 @@
 #[case::small_calls(CrowdCase { connections: 1_000, kind: SMALL_CALLS, answer_bytes: 200 })]
 #[case::long_heads(CrowdCase { connections: 200, kind: LONG_HEADS, answer_bytes: 200 })]
 #[case::bodies(CrowdCase { connections: 200, kind: BODIES, answer_bytes: 200 })]
+#[case::flood(CrowdCase { connections: 1_000, kind: FLOOD, answer_bytes: 200 })]
 #[case::uploads(CrowdCase { connections: 1_000, kind: UPLOADS, answer_bytes: 200 })]
 #[case::unrouted(CrowdCase { connections: 400, kind: UNROUTED, answer_bytes: 200 })]
 #[case::long_answers(CrowdCase { connections: 64, kind: SMALL_CALLS, answer_bytes: 1_000_000 })]
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -47,6 +47,15 @@
         /// Length of the body.
         body_bytes: usize,
     },
+    /// The same few requests again and again, as fast as the daemon takes them.
+    Flood {
+        /// First words of the request line.
+        line: &'static str,
+        /// Header lines of each request.
+        headers: &'static str,
+        /// Length of the body.
+        body_bytes: usize,
+    },
     /// One request whose body has this length, as much of it as the daemon takes.
     Upload {
         /// First words of the request line.
@@ -88,6 +97,18 @@
                 bytes.resize(bytes.len() + body_bytes, b'b');
                 bytes
             }
+            CrowdKind::Flood {
+                line,
+                headers,
+                body_bytes,
+            } => {
+                let head = format!(
+                    "{line} HTTP/1.1\r\n{headers}Request-Id: c{client}-{number}\r\nContent-Length: {body_bytes}\r\n\r\n"
+                );
+                let mut bytes = head.into_bytes();
+                bytes.resize(bytes.len() + body_bytes, b'b');
+                bytes
+            }
             CrowdKind::Upload {
                 line,
                 headers,
@@ -119,6 +140,15 @@
                     stream.write_all(&bytes).await?;
                 }
             }
+            CrowdKind::Flood { .. } => {
+                let requests = 0..REQUESTS_PER_WRITE;
+                let bytes: Vec<u8> = requests
+                    .flat_map(|number| self.request(client, number))
+                    .collect();
+                loop {
+                    stream.write_all(&bytes).await?;
+                }
+            }
             CrowdKind::Upload { body_bytes, .. } => {
                 stream.write_all(&self.request(client, 0)).await?;
                 let part = vec![b'b'; 64 * 1024];
--- a/tests/support/mesh_crowd.rs
+++ b/tests/support/mesh_crowd.rs
@@ -24,6 +24,11 @@
 pub const LONG_HEADS: CrowdKind = requests("GET /read/a", 15_000, 0);
 pub const BODIES: CrowdKind = requests("POST /read/a", 0, 60_000);
 pub const UNROUTED: CrowdKind = requests("GET /none/a", 15_000, 0);
+pub const FLOOD: CrowdKind = CrowdKind::Flood {
+    line: "POST /read/a",
+    headers: HEADERS,
+    body_bytes: 60_000,
+};
 pub const UPLOADS: CrowdKind = CrowdKind::Upload {
     line: "POST /order/a",
     headers: HEADERS,
