Give the memory of bodies of 32 KiB and more back when they end

What was seen: when the crowd of 1,000 clients with bodies of 60 kB had left a daemon over our own store, 84 to 94 MB of the 128 MB stayed in use with 19 descriptors open; what it holds then is some 26 MB.

Cause: the allocator maps blocks of 128 KiB and more by themselves and gives them back; smaller ones come from arenas, one for each thread, which keep what lies below a block in use. Two arenas in place of eight changed nothing (88 MB, a trial), so it is the fragments, not their number.

Blocks of 32 KiB and more are mapped by themselves. The price, a call to the system for a body of that length, was not measured.

--- a/crates/daemon/src/allocator.rs
+++ b/crates/daemon/src/allocator.rs
@@ -2,8 +2,8 @@
 
 use nix::libc::{c_int, mallopt, M_MMAP_THRESHOLD};
 
-/// Size from which a block is mapped by itself, in bytes.
-const MAPPED_BLOCK_BYTES: c_int = 128 * 1024;
+/// Size from which a block is mapped by itself, in bytes: that of the parts of most bodies.
+const MAPPED_BLOCK_BYTES: c_int = 32 * 1024;
 
 /// Makes the allocator give the memory of each long body back to the system when the body is
 /// dropped. By default it learns from such blocks to keep them, for each thread apart, and the
