--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -43,6 +43,11 @@
     }
 }
 
+const HTTP2_UPLOADS: CrowdKind = CrowdKind::Http2Uploads {
+    path: "/quotes/a",
+    field: ("x-filbert-member", "north-signs"),
+};
+
 const fn flood(body_bytes: usize) -> CrowdKind {
     CrowdKind::Flood {
         line: "POST /quotes/a",
@@ -91,6 +96,7 @@
 #[case::many_bodies(CrowdCase { connections: 1_000, kind: requests("POST /quotes/a", HEADERS, 60_000) })]
 #[case::flood(CrowdCase { connections: 200, kind: flood(60_000) })]
 #[case::wide_flood(CrowdCase { connections: 1_000, kind: flood(60_000) })]
+#[case::http2_uploads(CrowdCase { connections: 300, kind: HTTP2_UPLOADS })]
 #[case::orders(CrowdCase { connections: 100, kind: requests("POST /orders/a", KEYED_HEADERS, 200) })]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_crowd_does_not_take_the_process(#[case] case: CrowdCase) {
@@ -153,23 +159,27 @@
 }
 
 /// Guards against answers that are held whole for clients that do not read them.
+#[rstest]
+#[case::long(100, 4_000_000)]
+#[case::many(500, 100_000)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn unread_answers_do_not_take_the_process() {
-    const ANSWER_BYTES: usize = 4_000_000;
-    const CONNECTIONS: usize = 100;
+async fn unread_answers_do_not_take_the_process(
+    #[case] connections: usize,
+    #[case] answer_bytes: usize,
+) {
     let _alone = run_alone().await;
     raise_descriptor_limit();
     let spec = mesh_spec(&[]).zones(&["zone-a"]).daemons_per_zone(1);
     let mesh = start_mesh_with_example(spec).await;
     let target = RawTarget::start(&mesh.daemons[0].admin_url).await;
     let mut answer =
-        format!("HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n").into_bytes();
-    answer.resize(answer.len() + ANSWER_BYTES, b'a');
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {answer_bytes}\r\n\r\n").into_bytes();
+    answer.resize(answer.len() + answer_bytes, b'a');
     target.set_answer(answer, RawEnd::Open);
     check_ordinary_call(&mesh).await;
     let address = DaemonPort::Proxy.address(&mesh.daemons[0]);
     let kind = requests("GET /quotes/a", HEADERS, 0);
-    let crowd = Crowd::start(address, CONNECTIONS, kind);
+    let crowd = Crowd::start(address, connections, kind);
     tokio::time::sleep(CROWD_TIME).await;
     check_daemon(&mesh, MAX_DESCRIPTORS);
     crowd.leave().await;
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -67,17 +67,66 @@
     },
     /// A head that never ends.
     UnfinishedHead,
+    /// A head that never ends, of which these many bytes come.
+    LongUnfinishedHead(usize),
     /// The start of an HTTP/2 connection, without a stream.
     Http2Start,
     /// The start of an HTTP/2 connection, and a stream on which nothing is sent.
     SilentHttp2Stream,
+    /// An HTTP/2 connection with calls whose bodies do not end.
+    Http2Uploads {
+        path: &'static str,
+        /// Name and value of a header field.
+        field: (&'static str, &'static str),
+    },
 }
 
+const UNFINISHED_HEAD: &[u8] = b"GET /read/a HTTP/1.1\r\nX-Field: ";
 /// Start of an HTTP/2 connection, with empty settings.
 const HTTP2_START: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00";
 /// Frame with the header fields of a stream: `POST http://a/`, whose body is to come.
 const HTTP2_STREAM: &[u8] = b"\x00\x00\x06\x01\x04\x00\x00\x00\x01\x83\x86\x84\x41\x01a";
 
+/// Calls on one HTTP/2 connection.
+const HTTP2_UPLOADS: u8 = 15;
+/// Frames of a body's part that is sent, and their length in bytes.
+const HTTP2_FRAMES: usize = 4;
+const HTTP2_FRAME_BYTES: u16 = 16_000;
+
+/// The start of an HTTP/2 connection with calls whose bodies do not end.
+fn http2_uploads(path: &str, field: (&str, &str)) -> Vec<u8> {
+    const DATA_TYPE: u8 = 0;
+    const HEADERS_TYPE: u8 = 1;
+    const END_HEADERS: u8 = 4;
+    let literal = |text: &str| {
+        let length = u8::try_from(text.len()).expect("a short text");
+        [&[length], text.as_bytes()].concat()
+    };
+    let frame = |kind: u8, flags: u8, stream: u8, payload: &[u8]| {
+        let length = u16::try_from(payload.len()).expect("a short frame");
+        let [high, low] = length.to_be_bytes();
+        [&[0, high, low, kind, flags, 0, 0, 0, stream], payload].concat()
+    };
+    // `POST`, `http`, the path, the authority `a`, and the field.
+    let head = [
+        &[0x83, 0x86, 0x04][..],
+        &literal(path),
+        &[0x01, 1, b'a', 0x00],
+        &literal(field.0),
+        &literal(field.1),
+    ]
+    .concat();
+    let part = vec![b'b'; usize::from(HTTP2_FRAME_BYTES)];
+    let mut bytes = HTTP2_START.to_vec();
+    for stream in (0..HTTP2_UPLOADS).map(|number| 2 * number + 1) {
+        bytes.extend(frame(HEADERS_TYPE, END_HEADERS, stream, &head));
+        for _ in 0..HTTP2_FRAMES {
+            bytes.extend(frame(DATA_TYPE, 0, stream, &part));
+        }
+    }
+    bytes
+}
+
 impl CrowdKind {
     /// Bytes of the next request of client `client`, the `number`th.
     fn request(self, client: usize, number: usize) -> Vec<u8> {
@@ -117,8 +166,14 @@
                 "{line} HTTP/1.1\r\n{headers}Request-Id: c{client}-{number}\r\nContent-Length: {body_bytes}\r\n\r\n"
             )
             .into_bytes(),
-            CrowdKind::UnfinishedHead => b"GET /read/a HTTP/1.1\r\nX-Field: ".to_vec(),
+            CrowdKind::UnfinishedHead => UNFINISHED_HEAD.to_vec(),
+            CrowdKind::LongUnfinishedHead(bytes) => {
+                let mut head = UNFINISHED_HEAD.to_vec();
+                head.resize(bytes, b'f');
+                head
+            }
             CrowdKind::Http2Start => HTTP2_START.to_vec(),
+            CrowdKind::Http2Uploads { path, field } => http2_uploads(path, field),
             CrowdKind::SilentHttp2Stream => [HTTP2_START, HTTP2_STREAM].concat(),
         }
     }
@@ -127,7 +182,11 @@
     async fn press(self, client: usize, stream: &mut TcpStream) -> std::io::Result<()> {
         match self {
             CrowdKind::Idle => {}
-            CrowdKind::UnfinishedHead | CrowdKind::Http2Start | CrowdKind::SilentHttp2Stream => {
+            CrowdKind::UnfinishedHead
+            | CrowdKind::LongUnfinishedHead(_)
+            | CrowdKind::Http2Start
+            | CrowdKind::Http2Uploads { .. }
+            | CrowdKind::SilentHttp2Stream => {
                 stream.write_all(&self.request(client, 0)).await?;
             }
             CrowdKind::Requests { .. } => {
