End connections whose head exceeds 64 KiB, over our own store

Callers: a process over our own store could end for want of memory beside 500 clients that each send 400 kB of a head and never end it: 227 MB in the new test, 128 are allowed.

Cause: the HTTP library keeps up to 400 KiB of a head before the call exists for us, so nothing charges it; a connection counts with 64 KiB. The library's limit cannot be set through the server that we use.

The system says how many bytes each socket has received.

A connection that brings bodies of 200 kB one after another is not ended, and one with a head of that length is (client_cases).

--- a/crates/daemon/src/clients/call.rs
+++ b/crates/daemon/src/clients/call.rs
@@ -1,6 +1,7 @@
 //! What one call of a client holds, until its answer is written.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
 use filbert_policy::client_budget::eviction::ConnectionUse;
@@ -17,21 +18,31 @@
     number: u64,
     /// Local port of the connection.
     port: u16,
+    /// Length of the call's head and body as they were read, in bytes.
+    request_bytes: AtomicU64,
 }
 
 impl ClientCall {
     /// Begins a call on the connection of `peer` to the local `port`.
     #[must_use]
     pub fn begin(connections: &Arc<ClientConnections>, peer: SocketAddr, port: u16) -> ClientCall {
-        let number = connections.lock().begin_call(peer);
+        let now = connections.clock.now();
+        let number = connections.lock().begin_call(peer, now);
         ClientCall {
             connections: Arc::clone(connections),
             peer,
             number,
             port,
+            request_bytes: AtomicU64::new(0),
         }
     }
 
+    /// Records that a part of the call has been read, with its length.
+    pub fn record_read(&self, bytes: usize) {
+        self.request_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     /// Charges `bytes` of the call or its answer, which have this `size`, until the call
     /// ends. Ends other connections
     /// if too much is held then.
@@ -74,14 +85,18 @@
 impl Drop for ClientCall {
     fn drop(&mut self) {
         let since = self.connections.clock.now();
-        let mut held = 0;
-        self.update(|usage| {
-            if let ConnectionUse::Active { held_bytes, .. } = usage {
-                held = *held_bytes;
-            }
-            *usage = ConnectionUse::Idle { since };
-        });
         let mut state = self.connections.lock();
-        state.held_bytes = state.held_bytes.saturating_sub(held);
+        let Some(connection) = state.connection_of(self.peer, self.number) else {
+            return;
+        };
+        let received = connection
+            .socket
+            .and_then(|socket| socket.received_bytes(self.port));
+        let request_bytes = self.request_bytes.load(Ordering::Relaxed);
+        connection.ended_bytes = received.unwrap_or(connection.ended_bytes + request_bytes);
+        let ended = std::mem::replace(&mut connection.usage, ConnectionUse::Idle { since });
+        if let ConnectionUse::Active { held_bytes, .. } = ended {
+            state.held_bytes = state.held_bytes.saturating_sub(held_bytes);
+        }
     }
 }
--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -11,7 +11,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use filbert_policy::client_budget::eviction::{choose_for_memory, choose_for_room, ConnectionUse};
 use filbert_policy::client_budget::{CallSize, MachineSize, MemoryFull, ResourceLimits};
@@ -19,12 +19,17 @@
 
 use crate::clock::Clock;
 pub use call::ClientCall;
+use sockets::OpenSocket;
 
 /// Memory that the daemon may use, in bytes.
 const MEMORY_BYTES: u64 = 128 * 1024 * 1024;
 /// Memory of a connection, whose buffer the HTTP server fills with calls that were sent ahead,
 /// in bytes.
 const CONNECTION_BYTES: u64 = 64 * 1024;
+/// Time that it takes to read which connections are open, at most.
+const MAX_SCAN_TIME: Duration = Duration::from_millis(5);
+/// Maximum length of a call's head, in bytes. The HTTP server reads up to 400 KiB of one.
+const MAX_HEAD_BYTES: u64 = 64 * 1024;
 
 /// One connection.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +37,37 @@
     /// Number of its last call; 0 before the first.
     call: u64,
     usage: ConnectionUse,
+    /// Its socket, once it has been found.
+    socket: Option<OpenSocket>,
+    /// Bytes of the calls that have ended: as received until then, or as the calls state while
+    /// the socket is not known.
+    ended_bytes: u64,
+}
+
+impl ClientConnection {
+    fn opened(now: Instant) -> ClientConnection {
+        ClientConnection {
+            call: 0,
+            usage: ConnectionUse::Unused { since: now },
+            socket: None,
+            ended_bytes: 0,
+        }
+    }
+
+    /// Whether it may have been opened after the open connections were read.
+    fn may_be_newer(&self, now: Instant) -> bool {
+        match self.usage {
+            ConnectionUse::Active { .. } => true,
+            ConnectionUse::Idle { since } | ConnectionUse::Unused { since } => {
+                let age = now.saturating_duration_since(since);
+                self.socket.is_none() && age <= MAX_SCAN_TIME
+            }
+        }
+    }
+
+    fn is_active(&self) -> bool {
+        matches!(self.usage, ConnectionUse::Active { .. })
+    }
 }
 
 #[derive(Debug, Default)]
@@ -44,8 +80,8 @@
 impl ClientState {
     /// Begins a call on the connection of `peer`, and returns its number. The former call ends
     /// if its answer is not dropped yet.
-    fn begin_call(&mut self, peer: SocketAddr) -> u64 {
-        self.remove(peer);
+    fn begin_call(&mut self, peer: SocketAddr, now: Instant) -> u64 {
+        let former = self.remove(peer);
         self.last_call += 1;
         let connection = ClientConnection {
             call: self.last_call,
@@ -53,16 +89,17 @@
                 held_bytes: 0,
                 waits_since: None,
             },
+            ..former.unwrap_or_else(|| ClientConnection::opened(now))
         };
         self.connections.insert(peer, connection);
         self.last_call
     }
 
     /// Adds a connection that is open, unless it is known.
-    fn add_open(&mut self, peer: SocketAddr, now: Instant) {
-        let usage = ConnectionUse::Unused { since: now };
-        let unused = ClientConnection { call: 0, usage };
-        self.connections.entry(peer).or_insert(unused);
+    fn add_open(&mut self, socket: OpenSocket, now: Instant) {
+        let connection = self.connections.entry(socket.peer);
+        let connection = connection.or_insert_with(|| ClientConnection::opened(now));
+        connection.socket = Some(socket);
     }
 
     /// The connection of `peer`, if `call` is its last call.
@@ -71,11 +108,12 @@
         (connection.call == call).then_some(connection)
     }
 
-    fn remove(&mut self, peer: SocketAddr) {
-        let removed = self.connections.remove(&peer);
-        if let Some(ConnectionUse::Active { held_bytes, .. }) = removed.map(|gone| gone.usage) {
+    fn remove(&mut self, peer: SocketAddr) -> Option<ClientConnection> {
+        let removed = self.connections.remove(&peer)?;
+        if let ConnectionUse::Active { held_bytes, .. } = removed.usage {
             self.held_bytes = self.held_bytes.saturating_sub(held_bytes);
         }
+        Some(removed)
     }
 
     fn uses(&self) -> impl Iterator<Item = (SocketAddr, ConnectionUse)> + '_ {
@@ -87,6 +125,8 @@
 /// All connections of clients, with what is held for them.
 pub struct ClientConnections {
     limits: ResourceLimits,
+    /// Maximum length of a call's head, in bytes; `None` at a port whose calls are not counted.
+    max_head_bytes: Option<u64>,
     state: Mutex<ClientState>,
     clock: Arc<dyn Clock>,
 }
@@ -102,17 +142,19 @@
         };
         ClientConnections {
             limits: ResourceLimits::new(machine, CONNECTION_BYTES),
+            max_head_bytes: Some(MAX_HEAD_BYTES),
             state: Mutex::default(),
             clock,
         }
     }
 
     /// Creates an empty table of at most `connections`, fewer if the process has few
-    /// descriptors.
+    /// descriptors, at a port whose calls are not counted.
     #[must_use]
     pub fn with_limit(connections: usize, clock: Arc<dyn Clock>) -> ClientConnections {
         let mut table = ClientConnections::new(clock);
         table.limits.connections = table.limits.connections.min(connections);
+        table.max_head_bytes = None;
         table
     }
 
@@ -129,16 +171,15 @@
 
     /// Takes over which connections are open. Returns those that are to end, as there are too
     /// many.
-    fn update_open(&self, open: &[SocketAddr]) -> Vec<SocketAddr> {
+    fn update_open(&self, open: &[OpenSocket]) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let is_open: HashSet<&SocketAddr> = open.iter().collect();
-        // A connection with a call may have been opened after `open` was read.
-        state.connections.retain(|peer, connection| {
-            is_open.contains(peer) || matches!(connection.usage, ConnectionUse::Active { .. })
-        });
-        for peer in open {
-            state.add_open(*peer, now);
+        let is_open: HashSet<SocketAddr> = open.iter().map(|socket| socket.peer).collect();
+        state
+            .connections
+            .retain(|peer, connection| is_open.contains(peer) || connection.may_be_newer(now));
+        for socket in open {
+            state.add_open(*socket, now);
         }
         let mut spared = Vec::new();
         while state.connections.len() > self.limits.connections {
@@ -151,9 +192,38 @@
         spared
     }
 
-    /// Whether connections are so many that they have to be watched closely.
-    fn is_crowded(&self, open: usize) -> bool {
-        open >= self.limits.connections / 2
+    /// Removes the connections to the local `port` whose clients have sent too long a head.
+    /// Returns them.
+    fn take_long_heads(&self, port: u16) -> Vec<SocketAddr> {
+        let Some(max_head_bytes) = self.max_head_bytes else {
+            return Vec::new();
+        };
+        let between_calls = self.between_calls();
+        let long = between_calls.into_iter().filter(|connection| {
+            let received = connection.socket.and_then(|open| open.received_bytes(port));
+            received.is_some_and(|bytes| bytes > connection.ended_bytes + max_head_bytes)
+        });
+        let peers = long.filter_map(|connection| {
+            let peer = connection.socket?.peer;
+            self.remove_between_calls(peer, connection.call)
+                .then_some(peer)
+        });
+        peers.collect()
+    }
+
+    /// The connections without a call in progress.
+    fn between_calls(&self) -> Vec<ClientConnection> {
+        let state = self.lock();
+        let connections = state.connections.values().copied();
+        connections.filter(|known| !known.is_active()).collect()
+    }
+
+    /// Removes the connection of `peer`, unless it has brought a call after `call`.
+    fn remove_between_calls(&self, peer: SocketAddr, call: u64) -> bool {
+        let mut state = self.lock();
+        let connection = state.connection_of(peer, call);
+        let is_between = connection.is_some_and(|known| !known.is_active());
+        is_between && state.remove(peer).is_some()
     }
 
     /// Adds `bytes` to what is held for `call` of `peer`, which has this `size`. Returns the
--- a/crates/daemon/src/clients/sockets.rs
+++ b/crates/daemon/src/clients/sockets.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, SocketAddrV4, SocketAddrV6};
 use std::os::fd::{AsRawFd, BorrowedFd, OwnedFd, RawFd};
 
+use nix::libc::{getsockopt, socklen_t, IPPROTO_TCP, TCP_INFO};
 use nix::sys::resource::{getrlimit, Resource};
 use nix::sys::socket::sockopt::RcvBuf;
 use nix::sys::socket::{getpeername, getsockname, setsockopt, shutdown, Shutdown, SockaddrStorage};
@@ -11,12 +12,51 @@
 /// Most descriptors that are looked at.
 const MAX_DESCRIPTORS: u64 = 65_536;
 
-/// The connections to the local `port`: descriptor and address of the peer.
-fn connections_to(port: u16) -> Vec<(RawFd, SocketAddr)> {
+/// Offset of the number of bytes received in what the system says of a TCP connection.
+const RECEIVED_OFFSET: usize = 128;
+/// Length of what is read of it.
+const TCP_INFO_BYTES: usize = RECEIVED_OFFSET + size_of::<u64>();
+
+/// A connection that is open.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OpenSocket {
+    pub(super) descriptor: RawFd,
+    pub(super) peer: SocketAddr,
+}
+
+impl OpenSocket {
+    /// Number of bytes received from the peer so far. `None` if the connection is closed.
+    pub(super) fn received_bytes(self, port: u16) -> Option<u64> {
+        // The descriptor may be another connection's by now.
+        if peer_of(self.descriptor, port) != Some(self.peer) {
+            return None;
+        }
+        let mut info = [0_u8; TCP_INFO_BYTES];
+        let mut length = socklen_t::try_from(info.len()).ok()?;
+        // SAFETY: the system writes at most `length` bytes, which is the length of `info`.
+        let result = unsafe {
+            getsockopt(
+                self.descriptor,
+                IPPROTO_TCP,
+                TCP_INFO,
+                info.as_mut_ptr().cast(),
+                &raw mut length,
+            )
+        };
+        let received = info.get(RECEIVED_OFFSET..)?;
+        (result == 0).then_some(u64::from_ne_bytes(received.try_into().ok()?))
+    }
+}
+
+/// The connections to the local `port`.
+pub(super) fn open_sockets(port: u16) -> Vec<OpenSocket> {
     listed_descriptors()
         .unwrap_or_else(|_| possible_descriptors())
         .into_iter()
-        .filter_map(|descriptor| Some((descriptor, peer_of(descriptor, port)?)))
+        .filter_map(|descriptor| {
+            let peer = peer_of(descriptor, port)?;
+            Some(OpenSocket { descriptor, peer })
+        })
         .collect()
 }
 
@@ -75,24 +115,17 @@
     four.map(SocketAddr::V4).or(six.map(SocketAddr::V6))
 }
 
-/// Peers of the connections to the local `port`.
-pub(super) fn open_peers(port: u16) -> Vec<SocketAddr> {
-    connections_to(port)
-        .into_iter()
-        .map(|(_, peer)| peer)
-        .collect()
-}
-
 /// Ends the connections of `peers` to the local `port`. Whoever serves them finds them closed.
 pub(super) fn shut_down(port: u16, peers: &[SocketAddr]) {
-    for (descriptor, peer) in connections_to(port) {
-        if peers.contains(&peer) {
-            shut_down_one(descriptor, port, peer);
+    for socket in open_sockets(port) {
+        if peers.contains(&socket.peer) {
+            shut_down_one(socket, port);
         }
     }
 }
 
-fn shut_down_one(descriptor: RawFd, port: u16, peer: SocketAddr) {
+fn shut_down_one(open: OpenSocket, port: u16) {
+    let OpenSocket { descriptor, peer } = open;
     // SAFETY: the descriptor is borrowed for the duplication only, which fails if it has been
     // closed meanwhile.
     let copy: Option<OwnedFd> = dup(unsafe { BorrowedFd::borrow_raw(descriptor) }).ok();
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -90,8 +90,12 @@
         client.set_waiting(false);
         match read {
             Ok(Ok(0)) => return Ok(body.freeze()),
-            Ok(Ok(_)) if capacity.is_some() => {}
-            Ok(Ok(bytes)) => charge(bytes * MAX_BUFFER_GROWTH)?,
+            Ok(Ok(bytes)) => {
+                client.record_read(bytes);
+                if capacity.is_none() {
+                    charge(bytes * MAX_BUFFER_GROWTH)?;
+                }
+            }
             Ok(Err(_)) | Err(_) => return Err(BodyFault::Unreadable),
         }
         if body.len() as u64 > MAX_BODY_BYTES {
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -197,6 +197,7 @@
             return Outcome::from(request, ProxyAnswer::local(400, "", "no peer"));
         };
         let call = ClientCall::begin(&self.shared.clients, peer, self.shared.port);
+        call.record_read(head_bytes(request));
         let call = Arc::new(call);
         let answer = forward(&self.shared, &call, request, data).await;
         call.set_waiting(true);
@@ -204,6 +205,17 @@
     }
 }
 
+/// Length of a call's head, in bytes, but for spaces at places where any number may be.
+fn head_bytes(request: &Request<'_>) -> usize {
+    /// Bytes of the method, the version, and what separates them.
+    const LINE_BYTES: usize = 24;
+    /// Bytes between and behind a field's name and value.
+    const FIELD_BYTES: usize = 4;
+    let fields = request.headers().iter();
+    let field_bytes = fields.map(|field| field.name().len() + field.value().len() + FIELD_BYTES);
+    LINE_BYTES + request.uri().to_string().len() + field_bytes.sum::<usize>()
+}
+
 async fn forward(
     shared: &ProxyShared,
     client: &Arc<ClientCall>,
--- a/crates/daemon/tests/client_cases.rs
+++ b/crates/daemon/tests/client_cases.rs
@@ -9,7 +9,7 @@
 use filbert_daemon::clock::SystemClock;
 use filbert_policy::client_budget::CallSize;
 use rstest::rstest;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
@@ -72,3 +72,32 @@
     assert_eq!(ended.len(), LIMIT);
     reaper.abort();
 }
+
+/// Guards against a limit on heads that counts the calls that a connection has brought: it would
+/// end honest connections between two calls.
+#[tokio::test]
+async fn a_connection_is_not_ended_for_its_former_calls() {
+    const BODY_BYTES: usize = 200_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let port = listener.local_addr().expect("an address").port();
+    let connections = Arc::new(ClientConnections::new(Arc::new(SystemClock)));
+    let reaper = tokio::spawn(end_spare_connections(Arc::clone(&connections), port));
+    let mut client = TcpStream::connect(("127.0.0.1", port)).await.expect("open");
+    let (mut server, peer) = listener.accept().await.expect("a connection");
+    let sent_body = vec![0; BODY_BYTES];
+    let mut body = vec![0; BODY_BYTES];
+    for _ in 0..3 {
+        let call = ClientCall::begin(&connections, peer, port);
+        let (sent, read) = tokio::join!(client.write_all(&sent_body), server.read_exact(&mut body));
+        sent.and(read).expect("a body");
+        call.record_read(BODY_BYTES);
+        drop(call);
+        // Several looks at the connections.
+        let end = tokio::time::timeout(Duration::from_millis(300), client.read(&mut [0])).await;
+        assert!(end.is_err(), "ended between calls");
+    }
+    client.write_all(&sent_body).await.expect("a long head");
+    let end = tokio::time::timeout(Duration::from_secs(20), client.read(&mut [0])).await;
+    assert!(end.is_ok(), "a long head is not ended");
+    reaper.abort();
+}
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -97,6 +97,7 @@
 #[case::flood(CrowdCase { connections: 200, kind: flood(60_000) })]
 #[case::wide_flood(CrowdCase { connections: 1_000, kind: flood(60_000) })]
 #[case::http2_uploads(CrowdCase { connections: 300, kind: HTTP2_UPLOADS })]
+#[case::unfinished_heads(CrowdCase { connections: 500, kind: CrowdKind::LongUnfinishedHead(400_000) })]
 #[case::orders(CrowdCase { connections: 100, kind: requests("POST /orders/a", KEYED_HEADERS, 200) })]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_crowd_does_not_take_the_process(#[case] case: CrowdCase) {
