--- a/tests/mesh_crowd_faults.rs
+++ b/tests/mesh_crowd_faults.rs
@@ -10,17 +10,19 @@
 use std::time::Duration;
 
 use crowd::{raise_descriptor_limit, run_alone, Crowd, CrowdKind};
-use filbert_platform_standin::StoreFault;
+use filbert_platform_standin::{RouteSpec, StoreFault};
 use mesh_crowd::{
-    check_hosts, check_ordinary_call, widen_limits, AT_THE_TARGET, BODIES, CROWD_TIME, OVER_A_LINK,
-    SMALL_CALLS, SMALL_HOST_MIB, UPLOADS, USUAL_BOUNDS,
+    check_hosts, check_ordinary_call, widen_limits, AT_THE_TARGET, BODIES, CROWD_TIME, FLOOD,
+    LONG_HEADS, OVER_A_LINK, SMALL_CALLS, SMALL_HOST_MIB, UPLOADS, USUAL_BOUNDS,
 };
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use users::{two_host_fleet, Fleet, WAIT_TIMEOUT};
+use users::{fleet, two_host_fleet, Fleet, WAIT_TIMEOUT};
 
 /// Time between two faults.
 const FAULT_INTERVAL: Duration = Duration::from_millis(800);
+/// Number of hosts with crowds that call one target.
+const CALLERS: usize = 8;
 /// How long a fault lasts.
 const FAULT_TIME: Duration = Duration::from_millis(700);
 
@@ -128,3 +130,49 @@
     }
     check_hosts(&fleet, USUAL_BOUNDS);
 }
+
+/// Guards against a target's host that holds the calls of crowds on many other hosts, each of
+/// which is within its own bounds.
+#[rstest]
+#[case::bodies(150, FLOOD, 200)]
+#[case::long_heads(150, LONG_HEADS, 200)]
+#[case::uploads(300, UPLOADS, 200)]
+#[case::long_answers(32, SMALL_CALLS, 1_000_000)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crowds_on_many_hosts_do_not_take_the_target(
+    #[case] connections: usize,
+    #[case] kind: CrowdKind,
+    #[case] answer_bytes: usize,
+) {
+    const TARGET: usize = 0;
+    let _alone = run_alone().await;
+    raise_descriptor_limit();
+    let names: Vec<String> = (1..=CALLERS)
+        .map(|number| format!("caller-{number}"))
+        .collect();
+    let callers = names.iter().map(|name| (name.as_str(), "a", "shop"));
+    let hosts: Vec<(&str, &str, &str)> = [("quoter", "a", "quotes")]
+        .into_iter()
+        .chain(callers)
+        .collect();
+    let routes = [
+        RouteSpec::reads("/read/", "quotes"),
+        RouteSpec::orders("/order/", "quotes"),
+    ];
+    let fleet = fleet(&routes, &hosts).await;
+    widen_limits(&fleet).await;
+    check_ordinary_call(&fleet, 1).await;
+    fleet.hosts[TARGET].target.set_body_bytes(answer_bytes);
+    let addresses = fleet.hosts[1..].iter().map(|host| host.calls);
+    let crowds: Vec<Crowd> = addresses
+        .map(|address| Crowd::start(address, connections, kind))
+        .collect();
+    tokio::time::sleep(CROWD_TIME).await;
+    check_hosts(&fleet, USUAL_BOUNDS);
+    for crowd in crowds {
+        crowd.leave().await;
+    }
+    check_ordinary_call(&fleet, TARGET).await;
+    check_ordinary_call(&fleet, 1).await;
+    check_hosts(&fleet, USUAL_BOUNDS);
+}
