Show the budget for clients in filbertctl mesh status

An operator could see that a daemon ended connections, not what it holds against what it may hold: two of the limits had no gauge, the buffer for answers none at all, and the status showed nothing of them.

New gauges: connections that may be open, calls read ahead, and the buffer for answers with its size. The status has four columns more (clients, calls MB, ahead MB, ended), in JSON the reasons besides.

--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -145,8 +145,13 @@
         println!("{}", to_json(&hosts)?);
         return Ok(());
     }
+    print_statuses(hosts);
+    Ok(())
+}
+
+fn print_statuses(hosts: Vec<HostStatus>) {
     println!(
-        "{:<32} {:<16} {:<16} {:>8} {:>6} {:>8} {:>8} {:>5} {:>8} {:>7} {:>5} {:>7}",
+        "{:<32} {:<16} {:<16} {:>8} {:>6} {:>8} {:>8} {:>5} {:>8} {:>7} {:>5} {:>7} {:>10} {:>8} {:>8} {:>6}",
         "host",
         "zone",
         "service",
@@ -158,7 +163,11 @@
         "memory",
         "limit",
         "pace",
-        "leaving"
+        "leaving",
+        "clients",
+        "calls MB",
+        "ahead MB",
+        "ended"
     );
     for HostStatus {
         host,
@@ -167,30 +176,32 @@
         daemon,
     } in hosts
     {
-        let columns = daemon.map_or_else(
-            || "does not answer".to_owned(),
-            |daemon| {
-                format!(
-                    "{:08x} {:>6} {:>8} {:>8} {:>5.2} {:>5} MB {:>7} {:>5} {:>7}",
-                    daemon.version,
-                    daemon.links,
-                    daemon.running,
-                    daemon.waiting,
-                    daemon.ill_share,
-                    daemon.memory_bytes / 1_000_000,
-                    daemon
-                        .call_limit
-                        .map_or_else(|| "-".to_owned(), |limit| limit.to_string()),
-                    daemon
-                        .pace
-                        .map_or_else(|| "-".to_owned(), |pace| format!("{pace:.2}")),
-                    if daemon.is_leaving { "yes" } else { "-" }
-                )
-            },
-        );
+        let columns =
+            daemon.map_or_else(|| "does not answer".to_owned(), |daemon| columns(&daemon));
         println!("{host:<32} {zone:<16} {service:<16} {columns}");
     }
-    Ok(())
+}
+
+/// The columns of a status that come from the daemon.
+fn columns(daemon: &DaemonMetrics) -> String {
+    let text = |value: Option<String>| value.unwrap_or_else(|| "-".to_owned());
+    let clients = &daemon.clients;
+    format!(
+        "{:08x} {:>6} {:>8} {:>8} {:>5.2} {:>5} MB {:>7} {:>5} {:>7} {:>10} {:>8} {:>8} {:>6}",
+        daemon.version,
+        daemon.links,
+        daemon.running,
+        daemon.waiting,
+        daemon.ill_share,
+        daemon.memory_bytes / 1_000_000,
+        text(daemon.call_limit.map(|limit| limit.to_string())),
+        text(daemon.pace.map(|pace| format!("{pace:.2}"))),
+        if daemon.is_leaving { "yes" } else { "-" },
+        clients.connections,
+        clients.call_bytes.to_mb(),
+        clients.answer_bytes.to_mb(),
+        clients.ended_count()
+    )
 }
 
 /// Fetches the metrics of the daemons of `members` in parallel. Returns each host's id
--- a/crates/ctl/src/mesh.rs
+++ b/crates/ctl/src/mesh.rs
@@ -2,6 +2,8 @@
 //! name, service, route), the differences between two configurations, and values from the
 //! daemons' metrics.
 
+mod budget;
+
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::str::FromStr;
@@ -9,6 +11,8 @@
 use filbert_policy::routing::{ConfigVersion, RouteKind, RouteRule};
 use serde::Serialize;
 
+pub use budget::{BudgetShare, ClientBudget};
+
 /// Settings of the site or of a route, as text by key.
 pub type SettingValues = BTreeMap<String, String>;
 
@@ -190,6 +194,8 @@
     pub is_leaving: bool,
     /// Resident memory of the daemon in bytes.
     pub memory_bytes: u64,
+    /// What the daemon holds for clients.
+    pub clients: ClientBudget,
 }
 
 impl DaemonMetrics {
@@ -208,17 +214,22 @@
             pace: metric_value(text, "filbert_target_pace"),
             is_leaving: metric_value(text, "filbert_target_leaving") == Some(1),
             memory_bytes: metric_value(text, "process_resident_memory_bytes").unwrap_or_default(),
+            clients: ClientBudget::parse(text),
         })
     }
 }
 
+/// Returns the samples of the metric `name`, a line each.
+fn samples<'a>(text: &'a str, name: &'a str) -> impl Iterator<Item = &'a str> {
+    text.lines().filter(move |line| {
+        line.strip_prefix(name)
+            .is_some_and(|rest| rest.starts_with(['{', ' ']))
+    })
+}
+
 /// Returns the value of the first sample of the metric `name`; `None` if there is none
 /// or its value does not parse.
 fn metric_value<T: FromStr>(text: &str, name: &str) -> Option<T> {
-    let has_name = |line: &&str| {
-        line.strip_prefix(name)
-            .is_some_and(|rest| rest.starts_with(['{', ' ']))
-    };
-    let sample = text.lines().find(has_name)?;
+    let sample = samples(text, name).next()?;
     sample.rsplit(' ').next()?.parse().ok()
 }
--- a/crates/mesh/src/answer_buffer.rs
+++ b/crates/mesh/src/answer_buffer.rs
@@ -35,6 +35,19 @@
         })
     }
 
+    /// Size of the answer data that it holds, in bytes.
+    #[must_use]
+    pub fn held_bytes(&self) -> u64 {
+        let held_kib = MAX_BUFFERED_ANSWER_KIB - self.free_kib.available_permits();
+        (held_kib * KIB) as u64
+    }
+
+    /// Maximum size of the answer data that it holds, in bytes.
+    #[must_use]
+    pub fn max_held_bytes(&self) -> u64 {
+        (MAX_BUFFERED_ANSWER_KIB * KIB) as u64
+    }
+
     /// Creates the share of an answer that begins.
     #[must_use]
     pub fn share(&self) -> Rc<BufferShare> {
--- a/crates/mesh/src/clients/mod.rs
+++ b/crates/mesh/src/clients/mod.rs
@@ -78,16 +78,16 @@
         self.connections.borrow().len()
     }
 
-    /// Bytes held for all connections.
+    /// Number of calls that were read ahead of the answer to an earlier one.
     #[must_use]
-    pub fn held_bytes(&self) -> u64 {
-        self.held_bytes.get()
+    pub fn calls_ahead(&self) -> usize {
+        self.calls_ahead.get()
     }
 
-    /// Bytes that may be held for all connections.
+    /// Bytes held for all connections.
     #[must_use]
-    pub fn max_held_bytes(&self) -> u64 {
-        self.limits.get().held_bytes
+    pub fn held_bytes(&self) -> u64 {
+        self.held_bytes.get()
     }
 
     /// Adds a connection that was just accepted. Ends others if there are too many.
@@ -178,7 +178,7 @@
             account.usage(),
             self.connection_count(),
             self.held_bytes.get(),
-            self.max_held_bytes()
+            self.limits.get().held_bytes
         );
     }
 
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -90,7 +90,7 @@
     host: String,
     metrics: Rc<MeshMetrics>,
     egress: Rc<EgressPacer>,
-    answer_buffer: Rc<AnswerBuffer>,
+    pub(crate) answer_buffer: Rc<AnswerBuffer>,
     log_limiter: LogRateLimiter,
     /// Whether the log says that a call came with an invalid weight.
     has_logged_invalid_weight: Cell<bool>,
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -323,7 +323,7 @@
 
     /// Updates the gauges and returns all metrics in the Prometheus text format.
     fn render(&self, shared: &MeshShared, clients: &ClientTable) -> String {
-        self.clients.record(clients);
+        self.clients.record(clients, &shared.gate.answer_buffer);
         self.version.record(shared.versions.number(), &[]);
         self.links.record(shared.peers.linked_count() as u64, &[]);
         self.peers.record((shared.members.count() - 1) as u64, &[]);
--- a/crates/mesh/src/metrics/clients.rs
+++ b/crates/mesh/src/metrics/clients.rs
@@ -1,15 +1,20 @@
-//! Metrics of the clients' connections.
+//! Metrics of what the process holds for clients, and of what it may hold.
 
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 use opentelemetry::KeyValue;
 
+use crate::answer_buffer::AnswerBuffer;
 use crate::clients::ClientTable;
 
-/// Counter and gauges of the clients' connections.
+/// Counter and gauges of what is held for clients.
 pub(super) struct ClientMetrics {
     connections: Gauge<u64>,
+    max_connections: Gauge<u64>,
     held_bytes: Gauge<u64>,
     max_held_bytes: Gauge<u64>,
+    calls_ahead: Gauge<u64>,
+    answer_bytes: Gauge<u64>,
+    max_answer_bytes: Gauge<u64>,
     ended: Counter<u64>,
 }
 
@@ -20,6 +25,10 @@
         };
         ClientMetrics {
             connections: gauge("filbert.clients.connections", "Connections of clients"),
+            max_connections: gauge(
+                "filbert.clients.max_connections",
+                "Connections of clients that may be open",
+            ),
             held_bytes: gauge(
                 "filbert.clients.held_bytes",
                 "Memory that is charged for calls and answers of clients",
@@ -28,6 +37,18 @@
                 "filbert.clients.max_held_bytes",
                 "Memory that may be charged for calls and answers of clients",
             ),
+            calls_ahead: gauge(
+                "filbert.clients.calls_ahead",
+                "Calls read ahead of the answer to an earlier one",
+            ),
+            answer_bytes: gauge(
+                "filbert.answer_buffer.held_bytes",
+                "Answers of the target that are read ahead of their clients",
+            ),
+            max_answer_bytes: gauge(
+                "filbert.answer_buffer.max_held_bytes",
+                "Answers of the target that may be read ahead of their clients",
+            ),
             ended: meter
                 .u64_counter("filbert.clients.ended")
                 .with_description("Connections ended, and calls refused, to make room")
@@ -41,10 +62,15 @@
     }
 
     /// Updates the gauges.
-    pub(super) fn record(&self, clients: &ClientTable) {
-        self.connections
-            .record(clients.connection_count() as u64, &[]);
+    pub(super) fn record(&self, clients: &ClientTable, answers: &AnswerBuffer) {
+        let limits = clients.limits();
+        let connections = clients.connection_count() as u64;
+        self.connections.record(connections, &[]);
+        self.max_connections.record(limits.connections as u64, &[]);
         self.held_bytes.record(clients.held_bytes(), &[]);
-        self.max_held_bytes.record(clients.max_held_bytes(), &[]);
+        self.max_held_bytes.record(limits.held_bytes, &[]);
+        self.calls_ahead.record(clients.calls_ahead() as u64, &[]);
+        self.answer_bytes.record(answers.held_bytes(), &[]);
+        self.max_answer_bytes.record(answers.max_held_bytes(), &[]);
     }
 }
--- a/tests/mesh_operator.rs
+++ b/tests/mesh_operator.rs
@@ -119,6 +119,10 @@
         hosts[0]["daemon"]["memory_bytes"].as_u64() > Some(0),
         "{shown}"
     );
+    let clients = &hosts[0]["daemon"]["clients"];
+    for kind in ["connections", "call_bytes", "answer_bytes"] {
+        assert!(clients[kind]["limit"].as_u64() > Some(0), "{kind}: {shown}");
+    }
     fleet.hosts[0].kill();
     let args = ["status", "--metrics-port", &port];
     let shown = stdout_of(&filbertctl(&fleet, &args).await);
