Do not let slots that are held make every waiting call a short one

Callers: beside a target whose four slots were held by answers without end, a call waited for 1.5 s of its 2 s and was then refused with 503, too late to be sent anywhere else.

Cause: a short call, of at most half the mean run time at the target, may wait for 0.6 runs, twice that once it waits. Runs that are overdue count with their age in that mean. So with every second for which the slots were held, the mean grew, every call of 16 ms counted as short, and what it might wait grew as fast as it waited (gate_declined waited_ms=1500 run_ms=1742 own_run_ms=16). It ended only when its deadline left no time to run.

What is short is judged by the time that the runs in progress were expected to take; their age still counts for when a slot becomes free. With no run overdue both are the same, so nothing changes in calm or at a target that states its pace.

--- a/crates/mesh/src/gate/estimate.rs
+++ b/crates/mesh/src/gate/estimate.rs
@@ -88,10 +88,25 @@
         }
     }
 
-    /// Tells the queue how the run times of its calls have changed.
-    pub(super) fn update_queue_pace(&mut self, now: Instant) {
+    /// Tells the queue how the run times of its calls have changed, and what is usual now.
+    pub(super) fn update_queue_estimates(&mut self, now: Instant) {
         let factor = self.run_factor(now).unwrap_or(1.0);
         self.queue.set_run_factor(factor);
+        self.queue.set_usual_run(self.usual_run_time(now));
+    }
+
+    /// Mean time that the runs in progress were expected to take, or of past runs if there
+    /// are none.
+    fn usual_run_time(&self, now: Instant) -> Duration {
+        let factor = self.run_factor(now).unwrap_or(1.0);
+        let runs = self.active_runs.values();
+        let expected: Duration = runs.map(|run| run.expected).sum();
+        let usual = if self.active_runs.is_empty() {
+            self.run_times.mean()
+        } else {
+            expected.div_f64(count_to_f64(self.active_runs.len()))
+        };
+        usual.mul_f64(factor)
     }
 
     /// Long-term part of a run that took `took`.
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -145,7 +145,7 @@
             let state = &mut *state;
             let accepts = self.accepts(state, &call.service, now);
             state.queue.set_open(accepts);
-            state.update_queue_pace(now);
+            state.update_queue_estimates(now);
             let mean_run = state.mean_run_time(now);
             match state.queue.offer(request, mean_run, now) {
                 AdmissionDecision::Run => None,
@@ -218,7 +218,7 @@
             if state.queue.waiting() == 0 {
                 return;
             }
-            state.update_queue_pace(now);
+            state.update_queue_estimates(now);
             let mean_run = state.mean_run_time(now);
             let outcomes = if self.target_state(state, now) == TargetState::Closed {
                 state.queue.decline_all(mean_run)
--- a/crates/policy/src/admission/offer.rs
+++ b/crates/policy/src/admission/offer.rs
@@ -46,7 +46,7 @@
             // Declines a call whose answer the host's link cannot transmit in
             // time, even if a slot is free. Otherwise answers of 90 KB queue
             // up for a link of 7.5 Mbit/s until all of them are late.
-            let no_wait = ExpectedWait::none(mean_run);
+            let no_wait = ExpectedWait::none(self.usual_run(mean_run));
             let link_has_capacity = request.link.wait.is_zero()
                 || no_wait.meets_soft_deadline(&request, now)
                 || no_wait.is_worth_queueing(&request, now);
--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -39,6 +39,8 @@
     pub(super) is_open: bool,
     /// Ratio of the run times now to the long-term ones.
     run_factor: f64,
+    /// Mean time that the calls in progress were expected to run; `None` if not set.
+    usual_run: Option<Duration>,
     pub(super) offered_load: OfferedLoad,
     pub(super) limit: TargetLimit,
 }
@@ -58,6 +60,7 @@
             next_ticket: 0,
             is_open: false,
             run_factor: 1.0,
+            usual_run: None,
             offered_load: OfferedLoad::default(),
             limit: TargetLimit::default(),
         }
@@ -183,6 +186,18 @@
         self.run_factor = factor;
     }
 
+    /// Sets the mean time that the calls in progress were expected to run, however long
+    /// they have run by now.
+    pub fn set_usual_run(&mut self, usual_run: Duration) {
+        self.usual_run = Some(usual_run);
+    }
+
+    /// Mean run time by which a call counts as short, where `mean_run` is the mean run time
+    /// of the calls at the target.
+    pub(super) fn usual_run(&self, mean_run: Duration) -> Duration {
+        self.usual_run.map_or(mean_run, |usual| usual.min(mean_run))
+    }
+
     /// Time of the target's whole capacity that the call takes: its share of the slots,
     /// or of the limit if that is scarcer.
     pub(super) fn capacity_time(&self, request: &AdmissionRequest) -> Duration {
@@ -207,7 +222,7 @@
         ExpectedWait::under_load(
             without_arrivals,
             self.offered_load.ahead_of(order, is_contended, now),
-            mean_run,
+            self.usual_run(mean_run),
         )
     }
 
--- a/crates/policy/src/admission/wait.rs
+++ b/crates/policy/src/admission/wait.rs
@@ -17,9 +17,9 @@
 /// that are still in time.
 const MAX_LATE_LINK_WAIT_RUNS: f64 = 0.6;
 /// Wait up to which a short, likely late call is queued even beyond the limits below,
-/// in mean run times of the calls at the target. A few slots become free in that time.
+/// in usual run times of the calls at the target. A few slots become free in that time.
 const SHORT_CALL_WAIT_RUNS: f64 = 0.6;
-/// Maximum run time of a short call, as a ratio of the mean run time of the calls at
+/// Maximum run time of a short call, as a ratio of the usual run time of the calls at
 /// the target.
 pub const SHORT_RUN_RATIO: f64 = 0.5;
 /// Maximum wait of a likely late call, as a ratio of the time from its arrival to
@@ -40,17 +40,18 @@
     without_arrivals: Duration,
     /// Wait if further calls arrive at the present rate; some start ahead of the call.
     with_arrivals: Duration,
-    /// Mean run time of the calls at the target.
-    mean_run: Duration,
+    /// Mean run time that the calls at the target usually have. Calls that hold their slots
+    /// without an end make no other call short.
+    usual_run: Duration,
 }
 
 impl ExpectedWait {
     /// The wait of a call that starts immediately.
-    pub(super) fn none(mean_run: Duration) -> ExpectedWait {
+    pub(super) fn none(usual_run: Duration) -> ExpectedWait {
         ExpectedWait {
             without_arrivals: Duration::ZERO,
             with_arrivals: Duration::ZERO,
-            mean_run,
+            usual_run,
         }
     }
 
@@ -60,12 +61,12 @@
     pub(super) fn under_load(
         without_arrivals: Duration,
         load_ahead: f64,
-        mean_run: Duration,
+        usual_run: Duration,
     ) -> ExpectedWait {
         ExpectedWait {
             without_arrivals,
             with_arrivals: without_arrivals.div_f64(1.0 - load_ahead.min(MAX_LOAD_AHEAD)),
-            mean_run,
+            usual_run,
         }
     }
 
@@ -96,8 +97,8 @@
     /// whose other runs take 480 ms. Declining a lookup fails the call that
     /// depends on it, whereas running it occupies a slot only briefly.
     fn short_call_wait(&self, request: &AdmissionRequest) -> Duration {
-        if request.run.mean <= self.mean_run.mul_f64(SHORT_RUN_RATIO) {
-            self.mean_run.mul_f64(SHORT_CALL_WAIT_RUNS)
+        if request.run.mean <= self.usual_run.mul_f64(SHORT_RUN_RATIO) {
+            self.usual_run.mul_f64(SHORT_CALL_WAIT_RUNS)
         } else {
             Duration::ZERO
         }
