Look at the admin port's connections only as often as needed

The sockets of both ports of a daemon over our own store were looked at every 50 ms, which only the limit on heads at the proxy asks for. At the admin port, whose heads are not counted, it is every second again until its connections are many.

--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -192,6 +192,11 @@
         spared
     }
 
+    /// Whether the `open` connections have to be looked at often.
+    fn needs_close_watch(&self, open: usize) -> bool {
+        self.max_head_bytes.is_some() || open >= self.limits.connections / 2
+    }
+
     /// Removes the connections to the local `port` whose clients have sent too long a head.
     /// Returns them.
     fn take_long_heads(&self, port: u16) -> Vec<SocketAddr> {
--- a/crates/daemon/src/clients/reaper.rs
+++ b/crates/daemon/src/clients/reaper.rs
@@ -7,9 +7,11 @@
 use super::sockets::{limit_receive_buffers, open_sockets, shut_down, OpenSocket};
 use super::ClientConnections;
 
-/// Interval at which the connections are looked at: a crowd that comes at once sends some 25 MB
-/// in this time.
-const COUNT_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which the connections are looked at where they are many or their heads are
+/// limited: a crowd that comes at once sends some 25 MB in this time.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval otherwise.
+const COUNT_INTERVAL: Duration = Duration::from_secs(1);
 /// Size of a connection's receive buffer. The HTTP library doubles its own, up to 400 KiB for
 /// each connection, whenever a read fills it.
 const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
@@ -19,7 +21,7 @@
 pub async fn end_spare_connections(connections: Arc<ClientConnections>, port: u16) {
     // The HTTP server opens its listening socket after the start.
     while !limit_receive_buffers(port, RECEIVE_BUFFER_BYTES) {
-        tokio::time::sleep(COUNT_INTERVAL).await;
+        tokio::time::sleep(CLOSE_INTERVAL).await;
     }
     loop {
         let open = open_sockets(port);
@@ -27,7 +29,12 @@
         end_connections(port, "connections", &spared, &open);
         let long = connections.take_long_heads(port);
         end_connections(port, "head", &long, &open);
-        tokio::time::sleep(COUNT_INTERVAL).await;
+        let interval = if connections.needs_close_watch(open.len()) {
+            CLOSE_INTERVAL
+        } else {
+            COUNT_INTERVAL
+        };
+        tokio::time::sleep(interval).await;
     }
 }
 
