Leave room for the start of a body in the limit on heads

By reading: what a client over our own store has sent before its call begins is its head and, behind it, what the socket's buffer and the library's first read hold of its body, some 64 KiB together when the call is slow to begin. The limit on heads was 64 KiB for both, so that an honest upload could have been ended under load.

--- a/crates/daemon/src/clients/call.rs
+++ b/crates/daemon/src/clients/call.rs
@@ -44,8 +44,7 @@
     }
 
     /// Charges `bytes` of the call or its answer, which have this `size`, until the call
-    /// ends. Ends other connections
-    /// if too much is held then.
+    /// ends. Ends other connections if too much is held then.
     ///
     /// # Errors
     /// [`MemoryFull`] if this connection is the one that holds most and progresses least, or
--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -28,8 +28,9 @@
 const CONNECTION_BYTES: u64 = 64 * 1024;
 /// Time that it takes to read which connections are open, at most.
 const MAX_SCAN_TIME: Duration = Duration::from_millis(5);
-/// Maximum length of a call's head, in bytes. The HTTP server reads up to 400 KiB of one.
-const MAX_HEAD_BYTES: u64 = 64 * 1024;
+/// Maximum number of bytes that come before a call begins: a head of 64 KiB, and the start of
+/// its body. The HTTP server reads up to 400 KiB of a head.
+const MAX_HEAD_BYTES: u64 = 96 * 1024;
 
 /// One connection.
 #[derive(Clone, Copy, Debug)]
@@ -125,7 +126,8 @@
 /// All connections of clients, with what is held for them.
 pub struct ClientConnections {
     limits: ResourceLimits,
-    /// Maximum length of a call's head, in bytes; `None` at a port whose calls are not counted.
+    /// Maximum number of bytes before a call begins; `None` at a port whose calls are not
+    /// counted.
     max_head_bytes: Option<u64>,
     state: Mutex<ClientState>,
     clock: Arc<dyn Clock>,
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -115,9 +115,9 @@
     }
 }
 
-/// Accepts links from peers and serves each in a task of its own. Does not return: if
-/// accepting a connection fails, it tries again after 50 ms.
-/// At most `max_pending` links may be without a first message.
+/// Accepts links from peers and serves each in a task of its own. At most `max_pending` links
+/// may be without a first message. Does not return: if accepting a connection fails, it tries
+/// again after 50 ms.
 pub async fn serve_peers(
     listener: TcpListener,
     max_pending: usize,
