Check the calls of an outage by host, and each against its back-off

The bound was wrong: it allowed six sources one call every 0.3 s each, which is 22 with the short first delays, and nothing to the others. The three restarted daemons also read their targets' shutdowns three times each, which the sum counted.

New, and exact: no call comes before the back-off of the failure before it has ended.

It is stricter for what it guards against.

--- a/tests/mesh_members.rs
+++ b/tests/mesh_members.rs
@@ -9,6 +9,7 @@
 
 use filbert_platform_standin::{config_text, Host, RouteSpec, StandinStore, StoreFault};
 use filbert_policy::membership::{plan_links, HostView, LinkLimits, Reachability};
+use filbert_policy::store_access::{backoff_delay, StoreAccess};
 use filbert_standin::fault_proxy::{FaultMode, FaultProxy};
 use nix::sys::signal::Signal;
 use rstest::rstest;
@@ -611,12 +612,73 @@
     assert_eq!(fleet.store.calls("/rows-get") - reads, 1, "{log}");
 }
 
+/// Time between two log lines that are less than a day apart.
+fn time_between(before: &str, after: &str) -> Duration {
+    const DAY_MILLIS: i64 = 24 * 60 * 60 * 1_000;
+    let millis_of_day = |line: &str| -> i64 {
+        let (_, time) = line.split_once('T').expect("a time");
+        let digits = |from: usize, to: usize| -> i64 { time[from..to].parse().expect("digits") };
+        let seconds = (digits(0, 2) * 60 + digits(3, 5)) * 60 + digits(6, 8);
+        seconds * 1_000 + digits(9, 12)
+    };
+    let millis = (millis_of_day(after) - millis_of_day(before)).rem_euclid(DAY_MILLIS);
+    Duration::from_millis(millis.unsigned_abs())
+}
+
+/// Checks that no call for the configuration in `log` comes before the wait after the failure of
+/// the one before it has ended.
+fn check_retry_delays(log: &str) {
+    /// The least jitter gives the shortest delays.
+    const JITTER: f64 = 0.0;
+    const LOG_TIME_RESOLUTION: Duration = Duration::from_millis(1);
+    let mut failed: Option<(u32, &str)> = None;
+    let calls = |line: &&str| line.contains("event=store_asked subject=Configuration");
+    for line in log.lines().filter(calls) {
+        let (_, failures) = line.rsplit_once('=').expect("the failures");
+        let failures: u32 = failures.parse().expect("a number");
+        let before = failed.filter(|(before, _)| before + 1 == failures);
+        if let Some((_, before)) = before {
+            let is_source = [before, line]
+                .iter()
+                .any(|line| line.contains("is_source=true"));
+            let access = if is_source {
+                StoreAccess::ForFleet
+            } else {
+                StoreAccess::ForOwnHost
+            };
+            let delay = backoff_delay(failures, access, JITTER);
+            let passed = time_between(before, line);
+            let is_due = passed + LOG_TIME_RESOLUTION >= delay;
+            assert!(is_due, "{passed:?} of {delay:?}\n{before}\n{line}");
+        }
+        failed = Some((failures, line));
+    }
+}
+
+/// The maximum number of calls of a daemon's feeds during an outage of the store.
+fn max_failed_calls(outage: Duration, access: StoreAccess) -> usize {
+    /// The least jitter gives the shortest delays and thus the most calls.
+    const JITTER: f64 = 0.0;
+    /// The feed of the members waits for that of the configuration once both have failed.
+    const MEMBERSHIP_CALLS: usize = 2;
+    let mut elapsed = Duration::ZERO;
+    let mut failures = 0;
+    while elapsed < outage {
+        failures += 1;
+        elapsed += backoff_delay(failures, access, JITTER);
+    }
+    MEMBERSHIP_CALLS + failures as usize
+}
+
 /// The store is unreachable for long while a fleet of followers runs and some
 /// of its daemons are restarted. The daemons must not each make failing calls
 /// twice a second: the calls would grow with the hosts.
 #[tokio::test]
 async fn an_outage_causes_few_calls() {
     const OUTAGE: Duration = Duration::from_secs(6);
+    /// A daemon that was started reads the shutdowns of its target at once, and again
+    /// 1.4 s and 4.2 s later or more.
+    const MAX_SHUTDOWN_READS: usize = 3;
     let mut fleet = zones().await;
     assert!(eventually(WAIT_TIMEOUT, || async { followers(&fleet).len() == 7 }).await);
     fleet.store.set_fault(StoreFault::ResetsConnections);
@@ -628,14 +690,39 @@
     }
     tokio::time::sleep(OUTAGE).await;
     let calls = feed_calls(&fleet) - before;
-    let calls_by_host =
-        |host: &Host, before: &usize| host.log()[*before..].matches("event=store_asked").count();
-    let by_host: Vec<usize> = std::iter::zip(&fleet.hosts, &logs_before)
-        .map(|(host, before)| calls_by_host(host, before))
-        .collect();
-    // Six daemons that read the store for others make a call every 0.3 s or
-    // less often, and the restarted ones a few.
-    assert!(calls <= 6 * 20, "{calls} calls, by host {by_host:?}");
+    let lines_by_host = |event: &str| -> Vec<usize> {
+        std::iter::zip(&fleet.hosts, &logs_before)
+            .map(|(host, before)| host.log()[*before..].matches(event).count())
+            .collect()
+    };
+    let by_host = lines_by_host("event=store_asked");
+    let max_for_fleet = max_failed_calls(OUTAGE, StoreAccess::ForFleet);
+    let max_for_own_host = max_failed_calls(OUTAGE, StoreAccess::ForOwnHost);
+    let for_fleet = by_host.iter().filter(|calls| **calls > max_for_own_host);
+    assert!(
+        for_fleet.count() <= LinkLimits::default().max_sources,
+        "{by_host:?} calls by host, {max_for_own_host} allowed to a host that is no source"
+    );
+    assert!(
+        by_host.iter().all(|calls| *calls <= max_for_fleet),
+        "{by_host:?} calls by host, {max_for_fleet} allowed to a source"
+    );
+    for (host, before) in std::iter::zip(&fleet.hosts, &logs_before) {
+        check_retry_delays(&host.log()[*before..]);
+    }
+    let shutdown_reads = lines_by_host("event=shutdowns_unread");
+    assert!(
+        shutdown_reads
+            .iter()
+            .all(|reads| *reads <= MAX_SHUTDOWN_READS),
+        "{shutdown_reads:?} reads of shutdowns by host"
+    );
+    // The last call of each host may not have failed yet.
+    let logged = [by_host, shutdown_reads].concat().iter().sum::<usize>();
+    assert!(
+        calls <= (logged + fleet.hosts.len()) as u64,
+        "{calls} calls at the store, {logged} logged"
+    );
     fleet.store.set_fault(StoreFault::None);
     publish(&fleet.store, 2, &routes_of(2));
     let all: Vec<usize> = (0..fleet.hosts.len()).collect();
