Name a zone's successors in the order in which they joined

Evidence: the test now prints the status and the log of each daemon of the zone.

Cause: the list of successors was in the order of the links. Hellos overtake each other: each peer was told of itself first, and a daemon that finds itself first acts as the relay. The relay was killed 115 ms after they had joined; lists are sent a second apart. The split lasts until the dead relay's lease lapses.

Fix: the order of the hellos, in which each list begins with those sent before, so that all try the same daemon first.

--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -27,6 +27,8 @@
 struct PeerEntry {
     id: String,
     address: String,
+    /// How many peers had joined before it.
+    join_order: u64,
     /// The version that the peer reported as applied.
     applied: u64,
     /// The newest version that the peer rejected, with the reason.
@@ -37,10 +39,12 @@
     last_received_at: Instant,
 }
 
-/// The peers linked to this relay, by link number and therefore oldest link first.
+/// The peers linked to this relay, by link number.
 #[derive(Debug, Default)]
 pub(super) struct PeerTable {
     links: BTreeMap<u64, PeerEntry>,
+    /// Number of peers that have joined since the start.
+    joined: u64,
     /// Daemons without a link whose targets may still be known, and since when.
     unlinked: BTreeMap<String, Instant>,
     /// Whether the zone's digest row is out of date.
@@ -124,11 +128,13 @@
         let entry = PeerEntry {
             id: hello.id,
             address: hello.address,
+            join_order: self.peers.joined,
             applied: hello.applied,
             rejected: hello.rejected,
             sent_version: hello.applied,
             last_received_at: self.at.now,
         };
+        self.peers.joined += 1;
         self.peers.links.insert(peer, entry);
         self.peers.digest_dirty = true;
         self.welcome(peer, effects);
@@ -309,12 +315,17 @@
     }
 
     /// The zone's membership according to this relay's links.
+    ///
+    /// The successors are in the order in which they joined, in which each list begins with
+    /// those sent before. By the order of their links, three peers whose hellos overtake each
+    /// other could each be told of itself first, and each relay for itself alone when this
+    /// relay is lost before the next broadcast.
     pub(super) fn current_membership(&self) -> ZoneMembership {
+        let mut joined: Vec<&PeerEntry> = self.peers.links.values().collect();
+        joined.sort_unstable_by_key(|entry| entry.join_order);
         ZoneMembership {
-            successors: self
-                .peers
-                .links
-                .values()
+            successors: joined
+                .into_iter()
                 .take(MAX_SUCCESSORS)
                 .map(|entry| entry.address.clone())
                 .collect(),
--- a/crates/daemon/tests/control_cases.rs
+++ b/crates/daemon/tests/control_cases.rs
@@ -11,7 +11,7 @@
     StateChange, ZoneRole,
 };
 use filbert_daemon::messages::{
-    PeerMessage, RelayMessage, RelayWelcome, TargetChange, ZoneMembership,
+    PeerHello, PeerMessage, RelayMessage, RelayWelcome, TargetChange, ZoneMembership,
 };
 use filbert_daemon::settings::DistributionMode;
 use filbert_store::{LeaseRecord, TargetAnnouncement, TargetRecord};
@@ -389,6 +389,45 @@
     assert!(is_sent, "{effects:?}");
 }
 
+/// Guards against peers that each relay for themselves alone: their hellos overtook each other,
+/// each was told of itself as the first successor, and the relay was lost soon after.
+#[test]
+fn successors_are_in_the_order_of_their_hellos() {
+    let mut daemon = TestDaemon::in_mode(DistributionMode::Relay);
+    acquire_lease(&mut daemon, 100);
+    let mut told = Vec::new();
+    for link in [3, 1, 2] {
+        let message = PeerMessage::Hello(PeerHello {
+            id: format!("b{link}"),
+            address: format!("127.0.0.1:{link}"),
+            applied: 0,
+            rejected: None,
+            targets: Vec::new(),
+        });
+        let received = ControlEvent::PeerMessageReceived {
+            peer: link,
+            message,
+        };
+        told.extend(daemon.step_at(110, received).iter().find_map(successors));
+    }
+    let joined = ["127.0.0.1:3", "127.0.0.1:1", "127.0.0.1:2"];
+    for (others, successors) in told.iter().enumerate() {
+        assert_eq!(*successors, joined[..=others]);
+    }
+    assert_eq!(told.len(), joined.len());
+}
+
+/// The successors that a welcome states.
+fn successors(effect: &ControlEffect) -> Option<Vec<String>> {
+    let ControlEffect::SendToPeers { message, .. } = effect else {
+        return None;
+    };
+    match &**message {
+        RelayMessage::Welcome(welcome) => Some(welcome.zone.successors.clone()),
+        _ => None,
+    }
+}
+
 fn lease_record(holder: &str, address: &str) -> LeaseRecord {
     LeaseRecord {
         holder: holder.to_owned(),
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -13,8 +13,8 @@
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use support::{
-    get, known_target_count, mesh_spec, relay_index, start_mesh_with_example, DAEMON_EXE,
-    WAIT_TIMEOUT,
+    get, known_target_count, mesh_spec, print_zone, relay_index, start_mesh_with_example,
+    DAEMON_EXE, WAIT_TIMEOUT,
 };
 
 /// Calls that each concurrent caller makes.
@@ -454,6 +454,9 @@
             let response = get(&daemon.proxy_url, "north-signs", &format!("/quotes/{call}")).await;
             let status = response.status();
             let text = response.text().await.unwrap_or_default();
+            if status != 200 {
+                print_zone(&mesh, "zone-a").await;
+            }
             let known = known_target_count(daemon, "quoting").await;
             assert_eq!(
                 status, 200,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -88,6 +88,14 @@
     false
 }
 
+/// Prints the status and the log of each daemon of `zone`.
+pub async fn print_zone(mesh: &LocalMesh, zone: &str) {
+    for daemon in mesh.daemons.iter().filter(|daemon| daemon.zone == zone) {
+        let log = std::fs::read_to_string(&daemon.log_path).unwrap_or_default();
+        eprintln!("{} {}\n{log}", daemon.id, status(daemon).await);
+    }
+}
+
 /// Waits until the daemons at `indices` all have version `number` in force.
 /// Returns false when one of them doesn't within [`WAIT_TIMEOUT`], after printing
 /// the logs of its zone.
@@ -100,14 +108,7 @@
         .await;
         if !applied {
             eprintln!("{} did not apply version {number}", daemon.id);
-            for daemon in mesh
-                .daemons
-                .iter()
-                .filter(|other| other.zone == daemon.zone)
-            {
-                let log = std::fs::read_to_string(&daemon.log_path).unwrap_or_default();
-                eprintln!("{} {}\n{log}", daemon.id, status(daemon).await);
-            }
+            print_zone(mesh, &daemon.zone).await;
             return false;
         }
     }
