Wait for the hosts' rows in the test of filbertctl mesh hosts

Cause: it read the list as soon as both daemons were ready, but a daemon's row is written within two seconds of its start, and nothing promises it at readiness.

--- a/tests/mesh_operator.rs
+++ b/tests/mesh_operator.rs
@@ -6,8 +6,9 @@
 
 use std::process::Output;
 
+use filbert_mesh::rows::HOSTS_TABLE;
 use filbert_platform_standin::{config_text, RouteSpec};
-use users::{fleet, publish, Fleet};
+use users::{eventually, fleet, publish, Fleet, WAIT_TIMEOUT};
 
 /// Runs `filbertctl mesh` with `args` against the fleet's store.
 async fn filbertctl(fleet: &Fleet, args: &[&str]) -> Output {
@@ -56,6 +57,8 @@
         subtree.contains("r-0") && !subtree.contains("r-1"),
         "{subtree}"
     );
+    let are_registered = || async { fleet.store.keys(HOSTS_TABLE).len() == 2 };
+    assert!(eventually(WAIT_TIMEOUT, are_registered).await);
     let hosts = stdout_of(&filbertctl(&fleet, &["hosts", "--output", "json"]).await);
     let hosts: serde_json::Value = serde_json::from_str(&hosts).expect("JSON");
     assert_eq!(hosts[1]["id"], "quoter");
