Take only a whole answer with status 200 for a daemon's metrics in filbertctl

What operators would have seen: filbertctl mesh status, watch, services and organisations took the text of any response for a daemon's metrics, whatever its status: watch could say that a version is in force everywhere because a server in trouble answered 600, or 503, in a daemon's place. report sample took 600 to 999, which the HTTP library does not refuse.

Both read through one function now, which takes status 200 alone.

--- a/crates/ctl/src/cmd/mesh.rs
+++ b/crates/ctl/src/cmd/mesh.rs
@@ -12,6 +12,7 @@
 use filbert_platform::store::{StoreClient, CONFIG_KEY, OPERATOR_TABLE};
 use filbert_policy::clock::SystemClock;
 
+use super::answer::answer_text;
 use super::{held, organisations, rollout, services};
 use crate::cli::{ConfigFormat, MeshCommand, OutputFormat};
 use crate::error::CtlError;
@@ -304,6 +305,6 @@
     path: &str,
 ) -> Option<String> {
     let host = member.address.rsplit_once(':')?.0;
-    let response = http.get(format!("http://{host}:{port}{path}")).send();
-    response.await.ok()?.text().await.ok()
+    let request = http.get(format!("http://{host}:{port}{path}"));
+    answer_text(request).await.ok()
 }
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one module each, and their dispatch in [`run`].
 
 mod accept;
+mod answer;
 mod completions;
 mod diff;
 mod edit;
--- a/crates/ctl/src/cmd/report.rs
+++ b/crates/ctl/src/cmd/report.rs
@@ -8,6 +8,7 @@
 
 use error_stack::{Report, ResultExt};
 
+use super::answer::answer_text;
 use crate::cli::{BurnArgs, ReportCommand};
 use crate::error::CtlError;
 use crate::report::burn::{BurnReport, BurnSettings};
@@ -58,18 +59,10 @@
 }
 
 /// Fetches the counters in a daemon's `/metrics`, by name.
-async fn fetch_counters(
-    http: &reqwest::Client,
-    daemon: &str,
-) -> reqwest::Result<BTreeMap<String, u64>> {
+async fn fetch_counters(http: &reqwest::Client, daemon: &str) -> CtlResult<BTreeMap<String, u64>> {
     let url = format!("{}/metrics", daemon.trim_end_matches('/'));
-    http.get(url)
-        .timeout(DAEMON_TIMEOUT)
-        .send()
-        .await?
-        .error_for_status()?
-        .json()
-        .await
+    let text = answer_text(http.get(url).timeout(DAEMON_TIMEOUT)).await?;
+    serde_json::from_str(&text).change_context(CtlError::Platform)
 }
 
 fn burn(args: &BurnArgs) -> CtlResult<()> {
--- a/tests/mesh_operator.rs
+++ b/tests/mesh_operator.rs
@@ -1,11 +1,17 @@
 //! Tests of the operator's commands `filbertctl mesh`, with stand-ins for the rest of the
 //! platform.
 
+#[path = "support/answering_server.rs"]
+mod answering_server;
+#[path = "support/faulty_heads.rs"]
+mod faulty_heads;
 #[path = "support/users.rs"]
 mod users;
 
 use std::process::Output;
 
+use answering_server::AnsweringServer;
+use faulty_heads::{faulty_heads, FaultyHead};
 use filbert_mesh::rows::HOSTS_TABLE;
 use filbert_platform_standin::{config_text, RouteSpec};
 use users::{eventually, fleet, publish, Fleet, WAIT_TIMEOUT};
@@ -131,3 +137,37 @@
     let shown = stdout_of(&filbertctl(&fleet, &args).await);
     assert!(shown.contains("does not answer"), "{shown}");
 }
+
+/// Guards against a version that is said to be in force because a server in trouble, or none of
+/// ours, answered in a daemon's place.
+#[tokio::test]
+async fn a_faulty_head_is_no_answer_of_a_daemon() {
+    const METRICS: &str = "filbert_version{} 7\n";
+    let routes = [RouteSpec::reads("/read/", "quotes")];
+    let fleet = fleet(&routes, &[("quoter", "b", "quotes")]).await;
+    let sound = FaultyHead::NONE.answer("", METRICS);
+    assert!(
+        shows_version(&fleet, sound).await,
+        "a sound head is refused"
+    );
+    let refusal = FaultyHead {
+        fault: "a refusal".to_owned(),
+        status: "503",
+        ..FaultyHead::NONE
+    };
+    for head in faulty_heads().into_iter().chain([refusal]) {
+        let answer = head.answer("", METRICS);
+        assert!(!shows_version(&fleet, answer).await, "{}", head.fault);
+    }
+}
+
+/// Whether `filbertctl mesh status` shows a version for the only host when its metrics port
+/// answers `answer`.
+async fn shows_version(fleet: &Fleet, answer: Vec<u8>) -> bool {
+    let server = AnsweringServer::start(answer).await;
+    let (_, port) = server.address.rsplit_once(':').expect("a port");
+    let args = ["status", "--metrics-port", port, "--output", "json"];
+    let shown = stdout_of(&filbertctl(fleet, &args).await);
+    let hosts: serde_json::Value = serde_json::from_str(&shown).expect("JSON");
+    !hosts[0]["daemon"].is_null()
+}
