--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -32,7 +32,7 @@
 const MAX_SCAN_TIME: Duration = Duration::from_millis(5);
 /// Maximum number of bytes that come before a call begins: a head of 64 KiB, and the start of
 /// its body. The HTTP server reads up to 400 KiB of a head.
-const MAX_HEAD_BYTES: u64 = 96 * 1024;
+const MAX_BYTES_BEFORE_CALL: u64 = 96 * 1024;
 /// Part of a head that has to come after an answer for its call not to have been sent ahead. The
 /// length of a head is known to within a few bytes for each field.
 const HEAD_PARTS: u64 = 2;
@@ -151,7 +151,7 @@
     limits: ResourceLimits,
     /// Maximum number of bytes before a call begins; `None` at a port whose calls are not
     /// counted.
-    max_head_bytes: Option<u64>,
+    max_bytes_before_call: Option<u64>,
     state: Mutex<ClientState>,
     clock: Arc<dyn Clock>,
 }
@@ -167,7 +167,7 @@
         };
         ClientConnections {
             limits: ResourceLimits::new(machine, CONNECTION_BYTES),
-            max_head_bytes: Some(MAX_HEAD_BYTES),
+            max_bytes_before_call: Some(MAX_BYTES_BEFORE_CALL),
             state: Mutex::default(),
             clock,
         }
@@ -176,10 +176,10 @@
     /// Creates an empty table of at most `connections`, fewer if the process has few
     /// descriptors, at a port whose calls are not counted.
     #[must_use]
-    pub fn with_limit(connections: usize, clock: Arc<dyn Clock>) -> ClientConnections {
+    pub fn with_uncounted_calls(connections: usize, clock: Arc<dyn Clock>) -> ClientConnections {
         let mut table = ClientConnections::new(clock);
         table.limits.connections = table.limits.connections.min(connections);
-        table.max_head_bytes = None;
+        table.max_bytes_before_call = None;
         table
     }
 
@@ -219,19 +219,20 @@
 
     /// Whether the `open` connections have to be looked at often.
     fn needs_close_watch(&self, open: usize) -> bool {
-        self.max_head_bytes.is_some() || open >= self.limits.connections / 2
+        self.max_bytes_before_call.is_some() || open >= self.limits.connections / 2
     }
 
     /// Removes the connections to the local `port` whose clients have sent too long a head.
     /// Returns them.
     fn take_long_heads(&self, port: u16) -> Vec<SocketAddr> {
-        let Some(max_head_bytes) = self.max_head_bytes else {
+        let Some(max_bytes_before_call) = self.max_bytes_before_call else {
             return Vec::new();
         };
         let between_calls = self.between_calls();
         let long = between_calls.into_iter().filter(|connection| {
             let received = connection.socket.and_then(|open| open.received(port));
-            received.is_some_and(|bytes| bytes.total > connection.ended_bytes + max_head_bytes)
+            received
+                .is_some_and(|bytes| bytes.total > connection.ended_bytes + max_bytes_before_call)
         });
         let peers = long.filter_map(|connection| {
             let peer = connection.socket?.peer;
--- a/crates/daemon/src/links/pending.rs
+++ b/crates/daemon/src/links/pending.rs
@@ -4,16 +4,10 @@
 use std::future::Future;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 
+use filbert_policy::client_budget::{FIRST_MESSAGE_TIMEOUT_STEP, FIRST_MESSAGE_TIMEOUT_STEPS};
 use tokio::sync::oneshot;
 
-/// Step of the time within which a link's first message must have come, and their number. A
-/// host that stood still may have received the message and not read it: only the step that
-/// has begun passes meanwhile.
-const FIRST_MESSAGE_TIMEOUT_STEP: Duration = Duration::from_secs(1);
-const FIRST_MESSAGE_TIMEOUT_STEPS: u32 = 3;
-
 /// Whether a link's first message has come.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FirstMessage(Arc<AtomicBool>);
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -87,7 +87,7 @@
         settings.proxy_listen.port(),
     ));
     let admin_connections =
-        ClientConnections::with_limit(MAX_ADMIN_CONNECTIONS, Arc::clone(&clock));
+        ClientConnections::with_uncounted_calls(MAX_ADMIN_CONNECTIONS, Arc::clone(&clock));
     tokio::spawn(end_spare_connections(
         Arc::new(admin_connections),
         settings.admin_listen.port(),
--- a/crates/daemon/tests/client_cases.rs
+++ b/crates/daemon/tests/client_cases.rs
@@ -63,7 +63,7 @@
         ended.spawn(async move { client.read(&mut [0]).await });
         accepted.push(listener.accept().await.expect("a connection"));
     }
-    let limit = ClientConnections::with_limit(LIMIT, Arc::new(SystemClock));
+    let limit = ClientConnections::with_uncounted_calls(LIMIT, Arc::new(SystemClock));
     let reaper = tokio::spawn(end_spare_connections(Arc::new(limit), address.port()));
     for _ in LIMIT..CONNECTIONS {
         let end = tokio::time::timeout(Duration::from_secs(20), ended.join_next()).await;
--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -158,8 +158,8 @@
                 state.position = None;
                 let returned = shared.store_returned.notified();
                 // The timeout covers a missed notification.
-                let timeout = tokio::time::timeout(STORE_RETURN_POLL_INTERVAL, returned);
-                if timeout.await.is_ok() {
+                let wait = tokio::time::timeout(STORE_RETURN_POLL_INTERVAL, returned);
+                if wait.await.is_ok() {
                     state.backoff.end_wait();
                 }
             }
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -11,6 +11,7 @@
 
 use bytes::{Bytes, BytesMut};
 use filbert_policy::call_limits::AnswerDeadline;
+use filbert_policy::client_budget::{FIRST_MESSAGE_TIMEOUT_STEP, FIRST_MESSAGE_TIMEOUT_STEPS};
 use filbert_policy::fair_share::OrganisationShare;
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
@@ -45,11 +46,6 @@
 /// Time within which the daemon that dials a link completes the handshake. A host that stands
 /// still for a moment may take longer than the dialing side usually waits.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Step of the time within which a link's first message must have come, and their number. A
-/// host that stood still may have received the message and not read it: only the step that
-/// has begun passes meanwhile.
-const HELLO_TIMEOUT_STEP: Duration = Duration::from_secs(1);
-const HELLO_TIMEOUT_STEPS: u32 = 3;
 /// Delay after a failed accept. Without it, running out of file descriptors would
 /// turn the accept loop into a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -81,9 +77,9 @@
 }
 
 /// Returns when the first message of a link should have come.
-async fn await_hello_timeout() {
-    for _ in 0..HELLO_TIMEOUT_STEPS {
-        tokio::time::sleep(HELLO_TIMEOUT_STEP).await;
+async fn await_first_message_timeout() {
+    for _ in 0..FIRST_MESSAGE_TIMEOUT_STEPS {
+        tokio::time::sleep(FIRST_MESSAGE_TIMEOUT_STEP).await;
     }
 }
 
@@ -107,7 +103,7 @@
     let mut connection = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake)
         .await
         .map_err(|_| LinkError::ConnectFailed)??;
-    let mut hello_timeout = pin!(await_hello_timeout());
+    let mut hello_timeout = pin!(await_first_message_timeout());
     loop {
         let accepted = tokio::select! {
             biased;
--- a/crates/policy/src/client_budget/limits.rs
+++ b/crates/policy/src/client_budget/limits.rs
@@ -1,6 +1,7 @@
 //! The limits that follow from the size of the machine.
 
 use std::fmt;
+use std::time::Duration;
 
 /// Memory and descriptors of the machine that the process may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +43,13 @@
     Long,
 }
 
+/// Step of the time within which the first message of a link must have come. A host that stood
+/// still may have received the message and not read it: only the step that has begun passes
+/// meanwhile.
+pub const FIRST_MESSAGE_TIMEOUT_STEP: Duration = Duration::from_secs(1);
+/// Number of steps after which a link's first message is late.
+pub const FIRST_MESSAGE_TIMEOUT_STEPS: u32 = 3;
+
 /// What the process may hold for its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResourceLimits {
--- a/crates/policy/src/client_budget/mod.rs
+++ b/crates/policy/src/client_budget/mod.rs
@@ -17,5 +17,8 @@
 mod refusal_pause;
 
 pub use calls_ahead::slots_for_calls_ahead;
-pub use limits::{call_bytes, CallSize, MachineSize, MemoryFull, ResourceLimits};
+pub use limits::{
+    call_bytes, CallSize, MachineSize, MemoryFull, ResourceLimits, FIRST_MESSAGE_TIMEOUT_STEP,
+    FIRST_MESSAGE_TIMEOUT_STEPS,
+};
 pub use refusal_pause::RefusalPause;
--- a/crates/policy/tests/client_budget_cases.rs
+++ b/crates/policy/tests/client_budget_cases.rs
@@ -84,6 +84,10 @@
     }
 }
 
+fn time_before(now: Instant, passed: Duration) -> Instant {
+    now.checked_sub(passed).expect("a time")
+}
+
 /// One connection, and whether it is the one to end.
 struct EvictionCase {
     name: &'static str,
@@ -103,10 +107,7 @@
 #[test]
 fn who_holds_most_and_progresses_least_ends_first() {
     let now = Instant::now();
-    let before = |seconds| {
-        now.checked_sub(Duration::from_secs(seconds))
-            .expect("a time")
-    };
+    let before = |seconds| time_before(now, Duration::from_secs(seconds));
     let cases = [
         EvictionCase {
             name: "more is held",
@@ -149,10 +150,7 @@
 #[test]
 fn only_answers_that_stand_still_end() {
     let now = Instant::now();
-    let before = |millis| {
-        now.checked_sub(Duration::from_millis(millis))
-            .expect("a time")
-    };
+    let before = |millis| time_before(now, Duration::from_millis(millis));
     let reading = active(900 * KIB, Some(before(200)));
     let unread = active(100 * KIB, Some(before(4_000)));
     let choose = |answers: [ConnectionUse; 3]| choose_stalled(answers.into_iter().enumerate(), now);
@@ -185,10 +183,7 @@
 #[test]
 fn connections_without_a_call_make_room_first() {
     let now = Instant::now();
-    let before = |seconds| {
-        now.checked_sub(Duration::from_secs(seconds))
-            .expect("a time")
-    };
+    let before = |seconds| time_before(now, Duration::from_secs(seconds));
     let cases = [
         EvictionCase {
             name: "it never brought a call",
--- a/tests/mesh_reset_answers.rs
+++ b/tests/mesh_reset_answers.rs
@@ -18,6 +18,15 @@
 const OVER_A_LINK: usize = 0;
 const AT_THE_TARGET: usize = 1;
 
+/// Starts two hosts, of which the target of one answers uploads unread, with this `end`.
+async fn fleet_that_answers_unread(end: AnswerEnd) -> Fleet {
+    let fleet = two_host_fleet("a").await;
+    allow_uploads(&fleet).await;
+    let target = &fleet.hosts[1].target;
+    target.set_behaviour(TargetBehaviour::AnswersUnread(end));
+    fleet
+}
+
 /// Allows long bodies.
 async fn allow_uploads(fleet: &Fleet) {
     let routes = [RouteSpec::reads("/read/", "quotes")];
@@ -49,16 +58,14 @@
 #[case::at_the_target(AT_THE_TARGET)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_answer_that_is_reset_during_an_upload_is_not_complete(#[case] host: usize) {
-    let fleet = two_host_fleet("a").await;
-    allow_uploads(&fleet).await;
-    let target = &fleet.hosts[1].target;
-    target.set_behaviour(TargetBehaviour::AnswersUnread(AnswerEnd::Reset));
+    let fleet = fleet_that_answers_unread(AnswerEnd::Reset).await;
     let mut taken_for_whole = 0;
     for number in 0..UPLOADS {
         let answer = upload(&fleet, host, number).await;
         taken_for_whole += usize::from(answer.is_some_and(|answer| answer.status == 200));
     }
     assert_eq!(taken_for_whole, 0, "of {UPLOADS}");
+    let target = &fleet.hosts[1].target;
     target.set_behaviour(TargetBehaviour::Responds);
     let answer = fleet.hosts[host]
         .call("GET /read/a HTTP/1.1", "read-1", b"")
@@ -72,10 +79,7 @@
 #[case::at_the_target(AT_THE_TARGET)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_answer_that_ends_with_its_connection_is_whole(#[case] host: usize) {
-    let fleet = two_host_fleet("a").await;
-    allow_uploads(&fleet).await;
-    let target = &fleet.hosts[1].target;
-    target.set_behaviour(TargetBehaviour::AnswersUnread(AnswerEnd::Closed));
+    let fleet = fleet_that_answers_unread(AnswerEnd::Closed).await;
     for number in 0..UPLOADS / 3 {
         let answer = upload(&fleet, host, number).await.expect("an answer");
         assert_eq!(answer.status, 200, "{}", fleet.hosts[1].log());
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,10 +1,13 @@
 //! Short randomized soak tests, among them every seed that has ever failed.
 
-use std::path::PathBuf;
+#[path = "support/short_soak.rs"]
+mod short_soak;
+
 use std::time::Duration;
 
-use filbert_platform_standin::soak::{self, SoakExtra, SoakSpec};
+use filbert_platform_standin::soak::SoakExtra;
 use rstest::rstest;
+use short_soak::check_soak;
 
 /// Daemons are killed, paused, stopped, cut off and reloaded while targets, the
 /// store and links misbehave and versions change. The guarantees to callers must
@@ -47,17 +50,5 @@
     #[case] hosts: usize,
     #[case] extras: &[SoakExtra],
 ) {
-    let report = soak::run(&SoakSpec {
-        daemon_path: PathBuf::from(env!("CARGO_BIN_EXE_filbertd")),
-        seed,
-        length: Duration::from_secs(12),
-        hosts,
-        callers: 3,
-        extras: extras.to_vec(),
-        has_random_faults: true,
-        logs: None,
-    })
-    .await;
-    println!("{}", report.text());
-    assert!(report.violations.is_empty(), "{}", report.text());
+    check_soak(seed, Duration::from_secs(12), hosts, extras).await;
 }
--- a/tests/soak_crowds.rs
+++ b/tests/soak_crowds.rs
@@ -1,11 +1,14 @@
 //! Short randomized soak with crowds of clients that read no answers. It is a binary of its own, so
 //! that it runs beside no other test.
 
-use std::path::PathBuf;
+#[path = "support/short_soak.rs"]
+mod short_soak;
+
 use std::time::Duration;
 
-use filbert_platform_standin::soak::{self, SoakExtra, SoakSpec};
+use filbert_platform_standin::soak::SoakExtra;
 use rstest::rstest;
+use short_soak::check_soak;
 
 /// Guards against daemons that end, exceed their memory or break a guarantee when crowds press on
 /// several hosts, beside stops of zones, endless answers and the other faults.
@@ -13,17 +16,5 @@
 #[case::beside_stops(9811, &[SoakExtra::Crowds, SoakExtra::Stops, SoakExtra::EndlessAnswers])]
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_beside_crowds(#[case] seed: u64, #[case] extras: &[SoakExtra]) {
-    let report = soak::run(&SoakSpec {
-        daemon_path: PathBuf::from(env!("CARGO_BIN_EXE_filbertd")),
-        seed,
-        length: Duration::from_secs(10),
-        hosts: 6,
-        callers: 3,
-        extras: extras.to_vec(),
-        has_random_faults: true,
-        logs: None,
-    })
-    .await;
-    println!("{}", report.text());
-    assert!(report.violations.is_empty(), "{}", report.text());
+    check_soak(seed, Duration::from_secs(10), 6, extras).await;
 }
