Reset the connection of an answer without a length that is cut

Cause: an answer whose length is not known ends for such a client with its connection, and a daemon that gives an answer up closed the connection in the same way as one that has finished. Clients of HTTP/1.1 get chunks and see the cut.

Fix: while such an answer is written, whatever closes the connection resets it (SO_LINGER of zero), also the end of the process; the option is taken back when the answer is whole. Other framings are untouched, so that a call costs no more.

--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -11,6 +11,7 @@
 use crate::calls::{ClientAnswer, TargetAnswer};
 use crate::egress::EgressPacer;
 use crate::small_server::reason_phrase;
+use crate::sockets::set_reset_on_close;
 
 /// Why an answer was not written to its end. The connection is closed, so that the client
 /// does not take the answer for complete.
@@ -81,6 +82,12 @@
             writer.write_all(text.as_bytes()).await?;
         }
         ClientAnswer::Target(answer) => {
+            // The end of the connection is what ends such a body: whatever ends the connection
+            // before must not look like it.
+            let ends_with_connection = framing == BodyFraming::UntilClose;
+            if ends_with_connection {
+                set_reset_on_close(writer.stream(), true);
+            }
             let until = answer.body.send_until(answer.deadline, idle_timeout);
             let ended = buffer_ended(answer.body.buffer_share());
             let sent = write_target_answer(egress, writer, answer, connection_line, framing);
@@ -89,6 +96,9 @@
                 sent = sent => sent.unwrap_or(Err(AnswerFault::ClientTooSlow))?,
                 () = ended => return Err(AnswerFault::ClientTooSlow),
             }
+            if ends_with_connection {
+                set_reset_on_close(writer.stream(), false);
+            }
         }
     }
     Ok(closes_connection)
--- a/crates/mesh/src/sockets.rs
+++ b/crates/mesh/src/sockets.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// Sets whether the connection is reset when it is closed, however that comes about. What the
+/// client's side has not received then is lost. A failure is logged.
+pub fn set_reset_on_close(stream: &TcpStream, resets: bool) {
+    let linger = resets.then_some(Duration::ZERO);
+    if let Err(error) = SockRef::from(stream).set_linger(linger) {
+        log::warn!("event=socket_option_refused error=\"{error}\"");
+    }
+}
+
 /// Connects to `address` and sets the options of [`set_socket_options`].
 ///
 /// # Errors
--- a/tests/mesh_endless_answers.rs
+++ b/tests/mesh_endless_answers.rs
@@ -3,12 +3,15 @@
 #[path = "support/users.rs"]
 mod users;
 
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
 use filbert_platform_standin::host::call_headers;
 use filbert_platform_standin::{Client, EndlessBytes, Host, TargetBehaviour};
 use filbert_standin::usage::ProcessUsage;
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use users::{eventually, two_host_fleet, Fleet};
 
 const READ: &str = "GET /read/a HTTP/1.1";
@@ -115,3 +118,39 @@
     }
     check_slots(&fleet).await;
 }
+
+/// Guards against a part of an answer that looks complete to a client of HTTP/1.0: it takes the end
+/// of the connection for the end of an answer without a length.
+#[rstest]
+#[case::over_a_link(OVER_A_LINK)]
+#[case::at_the_target(AT_THE_TARGET)]
+#[tokio::test]
+async fn an_answer_that_is_cut_is_not_complete_for_an_older_client(#[case] host: usize) {
+    let fleet = two_host_fleet("a").await;
+    let target = &fleet.hosts[1].target;
+    target.set_behaviour(TargetBehaviour::SendsWithoutEnd(EndlessBytes::Body));
+    let mut stream = TcpStream::connect(fleet.hosts[host].calls)
+        .await
+        .expect("a connection");
+    let call = "GET /read/a HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: read-1\r\nDeadline-Ms: 2000\r\n\r\n";
+    stream.write_all(call.as_bytes()).await.expect("sent");
+    let end = tokio::time::timeout(ROUTE_TIMEOUT * 3, read_until_end(&mut stream)).await;
+    let error = end.expect("an end").expect_err("looks complete");
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    check_slots(&fleet).await;
+}
+
+/// Reads an answer with status 200 to the end of its connection.
+///
+/// # Errors
+/// The error with which the connection ends.
+async fn read_until_end(stream: &mut TcpStream) -> std::io::Result<()> {
+    const PAUSE: Duration = Duration::from_millis(2);
+    let mut part = vec![0; 64 * 1024];
+    let first = stream.read(&mut part).await?;
+    assert!(part[..first].starts_with(b"HTTP/1.1 200 "), "no answer");
+    while stream.read(&mut part).await? > 0 {
+        tokio::time::sleep(PAUSE).await;
+    }
+    Ok(())
+}
