Reset a connection that ends inside an answer, instead of sending its rest

What callers saw: a client that reads slowly (8 KB each 5 ms) learnt 4.0 s (at the target) and 4.4 s (over a link) behind its call that its answer was cut, in place of 2.5 s (the new test, 4 of 4).

Cause, by the soak's logs: the daemon logs answer_cut 1.94 s behind the call, and closes; but the kernel sends what it holds, megabytes, before it says so. A connection that is ended for its unread answer (unread_answer_ended at 1.0 s in the new test) takes the same way. And at the target the reader of the answer knew of the cut while the writer still waited for the client.

Fix: a connection that ends inside an answer is reset, unless the client still lacks a part of an answer before it, which the unacknowledged bytes tell; and a cut that the buffer's reader notices ends the writing at once.

Left, listed: over a link the writer that waits does not see the end of the stream.

--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -1,6 +1,5 @@
 //! Bodies of calls and answers, streamed through the daemon.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,7 +7,7 @@
 use filbert_policy::call_limits::AnswerDeadline;
 use filbert_policy::clock::Clock;
 use h2::RecvStream;
-use tokio::sync::{mpsc, OwnedSemaphorePermit};
+use tokio::sync::{mpsc, watch, OwnedSemaphorePermit};
 use tokio::task::JoinHandle;
 
 use crate::answer_buffer::{AnswerBuffer, BufferShare};
@@ -222,6 +221,17 @@
         }
     }
 
+    /// Whether the body is cut at its deadline, while it is read into a buffer; `None` if it is
+    /// not buffered.
+    #[must_use]
+    pub fn cut(&self) -> Option<watch::Receiver<bool>> {
+        match self {
+            AnswerBody::Buffered(body) => Some(body.is_cut.clone()),
+            AnswerBody::Partial(_, rest) => rest.cut(),
+            AnswerBody::Whole(_) | AnswerBody::Run(_) | AnswerBody::Link(_) => None,
+        }
+    }
+
     /// Reads ahead until the body is complete or more than `max_bytes` are
     /// buffered. If the body is truncated before that, nothing of the answer has been
     /// forwarded, and a repeatable call can be retried.
@@ -261,7 +271,7 @@
     clock: Rc<dyn Clock>,
     /// Whether the deadline has passed before the target had sent all. What is buffered is
     /// not sent on then: the answer cannot be complete.
-    is_cut: Rc<Cell<bool>>,
+    is_cut: watch::Receiver<bool>,
 }
 
 impl BufferedBody {
@@ -276,8 +286,7 @@
         let share = buffer.share();
         let reader_share = Rc::clone(&share);
         let buffer = Rc::clone(buffer);
-        let is_cut = Rc::new(Cell::new(false));
-        let is_cut_by_reader = Rc::clone(&is_cut);
+        let (cut, is_cut) = watch::channel(false);
         let reader = tokio::task::spawn_local(async move {
             loop {
                 let item = match body.next().await {
@@ -298,7 +307,9 @@
                     Err(error) => Err(error),
                 };
                 let is_last = item.is_err();
-                is_cut_by_reader.set(matches!(item, Err(BodyTruncated::AtDeadline)));
+                if matches!(item, Err(BodyTruncated::AtDeadline)) {
+                    cut.send_replace(true);
+                }
                 if sender.send(item).is_err() || is_last {
                     return;
                 }
@@ -315,7 +326,7 @@
 
     async fn next(&mut self) -> Result<Option<Bytes>, BodyTruncated> {
         let next = self.queue.recv().await;
-        if self.is_cut.get() {
+        if *self.is_cut.borrow() {
             return Err(BodyTruncated::AtDeadline);
         }
         match next {
@@ -346,6 +357,17 @@
     }
 }
 
+/// Returns when the buffered body whose [`AnswerBody::cut`] this is has been cut.
+pub async fn body_cut(cut: Option<watch::Receiver<bool>>) {
+    if let Some(mut cut) = cut {
+        // The sender is dropped when all has been read.
+        if cut.wait_for(|is_cut| *is_cut).await.is_ok() {
+            return;
+        }
+    }
+    std::future::pending().await
+}
+
 impl Drop for BufferedBody {
     /// Closes the connection to the target, so that the target stops a run whose
     /// client has disconnected.
--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -7,7 +7,7 @@
 
 use super::client_io::ClientWriter;
 use super::connection::CallInfo;
-use crate::body::{buffer_ended, AnswerBody, BodyTruncated};
+use crate::body::{body_cut, buffer_ended, AnswerBody, BodyTruncated};
 use crate::calls::{ClientAnswer, TargetAnswer};
 use crate::egress::EgressPacer;
 use crate::small_server::reason_phrase;
@@ -90,11 +90,13 @@
             }
             let until = answer.body.send_until(answer.deadline, idle_timeout);
             let ended = buffer_ended(answer.body.buffer_share());
+            let cut = body_cut(answer.body.cut());
             let sent = write_target_answer(egress, writer, answer, connection_line, framing);
             let sent = tokio::time::timeout_at(until.into(), sent);
             tokio::select! {
                 sent = sent => sent.unwrap_or(Err(AnswerFault::ClientTooSlow))?,
                 () = ended => return Err(AnswerFault::ClientTooSlow),
+                () = cut => return Err(AnswerFault::AtDeadline),
             }
             if ends_with_connection {
                 set_reset_on_close(writer.stream(), false);
--- a/crates/mesh/src/ingress/client_io.rs
+++ b/crates/mesh/src/ingress/client_io.rs
@@ -82,21 +82,57 @@
 /// Writes answers.
 pub(super) struct ClientWriter {
     half: OwnedWriteHalf,
+    /// Number of bytes written of the answer in progress; `None` between two answers.
+    unfinished_bytes: Option<u64>,
     account: Rc<ConnectionAccount>,
 }
 
 impl ClientWriter {
     pub(super) fn new(half: OwnedWriteHalf, account: Rc<ConnectionAccount>) -> ClientWriter {
-        ClientWriter { half, account }
+        ClientWriter {
+            half,
+            unfinished_bytes: None,
+            account,
+        }
     }
 
     pub(super) async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.account.set_writing(true);
-        let written = self.half.write_all(bytes).await;
+        let written = self.write_counted(bytes).await;
         self.account.set_writing(false);
         written
     }
 
+    /// Writes `bytes` and counts each part that is written: the rest may be given up.
+    async fn write_counted(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let written = self.half.write(bytes).await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            if let Some(unfinished) = &mut self.unfinished_bytes {
+                *unfinished += written as u64;
+            }
+            bytes = &bytes[written..];
+        }
+        Ok(())
+    }
+
+    /// Records that an answer begins.
+    pub(super) fn begin_answer(&mut self) {
+        self.unfinished_bytes = Some(0);
+    }
+
+    /// Records that the answer has been written to its end.
+    pub(super) fn finish_answer(&mut self) {
+        self.unfinished_bytes = None;
+    }
+
+    /// Number of bytes written of the answer in progress; `None` between two answers.
+    pub(super) fn unfinished_bytes(&self) -> Option<u64> {
+        self.unfinished_bytes
+    }
+
     /// Closes the direction to the client.
     pub(super) async fn shutdown(&mut self) -> io::Result<()> {
         self.half.shutdown().await
--- a/crates/mesh/src/ingress/linger.rs
+++ b/crates/mesh/src/ingress/linger.rs
@@ -1,10 +1,12 @@
-//! Closes a client's connection behind its last answer, once the client has that answer.
+//! Closes a client's connection behind its last answer, once the client has that answer, or at once
+//! if the answer is cut.
 
 use std::os::fd::AsRawFd;
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::client_io::{ClientReader, ClientWriter};
+use crate::sockets::set_reset_on_close;
 use crate::state::MeshShared;
 use crate::stop::ActiveCallGuard;
 
@@ -51,6 +53,21 @@
     }
 }
 
+/// Makes the close of a connection a reset if it cuts an answer, unless the client's side still
+/// lacks a part of an answer before it.
+///
+/// Guards against an answer that goes on for seconds behind its end: the kernel may hold megabytes of
+/// it, and sends them to a client that reads slowly before it says that the connection has ended.
+pub(super) fn reset_cut_answer(writer: &ClientWriter) {
+    let Some(unfinished) = writer.unfinished_bytes() else {
+        return;
+    };
+    let unacknowledged = unacknowledged_bytes(writer).and_then(|bytes| u64::try_from(bytes).ok());
+    if unacknowledged.is_some_and(|bytes| bytes <= unfinished) {
+        set_reset_on_close(writer.stream(), true);
+    }
+}
+
 /// Waits until the client's side has acknowledged all that was sent, or has acknowledged
 /// nothing for the idle timeout, or only a little for several of them.
 async fn wait_for_delivery(shared: &MeshShared, writer: &ClientWriter) {
--- a/crates/mesh/src/ingress/mod.rs
+++ b/crates/mesh/src/ingress/mod.rs
@@ -31,7 +31,7 @@
 use client_io::{ClientReader, ClientWriter};
 use connection::{CallInfo, ConnectionState};
 use cut_answers::CutAnswerReport;
-use linger::close_after_answers;
+use linger::{close_after_answers, reset_cut_answer};
 
 /// Maximum number of calls of one connection that are handled at the same time.
 /// Further calls are not read until an answer has been written.
@@ -83,6 +83,8 @@
             () = close_after_answers(&shared, reader, writer) => {}
             () = account.ended() => {}
         }
+    } else {
+        reset_cut_answer(&writer);
     }
 }
 
@@ -351,9 +353,11 @@
     while let Some((pending, answer)) = state.next_answer().await {
         let idle_timeout = shared.current_index().limits().idle_timeout;
         state.record_refusal(matches!(answer, ClientAnswer::Local { .. }));
+        writer.begin_answer();
         let report = CutAnswerReport::new(shared, &pending.call.id);
         let written = write_answer(&shared.egress, writer, &pending.call, answer, idle_timeout);
         let closes_connection = report.end(written.await)?;
+        writer.finish_answer();
         state.finish_answer(shared.clock.now());
         if closes_connection {
             break;
--- a/tests/mesh_endless_answers.rs
+++ b/tests/mesh_endless_answers.rs
@@ -119,6 +119,53 @@
     check_slots(&fleet).await;
 }
 
+/// Reads slowly an answer that has no end, through `host`. Returns how long it took to end.
+async fn read_slowly_to_the_end(host: &Host, pause: Duration) -> Duration {
+    const RECEIVE_BUFFER_BYTES: u32 = 8 * 1024;
+    let connected = Client::connect_with_buffer(host.calls, RECEIVE_BUFFER_BYTES).await;
+    let mut client = connected.expect("a connection");
+    let sent_at = Instant::now();
+    let headers = call_headers("read-1");
+    client.send(READ, &headers, b"").await.expect("sent");
+    let answer = tokio::time::timeout(ROUTE_TIMEOUT * 3, client.answer_slowly(pause)).await;
+    assert!(!matches!(answer, Ok(Some(_))), "looks complete");
+    sent_at.elapsed()
+}
+
+/// Guards against an answer that goes on behind its timeout for a client that reads slowly, as the
+/// kernel holds megabytes of it.
+#[rstest]
+#[case::over_a_link(OVER_A_LINK)]
+#[case::at_the_target(AT_THE_TARGET)]
+#[tokio::test]
+async fn a_slow_reader_learns_in_time_that_its_answer_is_cut(#[case] host: usize) {
+    const PAUSE: Duration = Duration::from_millis(5);
+    let fleet = two_host_fleet("a").await;
+    let target = &fleet.hosts[1].target;
+    target.set_behaviour(TargetBehaviour::SendsWithoutEnd(EndlessBytes::Body));
+    let took = read_slowly_to_the_end(&fleet.hosts[host], PAUSE).await;
+    let log = fleet.hosts[host].log();
+    assert!(took <= ROUTE_TIMEOUT + END_MARGIN, "{took:?}\n{log}");
+    check_slots(&fleet).await;
+}
+
+/// Guards against an answer that goes on behind its timeout because the daemon waits for its client
+/// and does not see meanwhile that the answer is cut.
+#[rstest]
+#[case::over_a_link(OVER_A_LINK)]
+#[case::at_the_target(AT_THE_TARGET)]
+#[tokio::test]
+async fn a_reader_that_holds_the_daemon_up_learns_that_its_answer_is_cut(#[case] host: usize) {
+    const PAUSE: Duration = Duration::from_millis(20);
+    let fleet = two_host_fleet("a").await;
+    let target = &fleet.hosts[1].target;
+    target.set_behaviour(TargetBehaviour::SendsWithoutEnd(EndlessBytes::Body));
+    let took = read_slowly_to_the_end(&fleet.hosts[host], PAUSE).await;
+    let log = fleet.hosts[host].log();
+    assert!(took <= ROUTE_TIMEOUT + END_MARGIN, "{took:?}\n{log}");
+    check_slots(&fleet).await;
+}
+
 /// Guards against a part of an answer that looks complete to a client of HTTP/1.0: it takes the end
 /// of the connection for the end of an answer without a length.
 #[rstest]
