--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -359,13 +359,14 @@
 
 /// Returns when the buffered body whose [`AnswerBody::cut`] this is has been cut.
 pub async fn body_cut(cut: Option<watch::Receiver<bool>>) {
-    if let Some(mut cut) = cut {
+    let is_cut = match cut {
         // The sender is dropped when all has been read.
-        if cut.wait_for(|is_cut| *is_cut).await.is_ok() {
-            return;
-        }
+        Some(mut cut) => cut.wait_for(|is_cut| *is_cut).await.is_ok(),
+        None => false,
+    };
+    if !is_cut {
+        std::future::pending::<()>().await;
     }
-    std::future::pending().await
 }
 
 impl Drop for BufferedBody {
