Let only the close of a client's connection tell that it has ended

Cause: the write half of a split connection shuts its direction down when it is dropped, before the connection is closed. A client that has read all sees that end first, and the reset afterwards.

Fix: the writer gives its half up without a shutdown; the close that follows, when the reader is dropped too, is a reset or an ordinary end. The resets during an upload are played with HTTP/1.0 too (they held before: such short answers are read whole first).

--- a/crates/mesh/src/ingress/client_io.rs
+++ b/crates/mesh/src/ingress/client_io.rs
@@ -79,9 +79,13 @@
     }
 }
 
+/// Why the half of a [`ClientWriter`] is there.
+const HALF_IS_THERE: &str = "it is taken only when the writer is dropped";
+
 /// Writes answers.
 pub(super) struct ClientWriter {
-    half: OwnedWriteHalf,
+    /// `None` only while it is dropped.
+    half: Option<OwnedWriteHalf>,
     /// Number of bytes written of the answer in progress; `None` between two answers.
     unfinished_bytes: Option<u64>,
     account: Rc<ConnectionAccount>,
@@ -90,7 +94,7 @@
 impl ClientWriter {
     pub(super) fn new(half: OwnedWriteHalf, account: Rc<ConnectionAccount>) -> ClientWriter {
         ClientWriter {
-            half,
+            half: Some(half),
             unfinished_bytes: None,
             account,
         }
@@ -103,10 +107,14 @@
         written
     }
 
+    fn half_mut(&mut self) -> &mut OwnedWriteHalf {
+        self.half.as_mut().expect(HALF_IS_THERE)
+    }
+
     /// Writes `bytes` and counts each part that is written: the rest may be given up.
     async fn write_counted(&mut self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
-            let written = self.half.write(bytes).await?;
+            let written = self.half_mut().write(bytes).await?;
             if written == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
@@ -135,11 +143,21 @@
 
     /// Closes the direction to the client.
     pub(super) async fn shutdown(&mut self) -> io::Result<()> {
-        self.half.shutdown().await
+        self.half_mut().shutdown().await
     }
 
     /// The connection.
     pub(super) fn stream(&self) -> &TcpStream {
-        self.half.as_ref()
+        self.half.as_ref().expect(HALF_IS_THERE).as_ref()
+    }
+}
+
+impl Drop for ClientWriter {
+    /// Leaves the end of the connection to its close, which may be a reset. Otherwise the half
+    /// would tell the client before that the answer has ended.
+    fn drop(&mut self) {
+        if let Some(half) = self.half.take() {
+            half.forget();
+        }
     }
 }
--- a/tests/mesh_endless_answers.rs
+++ b/tests/mesh_endless_answers.rs
@@ -172,7 +172,11 @@
 #[case::over_a_link(OVER_A_LINK)]
 #[case::at_the_target(AT_THE_TARGET)]
 #[tokio::test]
-async fn an_answer_that_is_cut_is_not_complete_for_an_older_client(#[case] host: usize) {
+async fn an_answer_that_is_cut_is_not_complete_for_an_older_client(
+    #[case] host: usize,
+    #[values(0, 2)] pause_ms: u64,
+) {
+    let pause = Duration::from_millis(pause_ms);
     let fleet = two_host_fleet("a").await;
     let target = &fleet.hosts[1].target;
     target.set_behaviour(TargetBehaviour::SendsWithoutEnd(EndlessBytes::Body));
@@ -181,23 +185,24 @@
         .expect("a connection");
     let call = "GET /read/a HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: read-1\r\nDeadline-Ms: 2000\r\n\r\n";
     stream.write_all(call.as_bytes()).await.expect("sent");
-    let end = tokio::time::timeout(ROUTE_TIMEOUT * 3, read_until_end(&mut stream)).await;
+    let end = tokio::time::timeout(ROUTE_TIMEOUT * 3, read_until_end(&mut stream, pause)).await;
     let error = end.expect("an end").expect_err("looks complete");
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
     check_slots(&fleet).await;
 }
 
-/// Reads an answer with status 200 to the end of its connection.
+/// Reads an answer with status 200 to the end of its connection, with a `pause` before each part.
 ///
 /// # Errors
 /// The error with which the connection ends.
-async fn read_until_end(stream: &mut TcpStream) -> std::io::Result<()> {
-    const PAUSE: Duration = Duration::from_millis(2);
+async fn read_until_end(stream: &mut TcpStream, pause: Duration) -> std::io::Result<()> {
     let mut part = vec![0; 64 * 1024];
     let first = stream.read(&mut part).await?;
     assert!(part[..first].starts_with(b"HTTP/1.1 200 "), "no answer");
     while stream.read(&mut part).await? > 0 {
-        tokio::time::sleep(PAUSE).await;
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
     }
     Ok(())
 }
--- a/tests/mesh_reset_answers.rs
+++ b/tests/mesh_reset_answers.rs
@@ -39,14 +39,15 @@
     }
 }
 
-/// The whole answer to an upload; `None` if it is cut.
-async fn upload(fleet: &Fleet, host: usize, number: usize) -> Option<Answer> {
+/// The whole answer to an upload of a client that speaks `version`; `None` if it is cut.
+async fn upload(fleet: &Fleet, host: usize, number: usize, version: &str) -> Option<Answer> {
     let mut client = fleet.connect(host).await;
     let id = format!("upload-{number}");
     let body = vec![b'u'; UPLOAD_BYTES];
     // The daemon may answer, and close the connection, before it has read all.
     let headers = call_headers(&id);
-    let sent = client.send("POST /read/a HTTP/1.1", &headers, &body);
+    let line = format!("POST /read/a {version}");
+    let sent = client.send(&line, &headers, &body);
     let _ = sent.await;
     client.answer().await
 }
@@ -57,11 +58,14 @@
 #[case::over_a_link(OVER_A_LINK)]
 #[case::at_the_target(AT_THE_TARGET)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_answer_that_is_reset_during_an_upload_is_not_complete(#[case] host: usize) {
+async fn an_answer_that_is_reset_during_an_upload_is_not_complete(
+    #[case] host: usize,
+    #[values("HTTP/1.1", "HTTP/1.0")] version: &str,
+) {
     let fleet = fleet_that_answers_unread(AnswerEnd::Reset).await;
     let mut taken_for_whole = 0;
     for number in 0..UPLOADS {
-        let answer = upload(&fleet, host, number).await;
+        let answer = upload(&fleet, host, number, version).await;
         taken_for_whole += usize::from(answer.is_some_and(|answer| answer.status == 200));
     }
     assert_eq!(taken_for_whole, 0, "of {UPLOADS}");
@@ -81,7 +85,8 @@
 async fn an_answer_that_ends_with_its_connection_is_whole(#[case] host: usize) {
     let fleet = fleet_that_answers_unread(AnswerEnd::Closed).await;
     for number in 0..UPLOADS / 3 {
-        let answer = upload(&fleet, host, number).await.expect("an answer");
+        let answer = upload(&fleet, host, number, "HTTP/1.1").await;
+        let answer = answer.expect("an answer");
         assert_eq!(answer.status, 200, "{}", fleet.hosts[1].log());
         assert_eq!(answer.body.len(), UNREAD_ANSWER_BYTES);
     }
