Do not sleep for no time ahead of each call over our own store

Found by reading: each call slept for its refusal pause, which is zero for nearly all, and a timer may take up to a millisecond to say that no time has passed. The sleep is left out then. The state of the connection is read and the call begun under one lock, and the divisor of a head's length has a name that says so.

--- a/crates/daemon/src/clients/call.rs
+++ b/crates/daemon/src/clients/call.rs
@@ -37,8 +37,13 @@
     ) -> ClientCall {
         let now = connections.clock.now();
         let head_bytes = head_bytes as u64;
-        let former = connections.lock().connections.get(&peer).copied();
-        let number = connections.lock().begin_call(peer, now);
+        let (former, number) = {
+            let mut state = connections.lock();
+            (
+                state.connections.get(&peer).copied(),
+                state.begin_call(peer, now),
+            )
+        };
         ClientCall {
             connections: Arc::clone(connections),
             peer,
--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -33,9 +33,9 @@
 /// Maximum number of bytes that come before a call begins: a head of 64 KiB, and the start of
 /// its body. The HTTP server reads up to 400 KiB of a head.
 const MAX_BYTES_BEFORE_CALL: u64 = 96 * 1024;
-/// Part of a head that has to come after an answer for its call not to have been sent ahead. The
-/// length of a head is known to within a few bytes for each field.
-const HEAD_PARTS: u64 = 2;
+/// Divisor of the length of a head: that much of it comes after the former answer unless its call
+/// was sent ahead. The length is known to within a few bytes for each field.
+const LATE_HEAD_DIVISOR: u64 = 2;
 
 /// One connection.
 #[derive(Clone, Copy, Debug)]
@@ -75,7 +75,7 @@
         }
         let bytes = self.socket?.received(port)?;
         let bytes_since = bytes.total.saturating_sub(self.ended_bytes);
-        Some(self.left_unread || bytes_since < head_bytes / HEAD_PARTS)
+        Some(self.left_unread || bytes_since < head_bytes / LATE_HEAD_DIVISOR)
     }
 
     /// Whether it may have been opened after the open connections were read.
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -198,7 +198,10 @@
         };
         let (clients, port) = (&self.shared.clients, self.shared.port);
         let call = Arc::new(ClientCall::begin(clients, peer, port, head_bytes(request)));
-        tokio::time::sleep(call.refusal_pause()).await;
+        let pause = call.refusal_pause();
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
         let answer = forward(&self.shared, &call, request, data).await;
         call.record_refusal(answer.is_local);
         call.set_waiting(true);
