--- a/crates/mesh/src/feeds/query.rs
+++ b/crates/mesh/src/feeds/query.rs
@@ -45,7 +45,10 @@
         let batch = shared.store.read_table(subject.table()).await?;
         let (version, snapshot_time) = (batch.version, batch.snapshot_time);
         state.update_era(shared);
-        log::info!("event=table_read subject={subject:?} rows={}", batch.rows.len());
+        log::info!(
+            "event=table_read subject={subject:?} rows={}",
+            batch.rows.len()
+        );
         apply_table(shared, subject, batch);
         confirm_version(shared, subject, snapshot_time);
         return Ok((Some(version), true));
--- /dev/null
+++ b/tests/store_pages.rs
@@ -0,0 +1,67 @@
+//! Tables of the store that are read page by page, with keys and pages that no daemon wrote.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbert_platform::store::StoreClient;
+use filbert_platform_standin::StandinStore;
+use filbert_policy::clock::SystemClock;
+use rstest::rstest;
+
+const TABLE: &str = "rows";
+/// Number of rows in a page of the store.
+const PAGE_ROWS: usize = 500;
+/// Time that all pages of a small table take at most.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+fn client(address: &str) -> StoreClient {
+    StoreClient::new(address, Duration::from_secs(1), Arc::new(SystemClock))
+}
+
+/// Guards against a page that is asked for again without end, or rows that are left out,
+/// because the key behind it is put into the query as it is.
+#[rstest]
+#[case::plain("k")]
+#[case::separator("k&limit=1")]
+#[case::fragment("k#")]
+#[case::escape("k%00")]
+#[case::broken_escape("k%zz")]
+#[case::plus("k+")]
+#[case::blank("k ")]
+#[case::slash("k/?")]
+#[case::line_break("k\r\nHost: x")]
+#[case::zero("k\0")]
+#[case::letters("k\u{e9}\u{10ffff}")]
+#[tokio::test]
+async fn a_key_at_the_end_of_a_page_hides_no_row(#[case] last_key: &str) {
+    let store = StandinStore::start().await;
+    for number in 1..PAGE_ROWS {
+        store.put(TABLE, &format!("a{number:04}"), b"value");
+    }
+    store.put(TABLE, last_key, b"value");
+    store.put(TABLE, "z", b"value");
+    let client = client(&store.address.to_string());
+    let read = tokio::time::timeout(READ_TIMEOUT, client.read_table(TABLE)).await;
+    let batch = read.expect("read in time").expect("a table");
+    let keys: Vec<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys.len(), PAGE_ROWS + 1);
+    assert_eq!(keys[PAGE_ROWS - 1..], [last_key, "z"]);
+    assert_eq!(store.calls("/rows-get"), 2);
+}
+
+/// Guards against a host whose name is put into a query as it is: it would read other rows.
+#[rstest]
+#[case::separator("a&b")]
+#[case::escape("a%41")]
+#[case::plus("a+b")]
+#[tokio::test]
+async fn a_prefix_is_asked_for_as_it_is_written(#[case] host: &str) {
+    let store = StandinStore::start().await;
+    let prefix = format!("shutdown/{host}/");
+    store.put(TABLE, &format!("{prefix}1"), b"value");
+    store.put(TABLE, "shutdown/a/2", b"value");
+    let client = client(&store.address.to_string());
+    let rows = client.read_prefix(TABLE, &prefix).await.expect("rows");
+    let keys: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys, [format!("{prefix}1")]);
+}
