End a read of a table whose page leads nowhere, and bound it

A reader went on to the page behind the last row that it could decode. A page without such a row, or one that ends before the keys asked for, was asked for again at once, without end and without a line in the log: up to 9,000 reads in 14 s as measured for the odd keys, more than the store takes from a whole fleet. Class: a loop that does not check that it gets on. A row was decoded with its whole page, so one with a figure beyond all bounds spoilt the others; and nothing bounded a table's size, in which another writer may leave 400 MB, on hosts of 110 MB.

The range of keys that is left must shrink with each page, by the raw key of the last row; otherwise the read fails as stuck, and the feed's back-off applies. A table ends at 16 MiB. Rows are decoded one by one. What had been read comes with the error. This holds for whole tables and prefixes, so for filbertctl, too.

--- a/tests/store_pages.rs
+++ b/tests/store_pages.rs
@@ -1,9 +1,13 @@
 //! Tables of the store that are read page by page, with keys and pages that no daemon wrote.
 
+#[path = "support/answering_server.rs"]
+mod answering_server;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbert_platform::store::StoreClient;
+use answering_server::AnsweringServer;
+use filbert_platform::store::{StoreClient, StoreError};
 use filbert_platform_standin::StandinStore;
 use filbert_policy::clock::SystemClock;
 use rstest::rstest;
@@ -65,3 +69,54 @@
     let keys: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
     assert_eq!(keys, [format!("{prefix}1")]);
 }
+
+/// A page that says that there are more rows and does not show which.
+struct StuckPage {
+    rows: &'static str,
+    /// Number of rows that can be used.
+    kept: usize,
+}
+
+/// Guards against a reader that asks for the same page for ever, and against one that
+/// forgets the rows that it has.
+#[rstest]
+#[case::no_row(StuckPage { rows: "", kept: 0 })]
+#[case::last_row_without_a_key(StuckPage {
+    rows: r#"{"key": "a", "value": "YQ==", "row_version": 1}, {"row_version": 2}"#,
+    kept: 1,
+})]
+#[case::the_same_page_again(StuckPage {
+    rows: r#"{"key": "a", "value": "YQ==", "row_version": 1}"#,
+    kept: 2,
+})]
+#[tokio::test]
+async fn a_page_that_leads_nowhere_ends_the_read(#[case] page: StuckPage) {
+    let body = format!(
+        r#"{{"rows": [{}], "has_more": true, "row_version": 3, "now": "5s"}}"#,
+        page.rows
+    );
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n", body.len());
+    let answer = format!("{head}Connection: close\r\n\r\n{body}");
+    let server = AnsweringServer::start(answer.into_bytes()).await;
+    let client = client(&server.address);
+    let read = tokio::time::timeout(READ_TIMEOUT, client.read_table(TABLE)).await;
+    let partial = read.expect("an end").expect_err("a part of a table");
+    assert_eq!(*partial.cause.current_context(), StoreError::Stuck);
+    assert_eq!(partial.rows.len(), page.kept);
+}
+
+/// Guards against a table of another writer that takes the memory of the host.
+#[tokio::test]
+async fn a_table_without_end_is_read_to_a_bound() {
+    let store = StandinStore::start().await;
+    let value = vec![0; 60_000];
+    for number in 0..400 {
+        store.put(TABLE, &format!("{number:04}"), &value);
+    }
+    let client = client(&store.address.to_string());
+    let read = client.read_table(TABLE).await;
+    let partial = read.expect_err("a part of a table");
+    assert_eq!(*partial.cause.current_context(), StoreError::TooLong);
+    let bytes = partial.rows.len() * value.len();
+    assert!((16_000_000..18_000_000).contains(&bytes), "{bytes}");
+}
