Use the hosts that were read before a page that cannot be read

Class: what is known is refused for what is missing.

The rows read are applied like changes: hosts are added and none is removed; a daemon that knew no host goes on with them, and its feed reads the table again after its back-off. The log says table_partly_read with the rows and the cause. A watch whose rows are all left out still counts as a change, so that another writer's changes do not make a reader ask without a pause.

--- a/crates/mesh/src/feeds/apply.rs
+++ b/crates/mesh/src/feeds/apply.rs
@@ -49,6 +49,26 @@
     }
 }
 
+/// Applies the rows of a table that could not be read to its end. Hosts are added and none is
+/// removed; a daemon that knew none goes on with those.
+pub(super) fn apply_partial_table(
+    shared: &Rc<MeshShared>,
+    subject: FeedSubject,
+    rows: Vec<StoreRow>,
+) {
+    let is_own = |row: &StoreRow| row.key == shared.settings.borrow().id;
+    let has_own = rows.iter().any(is_own);
+    for row in rows {
+        apply_row(shared, subject, row);
+    }
+    if subject == FeedSubject::Membership && !shared.members.is_known.get() {
+        if !has_own {
+            shared.members.rows.mark_own_unregistered();
+        }
+        shared.mark_members_known();
+    }
+}
+
 /// Whether host `id` has left the fleet and is listed again because the store
 /// was restored from an older copy. Queues the removal of its row if so.
 fn remove_if_restored(shared: &MeshShared, id: &str) -> bool {
@@ -64,8 +84,16 @@
     is_restored
 }
 
+/// Applies a changed row of the table of a feed.
+pub(super) fn apply_row(shared: &Rc<MeshShared>, subject: FeedSubject, row: StoreRow) {
+    match subject {
+        FeedSubject::Configuration => apply_configuration_row(shared, row),
+        FeedSubject::Membership => apply_member_row(shared, &row),
+    }
+}
+
 /// Applies a changed row of the table of hosts.
-pub(super) fn apply_member_row(shared: &Rc<MeshShared>, row: &StoreRow) {
+fn apply_member_row(shared: &Rc<MeshShared>, row: &StoreRow) {
     if is_held_key(&row.key) {
         shared.merge_held_rows(std::iter::once(row));
         return;
@@ -89,7 +117,7 @@
 }
 
 /// Applies a changed row of the operator's table.
-pub(super) fn apply_configuration_row(shared: &Rc<MeshShared>, row: StoreRow) {
+fn apply_configuration_row(shared: &Rc<MeshShared>, row: StoreRow) {
     if row.key != CONFIG_KEY {
         shared.apply_rollout_order(&row);
         return;
--- a/crates/mesh/src/feeds/query.rs
+++ b/crates/mesh/src/feeds/query.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 
 use error_stack::Report;
-use filbert_platform::store::{SnapshotTime, StoreError, WatchResponse};
+use filbert_platform::store::{PartialTable, RowBatch, SnapshotTime, StoreError, WatchResponse};
 
-use super::apply::{apply_configuration_row, apply_member_row, apply_table};
+use super::apply::{apply_partial_table, apply_row, apply_table};
 use super::{FeedState, FeedSubject};
 use crate::state::MeshShared;
 
@@ -42,13 +42,8 @@
         state.backoff.failures()
     );
     let Some(position) = state.position else {
-        let batch = shared.store.read_table(subject.table()).await?;
+        let batch = read_table(shared, state).await?;
         let (version, snapshot_time) = (batch.version, batch.snapshot_time);
-        state.update_era(shared);
-        log::info!(
-            "event=table_read subject={subject:?} rows={}",
-            batch.rows.len()
-        );
         apply_table(shared, subject, batch);
         confirm_version(shared, subject, snapshot_time);
         return Ok((Some(version), true));
@@ -78,12 +73,9 @@
         }
         WatchResponse::Changes(batch) => {
             let version = batch.version.max(position);
-            let has_changed = !batch.rows.is_empty();
+            let has_changed = batch.received > 0;
             for row in batch.rows {
-                match subject {
-                    FeedSubject::Configuration => apply_configuration_row(shared, row),
-                    FeedSubject::Membership => apply_member_row(shared, &row),
-                }
+                apply_row(shared, subject, row);
             }
             confirm_version(shared, subject, batch.snapshot_time);
             Ok((Some(version), has_changed))
@@ -91,6 +83,35 @@
     }
 }
 
+/// Reads the whole table of a feed. The rows before a page that cannot be read are applied,
+/// so that what stands in the table cannot keep a daemon from all hosts.
+async fn read_table(
+    shared: &Rc<MeshShared>,
+    state: &mut FeedState,
+) -> Result<RowBatch, Report<StoreError>> {
+    let subject = state.subject;
+    let read = shared.store.read_table(subject.table()).await;
+    state.update_era(shared);
+    match read {
+        Ok(batch) => {
+            let (received, kept) = (batch.received, batch.rows.len());
+            log::info!("event=table_read subject={subject:?} rows={received} kept={kept}");
+            Ok(batch)
+        }
+        Err(PartialTable { rows, cause }) => {
+            if !rows.is_empty() {
+                log::warn!(
+                    "event=table_partly_read subject={subject:?} rows={} error=\"{}\"",
+                    rows.len(),
+                    cause.current_context()
+                );
+                apply_partial_table(shared, subject, rows);
+            }
+            Err(cause)
+        }
+    }
+}
+
 /// Records that the version in force was the newest in the store at
 /// `snapshot_time`.
 fn confirm_version(shared: &MeshShared, subject: FeedSubject, snapshot_time: Option<SnapshotTime>) {
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -363,6 +363,11 @@
         }
         list.hosts.retain(|address| address.id != own.id);
         self.upsert_known_hosts(list, from);
+        self.mark_members_known();
+    }
+
+    /// Records that hosts have been loaded, from the store or from a peer.
+    pub fn mark_members_known(&self) {
         if !self.members.is_known.replace(true) {
             self.members.became_known.notify_waiters();
             self.members.changed.notify_one();
--- a/tests/mesh_odd_entries.rs
+++ b/tests/mesh_odd_entries.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use filbert_platform_standin::RouteSpec;
+use filbert_platform_standin::{RouteSpec, StoreFault};
 use rstest::rstest;
 use users::{eventually, fleet, Fleet, WAIT_TIMEOUT};
 
@@ -81,6 +81,23 @@
     assert!(reads < READS_PER_S / 10, "{reads} reads");
 }
 
+/// Guards against a table of which nothing is used because its end cannot be read.
+#[tokio::test]
+async fn hosts_before_an_unreadable_page_are_used() {
+    let mut fleet = three_zone_fleet().await;
+    for number in 0..PAGE_ROWS {
+        let key = format!("z{number:04}");
+        fleet.store.put(HOSTS_TABLE, &key, b"of another writer");
+    }
+    fleet.store.set_fault(StoreFault::FailsLaterPages);
+    restart_all(&mut fleet);
+    assert!(
+        all_serve(&fleet, RECOVERY_TIME).await,
+        "{}",
+        fleet.hosts[0].log()
+    );
+}
+
 /// Guards against rows of other partitions that are taken for hosts, or for the removal of
 /// hosts.
 #[tokio::test]
