Leave out rows of other partitions of a table

The store's watch names the changes of a table in all its partitions. Class: an identity of which a part is dropped.

--- a/tests/store_pages.rs
+++ b/tests/store_pages.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use answering_server::AnsweringServer;
-use filbert_platform::store::{StoreClient, StoreError};
+use filbert_platform::store::{StoreClient, StoreError, WatchResponse};
 use filbert_platform_standin::StandinStore;
 use filbert_policy::clock::SystemClock;
 use rstest::rstest;
@@ -120,3 +120,25 @@
     let bytes = partial.rows.len() * value.len();
     assert!((16_000_000..18_000_000).contains(&bytes), "{bytes}");
 }
+
+/// Guards against rows of other partitions that are taken for the daemons' own.
+#[tokio::test]
+async fn a_watch_leaves_out_rows_of_other_partitions() {
+    let store = StandinStore::start().await;
+    store.put(TABLE, "host", b"ours");
+    store.put_in_part(TABLE, "other", "host", b"theirs");
+    store.delete(TABLE, "other", "host");
+    let client = client(&store.address.to_string());
+    let watch = client.watch_table(TABLE, 0, Duration::ZERO).await;
+    let WatchResponse::Changes(batch) = watch.expect("changes") else {
+        panic!("the history is gone");
+    };
+    let values: Vec<&[u8]> = batch
+        .rows
+        .iter()
+        .filter_map(|row| row.value.as_deref())
+        .collect();
+    assert_eq!(values, [b"ours"]);
+    assert_eq!(batch.rows.len(), 1);
+    assert_eq!(batch.received, 3);
+}
