--- a/crates/mesh/src/gate/crash.rs
+++ b/crates/mesh/src/gate/crash.rs
@@ -8,7 +8,7 @@
 use filbert_policy::identity::CallIdentity;
 
 use super::Gate;
-use crate::quarantine::AgedCrash;
+use crate::messages::AgedCrash;
 
 /// Shortest time for which no call is sent to a target that accepted no
 /// connection, unless the target reports before. A live target reports soon;
--- a/crates/mesh/src/gate/run.rs
+++ b/crates/mesh/src/gate/run.rs
@@ -18,8 +18,8 @@
 use super::{ActiveRun, Gate};
 use crate::body::{AnswerBody, BufferedBody, CallBody};
 use crate::logging::LinePriority;
+use crate::messages::AgedCrash;
 use crate::messages::{to_micros, AnswerHead, CallHead, ReplyHead};
-use crate::quarantine::AgedCrash;
 use crate::rollouts::counters::{CountedOutcome, RunObservation};
 use crate::target::{ExchangeOutcome, ExchangeParams};
 
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod hosts;
 mod organisations;
+mod suspects;
 
 use std::time::Duration;
 
@@ -18,7 +19,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::codec::bounded::{self, MAX_VALUE_BYTES};
-use crate::quarantine::SuspectCall;
 use crate::rollouts::messages::{RolloutUpdate, TargetReport};
 use crate::text_delta::TextDelta;
 use crate::zone_load::messages::LoadReport;
@@ -27,6 +27,7 @@
 pub use calls::{AnswerHead, CallHead, ExpectedRunTime, ReplyHead};
 pub use hosts::{HostChanges, HostList, KnownHosts, RowChange};
 pub use organisations::VersionConfirmation;
+pub use suspects::{AgedCrash, SuspectCall};
 
 /// Highest figure of a target's load that is taken over.
 const MAX_LOAD_FIGURE: f64 = 1e9;
--- a/crates/mesh/src/messages/calls.rs
+++ b/crates/mesh/src/messages/calls.rs
@@ -10,8 +10,8 @@
 use filbert_policy::run_times::RunTime;
 use serde::{Deserialize, Serialize};
 
+use super::suspects::AgedCrash;
 use super::{to_micros, TargetLoad};
-use crate::quarantine::AgedCrash;
 
 /// Head of a call to the target's daemon. The call's body follows on the stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/mesh/src/messages/hosts.rs
+++ b/crates/mesh/src/messages/hosts.rs
@@ -7,7 +7,7 @@
 use super::{DecodeError, PeerAddress};
 use crate::codec::bounded;
 use crate::deflate;
-use crate::held_rows::{self, HeldRow};
+use crate::held_rows::row::{held_row_key, HeldRow};
 
 /// Hosts that a daemon knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,7 +81,7 @@
         match self {
             RowChange::Write(address) => address.id.clone(),
             RowChange::Remove(id) => id.clone(),
-            RowChange::Hold(held) => held_rows::held_row_key(held.call),
+            RowChange::Hold(held) => held_row_key(held.call),
         }
     }
 }
--- a/crates/mesh/tests/quarantine_cases.rs
+++ b/crates/mesh/tests/quarantine_cases.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use filbert_mesh::held_rows::{held_row_key, HeldRow};
+use filbert_mesh::messages::SuspectCall;
 use filbert_mesh::messages::{encode, LinkMessage};
-use filbert_mesh::quarantine::SuspectCall;
 use filbert_platform::store::StoreRow;
 use filbert_policy::clock::ClockReading;
 use filbert_policy::identity::{CallIdentity, IdentityParts};
