Take the metrics out of the circle of imports

The metrics knew the clients, the gate and MeshShared, as they read them when they are asked for, and all of those count into the metrics. Names and texts of the metrics are as before.

--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -3,10 +3,10 @@
 
 mod answer_faults;
 mod clients;
+pub mod server;
 mod settings;
 mod target;
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use filbert_policy::organisations::token_request::QuotaRefusal;
@@ -14,18 +14,13 @@
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
-use tokio::net::TcpListener;
 
-use crate::clients::ClientTable;
 use crate::codec::skipped::SkippedRows;
-use crate::organisations::counts::CountsRange;
-use crate::small_server::{accept_limited, serve_requests, SimpleResponse};
-use crate::state::MeshShared;
 use crate::supervision::panic_count;
 use answer_faults::AnswerFaults;
-use clients::ClientMetrics;
+use clients::{ClientFigures, ClientMetrics};
 use settings::SettingsGauges;
-use target::TargetGauges;
+use target::{TargetFigures, TargetGauges};
 
 /// Upper bounds of the buckets of the latency histograms, in seconds. The soft
 /// deadlines of calls are between 0.1 and 1 s.
@@ -35,6 +30,21 @@
 /// daemon's metrics.
 pub const ORGANISATIONS_PATH: &str = "/metrics/organisations";
 
+/// State of the daemon at one moment, for its gauges.
+struct DaemonFigures {
+    clients: ClientFigures,
+    /// Number of the version in force; 0 if there is none.
+    version: u64,
+    /// Number of links that are up.
+    links: u64,
+    /// Number of other hosts known.
+    peers: u64,
+    /// Number of calls that are held back.
+    held_calls: u64,
+    /// The target on this host; `None` if there is none.
+    target: Option<TargetFigures>,
+}
+
 /// Kinds of traffic on links to other availability zones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrossZoneCause {
@@ -321,14 +331,17 @@
         self.quota_refusals.add(1, &[reason]);
     }
 
-    /// Updates the gauges and returns all metrics in the Prometheus text format.
-    fn render(&self, shared: &MeshShared, clients: &ClientTable) -> String {
-        self.clients.record(clients, &shared.gate.answer_buffer);
-        self.version.record(shared.versions.number(), &[]);
-        self.links.record(shared.peers.linked_count() as u64, &[]);
-        self.peers.record((shared.members.count() - 1) as u64, &[]);
-        self.held_calls.record(shared.quarantine.held() as u64, &[]);
-        self.target.record(&shared.gate);
+    /// Updates the gauges from `figures`, and returns the metrics in the Prometheus text
+    /// format.
+    fn render(&self, figures: &DaemonFigures) -> String {
+        self.clients.record(&figures.clients);
+        self.version.record(figures.version, &[]);
+        self.links.record(figures.links, &[]);
+        self.peers.record(figures.peers, &[]);
+        self.held_calls.record(figures.held_calls, &[]);
+        if let Some(target) = &figures.target {
+            self.target.record(target);
+        }
         self.panics.record(panic_count(), &[]);
         if let Some(bytes) = resident_memory_bytes() {
             self.memory_bytes.record(bytes, &[]);
@@ -337,10 +350,7 @@
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
             log::error!("event=metrics_failed error=\"{error}\"");
         }
-        let zone = shared.settings.borrow().zone.clone();
         String::from_utf8_lossy(&out).into_owned()
-            + &shared.organisations.metrics_text(CountsRange::Busiest)
-            + &shared.zone_load.metrics_text(&zone, shared.clock.now())
     }
 }
 
@@ -359,21 +369,3 @@
     let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
     Some(pages * PAGE_BYTES)
 }
-
-/// Serves the metrics to every connection that `listener` accepts. Runs until the
-/// process ends.
-pub async fn serve(shared: Rc<MeshShared>, clients: Rc<ClientTable>, listener: TcpListener) {
-    accept_limited("metrics", &listener, |stream, usage| {
-        let shared = Rc::clone(&shared);
-        let clients = Rc::clone(&clients);
-        serve_requests(stream, usage, async move |head, _| SimpleResponse {
-            status: 200,
-            content_type: "text/plain; version=0.0.4",
-            body: match head.target.as_str() {
-                ORGANISATIONS_PATH => shared.organisations.metrics_text(CountsRange::All),
-                _ => shared.metrics.render(&shared, &clients),
-            },
-        })
-    })
-    .await;
-}
--- a/crates/mesh/src/metrics/clients.rs
+++ b/crates/mesh/src/metrics/clients.rs
@@ -1,10 +1,20 @@
 //! Metrics of what the process holds for clients, and of what it may hold.
 
+use filbert_policy::client_budget::ResourceLimits;
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 use opentelemetry::KeyValue;
 
-use crate::answer_buffer::AnswerBuffer;
-use crate::clients::ClientTable;
+/// What is held for clients at one moment.
+pub(super) struct ClientFigures {
+    pub(super) limits: ResourceLimits,
+    pub(super) connections: usize,
+    /// Memory that is charged for calls and answers of clients, in bytes.
+    pub(super) held_bytes: u64,
+    pub(super) calls_ahead: usize,
+    /// Answers that are read ahead of their clients, in bytes.
+    pub(super) answer_bytes: u64,
+    pub(super) max_answer_bytes: u64,
+}
 
 /// Counter and gauges of what is held for clients.
 pub(super) struct ClientMetrics {
@@ -62,15 +72,14 @@
     }
 
     /// Updates the gauges.
-    pub(super) fn record(&self, clients: &ClientTable, answers: &AnswerBuffer) {
-        let limits = clients.limits();
-        let connections = clients.connection_count() as u64;
-        self.connections.record(connections, &[]);
+    pub(super) fn record(&self, figures: &ClientFigures) {
+        let limits = &figures.limits;
+        self.connections.record(figures.connections as u64, &[]);
         self.max_connections.record(limits.connections as u64, &[]);
-        self.held_bytes.record(clients.held_bytes(), &[]);
+        self.held_bytes.record(figures.held_bytes, &[]);
         self.max_held_bytes.record(limits.held_bytes, &[]);
-        self.calls_ahead.record(clients.calls_ahead() as u64, &[]);
-        self.answer_bytes.record(answers.held_bytes(), &[]);
-        self.max_answer_bytes.record(answers.max_held_bytes(), &[]);
+        self.calls_ahead.record(figures.calls_ahead as u64, &[]);
+        self.answer_bytes.record(figures.answer_bytes, &[]);
+        self.max_answer_bytes.record(figures.max_answer_bytes, &[]);
     }
 }
--- a/crates/mesh/src/metrics/target.rs
+++ b/crates/mesh/src/metrics/target.rs
@@ -3,7 +3,17 @@
 use filbert_policy::target_limit::CallRate;
 use opentelemetry::metrics::{Gauge, Meter};
 
-use crate::gate::Gate;
+use crate::messages::TargetLoad;
+
+/// The target on this host at one moment.
+pub(super) struct TargetFigures {
+    pub(super) load: TargetLoad,
+    /// Limit on the calls that the target accepts; `None` without one.
+    pub(super) call_limit: Option<CallRate>,
+    /// Run times of the target now, as a ratio of the usual ones.
+    pub(super) pace_factor: f64,
+    pub(super) is_leaving: bool,
+}
 
 /// Gauges of the target on this host. They keep their last values once the target has
 /// gone.
@@ -46,19 +56,17 @@
         }
     }
 
-    /// Updates the gauges from the state of `gate`.
-    pub(super) fn record(&self, gate: &Gate) {
-        let Some(status) = gate.status() else {
-            return;
-        };
-        self.running.record(u64::from(status.load.running), &[]);
-        self.waiting.record(u64::from(status.load.waiting), &[]);
-        self.failure_rate.record(status.load.failure_rate, &[]);
-        let call_limit = gate
-            .call_limit()
+    /// Updates the gauges.
+    pub(super) fn record(&self, figures: &TargetFigures) {
+        let load = &figures.load;
+        self.running.record(u64::from(load.running), &[]);
+        self.waiting.record(u64::from(load.waiting), &[]);
+        self.failure_rate.record(load.failure_rate, &[]);
+        let call_limit = figures
+            .call_limit
             .map_or(f64::INFINITY, CallRate::per_second);
         self.call_limit.record(call_limit, &[]);
-        self.pace.record(gate.pace_factor(), &[]);
-        self.leaving.record(u64::from(gate.is_leaving()), &[]);
+        self.pace.record(figures.pace_factor, &[]);
+        self.leaving.record(u64::from(figures.is_leaving), &[]);
     }
 }
--- a/crates/mesh/src/shell.rs
+++ b/crates/mesh/src/shell.rs
@@ -246,7 +246,11 @@
     if let Some(listener) = listeners.metrics {
         supervisor.spawn_essential(
             "metrics",
-            Box::pin(metrics::serve(shared(), Rc::clone(clients), listener)),
+            Box::pin(metrics::server::serve(
+                shared(),
+                Rc::clone(clients),
+                listener,
+            )),
         );
     }
 }
