Write a roll-out's row over one of another writer

Cause: the write is conditional on the row's version that was read, and an unreadable row was skipped with its version. Class: an entry is left out, and what waits for it is not told. Its version counts now, so that it is written over; a row of a later release stays. Hosts, calls held back and shutdowns are written without a condition, and a live host's row that became unreadable was written anew before.

--- a/crates/mesh/src/rollouts/mod.rs
+++ b/crates/mesh/src/rollouts/mod.rs
@@ -28,7 +28,7 @@
 use counters::{ReceivedReports, RunCounters};
 use entry::RecordUpdate;
 pub use entry::RolloutEntry;
-use row::RolloutRow;
+use row::{service_of_key, RolloutRow};
 
 /// The roll-outs of all services that this daemon knows of.
 pub struct RolloutTable {
@@ -200,8 +200,20 @@
     /// Records that the store has no row for the roll-out of `service`, so that it
     /// is written.
     pub fn mark_row_missing(&self, service: &str) {
+        self.rewrite_row(service, 0);
+    }
+
+    /// Has the row with `key` written again over one that cannot be read, which the store
+    /// holds since its version `version`. Does nothing if no roll-out has such a row.
+    pub fn replace_row(&self, key: &str, version: u64) {
+        if let Some(service) = service_of_key(key) {
+            self.rewrite_row(service, version);
+        }
+    }
+
+    fn rewrite_row(&self, service: &str, row_version: u64) {
         if let Some(entry) = self.entries.borrow_mut().get_mut(service) {
-            entry.row_version = 0;
+            entry.row_version = row_version;
             entry.is_order_stored = false;
         }
         self.has_unwritten.notify_one();
--- a/crates/mesh/src/rollouts/row.rs
+++ b/crates/mesh/src/rollouts/row.rs
@@ -33,7 +33,7 @@
     /// # Errors
     /// [`RowError`] if the row cannot be read.
     pub fn decode(row: &StoreRow) -> Result<Option<RolloutRow>, RowError> {
-        let (Some(service), Some(value)) = (row.key.strip_prefix(KEY_PREFIX), &row.value) else {
+        let (Some(service), Some(value)) = (service_of_key(&row.key), &row.value) else {
             return Ok(None);
         };
         let stored: RolloutRow = rows::decode(value)?;
@@ -59,8 +59,14 @@
     format!("{KEY_PREFIX}{service}")
 }
 
+/// The service whose roll-out has the row with `key`; `None` if it is no such row.
+#[must_use]
+pub fn service_of_key(key: &str) -> Option<&str> {
+    key.strip_prefix(KEY_PREFIX)
+}
+
 /// Whether a row with `key` belongs to a roll-out, not to a host.
 #[must_use]
 pub fn is_rollout_key(key: &str) -> bool {
-    key.starts_with(KEY_PREFIX)
+    service_of_key(key).is_some()
 }
--- a/crates/mesh/src/rollouts/row_writer.rs
+++ b/crates/mesh/src/rollouts/row_writer.rs
@@ -15,6 +15,7 @@
 
 use super::row::{rollout_row_key, RolloutRow};
 use super::RolloutEntry;
+use crate::codec::rows::RowError;
 use crate::rows::HOSTS_TABLE;
 use crate::state::MeshShared;
 
@@ -38,7 +39,12 @@
 
     /// Applies a row of the table of hosts that belongs to a roll-out.
     pub fn apply_rollout_row(&self, row: &StoreRow) {
-        let Some(stored) = self.read_row(row, RolloutRow::decode) else {
+        let decoded = RolloutRow::decode(row);
+        let is_broken = matches!(decoded, Err(RowError::Unreadable(_)));
+        let Some(stored) = self.read_row(row, |_| decoded.clone()) else {
+            if is_broken {
+                self.rollouts.replace_row(&row.key, row.version);
+            }
             return;
         };
         let now = self.store.clock_at(self.clock.now());
