Write each log record as one line of bounded length

What operators would see: an entry of another writer in the table of hosts, well-formed and under a name, zone or service with a line break, makes a second line in every daemon's log (`host_learnt`, then `peer_failing`, `links_planned`), which can look like the daemon's own, or change what a terminal shows. Each line with its texts could be of any length.

Cause: texts of other processes are formatted into a record as they are, and the writer of the log takes a record for a line. Class: what is true of all records was left to each place that logs.

Change: the logger escapes control characters and line separators of every record, and cuts a line at 4 KiB with a note of what was left out.

Not covered: blanks and quotes in a name can still look like further fields of the same line.

--- a/crates/mesh/src/logging.rs
+++ b/crates/mesh/src/logging.rs
@@ -5,7 +5,9 @@
 //! thread writes them. Lines that do not fit into the buffer and lines that the
 //! [`LogRateLimiter`] suppresses are counted, and their number is logged.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
+use std::fmt::Write as _;
 use std::io::Write;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -21,6 +23,9 @@
 /// Time for which lines are collected before they are written in one batch, because
 /// each write costs a wake-up and a system call.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
+/// Longest line in bytes, so that no text of another process fills the buffer. Longer ones are
+/// cut, and end with the number of bytes that were left out.
+pub const MAX_LINE_BYTES: usize = 4 * 1024;
 /// Longest time that a flush, as at a planned stop, waits for the last lines to be
 /// written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
@@ -121,9 +126,8 @@
 
 impl LogWriter for BufferWriter {
     fn write(&self, now: &mut DeferredNow, record: &log::Record<'_>) -> std::io::Result<()> {
-        let mut line = Vec::with_capacity(256);
-        format_line(&mut line, now, record)?;
-        self.buffer.push(&line);
+        let line = format_line(now, record);
+        self.buffer.push(as_one_line(&line).as_bytes());
         Ok(())
     }
 
@@ -151,18 +155,41 @@
         .ok()
 }
 
-fn format_line(
-    writer: &mut dyn std::io::Write,
-    now: &mut DeferredNow,
-    record: &log::Record<'_>,
-) -> std::io::Result<()> {
-    write!(
-        writer,
-        "ts={} level={} {}",
-        now.format_rfc3339(),
-        record.level().as_str().to_lowercase(),
-        record.args()
-    )
+fn format_line(now: &mut DeferredNow, record: &log::Record<'_>) -> String {
+    let time = now.format_rfc3339();
+    let level = record.level().as_str().to_lowercase();
+    format!("ts={time} level={level} {}", record.args())
+}
+
+/// Returns `text` as one line of at most [`MAX_LINE_BYTES`], the note on what was cut not
+/// counted: texts of other processes are logged, and a line break in one must not begin a
+/// line that looks like the daemon's own.
+#[must_use]
+pub fn as_one_line(text: &str) -> Cow<'_, str> {
+    if text.len() <= MAX_LINE_BYTES && !text.contains(needs_escape) {
+        return Cow::Borrowed(text);
+    }
+    let mut line = String::with_capacity(text.len().min(MAX_LINE_BYTES));
+    for (position, character) in text.char_indices() {
+        let before = line.len();
+        if needs_escape(character) {
+            line.extend(character.escape_debug());
+        } else {
+            line.push(character);
+        }
+        if line.len() > MAX_LINE_BYTES {
+            line.truncate(before);
+            // Writing to a string does not fail.
+            let _ = write!(line, " cut_bytes={}", text.len() - position);
+            break;
+        }
+    }
+    Cow::Owned(line)
+}
+
+/// Whether `character` could end a line or change how a terminal shows it.
+fn needs_escape(character: char) -> bool {
+    character.is_control() || matches!(character, '\u{2028}' | '\u{2029}')
 }
 
 /// Priority of a log line about a call.
--- a/tests/mesh_odd_hosts.rs
+++ b/tests/mesh_odd_hosts.rs
@@ -295,3 +295,21 @@
         .collect();
     assert_serves_beside(&mut fleet, &entries).await;
 }
+
+/// Guards against texts of an entry that make a second line of the log.
+#[rstest]
+#[case::name_with_a_line_break("a\nts=0 event=forged", "a", SERVICE)]
+#[case::zone_with_a_line_break("odd", "a\nevent=forged", SERVICE)]
+#[case::service_with_a_line_break("odd", "a", "b\r\nevent=forged")]
+#[case::name_with_an_escape("a\u{1b}[2J", "a", SERVICE)]
+#[tokio::test]
+async fn an_entry_makes_one_line_of_the_log(
+    #[case] name: &str,
+    #[case] zone: &str,
+    #[case] service: &str,
+) {
+    let mut fleet = three_zone_fleet().await;
+    let address = closed_address().await.to_string();
+    let entries = [Entry::new(name, &address, zone, service)];
+    assert_serves_beside(&mut fleet, &entries).await;
+}
