Leave out hosts whose names no host may have

What operators would see: an entry of another writer in the table of hosts, well-formed and under a name, a zone or a service of 4,000 bytes, is taken for a host. Its text comes again in `host_learnt`, `peer_failing` and `links_planned` of every daemon and in each list of hosts that daemons send each other. The key of a row that cannot be read, of any length, is a line of the log and a label of the metrics.

Cause: of what names a host, only the address was checked, and the zone for being empty. Class: a text from outside has no bound in bytes.

Change: the name of a host, a zone or a service has 255 bytes at most, as a name in DNS, and no control character; a host and a zone have one. Rows that name others are skipped like all that cannot be read, hosts of that kind that another daemon names are refused with a line, and settings with such names are refused with line and key, so that no daemon starts under a name that the others leave out. Keys of skipped rows are shortened in log and metrics.

The refusal of a host that another daemon names has a test of the check itself, none of a daemon that is told such a host.

--- a/crates/mesh/src/codec/skipped.rs
+++ b/crates/mesh/src/codec/skipped.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::{Counter, Meter};
 use opentelemetry::KeyValue;
 
+use super::names::shortened;
 use super::rows::RowError;
 
 /// Maximum number of rows that are told apart in the log and in the metrics.
@@ -37,15 +38,15 @@
 
     /// Records that `row` of `table` is skipped because of `error`.
     pub fn record(&self, table: &'static str, row: &StoreRow, error: RowError) {
-        let (is_named, is_news) = self.remember(table, row);
+        let key = shortened(&row.key);
+        let (is_named, is_news) = self.remember(table, key, row.version);
         if is_news {
             log::warn!(
-                "event=row_skipped table={table} key={:?} version={} error=\"{error}\"",
-                row.key,
+                "event=row_skipped table={table} key={key:?} version={} error=\"{error}\"",
                 row.version
             );
         }
-        let key = if is_named { &row.key } else { OTHER_KEYS };
+        let key = if is_named { key } else { OTHER_KEYS };
         let labels = [
             KeyValue::new("table", table),
             KeyValue::new("key", key.to_owned()),
@@ -53,15 +54,15 @@
         self.counter.add(1, &labels);
     }
 
-    /// Returns whether `row` is among the rows that are told apart, and whether it has not
-    /// been logged at this version.
-    fn remember(&self, table: &'static str, row: &StoreRow) -> (bool, bool) {
+    /// Returns whether the row with `key` is among the rows that are told apart, and whether
+    /// it has not been logged at `version`.
+    fn remember(&self, table: &'static str, key: &str, version: u64) -> (bool, bool) {
         let mut logged = self.logged.borrow_mut();
-        let id = (table, row.key.clone());
+        let id = (table, key.to_owned());
         if !logged.contains_key(&id) && logged.len() >= MAX_NAMED_ROWS {
             return (false, false);
         }
-        let before = logged.insert(id, row.version);
-        (true, before != Some(row.version))
+        let before = logged.insert(id, version);
+        (true, before != Some(version))
     }
 }
--- a/crates/mesh/src/members/registration.rs
+++ b/crates/mesh/src/members/registration.rs
@@ -6,6 +6,7 @@
 use filbert_policy::membership::registered_from;
 
 use super::{HostChange, MemberTable};
+use crate::codec::names::shortened;
 use crate::messages::{KnownHosts, PeerAddress};
 use crate::state::MeshShared;
 
@@ -51,6 +52,9 @@
     /// updates its address. Such a host may know no other host yet, so it is not chosen as
     /// an upstream before its row is in the store.
     pub fn upsert_unregistered_host(&self, address: PeerAddress, from: &str) {
+        if !is_host(&address, from) {
+            return;
+        }
         let id = address.id.clone();
         let hello_at = if self.members.has_host(&id) {
             self.members.hellos.borrow().get(&id).copied()
@@ -65,6 +69,9 @@
 
     /// Adds a registered host or updates its address.
     pub fn upsert_host(&self, address: PeerAddress, from: &str) {
+        if !is_host(&address, from) {
+            return;
+        }
         self.members.mark_registered(&address.id);
         self.insert_host(address, from);
     }
@@ -80,3 +87,14 @@
         }
     }
 }
+
+/// Whether `address` could be that of a host; logs it if not. The rows of the store were
+/// checked before, the hosts that other daemons name were not.
+fn is_host(address: &PeerAddress, from: &str) -> bool {
+    let checked = address.check();
+    if let Err(error) = checked {
+        let host = shortened(&address.id);
+        log::warn!("event=host_refused host={host:?} from={from} error=\"{error}\"");
+    }
+    checked.is_ok()
+}
--- a/crates/mesh/src/messages/hosts.rs
+++ b/crates/mesh/src/messages/hosts.rs
@@ -1,14 +1,34 @@
 //! Parts of messages on hosts and on the rows in the table of hosts.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use super::{DecodeError, PeerAddress};
 use crate::codec::bounded;
+use crate::codec::names::{is_name, is_name_or_empty};
 use crate::deflate;
 use crate::held_rows::{self, HeldRow};
 
+impl PeerAddress {
+    /// Checks that this could be a host. What another writer put among the hosts may be none:
+    /// it is not dialed, not elected and not passed on.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    pub fn check(&self) -> Result<(), &'static str> {
+        if self.address.parse::<SocketAddr>().is_err() {
+            return Err("the address is invalid");
+        }
+        if is_name(&self.id) && is_name(&self.zone) && is_name_or_empty(&self.service) {
+            Ok(())
+        } else {
+            Err("the name of the host, its zone or its service is invalid")
+        }
+    }
+}
+
 /// Hosts that a daemon knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownHosts {
--- a/crates/mesh/src/rows.rs
+++ b/crates/mesh/src/rows.rs
@@ -3,7 +3,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -349,9 +348,6 @@
     if address.id != key {
         return Err(RowError::Unreadable("the row names another host"));
     }
-    if address.zone.is_empty() || address.address.parse::<SocketAddr>().is_err() {
-        let reason = "the zone is empty or the address is invalid";
-        return Err(RowError::Unreadable(reason));
-    }
+    address.check().map_err(RowError::Unreadable)?;
     Ok(address)
 }
--- a/crates/mesh/src/settings/mod.rs
+++ b/crates/mesh/src/settings/mod.rs
@@ -19,6 +19,8 @@
 use filbert_tree::ParseError;
 use serde::{Deserialize, Deserializer};
 
+use crate::codec::names::{is_name, is_name_or_empty, NAME_RULE};
+
 pub use machine::MachineSettings;
 
 /// Contents of the daemon's settings file.
@@ -300,8 +302,9 @@
     /// Checks that all values, which were read from `text`, are in range.
     fn check(&self, text: &str) -> Result<(), Report<MeshSettingsError>> {
         let checks = [
-            ("id", self.id.is_empty(), "must not be empty"),
-            ("zone", self.zone.is_empty(), "must not be empty"),
+            ("id", !is_name(&self.id), NAME_RULE),
+            ("zone", !is_name(&self.zone), NAME_RULE),
+            ("service", !is_name_or_empty(&self.service), NAME_RULE),
             (
                 "retry.ratio",
                 !(0.0..=1.0).contains(&self.retry.ratio),
--- a/tests/mesh_odd_hosts.rs
+++ b/tests/mesh_odd_hosts.rs
@@ -202,7 +202,8 @@
 #[tokio::test]
 async fn odd_values_under_odd_names_name_no_host() {
     let mut fleet = three_zone_fleet().await;
-    let names = ["odd", "a b", "a\nb", "a&b", "a\"b", "a%00"];
+    let long = "k".repeat(4_000);
+    let names = ["odd", "a b", "a\nb", "a&b", "a\"b", &long];
     let entries: Vec<Entry> = std::iter::zip(names, odd_values())
         .map(|(name, value)| Entry {
             key: name.to_owned(),
@@ -296,14 +297,18 @@
     assert_serves_beside(&mut fleet, &entries).await;
 }
 
-/// Guards against texts of an entry that make a second line of the log.
+/// Guards against texts of an entry that make a second line of the log, or one of thousands
+/// of bytes.
 #[rstest]
 #[case::name_with_a_line_break("a\nts=0 event=forged", "a", SERVICE)]
 #[case::zone_with_a_line_break("odd", "a\nevent=forged", SERVICE)]
 #[case::service_with_a_line_break("odd", "a", "b\r\nevent=forged")]
 #[case::name_with_an_escape("a\u{1b}[2J", "a", SERVICE)]
+#[case::long_name(&"n".repeat(4_000), "a", SERVICE)]
+#[case::long_zone("odd", &"z".repeat(4_000), SERVICE)]
+#[case::long_service("odd", "a", &"s".repeat(4_000))]
 #[tokio::test]
-async fn an_entry_makes_one_line_of_the_log(
+async fn an_entry_makes_one_bounded_line_of_the_log(
     #[case] name: &str,
     #[case] zone: &str,
     #[case] service: &str,
