Refuse a target whose address no call can be sent to

What callers saw: with one target announced as `[h:80`, `h:http`, `127.0.0.1:70000` or the like, some calls of its service ended as 504; with twenty of them, most did. The admin port took any string with 202. Cause: no place checked an address before it was used. Class of fault: input of others that is taken without the check on which its later use depends. Change: the grammar of an address, HOST:PORT, is stated once (crates/store/src/address.rs). Names are still taken, in their ASCII form; port 0, zones of IPv6, numbers in place of a name and anything of a URL are not. An announcement with another address gets 422 and one short line that names the field and the fault. The link to a relay uses the same grammar, with an IP address only.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use filbert_store::TargetAnnouncement;
+use filbert_store::{check_target_address, shortened, TargetAnnouncement};
 use rocket::http::Status;
 use rocket::serde::json::Json;
 use rocket::{get, post, routes, Route, State};
@@ -24,15 +24,25 @@
     pub counters: Arc<DaemonCounters>,
 }
 
+/// Takes the announcement of a target. Refuses one with an address to which no call can be
+/// sent, with a line that says why.
 #[post("/announce", data = "<announcement>")]
-async fn announce(state: &State<AdminState>, announcement: Json<TargetAnnouncement>) -> Status {
-    let event = ControlEvent::TargetAnnounced {
-        announcement: announcement.into_inner(),
-    };
-    match state.events.send(event).await {
+async fn announce(
+    state: &State<AdminState>,
+    announcement: Json<TargetAnnouncement>,
+) -> (Status, String) {
+    let announcement = announcement.into_inner();
+    if let Err(fault) = check_target_address(&announcement.address) {
+        let shown = shortened(&announcement.address);
+        let text = format!("field `address`: \"{shown}\" cannot be used: {fault}\n");
+        return (Status::UnprocessableEntity, text);
+    }
+    let event = ControlEvent::TargetAnnounced { announcement };
+    let status = match state.events.send(event).await {
         Ok(()) => Status::Accepted,
         Err(_) => Status::ServiceUnavailable,
-    }
+    };
+    (status, String::new())
 }
 
 #[get("/status")]
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -7,12 +7,12 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::future::poll_fn;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use filbert_store::parse_relay_address;
 use h2::{Ping, PingPong, RecvStream, SendStream};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -253,7 +253,7 @@
 
 /// Connects to the relay at `address` and starts the stream that carries the frames.
 async fn open_link(address: &str) -> Result<OpenedLink, LinkError> {
-    let address: SocketAddr = address.parse().map_err(|_| LinkError::ConnectFailed)?;
+    let address = parse_relay_address(address).map_err(|_| LinkError::ConnectFailed)?;
     let socket = tokio::time::timeout(OPEN_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| LinkError::ConnectFailed)?
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,12 +2,16 @@
 //!
 //! The stand-in server in `filbert-standin` uses the same wire types.
 
+mod address;
 mod client;
 mod keys;
+mod text;
 mod wire;
 
+pub use address::{check_target_address, parse_relay_address, AddressFault};
 pub use client::{PlatformClient, PlatformError, WriteOutcome};
 pub use keys::StoreKey;
+pub use text::shortened;
 pub use wire::{
     CurrentPointer, DaemonStatus, DeltaPointer, GetRequest, InjectedFaults, LeaseRecord,
     PlatformStats, PutRequest, ScanRequest, TableRow, TargetAnnouncement, TargetRecord,
