Keep an announced service in one short line of the log

What operators saw: a target that announced a service of 30,000 characters with a line break wrote a line of that length, and one that looked like an event of the daemon. Cause: the name was put into the log as it came. Class: text of others in a line of the log, unescaped and without a bound. Change: it is cut and escaped as in answers of the admin port. Evidence: announced_service_makes_one_line_of_the_log failed before (a line of 30,033 bytes) and passes now. The other names in these lines are our own settings, or addresses that were checked.

--- a/crates/daemon/src/control/change.rs
+++ b/crates/daemon/src/control/change.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use filbert_store::shortened;
+
 /// A state change that is logged. [`Display`](fmt::Display) writes the log
 /// line: the `event=` name, then its keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,13 +64,15 @@
             StateChange::TargetJoined { service, address } => {
                 write!(
                     formatter,
-                    "event=target_joined service={service} address={address}"
+                    "event=target_joined service={} address={address}",
+                    shortened(service)
                 )
             }
             StateChange::TargetLeaving { service, address } => {
                 write!(
                     formatter,
-                    "event=target_leaving service={service} address={address}"
+                    "event=target_leaving service={} address={address}",
+                    shortened(service)
                 )
             }
             StateChange::LeaseTaken { token } => {
--- a/tests/odd_targets.rs
+++ b/tests/odd_targets.rs
@@ -88,3 +88,18 @@
     assert_eq!(known_target_count(&mesh.daemons[0], "quoting").await, 2);
     assert_short_log(&mesh);
 }
+
+/// Guards against a service whose name makes a line of its own in the log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn announced_service_makes_one_line_of_the_log() {
+    let mesh = one_daemon_mesh(2).await;
+    let service = format!("quoting\nevent=forged {}", "x".repeat(30_000));
+    let announcement = serde_json::json!({
+        "service": service, "address": "127.0.0.1:9", "load": 0, "leaving": false,
+    });
+    let url = format!("{}/announce", mesh.daemons[0].admin_url);
+    let post = reqwest::Client::new().post(url).json(&announcement).send();
+    assert_eq!(post.await.expect("an answer").status(), 202);
+    tokio::time::sleep(ANNOUNCE_TIME).await;
+    assert_short_log(&mesh);
+}
