Decode the rows of our own store one by one

What callers saw: one row of another writer among the targets of a zone, nested 200 deep, with a number too large or without a key, made every scan of the zone's targets fail as malformed. Running daemons went on with what they knew; a restarted daemon that reads the store itself knew no target on another host and served nothing. A lease row of that kind could be neither read nor replaced. Cause: a whole response was decoded at once. Class: a whole list is refused for one entry of it. Change: the list is split into raw rows and each is decoded by itself. A row without key or version is left out; a value that cannot be decoded becomes null, which no reader takes for an entry, with the version that a compare-and-set needs. Both are logged, in one bounded line at most every 10 s for a client, since daemons read the same rows several times a second. A body that is no list stays a failure.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -57,6 +57,14 @@
         self.lock().stats
     }
 
+    /// Writes a row as another writer may: unconditionally, and with a value that the protocol
+    /// would not carry.
+    pub fn write_row(&self, key: &str, value: serde_json::Value) {
+        let mut inner = self.lock();
+        let version = inner.rows.get(key).map_or(1, |(version, _)| version + 1);
+        inner.rows.insert(key.to_owned(), (version, value));
+    }
+
     /// Injects the faults that precede the handling of a request: waits for the
     /// delay, then fails with status 503 if the platform is set to be down.
     async fn delay_or_fail(&self) -> Result<(), Status> {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,6 +6,7 @@
 use error_stack::{Report, ResultExt};
 use reqwest::StatusCode;
 
+use crate::rows::RowDecoder;
 use crate::wire::{
     GetRequest, InjectedFaults, PlatformStats, PutRequest, ScanRequest, TableRow, WriteCondition,
 };
@@ -60,6 +61,7 @@
 pub struct PlatformClient {
     http: reqwest::Client,
     base_url: String,
+    rows: RowDecoder,
 }
 
 type PlatformResult<T> = Result<T, Report<PlatformError>>;
@@ -82,6 +84,7 @@
         PlatformClient {
             http,
             base_url: base_url.trim_end_matches('/').to_owned(),
+            rows: RowDecoder::default(),
         }
     }
 
@@ -103,7 +106,7 @@
         let response = self.send_post("/table/get", &body).await?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
-            status if status.is_success() => decode(response).await.map(Some),
+            status if status.is_success() => self.decode_row(response).await.map(Some),
             status => Err(error_for_status(status)),
         }
     }
@@ -126,16 +129,22 @@
         };
         let response = self.send_post("/table/put", &body).await?;
         match response.status() {
-            StatusCode::CONFLICT => decode::<Option<TableRow>>(response)
-                .await
-                .map(WriteOutcome::Refused),
+            StatusCode::CONFLICT => {
+                let bytes = read_body(response).await?;
+                let row = self.rows.decode_optional_row(&bytes);
+                row.map(WriteOutcome::Refused)
+                    .change_context(PlatformError::Malformed)
+            }
             StatusCode::GATEWAY_TIMEOUT => Err(Report::new(PlatformError::OutcomeUnknown)),
-            status if status.is_success() => decode(response).await.map(WriteOutcome::Written),
+            status if status.is_success() => {
+                self.decode_row(response).await.map(WriteOutcome::Written)
+            }
             status => Err(error_for_status(status)),
         }
     }
 
-    /// Reads every row whose key starts with `prefix`, in key order.
+    /// Reads every row whose key starts with `prefix`, in key order. A row that cannot be
+    /// decoded is left out; one whose value cannot be decoded has the value `null`.
     ///
     /// # Errors
     /// [`PlatformError`] when the platform is unreachable or unavailable, or its
@@ -146,7 +155,11 @@
         };
         let response = self.send_post("/table/scan", &body).await?;
         match response.status() {
-            status if status.is_success() => decode(response).await,
+            status if status.is_success() => {
+                let bytes = read_body(response).await?;
+                let rows = self.rows.decode_rows(&bytes);
+                rows.change_context(PlatformError::Malformed)
+            }
             status => Err(error_for_status(status)),
         }
     }
@@ -181,13 +194,7 @@
         let response = self.send_get(&format!("/object/{key}")).await?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
-            status if status.is_success() => {
-                let bytes = response
-                    .bytes()
-                    .await
-                    .change_context(PlatformError::Unreachable)?;
-                Ok(Some(bytes.to_vec()))
-            }
+            status if status.is_success() => read_body(response).await.map(Some),
             status => Err(error_for_status(status)),
         }
     }
@@ -215,7 +222,14 @@
     /// malformed.
     pub async fn stats(&self) -> PlatformResult<PlatformStats> {
         let response = self.send_get("/_stats").await?;
-        decode(response).await
+        let bytes = read_body(response).await?;
+        serde_json::from_slice(&bytes).change_context(PlatformError::Malformed)
+    }
+
+    async fn decode_row(&self, response: reqwest::Response) -> PlatformResult<TableRow> {
+        let bytes = read_body(response).await?;
+        let row = self.rows.decode_row(&bytes);
+        row.change_context(PlatformError::Malformed)
     }
 
     async fn send_get(&self, path: &str) -> PlatformResult<reqwest::Response> {
@@ -244,12 +258,10 @@
     }
 }
 
-async fn decode<T: serde::de::DeserializeOwned>(response: reqwest::Response) -> PlatformResult<T> {
-    let bytes = response
-        .bytes()
-        .await
-        .change_context(PlatformError::Unreachable)?;
-    serde_json::from_slice(&bytes).change_context(PlatformError::Malformed)
+async fn read_body(response: reqwest::Response) -> PlatformResult<Vec<u8>> {
+    let bytes = response.bytes().await;
+    let bytes = bytes.change_context(PlatformError::Unreachable)?;
+    Ok(bytes.to_vec())
 }
 
 fn error_for_status(status: StatusCode) -> Report<PlatformError> {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 mod address;
 mod client;
 mod keys;
+mod rows;
 mod text;
 mod wire;
 
--- /dev/null
+++ b/tests/odd_store_rows.rs
@@ -0,0 +1,78 @@
+//! Rows that other writers left in our own store, beside running and restarted daemons.
+
+mod support;
+
+use std::path::Path;
+use std::time::Duration;
+
+use filbert_daemon::settings::DistributionMode;
+use filbert_standin::mesh::LocalMesh;
+use rstest::rstest;
+use serde_json::{json, Value};
+use support::{get, mesh_spec, start_mesh_with_example, DAEMON_EXE, WAIT_TIMEOUT};
+
+/// Nesting of a value, above what a decoder reads by recursion.
+const DEPTH: usize = 200;
+/// Time in which running daemons read the rows several times.
+const STEADY_TIME: Duration = Duration::from_millis(700);
+/// Calls through each daemon.
+const CALLS: usize = 20;
+
+fn nested() -> Value {
+    (0..DEPTH).fold(json!(1), |value, _| json!([value]))
+}
+
+/// Two daemons of one zone, of which the second has no target on its host.
+async fn two_daemon_mesh(mode: DistributionMode) -> LocalMesh {
+    let spec = mesh_spec(&["quoting"]).zones(&["zone-a"]).mode(mode);
+    start_mesh_with_example(spec.target_hosts_per_zone(1)).await
+}
+
+/// Kills all daemons at the same moment and starts them again.
+fn restart_all(mesh: &mut LocalMesh) {
+    for daemon in &mut mesh.daemons {
+        daemon.kill();
+    }
+    for daemon in &mut mesh.daemons {
+        daemon.start(Path::new(DAEMON_EXE));
+    }
+}
+
+/// Number of calls through all daemons that are not answered with 200.
+async fn failed_calls(mesh: &LocalMesh) -> usize {
+    let mut failed = 0;
+    for daemon in &mesh.daemons {
+        for call in 0..CALLS {
+            let path = format!("/quotes/{call}");
+            let answer = get(&daemon.proxy_url, "north-signs", &path).await;
+            failed += usize::from(answer.status() != 200);
+        }
+    }
+    failed
+}
+
+/// Checks that all calls are served beside the rows that stand now, first by the running
+/// daemons and then by restarted ones.
+async fn assert_served(mesh: &mut LocalMesh) {
+    tokio::time::sleep(STEADY_TIME).await;
+    assert_eq!(failed_calls(mesh).await, 0, "in steady state");
+    restart_all(mesh);
+    let applied = mesh.wait_until_applied(1, WAIT_TIMEOUT).await;
+    assert!(applied.is_some(), "not served after the restart");
+    tokio::time::sleep(STEADY_TIME).await;
+    assert_eq!(failed_calls(mesh).await, 0, "after the restart");
+}
+
+/// Guards against one odd row of a target that hides all targets of its zone.
+#[rstest]
+#[case::nested(nested())]
+#[case::null(Value::Null)]
+#[case::far_future(json!({"service": "art", "address": "127.0.0.1:9", "zone": "zone-a",
+    "daemon": "x", "load": 0, "leaving": false, "heard_at_ms": u64::MAX}))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn odd_target_row_hides_no_target(#[case] value: Value) {
+    let mut mesh = two_daemon_mesh(DistributionMode::Direct).await;
+    let key = "targets/zone-a/quoting/a";
+    mesh.platform.store.write_row(key, value);
+    assert_served(&mut mesh).await;
+}
