Leave out targets of others whose addresses cannot be used

What callers saw: rows of targets with such addresses (no port, port 0 or 70000, half a bracket, a line break, a URL) were taken as targets; beside one good target, 31 of 40 calls did not get 200. Cause: the address of a row, or of a target that another daemon passes on, was not checked where it is read. Class: input of others that is taken without the check on which its later use depends. Change: rows and changes from peers and relays go through the grammar of addresses; the others hold. The number of skipped rows is logged when it changes, not at every scan.

--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use filbert_store::{TargetAnnouncement, TargetRecord};
+use filbert_store::{check_target_address, TargetAnnouncement, TargetRecord};
 
 use super::{duration_ms, ControlEffect, ControlState, StateChange, ZoneRole};
 use crate::messages::{PeerMessage, TargetChange};
@@ -89,7 +89,8 @@
     }
 
     /// Applies a change of other hosts' targets. Added or updated targets of this
-    /// daemon, whose id is `own_id`, are ignored: its own announcements are newer.
+    /// daemon, whose id is `own_id`, are ignored: its own announcements are newer. So are
+    /// targets to whose address no call can be sent.
     pub(super) fn apply_change(&mut self, change: &TargetChange, own_id: &str) {
         if change.is_snapshot {
             self.zone.clear();
@@ -99,7 +100,8 @@
             self.zone.remove(address);
         }
         for record in &change.upserts {
-            if record.daemon != own_id {
+            let is_usable = check_target_address(&record.address).is_ok();
+            if record.daemon != own_id && is_usable {
                 self.zone.insert(record.address.clone(), record.clone());
             }
         }
--- a/crates/daemon/src/platform_calls.rs
+++ b/crates/daemon/src/platform_calls.rs
@@ -1,11 +1,12 @@
 //! Calls of the daemon to the platform. Each call runs in a task of its own and returns
 //! its outcome as an event, so a slow platform does not block the control loop.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
 use filbert_store::{
-    CurrentPointer, DaemonStatus, DeltaPointer, LeaseRecord, PlatformClient, StoreKey, TableRow,
-    TargetRecord, WriteCondition, WriteOutcome, ZoneDigest,
+    check_target_address, CurrentPointer, DaemonStatus, DeltaPointer, LeaseRecord, PlatformClient,
+    StoreKey, TableRow, TargetRecord, WriteCondition, WriteOutcome, ZoneDigest,
 };
 use filbert_tree::VersionCodec;
 use tokio::sync::mpsc;
@@ -24,6 +25,8 @@
     pub events: mpsc::Sender<ControlEvent>,
     /// Counts reads and writes.
     pub counters: Arc<DaemonCounters>,
+    /// Number of target rows that the last scan skipped.
+    pub skipped_targets: Arc<AtomicUsize>,
 }
 
 impl PlatformCalls {
@@ -123,19 +126,20 @@
         });
     }
 
-    /// Reads the target rows of the zone. Rows that cannot be decoded are skipped.
+    /// Reads the target rows of the zone. Rows that name no target are skipped.
     pub fn read_targets(&self) {
         self.counters.record_platform_read();
         let platform = self.platform.clone();
         let prefix = StoreKey::zone_target_prefix(&self.zone);
+        let skipped_targets = Arc::clone(&self.skipped_targets);
         self.spawn_call(async move {
             Some(match platform.scan(&prefix).await {
-                Ok(rows) => ControlEvent::TargetsRead {
-                    records: rows
-                        .into_iter()
-                        .filter_map(|row| serde_json::from_value::<TargetRecord>(row.value).ok())
-                        .collect(),
-                },
+                Ok(rows) => {
+                    let row_count = rows.len();
+                    let records: Vec<_> = rows.into_iter().filter_map(decode_target_row).collect();
+                    log_skipped_targets(row_count - records.len(), &skipped_targets);
+                    ControlEvent::TargetsRead { records }
+                }
                 Err(_) => ControlEvent::PlatformFailed {
                     step: PlatformStep::ReadTargets,
                 },
@@ -244,6 +248,20 @@
     }
 }
 
+/// Decodes the row of a target. Returns `None` if its value names no target.
+fn decode_target_row(row: TableRow) -> Option<TargetRecord> {
+    let record: TargetRecord = serde_json::from_value(row.value).ok()?;
+    check_target_address(&record.address).ok()?;
+    Some(record)
+}
+
+/// Logs how many target rows a scan skipped, if the number has changed since the last scan.
+fn log_skipped_targets(count: usize, last_count: &AtomicUsize) {
+    if last_count.swap(count, Ordering::Relaxed) != count {
+        log::warn!("event=target_rows_skipped rows={count}");
+    }
+}
+
 /// Decodes a lease row. Returns `None` if its value is not a lease.
 fn decode_lease_row(row: TableRow) -> Option<LeaseRow> {
     Some(LeaseRow {
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -112,6 +112,7 @@
             zone: settings.zone.clone(),
             events: events.clone(),
             counters: Arc::clone(&counters),
+            skipped_targets: Arc::default(),
         },
         proxy: Arc::clone(&proxy),
         status: Arc::clone(&status),
--- a/tests/odd_store_rows.rs
+++ b/tests/odd_store_rows.rs
@@ -9,7 +9,7 @@
 use filbert_standin::mesh::LocalMesh;
 use rstest::rstest;
 use serde_json::{json, Value};
-use support::{get, mesh_spec, start_mesh_with_example, DAEMON_EXE, WAIT_TIMEOUT};
+use support::{get, mesh_spec, start_mesh_with_example, status, DAEMON_EXE, WAIT_TIMEOUT};
 
 /// Nesting of a value, above what a decoder reads by recursion.
 const DEPTH: usize = 200;
@@ -76,3 +76,34 @@
     mesh.platform.store.write_row(key, value);
     assert_served(&mut mesh).await;
 }
+
+/// Addresses to which no call can be sent.
+const UNUSABLE: [&str; 10] = [
+    "",
+    "   ",
+    "[h:80",
+    "h:http",
+    "127.0.0.1",
+    "127.0.0.1:0",
+    "127.0.0.1:70000",
+    "127.0.0.1:9\nx",
+    "http://127.0.0.1:9/",
+    "127.0.0.1:9/a?b=",
+];
+
+/// Guards against targets whose addresses cannot be used and that get calls.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn target_rows_with_unusable_addresses_name_no_targets() {
+    let mut mesh = two_daemon_mesh(DistributionMode::Direct).await;
+    for (index, address) in UNUSABLE.iter().enumerate() {
+        let row = json!({"service": "quoting", "address": address, "zone": "zone-a",
+            "daemon": "x", "load": 0, "leaving": false, "heard_at_ms": u64::MAX});
+        let key = format!("targets/zone-a/quoting/{index}");
+        mesh.platform.store.write_row(&key, row);
+    }
+    assert_served(&mut mesh).await;
+    for daemon in &mesh.daemons {
+        let shown = status(daemon).await;
+        assert_eq!(shown["targets"]["quoting"], 1, "{shown}");
+    }
+}
