Replace a lease row that is no lease

What operators saw: with a row of another writer in the place of a zone's lease (null, other types, too deep, an address that cannot be used), the zone had no leader for as long as the row stood: every daemon looked for one and read the store for itself, and targets reached other hosts by scans alone. Cause: such a row was read as no row, and then written on the condition that there is none, which the store refuses. Class: an entry that is skipped still counts where its place is asked for. Change: it is read as a released lease with the version of the row, which the next holder replaces by compare-and-set at once.

--- a/crates/daemon/src/platform_calls.rs
+++ b/crates/daemon/src/platform_calls.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use filbert_store::{
-    check_target_address, CurrentPointer, DaemonStatus, DeltaPointer, LeaseRecord, PlatformClient,
-    StoreKey, TableRow, TargetRecord, WriteCondition, WriteOutcome, ZoneDigest,
+    check_target_address, parse_relay_address, CurrentPointer, DaemonStatus, DeltaPointer,
+    LeaseRecord, PlatformClient, StoreKey, TableRow, TargetRecord, WriteCondition, WriteOutcome,
+    ZoneDigest,
 };
 use filbert_tree::VersionCodec;
 use tokio::sync::mpsc;
@@ -147,7 +148,7 @@
         });
     }
 
-    /// Reads the lease row of the zone. A row that cannot be decoded counts as absent.
+    /// Reads the lease row of the zone. A row that is no lease counts as released.
     pub fn read_lease(&self) {
         self.counters.record_platform_read();
         let platform = self.platform.clone();
@@ -155,7 +156,7 @@
         self.spawn_call(async move {
             Some(match platform.get(&key).await {
                 Ok(row) => ControlEvent::LeaseRead {
-                    row: row.and_then(decode_lease_row),
+                    row: row.map(decode_lease_row),
                 },
                 Err(_) => ControlEvent::PlatformFailed {
                     step: PlatformStep::Lease,
@@ -171,17 +172,16 @@
         let key = StoreKey::lease(&self.zone);
         let value = serde_json::to_value(record).unwrap_or_default();
         self.spawn_call(async move {
-            let failed = ControlEvent::PlatformFailed {
-                step: PlatformStep::Lease,
-            };
             Some(match platform.put(&key, expect, value).await {
-                Ok(WriteOutcome::Written(row)) => {
-                    decode_lease_row(row).map_or(failed, |row| ControlEvent::LeaseWritten { row })
-                }
+                Ok(WriteOutcome::Written(row)) => ControlEvent::LeaseWritten {
+                    row: decode_lease_row(row),
+                },
                 Ok(WriteOutcome::Refused(row)) => ControlEvent::LeaseWriteRefused {
-                    row: row.and_then(decode_lease_row),
+                    row: row.map(decode_lease_row),
+                },
+                Err(_) => ControlEvent::PlatformFailed {
+                    step: PlatformStep::Lease,
                 },
-                Err(_) => failed,
             })
         });
     }
@@ -262,10 +262,21 @@
     }
 }
 
-/// Decodes a lease row. Returns `None` if its value is not a lease.
-fn decode_lease_row(row: TableRow) -> Option<LeaseRow> {
-    Some(LeaseRow {
+/// Decodes a lease row. A value that is no lease, or whose holder cannot be reached, is read as
+/// a released one: the next holder then replaces the row at its version. Read as no row, it could
+/// never be replaced.
+fn decode_lease_row(row: TableRow) -> LeaseRow {
+    let record = serde_json::from_value(row.value)
+        .ok()
+        .filter(|record: &LeaseRecord| {
+            record.address.is_empty() || parse_relay_address(&record.address).is_ok()
+        })
+        .unwrap_or_else(|| {
+            log::warn!("event=lease_unreadable row_version={}", row.version);
+            LeaseRecord::default()
+        });
+    LeaseRow {
         version: row.version,
-        record: serde_json::from_value(row.value).ok()?,
-    })
+        record,
+    }
 }
--- a/crates/store/src/wire.rs
+++ b/crates/store/src/wire.rs
@@ -142,7 +142,7 @@
 /// The lease of a zone, in the row `leases/ZONE`. Its holder relays versions
 /// and targets to the other daemons of the zone, and renews the lease by
 /// compare-and-set on the row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRecord {
     /// The daemon id of the holder.
     pub holder: String,
--- a/tests/odd_store_rows.rs
+++ b/tests/odd_store_rows.rs
@@ -9,12 +9,16 @@
 use filbert_standin::mesh::LocalMesh;
 use rstest::rstest;
 use serde_json::{json, Value};
-use support::{get, mesh_spec, start_mesh_with_example, status, DAEMON_EXE, WAIT_TIMEOUT};
+use support::{
+    get, mesh_spec, relay_index, start_mesh_with_example, status, DAEMON_EXE, WAIT_TIMEOUT,
+};
 
 /// Nesting of a value, above what a decoder reads by recursion.
 const DEPTH: usize = 200;
 /// Time in which running daemons read the rows several times.
 const STEADY_TIME: Duration = Duration::from_millis(700);
+/// Time in which a zone has a leader: some durations of its lease.
+const LEADER_TIME: Duration = Duration::from_secs(12);
 /// Calls through each daemon.
 const CALLS: usize = 20;
 
@@ -107,3 +111,37 @@
         assert_eq!(shown["targets"]["quoting"], 1, "{shown}");
     }
 }
+
+/// Guards against a lease row of another writer that keeps a zone without a leader.
+#[rstest]
+#[case::null(Value::Null)]
+#[case::nested(nested())]
+#[case::other_types(json!({"holder": 1}))]
+#[case::unusable_address(json!({"holder": "x", "incarnation": 1, "token": 1,
+    "address": "[h:80", "renewed_at_ms": 1}))]
+#[case::nobody_behind_it(json!({"holder": "x", "incarnation": 1, "token": 1,
+    "address": "127.0.0.1:9", "renewed_at_ms": u64::MAX}))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn odd_lease_row_leaves_a_zone_its_leader(#[case] value: Value) {
+    let mut mesh = two_daemon_mesh(DistributionMode::Relay).await;
+    mesh.platform
+        .store
+        .write_row("leases/zone-a", value.clone());
+    assert_served(&mut mesh).await;
+    assert_leader(&mesh).await;
+    mesh.platform.store.write_row("leases/zone-a", value);
+    restart_all(&mut mesh);
+    let applied = mesh.wait_until_applied(1, WAIT_TIMEOUT).await;
+    assert!(applied.is_some(), "not served after the second restart");
+    assert_leader(&mesh).await;
+}
+
+/// Checks that the zone gets a leader.
+async fn assert_leader(mesh: &LocalMesh) {
+    let has_leader = || async { relay_index(mesh, "zone-a").await.is_some() };
+    let found = support::eventually(LEADER_TIME, has_leader).await;
+    if !found {
+        support::print_zone(mesh, "zone-a").await;
+    }
+    assert!(found, "no leader");
+}
