Keep the daemons of a zone alive beside a lease with the highest token

What callers saw: a lease row of another writer with the highest token that a number can hold ended the processes of its zone with an overflow when the lease was to be taken (in a build with overflow checks; without them the next token was 0, below all that were seen, and no relay was followed). Cause: one was added to a number of the row without a bound. Class: arithmetic on numbers of others. Change: the sum stays at the highest number. Holders then share a token: a relay that was paused past its lease is told apart no more until the row is removed, which versions that never go back make harmless. Evidence: odd_lease_row_leaves_a_zone_its_leader highest_token failed before in 2 of 2 runs (connection refused by the daemon's port) and passes now.

--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -132,7 +132,7 @@
         let record = LeaseRecord {
             holder: self.settings.id.clone(),
             incarnation: self.settings.incarnation,
-            token: seen_token.max(self.zone.token) + 1,
+            token: seen_token.max(self.zone.token).saturating_add(1),
             address: self.settings.address.clone(),
             renewed_at_ms: self.at.wall_ms(),
         };
--- a/tests/odd_store_rows.rs
+++ b/tests/odd_store_rows.rs
@@ -121,6 +121,8 @@
     "address": "[h:80", "renewed_at_ms": 1}))]
 #[case::nobody_behind_it(json!({"holder": "x", "incarnation": 1, "token": 1,
     "address": "127.0.0.1:9", "renewed_at_ms": u64::MAX}))]
+#[case::highest_token(json!({"holder": "x", "incarnation": 1, "token": u64::MAX,
+    "address": "127.0.0.1:9", "renewed_at_ms": 1}))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn odd_lease_row_leaves_a_zone_its_leader(#[case] value: Value) {
     let mut mesh = two_daemon_mesh(DistributionMode::Relay).await;
