Choose targets beside one that reports the highest load

What callers saw: one row (or announcement) of a target with the highest load that its field holds made every call of the service fail with 500: 40 of 40. Cause: the load expected of a target was a plain sum and overflowed while a target was chosen (without overflow checks the target looked idle and drew the calls). Class: arithmetic on numbers of others. Change: the sum stays at the highest load. Evidence: odd_target_row_hides_no_target highest_load failed before (40 of 40 calls, steady state) and passes now (0 of 40, also after a restart of all daemons).

--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -118,7 +118,10 @@
             .filter(|(_, at)| now.saturating_duration_since(*at) <= LOAD_REPORT_LIFETIME);
         let reported = current.map_or(record.load, |(load, _)| load);
         let cold = now.saturating_duration_since(self.first_seen) < COLD_PERIOD;
-        reported + self.in_flight + if cold { COLD_LOAD_PENALTY } else { 0 }
+        let penalty = if cold { COLD_LOAD_PENALTY } else { 0 };
+        reported
+            .saturating_add(self.in_flight)
+            .saturating_add(penalty)
     }
 
     fn record_outcome(&mut self, outcome: TargetOutcome, now: Instant) {
--- a/tests/odd_store_rows.rs
+++ b/tests/odd_store_rows.rs
@@ -71,6 +71,8 @@
 #[rstest]
 #[case::nested(nested())]
 #[case::null(Value::Null)]
+#[case::highest_load(json!({"service": "quoting", "address": "127.0.0.1:9", "zone": "zone-a",
+    "daemon": "x", "load": u32::MAX, "leaving": false, "heard_at_ms": u64::MAX}))]
 #[case::far_future(json!({"service": "art", "address": "127.0.0.1:9", "zone": "zone-a",
     "daemon": "x", "load": 0, "leaving": false, "heard_at_ms": u64::MAX}))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
