Say that a hedged call did not run when neither attempt connected

What callers saw: a call of which both attempts, the first and the hedged one, were refused a connection or were declined ended as 504, outcome unknown, with no time to return. Cause: a call was taken to have perhaps run as soon as a second attempt was started, whatever both ended with. Class: an outcome is stated from what was tried in place of what came of it. Change: each of the two attempts is recorded by how it ended. Only an attempt that is dropped, as the other has answered, still counts as one that may run. Evidence: unconnected_targets.rs hedged_call_that_reached_no_connection_did_not_run failed before (504) and passes now (503, not-run). Six cases beside it passed before too: services of which all ports are closed, full or silent; silent ones stay 504.

--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -200,19 +200,26 @@
             return self.record_end(primary.await);
         };
         let mut hedged = pin!(self.attempt(slot, ConnectionKind::New).run());
-        let attempt = tokio::select! {
-            attempt = primary.as_mut() => match attempt.end {
-                AttemptEnd::Answered => attempt,
-                _ => hedged.await,
-            },
-            attempt = hedged.as_mut() => match attempt.end {
-                AttemptEnd::Answered => attempt,
-                _ => primary.await,
-            },
+        let first = tokio::select! {
+            attempt = primary.as_mut() => (attempt, true),
+            attempt = hedged.as_mut() => (attempt, false),
         };
-        // The attempt whose answer is not used may have run the call as well.
-        self.may_have_run = true;
-        attempt
+        let second = match first {
+            (attempt, _) if attempt.end == AttemptEnd::Answered => {
+                // The attempt that is dropped may run the call as well.
+                self.may_have_run = true;
+                return attempt;
+            }
+            (attempt, is_primary) => {
+                self.record_end(attempt);
+                if is_primary {
+                    hedged.await
+                } else {
+                    primary.await
+                }
+            }
+        };
+        self.record_end(second)
     }
 
     fn record_end(&mut self, attempt: Attempt) -> Attempt {
