Send a call that reached no connection on to a healthy target

What callers saw: twenty targets at closed ports beside two that served cost 39 of 100 lookups and 60 of 100 orders (503, though both good targets were free). With ports that neither accept nor refuse, the last attempt ended by the deadline of the call, and the caller was told 504, outcome unknown. Cause: an attempt that was refused a connection used up a retry and the budget for them as one that ran does, and a target had to refuse three calls before it was passed over. Class: a call is charged for work that provably did not happen. Change: such a call goes on to any target that is healthy and not yet tried, without a retry, while time is left; ejected targets are tried within the retries only, so a dead service is not dialled as a whole by each call. A target that refuses a connection is ejected at once. Evidence: unconnected_targets.rs twenty_closed_ports_cost_no_call failed before in 2 of 2 cases (39 and 60 of 100) and passes now (0 and 0). The cases with full ports passed before, failed with free tries alone (504) and pass with the shorter time. failures, answers, orders, end_to_end, faulty_answers: 31 of 31.

--- a/crates/daemon/src/proxy/attempt.rs
+++ b/crates/daemon/src/proxy/attempt.rs
@@ -11,14 +11,15 @@
 use rocket::http::Method;
 
 use super::answer::{ProxyAnswer, NOT_RUN};
+use super::call_result::{call_result, CallResult};
 use super::policy::{
     connection_kind, final_step, hedge_delay, is_repeatable, next_step, AttemptEnd, ConnectionKind,
     NextStep, RetryAllowance,
 };
+use super::target_clients::HURRIED_CONNECT_TIMEOUT;
 use super::{ProxyShared, OUTCOME_HEADER, REQUEST_ID_HEADER, SERVICE_HEADER};
 use crate::clients::ClientCall;
-use crate::counters::CallOutcome;
-use crate::targets::{PlacementRequest, SlotGuard, TargetOutcome, TargetTable};
+use crate::targets::{PlacementRequest, SlotGuard, TargetHealth, TargetOutcome, TargetTable};
 
 /// Response header with which a target reports its load.
 const LOAD_HEADER: &str = "x-filbert-load";
@@ -41,12 +42,6 @@
     pub(super) deadline: Instant,
 }
 
-/// The answer to a call, and the outcome under which the call is counted.
-pub(super) struct CallResult {
-    pub(super) answer: ProxyAnswer,
-    pub(super) outcome: CallOutcome,
-}
-
 /// The result of one attempt; `answer` is set if the attempt was answered.
 struct Attempt {
     end: AttemptEnd,
@@ -67,10 +62,12 @@
         call,
         repeatable: is_repeatable(call.method, &route.settings),
         tried_addresses: Vec::new(),
+        free_tries: 0,
         may_have_run: false,
     };
+    let mut next_slot = dispatch.choose_target();
     loop {
-        let Some(slot) = dispatch.choose_target() else {
+        let Some(slot) = next_slot else {
             // No target has a free slot. The caller is answered at once, with
             // a `Retry-After` header if the call certainly did not run, rather
             // than kept waiting until the deadline.
@@ -78,9 +75,13 @@
             return call_result(step, None, &route.service, call);
         };
         let attempt = dispatch.attempt_with_hedge(slot).await;
+        next_slot = dispatch.choose_free_target(attempt.end);
+        if next_slot.is_some() {
+            continue;
+        }
         let can_retry = dispatch.try_reserve_retry(attempt.end);
         match next_step(attempt.end, dispatch.allowance(can_retry)) {
-            NextStep::SendAgain => {}
+            NextStep::SendAgain => next_slot = dispatch.choose_target(),
             step => return call_result(step, attempt.answer, &route.service, call),
         }
     }
@@ -94,6 +95,8 @@
     repeatable: bool,
     /// The address of each attempt's target, hedged attempts included.
     tried_addresses: Vec<String>,
+    /// Number of attempts that took no retry, since the one before reached no connection.
+    free_tries: u32,
     may_have_run: bool,
 }
 
@@ -101,7 +104,7 @@
     fn retries_left(&self) -> u32 {
         let attempts = u32::try_from(self.tried_addresses.len()).unwrap_or(u32::MAX);
         // The first attempt is not a retry.
-        (self.route.settings.retries + 1).saturating_sub(attempts)
+        (self.route.settings.retries + 1).saturating_sub(attempts.saturating_sub(self.free_tries))
     }
 
     fn time_left(&self) -> Duration {
@@ -109,6 +112,17 @@
         self.call.deadline.saturating_duration_since(now)
     }
 
+    /// Whether another attempt may follow one that ended with `end`. After one that reached no
+    /// connection, only if the next can be seen to reach none: else the call, which did not run,
+    /// would end with the outcome unknown.
+    fn has_time_after(&self, end: AttemptEnd) -> bool {
+        self.time_left()
+            > match end {
+                AttemptEnd::NotConnected => HURRIED_CONNECT_TIMEOUT,
+                _ => Duration::ZERO,
+            }
+    }
+
     fn allowance(&self, can_retry: bool) -> RetryAllowance {
         RetryAllowance {
             repeatable: self.repeatable,
@@ -120,23 +134,38 @@
     /// Takes a slot on a target that was not tried yet, and adds the target's
     /// address to the tried ones.
     fn choose_target(&mut self) -> Option<SlotGuard> {
-        let slot = self.acquire_slot(&self.tried_addresses)?;
+        let slot = self.acquire_slot(&self.tried_addresses, TargetHealth::Any)?;
         self.tried_addresses.push(slot.address().to_owned());
         Some(slot)
     }
 
+    /// Takes a slot for an attempt that takes no retry, as the one before, which ended with
+    /// `end`, reached no connection and so put no load on any target.
+    ///
+    /// Only a healthy target that was not tried yet gets it: otherwise each call of a service
+    /// without a live target would be tried at all of them.
+    fn choose_free_target(&mut self, end: AttemptEnd) -> Option<SlotGuard> {
+        if end != AttemptEnd::NotConnected || !self.has_time_after(end) {
+            return None;
+        }
+        let slot = self.acquire_slot(&self.tried_addresses, TargetHealth::Healthy)?;
+        self.tried_addresses.push(slot.address().to_owned());
+        self.free_tries += 1;
+        Some(slot)
+    }
+
     /// Takes a slot for a hedged attempt, on a target that was not tried yet if
     /// there is one. Otherwise a tried target is used again, since the fault may
     /// be in the connection rather than in the target.
     fn choose_hedge_target(&mut self) -> Option<SlotGuard> {
         let slot = self
-            .acquire_slot(&self.tried_addresses)
-            .or_else(|| self.acquire_slot(&[]))?;
+            .acquire_slot(&self.tried_addresses, TargetHealth::Any)
+            .or_else(|| self.acquire_slot(&[], TargetHealth::Any))?;
         self.tried_addresses.push(slot.address().to_owned());
         Some(slot)
     }
 
-    fn acquire_slot(&self, excluded: &[String]) -> Option<SlotGuard> {
+    fn acquire_slot(&self, excluded: &[String], health: TargetHealth) -> Option<SlotGuard> {
         let targets = self.shared.targets.load();
         let slots = self.route.settings.slots_per_target;
         let slots_per_target = if self.call.client.may_be_sent_ahead() {
@@ -149,6 +178,7 @@
             service: &self.route.service,
             slots_per_target,
             excluded,
+            health,
         };
         TargetTable::acquire_slot(&self.shared.target_table, request, self.shared.clock.now())
     }
@@ -174,7 +204,7 @@
             AttemptEnd::Lost => self.repeatable,
             AttemptEnd::Declined | AttemptEnd::NotConnected => true,
         };
-        let has_retries_and_time = self.retries_left() > 0 && !self.time_left().is_zero();
+        let has_retries_and_time = self.retries_left() > 0 && self.has_time_after(end);
         is_retryable
             && has_retries_and_time
             && self.shared.retry_budget.try_spend(&self.route.service)
@@ -249,10 +279,7 @@
     async fn send(&self) -> Attempt {
         let (call, address) = (self.call, self.slot.address());
         let clients = &self.shared.target_clients;
-        let client = match self.connection {
-            ConnectionKind::Pooled => &clients.pooled,
-            ConnectionKind::New => &clients.unpooled,
-        };
+        let client = clients.client(self.connection, self.timeout);
         let ended = |end| Attempt { end, answer: None };
         let method = reqwest::Method::from_bytes(call.method.as_str().as_bytes())
             .unwrap_or(reqwest::Method::GET);
@@ -267,7 +294,10 @@
         }
         let response = match request.send().await {
             Ok(response) => response,
-            Err(error) if error.is_connect() => return ended(AttemptEnd::NotConnected),
+            // An address that gives no URL cannot be sent to either.
+            Err(error) if error.is_connect() || error.is_builder() => {
+                return ended(AttemptEnd::NotConnected)
+            }
             Err(_) => return ended(AttemptEnd::Lost),
         };
         let status = response.status().as_u16();
@@ -320,41 +350,6 @@
     Some(body)
 }
 
-fn call_result(
-    step: NextStep,
-    answer: Option<ProxyAnswer>,
-    service: &str,
-    call: &ForwardedCall,
-) -> CallResult {
-    match (step, answer) {
-        (NextStep::PassOn, Some(answer)) => {
-            let outcome = if answer.status >= 500 {
-                CallOutcome::Failed
-            } else {
-                CallOutcome::Answered
-            };
-            CallResult { answer, outcome }
-        }
-        (NextStep::SayNotRun, _) => {
-            let text = format!("no target of service {service} can take the call now");
-            CallResult {
-                answer: ProxyAnswer::not_run(&call.request_id, &text),
-                outcome: CallOutcome::NotRun,
-            }
-        }
-        _ => {
-            let text = format!(
-                "outcome unknown: no whole answer from service {service}; request id {}",
-                call.request_id
-            );
-            CallResult {
-                answer: ProxyAnswer::unknown(&call.request_id, &text),
-                outcome: CallOutcome::Unknown,
-            }
-        }
-    }
-}
-
 fn record_target_outcome(shared: &ProxyShared, address: &str, attempt: &Attempt) {
     let failed = attempt
         .answer
@@ -368,7 +363,8 @@
         AttemptEnd::Answered if failed => TargetOutcome::Failure,
         AttemptEnd::Answered => TargetOutcome::Success { load },
         AttemptEnd::Declined => TargetOutcome::Declined,
-        AttemptEnd::NotConnected | AttemptEnd::Lost => TargetOutcome::Failure,
+        AttemptEnd::NotConnected => TargetOutcome::Unreachable,
+        AttemptEnd::Lost => TargetOutcome::Failure,
     };
     shared
         .target_table
--- a/crates/daemon/src/proxy/keyed.rs
+++ b/crates/daemon/src/proxy/keyed.rs
@@ -8,7 +8,8 @@
 use twox_hash::XxHash64;
 
 use super::answer::{ProxyAnswer, REPLAYED};
-use super::attempt::{run_call, CallResult, ForwardedCall};
+use super::attempt::{run_call, ForwardedCall};
+use super::call_result::CallResult;
 use super::claim::{ClaimOutcome, ClaimState, HeldClaim, RecordedAnswer, MAX_KEY_BYTES};
 use super::{ProxyShared, LOOKUP_HEADER, LOOKUP_PREFIX, OUTCOME_HEADER, REQUEST_ID_HEADER};
 use crate::counters::CallOutcome;
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -11,9 +11,11 @@
 mod answer;
 mod attempt;
 mod body;
+mod call_result;
 mod claim;
 mod keyed;
 pub mod policy;
+mod target_clients;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +38,7 @@
 use attempt::ForwardedCall;
 use body::read_body;
 pub use claim::{ClaimOutcome, ClaimState, ClaimStore, HeldClaim, RecordedAnswer};
+use target_clients::TargetClients;
 
 /// Request header that names the member (customer) that the caller belongs to.
 pub const MEMBER_HEADER: &str = "x-filbert-member";
@@ -60,17 +63,6 @@
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 /// Request headers that are forwarded to the target.
 const FORWARDED_HEADERS: [&str; 3] = ["content-type", "accept", IDEMPOTENCY_KEY_HEADER];
-/// Timeout for connecting to a target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle time before the first TCP keepalive probe on a connection to a target,
-/// and the time between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
-/// Number of unanswered TCP keepalive probes after which a connection is
-/// closed.
-const KEEPALIVE_PROBES: u32 = 2;
-/// Maximum number of idle connections kept open per target.
-const MAX_IDLE_CONNECTIONS_PER_TARGET: usize = 8;
-
 /// The applied settings version, as the proxy reads it.
 #[derive(Debug, Default)]
 pub struct AppliedConfig {
@@ -102,42 +94,6 @@
     target_clients: TargetClients,
 }
 
-/// The HTTP clients that send calls to targets.
-struct TargetClients {
-    /// Reuses connections from a pool.
-    pooled: reqwest::Client,
-    /// Opens a new connection for each attempt.
-    unpooled: reqwest::Client,
-}
-
-impl TargetClients {
-    fn new() -> TargetClients {
-        let builder = || {
-            reqwest::Client::builder()
-                .connect_timeout(CONNECT_TIMEOUT)
-                .redirect(reqwest::redirect::Policy::none())
-        };
-        // Idle connections are probed and closed when the probes stay
-        // unanswered, so that few calls are sent on a connection whose other
-        // end no longer responds.
-        let pooled = builder()
-            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS_PER_TARGET)
-            .tcp_keepalive(KEEPALIVE_INTERVAL)
-            .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
-            .tcp_keepalive_retries(KEEPALIVE_PROBES);
-        let unpooled = builder().pool_max_idle_per_host(0);
-        let build = |builder: reqwest::ClientBuilder| {
-            builder
-                .build()
-                .expect("an HTTP client without TLS always builds")
-        };
-        TargetClients {
-            pooled: build(pooled),
-            unpooled: build(unpooled),
-        }
-    }
-}
-
 impl ProxyShared {
     /// Creates the state of a proxy at `port` that has no settings version and no targets.
     ///
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -80,7 +80,9 @@
     Success { load: Option<u32> },
     /// The target declined to run the call, for example to shed load.
     Declined,
-    /// The target refused the connection, closed it before the whole answer
+    /// No connection to the target could be opened.
+    Unreachable,
+    /// The target closed the connection before the whole answer
     /// was read, answered with a server error or did not answer in time.
     Failure,
 }
@@ -134,18 +136,28 @@
                 }
             }
             TargetOutcome::Declined => self.ejected_until = Some(now + DECLINED_EJECTION_TIME),
+            TargetOutcome::Unreachable => {
+                // That nobody is there needs no second call to be sure of.
+                let failures = self.consecutive_failures.saturating_add(1);
+                self.consecutive_failures = failures.max(CONSECUTIVE_FAILURES_TO_EJECT);
+                self.eject_if_failing(now);
+            }
             TargetOutcome::Failure => {
-                self.consecutive_failures += 1;
-                let ejections = self
-                    .consecutive_failures
-                    .checked_sub(CONSECUTIVE_FAILURES_TO_EJECT);
-                if let Some(ejections) = ejections {
-                    let ejection_time = BASE_EJECTION_TIME * 2u32.saturating_pow(ejections.min(8));
-                    self.ejected_until = Some(now + ejection_time.min(MAX_EJECTION_TIME));
-                }
+                self.consecutive_failures = self.consecutive_failures.saturating_add(1);
+                self.eject_if_failing(now);
             }
         }
     }
+
+    fn eject_if_failing(&mut self, now: Instant) {
+        let ejections = self
+            .consecutive_failures
+            .checked_sub(CONSECUTIVE_FAILURES_TO_EJECT);
+        if let Some(ejections) = ejections {
+            let ejection_time = BASE_EJECTION_TIME * 2u32.saturating_pow(ejections.min(8));
+            self.ejected_until = Some(now + ejection_time.min(MAX_EJECTION_TIME));
+        }
+    }
 }
 
 /// The observed state of every target, by address.
@@ -191,6 +203,17 @@
     /// Addresses of targets that must not be chosen, as the call was already
     /// sent to them.
     pub excluded: &'a [String],
+    /// Which targets may be chosen.
+    pub health: TargetHealth,
+}
+
+/// Which targets a call may be sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetHealth {
+    /// Those that are not ejected, or ejected ones if there is no other.
+    Any,
+    /// Those that are not ejected.
+    Healthy,
 }
 
 impl TargetTable {
@@ -239,7 +262,10 @@
                 healthy.push((load, &record.address));
             }
         }
-        let candidates = if healthy.is_empty() { ejected } else { healthy };
+        let candidates = match request.health {
+            TargetHealth::Any if healthy.is_empty() => ejected,
+            _ => healthy,
+        };
         let (_, address) = candidates
             .choose_multiple(&mut rand::rng(), RANDOM_CHOICES)
             .min_by_key(|(load, _)| *load)?;
--- a/crates/daemon/tests/call_cases.rs
+++ b/crates/daemon/tests/call_cases.rs
@@ -12,7 +12,7 @@
     hedge_delay, is_repeatable, next_step, AttemptEnd, NextStep, RetryAllowance,
 };
 use filbert_daemon::targets::{
-    PlacementRequest, SlotGuard, TargetOutcome, TargetTable, ZoneTargets,
+    PlacementRequest, SlotGuard, TargetHealth, TargetOutcome, TargetTable, ZoneTargets,
 };
 use filbert_store::TargetRecord;
 use filbert_tree::{BranchSettings, RouteSettings};
@@ -110,6 +110,7 @@
         service: "quoting",
         slots_per_target,
         excluded: &[],
+        health: TargetHealth::Any,
     }
 }
 
@@ -129,6 +130,7 @@
 #[case::leaving_is_passed_over(ChoiceCase { targets: &[("a", 5, false), ("b", 0, true)], outcomes: &[], chosen: Some("a") })]
 #[case::answers_tell_more_than_reports(ChoiceCase { targets: &[("a", 5, false), ("b", 0, false)], outcomes: &[("b", SUCCESS_WITH_LOAD)], chosen: Some("a") })]
 #[case::failing_is_passed_over(ChoiceCase { targets: &[("a", 9, false), ("b", 0, false)], outcomes: &[("b", TargetOutcome::Failure), ("b", TargetOutcome::Failure), ("b", TargetOutcome::Failure)], chosen: Some("a") })]
+#[case::unreachable_is_passed_over_at_once(ChoiceCase { targets: &[("a", 9, false), ("b", 0, false)], outcomes: &[("b", TargetOutcome::Unreachable)], chosen: Some("a") })]
 #[case::one_failure_is_not_enough(ChoiceCase { targets: &[("a", 9, false), ("b", 0, false)], outcomes: &[("b", TargetOutcome::Failure), ("b", SUCCESS), ("b", TargetOutcome::Failure)], chosen: Some("b") })]
 #[case::shedding_is_passed_over(ChoiceCase { targets: &[("a", 9, false), ("b", 0, false)], outcomes: &[("b", TargetOutcome::Declined)], chosen: Some("a") })]
 #[case::all_failing_are_still_tried(ChoiceCase { targets: &[("a", 0, false)], outcomes: &[("a", TargetOutcome::Declined)], chosen: Some("a") })]
--- a/tests/unconnected_targets.rs
+++ b/tests/unconnected_targets.rs
@@ -104,6 +104,23 @@
         .expect("the proxy responds")
 }
 
+/// Guards against targets that nobody is behind and that cost the calls of a service that
+/// others serve.
+#[rstest]
+#[case::lookups(LOOKUP)]
+#[case::orders(ORDER)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn twenty_closed_ports_cost_no_call(#[case] request: (&str, &str)) {
+    let dead: Vec<DeadPort> = (0..20).map(|_| DeadPort::closed()).collect();
+    let mesh = mesh_beside(2, &dead).await;
+    let mut statuses = Vec::new();
+    for _ in 0..100 {
+        statuses.push(call(&mesh, request).await.status().as_u16());
+    }
+    let failed = statuses.iter().filter(|status| **status != 200).count();
+    assert_eq!(failed, 0, "{statuses:?}");
+}
+
 /// The targets of a service that has no other, and the answer to a call.
 struct DeadService {
     ports: fn() -> DeadPort,
