Reach store, targets and daemons without the proxy of an environment

What callers and operators saw: a daemon that was started where HTTP_PROXY or the like was set read no version and sent its calls to that proxy (503); filbertctl read neither the store nor a daemon's counters. Cause: the HTTP clients follow these variables unless told not to. Change: the clients to our own store, to targets and to daemons follow no proxy, as those to the users' store did before; so do those of the stand-ins and tests, by one function.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -328,7 +328,7 @@
             let url = url.to_owned();
             let method = method.clone();
             tokio::spawn(async move {
-                let http = reqwest::Client::new();
+                let http = filbert_standin::http::direct_client();
                 let mut times = Vec::new();
                 for _ in 0..CALLS / callers {
                     let started = Instant::now();
--- a/crates/ctl/src/cmd/report.rs
+++ b/crates/ctl/src/cmd/report.rs
@@ -29,7 +29,10 @@
 /// Appends one sample of each daemon to the file `out`. Daemons that do not answer are
 /// skipped with a message on standard error.
 async fn sample(daemons: &[String], out: &Path) -> CtlResult<()> {
-    let http = reqwest::Client::new();
+    let http = reqwest::Client::builder()
+        .no_proxy()
+        .build()
+        .change_context(CtlError::Platform)?;
     let at = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |since_epoch| since_epoch.as_secs());
--- a/crates/daemon/src/proxy/target_clients.rs
+++ b/crates/daemon/src/proxy/target_clients.rs
@@ -66,6 +66,7 @@
             reqwest::Client::builder()
                 .connect_timeout(connect_timeout)
                 .redirect(reqwest::redirect::Policy::none())
+                .no_proxy()
         };
         // Idle connections are probed and closed when the probes stay
         // unanswered, so that few calls are sent on a connection whose other
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -137,7 +137,7 @@
 /// Sends one quote request and one order through each daemon and prints the
 /// responses.
 async fn send_example_calls(mesh: &LocalMesh) -> Result<(), String> {
-    let http = reqwest::Client::new();
+    let http = crate::http::direct_client();
     for (index, daemon) in mesh.daemons.iter().enumerate() {
         let quote = http
             .get(format!("{}/quotes/{index}", daemon.proxy_url))
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod demo;
 pub mod fault_proxy;
 pub mod history;
+pub mod http;
 pub mod http2_frames;
 pub mod mesh;
 pub mod platform;
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -173,7 +173,7 @@
     /// Returns the time this took, or `None` if it takes longer than `within`.
     pub async fn wait_until_applied(&self, number: u64, within: Duration) -> Option<Duration> {
         let started = Instant::now();
-        let http = reqwest::Client::new();
+        let http = crate::http::direct_client();
         while started.elapsed() < within {
             let mut all_ready = true;
             for daemon in &self.daemons {
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -193,7 +193,7 @@
     /// Waits until the admin endpoint responds with success. Makes 1,000 attempts
     /// 10 ms apart (at least ten seconds) and returns whether one succeeded.
     pub async fn wait_until_ready(&self) -> bool {
-        let http = reqwest::Client::new();
+        let http = crate::http::direct_client();
         let url = format!("{}/status", self.admin_url);
         for _ in 0..1000 {
             if let Ok(response) = http.get(&url).send().await {
@@ -213,7 +213,8 @@
     /// # Panics
     /// When the daemon doesn't respond with counters.
     pub async fn counters(&self) -> BTreeMap<String, u64> {
-        let response = reqwest::get(format!("{}/metrics", self.admin_url)).await;
+        let url = format!("{}/metrics", self.admin_url);
+        let response = crate::http::direct_client().get(url).send().await;
         let response = response.expect("the daemon did not respond");
         response
             .json()
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -417,7 +417,7 @@
     state: Arc<TargetState>,
     leaving: Arc<AtomicBool>,
 ) {
-    let http = reqwest::Client::new();
+    let http = crate::http::direct_client();
     let url = format!("{daemon_admin_url}/announce");
     let mut has_announced_leaving = false;
     loop {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -79,6 +79,7 @@
             .timeout(timeout)
             .connect_timeout(timeout)
             .pool_idle_timeout(Duration::from_secs(30))
+            .no_proxy()
             .build()
             .expect("an HTTP client without TLS always builds");
         PlatformClient {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -29,7 +29,7 @@
 const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 async fn call_with_id(proxy: &str, path: &str, id: &str) -> reqwest::Result<reqwest::Response> {
-    reqwest::Client::new()
+    filbert_standin::http::direct_client()
         .get(format!("{proxy}{path}"))
         .header("x-filbert-member", "north-signs")
         .header("x-request-id", id)
@@ -187,7 +187,7 @@
     }
     fault_proxy.blackhole_open_connections();
     for order in 0..4 {
-        let response = reqwest::Client::new()
+        let response = filbert_standin::http::direct_client()
             .post(format!("{}/orders", daemon.proxy_url))
             .header("x-filbert-member", "north-signs")
             .body(format!("order {order}"))
@@ -219,7 +219,7 @@
     let stale_announcement = serde_json::json!({
         "service": "quoting", "address": artwork.address, "load": 0, "leaving": false,
     });
-    let http = reqwest::Client::new();
+    let http = filbert_standin::http::direct_client();
     let mut call = 0;
     while artwork.misdirected() < 3 && call < 60 {
         call += 1;
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -77,7 +77,7 @@
 
 /// Each order sent through the proxies runs exactly once.
 async fn check_orders_run_once(mesh: &LocalMesh) {
-    let http = reqwest::Client::new();
+    let http = filbert_standin::http::direct_client();
     for (index, daemon) in mesh.daemons.iter().enumerate() {
         let response = http
             .post(format!("{}/orders", daemon.proxy_url))
--- a/tests/faulty_answers.rs
+++ b/tests/faulty_answers.rs
@@ -99,7 +99,7 @@
     target.set_answer(bytes, RawEnd::Reset);
     let mut taken_for_whole = 0;
     for _ in 0..UPLOADS {
-        let answer = reqwest::Client::new()
+        let answer = filbert_standin::http::direct_client()
             .post(format!("{}/quotes/a", mesh.daemons[0].proxy_url))
             .header("x-filbert-member", "north-signs")
             .body(vec![b'u'; UPLOAD_BYTES])
--- a/tests/odd_targets.rs
+++ b/tests/odd_targets.rs
@@ -27,7 +27,7 @@
     let announcement = serde_json::json!({
         "service": "quoting", "address": address, "load": 0, "leaving": false,
     });
-    reqwest::Client::new()
+    filbert_standin::http::direct_client()
         .post(format!("{}/announce", mesh.daemons[0].admin_url))
         .json(&announcement)
         .send()
@@ -98,7 +98,10 @@
         "service": service, "address": "127.0.0.1:9", "load": 0, "leaving": false,
     });
     let url = format!("{}/announce", mesh.daemons[0].admin_url);
-    let post = reqwest::Client::new().post(url).json(&announcement).send();
+    let post = filbert_standin::http::direct_client()
+        .post(url)
+        .json(&announcement)
+        .send();
     assert_eq!(post.await.expect("an answer").status(), 202);
     tokio::time::sleep(ANNOUNCE_TIME).await;
     assert_short_log(&mesh);
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -66,7 +66,7 @@
 /// # Panics
 /// When the status and the outcome header don't belong together.
 async fn place_order(proxy: &str, key: &str, request_id: &str) -> ReportedOutcome {
-    let sent = reqwest::Client::new()
+    let sent = filbert_standin::http::direct_client()
         .post(format!("{proxy}/orders?delay_ms=20"))
         .header("x-filbert-member", "north-signs")
         .header("idempotency-key", key)
@@ -260,7 +260,7 @@
     assert_eq!(looked_up.text().await.expect("a response"), response);
     let unknown = support::get(&proxy, "harbour-signs", "/_filbert/calls/kept").await;
     assert_eq!(unknown.status(), 404, "another member sees the order");
-    let reused = reqwest::Client::new()
+    let reused = filbert_standin::http::direct_client()
         .post(format!("{proxy}/orders"))
         .header("x-filbert-member", "north-signs")
         .header("idempotency-key", "kept")
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -49,7 +49,7 @@
 
 /// Calls `path` through a daemon's proxy as `member`.
 pub async fn get(daemon_url: &str, member: &str, path: &str) -> reqwest::Response {
-    reqwest::Client::new()
+    filbert_standin::http::direct_client()
         .get(format!("{daemon_url}{path}"))
         .header("x-filbert-member", member)
         .send()
@@ -60,7 +60,7 @@
 /// A daemon's status, or `Value::Null` when the daemon sends no valid status
 /// within 500 ms.
 pub async fn status(daemon: &DaemonProcess) -> serde_json::Value {
-    let response = reqwest::Client::new()
+    let response = filbert_standin::http::direct_client()
         .get(format!("{}/status", daemon.admin_url))
         .timeout(Duration::from_millis(500))
         .send()
@@ -140,7 +140,11 @@
 /// Number of targets of `service` that a daemon knows in its zone.
 pub async fn known_target_count(daemon: &DaemonProcess, service: &str) -> u64 {
     let url = format!("{}/status", daemon.admin_url);
-    let response = reqwest::get(url).await.expect("the daemon responds");
+    let response = filbert_standin::http::direct_client()
+        .get(url)
+        .send()
+        .await
+        .expect("the daemon responds");
     let status: serde_json::Value = response.json().await.expect("a status is JSON");
     status["targets"][service].as_u64().unwrap_or(0)
 }
--- a/tests/support/raw_target.rs
+++ b/tests/support/raw_target.rs
@@ -57,7 +57,7 @@
 }
 
 async fn announce(url: String, address: SocketAddr) {
-    let http = reqwest::Client::new();
+    let http = filbert_standin::http::direct_client();
     let announcement = TargetAnnouncement {
         service: "quoting".to_owned(),
         address: address.to_string(),
--- a/tests/unconnected_targets.rs
+++ b/tests/unconnected_targets.rs
@@ -96,7 +96,7 @@
 
 async fn call(mesh: &LocalMesh, (method, path): (&str, &str)) -> reqwest::Response {
     let method = reqwest::Method::from_bytes(method.as_bytes()).expect("a method");
-    reqwest::Client::new()
+    filbert_standin::http::direct_client()
         .request(method, format!("{}{path}", mesh.daemons[0].proxy_url))
         .header("x-filbert-member", "north-signs")
         .send()
