Keep an odd object key within the path of its request

What could happen: the key of an object comes from the row `current`. One of another writer with `?`, `#`, `%41` or `..` asked for another object or another resource of the store than it named. Cause: the key was put into the URL as it is. Class: text of others in a request, unescaped. Change: a key is escaped but for its slashes; one with a segment `.` or `..`, which URLs resolve whether escaped or not, and an empty one name no object.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,6 +6,7 @@
 use error_stack::{Report, ResultExt};
 use reqwest::StatusCode;
 
+use crate::keys::object_path;
 use crate::rows::RowDecoder;
 use crate::wire::{
     GetRequest, InjectedFaults, PlatformStats, PutRequest, ScanRequest, TableRow, WriteCondition,
@@ -171,7 +172,8 @@
     /// [`PlatformError`]. After `Unreachable` or `OutcomeUnknown` the object may
     /// have been stored.
     pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> PlatformResult<()> {
-        let url = format!("{}/object/{key}", self.base_url);
+        let path = object_path(key).ok_or(PlatformError::Malformed)?;
+        let url = format!("{}{path}", self.base_url);
         let response = self
             .http
             .put(url)
@@ -192,7 +194,10 @@
     /// [`PlatformError`] when the platform is unreachable or unavailable, or its
     /// response is malformed.
     pub async fn get_object(&self, key: &str) -> PlatformResult<Option<Vec<u8>>> {
-        let response = self.send_get(&format!("/object/{key}")).await?;
+        let Some(path) = object_path(key) else {
+            return Ok(None);
+        };
+        let response = self.send_get(&path).await?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
             status if status.is_success() => read_body(response).await.map(Some),
--- a/crates/store/src/keys.rs
+++ b/crates/store/src/keys.rs
@@ -1,5 +1,32 @@
 //! Layout of the keys in the platform's table and object store.
 
+use percent_encoding::{utf8_percent_encode, AsciiSet, CONTROLS};
+
+/// Characters of an object's key that are escaped in the path of a URL.
+const ESCAPED: &AsciiSet = &CONTROLS
+    .add(b' ')
+    .add(b'"')
+    .add(b'#')
+    .add(b'%')
+    .add(b'<')
+    .add(b'>')
+    .add(b'?')
+    .add(b'[')
+    .add(b'\\')
+    .add(b']')
+    .add(b'^')
+    .add(b'`')
+    .add(b'{')
+    .add(b'|')
+    .add(b'}');
+
+/// The path of an object in the URL of a request. `None` for a key that no object has: an empty
+/// one, and one with a segment `.` or `..`, which would lead to another path.
+pub(crate) fn object_path(key: &str) -> Option<String> {
+    let is_path = !key.is_empty() && key.split('/').all(|segment| !matches!(segment, "." | ".."));
+    is_path.then(|| format!("/object/{}", utf8_percent_encode(key, ESCAPED)))
+}
+
 /// Builds the keys of table rows and stored objects.
 pub struct StoreKey;
 
