Bound the responses of our own store in bytes

What operators of systems like ours saw: a server sent bytes without end, the process that read them kept all of them and ran out of memory, and the calls of its other clients ended with it.

Cause: the client of our own store bounded a response in time only. Class: a wait with a bound in time and none in bytes.

Change: a body is read part by part and fails as malformed above 16 MiB, some twenty times a version of the largest configurations. An object that is longer is not stored either, as no daemon could read it.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,6 +10,10 @@
     GetRequest, InjectedFaults, PlatformStats, PutRequest, ScanRequest, TableRow, WriteCondition,
 };
 
+/// Maximum size in bytes of a response's body, and of an object that is stored. A version of the
+/// largest configurations takes a twentieth of it; a longer one would take the memory of the host.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Why a request to the platform failed.
 ///
 /// After a failed write, the write may have taken effect unless the variant
@@ -151,12 +155,16 @@
         }
     }
 
-    /// Stores an object under `key`, replacing any existing object.
+    /// Stores an object under `key`, replacing any existing object. One that could not be read
+    /// again is not sent.
     ///
     /// # Errors
     /// [`PlatformError`]. After `Unreachable` or `OutcomeUnknown` the object may
     /// have been stored.
     pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> PlatformResult<()> {
+        if bytes.len() > MAX_RESPONSE_BYTES {
+            return Err(Report::new(PlatformError::Malformed).attach("the object is too long"));
+        }
         let url = format!("{}/object/{key}", self.base_url);
         let response = self
             .http
@@ -181,13 +189,7 @@
         let response = self.send_get(&format!("/object/{key}")).await?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
-            status if status.is_success() => {
-                let bytes = response
-                    .bytes()
-                    .await
-                    .change_context(PlatformError::Unreachable)?;
-                Ok(Some(bytes.to_vec()))
-            }
+            status if status.is_success() => read_body(response).await.map(Some),
             status => Err(error_for_status(status)),
         }
     }
@@ -244,11 +246,28 @@
     }
 }
 
-async fn decode<T: serde::de::DeserializeOwned>(response: reqwest::Response) -> PlatformResult<T> {
-    let bytes = response
-        .bytes()
+/// Reads the whole body of `response`.
+///
+/// # Errors
+/// [`PlatformError::Unreachable`] if it is cut or late, [`PlatformError::Malformed`] if it is
+/// longer than [`MAX_RESPONSE_BYTES`].
+async fn read_body(mut response: reqwest::Response) -> PlatformResult<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(part) = response
+        .chunk()
         .await
-        .change_context(PlatformError::Unreachable)?;
+        .change_context(PlatformError::Unreachable)?
+    {
+        if body.len() + part.len() > MAX_RESPONSE_BYTES {
+            return Err(Report::new(PlatformError::Malformed).attach("the response is too long"));
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body)
+}
+
+async fn decode<T: serde::de::DeserializeOwned>(response: reqwest::Response) -> PlatformResult<T> {
+    let bytes = read_body(response).await?;
     serde_json::from_slice(&bytes).change_context(PlatformError::Malformed)
 }
 
