--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -1,6 +1,6 @@
 //! What crowds of clients may cost a daemon, and how tests with them run.
 
-#![allow(dead_code)] // Each test binary uses only some of the helpers.
+#![allow(dead_code, unused_imports)] // Each test binary uses only some of the helpers.
 
 pub use filbert_platform_standin::crowd::{Crowd, CrowdKind};
 use filbert_standin::usage::ProcessUsage;
