--- a/crates/mesh/src/control.rs
+++ b/crates/mesh/src/control.rs
@@ -17,10 +17,13 @@
     accept_limited("control", &listener, |stream, usage| {
         let shared = Rc::clone(&shared);
         let recorder = Rc::clone(&recorder);
-        serve_requests(stream, usage, async move |head, body| SimpleResponse {
-            status: handle_call(&shared, &recorder, head, body).await,
-            content_type: "application/json",
-            body: "{}".to_owned(),
+        serve_requests(stream, usage, async move |head, body| {
+            let status = handle_call(&shared, &recorder, head, body).await;
+            SimpleResponse {
+                status,
+                content_type: "application/json",
+                body: response_body(status).to_owned(),
+            }
         })
     })
     .await;
@@ -31,6 +34,16 @@
 const NOT_FOUND: u16 = 404;
 const SERVICE_UNAVAILABLE: u16 = 503;
 
+/// The body of a response with `status`. What exactly is wrong with a request is in the log.
+fn response_body(status: u16) -> &'static str {
+    match status {
+        BAD_REQUEST => r#"{"error":"not a report of a target of this host"}"#,
+        NOT_FOUND => r#"{"error":"no such path or method"}"#,
+        SERVICE_UNAVAILABLE => r#"{"error":"not in the store yet"}"#,
+        _ => "{}",
+    }
+}
+
 /// Returns whether a report of `service` can come from the local target: the
 /// service is this host's own or one of the current configuration.
 ///
@@ -55,10 +68,7 @@
             acknowledge_shutdown(shared, recorder, &key).await
         }
         InstanceCall::Unknown => NOT_FOUND,
-        InstanceCall::Malformed => {
-            log::warn!("event=target_report_malformed path={}", head.target);
-            BAD_REQUEST
-        }
+        InstanceCall::Malformed => BAD_REQUEST,
     }
 }
 
@@ -69,7 +79,7 @@
 ) -> u16 {
     if !is_known_service(shared, &report.service) {
         log::warn!(
-            "event=target_report_foreign instance={} service={}",
+            "event=target_report_foreign instance={} service={:?}",
             report.key,
             report.service
         );
--- a/crates/mesh/src/small_server.rs
+++ b/crates/mesh/src/small_server.rs
@@ -5,8 +5,9 @@
 use std::future::Future;
 use std::time::{Duration, Instant};
 
-use filbert_http1::{BodyDecoder, MessageReader, RequestHead};
+use filbert_http1::{BodyDecoder, BodyFraming, MessageReader, RequestHead};
 use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::connection_limit::{ConnectionLimit, UsageCell};
@@ -16,6 +17,11 @@
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Maximum size of a body that is read to its end and dropped, in bytes, so that its client
+/// gets an answer.
+const MAX_DROPPED_BYTES: usize = 1024 * 1024;
+/// Status of a body that is longer than [`MAX_BODY_BYTES`].
+const CONTENT_TOO_LARGE: u16 = 413;
 /// Maximum lifetime of a connection. A client that sends requests regularly opens a
 /// new one.
 const MAX_CONNECTION_AGE: Duration = Duration::from_mins(1);
@@ -165,15 +171,11 @@
     while let Some(raw) = reader.read_head(MAX_HEAD_BYTES).await.map_err(|_| ())? {
         usage.set_active();
         let head = RequestHead::parse(&raw).map_err(|_| ())?;
-        let mut body = Vec::new();
-        let mut decoder = BodyDecoder::new(head.framing);
-        while let Some(data) = reader.read_body_data(&mut decoder).await.map_err(|_| ())? {
-            body.extend_from_slice(&data);
-            if body.len() > MAX_BODY_BYTES {
-                return Err(());
-            }
-        }
-        let response = respond(&head, &body).await;
+        let body = read_body(&mut reader, head.framing).await?;
+        let response = match body {
+            Some(body) => respond(&head, &body).await,
+            None => SimpleResponse::status(CONTENT_TOO_LARGE),
+        };
         let bytes = encode_response(&response, head.keep_alive);
         write.write_all(&bytes).await.map_err(|_| ())?;
         usage.set_idle(Instant::now());
@@ -183,3 +185,23 @@
     }
     Ok(())
 }
+
+/// Reads a body; `None` if it is longer than [`MAX_BODY_BYTES`].
+async fn read_body(
+    reader: &mut MessageReader<OwnedReadHalf>,
+    framing: BodyFraming,
+) -> Result<Option<Vec<u8>>, ()> {
+    let mut body = Vec::new();
+    let mut length = 0;
+    let mut decoder = BodyDecoder::new(framing);
+    while let Some(data) = reader.read_body_data(&mut decoder).await.map_err(|_| ())? {
+        length += data.len();
+        if length > MAX_DROPPED_BYTES {
+            return Err(());
+        }
+        if length <= MAX_BODY_BYTES {
+            body.extend_from_slice(&data);
+        }
+    }
+    Ok((length <= MAX_BODY_BYTES).then_some(body))
+}
