Take a source's place when those named before it do not exist

What callers saw: a row of nobody's in the table of hosts at the first start of a fleet; all daemons said that they were ready and answered 503, no_target, for up to 2.6 s.

Each daemon waited two seconds for an upstream before it had its own row written, also when the host had been found unreachable and the place of the source was its own. Class: a wait for an entry that is nobody's.

The wait ends when the daemon is told by an upstream or has become a source itself.

--- a/crates/mesh/src/feeds.rs
+++ b/crates/mesh/src/feeds.rs
@@ -48,7 +48,8 @@
 /// Time without an upstream before a daemon that is no source reads the members
 /// from the store. Failed upstreams are replaced within a second.
 const UPSTREAM_REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(3);
-/// How often a daemon without a version checks which peers have one.
+/// How often a daemon that starts checks its place in the plan of links, and which peers have
+/// a version.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The table that a feed reads.
@@ -216,18 +217,27 @@
     }
 }
 
-/// Waits for the first link plan, and for an upstream if this daemon is no
+/// Waits for the first link plan, and for an upstream while this daemon is no
 /// source. Most daemons of a fleet that starts get an upstream as soon as their
 /// links are up; without this delay, each would first keep a watch pending at
-/// the store.
+/// the store. Hosts that are listed as upstreams and do not exist leave their
+/// place to this daemon meanwhile.
 pub async fn await_plan(shared: &MeshShared) {
     let mut role = shared.members.role.subscribe();
     tokio::time::sleep(FIRST_PLAN_DELAY).await;
-    if !shared.members.is_source() {
-        let follows = role.wait_for(|role| *role == StoreRole::Follows);
-        // Without an upstream this daemon reads the store itself.
-        let _ = tokio::time::timeout(FIRST_LINK_TIMEOUT, follows).await;
-    }
+    let becomes_source = async {
+        while !shared.members.is_source() {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let has_place = async {
+        tokio::select! {
+            _ = role.wait_for(|role| *role == StoreRole::Follows) => {}
+            () = becomes_source => {}
+        }
+    };
+    // Without an upstream this daemon reads the store itself.
+    let _ = tokio::time::timeout(FIRST_LINK_TIMEOUT, has_place).await;
 }
 
 /// Gets a first version, from peers that have one or from the store.
