Test a fleet beside a row whose value is no text of Base64

What callers saw: one entry in the table of hosts whose value is JSON other than a text, nested 50,000 deep or with a number too large, and after a restart of all daemons no call was served at all; daemons that ran on before kept the hosts they knew. Likewise, in older code, a value that is a text and no Base64.

--- a/tests/mesh_odd_hosts.rs
+++ b/tests/mesh_odd_hosts.rs
@@ -213,6 +213,37 @@
     assert_serves_beside(&mut fleet, &entries).await;
 }
 
+/// Guards against an entry whose value is no Base64 and hides all other rows from a fleet that
+/// is restarted.
+#[rstest]
+#[case::address("127.0.0.1:http")]
+#[case::fields("{\"address\":\"[::1%r\u{e9}seau]:\"}")]
+#[case::cut("AAA")]
+#[case::empty("")]
+#[tokio::test]
+async fn a_value_that_is_no_base64_hides_no_host(#[case] text: &str) {
+    let mut fleet = three_zone_fleet().await;
+    let name = &names_elected_before(&fleet.hosts, 1)[0];
+    fleet.store.put_text(HOSTS_TABLE, name, text);
+    assert_serves_beside(&mut fleet, &[]).await;
+}
+
+/// Guards against an entry whose value is no text and hides all other rows from a fleet that is
+/// restarted.
+#[rstest]
+#[case::fields("{\"address\":\"127.0.0.1:http\"}")]
+#[case::nested(&["[".repeat(50_000), "]".repeat(50_000)].concat())]
+#[case::number_too_large("1e99999")]
+#[case::many_digits(&"9".repeat(4_000))]
+#[case::no_value("null")]
+#[tokio::test]
+async fn a_value_that_is_no_text_hides_no_host(#[case] json: &str) {
+    let mut fleet = three_zone_fleet().await;
+    let name = &names_elected_before(&fleet.hosts, 1)[0];
+    fleet.store.put_json(HOSTS_TABLE, name, json);
+    assert_serves_beside(&mut fleet, &[]).await;
+}
+
 /// What is at the address of a host that does not exist.
 #[derive(Clone, Copy, Debug)]
 enum Behind {
