Take the version that `current` names for a claim until it is found

What callers saw: after another writer had overwritten `current` with a number that leads to no version, running daemons served on, but no later version ever came into force, though the row was mended; and a daemon restarted meanwhile served nothing, though its zone's relay had the version in force. An unreadable row counted as a store that cannot be reached: lost and back at each read. Cause: the number of the row raised the lowest version that may be applied, for good and, through the relay's welcome, for the zone. An object that held another version left its fetch open for ever. Class: a number of others that is kept beyond the reading that gave it, and is passed on as known. Change: the floor is a type of its own. What daemons have applied raises it for good, and only that is passed on. The row's number holds until the row names another or the store shows that it has no such version (no object, one that cannot be decoded, one of another number); a version that comes meanwhile is held back, so that a restarted daemon still does not go back. An unreadable row names no version. One line, current_unusable, is logged. Remains: a relay that is restarted itself has no version while the row stands, nor do its peers give it one.

--- a/crates/daemon/src/control/change.rs
+++ b/crates/daemon/src/control/change.rs
@@ -17,6 +17,9 @@
     /// A version failed validation; no part of it is applied and the previous
     /// version stays in force.
     Rejected { number: u64, reason: String },
+    /// The `current` row names version `number`, which the store does not have, or no version
+    /// that can be read (0).
+    CurrentUnusable { number: u64 },
     /// The platform became unreachable; version `serving` stays in force.
     PlatformLost { serving: u64 },
     /// The platform is reachable again.
@@ -57,6 +60,9 @@
                     "event=rejected version={number} reason={reason:?}"
                 )
             }
+            StateChange::CurrentUnusable { number } => {
+                write!(formatter, "event=current_unusable version={number}")
+            }
             StateChange::PlatformLost { serving } => {
                 write!(formatter, "event=platform_lost serving={serving}")
             }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -11,6 +11,7 @@
 
 mod change;
 mod directory;
+mod floor;
 mod lease;
 mod pace;
 mod peers;
@@ -80,6 +81,11 @@
         object: String,
         delta: Option<DeltaPointer>,
     },
+    /// The `current` row was read, and its value is not one of ours.
+    CurrentUnreadable,
+    /// The store has no such object, or one that is not what the `current` row names it: the
+    /// whole version `number`, or the delta to it.
+    ObjectUnusable { number: u64, is_whole: bool },
     /// The delta from version `base` to version `number` was fetched, `bytes`
     /// long on the wire.
     DeltaFetched {
@@ -289,6 +295,10 @@
                 object,
                 delta,
             } => self.on_current_read(number, object, delta, &mut effects),
+            ControlEvent::CurrentUnreadable => self.on_current_unreadable(&mut effects),
+            ControlEvent::ObjectUnusable { number, is_whole } => {
+                self.on_object_unusable(number, is_whole, &mut effects);
+            }
             ControlEvent::DeltaFetched {
                 base,
                 number,
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -122,7 +122,7 @@
             return;
         }
         self.close_older_links(&hello.id, effects);
-        self.raise_floor(hello.applied);
+        self.versions.floor.raise(hello.applied);
         self.peers.unlinked.remove(&hello.id);
         let change = self.host_target_change(&hello);
         let entry = PeerEntry {
@@ -147,7 +147,7 @@
     fn welcome(&mut self, peer: u64, effects: &mut Vec<ControlEffect>) {
         let welcome = RelayMessage::Welcome(RelayWelcome {
             token: self.zone.token,
-            floor: self.versions.floor.max(self.versions.applied),
+            floor: self.versions.floor.applied().max(self.versions.applied),
             platform_reachable: self.provides_versions(),
             zone: self.current_membership(),
         });
@@ -209,7 +209,7 @@
             entry.rejected = rejected;
         }
         self.peers.digest_dirty = true;
-        self.raise_floor(applied);
+        self.versions.floor.raise(applied);
         if applied > self.versions.newest_number() {
             self.read_current(effects);
         }
--- a/crates/daemon/src/control/uplink.rs
+++ b/crates/daemon/src/control/uplink.rs
@@ -193,8 +193,8 @@
         self.zone.candidates.clear();
         self.zone.membership = welcome.zone;
         self.zone.relay_reaches_platform = welcome.platform_reachable;
-        self.raise_floor(welcome.floor);
-        // Every daemon reads `current` once after its start; `raise_floor` gives the reason.
+        self.versions.floor.raise(welcome.floor);
+        // Every daemon reads `current` once after its start; [`super::floor`] gives the reason.
         if !self.versions.floor_known {
             self.read_current(effects);
         }
--- a/crates/daemon/src/control/version.rs
+++ b/crates/daemon/src/control/version.rs
@@ -8,6 +8,7 @@
 use filbert_store::DeltaPointer;
 use filbert_tree::{RouteTable, TreeDelta, VersionCodec, VersionRecord};
 
+use super::floor::VersionFloor;
 use super::{ControlEffect, ControlState, StateChange};
 use crate::messages::{PeerMessage, VersionUpdate};
 
@@ -40,8 +41,8 @@
     pub(super) rejected: Option<(u64, String)>,
     /// The newest version received, whether applied or not.
     pub(super) newest: Option<Arc<VersionRecord>>,
-    /// No version with a lower number is applied (see [`ControlState::raise_floor`]).
-    pub(super) floor: u64,
+    /// The lowest version that may be applied.
+    pub(super) floor: VersionFloor,
     /// Whether a read of the `current` row has succeeded or failed since the start.
     pub(super) floor_known: bool,
     /// A version from the relay that is held back until the floor is known.
@@ -128,14 +129,18 @@
     ) {
         self.current_read_pending = false;
         self.on_platform_answered(effects);
-        self.raise_floor(number);
+        self.versions.floor.set_named(number);
         self.on_floor_known(effects);
+        self.apply_held_back(effects);
         let already_fetching = self
             .versions
             .fetching
             .is_some_and(|fetching| fetching >= number);
-        let left_to_relay = self.relay_provides_versions();
-        let wanted = number > 0 && !self.versions.is_known(number);
+        // A version of the relay that is held back waits for this very fetch.
+        let left_to_relay = self.relay_provides_versions() && !self.versions.floor.holds_back();
+        let wanted = number > 0
+            && !self.versions.is_known(number)
+            && self.versions.floor.is_fetch_due(number, self.at.now);
         if wanted && !already_fetching && !left_to_relay {
             self.versions.fetching = Some(number);
             let usable_delta = delta
@@ -166,16 +171,41 @@
         }
     }
 
-    /// Raises the floor, the lowest version that this daemon may apply, to
-    /// `number`, a version named by the `current` row, the zone's relay or a peer.
-    ///
-    /// The floor keeps a restarted daemon from going back to an older version.
-    /// A daemon keeps no state over a restart, so a relay that lags behind
-    /// could send it a version older than the one it ran before, and a route
-    /// change would be undone. The version that it ran had been accepted, so
-    /// its number is not above that of a `current` row read after the restart.
-    pub(super) fn raise_floor(&mut self, number: u64) {
-        self.versions.floor = self.versions.floor.max(number);
+    /// Handles a `current` row that is none of ours.
+    pub(super) fn on_current_unreadable(&mut self, effects: &mut Vec<ControlEffect>) {
+        self.on_current_read(0, String::new(), None, effects);
+        self.on_version_missing(0, effects);
+    }
+
+    /// Handles an object that the store does not have or that is not what the `current` row
+    /// names it: the whole version `number`, or the delta to it.
+    pub(super) fn on_object_unusable(
+        &mut self,
+        number: u64,
+        is_whole: bool,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        self.on_platform_answered(effects);
+        self.versions.on_fetch_failed();
+        if is_whole {
+            self.on_version_missing(number, effects);
+        }
+    }
+
+    fn on_version_missing(&mut self, number: u64, effects: &mut Vec<ControlEffect>) {
+        if self.versions.floor.set_missing(number, self.at.now) {
+            let change = StateChange::CurrentUnusable { number };
+            effects.push(ControlEffect::RecordStateChange { change });
+        }
+        self.apply_held_back(effects);
+    }
+
+    /// Handles the version that was held back, if the floor allows it now.
+    fn apply_held_back(&mut self, effects: &mut Vec<ControlEffect>) {
+        if let Some(record) = self.versions.floor.take_allowed() {
+            let bytes = VersionCodec::encode(&record).len();
+            self.on_version(&record, bytes, effects);
+        }
     }
 
     /// Marks the floor as known, after a read of `current` that succeeded or
@@ -228,7 +258,13 @@
         // Drops an older version, so that `applied` only ever increases. When
         // updates cross in flight, a fetched version can arrive after a newer
         // one has been applied.
-        if record.number <= self.versions.applied || record.number < self.versions.floor {
+        if record.number <= self.versions.applied {
+            return;
+        }
+        if !self.versions.floor.allows(record.number) {
+            if self.versions.floor.hold_back(record) {
+                self.read_current(effects);
+            }
             return;
         }
         if self.versions.staged_number() >= Some(record.number) {
--- a/crates/daemon/src/platform_calls.rs
+++ b/crates/daemon/src/platform_calls.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use filbert_store::{
-    check_target_address, parse_relay_address, CurrentPointer, DaemonStatus, DeltaPointer,
-    LeaseRecord, PlatformClient, StoreKey, TableRow, TargetRecord, WriteCondition, WriteOutcome,
-    ZoneDigest,
+    check_target_address, parse_relay_address, shortened, CurrentPointer, DaemonStatus,
+    DeltaPointer, LeaseRecord, PlatformClient, StoreKey, TableRow, TargetRecord, WriteCondition,
+    WriteOutcome, ZoneDigest,
 };
 use filbert_tree::VersionCodec;
 use tokio::sync::mpsc;
@@ -50,45 +50,60 @@
         self.counters.record_platform_read();
         let platform = self.platform.clone();
         self.spawn_call(async move {
-            let failed = ControlEvent::PlatformFailed {
-                step: PlatformStep::ReadCurrent,
-            };
             Some(match platform.get(StoreKey::CURRENT).await {
                 Ok(None) => ControlEvent::CurrentRead {
                     number: 0,
                     object: String::new(),
                     delta: None,
                 },
-                Ok(Some(row)) => {
-                    serde_json::from_value::<CurrentPointer>(row.value).map_or(failed, |pointer| {
-                        ControlEvent::CurrentRead {
-                            number: pointer.number,
-                            object: pointer.object,
-                            delta: pointer.delta,
-                        }
-                    })
-                }
-                Err(_) => failed,
+                Ok(Some(row)) => serde_json::from_value::<CurrentPointer>(row.value).map_or(
+                    ControlEvent::CurrentUnreadable,
+                    |pointer| ControlEvent::CurrentRead {
+                        number: pointer.number,
+                        object: pointer.object,
+                        delta: pointer.delta,
+                    },
+                ),
+                Err(_) => ControlEvent::PlatformFailed {
+                    step: PlatformStep::ReadCurrent,
+                },
             })
         });
     }
 
     /// Fetches version `number` in full from the object with the key `object`.
     pub fn fetch_full(&self, number: u64, object: String) {
-        self.fetch_object(number, object, VersionCodec::decode, |record, bytes| {
-            ControlEvent::VersionFetched {
-                record: Arc::new(record),
-                bytes,
-            }
-        });
+        let unusable = ControlEvent::ObjectUnusable {
+            number,
+            is_whole: true,
+        };
+        let other_version = unusable.clone();
+        self.fetch_object(
+            object,
+            unusable,
+            VersionCodec::decode,
+            move |record, bytes| {
+                if record.number != number {
+                    return other_version;
+                }
+                ControlEvent::VersionFetched {
+                    record: Arc::new(record),
+                    bytes,
+                }
+            },
+        );
     }
 
     /// Fetches the delta to version `number` that `pointer` points to.
     pub fn fetch_delta(&self, number: u64, pointer: DeltaPointer) {
         let base = pointer.base;
-        self.fetch_object(
+        let unusable = ControlEvent::ObjectUnusable {
             number,
+            is_whole: false,
+        };
+        self.fetch_object(
             pointer.object,
+            unusable,
             VersionCodec::decode_delta,
             move |delta, bytes| ControlEvent::DeltaFetched {
                 base,
@@ -100,29 +115,30 @@
     }
 
     /// Fetches an object and decodes it. `fetched` makes the event from the decoded value
-    /// and its encoded size in bytes.
+    /// and its encoded size in bytes; `unusable` is the event if there is no such object.
     fn fetch_object<T: 'static>(
         &self,
-        number: u64,
         object: String,
+        unusable: ControlEvent,
         decode: fn(&[u8]) -> Result<T, String>,
         fetched: impl FnOnce(T, usize) -> ControlEvent + Send + 'static,
     ) {
         self.counters.record_platform_read();
         let platform = self.platform.clone();
         self.spawn_call(async move {
-            let failed = ControlEvent::PlatformFailed {
-                step: PlatformStep::FetchVersion,
-            };
-            let Ok(Some(bytes)) = platform.get_object(&object).await else {
-                return Some(failed);
-            };
-            Some(match decode(&bytes) {
-                Ok(value) => fetched(value, bytes.len()),
-                Err(reason) => {
-                    log::warn!("event=version_undecodable version={number} reason={reason:?}");
-                    failed
-                }
+            Some(match platform.get_object(&object).await {
+                Ok(Some(bytes)) => match decode(&bytes) {
+                    Ok(value) => fetched(value, bytes.len()),
+                    Err(reason) => {
+                        let reason = shortened(&reason);
+                        log::warn!("event=version_undecodable reason=\"{reason}\"");
+                        unusable
+                    }
+                },
+                Ok(None) => unusable,
+                Err(_) => ControlEvent::PlatformFailed {
+                    step: PlatformStep::FetchVersion,
+                },
             })
         });
     }
