--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -11,9 +11,11 @@
 
 mod change;
 mod directory;
+mod floor;
 mod lease;
 mod pace;
 mod peers;
+mod recovery;
 mod settings;
 mod uplink;
 mod version;
@@ -38,6 +40,7 @@
 pub use change::StateChange;
 use directory::TargetDirectory;
 use peers::PeerTable;
+use recovery::PeerRecovery;
 pub use settings::ControlSettings;
 use version::VersionState;
 pub use zone::ZoneRole;
@@ -80,6 +83,11 @@
         object: String,
         delta: Option<DeltaPointer>,
     },
+    /// The `current` row was read, and its value is not one of ours.
+    CurrentUnreadable,
+    /// The store has no such object, or one that is not what the `current` row names it: the
+    /// whole version `number`, or the delta to it.
+    ObjectUnusable { number: u64, is_whole: bool },
     /// The delta from version `base` to version `number` was fetched, `bytes`
     /// long on the wire.
     DeltaFetched {
@@ -202,6 +210,7 @@
     directory: TargetDirectory,
     zone: ZoneState,
     peers: PeerTable,
+    recovery: PeerRecovery,
     /// Loads by target address that the next batch passes on.
     pending_loads: BTreeMap<String, u32>,
     current_read_pending: bool,
@@ -227,6 +236,7 @@
             directory: TargetDirectory::default(),
             zone,
             peers: PeerTable::default(),
+            recovery: PeerRecovery::default(),
             pending_loads: BTreeMap::new(),
             current_read_pending: false,
             target_scan_pending: false,
@@ -289,6 +299,10 @@
                 object,
                 delta,
             } => self.on_current_read(number, object, delta, &mut effects),
+            ControlEvent::CurrentUnreadable => self.on_current_unreadable(&mut effects),
+            ControlEvent::ObjectUnusable { number, is_whole } => {
+                self.on_object_unusable(number, is_whole, &mut effects);
+            }
             ControlEvent::DeltaFetched {
                 base,
                 number,
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -61,6 +61,15 @@
         self.links.len()
     }
 
+    /// The peer that has applied the newest version, and that version's number.
+    pub(super) fn newest_applied(&self) -> Option<(u64, u64)> {
+        let applied = self
+            .links
+            .iter()
+            .map(|(peer, entry)| (*peer, entry.applied));
+        applied.max_by_key(|(_, applied)| *applied)
+    }
+
     fn link_numbers(&self) -> Vec<u64> {
         self.links.keys().copied().collect()
     }
@@ -103,6 +112,7 @@
             PeerMessage::Targets(change) => self.on_peer_targets(peer, &change, effects),
             PeerMessage::RequestFullVersion => self.send_full_version(peer, effects),
             PeerMessage::Moved { relay } => self.on_moved(relay, effects),
+            PeerMessage::Version(record) => self.on_peer_version(record, effects),
             PeerMessage::Heartbeat => {
                 let newest = self.versions.newest_number();
                 send(vec![peer], RelayMessage::Heartbeat { newest }, effects);
@@ -122,7 +132,7 @@
             return;
         }
         self.close_older_links(&hello.id, effects);
-        self.raise_floor(hello.applied);
+        self.versions.floor.raise(hello.applied);
         self.peers.unlinked.remove(&hello.id);
         let change = self.host_target_change(&hello);
         let entry = PeerEntry {
@@ -147,7 +157,7 @@
     fn welcome(&mut self, peer: u64, effects: &mut Vec<ControlEffect>) {
         let welcome = RelayMessage::Welcome(RelayWelcome {
             token: self.zone.token,
-            floor: self.versions.floor.max(self.versions.applied),
+            floor: self.versions.floor.applied().max(self.versions.applied),
             platform_reachable: self.provides_versions(),
             zone: self.current_membership(),
         });
@@ -209,7 +219,7 @@
             entry.rejected = rejected;
         }
         self.peers.digest_dirty = true;
-        self.raise_floor(applied);
+        self.versions.floor.raise(applied);
         if applied > self.versions.newest_number() {
             self.read_current(effects);
         }
