Test endless answers on many calls at once over our own store

What operators of systems like ours saw: bytes that are no answer, without end, took the memory of the machine that had called, and its other clients' requests.

--- a/tests/support/raw_target.rs
+++ b/tests/support/raw_target.rs
@@ -22,8 +22,13 @@
     Closed,
     /// The connection is reset, though the call is not read to its end.
     Reset,
+    /// The last [`REPEATED_BYTES`] bytes are sent again and again.
+    Repeated,
 }
 
+/// Number of bytes at the end of an answer that are repeated.
+pub const REPEATED_BYTES: usize = 10_000;
+
 /// A target that announces itself as one of `quoting`.
 pub struct RawTarget {
     answer: Arc<Mutex<(Vec<u8>, RawEnd)>>,
@@ -89,6 +94,11 @@
         let _ = stream.write_all(&bytes).await;
         match end {
             RawEnd::Open => {}
+            RawEnd::Repeated => {
+                let repeated = &bytes[bytes.len() - REPEATED_BYTES..];
+                while stream.write_all(repeated).await.is_ok() {}
+                return;
+            }
             RawEnd::Closed => {
                 let _ = stream.shutdown().await;
                 while stream.read(&mut part).await.is_ok_and(|bytes| bytes > 0) {}
