Notice that an answer over a link is cut while its client is waited for

Cause: the caller's daemon waits for the client's socket and reads the end of the link's stream only afterwards, behind up to a window of data; and the target's host waits for the window of the stream and does not see meanwhile that its buffer has been cut. Class: one wait hides the event that makes it pointless.

Fix: AnswerBody::cut, which each wait for a receiver is selected against, on both hosts. The body of a link is a file of its own. An answer that the other host or the link breaks off is cut by the same means, so a slow client gets less of what it cannot use.

Not tested: a target's host that stands still inside an answer.

--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -1,19 +1,20 @@
 //! Bodies of calls and answers, streamed through the daemon.
 
+mod link;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use filbert_policy::call_limits::AnswerDeadline;
 use filbert_policy::clock::Clock;
-use h2::RecvStream;
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit};
 use tokio::task::JoinHandle;
 
 use crate::answer_buffer::{AnswerBuffer, BufferShare};
 use crate::links::STREAM_WINDOW;
-use crate::peers::LinkGuard;
 use crate::target::RunBody;
+pub use link::{next_data, LinkBody};
 
 /// Why a body ended before it was complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,77 +73,6 @@
     }
 }
 
-/// A body received over a link.
-#[derive(Debug)]
-pub struct LinkBody {
-    stream: RecvStream,
-    buffered: Bytes,
-    /// Keeps the link open until the body is dropped.
-    link_guard: Option<LinkGuard>,
-}
-
-impl LinkBody {
-    /// Creates the body of the data `buffered` so far and the rest of `stream`.
-    #[must_use]
-    pub fn new(stream: RecvStream, buffered: BytesMut) -> LinkBody {
-        LinkBody {
-            stream,
-            buffered: buffered.freeze(),
-            link_guard: None,
-        }
-    }
-
-    /// Keeps the link open until the body is dropped.
-    #[must_use]
-    pub fn with_link_guard(self, link_guard: LinkGuard) -> LinkBody {
-        LinkBody {
-            link_guard: Some(link_guard),
-            ..self
-        }
-    }
-
-    /// Reads the next data; `None` at the end of the body.
-    ///
-    /// # Errors
-    /// [`BodyTruncated`] if the other daemon or the link ended the stream early.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyTruncated> {
-        if !self.buffered.is_empty() {
-            return Ok(Some(std::mem::take(&mut self.buffered)));
-        }
-        match next_data(&mut self.stream).await {
-            Some(Ok(data)) => {
-                if let Some(link) = &self.link_guard {
-                    link.record_received();
-                }
-                Ok(Some(data))
-            }
-            Some(Err(_)) => Err(BodyTruncated::BrokenOff),
-            None => Ok(None),
-        }
-    }
-}
-
-/// Reads the next data of a stream and releases its flow-control window.
-/// Returns `None` at the end of the stream.
-///
-/// Skips empty frames. The frame that ends a stream is often empty, and empty
-/// data written in chunked encoding is the chunk that ends a body. The client
-/// would then read the real last chunk as the start of its next answer.
-pub async fn next_data(stream: &mut RecvStream) -> Option<Result<Bytes, h2::Error>> {
-    loop {
-        let data = match stream.data().await? {
-            Ok(data) => data,
-            Err(error) => return Some(Err(error)),
-        };
-        if let Err(error) = stream.flow_control().release_capacity(data.len()) {
-            return Some(Err(error));
-        }
-        if !data.is_empty() {
-            return Some(Ok(data));
-        }
-    }
-}
-
 /// An answer's body.
 #[derive(Debug)]
 pub enum AnswerBody {
@@ -153,7 +83,7 @@
     /// Read from the target on this host into a buffer.
     Buffered(BufferedBody),
     /// Streamed from another daemon.
-    Link(LinkBody),
+    Link(Box<LinkBody>),
     /// The data read so far, and the body that the rest is read from.
     Partial(Vec<Bytes>, Box<AnswerBody>),
 }
@@ -221,14 +151,14 @@
         }
     }
 
-    /// Whether the body is cut at its deadline, while it is read into a buffer; `None` if it is
-    /// not buffered.
-    #[must_use]
-    pub fn cut(&self) -> Option<watch::Receiver<bool>> {
+    /// Returns when the body has ended early, though not all of what came before has been
+    /// taken. Cancel safe; to be polled while nothing is read.
+    pub async fn cut(&mut self) -> BodyTruncated {
         match self {
-            AnswerBody::Buffered(body) => Some(body.is_cut.clone()),
-            AnswerBody::Partial(_, rest) => rest.cut(),
-            AnswerBody::Whole(_) | AnswerBody::Run(_) | AnswerBody::Link(_) => None,
+            AnswerBody::Buffered(body) => body.cut().await,
+            AnswerBody::Link(body) => body.cut().await,
+            AnswerBody::Partial(_, rest) => Box::pin(rest.cut()).await,
+            AnswerBody::Whole(_) | AnswerBody::Run(_) => std::future::pending().await,
         }
     }
 
@@ -338,6 +268,15 @@
             None => Ok(None),
         }
     }
+
+    /// Returns when the deadline has passed before the target had sent all.
+    async fn cut(&mut self) -> BodyTruncated {
+        // The sender is dropped when all has been read.
+        if self.is_cut.wait_for(|is_cut| *is_cut).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        BodyTruncated::AtDeadline
+    }
 }
 
 impl std::fmt::Debug for BufferedBody {
@@ -357,18 +296,6 @@
     }
 }
 
-/// Returns when the buffered body whose [`AnswerBody::cut`] this is has been cut.
-pub async fn body_cut(cut: Option<watch::Receiver<bool>>) {
-    let is_cut = match cut {
-        // The sender is dropped when all has been read.
-        Some(mut cut) => cut.wait_for(|is_cut| *is_cut).await.is_ok(),
-        None => false,
-    };
-    if !is_cut {
-        std::future::pending::<()>().await;
-    }
-}
-
 impl Drop for BufferedBody {
     /// Closes the connection to the target, so that the target stops a run whose
     /// client has disconnected.
--- a/crates/mesh/src/calls/attempt.rs
+++ b/crates/mesh/src/calls/attempt.rs
@@ -308,7 +308,10 @@
     };
     peer.record_received(shared.clock.now());
     match result {
-        Ok((reply, body)) => Ok((reply, AnswerBody::Link(body.with_link_guard(link_guard)))),
+        Ok((reply, body)) => {
+            let body = body.with_link_guard(link_guard);
+            Ok((reply, AnswerBody::Link(Box::new(body))))
+        }
         Err(ReplyFault::Unread) => {
             log_unread(shared, &head.id, peer);
             Err(not_sent())
--- a/crates/mesh/src/ingress/answers.rs
+++ b/crates/mesh/src/ingress/answers.rs
@@ -1,5 +1,6 @@
 //! Writes answers to clients.
 
+use std::future::Future;
 use std::time::Duration;
 
 use filbert_http1::{BodyEncoder, BodyFraming, LengthMismatch};
@@ -7,7 +8,7 @@
 
 use super::client_io::ClientWriter;
 use super::connection::CallInfo;
-use crate::body::{body_cut, buffer_ended, AnswerBody, BodyTruncated};
+use crate::body::{buffer_ended, AnswerBody, BodyTruncated};
 use crate::calls::{ClientAnswer, TargetAnswer};
 use crate::egress::EgressPacer;
 use crate::small_server::reason_phrase;
@@ -48,6 +49,15 @@
     }
 }
 
+impl From<BodyTruncated> for AnswerFault {
+    fn from(error: BodyTruncated) -> AnswerFault {
+        match error {
+            BodyTruncated::BrokenOff => AnswerFault::BrokenOff,
+            BodyTruncated::AtDeadline => AnswerFault::AtDeadline,
+        }
+    }
+}
+
 /// Writes `answer` as the answer to `call`. Returns whether the connection must be closed
 /// behind it: because the call says so, or because the close is what ends the answer's body.
 ///
@@ -90,13 +100,11 @@
             }
             let until = answer.body.send_until(answer.deadline, idle_timeout);
             let ended = buffer_ended(answer.body.buffer_share());
-            let cut = body_cut(answer.body.cut());
             let sent = write_target_answer(egress, writer, answer, connection_line, framing);
             let sent = tokio::time::timeout_at(until.into(), sent);
             tokio::select! {
                 sent = sent => sent.unwrap_or(Err(AnswerFault::ClientTooSlow))?,
                 () = ended => return Err(AnswerFault::ClientTooSlow),
-                () = cut => return Err(AnswerFault::AtDeadline),
             }
             if ends_with_connection {
                 set_reset_on_close(writer.stream(), false);
@@ -158,30 +166,44 @@
     // compete for the link.
     let mut remaining = framing.length().unwrap_or(0);
     let due = egress.now() + CLIENT_SEND_TIME;
-    egress
-        .pace(first_bytes.len() as u64, remaining, due, organisation)
-        .await;
-    writer.write_all(&first_bytes).await?;
+    let first = async {
+        let bytes = first_bytes.len() as u64;
+        egress.pace(bytes, remaining, due, organisation).await;
+        writer.write_all(&first_bytes).await
+    };
+    unless_cut(&mut body, first).await??;
     loop {
         let receive_until = deadline.receive_until(egress.now());
         let next = tokio::time::timeout_at(receive_until.into(), body.next());
-        match next.await.unwrap_or(Err(BodyTruncated::AtDeadline)) {
-            Ok(Some(data)) => {
-                let bytes = data.len() as u64;
-                egress
-                    .pace(bytes, remaining.max(bytes), due, organisation)
-                    .await;
-                remaining = remaining.saturating_sub(bytes);
-                let framed = encoder.encode(data).map_err(wrong_length)?;
-                writer.write_all(&framed).await?;
-            }
-            Ok(None) => {
-                let end = encoder.finish().map_err(wrong_length)?;
-                return Ok(writer.write_all(end).await?);
-            }
-            Err(BodyTruncated::BrokenOff) => return Err(AnswerFault::BrokenOff),
-            Err(BodyTruncated::AtDeadline) => return Err(AnswerFault::AtDeadline),
-        }
+        let next = next.await.unwrap_or(Err(BodyTruncated::AtDeadline));
+        let Some(data) = next? else {
+            let end = encoder.finish().map_err(wrong_length)?;
+            return Ok(writer.write_all(end).await?);
+        };
+        let bytes = data.len() as u64;
+        let framed = encoder.encode(data).map_err(wrong_length)?;
+        let send = async {
+            let remaining = remaining.max(bytes);
+            egress.pace(bytes, remaining, due, organisation).await;
+            writer.write_all(&framed).await
+        };
+        unless_cut(&mut body, send).await??;
+        remaining = remaining.saturating_sub(bytes);
+    }
+}
+
+/// Takes `step` in sending `body`, which may take as long as the client likes.
+///
+/// # Errors
+/// Why the body has ended early meanwhile. What is left of it is of no use to the client.
+async fn unless_cut<T>(
+    body: &mut AnswerBody,
+    step: impl Future<Output = T>,
+) -> Result<T, BodyTruncated> {
+    tokio::select! {
+        biased;
+        done = step => Ok(done),
+        error = body.cut() => Err(error),
     }
 }
 
--- a/crates/mesh/src/serve_peers.rs
+++ b/crates/mesh/src/serve_peers.rs
@@ -272,34 +272,55 @@
             piece = body.next() => piece,
             _ = poll_fn(|context| outgoing.poll_reset(context)) => return Err(LinkError::Closed),
         };
-        match piece {
-            Ok(Some(mut piece)) => {
-                while !piece.is_empty() {
-                    let chunk = piece.split_to(piece.len().min(PACED_CHUNK_BYTES));
-                    let bytes = chunk.len() as u64;
-                    let remaining = transfer.length.unwrap_or(0).saturating_sub(sent).max(bytes);
-                    shared
-                        .egress
-                        .pace(bytes, remaining, transfer.deadline, transfer.organisation)
-                        .await;
-                    sent += bytes;
-                    send_body_data(outgoing, chunk).await?;
-                }
-            }
+        let piece = match piece {
+            Ok(Some(piece)) => piece,
             Ok(None) => {
                 outgoing.send_data(Bytes::new(), true)?;
                 return Ok(());
             }
-            Err(_) => {
-                // The reset keeps the caller's daemon from taking a truncated answer for
-                // a complete one.
-                outgoing.send_reset(h2::Reason::INTERNAL_ERROR);
-                return Err(LinkError::Closed);
-            }
+            Err(_) => return Err(reset_cut_body(outgoing)),
+        };
+        let bytes = piece.len() as u64;
+        let remaining = transfer.length.unwrap_or(0).saturating_sub(sent);
+        tokio::select! {
+            biased;
+            sent = send_piece(shared, outgoing, piece, remaining, &transfer) => sent?,
+            // The caller's daemon may have given no window for a while.
+            _ = body.cut() => return Err(reset_cut_body(outgoing)),
         }
+        sent += bytes;
     }
 }
 
+/// Resets the stream of an answer that is cut. Otherwise the caller's daemon could take it for
+/// a complete one.
+fn reset_cut_body(outgoing: &mut SendStream<Bytes>) -> LinkError {
+    outgoing.send_reset(h2::Reason::INTERNAL_ERROR);
+    LinkError::Closed
+}
+
+/// Sends a piece of an answer's body of which `remaining` bytes are left, paced.
+async fn send_piece(
+    shared: &MeshShared,
+    outgoing: &mut SendStream<Bytes>,
+    mut piece: Bytes,
+    mut remaining: u64,
+    transfer: &AnswerTransfer,
+) -> Result<(), LinkError> {
+    while !piece.is_empty() {
+        let chunk = piece.split_to(piece.len().min(PACED_CHUNK_BYTES));
+        let bytes = chunk.len() as u64;
+        let left = remaining.max(bytes);
+        let pace = shared
+            .egress
+            .pace(bytes, left, transfer.deadline, transfer.organisation);
+        pace.await;
+        remaining = remaining.saturating_sub(bytes);
+        send_body_data(outgoing, chunk).await?;
+    }
+    Ok(())
+}
+
 /// Sends body data as fast as the receiver's flow-control window allows, so that a
 /// slow receiver takes little memory on this host.
 ///
--- a/tests/mesh_endless_answers.rs
+++ b/tests/mesh_endless_answers.rs
@@ -155,11 +155,14 @@
 #[case::over_a_link(OVER_A_LINK)]
 #[case::at_the_target(AT_THE_TARGET)]
 #[tokio::test]
-async fn a_reader_that_holds_the_daemon_up_learns_that_its_answer_is_cut(#[case] host: usize) {
+async fn a_reader_that_holds_the_daemon_up_learns_that_its_answer_is_cut(
+    #[case] host: usize,
+    #[values(EndlessBytes::Body, EndlessBytes::Chunks)] bytes: EndlessBytes,
+) {
     const PAUSE: Duration = Duration::from_millis(20);
     let fleet = two_host_fleet("a").await;
     let target = &fleet.hosts[1].target;
-    target.set_behaviour(TargetBehaviour::SendsWithoutEnd(EndlessBytes::Body));
+    target.set_behaviour(TargetBehaviour::SendsWithoutEnd(bytes));
     let took = read_slowly_to_the_end(&fleet.hosts[host], PAUSE).await;
     let log = fleet.hosts[host].log();
     assert!(took <= ROUTE_TIMEOUT + END_MARGIN, "{took:?}\n{log}");
