Wait in the property test of answers for the close behind each one

The next order goes to the same target, and if the close comes late, on that connection: the target never reads it, and its daemon, which cannot know that, answers 502 to an order that may not be sent again. Class: what is decided by the state of a connection that the other end is about to change.

Change: before the next order the test waits until the target has sent all of the last answer and has closed its connection, if it closes it. Every answer, its status, fields, body and the count of runs are checked as before; a whole answer still has to arrive.

--- a/tests/mesh_answers.rs
+++ b/tests/mesh_answers.rs
@@ -11,7 +11,7 @@
 use generated_answers::{generate_answer, GeneratedAnswer};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
-use users::{generated_cases, two_host_fleet, Fleet};
+use users::{eventually, generated_cases, two_host_fleet, Fleet, WAIT_TIMEOUT};
 
 const SEED: u64 = 56;
 const GENERATED_ANSWERS: usize = 300;
@@ -42,9 +42,19 @@
         }
         check(&id, &generated, answer);
         assert_eq!(fleet.run_count(&id), 1, "{id}");
+        wait_until_done(&fleet, &id, generated.written.closes).await;
     }
 }
 
+/// Waits until the target has sent all that it sends for call `id`, and has closed its connection
+/// if it closes it. Some close it without a word behind a whole answer: a call that is sent
+/// before is lost, and no daemon can know whether it ran.
+async fn wait_until_done(fleet: &Fleet, id: &str, closes: bool) {
+    let target = &fleet.hosts[1].target;
+    let is_done = || async { target.running() == 0 && (!closes || target.has_closed_behind(id)) };
+    assert!(eventually(WAIT_TIMEOUT, is_done).await, "{id}");
+}
+
 /// Prints what the daemons have logged of the call with this id.
 fn print_lines_of(fleet: &Fleet, id: &str) {
     for host in &fleet.hosts {
