--- a/crates/daemon/src/control/uplink.rs
+++ b/crates/daemon/src/control/uplink.rs
@@ -158,6 +158,7 @@
             RelayMessage::Zone(membership) => self.zone.membership = membership,
             RelayMessage::Platform { reachable } => self.on_relay_platform(reachable, effects),
             RelayMessage::Heartbeat { newest } => self.on_relay_heartbeat(newest, effects),
+            RelayMessage::RequestVersion => self.on_version_requested(effects),
             RelayMessage::Goodbye { relay } => self.on_goodbye(relay, effects),
         }
     }
@@ -193,8 +194,8 @@
         self.zone.candidates.clear();
         self.zone.membership = welcome.zone;
         self.zone.relay_reaches_platform = welcome.platform_reachable;
-        self.raise_floor(welcome.floor);
-        // Every daemon reads `current` once after its start; `raise_floor` gives the reason.
+        self.versions.floor.raise(welcome.floor);
+        // Every daemon reads `current` once after its start; [`super::floor`] gives the reason.
         if !self.versions.floor_known {
             self.read_current(effects);
         }
