--- a/tests/odd_entry_crowds.rs
+++ b/tests/odd_entry_crowds.rs
@@ -12,7 +12,8 @@
 use std::time::{Duration, Instant};
 
 use entries::{closed_address, Entry, HOSTS_TABLE};
-use filbert_mesh::codec::rows::encode;
+use filbert_mesh::codec::rows::{decode, encode};
+use filbert_mesh::rollouts::row::RolloutRow;
 use filbert_platform_standin::{Host, RouteSpec, StoreFault};
 use filbert_policy::rollout::record::{OrderId, RolloutRecord, RolloutStage};
 use rollout::{order_rollout, reaches_state, start_old_fleet};
@@ -140,15 +141,22 @@
     );
 }
 
-/// Guards against the highest step in a row, which ends the task that decides on roll-outs.
+/// Guards against a copy of a roll-out's row with the highest step, which ends the task that
+/// decides on roll-outs again and again.
+#[rstest]
+#[case::low(7)]
+#[case::highest(u32::MAX)]
 #[tokio::test]
-async fn the_highest_step_in_a_row_ends_no_task() {
+async fn a_step_in_a_row_ends_no_task(#[case] step: u32) {
     let fleet = start_old_fleet().await;
-    let order = OrderId { era: 0, version: 0 };
-    let mut record = RolloutRecord::ordered(SERVICE, "v2", ALLOWED, order);
-    record.step = u32::MAX;
-    let row = rollout_row(&record);
-    fleet.store.put(HOSTS_TABLE, "rollout/quotes", &row);
+    order_rollout(&fleet.store, "v2", ALLOWED);
+    assert!(reaches_state(&fleet.store, "running", ALLOWED).await);
+    let row = fleet.store.value(HOSTS_TABLE, "rollout/quotes");
+    let mut stored: RolloutRow = decode(&row.expect("a row")).expect("a roll-out");
+    stored.record.step = step;
+    fleet
+        .store
+        .put(HOSTS_TABLE, "rollout/quotes", &stored.value());
     let is_ended = reaches_state(&fleet.store, "rolled_back", ALLOWED * 3).await;
     for host in &fleet.hosts {
         let log = host.log();
